--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,207 @@
+"""Stand-in for a model engine: OpenAI-like chat, load reports, cancel and resume.
+
+A prompt counts one token a whitespace-separated word, the answer is `max_tokens`
+words that follow from the prompt alone. Starts are recorded with the tokens that were
+really generated: ``GET /starts``. Faults are set by ``PUT /faults``:
+``token_delay``, ``first_delay``, ``cut_after`` (tokens, -1: never), ``foreign_id``,
+``busy`` (answer 503), ``overrun`` (tokens beyond max_tokens), ``duplicate`` (send each
+event twice), ``silent_usage`` (no usage at the end), ``stop_at`` (end after so many).
+"""
+
+import argparse
+import json
+import sys
+import time
+
+import eventlet
+
+from standins._wsgi import Reply, listen, read_body, respond, serve
+
+eventlet.monkey_patch()
+
+
+class EngineStream:
+    """One generation, which outlives the connection that started it."""
+
+    def __init__(self, stream_id, prompt, limit, headers):
+        self.stream_id = stream_id
+        self.prompt_tokens = len(prompt.split())
+        self.words = prompt.split() or ["nothing"]
+        self.limit = limit
+        self.headers = headers
+        self.generated = 0
+        self.cancelled = False
+        self.done = False
+
+    def word(self, index):
+        """Return the output word at an index."""
+        return f"{self.words[index % len(self.words)]}-{index} "
+
+    def usage(self):
+        """Return the usage so far."""
+        return {
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": self.generated,
+            "total_tokens": self.prompt_tokens + self.generated,
+        }
+
+
+STREAMS: dict[str, EngineStream] = {}
+STARTS: list[EngineStream] = []
+RUNNING: set[str] = set()
+FAULTS = {
+    "token_delay": 0.0,
+    "first_delay": 0.0,
+    "cut_after": -1,
+    "foreign_id": False,
+    "busy": False,
+    "overrun": 0,
+    "duplicate": False,
+    "silent_usage": False,
+    "stop_at": -1,
+}
+
+
+def application(environ, start_response):
+    """Serve one call."""
+    path = environ["PATH_INFO"]
+    try:
+        if path == "/v1/chat/completions":
+            return _chat(environ, start_response)
+        if path == "/load":
+            value = {"running": len(RUNNING), "waiting": 0, "at": time.time()}
+            return respond(start_response, 200, value)
+        if path == "/faults":
+            FAULTS.update(json.loads(read_body(environ)))
+            return respond(start_response, 200, FAULTS)
+        if path == "/starts":
+            return respond(start_response, 200, [_row(stream) for stream in STARTS])
+        if path.startswith("/v1/streams/"):
+            return _stream_order(path.split("/")[3:], start_response)
+        raise Reply(404)
+    except Reply as reply:
+        return respond(start_response, reply.status, reply.value)
+
+
+def _row(stream):
+    return {
+        "id": stream.stream_id,
+        "tokens": stream.prompt_tokens + stream.generated,
+        "generated": stream.generated,
+        "done": stream.done,
+        "cancelled": stream.cancelled,
+        "headers": stream.headers,
+    }
+
+
+def _stream_order(parts, start_response):
+    stream = STREAMS.get(parts[0])
+    if stream is None:
+        raise Reply(404)
+    if parts[1:] == ["cancel"]:
+        stream.cancelled = True
+        return respond(start_response, 200, {"usage": stream.usage()})
+    start_response("200 OK", [("Content-Type", "text/event-stream")])
+    return _events(stream, {}, 0)
+
+
+def _chat(environ, start_response):
+    request = json.loads(read_body(environ))
+    if FAULTS["busy"]:
+        raise Reply(503, {"error": {"message": "busy", "code": "not_started"}})
+    stream = _start(environ, request)
+    if request.get("stream"):
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        return _events(stream, request, 0)
+    text = "".join(_generate(stream))
+    if FAULTS["cut_after"] >= 0:
+        start_response("200 OK", [("Content-Length", "5000")])
+        return [b'{"id": "cut']
+    value = {
+        "id": _answer_id(stream),
+        "object": "chat.completion",
+        "created": 0,
+        "model": request.get("model", ""),
+        "choices": [
+            {
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": "length",
+            }
+        ],
+        "usage": stream.usage(),
+    }
+    return respond(start_response, 200, value)
+
+
+def _start(environ, request):
+    stream_id = environ.get("HTTP_X_REQUEST_ID", "none")
+    prompt = " ".join(str(message.get("content", "")) for message in request["messages"])
+    headers = {key: value for key, value in environ.items() if key.startswith("HTTP_X_")}
+    stream = EngineStream(stream_id, prompt, int(request["max_tokens"]), headers)
+    STREAMS[stream_id] = stream
+    STARTS.append(stream)
+    return stream
+
+
+def _answer_id(stream):
+    return "chatcmpl-other" if FAULTS["foreign_id"] else f"chatcmpl-{stream.stream_id}"
+
+
+def _generate(stream):
+    RUNNING.add(stream.stream_id)
+    limit = stream.limit + FAULTS["overrun"]
+    if FAULTS["stop_at"] >= 0:
+        limit = min(limit, FAULTS["stop_at"])
+    try:
+        eventlet.sleep(FAULTS["first_delay"])
+        while stream.generated < limit and not stream.cancelled:
+            stream.generated += 1
+            yield stream.word(stream.generated - 1)
+            eventlet.sleep(FAULTS["token_delay"])
+    finally:
+        stream.done = True
+        RUNNING.discard(stream.stream_id)
+
+
+def _events(stream, request, start):
+    """Yield the events; the caller's hang-up ends the generation as well."""
+    include = (request.get("stream_options") or {}).get("include_usage")
+    if stream.done:
+        words = (stream.word(index) for index in range(start, stream.generated))
+    else:
+        words = _generate(stream)
+    for count, word in enumerate(words):
+        if count == FAULTS["cut_after"]:
+            # A close in mid-answer: the chunked body never ends properly.
+            raise ConnectionResetError("cut by fault")
+        event = _event(stream, [{"index": 0, "delta": {"content": word}, "finish_reason": None}])
+        yield event
+        if FAULTS["duplicate"]:
+            yield event
+    yield _event(stream, [{"index": 0, "delta": {}, "finish_reason": "length"}])
+    if include and not FAULTS["silent_usage"]:
+        yield _event(stream, [], stream.usage())
+    yield b"data: [DONE]\n\n"
+
+
+def _event(stream, choices, usage=None):
+    value = {
+        "id": _answer_id(stream),
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": "m",
+        "choices": choices,
+    }
+    if usage:
+        value["usage"] = usage
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--token-delay", type=float, default=0.0)
+    options = parser.parse_args(sys.argv[1:])
+    FAULTS["token_delay"] = options.token_delay
+    serve(application, listen(options.port))
--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,58 @@
+"""Generate the peer messages, or check that the committed ones are up to date."""
+
+import argparse
+import pathlib
+import sys
+import tempfile
+
+import grpc_tools
+from grpc_tools import protoc
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PACKAGE = "whinrack/peers/_pb"
+NAMES = ("peer_pb2.py", "peer_grpc.py")
+
+
+def generate(output: pathlib.Path) -> None:
+    """Run the protocol compiler and write its files below `output`."""
+    include = pathlib.Path(grpc_tools.__file__).parent / "_proto"
+    plugin = pathlib.Path(sys.executable).parent / "protoc-gen-grpclib_python"
+    code = protoc.main(
+        [
+            "protoc",
+            f"-I{ROOT}",
+            f"-I{include}",
+            f"--plugin=protoc-gen-grpclib_python={plugin}",
+            f"--python_out={output}",
+            f"--grpclib_python_out={output}",
+            str(ROOT / PACKAGE / "peer.proto"),
+        ]
+    )
+    if code != 0:
+        raise SystemExit(f"protoc failed with exit code {code}")
+
+
+def main() -> int:
+    """Generate in place, or compare with a fresh generation (`--check`)."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    if not parser.parse_args().check:
+        generate(ROOT)
+        return 0
+    with tempfile.TemporaryDirectory() as folder:
+        generate(pathlib.Path(folder))
+        stale = [
+            name
+            for name in NAMES
+            if (pathlib.Path(folder) / PACKAGE / name).read_bytes()
+            != (ROOT / PACKAGE / name).read_bytes()
+        ]
+    if stale:
+        print("generated code is out of date, run `make generate`:", ", ".join(stale))
+        return 1
+    print("generated code is up to date")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,34 @@
+"""Run pytest; failures listed in KNOWN-RED.txt are printed and passed over, no others."""
+
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+LIMIT = 3
+
+
+def known_red() -> list[str]:
+    """Return the test ids of KNOWN-RED.txt, `test, cause, issue` a line."""
+    if not KNOWN_RED.exists():
+        return []
+    lines = KNOWN_RED.read_text().splitlines()
+    return [line.split(",")[0].strip() for line in lines if line.strip()]
+
+
+def main() -> int:
+    """Run the suite without the known red tests, then run and print those."""
+    red = known_red()
+    if len(red) > LIMIT:
+        print(f"KNOWN-RED.txt holds {len(red)} tests, {LIMIT} are allowed")
+        return 1
+    for test in red:
+        print("known red:", test)
+        subprocess.run([sys.executable, "-m", "pytest", "-x", test], cwd=ROOT)
+    deselect = [f"--deselect={test}" for test in red]
+    return subprocess.run([sys.executable, "-m", "pytest", *deselect], cwd=ROOT).returncode
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/whinrack/budgets/__init__.py
@@ -0,0 +1,39 @@
+"""Prepaid budgets: books in the platform, grants at the instances, covers of requests."""
+
+from whinrack.budgets._account import (
+    AccountRow,
+    BudgetAccount,
+    BudgetEntry,
+    DrawOrder,
+    DrawResult,
+    account_name,
+    apply_draws,
+    apply_topups,
+    draw_result,
+    release_holder,
+)
+from whinrack.budgets._demand import DemandEstimate
+from whinrack.budgets._drawer import ACCOUNT_KIND, AccountDrawer
+from whinrack.budgets._keeper import BudgetKeeper, SpareSource, TokenSource
+from whinrack.budgets._ledger import BudgetLedger, Cover
+
+__all__ = [
+    "ACCOUNT_KIND",
+    "AccountDrawer",
+    "AccountRow",
+    "BudgetAccount",
+    "BudgetEntry",
+    "BudgetKeeper",
+    "BudgetLedger",
+    "Cover",
+    "DemandEstimate",
+    "DrawOrder",
+    "DrawResult",
+    "SpareSource",
+    "TokenSource",
+    "account_name",
+    "apply_draws",
+    "apply_topups",
+    "draw_result",
+    "release_holder",
+]
--- /dev/null
+++ b/whinrack/budgets/_demand.py
@@ -0,0 +1,39 @@
+"""How fast a budget is spent here, and how many tokens to hold for that."""
+
+import math
+
+__all__ = ["DemandEstimate"]
+
+
+class DemandEstimate:
+    """Exponentially weighted rate of tokens a second.
+
+    Parameters
+    ----------
+    half_life : float
+        Seconds after which a past request weighs half.
+    """
+
+    def __init__(self, half_life: float = 30.0):
+        self.half_life = half_life
+        self._sum = 0.0
+        self._at: float | None = None
+
+    def record(self, tokens: int, now: float) -> None:
+        """Count the tokens of one request."""
+        self._decay(now)
+        self._sum += tokens
+
+    def rate(self, now: float) -> float:
+        """Return the tokens a second."""
+        self._decay(now)
+        return self._sum * math.log(2) / self.half_life
+
+    def want(self, now: float, horizon: float) -> int:
+        """Return the tokens that last for `horizon` seconds at the present rate."""
+        return int(self.rate(now) * horizon)
+
+    def _decay(self, now: float) -> None:
+        if self._at is not None and now > self._at:
+            self._sum *= 0.5 ** ((now - self._at) / self.half_life)
+        self._at = now if self._at is None else max(now, self._at)
--- /dev/null
+++ b/whinrack/budgets/_keeper.py
@@ -0,0 +1,227 @@
+"""Covers requests: from what is here, then the books, then the peers."""
+
+import time
+from collections.abc import Callable, Iterable
+from contextlib import AbstractContextManager, nullcontext
+
+from returns.result import Failure, Result, Success
+
+from whinrack.budgets._account import DrawOrder, DrawResult
+from whinrack.budgets._demand import DemandEstimate
+from whinrack.budgets._ledger import BudgetLedger, Cover
+from whinrack.exceptions import BudgetContended, BudgetExhausted, Refusal, WhinrackError
+from whinrack.objects import Weighting
+
+__all__ = ["BudgetKeeper", "SpareSource", "TokenSource"]
+
+_DRY_SECONDS = 0.5
+_GATHER_WAIT = 1.0
+_GATHER_PAUSE = 0.1
+_IDLE_SURPLUS = 2
+_CONTENDED_RETRY = 1.0
+
+
+class TokenSource:
+    """Where orders go: the platform, or a peer that draws for its region."""
+
+    def draw(self, order: DrawOrder) -> Result[DrawResult, WhinrackError]:
+        """Apply an order and return the books' state."""
+        raise NotImplementedError
+
+
+class SpareSource:
+    """The peers that may hold unspent tokens."""
+
+    def gather(self, budget: str, want: int, received: dict[str, int]) -> Iterable[tuple[str, int]]:
+        """Ask peers for tokens; yields (giver, cumulative total)."""
+        raise NotImplementedError
+
+
+class _Held:
+    """One budget's state in the keeper."""
+
+    def __init__(self, ledger: BudgetLedger, lock: AbstractContextManager):
+        self.ledger = ledger
+        self.lock = lock
+        self.demand = DemandEstimate()
+        self.dry_until = 0.0
+        self.last: DrawResult | None = None
+
+
+class BudgetKeeper:
+    """All budgets that this incarnation holds tokens of.
+
+    Parameters
+    ----------
+    holder : str
+        This incarnation.
+    source : TokenSource
+        Applies draw orders.
+    spares : SpareSource
+        Asked when the books have nothing free.
+    horizon : float
+        Seconds of demand that a draw should last for; how long the platform may be
+        away without requests being refused.
+    gather_wait : float
+        Seconds that a workspace which weighs false refusals more waits at the end of
+        a budget for tokens that other requests give back.
+    clock, sleep, make_lock : callable, optional
+        Replaced in tests.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        source: TokenSource,
+        spares: SpareSource,
+        horizon: float = 120.0,
+        gather_wait: float = _GATHER_WAIT,
+        clock: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], None] = time.sleep,
+        make_lock: Callable[[], AbstractContextManager] = nullcontext,
+    ):
+        self.holder = holder
+        self.source = source
+        self.spares = spares
+        self.horizon = horizon
+        self.gather_wait = gather_wait
+        self.clock = clock
+        self.sleep = sleep
+        self.make_lock = make_lock
+        self.stopping = False
+        self._held: dict[str, _Held] = {}
+
+    def cover(
+        self, account: str, budget: str, tokens: int, weighting: Weighting
+    ) -> Result[Cover, Refusal]:
+        """Set tokens aside for one request, drawing more where that is needed."""
+        held = self._get(account, budget)
+        held.demand.record(tokens, self.clock())
+        cover = held.ledger.open(tokens)
+        if isinstance(cover, Success):
+            return cover
+        patience = self.gather_wait if weighting is Weighting.FALSE_REFUSALS else 0.0
+        end = self.clock() + patience
+        while True:
+            with held.lock:
+                cover = self._refill(held, tokens)
+            if isinstance(cover, Success) or self.clock() >= end:
+                return cover
+            if isinstance(cover.failure(), BudgetExhausted):
+                return cover
+            self.sleep(_GATHER_PAUSE)
+
+    def give(self, budget: str, receiver: str, already_received: int, want: int) -> int:
+        """Hand tokens to a peer that ran out; returns the cumulative total."""
+        held = self._held.get(budget)
+        if held is None:
+            return 0
+        return held.ledger.give(receiver, already_received, want)
+
+    def report(self, everything: bool = False) -> int:
+        """Report settled amounts, draw ahead and return surplus.
+
+        Returns
+        -------
+        int
+            Orders that failed; they are sent again with the next report.
+        """
+        return sum(self._report_one(held, everything) for held in list(self._held.values()))
+
+    def drain(self) -> bool:
+        """Give everything back for a planned stop; True once the books know it."""
+        self.stopping = True
+        drained = [self._drain_one(held) for held in list(self._held.values())]
+        return all(drained)
+
+    def ledgers(self) -> list[BudgetLedger]:
+        """Return the ledgers, for status and metrics."""
+        return [held.ledger for held in self._held.values()]
+
+    def _get(self, account: str, budget: str) -> _Held:
+        held = self._held.get(budget)
+        if held is None:
+            ledger = BudgetLedger(account, budget, self.holder)
+            held = self._held[budget] = _Held(ledger, self.make_lock())
+        return held
+
+    def _refill(self, held: _Held, tokens: int) -> Result[Cover, Refusal]:
+        ledger = held.ledger
+        cover = ledger.open(tokens)
+        if isinstance(cover, Success):
+            return cover
+        if self.clock() >= held.dry_until:
+            self._draw(held, tokens - ledger.spendable)
+            cover = ledger.open(tokens)
+            if isinstance(cover, Success):
+                return cover
+            self._gather(held, tokens - ledger.spendable)
+            cover = ledger.open(tokens)
+            if isinstance(cover, Success):
+                return cover
+            held.dry_until = self.clock() + _DRY_SECONDS
+        return Failure(_refusal(held, tokens))
+
+    def _draw(self, held: _Held, need: int) -> bool:
+        want = held.demand.want(self.clock(), self.horizon)
+        order = held.ledger.next_order(need=need, want=want)
+        return self._send(held, order)
+
+    def _send(self, held: _Held, order: DrawOrder) -> bool:
+        result = self.source.draw(order)
+        if isinstance(result, Failure):
+            held.last = None
+            return False
+        held.last = result.unwrap()
+        held.ledger.learn(order, held.last)
+        return True
+
+    def _gather(self, held: _Held, need: int) -> None:
+        ledger = held.ledger
+        for giver, total in self.spares.gather(ledger.budget, need, dict(ledger.received)):
+            ledger.receive(giver, total)
+
+    def _report_one(self, held: _Held, everything: bool) -> int:
+        ledger = held.ledger
+        if ledger.closed:
+            return 0
+        now = self.clock()
+        want = held.demand.want(now, self.horizon)
+        surplus = ledger.spendable - _IDLE_SURPLUS * want
+        if surplus > max(0, want):
+            ledger.give_back(surplus)
+        short = 0 if self.stopping or now < held.dry_until else want - ledger.spendable
+        wish = short if short > want // 2 else 0
+        if not (wish or ledger.unreported or everything):
+            return 0
+        with held.lock:
+            sent = self._send(held, ledger.next_order(want=max(0, wish)))
+        if held.last is not None and held.last.free == 0:
+            held.dry_until = self.clock() + _DRY_SECONDS
+        return 0 if sent else 1
+
+    def _drain_one(self, held: _Held) -> bool:
+        ledger = held.ledger
+        if ledger.sequence == 0 or ledger.closed:
+            return True
+        with held.lock:
+            ledger.give_back(ledger.spendable)
+            return self._send(held, ledger.next_order(final=ledger.open_cover == 0))
+
+
+def _refusal(held: _Held, tokens: int) -> Refusal:
+    ledger, last = held.ledger, held.last
+    if last is None:
+        return BudgetContended(
+            "the budget's books can't be reached and the tokens held here don't suffice",
+            retry_after=_CONTENDED_RETRY,
+        )
+    reachable = ledger.spendable + ledger.open_cover + last.free + last.outstanding_elsewhere
+    if tokens > reachable:
+        return BudgetExhausted(
+            f"the request needs cover for {tokens} tokens, the budget has {reachable} left"
+        )
+    return BudgetContended(
+        f"the request needs cover for {tokens} tokens, which other requests hold now",
+        retry_after=_CONTENDED_RETRY,
+    )
--- /dev/null
+++ b/whinrack/budgets/_ledger.py
@@ -0,0 +1,157 @@
+"""What this incarnation holds of one budget, and what it may spend of it."""
+
+from returns.result import Failure, Result, Success
+
+from whinrack.budgets._account import DrawOrder, DrawResult
+from whinrack.exceptions import BudgetContended, Refusal
+
+__all__ = ["BudgetLedger", "Cover"]
+
+
+class Cover:
+    """Tokens set aside for one request until it is settled.
+
+    Parameters
+    ----------
+    ledger : BudgetLedger
+        Where the tokens come from.
+    tokens : int
+        An upper bound on what the request can use.
+    """
+
+    def __init__(self, ledger: "BudgetLedger", tokens: int):
+        self.ledger = ledger
+        self.tokens = tokens
+        self.settled = False
+
+    def settle(self, billed: int, unproven: int = 0) -> bool:
+        """Give back what wasn't used; only the first call counts.
+
+        Parameters
+        ----------
+        billed : int
+            Tokens on the request's bill.
+        unproven : int
+            Tokens that may have been used though no bill can say so.
+
+        Returns
+        -------
+        bool
+            False if the cover was settled before.
+        """
+        if self.settled:
+            return False
+        self.settled = True
+        self.ledger.close(self.tokens, billed, unproven)
+        return True
+
+
+class BudgetLedger:
+    """Spendable tokens of one budget at one incarnation. Decisions only, no I/O.
+
+    Parameters
+    ----------
+    account, budget, holder : str
+        Where the tokens are kept in the platform, and who holds them.
+    """
+
+    def __init__(self, account: str, budget: str, holder: str):
+        self.account = account
+        self.budget = budget
+        self.holder = holder
+        # Cumulative tokens, as in AccountRow.
+        self.drawn = 0
+        self.received: dict[str, int] = {}
+        self.given: dict[str, int] = {}
+        self.returned = 0
+        self.billed = 0
+        self.unproven = 0
+        # Learnt at run time.
+        self.open_cover = 0
+        self.sequence = 0
+        self.closed = False
+        self._reported: tuple | None = None
+
+    @property
+    def spendable(self) -> int:
+        """Tokens that a new request may be covered with."""
+        if self.closed:
+            return 0
+        inflow = self.drawn + sum(self.received.values())
+        outflow = sum(self.given.values()) + self.returned + self.billed + self.unproven
+        return inflow - outflow - self.open_cover
+
+    def open(self, tokens: int) -> Result[Cover, Refusal]:
+        """Set tokens aside for a request, all of them or none."""
+        if tokens > self.spendable:
+            return Failure(
+                BudgetContended(f"{tokens} tokens are to be covered, {self.spendable} are here")
+            )
+        self.open_cover += tokens
+        return Success(Cover(self, tokens))
+
+    def close(self, cover: int, billed: int, unproven: int) -> None:
+        """End a cover; what is neither billed nor unproven can be spent again."""
+        self.open_cover -= cover
+        self.billed += billed
+        self.unproven += unproven
+
+    def next_order(self, need: int = 0, want: int = 0, final: bool = False) -> DrawOrder:
+        """Make the next report and wish; each has a sequence of its own."""
+        self.sequence += 1
+        return DrawOrder(
+            account=self.account,
+            budget=self.budget,
+            holder=self.holder,
+            sequence=self.sequence,
+            need=need,
+            want=want,
+            billed=self.billed,
+            unproven=self.unproven,
+            returned=self.returned,
+            received=dict(self.received),
+            opening=self._reported is None,
+            final=final,
+        )
+
+    def learn(self, order: DrawOrder, result: DrawResult) -> None:
+        """Take in the books' state; an older state than the known one changes nothing."""
+        self.drawn = max(self.drawn, result.drawn)
+        if result.sequence >= order.sequence:
+            self._reported = _report(order)
+        if result.closed:
+            self.closed = True
+
+    @property
+    def unreported(self) -> bool:
+        """Whether the books don't know the latest numbers yet."""
+        now = (self.billed, self.unproven, self.returned, dict(self.received))
+        return now != (self._reported or (0, 0, 0, {}))
+
+    def give(self, receiver: str, already_received: int, want: int) -> int:
+        """Hand spendable tokens to a peer and return the cumulative total.
+
+        A total above `already_received` means that the last reply was lost: it is
+        repeated, and no more is given.
+        """
+        total = self.given.get(receiver, 0)
+        if total <= already_received:
+            total += max(0, min(want, self.spendable))
+        if total:
+            self.given[receiver] = total
+        return total
+
+    def receive(self, giver: str, total: int) -> None:
+        """Take in a peer's cumulative total."""
+        if total > self.received.get(giver, 0):
+            self.received[giver] = total
+
+    def give_back(self, tokens: int) -> int:
+        """Mark spendable tokens as returned; the next order reports them."""
+        tokens = max(0, min(tokens, self.spendable))
+        self.returned += tokens
+        return tokens
+
+
+def _report(order: DrawOrder) -> tuple:
+    return (order.billed, order.unproven, order.returned, dict(order.received))
--- /dev/null
+++ b/whinrack/exceptions.py
@@ -0,0 +1,277 @@
+"""Every failure of whinrack as a type.
+
+A `WhinrackError` carries a stable `code`. Failures that a caller sees derive from
+`Refusal`, which adds the HTTP status, the outcome and when to come back.
+"""
+
+from whinrack.base import Outcome
+
+__all__ = [
+    "AnswerCut",
+    "BadRequest",
+    "BodyTooLarge",
+    "BudgetContended",
+    "BudgetExhausted",
+    "ClaimUnavailable",
+    "Conflict",
+    "CoverUnbounded",
+    "DeadlineUnreachable",
+    "Forbidden",
+    "ForeignAnswer",
+    "InvalidObject",
+    "InvalidSettings",
+    "KeyReused",
+    "NotFound",
+    "OutcomeUnknown",
+    "PeerUnavailable",
+    "PlatformFailure",
+    "PlatformUnavailable",
+    "PolicyFailure",
+    "QueueFull",
+    "RateExceeded",
+    "Refusal",
+    "RequestTimeout",
+    "TargetFailed",
+    "TargetUnavailable",
+    "Unauthorized",
+    "UnknownModel",
+    "UnknownPool",
+    "WhinrackError",
+    "WriteUnknown",
+]
+
+
+class WhinrackError(Exception):
+    """Base of every failure; `code` is stable, the message is for people."""
+
+    code = "internal"
+
+    def __init__(self, message: str = ""):
+        super().__init__(message or self.code)
+        self.message = message or self.code
+
+
+class InvalidSettings(WhinrackError):
+    """A settings key whose value isn't allowed."""
+
+    code = "invalid_settings"
+
+
+class InvalidObject(WhinrackError):
+    """A declared object with a field whose value isn't allowed."""
+
+    code = "invalid_object"
+
+
+class PolicyFailure(WhinrackError):
+    """A routing program that doesn't compile, fails or returns a wrong value."""
+
+    code = "policy_failure"
+
+
+class PeerUnavailable(WhinrackError):
+    """A peer that didn't answer in time, or refused the call."""
+
+    code = "peer_unavailable"
+
+
+# --- the platform's object API ---------------------------------------------------
+
+
+class PlatformFailure(WhinrackError):
+    """Base of what a call to the platform can fail with."""
+
+    code = "platform_failure"
+
+
+class PlatformUnavailable(PlatformFailure):
+    """The call did not reach the platform, or it refused to serve."""
+
+    code = "platform_unavailable"
+
+
+class WriteUnknown(PlatformFailure):
+    """A write was sent and its reply lost: it may have taken effect."""
+
+    code = "write_unknown"
+
+
+class RateExceeded(PlatformFailure):
+    """The call was held back by this process's own rate limit."""
+
+    code = "platform_rate"
+
+
+class NotFound(PlatformFailure):
+    """No such object."""
+
+    code = "not_found"
+
+
+class Conflict(PlatformFailure):
+    """The object is not at the version that the write was conditional on.
+
+    Attributes
+    ----------
+    current : object or None
+        The stored object as the platform returned it, None if there is none.
+    """
+
+    code = "conflict"
+
+    def __init__(self, message: str = "", current=None):
+        super().__init__(message)
+        self.current = current
+
+
+# --- what callers are told -------------------------------------------------------
+
+
+class Refusal(WhinrackError):
+    """A request's final answer other than its target's.
+
+    Parameters
+    ----------
+    message : str
+        For people.
+    param : str, optional
+        The field of the request that is at fault.
+    retry_after : float, optional
+        Seconds after which coming back makes sense.
+    outcome : Outcome, optional
+        Overrides the type's usual outcome.
+    """
+
+    code = "refused"
+    status = 500
+    kind = "api_error"
+    outcome = Outcome.NOT_RUN
+
+    def __init__(
+        self,
+        message: str = "",
+        param: str | None = None,
+        retry_after: float | None = None,
+        outcome: Outcome | None = None,
+    ):
+        super().__init__(message)
+        self.param = param
+        self.retry_after = retry_after
+        if outcome is not None:
+            self.outcome = outcome
+
+
+class Unauthorized(Refusal):
+    """No key, or one that isn't known."""
+
+    code, status, kind = "invalid_api_key", 401, "authentication_error"
+
+
+class Forbidden(Refusal):
+    """The key may not use what it asked for."""
+
+    code, status, kind = "forbidden", 403, "permission_error"
+
+
+class BadRequest(Refusal):
+    """The request is malformed; `param` names the field."""
+
+    code, status, kind = "bad_request", 400, "invalid_request_error"
+
+
+class CoverUnbounded(BadRequest):
+    """No provable bound on the tokens of the request exists."""
+
+    code = "cover_unbounded"
+
+
+class UnknownModel(Refusal):
+    """No pool serves this model."""
+
+    code, status, kind = "model_not_found", 404, "invalid_request_error"
+
+
+class UnknownPool(Refusal):
+    """No plain service pool of this name."""
+
+    code, status, kind = "pool_not_found", 404, "invalid_request_error"
+
+
+class RequestTimeout(Refusal):
+    """The caller took too long to send its request."""
+
+    code, status, kind = "request_timeout", 408, "invalid_request_error"
+
+
+class KeyReused(Refusal):
+    """The Idempotency-Key was used before with another body."""
+
+    code, status, kind = "idempotency_key_reused", 409, "invalid_request_error"
+
+
+class BodyTooLarge(Refusal):
+    """The body is larger than allowed."""
+
+    code, status, kind = "body_too_large", 413, "invalid_request_error"
+
+
+class BudgetExhausted(Refusal):
+    """The prepaid budget can't cover the request."""
+
+    code, status, kind = "budget_exhausted", 402, "insufficient_quota"
+
+
+class BudgetContended(Refusal):
+    """The budget has tokens, but none that this instance can reach now."""
+
+    code, status, kind = "budget_contended", 429, "rate_limit_error"
+
+
+class QueueFull(Refusal):
+    """The pool's bounded queue is full."""
+
+    code, status, kind = "queue_full", 429, "rate_limit_error"
+
+
+class DeadlineUnreachable(Refusal):
+    """The request can't be started before its deadline."""
+
+    code, status, kind = "deadline_unreachable", 429, "rate_limit_error"
+
+
+class TargetUnavailable(Refusal):
+    """No target of the allowed pools takes work now."""
+
+    code, status, kind = "target_unavailable", 503, "overloaded_error"
+
+
+class ClaimUnavailable(Refusal):
+    """A request that must run at most once couldn't be claimed."""
+
+    code, status, kind = "claim_unavailable", 503, "overloaded_error"
+
+
+class OutcomeUnknown(Refusal):
+    """The request may have run; it is not run again."""
+
+    code, status, kind = "outcome_unknown", 503, "api_error"
+    outcome = Outcome.UNKNOWN
+
+
+class TargetFailed(Refusal):
+    """The target failed after work was sent to it."""
+
+    code, status, kind = "target_failed", 502, "api_error"
+    outcome = Outcome.UNKNOWN
+
+
+class AnswerCut(TargetFailed):
+    """The target's answer ended before it was whole."""
+
+    code = "answer_cut"
+
+
+class ForeignAnswer(TargetFailed):
+    """The target answered with another request's id."""
+
+    code = "foreign_answer"
--- /dev/null
+++ b/whinrack/feed/_store.py
@@ -0,0 +1,108 @@
+"""The configuration in force here: never an older version after a newer one."""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from whinrack.exceptions import InvalidObject
+from whinrack.objects import DECLARED_KINDS, Spec, decode_spec
+from whinrack.platform import StoredObject
+
+__all__ = ["ConfigStore", "ConfigView"]
+
+
+class ConfigView:
+    """Typed read access to the objects in force."""
+
+    def __init__(self):
+        self._specs: dict[str, dict[str, Spec]] = {kind: {} for kind in DECLARED_KINDS}
+
+    def get(self, kind: type[Spec], name: str) -> Spec | None:
+        """Return an object's spec, None if there is none."""
+        return self._specs[kind.__name__].get(name)
+
+    def all(self, kind: type[Spec]) -> dict[str, Spec]:
+        """Return the specs of a kind by name."""
+        return self._specs[kind.__name__]
+
+
+class ConfigStore(ConfigView):
+    """Takes objects from any source and keeps the highest version of each.
+
+    Parameters
+    ----------
+    on_change : callable, optional
+        Told each object that came into force.
+    on_invalid : callable, optional
+        Told each object that was refused, with the reason.
+    """
+
+    def __init__(
+        self,
+        on_change: Callable[[StoredObject], None] = lambda stored: None,
+        on_invalid: Callable[[StoredObject, InvalidObject], None] = lambda stored, error: None,
+    ):
+        super().__init__()
+        self.on_change = on_change
+        self.on_invalid = on_invalid
+        self.revision = 0
+        self._stored: dict[tuple[str, str], StoredObject] = {}
+
+    def take(self, stored: StoredObject) -> bool:
+        """Take in one object; False if it isn't newer than what is here."""
+        key = (stored.kind, stored.name)
+        held = self._stored.get(key)
+        if held is not None and held.version >= stored.version:
+            return False
+        if stored.kind not in DECLARED_KINDS:
+            return False
+        self._stored[key] = stored
+        self._apply(stored)
+        return True
+
+    def take_batch(self, revision: int, objects: Iterable[StoredObject]) -> int:
+        """Take in changes up to a revision; returns how many were new."""
+        taken = sum(self.take(stored) for stored in objects)
+        self.revision = max(self.revision, revision)
+        return taken
+
+    def take_snapshot(self, revision: int, objects: Iterable[StoredObject]) -> int:
+        """Take in everything there is at a revision.
+
+        What is here, not in the snapshot and not newer than it was deleted meanwhile.
+        """
+        objects = list(objects)
+        present = {(stored.kind, stored.name) for stored in objects}
+        gone = [
+            StoredObject(held.kind, held.name, revision, deleted=True)
+            for key, held in self._stored.items()
+            if key not in present and held.version <= revision and not held.deleted
+        ]
+        return self.take_batch(revision, [*objects, *gone])
+
+    def changes_after(self, revision: int) -> list[StoredObject]:
+        """Return the objects whose last change is after a revision, deletions too."""
+        changed = [stored for stored in self._stored.values() if stored.version > revision]
+        return sorted(changed, key=lambda stored: stored.version)
+
+    def versions(self) -> dict[str, int]:
+        """Return the version in force of each object, by `kind/name`."""
+        return {
+            f"{stored.kind}/{stored.name}": stored.version
+            for stored in self._stored.values()
+            if not stored.deleted
+        }
+
+    def _apply(self, stored: StoredObject) -> None:
+        specs = self._specs[stored.kind]
+        if stored.deleted:
+            specs.pop(stored.name, None)
+            self.on_change(stored)
+            return
+        try:
+            value = msgspec.json.decode(stored.value)
+            specs[stored.name] = decode_spec(stored.kind, stored.name, value)
+        except (InvalidObject, msgspec.DecodeError) as error:
+            self.on_invalid(stored, InvalidObject(str(error)))
+            return
+        self.on_change(stored)
--- /dev/null
+++ b/whinrack/membership/__init__.py
@@ -0,0 +1,5 @@
+"""Membership of the fleet."""
+
+from whinrack.membership._members import ROUTER_ROLE, TARGET_ROLE, Member, MembershipTable
+
+__all__ = ["ROUTER_ROLE", "TARGET_ROLE", "Member", "MembershipTable"]
--- /dev/null
+++ b/whinrack/membership/_members.py
@@ -0,0 +1,162 @@
+"""Who is in the fleet, from a lagging list and from heartbeats."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from whinrack.base import rendezvous
+from whinrack.platform import InstanceRecord, InstanceState
+
+__all__ = ["ROUTER_ROLE", "TARGET_ROLE", "Member", "MembershipTable"]
+
+ROUTER_ROLE = "router"
+TARGET_ROLE = "target"
+_REMEMBER_LEAVING = 120.0
+
+
+class Member(msgspec.Struct, frozen=True, kw_only=True):
+    """A daemon's word on itself, as its heartbeat carries it."""
+
+    incarnation: str
+    name: str
+    region: str = ""
+    data_hall: str = ""
+    http_address: str = ""
+    peer_address: str = ""
+    leaving: bool = False
+    revision: int = 0
+    requests_in_progress: int = 0
+    watching: bool = False
+
+
+class MembershipTable:
+    """Peers by name, with when they were last heard. Decisions only, no I/O.
+
+    A wrong view costs time and never safety: nothing is spent, billed or run by
+    virtue of it.
+
+    Parameters
+    ----------
+    name : str
+        This instance.
+    suspect_after : float
+        Seconds without a word after which a peer doesn't look alive.
+    """
+
+    def __init__(self, name: str, suspect_after: float = 3.5):
+        self.name = name
+        self.suspect_after = suspect_after
+        self._members: dict[str, Member] = {}
+        self._heard: dict[str, float] = {}
+        self._listed: dict[str, InstanceRecord] = {}
+        self._leaving_instances: dict[str, float] = {}
+
+    def heard(self, member: Member, now: float) -> bool:
+        """Take in a heartbeat or its reply; True if the peer looked dead before."""
+        if member.name == self.name:
+            return False
+        back = not self._alive(member.name, now)
+        self._members[member.name] = member
+        self._heard[member.name] = now
+        return back
+
+    def read_list(self, records: Iterable[InstanceRecord], now: float) -> None:
+        """Take in the platform's list."""
+        self._listed = {record.name: record for record in records}
+        for record in self._listed.values():
+            if record.state is InstanceState.LEAVING:
+                self._leaving_instances[record.name] = now
+
+    def told_leaving(self, instances: Iterable[str], now: float) -> list[str]:
+        """Take in a peer's word on leaving instances; returns the new ones."""
+        fresh = [name for name in instances if name not in self._leaving_instances]
+        for name in fresh:
+            self._leaving_instances[name] = now
+        return fresh
+
+    def leaving_instances(self, now: float) -> set[str]:
+        """Return instances that any source says are leaving."""
+        for name, at in list(self._leaving_instances.items()):
+            record = self._listed.get(name)
+            still = record is not None and record.state is InstanceState.LEAVING
+            if not still and now - at > _REMEMBER_LEAVING:
+                del self._leaving_instances[name]
+        return set(self._leaving_instances)
+
+    def addresses(self, seeds: Iterable[str] = ()) -> list[str]:
+        """Return the peer addresses to send heartbeats to."""
+        listed = {
+            record.peer_address
+            for record in self._listed.values()
+            if record.role == ROUTER_ROLE and record.name != self.name
+        }
+        known = {member.peer_address for member in self._members.values()}
+        return sorted({*listed, *known, *seeds} - {""})
+
+    def alive(self, now: float) -> list[Member]:
+        """Return the peers that look alive."""
+        return [member for name, member in self._members.items() if self._alive(name, now)]
+
+    def find(self, incarnation: str) -> Member | None:
+        """Return the peer that runs as an incarnation, alive or not."""
+        for member in self._members.values():
+            if member.incarnation == incarnation:
+                return member
+        return None
+
+    def forget_silent(self, now: float, after: float) -> list[str]:
+        """Drop peers that are neither listed nor heard for long; returns their names."""
+        silent = [
+            name
+            for name, at in self._heard.items()
+            if now - at > after and name not in self._listed
+        ]
+        for name in silent:
+            del self._heard[name], self._members[name]
+        return silent
+
+    def entries(self, own: Member, now: float) -> list[Member]:
+        """Return the instances that callers may be sent to, preferred first.
+
+        Own data hall first, then the own region, each by load.
+        """
+        candidates = [own, *self.alive(now)]
+        serving = [member for member in candidates if not self._is_leaving(member)]
+
+        def order(member: Member) -> tuple:
+            return (
+                member.region != own.region,
+                member.data_hall != own.data_hall,
+                member.requests_in_progress,
+                member.name,
+            )
+
+        return sorted(serving, key=order)
+
+    def watchers(self, own: Member, count: int, now: float) -> list[str]:
+        """Return the incarnations of the own hall that watch the platform."""
+        hall = [member for member in self.alive(now) if member.data_hall == own.data_hall]
+        names = [member.incarnation for member in hall if not member.leaving]
+        return rendezvous(own.data_hall, [own.incarnation, *names])[:count]
+
+    def drawer(self, own: Member, account: str, now: float) -> str:
+        """Return the incarnation that draws from an account for the own region."""
+        region = [member for member in self.alive(now) if member.region == own.region]
+        names = [member.incarnation for member in region if not member.leaving]
+        if not own.leaving:
+            names.append(own.incarnation)
+        return rendezvous(account, names or [own.incarnation])[0]
+
+    def home(self, own: Member, identity: str, now: float) -> str:
+        """Return the home incarnation of a request that came without a ticket."""
+        names = [member.incarnation for member in self.alive(now)]
+        return rendezvous(identity, [own.incarnation, *names])[0]
+
+    def _alive(self, name: str, now: float) -> bool:
+        at = self._heard.get(name)
+        return at is not None and now - at <= self.suspect_after
+
+    def _is_leaving(self, member: Member) -> bool:
+        record = self._listed.get(member.name)
+        listed = record is not None and record.state is InstanceState.LEAVING
+        return member.leaving or listed
--- /dev/null
+++ b/whinrack/objects/_declarations.py
@@ -0,0 +1,60 @@
+"""Declarations: TOML files under version control, one object a file.
+
+A file holds `kind`, `name` and a table `spec`. A RoutingPolicy names its program's
+file by `program_file`, relative to the declaration.
+"""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from whinrack.exceptions import InvalidObject
+from whinrack.objects._checks import decode_spec
+from whinrack.objects._kinds import Spec
+
+__all__ = ["Declaration", "load_declarations"]
+
+
+class Declaration(msgspec.Struct, frozen=True):
+    """One declared object."""
+
+    kind: str
+    name: str
+    spec: Spec
+
+
+def load_declarations(folder: Path) -> list[Declaration]:
+    """Read every `*.toml` below a folder.
+
+    Raises
+    ------
+    InvalidObject
+        For a file that isn't a valid declaration, or an object declared twice.
+    """
+    found: dict[tuple[str, str], Declaration] = {}
+    for path in sorted(folder.rglob("*.toml")):
+        declaration = _load(path)
+        key = (declaration.kind, declaration.name)
+        if key in found:
+            raise InvalidObject(f"{path.name}: {key[0]}/{key[1]} is declared twice")
+        found[key] = declaration
+    return list(found.values())
+
+
+def _load(path: Path) -> Declaration:
+    try:
+        data = tomllib.loads(path.read_text())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise InvalidObject(f"{path.name}: not TOML: {error}") from error
+    unknown = set(data) - {"kind", "name", "spec"}
+    if unknown:
+        raise InvalidObject(f"{path.name}: allowed are kind, name and spec, got {sorted(unknown)}")
+    spec = dict(data.get("spec", {}))
+    if "program_file" in spec:
+        spec["program"] = (path.parent / spec.pop("program_file")).read_text()
+    try:
+        kind, name = data.get("kind", ""), data.get("name", "")
+        return Declaration(kind, name, decode_spec(kind, name, spec))
+    except InvalidObject as error:
+        raise InvalidObject(f"{path.name}: {error.message}") from error
--- /dev/null
+++ b/whinrack/observability/__init__.py
@@ -0,0 +1,6 @@
+"""Numbered log events and metrics."""
+
+from whinrack.observability._events import Event, configure_logs, log_event
+from whinrack.observability._metrics import Metrics
+
+__all__ = ["Event", "Metrics", "configure_logs", "log_event"]
--- /dev/null
+++ b/whinrack/observability/_events.py
@@ -0,0 +1,94 @@
+"""Logs as numbered events; `docs/events.md` is their catalogue.
+
+Secrets and callers' text are never fields of an event.
+"""
+
+import sys
+from enum import Enum
+
+import msgspec
+from loguru import logger
+
+__all__ = ["Event", "configure_logs", "log_event"]
+
+
+class Event(Enum):
+    """Every event: number, level and text."""
+
+    ROUTER_STARTED = (1001, "INFO", "router started")
+    ROUTER_STOPPING = (1002, "INFO", "planned stop begins")
+    ROUTER_STOPPED = (1003, "INFO", "planned stop done")
+    STOP_INCOMPLETE = (1004, "WARNING", "planned stop ended before everything was given back")
+    TASK_FAILED = (1005, "ERROR", "a background task failed and is tried again")
+    REQUEST_FAILED = (1006, "ERROR", "a request failed inside whinrack")
+
+    PLATFORM_LOST = (2001, "WARNING", "platform doesn't answer")
+    PLATFORM_BACK = (2002, "INFO", "platform answers again")
+
+    CONFIG_TAKEN = (3001, "INFO", "configuration changed")
+    CONFIG_INVALID = (3002, "ERROR", "invalid object met, the last good version stays in force")
+    FEED_CHANGED = (3003, "INFO", "configuration comes from another source")
+
+    MEMBER_JOINED = (4001, "INFO", "peer seen")
+    MEMBER_LOST = (4002, "WARNING", "peer lost")
+    PEER_REFUSED = (4003, "WARNING", "call without the fleet's key refused")
+
+    TARGET_LEAVING = (5001, "INFO", "target is leaving")
+    TARGET_EJECTED = (5002, "WARNING", "target set aside by this instance")
+    ANSWER_CUT = (5003, "WARNING", "target's answer ended early")
+    ANSWER_FOREIGN = (5004, "ERROR", "target answered with another request's id")
+    COVER_EXCEEDED = (5005, "ERROR", "target went past the cover and was cancelled")
+
+    GRANT_CLOSED = (6001, "ERROR", "this incarnation's grant was released by an operator")
+    BILL_UNCONFIRMED = (6002, "WARNING", "answer ended before its bill was kept")
+    POLICY_FAILED = (6003, "WARNING", "routing program failed, the default applies")
+
+    def __init__(self, number: int, level: str, text: str):
+        self.number = number
+        self.level = level
+        self.text = text
+
+
+class LogLine(msgspec.Struct):
+    """One log line in JSON form."""
+
+    time: str
+    level: str
+    event: int
+    name: str
+    text: str
+    fields: dict[str, str]
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Log an event with its fields."""
+    bound = logger.bind(event=event, fields={key: str(value) for key, value in fields.items()})
+    bound.log(event.level, event.text)
+
+
+def configure_logs(level: str, json_lines: bool) -> None:
+    """Send logs to standard error as text or JSON lines."""
+    logger.remove()
+    logger.add(sys.stderr, level=level, format=_json_line if json_lines else _text_line)
+
+
+def _text_line(record) -> str:
+    event, fields = record["extra"].get("event"), record["extra"].get("fields", {})
+    number = event.number if event else 0
+    shown = " ".join(f"{key}={value}" for key, value in fields.items())
+    record["extra"]["line"] = f"W{number} {record['message']} {shown}".rstrip()
+    return "{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level} {extra[line]}\n"
+
+
+def _json_line(record) -> str:
+    event, fields = record["extra"].get("event"), record["extra"].get("fields", {})
+    line = LogLine(
+        time=record["time"].isoformat(),
+        level=record["level"].name,
+        event=event.number if event else 0,
+        name=event.name.lower() if event else "",
+        text=record["message"],
+        fields=fields,
+    )
+    record["extra"]["line"] = msgspec.json.encode(line).decode()
+    return "{extra[line]}\n"
--- /dev/null
+++ b/whinrack/observability/_metrics.py
@@ -0,0 +1,61 @@
+"""Every metric of a daemon; `docs/metrics.md` is their catalogue."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+__all__ = ["Metrics"]
+
+_LATENCY = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60)
+
+
+class Metrics:
+    """The metrics of one daemon, in a registry of their own."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.requests = self._counter("requests", "Requests by final outcome", "kind", "outcome")
+        self.refusals = self._counter("refusals", "Requests refused, by reason", "reason")
+        self.retries = self._counter("retries", "Further attempts at targets, by reason", "reason")
+        self.retries_denied = self._counter(
+            "retries_denied", "Further attempts not made, by reason", "reason"
+        )
+        self.tokens = self._counter("tokens", "Tokens settled, by how", "how")
+        self.joins = self._counter("joined_retries", "Retries that joined an answer", "where")
+        self.consultations = self._counter(
+            "consultations", "Questions to home instances, by answer", "answer"
+        )
+        self.answers_dropped = self._counter("answers_dropped", "Answers not used", "reason")
+        self.platform_calls = self._counter(
+            "platform_calls", "Calls to the platform", "operation", "result"
+        )
+        self.peer_calls = self._counter("peer_calls", "Calls to peers", "call", "result")
+        self.peer_refused = self._counter("peer_refused", "Peer calls refused, by reason", "reason")
+        self.draws = self._counter(
+            "draws", "Orders for tokens, by path and result", "path", "result"
+        )
+        self.policy_failures = self._counter("policy_failures", "Programs that failed", "policy")
+        self.bills = self._counter("bills", "Bill records, by state when the answer ended", "state")
+        self.config_taken = self._counter("config_objects", "Objects taken in, by source", "source")
+        self.ejections = self._counter("ejections", "Targets set aside")
+        self.first_byte = self._histogram("first_byte_seconds", "Time to the first byte", "kind")
+        self.queue_wait = self._histogram("queue_wait_seconds", "Time in the queue", "class_")
+        self.revision = self._gauge("config_revision", "Configuration revision in force")
+        self.members = self._gauge("members", "Peers that look alive")
+        self.in_progress = self._gauge("requests_in_progress", "Requests in progress")
+        self.spendable = self._gauge("spendable_tokens", "Unspent tokens held here")
+        self.open_cover = self._gauge("open_cover_tokens", "Tokens that cover open requests")
+        self.journal_pending = self._gauge("journal_pending", "Bill records not kept yet")
+        self.memory_entries = self._gauge("request_memory_entries", "Requests remembered")
+
+    def render(self) -> bytes:
+        """Return the text form that Prometheus reads."""
+        return generate_latest(self.registry)
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"whinrack_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"whinrack_{name}", text, registry=self.registry)
+
+    def _histogram(self, name: str, text: str, *labels: str) -> Histogram:
+        return Histogram(f"whinrack_{name}", text, labels, registry=self.registry, buckets=_LATENCY)
--- /dev/null
+++ b/whinrack/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Calls between the daemons."""
--- /dev/null
+++ b/whinrack/peers/_pb/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages and stubs; see `tools/generate.py`."""
--- /dev/null
+++ b/whinrack/platform/_http.py
@@ -0,0 +1,174 @@
+"""Adapter of the platform's object API over HTTP and JSON.
+
+The users' own protocol is not known yet; this module is the only one that would
+change. It speaks to the stand-in of this repository:
+
+- ``GET|PUT|DELETE /v1/objects/<kind>/<name>``, writes with ``If-Match: <version>``
+  (0: must not exist), 409 with the current object;
+- ``GET /v1/objects?kinds=a,b`` for a snapshot;
+- ``GET /v1/watch?kinds=a,b&since=<revision>&wait=<seconds>``;
+- ``GET /v1/instances``.
+"""
+
+import time
+from collections.abc import Callable, Sequence
+
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+
+from whinrack.exceptions import (
+    Conflict,
+    NotFound,
+    PlatformFailure,
+    PlatformUnavailable,
+    RateExceeded,
+    WriteUnknown,
+)
+from whinrack.platform._limiter import TokenBucket
+from whinrack.platform._types import InstanceRecord, Snapshot, StoredObject, WatchBatch
+from whinrack.platform.base import ObjectStore
+
+__all__ = ["HttpObjectStore"]
+
+_CONNECT_TIMEOUT = 1.0
+_WATCH_SLACK = 5.0
+_JSON = "application/json"
+_SNAPSHOT = msgspec.json.Decoder(Snapshot)
+_OBJECT = msgspec.json.Decoder(StoredObject)
+_BATCH = msgspec.json.Decoder(WatchBatch)
+_INSTANCES = msgspec.json.Decoder(tuple[InstanceRecord, ...])
+
+
+def _ignore(_operation: str, _result: str) -> None:
+    pass
+
+
+class HttpObjectStore(ObjectStore):
+    """The platform's object API behind one client that counts and paces its calls.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the object API.
+    timeout : float
+        Seconds a call may take.
+    rate : float
+        Calls a second that this process may make.
+    longest_wait : float
+        Seconds a call may be held back for the rate before it fails.
+    on_call : callable, optional
+        Told the operation and result of each call, for counting.
+    clock, sleep : callable, optional
+        Replaced in tests.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        timeout: float = 2.0,
+        rate: float = 50.0,
+        longest_wait: float = 1.0,
+        on_call: Callable[[str, str], None] = _ignore,
+        clock: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], None] = time.sleep,
+    ):
+        self.address = address
+        self.timeout = timeout
+        self.rate = rate
+        self.longest_wait = longest_wait
+        self.on_call = on_call
+        self.clock = clock
+        self.sleep = sleep
+        self._bucket = TokenBucket(rate, burst=rate)
+        self._pool = urllib3.PoolManager(maxsize=16, retries=False)
+
+    def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
+        """Read one object."""
+        reply = self._call("get", "GET", f"/v1/objects/{kind}/{name}")
+        return reply.map(lambda body: _OBJECT.decode(body))
+
+    def list(self, kinds: Sequence[str]) -> Result[Snapshot, PlatformFailure]:
+        """Read all objects of some kinds at one revision."""
+        reply = self._call("list", "GET", f"/v1/objects?kinds={','.join(kinds)}")
+        return reply.map(lambda body: _SNAPSHOT.decode(body))
+
+    def put(
+        self, kind: str, name: str, value: bytes, version: int
+    ) -> Result[StoredObject, PlatformFailure]:
+        """Write an object that is at `version`; 0 means that it must not exist."""
+        path = f"/v1/objects/{kind}/{name}"
+        reply = self._call("put", "PUT", path, body=value, version=version)
+        return reply.map(lambda body: _OBJECT.decode(body))
+
+    def delete(self, kind: str, name: str, version: int) -> Result[None, PlatformFailure]:
+        """Delete an object that is at `version`."""
+        reply = self._call("delete", "DELETE", f"/v1/objects/{kind}/{name}", version=version)
+        return reply.map(lambda _body: None)
+
+    def watch(
+        self, kinds: Sequence[str], since: int, wait: float
+    ) -> Result[WatchBatch, PlatformFailure]:
+        """Wait at most `wait` seconds for changes after a revision."""
+        path = f"/v1/watch?kinds={','.join(kinds)}&since={since}&wait={wait}"
+        reply = self._call("watch", "GET", path, timeout=wait + _WATCH_SLACK)
+        return reply.map(lambda body: _BATCH.decode(body))
+
+    def instances(self) -> Result[tuple[InstanceRecord, ...], PlatformFailure]:
+        """Read the instance list."""
+        reply = self._call("instances", "GET", "/v1/instances")
+        return reply.map(lambda body: _INSTANCES.decode(body))
+
+    def _call(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        version: int | None = None,
+        timeout: float | None = None,
+    ) -> Result[bytes, PlatformFailure]:
+        result = self._paced(operation, method, path, body, version, timeout)
+        code = "ok" if isinstance(result, Success) else result.failure().code
+        self.on_call(operation, code)
+        return result
+
+    def _paced(self, operation, method, path, body, version, timeout):
+        delay = self._bucket.delay(self.clock())
+        if delay > self.longest_wait:
+            return Failure(RateExceeded(f"{operation}: over {self.rate:g} calls a second"))
+        if delay > 0.0:
+            self.sleep(delay)
+        headers = {"Content-Type": _JSON}
+        if version is not None:
+            headers["If-Match"] = str(version)
+        limit = urllib3.Timeout(connect=_CONNECT_TIMEOUT, read=timeout or self.timeout)
+        url = f"http://{self.address}{path}"
+        try:
+            reply = self._pool.request(method, url, body=body, headers=headers, timeout=limit)
+        except (urllib3.exceptions.ConnectTimeoutError, urllib3.exceptions.NewConnectionError):
+            return Failure(PlatformUnavailable(f"{operation}: no connection"))
+        except urllib3.exceptions.HTTPError as error:
+            return Failure(_lost(operation, method, str(error)))
+        return _outcome(operation, method, reply)
+
+
+def _lost(operation: str, method: str, why: str) -> PlatformFailure:
+    if method == "GET":
+        return PlatformUnavailable(f"{operation}: {why}")
+    return WriteUnknown(f"{operation}: reply lost: {why}")
+
+
+def _outcome(operation: str, method: str, reply) -> Result[bytes, PlatformFailure]:
+    match reply.status:
+        case 200:
+            return Success(reply.data)
+        case 404:
+            return Failure(NotFound(operation))
+        case 409:
+            current = _OBJECT.decode(reply.data) if reply.data else None
+            return Failure(Conflict(operation, current))
+        case 429 | 503:
+            return Failure(PlatformUnavailable(f"{operation}: status {reply.status}"))
+        case _:
+            return Failure(_lost(operation, method, f"status {reply.status}"))
--- /dev/null
+++ b/whinrack/platform/_limiter.py
@@ -0,0 +1,46 @@
+"""A token bucket without a clock of its own."""
+
+__all__ = ["TokenBucket"]
+
+
+class TokenBucket:
+    """Permits at a rate, saved up to a burst.
+
+    Parameters
+    ----------
+    rate : float
+        Permits a second.
+    burst : float
+        Most permits that are saved up.
+
+    Examples
+    --------
+    >>> bucket = TokenBucket(rate=10.0, burst=1.0)
+    >>> bucket.delay(now=0.0), round(bucket.delay(now=0.0), 2)
+    (0.0, 0.1)
+    """
+
+    def __init__(self, rate: float, burst: float):
+        self.rate = rate
+        self.burst = burst
+        self._saved = burst
+        self._at: float | None = None
+
+    def delay(self, now: float) -> float:
+        """Take one permit and return the seconds to wait before using it."""
+        self._refill(now)
+        self._saved -= 1.0
+        return max(0.0, -self._saved / self.rate)
+
+    def try_take(self, now: float) -> bool:
+        """Take one permit if one is there now."""
+        self._refill(now)
+        if self._saved < 1.0:
+            return False
+        self._saved -= 1.0
+        return True
+
+    def _refill(self, now: float) -> None:
+        if self._at is not None:
+            self._saved = min(self.burst, self._saved + (now - self._at) * self.rate)
+        self._at = now
--- /dev/null
+++ b/whinrack/platform/_transactions.py
@@ -0,0 +1,131 @@
+"""Read, change, write conditionally, and again until it is certain."""
+
+import random
+import time
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from whinrack.exceptions import (
+    Conflict,
+    NotFound,
+    PlatformFailure,
+    PlatformUnavailable,
+    WriteUnknown,
+)
+from whinrack.platform._types import StoredObject
+from whinrack.platform.base import ObjectStore
+
+__all__ = ["ObjectEditor"]
+
+Value = TypeVar("Value", bound=msgspec.Struct)
+
+_FIRST_BACKOFF = 0.02
+_LONGEST_BACKOFF = 0.5
+
+
+class ObjectEditor(Generic[Value]):
+    """Applies idempotent changes to objects of one kind.
+
+    A change is a function from the present value (None if there is no object) to the
+    new value, or to None where nothing is left to do. It must be *idempotent*: it has
+    to recognise its own earlier effect in the value. That is what makes a lost reply
+    harmless, since the change is then tried again on what is really stored.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Where the objects are.
+    kind : str
+        The kind of object.
+    value_type : type
+        The struct that the values decode to.
+    attempts : int
+        Writes that are tried before giving up.
+    seed : int, optional
+        Seeds the backoff's jitter.
+    sleep : callable, optional
+        Replaced in tests.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        kind: str,
+        value_type: type[Value],
+        attempts: int = 8,
+        seed: int | None = None,
+        sleep: Callable[[float], None] = time.sleep,
+    ):
+        self.store = store
+        self.kind = kind
+        self.value_type = value_type
+        self.attempts = attempts
+        self.sleep = sleep
+        self._random = random.Random(seed)
+        self._decoder = msgspec.json.Decoder(value_type)
+        self._known: dict[str, StoredObject] = {}
+
+    def read(self, name: str) -> Result[Value, PlatformFailure]:
+        """Read the stored value afresh."""
+        result = self.store.get(self.kind, name)
+        if isinstance(result, Success):
+            self._known[name] = result.unwrap()
+        return result.map(lambda stored: self._decoder.decode(stored.value))
+
+    def apply(
+        self, name: str, change: Callable[[Value | None], Value | None]
+    ) -> Result[Value, PlatformFailure]:
+        """Apply a change and return the value that is then known to be stored.
+
+        The version seen last is tried first, so an undisturbed change costs one call.
+        A `WriteUnknown` failure means that the effect could not be found out.
+        """
+        doubt: PlatformFailure | None = None
+        for attempt in range(self.attempts):
+            before = self._current(name, fresh=doubt is not None)
+            if isinstance(before, Failure):
+                if doubt is not None:
+                    return Failure(doubt)
+                return before
+            stored = before.unwrap()
+            old = None if stored is None else self._decoder.decode(stored.value)
+            new = change(old)
+            if new is None:
+                return Success(old)
+            version = 0 if stored is None else stored.version
+            written = self.store.put(self.kind, name, msgspec.json.encode(new), version)
+            if isinstance(written, Success):
+                self._known[name] = written.unwrap()
+                return Success(new)
+            failure = written.failure()
+            if not isinstance(failure, Conflict | WriteUnknown):
+                return Failure(doubt or failure)
+            doubt = self._learn(name, failure, doubt)
+            self._back_off(attempt)
+        return Failure(doubt or PlatformUnavailable(f"{self.kind}/{name}: too many conflicts"))
+
+    def _learn(self, name, failure, doubt):
+        if isinstance(failure, WriteUnknown):
+            self._known.pop(name, None)
+            return failure
+        if failure.current is None:
+            self._known.pop(name, None)
+        else:
+            self._known[name] = failure.current
+        return doubt
+
+    def _current(self, name: str, fresh: bool) -> Result[StoredObject | None, PlatformFailure]:
+        known = self._known.get(name)
+        if known is not None and not fresh:
+            return Success(known)
+        result = self.store.get(self.kind, name)
+        if isinstance(result, Failure) and isinstance(result.failure(), NotFound):
+            return Success(None)
+        return result
+
+    def _back_off(self, attempt: int) -> None:
+        longest = min(_LONGEST_BACKOFF, _FIRST_BACKOFF * 2**attempt)
+        self.sleep(longest * self._random.random())
--- /dev/null
+++ b/whinrack/platform/base.py
@@ -0,0 +1,46 @@
+"""The small interface that every platform adapter and fake provides."""
+
+from collections.abc import Sequence
+
+from returns.result import Result
+
+from whinrack.exceptions import PlatformFailure
+from whinrack.platform._types import InstanceRecord, Snapshot, StoredObject, WatchBatch
+
+__all__ = ["ObjectStore"]
+
+
+class ObjectStore:
+    """Versioned objects with conditional updates and watches.
+
+    Every method returns a `Result`; its failure is a `PlatformFailure`. A write that
+    fails with `WriteUnknown` may have taken effect.
+    """
+
+    def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
+        """Read one object."""
+        raise NotImplementedError
+
+    def list(self, kinds: Sequence[str]) -> Result[Snapshot, PlatformFailure]:
+        """Read all objects of some kinds at one revision."""
+        raise NotImplementedError
+
+    def put(
+        self, kind: str, name: str, value: bytes, version: int
+    ) -> Result[StoredObject, PlatformFailure]:
+        """Write an object that is at `version`; 0 means that it must not exist."""
+        raise NotImplementedError
+
+    def delete(self, kind: str, name: str, version: int) -> Result[None, PlatformFailure]:
+        """Delete an object that is at `version`."""
+        raise NotImplementedError
+
+    def watch(
+        self, kinds: Sequence[str], since: int, wait: float
+    ) -> Result[WatchBatch, PlatformFailure]:
+        """Wait at most `wait` seconds for changes after a revision."""
+        raise NotImplementedError
+
+    def instances(self) -> Result[tuple[InstanceRecord, ...], PlatformFailure]:
+        """Read the instance list."""
+        raise NotImplementedError
--- /dev/null
+++ b/whinrack/requests/_cover.py
@@ -0,0 +1,78 @@
+"""Bounds on the tokens of a request that can be proved before it is sent."""
+
+import msgspec
+
+from whinrack.exceptions import BadRequest, CoverUnbounded
+from whinrack.objects import TargetPool
+
+__all__ = ["ChatMessage", "ChatRequest", "StreamOptions", "cover_bound", "output_limit"]
+
+_MOST_CHOICES = 8
+
+
+class StreamOptions(msgspec.Struct):
+    """The part of `stream_options` that whinrack reads."""
+
+    include_usage: bool = False
+
+
+class ChatMessage(msgspec.Struct):
+    """The part of a message that whinrack reads."""
+
+    role: str
+    content: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class ChatRequest(msgspec.Struct):
+    """The part of a chat completion request that whinrack reads.
+
+    Other fields are passed to the engine as they came.
+    """
+
+    model: str
+    messages: list[ChatMessage]
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    n: int = 1
+    stream: bool = False
+    stream_options: StreamOptions | None = None
+
+
+def output_limit(request: ChatRequest, pool: TargetPool) -> int:
+    """Return the most tokens that one choice may have.
+
+    Raises
+    ------
+    BadRequest
+        For limits that are out of range.
+    """
+    field, limit = "max_tokens", request.max_tokens
+    if request.max_completion_tokens is not None:
+        field, limit = "max_completion_tokens", request.max_completion_tokens
+    if limit is None:
+        return pool.max_output_tokens
+    if not 1 <= limit <= pool.max_output_tokens:
+        raise BadRequest(
+            f"{field}: allowed is 1 to {pool.max_output_tokens}, got {limit}", param=field
+        )
+    return limit
+
+
+def cover_bound(request: ChatRequest, body_length: int, pool: TargetPool) -> int:
+    """Return a bound on all tokens that the request can use.
+
+    Notes
+    -----
+    A byte-level tokeniser makes at most one token of each byte, so the length of the
+    request in bytes bounds its prompt. What an engine's template adds is bounded by
+    the pool's `prompt_overhead_tokens` a message. Content that the engine fetches from
+    elsewhere has no such bound and is refused.
+    """
+    if not 1 <= request.n <= _MOST_CHOICES:
+        raise BadRequest(f"n: allowed is 1 to {_MOST_CHOICES}, got {request.n}", param="n")
+    for message in request.messages:
+        content = bytes(message.content).lstrip()
+        if not content.startswith((b'"', b"null")):
+            raise CoverUnbounded("messages.content: allowed is text", param="messages")
+    overhead = pool.prompt_overhead_tokens * (len(request.messages) + 1)
+    return body_length + overhead + request.n * output_limit(request, pool)
--- /dev/null
+++ b/whinrack/requests/_memory.py
@@ -0,0 +1,171 @@
+"""Request memory: which incarnation runs a request, and what it answered.
+
+Each identity has an entry at its *home*. The entry's owner is the only incarnation
+that may run the request. Ownership passes on only by a promise: the home cedes an
+entry to an asker and from then on asks that owner before it runs the request itself.
+Decisions only, no I/O.
+"""
+
+from collections import OrderedDict
+from enum import StrEnum
+
+import msgspec
+
+__all__ = ["Consultation", "MemoryEntry", "RequestMemory", "RunState"]
+
+
+class RunState(StrEnum):
+    """How far a request is at this incarnation."""
+
+    RESERVED = "reserved"
+    RUNNING = "running"
+    FINISHED = "finished"
+    NOT_RUN = "not_run"
+    CEDED = "ceded"
+    UNKNOWN = "unknown"
+
+
+class Consultation(StrEnum):
+    """The answer to an incarnation that asks whether it may run a request."""
+
+    CEDED = "ceded"
+    HERE = "here"
+    ELSEWHERE = "elsewhere"
+    BODY_MISMATCH = "body_mismatch"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+
+
+class MemoryEntry(msgspec.Struct):
+    """What is remembered of one request.
+
+    Attributes
+    ----------
+    digest : bytes
+        Of the request's body; another body under the same key is a mistake.
+    owner : str
+        The incarnation that may run it.
+    answer : object or None
+        The running or finished answer, kept so that a retry can join it.
+    expires : float
+        Clock time after which a finished entry may be forgotten.
+    """
+
+    digest: bytes
+    owner: str
+    state: RunState
+    answer: object | None = None
+    expires: float = 0.0
+
+
+class RequestMemory:
+    """Entries by identity, bounded in number and age.
+
+    Parameters
+    ----------
+    incarnation : str
+        This incarnation.
+    keep : float
+        Seconds that a finished request is remembered.
+    limit : int
+        Most entries; the oldest finished ones go first.
+    """
+
+    def __init__(self, incarnation: str, keep: float = 600.0, limit: int = 20_000):
+        self.incarnation = incarnation
+        self.keep = keep
+        self.limit = limit
+        self._entries: OrderedDict[str, MemoryEntry] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def find(self, identity: str) -> MemoryEntry | None:
+        """Return what is remembered."""
+        return self._entries.get(identity)
+
+    def reserve(self, identity: str, digest: bytes, now: float) -> MemoryEntry:
+        """Make this incarnation the owner; a later asker is told so."""
+        entry = MemoryEntry(
+            digest=digest, owner=self.incarnation, state=RunState.RESERVED, expires=now + self.keep
+        )
+        self._entries[identity] = entry
+        self._entries.move_to_end(identity)
+        self._trim(now)
+        return entry
+
+    def set_state(
+        self, identity: str, state: RunState, now: float, answer: object | None = None
+    ) -> None:
+        """Record how far the request is."""
+        entry = self._entries.get(identity)
+        if entry is None or entry.owner != self.incarnation:
+            return
+        entry.state = state
+        entry.expires = now + self.keep
+        if answer is not None:
+            entry.answer = answer
+        if state is RunState.NOT_RUN:
+            entry.answer = None
+
+    def consult(
+        self,
+        identity: str,
+        digest: bytes,
+        asker: str,
+        lost_owner: str,
+        repeatable: bool,
+        now: float,
+    ) -> tuple[Consultation, str]:
+        """Answer an incarnation that wants to run a request.
+
+        Parameters
+        ----------
+        lost_owner : str
+            An owner that the asker could not reach, "" if it knows of none.
+        repeatable : bool
+            Whether the request may be run again after a lost owner.
+
+        Returns
+        -------
+        tuple of Consultation and str
+            The answer, and the owner for `HERE` and `ELSEWHERE`.
+        """
+        entry = self._entries.get(identity)
+        if entry is None:
+            return self._cede(identity, digest, asker, now)
+        if entry.digest != digest:
+            return Consultation.BODY_MISMATCH, ""
+        if entry.owner == self.incarnation:
+            return self._consult_own(identity, entry, asker, repeatable, now)
+        if entry.owner == asker:
+            return Consultation.CEDED, asker
+        if entry.owner == lost_owner:
+            if repeatable:
+                return self._cede(identity, digest, asker, now)
+            return Consultation.OUTCOME_UNKNOWN, entry.owner
+        return Consultation.ELSEWHERE, entry.owner
+
+    def _consult_own(self, identity, entry, asker, repeatable, now):
+        if entry.state is RunState.NOT_RUN:
+            return self._cede(identity, entry.digest, asker, now)
+        if entry.state is RunState.UNKNOWN:
+            if repeatable:
+                return self._cede(identity, entry.digest, asker, now)
+            return Consultation.OUTCOME_UNKNOWN, self.incarnation
+        return Consultation.HERE, self.incarnation
+
+    def _cede(self, identity, digest, asker, now):
+        self._entries[identity] = MemoryEntry(
+            digest=digest, owner=asker, state=RunState.CEDED, expires=now + self.keep
+        )
+        self._trim(now)
+        return Consultation.CEDED, asker
+
+    def _trim(self, now: float) -> None:
+        """Forget expired entries, and the oldest ended ones beyond the limit."""
+        for identity in list(self._entries)[: max(2, len(self._entries) - self.limit)]:
+            entry = self._entries[identity]
+            active = entry.state in (RunState.RESERVED, RunState.RUNNING)
+            too_many = len(self._entries) > self.limit
+            if not active and (entry.expires < now or too_many):
+                del self._entries[identity]
--- /dev/null
+++ b/whinrack/routing/_program.py
@@ -0,0 +1,174 @@
+"""Routing programs: one CEL expression, evaluated once for each request.
+
+CEL has no loops beyond macros over given lists, so every program ends; the facts are
+bounded by the number of pools, never by the number of targets.
+"""
+
+import math
+from enum import StrEnum
+
+import cel
+import msgspec
+from returns.result import Failure, Result, Success
+
+from whinrack.exceptions import PolicyFailure
+from whinrack.objects import RequestClass
+
+__all__ = [
+    "PoolFacts",
+    "RequestFacts",
+    "RouteDecision",
+    "RoutingProgram",
+    "Spread",
+    "default_decision",
+]
+
+_LONGEST_PROGRAM = 8192
+_MOST_ATTEMPTS = 5
+_LONGEST_WAIT = 3600.0
+_FIELDS = {"pools", "class", "attempts", "wait", "spread"}
+
+
+class Spread(StrEnum):
+    """How a target is chosen inside the pool."""
+
+    TWO_CHOICES = "two_choices"
+    AFFINITY = "affinity"
+
+
+class RequestFacts(msgspec.Struct, frozen=True, kw_only=True):
+    """What a program sees as `request`."""
+
+    workspace: str
+    request_class: RequestClass
+    model: str = ""
+    stream: bool = False
+    prompt_bytes: int = 0
+    max_tokens: int = 0
+    repeatable: bool = True
+
+
+class PoolFacts(msgspec.Struct, frozen=True, kw_only=True):
+    """What a program sees of each pool that serves the request, in `pools`."""
+
+    targets: int = 0
+    queued: int = 0
+    busy: float = 0.0
+
+
+class RouteDecision(msgspec.Struct, frozen=True, kw_only=True):
+    """What a program decides.
+
+    Attributes
+    ----------
+    pools : tuple of str
+        Pools in the order they are tried.
+    attempts : int
+        Most tries at targets, the first included.
+    wait : float
+        Seconds the request may queue.
+    """
+
+    pools: tuple[str, ...]
+    request_class: RequestClass = RequestClass.INTERACTIVE
+    attempts: int = 2
+    wait: float = 10.0
+    spread: Spread = Spread.TWO_CHOICES
+
+
+class RoutingProgram:
+    """A compiled routing program.
+
+    Parameters
+    ----------
+    source : str
+        A CEL expression over `request` and `pools` that gives a map with any of
+        `pools`, `class`, `attempts`, `wait` and `spread`.
+
+    Raises
+    ------
+    PolicyFailure
+        If the program is too long or doesn't compile.
+
+    Examples
+    --------
+    >>> program = RoutingProgram('{"attempts": request.stream ? 1 : 3}')
+    >>> facts = RequestFacts(workspace="w", request_class=RequestClass.INTERACTIVE)
+    >>> program.decide(facts, {"small": PoolFacts()}).unwrap().attempts
+    3
+    """
+
+    def __init__(self, source: str):
+        self.source = source
+        if len(source) > _LONGEST_PROGRAM:
+            raise PolicyFailure(f"allowed are {_LONGEST_PROGRAM} characters, got {len(source)}")
+        try:
+            self._program = cel.compile(source)
+        except ValueError as error:
+            raise PolicyFailure(str(error)) from error
+
+    def decide(
+        self, request: RequestFacts, pools: dict[str, PoolFacts]
+    ) -> Result[RouteDecision, PolicyFailure]:
+        """Evaluate the program for one request."""
+        facts = {
+            "request": _plain(request),
+            "pools": {name: msgspec.to_builtins(pool) for name, pool in pools.items()},
+        }
+        try:
+            value = self._program.execute(facts)
+            return Success(_decision(value, request, tuple(pools)))
+        except PolicyFailure as error:
+            return Failure(error)
+        # The library raises errors of many types, according to what went wrong.
+        except Exception as error:
+            return Failure(PolicyFailure(f"{type(error).__name__}: {error}"))
+
+
+def default_decision(request: RequestFacts, pools: tuple[str, ...]) -> RouteDecision:
+    """Return the documented default: all serving pools by name, two attempts."""
+    return RouteDecision(pools=tuple(sorted(pools)), request_class=request.request_class)
+
+
+def _plain(request: RequestFacts) -> dict[str, object]:
+    facts = msgspec.to_builtins(request)
+    facts["class"] = facts.pop("request_class")
+    return facts
+
+
+def _decision(value, request: RequestFacts, serving: tuple[str, ...]) -> RouteDecision:
+    if not isinstance(value, dict):
+        raise PolicyFailure(f"the result: allowed is a map, got {type(value).__name__}")
+    unknown = set(value) - _FIELDS
+    if unknown:
+        raise PolicyFailure(f"the result: allowed are {sorted(_FIELDS)}, got {sorted(unknown)}")
+    default = default_decision(request, serving)
+    wanted = value.get("pools", list(default.pools))
+    _require(isinstance(wanted, list), "pools", "a list of names", wanted)
+    pools = tuple(name for name in wanted if name in serving)
+    _require(bool(pools), "pools", f"one or more of {list(serving)}", wanted)
+    attempts = value.get("attempts", default.attempts)
+    good = isinstance(attempts, int) and 1 <= attempts <= _MOST_ATTEMPTS
+    _require(good, "attempts", f"1 to {_MOST_ATTEMPTS}", attempts)
+    wait = value.get("wait", default.wait)
+    good = isinstance(wait, int | float) and math.isfinite(wait) and 0 <= wait <= _LONGEST_WAIT
+    _require(good, "wait", f"0 to {_LONGEST_WAIT:g} s", wait)
+    return RouteDecision(
+        pools=pools,
+        request_class=_member(RequestClass, "class", value, default.request_class),
+        attempts=attempts,
+        wait=float(wait),
+        spread=_member(Spread, "spread", value, default.spread),
+    )
+
+
+def _member(kind: type[StrEnum], field: str, value: dict, default):
+    got = value.get(field, default)
+    allowed = [str(member) for member in kind]
+    _require(got in allowed, field, f"one of {allowed}", got)
+    return kind(got)
+
+
+def _require(good: bool, field: str, allowed: str, got: object) -> None:
+    if not good:
+        raise PolicyFailure(f"{field}: allowed is {allowed}, got {got!r}")
--- /dev/null
+++ b/whinrack/routing/_queue.py
@@ -0,0 +1,131 @@
+"""A pool's bounded queue, by class and deadline."""
+
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from whinrack.exceptions import DeadlineUnreachable, QueueFull, Refusal
+from whinrack.objects import RequestClass
+
+__all__ = ["PoolQueue", "Waiter"]
+
+_RANK = {RequestClass.ALERT: 0, RequestClass.INTERACTIVE: 1, RequestClass.DEFERRABLE: 2}
+_FIRST_SERVICE_TIME = 0.5
+_LEAST_RETRY_AFTER = 1.0
+_WEIGHT = 0.1
+_URGENT_SERVICE_TIMES = 4.0
+
+
+class Waiter(msgspec.Struct, eq=False):
+    """A request in the queue.
+
+    Attributes
+    ----------
+    deadline : float
+        Clock time by which it must be started.
+    wake : callable
+        Called once, when a slot may be free or `refusal` is set.
+    """
+
+    request_class: RequestClass
+    deadline: float
+    wake: Callable[[], None]
+    refusal: Refusal | None = None
+    number: int = 0
+
+
+class PoolQueue:
+    """Who waits for a pool, in what order. Decisions only, no I/O.
+
+    Alerts go first, then interactive requests, then deferrable ones; a deferrable
+    request whose deadline is near ranks as interactive, so that it still finishes.
+    Within a rank the earliest deadline goes first.
+
+    Parameters
+    ----------
+    limit : int
+        Most waiting requests.
+    """
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self.service_time = _FIRST_SERVICE_TIME
+        self._waiters: list[Waiter] = []
+        self._count = 0
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def join(self, waiter: Waiter, slots: int, now: float) -> Result[Waiter, Refusal]:
+        """Queue a request, or refuse it at once if it can't be met.
+
+        Parameters
+        ----------
+        slots : int
+            Requests that the pool's targets can run at once.
+        """
+        ahead = sum(1 for other in self._waiters if self._rank(other, now) <= _class_rank(waiter))
+        expected = self.expected_wait(ahead, slots)
+        if now + expected > waiter.deadline:
+            return Failure(
+                DeadlineUnreachable(
+                    f"{ahead} requests are ahead, about {expected:.1f} s of waiting",
+                    retry_after=max(_LEAST_RETRY_AFTER, expected),
+                )
+            )
+        if len(self._waiters) >= self.limit and not self._make_room(waiter, slots, now):
+            return Failure(
+                QueueFull(
+                    f"{len(self._waiters)} requests are waiting",
+                    retry_after=max(_LEAST_RETRY_AFTER, self.expected_wait(ahead, slots)),
+                )
+            )
+        self._count += 1
+        waiter.number = self._count
+        self._waiters.append(waiter)
+        return Success(waiter)
+
+    def leave(self, waiter: Waiter) -> None:
+        """Take a request out of the queue; does nothing if it isn't in it."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
+    def first(self, now: float) -> Waiter | None:
+        """Return who is served next."""
+        return min(self._waiters, key=lambda waiter: self._order(waiter, now), default=None)
+
+    def record_service(self, seconds: float) -> None:
+        """Learn how long a request takes a slot."""
+        self.service_time += _WEIGHT * (seconds - self.service_time)
+
+    def expected_wait(self, ahead: int, slots: int) -> float:
+        """Estimate the seconds until a request with `ahead` before it is started."""
+        return (ahead + 1) * self.service_time / max(1, slots)
+
+    def _make_room(self, newcomer: Waiter, slots: int, now: float) -> bool:
+        """Refuse the last deferrable request in favour of a more urgent one."""
+        last = max(self._waiters, key=lambda waiter: self._order(waiter, now))
+        if self._rank(last, now) <= _class_rank(newcomer):
+            return False
+        self._waiters.remove(last)
+        wait = self.expected_wait(len(self._waiters), slots)
+        last.refusal = QueueFull(
+            "gave way to more urgent work", retry_after=max(_LEAST_RETRY_AFTER, wait)
+        )
+        last.wake()
+        return True
+
+    def _order(self, waiter: Waiter, now: float) -> tuple:
+        return (self._rank(waiter, now), waiter.deadline, waiter.number)
+
+    def _rank(self, waiter: Waiter, now: float) -> int:
+        rank = _class_rank(waiter)
+        urgent = waiter.deadline - now < _URGENT_SERVICE_TIMES * self.service_time
+        if rank == _RANK[RequestClass.DEFERRABLE] and urgent:
+            return _RANK[RequestClass.INTERACTIVE]
+        return rank
+
+
+def _class_rank(waiter: Waiter) -> int:
+    return _RANK[waiter.request_class]
--- /dev/null
+++ b/whinrack/routing/_targets.py
@@ -0,0 +1,109 @@
+"""What this instance knows of each target: load, limit, health, leaving."""
+
+import msgspec
+
+from whinrack.objects import Target, TargetState
+from whinrack.routing._ejection import EjectionPolicy
+
+__all__ = ["LoadReport", "TargetView"]
+
+_REPORT_HALF_LIFE = 2.0
+_LEAST_LIMIT = 1.0
+_DECREASE = 0.7
+_INCREASE = 1.0
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """A target's own word on its load, which lags.
+
+    Attributes
+    ----------
+    running, waiting : int
+        Requests at the target.
+    at : float
+        Clock time here at which the report arrived.
+    own : int
+        Requests of this instance that were in flight then.
+    """
+
+    running: int
+    waiting: int
+    at: float
+    own: int
+
+
+class TargetView:
+    """One target as this instance sees it. Decisions only, no I/O.
+
+    Parameters
+    ----------
+    name : str
+        The Target object's name.
+    spec : Target
+        The declaration in force.
+    ejection : EjectionPolicy
+        Decides when failures set the target aside.
+    """
+
+    def __init__(self, name: str, spec: Target, ejection: EjectionPolicy):
+        self.name = name
+        self.spec = spec
+        self.ejection = ejection
+        # Learnt at run time.
+        self.in_flight = 0
+        self.limit = float(spec.max_concurrency)
+        self.report: LoadReport | None = None
+        self.instance_leaving = False
+
+    @property
+    def leaving(self) -> bool:
+        """Whether any source says that the target is leaving."""
+        return self.spec.state is TargetState.LEAVING or self.instance_leaving
+
+    def update(self, spec: Target) -> None:
+        """Take in a newer declaration."""
+        if spec.max_concurrency != self.spec.max_concurrency:
+            self.limit = float(spec.max_concurrency)
+        self.spec = spec
+
+    def takes_work(self, now: float) -> bool:
+        """Whether new work may go to the target at all."""
+        return not self.leaving and not self.ejection.ejected(now)
+
+    def load(self, now: float) -> float:
+        """Estimate the requests at the target, from all instances.
+
+        Own requests in flight count at once. What others had there when the report
+        was made is discounted by the report's age.
+        """
+        if self.report is None:
+            return float(self.in_flight)
+        age = max(0.0, now - self.report.at)
+        others = max(0, self.report.running + self.report.waiting - self.report.own)
+        return self.in_flight + others * 0.5 ** (age / _REPORT_HALF_LIFE)
+
+    def has_room(self, now: float) -> bool:
+        """Whether one more request fits under the limit."""
+        return self.takes_work(now) and self.load(now) < self.limit
+
+    def started(self) -> None:
+        """Count a request that is sent to the target."""
+        self.in_flight += 1
+
+    def finished(self) -> None:
+        """Count a request that ended, in whatever way."""
+        self.in_flight -= 1
+
+    def succeeded(self, now: float) -> None:
+        """Learn from an answer."""
+        self.ejection.succeeded(now)
+        most = float(self.spec.max_concurrency)
+        self.limit = min(most, self.limit + _INCREASE / self.limit)
+
+    def overloaded(self) -> None:
+        """Learn from the target's word that it is busy."""
+        self.limit = max(_LEAST_LIMIT, min(self.limit, self.in_flight + 1.0) * _DECREASE)
+
+    def failed(self, now: float) -> None:
+        """Learn from a connection that failed or broke."""
+        self.ejection.failed(now)
