--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,147 @@
+"""The whole path in one go: a fleet of separate processes, driven as an operator would.
+
+Run it with ``make demo``.
+"""
+
+import json
+import pathlib
+import shutil
+import sys
+import time
+
+import urllib3
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+
+from standins.fleet import LocalFleet, wait_until  # noqa: E402
+
+DECLARATIONS = pathlib.Path(__file__).parent / "declarations"
+TARGET = """kind = "Target"
+name = "{name}"
+
+[spec]
+pool = "{pool}"
+address = "{address}"
+instance = "{name}"
+max_concurrency = 8
+"""
+
+
+def say(title):
+    print(f"\n== {title}")
+
+
+def declare(fleet):
+    """Copy the declarations, add targets and keys, apply them; returns the keys."""
+    folder = fleet.folder / "declarations"
+    shutil.copytree(DECLARATIONS, folder)
+    for name, process in fleet.targets.items():
+        pool = "noticeboard" if name.startswith("board") else "small"
+        text = TARGET.format(name=name, pool=pool, address=process.address)
+        (folder / f"target-{name}.toml").write_text(text)
+    keys = {}
+    for name, budget, workspace in [
+        ("bench", "clachan", "clachan"),
+        ("tiny", "tiny", "hverfatafla"),
+    ]:
+        options = ["--workspace", workspace, "--budget", budget]
+        path = folder / f"key-{name}.toml"
+        keys[name] = fleet.whinrack(
+            "key", "create", name, *options, "--declaration", path
+        ).stdout.strip()
+    print(fleet.whinrack("apply", folder).stdout)
+    return folder, keys
+
+
+def chat(router, key, text, **fields):
+    body = {
+        "model": "small-chat",
+        "messages": [{"role": "user", "content": text}],
+        "max_tokens": 12,
+        **fields,
+    }
+    headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+    return router.call("POST", "/v1/chat/completions", body, headers)
+
+
+def main():
+    began = time.monotonic()
+    with LocalFleet() as fleet:
+        say("platform, two engines, one plain service, three routers")
+        fleet.start_platform()
+        fleet.start_engine("engine-1", "--token-delay", "0.01")
+        fleet.start_engine("engine-2", "--token-delay", "0.01")
+        fleet.start_service("board-1")
+        routers = fleet.start_routers()
+        folder, keys = declare(fleet)
+        fleet.wait_config()
+
+        say("which address?")
+        print(json.dumps(routers[0].json("GET", "/v1/entry")))
+
+        say("a streamed completion")
+        answer = chat(routers[0], keys["bench"], "why is this test flaky", stream=True)
+        print(answer.status, dict(answer.headers))
+        print(answer.data.decode()[:400], "...")
+        assert answer.data.endswith(b"data: [DONE]\n\n")
+
+        say("a plain service call, marked not repeatable, sent twice with one key")
+        headers = {
+            "Authorization": f"Bearer {keys['bench']}",
+            "Idempotency-Key": "notice-1",
+            "Whinrack-Repeatable": "no",
+        }
+        for router in routers[:2]:
+            reply = router.call("POST", "/services/noticeboard/notices", {"a": 1}, headers)
+            print(reply.status, reply.headers.get("Whinrack-Joined", "first"), reply.data.decode())
+        assert len(fleet.targets["board-1"].starts()) == 1
+
+        say("a change of policy, in force on all three routers")
+        program = (folder / "daytime.cel").read_text().replace(": 2,", ": 1,")
+        (folder / "daytime.cel").write_text(program)
+        print(fleet.whinrack("apply", folder, "--output", "text").stdout)
+        fleet.wait_config()
+        print(fleet.whinrack("status").stdout)
+
+        say("a small budget runs out")
+        statuses = []
+        for number in range(60):
+            reply = chat(routers[number % 3], keys["tiny"], f"tag {number}")
+            statuses.append(reply.status)
+            if reply.status == 402:
+                break
+        print(statuses)
+        print(json.dumps(json.loads(reply.data)))
+        assert reply.status == 402
+
+        say("budget, bill and counters")
+        wait_until(lambda: not pending(fleet), what="reports to reach the books")
+        print(fleet.whinrack("budget", "show", "tiny").stdout)
+        print(fleet.whinrack("bill").stdout)
+        for name, value in sorted(fleet.counters(routers[0]).items()):
+            if "bucket" not in name and "_sum" not in name:
+                print(f"{name} {value:g}")
+
+        say("planned stop")
+        for router in routers:
+            code = router.stop()
+            print(router.name, "exit code", code)
+            assert code == 0
+        print(fleet.whinrack("budget", "show", "clachan").stdout)
+    print(f"done in {time.monotonic() - began:.1f} s")
+
+
+def pending(fleet):
+    """Whether any router has settled amounts that the books don't know yet."""
+    try:
+        return any(
+            grant["unreported"]
+            for router in fleet.routers
+            for grant in fleet.status(router)["grants"]
+        )
+    except urllib3.exceptions.HTTPError:
+        return True
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,300 @@
+"""A whole fleet on this machine, as separate processes, for the demo, tests and benchmarks."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import urllib3
+
+__all__ = ["FLEET_KEY", "LocalFleet", "Process", "wait_until"]
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+FLEET_KEY = "fleet-key-of-the-local-fleet"
+_START_TIMEOUT = 20.0
+_HTTP = urllib3.PoolManager(retries=False, maxsize=64)
+
+
+def wait_until(condition, timeout=10.0, what="the condition"):
+    """Poll until a condition holds and return its value."""
+    end = time.monotonic() + timeout
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > end:
+            raise TimeoutError(f"waited {timeout:g} s for {what}")
+        time.sleep(0.02)
+
+
+def free_port():
+    """Return a port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Process:
+    """One process of the fleet with an HTTP address."""
+
+    def __init__(self, name, command, address=None, log=None):
+        self.name = name
+        self.log = log
+        stderr = open(log, "ab") if log else subprocess.DEVNULL  # noqa: SIM115
+        self.popen = subprocess.Popen(
+            command, stdout=subprocess.PIPE, stderr=stderr, cwd=ROOT, env=_environment()
+        )
+        if log:
+            stderr.close()
+        self.address = address or self._read_address()
+
+    def _read_address(self):
+        line = self.popen.stdout.readline().decode()
+        if not line.startswith("port "):
+            raise RuntimeError(f"{self.name} did not start: {line!r}")
+        return f"127.0.0.1:{line.split()[1]}"
+
+    def call(self, method, path, value=None, headers=None, timeout=30.0):
+        """Send one HTTP request; a value goes as JSON."""
+        body = None if value is None else json.dumps(value).encode()
+        url = f"http://{self.address}{path}"
+        return _HTTP.request(method, url, body=body, headers=headers, timeout=timeout)
+
+    def json(self, method, path, value=None, headers=None):
+        """Send one HTTP request and decode its JSON answer."""
+        return json.loads(self.call(method, path, value, headers).data)
+
+    def fault(self, **faults):
+        """Set faults of a stand-in."""
+        return self.json("PUT", "/faults", faults)
+
+    def starts(self):
+        """Return what an engine or service started."""
+        return self.json("GET", "/starts")
+
+    def signal(self, number):
+        """Send a signal."""
+        self.popen.send_signal(number)
+
+    def kill(self):
+        """End the process without warning."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def freeze(self):
+        """Pause the process; it doesn't notice."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self):
+        """Let a paused process go on."""
+        self.signal(signal.SIGCONT)
+
+    def stop(self, timeout=30.0):
+        """Stop the process as planned and return its exit code."""
+        self.popen.send_signal(signal.SIGTERM)
+        return self.popen.wait(timeout)
+
+    @property
+    def running(self):
+        """Whether the process lives."""
+        return self.popen.poll() is None
+
+
+class LocalFleet:
+    """Starts stand-ins and routers and stops them all at the end.
+
+    Parameters
+    ----------
+    halls : sequence of (region, hall)
+        Where the routers are, one after the other.
+    settings : dict of str to dict
+        Settings beyond the defaults, by section.
+    """
+
+    def __init__(self, halls=(("south", "a"), ("south", "b"), ("south", "c")), settings=None):
+        self.halls = halls
+        self.settings = settings or {}
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="whinrack-"))
+        self.processes = []
+        self.routers = []
+        self.targets = {}
+        self.platform = None
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for process in self.processes:
+            with contextlib.suppress(Exception):
+                process.thaw()
+                process.kill()
+            process.popen.stdout.close()
+
+    # --- starting ----------------------------------------------------------------
+
+    def start_platform(self):
+        """Start the stand-in platform."""
+        self.platform = self._standin("platform", "standins.platform")
+        return self.platform
+
+    def start_engine(self, name, *options):
+        """Start a stand-in engine; it isn't declared by that."""
+        self.targets[name] = self._standin(name, "standins.engine", *options)
+        return self.targets[name]
+
+    def start_service(self, name):
+        """Start a stand-in plain service."""
+        self.targets[name] = self._standin(name, "standins.service")
+        return self.targets[name]
+
+    def start_routers(self, count=None):
+        """Start routers and wait until they serve and see each other."""
+        count = len(self.halls) if count is None else count
+        started = [self.start_router(f"router-{index + 1}") for index in range(count)]
+        self.wait_members()
+        return started
+
+    def start_router(self, name, peer_port=None, **overrides):
+        """Start one router; a name used before gives a new incarnation."""
+        region, hall = self.halls[len(self.routers) % len(self.halls)]
+        http, peer = free_port(), peer_port or free_port()
+        path = self.write_settings(name, region, hall, http, peer, overrides)
+        router = Process(
+            name,
+            [sys.executable, "-m", "whinrack", "router", "run", "--settings", str(path)],
+            address=f"127.0.0.1:{http}",
+            log=self.folder / f"{name}.log",
+        )
+        router.peer_address = f"127.0.0.1:{peer}"
+        self.processes.append(router)
+        self.routers.append(router)
+        self.list_router(router, "live", region, hall)
+        wait_until(lambda: self.serves(router), _START_TIMEOUT, f"{name} to serve")
+        return router
+
+    def write_settings(self, name, region, hall, http, peer, overrides):
+        """Write a router's settings file."""
+        sections = {
+            "instance": {"name": name, "region": region, "data_hall": hall},
+            "http": {"address": f"127.0.0.1:{http}"},
+            "peer": {
+                "address": f"127.0.0.1:{peer}",
+                "fleet_key": FLEET_KEY,
+                "seeds": " ".join(router.peer_address for router in self.routers),
+            },
+            "platform": {"address": self.platform.address},
+            "stop": {"linger": "0.5"},
+        }
+        for extra in (self.settings, overrides):
+            for section, values in extra.items():
+                sections.setdefault(section, {}).update(values)
+        lines = []
+        for section, values in sections.items():
+            lines.append(f"[{section}]")
+            lines += [f"{key} = {value}" for key, value in values.items()]
+        path = self.folder / f"{name}.ini"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    def _standin(self, name, module, *options):
+        command = [sys.executable, "-m", module, *options]
+        process = Process(name, command, log=self.folder / f"{name}.log")
+        self.processes.append(process)
+        return process
+
+    # --- the platform's list ---------------------------------------------------------
+
+    def list_router(self, router, state, region="south", hall="a"):
+        """Put a router on the instance list."""
+        record = {
+            "name": router.name,
+            "role": "router",
+            "state": state,
+            "region": region,
+            "data_hall": hall,
+            "http_address": router.address,
+            "peer_address": router.peer_address,
+        }
+        self.platform.call("PUT", f"/v1/instances/{router.name}", record)
+
+    def list_target(self, instance, state):
+        """Put a target's instance on the instance list."""
+        record = {"name": instance, "role": "target", "state": state}
+        self.platform.call("PUT", f"/v1/instances/{instance}", record)
+
+    # --- objects and state -----------------------------------------------------------
+
+    def put(self, kind, name, spec):
+        """Write an object as it is, whatever its version."""
+        path = f"/v1/objects/{kind}/{name}"
+        found = self.platform.call("GET", path)
+        version = json.loads(found.data)["version"] if found.status == 200 else 0
+        return self.platform.call("PUT", path, spec, {"If-Match": str(version)})
+
+    def whinrack(self, *arguments, check=True):
+        """Run the command line."""
+        environment = _environment()
+        environment["WHINRACK_PLATFORM"] = self.platform.address
+        environment["WHINRACK_FLEET_KEY"] = FLEET_KEY
+        result = subprocess.run(
+            [sys.executable, "-m", "whinrack", *map(str, arguments)],
+            capture_output=True,
+            text=True,
+            cwd=ROOT,
+            env=environment,
+        )
+        if check and result.returncode != 0:
+            raise RuntimeError(f"whinrack {arguments}: {result.stderr}")
+        return result
+
+    def status(self, router):
+        """Return a router's own word on its state."""
+        return router.json("GET", "/v1/status", headers={"Whinrack-Fleet-Key": FLEET_KEY})
+
+    def serves(self, router):
+        """Whether a router is ready; raises if it has ended."""
+        if not router.running:
+            raise RuntimeError(f"{router.name} ended: {(router.log).read_text()[-2000:]}")
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            return router.call("GET", "/readyz", timeout=1.0).status == 200
+        return False
+
+    def wait_members(self):
+        """Wait until all running routers see each other."""
+        running = [router for router in self.routers if router.running]
+        for router in running:
+            wait_until(
+                lambda router=router: len(self.status(router)["members"]) >= len(running) - 1,
+                what=f"{router.name} to see its peers",
+            )
+
+    def wait_config(self, routers=None):
+        """Wait until the newest stored configuration is in force at the routers."""
+        kinds = "Workspace,Budget,TargetPool,Target,RoutingPolicy,ApiKey"
+        stored = self.platform.json("GET", f"/v1/objects?kinds={kinds}")["objects"]
+        newest = max(item["version"] for item in stored)
+        for router in routers or [router for router in self.routers if router.running]:
+            wait_until(
+                lambda router=router: self.status(router)["newest"] >= newest,
+                what=f"{router.name} to be up to date",
+            )
+
+    def counters(self, router):
+        """Return a router's metrics that aren't zero, by name and labels."""
+        values = {}
+        for line in router.call("GET", "/metrics").data.decode().splitlines():
+            if line.startswith("whinrack_") and "_created" not in line:
+                name, _, value = line.rpartition(" ")
+                if float(value):
+                    values[name] = float(value)
+        return values
+
+
+def _environment():
+    return {**os.environ, "PYTHONPATH": str(ROOT), "PYTHONWARNINGS": "ignore"}
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -137,7 +137,7 @@
 
 
 def _serve(method, path, environ, body):
-    query = {key: values[0] for key, values in parse_qs(environ["QUERY_STRING"]).items()}
+    query = {key: values[0] for key, values in parse_qs(environ.get("QUERY_STRING", "")).items()}
     kinds = query.get("kinds", "").split(",")
     if path == "/v1/instances":
         STATE.count("instances")
--- a/standins/service.py
+++ b/standins/service.py
@@ -36,7 +36,7 @@
         raise ConnectionResetError("cut by fault")
     value = {
         "path": path,
-        "query": environ["QUERY_STRING"],
+        "query": environ.get("QUERY_STRING", ""),
         "method": environ["REQUEST_METHOD"],
         "digest": hashlib.sha256(body).hexdigest(),
         "start": len(STARTS),
--- /dev/null
+++ b/whinrack/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line with ``python -m whinrack``."""
+
+from whinrack.cli import main
+
+if __name__ == "__main__":
+    main()
--- a/whinrack/base.py
+++ b/whinrack/base.py
@@ -62,6 +62,6 @@
     """
 
     def weight(node: str) -> tuple[int, str]:
-        return (xxhash.xxh64_intdigest(f"{key}\x00{node}"), node)
+        return (xxhash.xxh64_intdigest(f"{key}\x00{node}".encode()), node)
 
     return sorted(nodes, key=weight, reverse=True)
--- a/whinrack/budgets/_account.py
+++ b/whinrack/budgets/_account.py
@@ -169,7 +169,7 @@
 
 def account_name(budget: str, accounts: int) -> str:
     """Return the account object that a new budget is assigned to."""
-    return f"account-{xxhash.xxh64_intdigest(budget) % accounts:04d}"
+    return f"account-{xxhash.xxh64_intdigest(budget.encode()) % accounts:04d}"
 
 
 def apply_topups(
--- /dev/null
+++ b/whinrack/cli/__init__.py
@@ -0,0 +1,18 @@
+"""The `whinrack` command."""
+
+import sys
+
+__all__ = ["main"]
+
+_DAEMON = ["router", "run"]
+
+
+def main() -> None:
+    """Run the command line; a daemon is prepared before anything else is imported."""
+    if sys.argv[1:3] == _DAEMON:
+        from whinrack.green import patch
+
+        patch()
+    from whinrack.cli._main import main as command
+
+    command(prog_name="whinrack")
--- /dev/null
+++ b/whinrack/engines/_sse.py
@@ -0,0 +1,125 @@
+"""Reads an engine's event stream: whole events, checked, hardly decoded.
+
+A chunk that holds whole events is passed on as it came. Only the event with the usage
+is decoded; the others are looked at for the answer's id and their number.
+"""
+
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from whinrack.engines._client import Usage
+from whinrack.exceptions import AnswerCut, ForeignAnswer
+
+__all__ = ["ChatStream", "whole_events"]
+
+_END = b"\n\n"
+_DATA = b"data:"
+_DONE = b"data: [DONE]"
+_USAGE_MARK = b'"usage"'
+_CONTENT_MARK = b'"content"'
+_LONGEST_EVENT = 1_000_000
+
+
+class _UsageEvent(msgspec.Struct):
+    choices: list[msgspec.Raw] = []
+    usage: Usage | None = None
+
+
+_USAGE_EVENT = msgspec.json.Decoder(_UsageEvent)
+
+
+def whole_events(chunks: Iterable[bytes]) -> Iterator[bytes]:
+    """Regroup chunks so that each ends at the end of an event.
+
+    Raises
+    ------
+    AnswerCut
+        If the stream ends inside an event, or an event is absurdly long.
+    """
+    rest = b""
+    for chunk in chunks:
+        if rest:
+            chunk = rest + chunk
+            rest = b""
+        if chunk.endswith(_END):
+            yield chunk
+            continue
+        head, found, rest = chunk.rpartition(_END)
+        if found:
+            yield head + _END
+        if len(rest) > _LONGEST_EVENT:
+            raise AnswerCut("an event without an end")
+    if rest.strip():
+        raise AnswerCut("the stream ended inside an event")
+
+
+class ChatStream:
+    """Checks an engine's events and finds the usage in them.
+
+    Parameters
+    ----------
+    answer_id : str
+        The id that every event must carry.
+    keep_usage : bool
+        Whether the caller asked for the usage event.
+
+    Attributes
+    ----------
+    usage : Usage or None
+        The engine's final count.
+    content_events : int
+        Events with content so far; never more than tokens generated.
+    events : int
+        All events so far; where a resumed stream goes on.
+    done : bool
+        The end mark was seen: the answer is whole.
+    """
+
+    def __init__(self, answer_id: str, keep_usage: bool):
+        self.answer_id = answer_id
+        self.keep_usage = keep_usage
+        self.usage: Usage | None = None
+        self.content_events = 0
+        self.events = 0
+        self.done = False
+        self._mark = b'"' + answer_id.encode() + b'"'
+
+    def check(self, data: bytes) -> bytes:
+        """Check one or more whole events and return what goes to the caller.
+
+        Raises
+        ------
+        ForeignAnswer
+            If an event has another id, or comes after the end.
+        """
+        if self.done:
+            raise ForeignAnswer("events after the end of the answer")
+        events = data.count(_DATA)
+        if _DONE in data:
+            self.done = True
+            events -= 1
+        if events > data.count(self._mark):
+            raise ForeignAnswer("an event with another id")
+        self.events += events
+        self.content_events += data.count(_CONTENT_MARK)
+        if _USAGE_MARK in data:
+            return self._without_usage(data)
+        return data
+
+    def _without_usage(self, data: bytes) -> bytes:
+        kept = [event for event in data.split(_END) if event and self._keep(event)]
+        return b"".join(event + _END for event in kept)
+
+    def _keep(self, event: bytes) -> bool:
+        if _USAGE_MARK not in event or event.startswith(_DONE):
+            return True
+        _, _, text = event.partition(_DATA)
+        try:
+            decoded = _USAGE_EVENT.decode(text)
+        except msgspec.MsgspecError:
+            return True
+        if decoded.usage is None:
+            return True
+        self.usage = decoded.usage
+        return self.keep_usage or bool(decoded.choices)
--- a/whinrack/feed/_store.py
+++ b/whinrack/feed/_store.py
@@ -32,22 +32,28 @@
     Parameters
     ----------
     on_change : callable, optional
-        Told each object that came into force.
+        Told how many objects a batch brought into force.
     on_invalid : callable, optional
         Told each object that was refused, with the reason.
     """
 
     def __init__(
         self,
-        on_change: Callable[[StoredObject], None] = lambda stored: None,
+        on_change: Callable[[int], None] = lambda taken: None,
         on_invalid: Callable[[StoredObject, InvalidObject], None] = lambda stored, error: None,
     ):
         super().__init__()
         self.on_change = on_change
         self.on_invalid = on_invalid
         self.revision = 0
+        self._newest = 0
         self._stored: dict[tuple[str, str], StoredObject] = {}
 
+    @property
+    def newest(self) -> int:
+        """Version of the newest object in force; the same at daemons that agree."""
+        return self._newest
+
     def take(self, stored: StoredObject) -> bool:
         """Take in one object; False if it isn't newer than what is here."""
         key = (stored.kind, stored.name)
@@ -57,6 +63,7 @@
         if stored.kind not in DECLARED_KINDS:
             return False
         self._stored[key] = stored
+        self._newest = max(self._newest, stored.version)
         self._apply(stored)
         return True
 
@@ -64,6 +71,8 @@
         """Take in changes up to a revision; returns how many were new."""
         taken = sum(self.take(stored) for stored in objects)
         self.revision = max(self.revision, revision)
+        if taken:
+            self.on_change(taken)
         return taken
 
     def take_snapshot(self, revision: int, objects: Iterable[StoredObject]) -> int:
@@ -97,12 +106,9 @@
         specs = self._specs[stored.kind]
         if stored.deleted:
             specs.pop(stored.name, None)
-            self.on_change(stored)
             return
         try:
             value = msgspec.json.decode(stored.value)
             specs[stored.name] = decode_spec(stored.kind, stored.name, value)
         except (InvalidObject, msgspec.DecodeError) as error:
             self.on_invalid(stored, InvalidObject(str(error)))
-            return
-        self.on_change(stored)
--- /dev/null
+++ b/whinrack/operators/_accounts.py
@@ -0,0 +1,133 @@
+"""What operators see of budgets and bills, and what they may do to them."""
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from whinrack.budgets import (
+    ACCOUNT_KIND,
+    BudgetAccount,
+    BudgetEntry,
+    apply_topups,
+    release_holder,
+)
+from whinrack.exceptions import NotFound, PlatformFailure, WhinrackError
+from whinrack.journal import JOURNAL_KIND, WorkspaceBill, decode_segment, merge_bills
+from whinrack.objects import Budget
+from whinrack.platform import InstanceRecord, ObjectEditor, ObjectStore
+
+__all__ = [
+    "BudgetBooks",
+    "HolderBooks",
+    "budget_books",
+    "read_bills",
+    "release_grant",
+    "top_up",
+]
+
+
+class HolderBooks(msgspec.Struct, frozen=True):
+    """What one incarnation holds; `listed` tells whether its instance is on the list."""
+
+    holder: str
+    outstanding: int
+    billed: int
+    unproven: int
+    closed: bool
+    listed: bool
+
+
+class BudgetBooks(msgspec.Struct, frozen=True):
+    """One budget's books: limit = billed + unproven + outstanding + free."""
+
+    budget: str
+    account: str
+    limit: int
+    billed: int
+    unproven: int
+    outstanding: int
+    free: int
+    holders: list[HolderBooks]
+
+
+def budget_books(store: ObjectStore, name: str) -> Result[BudgetBooks, WhinrackError]:
+    """Read a budget's books."""
+    account = _account_of(store, name)
+    if isinstance(account, Failure):
+        return account
+    value = ObjectEditor(store, ACCOUNT_KIND, BudgetAccount).read(account.unwrap())
+    if isinstance(value, Failure):
+        return value
+    entry = value.unwrap().budgets.get(name, BudgetEntry())
+    listed = store.instances().value_or(())
+    return Success(_books(name, account.unwrap(), entry, listed))
+
+
+def top_up(
+    store: ObjectStore, name: str, payment: str, tokens: int
+) -> Result[BudgetEntry, WhinrackError]:
+    """Pay into a budget, once for each payment id."""
+    return _edit(store, name, lambda account: apply_topups(account, name, {payment: tokens}))
+
+
+def release_grant(
+    store: ObjectStore, name: str, holder: str, served: int | None
+) -> Result[BudgetEntry, WhinrackError]:
+    """Release what an incarnation that is gone for good holds of a budget."""
+    return _edit(store, name, lambda account: release_holder(account, name, holder, served))
+
+
+def read_bills(store: ObjectStore) -> Result[dict[str, WorkspaceBill], PlatformFailure]:
+    """Read all journals and add them up to one bill a workspace."""
+    snapshot = store.list((JOURNAL_KIND,))
+    return snapshot.map(
+        lambda found: merge_bills(decode_segment(item.value) for item in found.objects)
+    )
+
+
+def _edit(store: ObjectStore, name: str, change) -> Result[BudgetEntry, WhinrackError]:
+    account = _account_of(store, name)
+    if isinstance(account, Failure):
+        return account
+    editor = ObjectEditor(store, ACCOUNT_KIND, BudgetAccount)
+    result = editor.apply(account.unwrap(), change)
+    if isinstance(result, Failure):
+        return result
+    value = result.unwrap()
+    return Success(value.budgets.get(name, BudgetEntry()) if value else BudgetEntry())
+
+
+def _account_of(store: ObjectStore, name: str) -> Result[str, WhinrackError]:
+    found = store.get("Budget", name)
+    if isinstance(found, Failure):
+        failure = found.failure()
+        if isinstance(failure, NotFound):
+            return Failure(NotFound(f"no budget is named {name!r}"))
+        return found
+    return Success(msgspec.json.decode(found.unwrap().value, type=Budget).account)
+
+
+def _books(
+    name: str, account: str, entry: BudgetEntry, listed: tuple[InstanceRecord, ...]
+) -> BudgetBooks:
+    names = {record.name for record in listed}
+    holders = [
+        HolderBooks(
+            holder=holder,
+            outstanding=row.outstanding,
+            billed=row.billed,
+            unproven=row.unproven,
+            closed=row.closed,
+            listed=holder.rpartition(".")[0] in names,
+        )
+        for holder, row in sorted(entry.rows.items())
+    ]
+    return BudgetBooks(
+        budget=name,
+        account=account,
+        limit=entry.limit,
+        billed=entry.billed,
+        unproven=entry.unproven,
+        outstanding=entry.outstanding,
+        free=entry.free,
+        holders=holders,
+    )
--- /dev/null
+++ b/whinrack/operators/_apply.py
@@ -0,0 +1,171 @@
+"""From declarations to objects in the platform: plan, show, write conditionally."""
+
+from collections.abc import Iterable
+from enum import StrEnum
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from whinrack.budgets import ACCOUNT_KIND, BudgetAccount, account_name, apply_topups
+from whinrack.exceptions import Conflict, PlatformFailure, WhinrackError, WriteUnknown
+from whinrack.objects import (
+    DECLARED_KINDS,
+    Budget,
+    Declaration,
+    Spec,
+    check_references,
+    decode_spec,
+)
+from whinrack.platform import ObjectEditor, ObjectStore, Snapshot, StoredObject
+
+__all__ = ["Change", "ChangeKind", "FieldDiff", "apply_change", "plan_changes", "read_snapshot"]
+
+_ORDER = ("RoutingPolicy", "Workspace", "TargetPool", "Budget", "Target", "ApiKey")
+_ACCOUNTS = 64
+_MISSING = "(none)"
+
+
+class ChangeKind(StrEnum):
+    """What applying a declaration does to its object."""
+
+    CREATE = "create"
+    UPDATE = "update"
+    SAME = "same"
+
+
+class FieldDiff(msgspec.Struct, frozen=True):
+    """A field whose value differs."""
+
+    field: str
+    stored: object
+    declared: object
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One object's change.
+
+    Attributes
+    ----------
+    version : int
+        The version that was read, 0 for none; the write is conditional on it.
+    """
+
+    kind: ChangeKind
+    declaration: Declaration
+    version: int
+    fields: tuple[FieldDiff, ...] = ()
+
+
+def read_snapshot(store: ObjectStore) -> Result[Snapshot, PlatformFailure]:
+    """Read all declared objects."""
+    return store.list(tuple(DECLARED_KINDS))
+
+
+def plan_changes(declarations: Iterable[Declaration], snapshot: Snapshot) -> list[Change]:
+    """Compare declarations with what is stored, in the order they are to be written.
+
+    Raises
+    ------
+    InvalidObject
+        For a reference to an object that neither is declared nor stored.
+    """
+    stored = {(item.kind, item.name): item for item in snapshot.objects}
+    merged = {key: _spec(item) for key, item in stored.items()}
+    changes = []
+    for declaration in sorted(declarations, key=_write_order):
+        key = (declaration.kind, declaration.name)
+        change = _plan(declaration, stored.get(key))
+        merged[key] = change.declaration.spec
+        changes.append(change)
+    check_references(merged)
+    return changes
+
+
+def apply_change(store: ObjectStore, change: Change) -> Result[int, WhinrackError]:
+    """Write one change and return the object's version.
+
+    A write whose reply is lost counts as done if the object then reads as declared.
+    Payments into budgets count once, however often they are applied.
+    """
+    declaration = change.declaration
+    version: Result[int, WhinrackError] = Success(change.version)
+    if change.kind is not ChangeKind.SAME:
+        version = _write(store, change)
+    if isinstance(version, Failure) or not isinstance(declaration.spec, Budget):
+        return version
+    paid = _pay_in(store, declaration.name, declaration.spec)
+    return version if not isinstance(paid, Failure) else Failure(paid.failure())
+
+
+def _write(store: ObjectStore, change: Change) -> Result[int, WhinrackError]:
+    declaration = change.declaration
+    value = msgspec.json.encode(declaration.spec)
+    result = store.put(declaration.kind, declaration.name, value, change.version)
+    if isinstance(result, Success):
+        return Success(result.unwrap().version)
+    failure = result.failure()
+    if not isinstance(failure, WriteUnknown):
+        return Failure(_explained(failure, change))
+    found = store.get(declaration.kind, declaration.name)
+    if isinstance(found, Success) and _spec(found.unwrap()) == declaration.spec:
+        return Success(found.unwrap().version)
+    return Failure(failure)
+
+
+def _explained(failure: PlatformFailure, change: Change) -> WhinrackError:
+    """Show both sides of a raced change."""
+    if not isinstance(failure, Conflict):
+        return failure
+    name = f"{change.declaration.kind}/{change.declaration.name}"
+    declared = msgspec.json.encode(change.declaration.spec).decode()
+    current = failure.current
+    theirs = _MISSING if current is None else bytes(current.value).decode()
+    at = 0 if current is None else current.version
+    message = (
+        f"{name} was changed meanwhile: read at version {change.version}, now at {at}\n"
+        f"  stored:   {theirs}\n  declared: {declared}"
+    )
+    return Conflict(message, current)
+
+
+def _pay_in(
+    store: ObjectStore, name: str, budget: Budget
+) -> Result[BudgetAccount, PlatformFailure]:
+    editor = ObjectEditor(store, ACCOUNT_KIND, BudgetAccount)
+    topups = {topup.id: topup.tokens for topup in budget.topups}
+    return editor.apply(budget.account, lambda account: apply_topups(account, name, topups))
+
+
+def _plan(declaration: Declaration, stored: StoredObject | None) -> Change:
+    if stored is None:
+        return Change(ChangeKind.CREATE, _with_account(declaration, None), 0)
+    before = _spec(stored)
+    declaration = _with_account(declaration, before)
+    old, new = msgspec.to_builtins(before), msgspec.to_builtins(declaration.spec)
+    fields = tuple(
+        FieldDiff(field, old.get(field), new.get(field))
+        for field in new
+        if old.get(field) != new.get(field)
+    )
+    kind = ChangeKind.UPDATE if fields else ChangeKind.SAME
+    return Change(kind, declaration, stored.version, fields)
+
+
+def _with_account(declaration: Declaration, stored: Spec | None) -> Declaration:
+    """Keep a budget's account as it is, or choose one for a new budget."""
+    spec = declaration.spec
+    if not isinstance(spec, Budget):
+        return declaration
+    if isinstance(stored, Budget):
+        account = stored.account
+    else:
+        account = account_name(declaration.name, _ACCOUNTS)
+    return msgspec.structs.replace(declaration, spec=msgspec.structs.replace(spec, account=account))
+
+
+def _spec(stored: StoredObject) -> Spec:
+    return decode_spec(stored.kind, stored.name, msgspec.json.decode(stored.value))
+
+
+def _write_order(declaration: Declaration) -> tuple[int, str]:
+    return (_ORDER.index(declaration.kind), declaration.name)
--- /dev/null
+++ b/whinrack/operators/_fleet.py
@@ -0,0 +1,52 @@
+"""Asks every router of the instance list for its state."""
+
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+
+from whinrack.exceptions import PeerUnavailable, WhinrackError
+from whinrack.platform import InstanceRecord, ObjectStore
+from whinrack.status import FLEET_KEY_HEADER, RouterStatus
+
+__all__ = ["FleetRow", "fleet_status"]
+
+_TIMEOUT = 2.0
+
+
+class FleetRow(msgspec.Struct, frozen=True):
+    """One router of the list, with its own word if it answered."""
+
+    name: str
+    address: str
+    listed_as: str
+    status: RouterStatus | None
+
+
+def fleet_status(store: ObjectStore, fleet_key: str) -> Result[list[FleetRow], WhinrackError]:
+    """Return the state of each listed router."""
+    listed = store.instances()
+    if isinstance(listed, Failure):
+        return listed
+    http = urllib3.PoolManager(retries=False)
+    routers = [record for record in listed.unwrap() if record.role == "router"]
+    return Success([_row(http, record, fleet_key) for record in routers])
+
+
+def _row(http, record: InstanceRecord, fleet_key: str) -> FleetRow:
+    status = _ask(http, record.http_address, fleet_key)
+    return FleetRow(record.name, record.http_address, str(record.state), status.value_or(None))
+
+
+def _ask(http, address: str, fleet_key: str) -> Result[RouterStatus, PeerUnavailable]:
+    try:
+        reply = http.request(
+            "GET",
+            f"http://{address}/v1/status",
+            headers={FLEET_KEY_HEADER: fleet_key},
+            timeout=_TIMEOUT,
+        )
+    except urllib3.exceptions.HTTPError as error:
+        return Failure(PeerUnavailable(str(error)))
+    if reply.status != 200:
+        return Failure(PeerUnavailable(f"status {reply.status}"))
+    return Success(msgspec.json.decode(reply.data, type=RouterStatus))
--- /dev/null
+++ b/whinrack/peers/_client.py
@@ -0,0 +1,191 @@
+"""The gRPC side that asks peers, called from green threads."""
+
+import asyncio
+from collections.abc import Iterator, Sequence
+
+import grpclib.client
+from eventlet.queue import LightQueue
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from returns.result import Failure, Result, Success
+
+from whinrack.budgets import DrawOrder, DrawResult
+from whinrack.exceptions import PeerUnavailable, PlatformUnavailable, WhinrackError
+from whinrack.membership import Member
+from whinrack.observability import Metrics
+from whinrack.peers import _codec
+from whinrack.peers._bridge import run_coroutine, spawn_coroutine
+from whinrack.peers._pb import peer_pb2 as pb
+from whinrack.peers._pb.peer_grpc import PeerStub
+from whinrack.peers._server import _CONSULTATIONS, FLEET_KEY_HEADER
+from whinrack.peers.base import AnswerPart, ConsultQuery
+from whinrack.platform import StoredObject
+from whinrack.requests import Consultation
+
+__all__ = ["FeedUpdate", "PeerClient"]
+
+_LOST = (OSError, asyncio.TimeoutError, GRPCError, StreamTerminatedError)
+_CONSULTATION_OF = {value: key for key, value in _CONSULTATIONS.items()}
+_FEED_SILENCE = 3.0
+_JOIN_SILENCE = 60.0
+_DRAW_FACTOR = 4.0
+
+FeedUpdate = tuple[int, list[StoredObject]]
+
+
+class PeerClient:
+    """Calls to peers by their address; every failure is a `PeerUnavailable`.
+
+    Parameters
+    ----------
+    fleet_key : str
+        Shown with each call.
+    timeout : float
+        Seconds a call may take.
+    metrics : Metrics
+        Counts calls by result.
+    tls : ssl.SSLContext, optional
+        Shows a certificate.
+    """
+
+    def __init__(self, fleet_key: str, timeout: float, metrics: Metrics, tls=None):
+        self.fleet_key = fleet_key
+        self.timeout = timeout
+        self.metrics = metrics
+        self.tls = tls
+        self._channels: dict[str, grpclib.client.Channel] = {}
+
+    def heartbeat(
+        self, address: str, sender: Member, leaving: Sequence[str]
+    ) -> Result[tuple[Member, list[str]], WhinrackError]:
+        """Send a heartbeat and return the peer's own word."""
+        request = pb.HeartbeatRequest(sender=_codec.member_to_pb(sender), leaving_targets=leaving)
+        reply = self._call("Heartbeat", address, request, self.timeout)
+        return reply.map(
+            lambda message: (
+                _codec.member_from_pb(message.receiver),
+                list(message.leaving_targets),
+            )
+        )
+
+    def draw(self, address: str, order: DrawOrder) -> Result[DrawResult, WhinrackError]:
+        """Have a peer draw from the platform."""
+        request = pb.DrawRequest(draw=_codec.order_to_pb(order))
+        reply = self._call("DrawTokens", address, request, self.timeout * _DRAW_FACTOR)
+        if isinstance(reply, Failure):
+            return reply
+        message = reply.unwrap()
+        if message.failure:
+            return Failure(PlatformUnavailable(message.failure))
+        return Success(_codec.result_from_pb(message))
+
+    def spare(
+        self, address: str, budget: str, receiver: str, already_received: int, want: int
+    ) -> Result[int, WhinrackError]:
+        """Ask a peer for tokens; returns its cumulative total."""
+        request = pb.SpareRequest(
+            budget=budget, receiver=receiver, already_received=already_received, want=want
+        )
+        reply = self._call("Spare", address, request, self.timeout)
+        return reply.map(lambda message: message.given)
+
+    def consult(
+        self, address: str, query: ConsultQuery
+    ) -> Result[tuple[Consultation, str], WhinrackError]:
+        """Ask whether this incarnation may run a request."""
+        request = pb.ConsultRequest(
+            identity=query.identity,
+            body_hash=query.digest,
+            asker=query.asker,
+            lost_owner=query.lost_owner,
+            repeatable=query.repeatable,
+        )
+        reply = self._call("Consult", address, request, self.timeout)
+        return reply.map(lambda message: (_CONSULTATION_OF[message.consultation], message.owner))
+
+    def join(self, address: str, identity: str) -> Iterator[AnswerPart]:
+        """Yield the parts of an answer that a peer has.
+
+        Raises
+        ------
+        PeerUnavailable
+            When the peer is lost before the answer is whole.
+        """
+        request = pb.JoinRequest(identity=identity)
+        for chunk in self._stream("Join", address, request, _JOIN_SILENCE):
+            headers = tuple((field.name, field.value) for field in chunk.headers)
+            yield AnswerPart(
+                status=chunk.status, headers=headers, body=chunk.body, whole=chunk.whole
+            )
+
+    def feed(self, address: str, since: int) -> Iterator[FeedUpdate]:
+        """Yield configuration changes that a peer knows.
+
+        Raises
+        ------
+        PeerUnavailable
+            When the peer is lost or falls silent.
+        """
+        request = pb.FeedRequest(since=since)
+        for reply in self._stream("Feed", address, request, _FEED_SILENCE):
+            objects = [_codec.object_from_pb(message) for message in reply.objects]
+            yield reply.revision, objects
+
+    def close(self) -> None:
+        """Close all connections."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    def _call(self, call: str, address: str, request, timeout: float):
+        async def run():
+            return await getattr(self._stub(address), call)(
+                request, timeout=timeout, metadata=self._metadata()
+            )
+
+        try:
+            reply = run_coroutine(run())
+        except _LOST as error:
+            self.metrics.peer_calls.labels(call, "failed").inc()
+            return Failure(PeerUnavailable(f"{call} at {address}: {type(error).__name__}"))
+        self.metrics.peer_calls.labels(call, "ok").inc()
+        return Success(reply)
+
+    def _stream(self, call: str, address: str, request, silence: float):
+        queue: LightQueue = LightQueue()
+        task = spawn_coroutine(self._pump(call, address, request, silence, queue))
+        try:
+            while True:
+                item = queue.get()
+                if item is None:
+                    return
+                if isinstance(item, PeerUnavailable):
+                    self.metrics.peer_calls.labels(call, "failed").inc()
+                    raise item
+                yield item
+        finally:
+            task.cancel()
+
+    async def _pump(self, call: str, address: str, request, silence: float, queue: LightQueue):
+        try:
+            method = getattr(self._stub(address), call)
+            async with method.open(metadata=self._metadata()) as stream:
+                await stream.send_message(request, end=True)
+                while True:
+                    message = await asyncio.wait_for(stream.recv_message(), silence)
+                    queue.put_nowait(message)
+                    if message is None:
+                        return
+        except _LOST as error:
+            lost = PeerUnavailable(f"{call} at {address}: {type(error).__name__}")
+            queue.put_nowait(lost)
+
+    def _stub(self, address: str) -> PeerStub:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.partition(":")
+            channel = grpclib.client.Channel(host, int(port), ssl=self.tls)
+            self._channels[address] = channel
+        return PeerStub(channel)
+
+    def _metadata(self) -> dict[str, str]:
+        return {FLEET_KEY_HEADER: self.fleet_key}
--- /dev/null
+++ b/whinrack/peers/_codec.py
@@ -0,0 +1,83 @@
+"""Between the typed structs of the subpackages and the peer messages."""
+
+import msgspec
+
+from whinrack.budgets import DrawOrder, DrawResult
+from whinrack.membership import Member
+from whinrack.peers._pb import peer_pb2 as pb
+from whinrack.platform import StoredObject
+
+__all__ = [
+    "member_from_pb",
+    "member_to_pb",
+    "object_from_pb",
+    "object_to_pb",
+    "order_from_pb",
+    "order_to_pb",
+    "result_from_pb",
+    "result_to_pb",
+]
+
+_MEMBER_FIELDS = Member.__struct_fields__
+_ORDER_FIELDS = tuple(name for name in DrawOrder.__struct_fields__ if name != "received")
+_RESULT_FIELDS = DrawResult.__struct_fields__
+
+
+def member_to_pb(member: Member) -> pb.Member:
+    """Encode a member."""
+    return pb.Member(**{name: getattr(member, name) for name in _MEMBER_FIELDS})
+
+
+def member_from_pb(message: pb.Member) -> Member:
+    """Decode a member."""
+    return Member(**{name: getattr(message, name) for name in _MEMBER_FIELDS})
+
+
+def order_to_pb(order: DrawOrder) -> pb.Draw:
+    """Encode a draw order."""
+    message = pb.Draw(**{name: getattr(order, name) for name in _ORDER_FIELDS})
+    for giver, tokens in order.received.items():
+        message.received.add(giver=giver, tokens=tokens)
+    return message
+
+
+def order_from_pb(message: pb.Draw) -> DrawOrder:
+    """Decode a draw order."""
+    fields = {name: getattr(message, name) for name in _ORDER_FIELDS}
+    received = {transfer.giver: transfer.tokens for transfer in message.received}
+    return DrawOrder(received=received, **fields)
+
+
+def result_to_pb(result: DrawResult) -> pb.DrawReply:
+    """Encode a draw result; a free count below 0 shows as 0."""
+    fields = {name: getattr(result, name) for name in _RESULT_FIELDS}
+    fields["free"] = max(0, result.free)
+    fields["outstanding_elsewhere"] = max(0, result.outstanding_elsewhere)
+    return pb.DrawReply(**fields)
+
+
+def result_from_pb(message: pb.DrawReply) -> DrawResult:
+    """Decode a draw result."""
+    return DrawResult(**{name: getattr(message, name) for name in _RESULT_FIELDS})
+
+
+def object_to_pb(stored: StoredObject) -> pb.FeedObject:
+    """Encode a stored object."""
+    return pb.FeedObject(
+        kind=stored.kind,
+        name=stored.name,
+        version=stored.version,
+        deleted=stored.deleted,
+        value=bytes(stored.value),
+    )
+
+
+def object_from_pb(message: pb.FeedObject) -> StoredObject:
+    """Decode a stored object."""
+    return StoredObject(
+        kind=message.kind,
+        name=message.name,
+        version=message.version,
+        value=msgspec.Raw(message.value),
+        deleted=message.deleted,
+    )
--- /dev/null
+++ b/whinrack/peers/_server.py
@@ -0,0 +1,154 @@
+"""The gRPC side that answers peers."""
+
+import hmac
+
+from grpclib.const import Status
+from grpclib.events import RecvRequest, listen
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server, Stream
+from returns.result import Failure
+
+from whinrack.observability import Event, Metrics, log_event
+from whinrack.peers import _codec
+from whinrack.peers._bridge import call_green, run_coroutine
+from whinrack.peers._pb import peer_pb2 as pb
+from whinrack.peers._pb.peer_grpc import PeerBase
+from whinrack.peers.base import ConsultQuery, PeerHandlers
+from whinrack.requests import Consultation
+
+__all__ = ["FLEET_KEY_HEADER", "PeerServer"]
+
+FLEET_KEY_HEADER = "whinrack-fleet-key"
+_FEED_KEEPALIVE = 1.0
+_CONSULTATIONS = {
+    Consultation.CEDED: pb.CEDED,
+    Consultation.HERE: pb.HERE,
+    Consultation.ELSEWHERE: pb.ELSEWHERE,
+    Consultation.BODY_MISMATCH: pb.BODY_MISMATCH,
+    Consultation.OUTCOME_UNKNOWN: pb.OUTCOME_UNKNOWN,
+}
+
+
+class _PeerService(PeerBase):
+    """Decodes each call, has the handlers answer it, and encodes the reply."""
+
+    def __init__(self, handlers: PeerHandlers):
+        self.handlers = handlers
+
+    async def Heartbeat(self, stream: Stream) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        sender = _codec.member_from_pb(request.sender)
+        member, leaving = self.handlers.heartbeat(sender, list(request.leaving_targets))
+        reply = pb.HeartbeatReply(receiver=_codec.member_to_pb(member), leaving_targets=leaving)
+        await stream.send_message(reply)
+
+    async def DrawTokens(self, stream: Stream) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        order = _codec.order_from_pb(request.draw)
+        result = await call_green(self.handlers.draw, order)
+        if isinstance(result, Failure):
+            reply = pb.DrawReply(failure=result.failure().code)
+        else:
+            reply = _codec.result_to_pb(result.unwrap())
+        await stream.send_message(reply)
+
+    async def Spare(self, stream: Stream) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        given = self.handlers.spare(
+            request.budget, request.receiver, request.already_received, request.want
+        )
+        await stream.send_message(pb.SpareReply(given=given))
+
+    async def Consult(self, stream: Stream) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        query = ConsultQuery(
+            identity=request.identity,
+            digest=request.body_hash,
+            asker=request.asker,
+            lost_owner=request.lost_owner,
+            repeatable=request.repeatable,
+        )
+        consultation, owner = self.handlers.consult(query)
+        reply = pb.ConsultReply(consultation=_CONSULTATIONS[consultation], owner=owner)
+        await stream.send_message(reply)
+
+    async def Join(self, stream: Stream) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        parts = self.handlers.join(request.identity)
+        while True:
+            part = await call_green(next, parts, None)
+            if part is None:
+                return
+            chunk = pb.JoinChunk(status=part.status, body=part.body, whole=part.whole)
+            for name, value in part.headers:
+                chunk.headers.add(name=name, value=value)
+            await stream.send_message(chunk)
+
+    async def Feed(self, stream: Stream) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        since = request.since
+        subscription = self.handlers.subscribe()
+        config = self.handlers.config
+        while True:
+            revision = config.revision
+            changed = config.changes_after(since) if revision > since else []
+            objects = [_codec.object_to_pb(stored) for stored in changed]
+            await stream.send_message(pb.FeedReply(revision=revision, objects=objects))
+            since = max(since, revision)
+            if config.revision == since:
+                await call_green(subscription.wait, _FEED_KEEPALIVE)
+
+
+class PeerServer:
+    """Listens for peers and refuses those without the fleet's key.
+
+    Parameters
+    ----------
+    handlers : PeerHandlers
+        Answers the calls.
+    address : str
+        ``host:port`` to listen on.
+    fleet_key : str
+        What every peer has to show.
+    metrics : Metrics
+        Counts refused calls.
+    tls : ssl.SSLContext, optional
+        Demands certificates.
+    """
+
+    def __init__(
+        self, handlers: PeerHandlers, address: str, fleet_key: str, metrics: Metrics, tls=None
+    ):
+        self.handlers = handlers
+        self.address = address
+        self.fleet_key = fleet_key
+        self.metrics = metrics
+        self.tls = tls
+        self._server: Server | None = None
+
+    def start(self) -> None:
+        """Start to listen."""
+        host, _, port = self.address.partition(":")
+
+        async def start() -> None:
+            self._server = Server([_PeerService(self.handlers)])
+            listen(self._server, RecvRequest, self._check_key)
+            await self._server.start(host, int(port), ssl=self.tls)
+
+        run_coroutine(start())
+
+    def stop(self) -> None:
+        """Stop listening."""
+
+        async def stop() -> None:
+            self._server.close()
+
+        run_coroutine(stop())
+
+    async def _check_key(self, event: RecvRequest) -> None:
+        shown = str(event.metadata.get(FLEET_KEY_HEADER, ""))
+        if hmac.compare_digest(shown.encode(), self.fleet_key.encode()):
+            return
+        self.metrics.peer_refused.labels("fleet_key").inc()
+        log_event(Event.PEER_REFUSED, call=event.method_name)
+        raise GRPCError(Status.UNAUTHENTICATED, "fleet key")
--- a/whinrack/requests/_identity.py
+++ b/whinrack/requests/_identity.py
@@ -46,7 +46,7 @@
     @property
     def request_id(self) -> str:
         """Return a short id that follows from the identity alone."""
-        return f"{xxhash.xxh3_128_hexdigest(self.name)}"
+        return f"{xxhash.xxh3_128_hexdigest(self.name.encode())}"
 
     @classmethod
     def from_header(cls, workspace: str, header: str) -> "Identity":
--- a/whinrack/requests/_memory.py
+++ b/whinrack/requests/_memory.py
@@ -17,6 +17,7 @@
 class RunState(StrEnum):
     """How far a request is at this incarnation."""
 
+    ASKING = "asking"
     RESERVED = "reserved"
     RUNNING = "running"
     FINISHED = "finished"
@@ -35,6 +36,9 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
 
 
+_ACTIVE = (RunState.ASKING, RunState.RESERVED, RunState.RUNNING)
+
+
 class MemoryEntry(msgspec.Struct):
     """What is remembered of one request.
 
@@ -84,9 +88,9 @@
         return self._entries.get(identity)
 
     def reserve(self, identity: str, digest: bytes, now: float) -> MemoryEntry:
-        """Make this incarnation the owner; a later asker is told so."""
+        """Make this incarnation the owner, while it may still be asking the home."""
         entry = MemoryEntry(
-            digest=digest, owner=self.incarnation, state=RunState.RESERVED, expires=now + self.keep
+            digest=digest, owner=self.incarnation, state=RunState.ASKING, expires=now + self.keep
         )
         self._entries[identity] = entry
         self._entries.move_to_end(identity)
@@ -148,6 +152,9 @@
     def _consult_own(self, identity, entry, asker, repeatable, now):
         if entry.state is RunState.NOT_RUN:
             return self._cede(identity, entry.digest, asker, now)
+        if entry.state is RunState.ASKING and asker < self.incarnation:
+            # Two incarnations ask each other: the first by name has it.
+            return self._cede(identity, entry.digest, asker, now)
         if entry.state is RunState.UNKNOWN:
             if repeatable:
                 return self._cede(identity, entry.digest, asker, now)
@@ -165,7 +172,7 @@
         """Forget expired entries, and the oldest ended ones beyond the limit."""
         for identity in list(self._entries)[: max(2, len(self._entries) - self.limit)]:
             entry = self._entries[identity]
-            active = entry.state in (RunState.RESERVED, RunState.RUNNING)
+            active = entry.state in _ACTIVE
             too_many = len(self._entries) > self.limit
             if not active and (entry.expires < now or too_many):
                 del self._entries[identity]
--- /dev/null
+++ b/whinrack/server/_admission.py
@@ -0,0 +1,209 @@
+"""Puts requests on targets: the pools' decisions driven by green threads."""
+
+import time
+
+from eventlet.semaphore import Semaphore
+from returns.result import Failure, Result, Success
+
+from whinrack.exceptions import DeadlineUnreachable, Refusal, TargetUnavailable
+from whinrack.feed import ConfigStore
+from whinrack.objects import Protocol, Target, TargetPool
+from whinrack.observability import Event, Metrics, log_event
+from whinrack.routing import (
+    EjectAlone,
+    LoadReport,
+    PickQuery,
+    PoolState,
+    RouteDecision,
+    TargetView,
+    Waiter,
+)
+
+__all__ = ["PoolDirectory", "Slot"]
+
+_RETRY_AFTER_NO_TARGET = 2.0
+
+
+class Slot:
+    """A request's place at a target, until it is released."""
+
+    def __init__(self, directory: "PoolDirectory", pool: PoolState, target: TargetView):
+        self.directory = directory
+        self.pool = pool
+        self.target = target
+        self.started = time.monotonic()
+        self.released = False
+
+    def release(self) -> None:
+        """Give the place back; only the first call counts."""
+        if self.released:
+            return
+        self.released = True
+        self.target.finished()
+        self.pool.queue.record_service(time.monotonic() - self.started)
+        self.directory.wake(self.pool)
+
+
+class PoolDirectory:
+    """The pools in force, and who waits for them.
+
+    Parameters
+    ----------
+    config : ConfigStore
+        Declares pools and targets.
+    metrics : Metrics
+        Counts waits and ejections.
+    seed : int, optional
+        Seeds the pickers.
+    """
+
+    def __init__(self, config: ConfigStore, metrics: Metrics, seed: int | None = None):
+        self.config = config
+        self.metrics = metrics
+        self.seed = seed
+        self._pools: dict[str, PoolState] = {}
+        self._leaving_instances: set[str] = set()
+
+    def rebuild(self) -> None:
+        """Follow the declarations in force."""
+        specs = self.config.all(TargetPool)
+        for name in set(self._pools) - set(specs):
+            del self._pools[name]
+        for name, spec in specs.items():
+            pool = self._pools.get(name)
+            if pool is None:
+                self._pools[name] = PoolState(name, spec, self.seed)
+            else:
+                pool.update(spec)
+        self._rebuild_targets()
+
+    def set_leaving(self, instances: set[str]) -> None:
+        """Take in which instances leave, from the list and from peers."""
+        if instances == self._leaving_instances:
+            return
+        self._leaving_instances = set(instances)
+        self._rebuild_targets()
+
+    def pools(self) -> dict[str, PoolState]:
+        """Return the pools by name."""
+        return self._pools
+
+    def targets(self) -> list[TargetView]:
+        """Return all targets."""
+        return [target for pool in self._pools.values() for target in pool.targets.values()]
+
+    def serving(self, model: str) -> dict[str, PoolState]:
+        """Return the chat pools that serve a model."""
+        return {
+            name: pool
+            for name, pool in self._pools.items()
+            if pool.spec.protocol is Protocol.CHAT and model in pool.spec.models
+        }
+
+    def admit(
+        self, decision: RouteDecision, query: PickQuery, deadline: float
+    ) -> Result[Slot, Refusal]:
+        """Find a place, waiting for one in the first pool that is alive."""
+        pools = [self._pools[name] for name in decision.pools if name in self._pools]
+        now = time.monotonic()
+        for pool in pools:
+            if not self._others_first(pool, query, now):
+                target = pool.pick(query, now)
+                if target is not None:
+                    return Success(Slot(self, pool, target))
+        alive = [pool for pool in pools if pool.alive(now)]
+        if not alive:
+            return Failure(
+                TargetUnavailable(
+                    "no target of the allowed pools takes work",
+                    retry_after=_RETRY_AFTER_NO_TARGET,
+                )
+            )
+        return self._wait(alive[0], query, min(deadline, now + decision.wait), now)
+
+    def report(self, target: TargetView, running: int, waiting: int) -> None:
+        """Take in a load report."""
+        now = time.monotonic()
+        target.report = LoadReport(running, waiting, now, target.in_flight)
+
+    def failed(self, target: TargetView) -> None:
+        """Take in a connection that failed or broke."""
+        now = time.monotonic()
+        before = target.ejection.ejected(now)
+        target.failed(now)
+        if target.ejection.ejected(now) and not before:
+            self.metrics.ejections.inc()
+            log_event(Event.TARGET_EJECTED, target=target.name)
+
+    def wake(self, pool: PoolState) -> None:
+        """Let the first waiter of a pool try."""
+        waiter = pool.queue.first(time.monotonic())
+        if waiter is not None:
+            waiter.wake()
+
+    def wake_all(self) -> None:
+        """Let the first waiter of each pool try: limits and reports may have changed."""
+        for pool in self._pools.values():
+            self.wake(pool)
+
+    def _wait(self, pool: PoolState, query: PickQuery, deadline: float, now: float):
+        semaphore = Semaphore(0)
+        waiter = Waiter(query.request_class, deadline, semaphore.release)
+        joined = pool.queue.join(waiter, pool.slots(now), now)
+        if isinstance(joined, Failure):
+            return joined
+        try:
+            return self._wait_turn(pool, query, waiter, semaphore)
+        finally:
+            pool.queue.leave(waiter)
+            self.metrics.queue_wait.labels(str(query.request_class)).observe(time.monotonic() - now)
+
+    def _wait_turn(self, pool, query, waiter, semaphore) -> Result[Slot, Refusal]:
+        while True:
+            now = time.monotonic()
+            left = waiter.deadline - now
+            if waiter.refusal is not None:
+                return Failure(waiter.refusal)
+            if left <= 0:
+                wait = pool.queue.expected_wait(len(pool.queue), pool.slots(now))
+                return Failure(
+                    DeadlineUnreachable("waited as long as allowed", retry_after=max(1.0, wait))
+                )
+            if not semaphore.acquire(timeout=left):
+                continue
+            if waiter.refusal is not None:
+                return Failure(waiter.refusal)
+            target = pool.pick(query, time.monotonic())
+            if target is not None:
+                pool.queue.leave(waiter)
+                self.wake(pool)
+                return Success(Slot(self, pool, target))
+
+    def _others_first(self, pool: PoolState, query: PickQuery, now: float) -> bool:
+        first = pool.queue.first(now)
+        if first is None:
+            return False
+        ranks = list(type(query.request_class))
+        return ranks.index(first.request_class) <= ranks.index(query.request_class)
+
+    def _rebuild_targets(self) -> None:
+        specs = self.config.all(Target)
+        for pool in self._pools.values():
+            for name in set(pool.targets) - set(specs):
+                del pool.targets[name]
+        for name, spec in specs.items():
+            for pool in self._pools.values():
+                if pool.name != spec.pool:
+                    pool.targets.pop(name, None)
+            if spec.pool in self._pools:
+                self._place(self._pools[spec.pool], name, spec)
+
+    def _place(self, pool: PoolState, name: str, spec: Target) -> None:
+        target = pool.targets.get(name)
+        if target is None:
+            target = pool.targets[name] = TargetView(name, spec, EjectAlone())
+        was_leaving = target.leaving
+        target.update(spec)
+        target.instance_leaving = spec.instance in self._leaving_instances
+        if target.leaving and not was_leaving:
+            log_event(Event.TARGET_LEAVING, target=name)
--- /dev/null
+++ b/whinrack/server/_answers.py
@@ -0,0 +1,141 @@
+"""Answers that are kept while and after they run, so that a retry can join them."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+
+from eventlet import Timeout
+from eventlet.event import Event
+
+from whinrack.base import Outcome
+from whinrack.exceptions import PeerUnavailable, Refusal
+from whinrack.peers import AnswerPart
+
+__all__ = ["AnswerNotKept", "AnswerShelf", "RunningAnswer"]
+
+_SILENCE = 300.0
+
+
+class AnswerNotKept(Refusal):
+    """The request ran and was billed, but its answer is no longer here."""
+
+    code, status, kind = "answer_not_kept", 409, "invalid_request_error"
+    outcome = Outcome.RAN
+
+
+class RunningAnswer:
+    """One answer, filled by whoever runs the request, read by any number of retries.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes that are kept; a longer answer can't be joined from its start.
+    """
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self.status = 0
+        self.headers: tuple[tuple[str, str], ...] = ()
+        self.size = 0
+        self.finished = False
+        self.whole = False
+        self.kept = True
+        self.readers = 0
+        self._chunks: list[bytes] = []
+        self._changed = Event()
+
+    def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Set the status and headers."""
+        self.status = status
+        self.headers = tuple(headers)
+        self._notify()
+
+    def append(self, data: bytes) -> None:
+        """Add a piece of the body."""
+        self.size += len(data)
+        if self.size > self.limit:
+            self.drop()
+        elif self.kept:
+            self._chunks.append(data)
+        if self.readers:
+            self._notify()
+
+    def finish(self, whole: bool) -> None:
+        """End the answer."""
+        self.finished = True
+        self.whole = whole
+        self._notify()
+
+    def drop(self) -> None:
+        """Forget the body."""
+        self.kept = False
+        self._chunks.clear()
+        self._notify()
+
+    def read(self) -> Iterator[AnswerPart]:
+        """Yield the answer from its start, waiting for more until its end.
+
+        Raises
+        ------
+        AnswerNotKept
+            If the body was forgotten.
+        PeerUnavailable
+            If the answer ends without being whole.
+        """
+        self.readers += 1
+        try:
+            yield from self._read()
+        finally:
+            self.readers -= 1
+
+    def _read(self) -> Iterator[AnswerPart]:
+        position = 0
+        started = False
+        while True:
+            if not self.kept:
+                raise AnswerNotKept("the request ran; its answer is too long or too old to keep")
+            if self.status and not started:
+                started = True
+                yield AnswerPart(status=self.status, headers=self.headers)
+            fresh = self._chunks[position:]
+            position += len(fresh)
+            if fresh:
+                yield AnswerPart(body=b"".join(fresh))
+            elif self.finished:
+                break
+            else:
+                self._wait()
+        if not self.whole:
+            raise PeerUnavailable("the answer was cut")
+        yield AnswerPart(whole=True)
+
+    def _wait(self) -> None:
+        with Timeout(_SILENCE, PeerUnavailable("the answer fell silent")):
+            self._changed.wait()
+
+    def _notify(self) -> None:
+        event, self._changed = self._changed, Event()
+        event.send(None)
+
+
+class AnswerShelf:
+    """Bounds the memory of all kept answers together; the oldest go first.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes in all.
+    """
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self._finished: OrderedDict[int, RunningAnswer] = OrderedDict()
+        self._size = 0
+
+    def add(self, answer: RunningAnswer) -> None:
+        """Count a finished answer, and drop older ones beyond the limit."""
+        self._finished[id(answer)] = answer
+        self._size += answer.size
+        while self._size > self.limit and self._finished:
+            _, oldest = self._finished.popitem(last=False)
+            self._size -= oldest.size
+            oldest.drop()
--- /dev/null
+++ b/whinrack/server/_auth.py
@@ -0,0 +1,58 @@
+"""Who calls: the bearer key names the workspace and the budget."""
+
+import msgspec
+
+from whinrack.exceptions import Forbidden, Unauthorized
+from whinrack.feed import ConfigStore
+from whinrack.objects import ApiKey, Budget, Workspace, key_name, verify_key
+from whinrack.server._http import HttpRequest
+
+__all__ = ["Authenticator", "Caller"]
+
+_BEARER = "bearer "
+
+
+class Caller(msgspec.Struct, frozen=True):
+    """The workspace and budget behind a key."""
+
+    workspace_name: str
+    workspace: Workspace
+    budget_name: str
+    budget: Budget
+
+
+class Authenticator:
+    """Checks bearer keys against the ApiKey objects in force.
+
+    Parameters
+    ----------
+    config : ConfigStore
+        Holds keys, workspaces and budgets.
+    """
+
+    def __init__(self, config: ConfigStore):
+        self.config = config
+
+    def identify(self, request: HttpRequest) -> Caller:
+        """Return the caller.
+
+        Raises
+        ------
+        Unauthorized
+            For a missing, malformed or unknown key.
+        Forbidden
+            For a key whose workspace or budget isn't declared any more.
+        """
+        text = request.header("Authorization")
+        if not text.lower().startswith(_BEARER):
+            raise Unauthorized("a bearer key is needed")
+        bearer = text[len(_BEARER) :].strip()
+        name = key_name(bearer)
+        key = self.config.get(ApiKey, name) if name else None
+        if key is None or not verify_key(bearer, key):
+            raise Unauthorized("the key is not known")
+        workspace = self.config.get(Workspace, key.workspace)
+        budget = self.config.get(Budget, key.budget)
+        if workspace is None or budget is None or budget.workspace != key.workspace:
+            raise Forbidden("the key's workspace or budget is not in force")
+        return Caller(key.workspace, workspace, key.budget, budget)
--- /dev/null
+++ b/whinrack/server/_bills.py
@@ -0,0 +1,70 @@
+"""Commits bills in groups and tells waiting answers when theirs is kept."""
+
+import time
+
+import eventlet
+from eventlet.event import Event
+
+from whinrack.journal import BillRecord, JournalWriter
+
+__all__ = ["BillKeeper"]
+
+_RETRY_PAUSE = 0.2
+
+
+class BillKeeper:
+    """Drives the journal writer.
+
+    Parameters
+    ----------
+    writer : JournalWriter
+        This incarnation's journal.
+    interval : float
+        Least seconds between two commits.
+    """
+
+    def __init__(self, writer: JournalWriter, interval: float):
+        self.writer = writer
+        self.interval = interval
+        self._wanted = Event()
+        self._committed = Event()
+
+    def add(self, record: BillRecord) -> int:
+        """Queue a bill; returns the mark to wait for."""
+        mark = self.writer.add(record)
+        if not self._wanted.ready():
+            self._wanted.send(None)
+        return mark
+
+    def wait_kept(self, mark: int, seconds: float) -> bool:
+        """Wait until a bill is kept; False if it isn't after some seconds."""
+        end = time.monotonic() + seconds
+        while self.writer.committed < mark:
+            left = end - time.monotonic()
+            if left <= 0:
+                return False
+            with eventlet.Timeout(left, False):
+                self._committed.wait()
+        return True
+
+    def run(self) -> None:
+        """Commit whenever there is something, for ever."""
+        while True:
+            self._wanted.wait()
+            self._wanted = Event()
+            if self.flush():
+                eventlet.sleep(self.interval)
+            else:
+                eventlet.sleep(_RETRY_PAUSE)
+                self._want_again()
+
+    def flush(self) -> bool:
+        """Commit what is queued now."""
+        done = self.writer.commit()
+        event, self._committed = self._committed, Event()
+        event.send(None)
+        return done
+
+    def _want_again(self) -> None:
+        if not self._wanted.ready():
+            self._wanted.send(None)
--- /dev/null
+++ b/whinrack/server/_chat.py
@@ -0,0 +1,404 @@
+"""``POST /v1/chat/completions``: checks, routes, covers, relays, settles and bills."""
+
+import time
+from collections.abc import Iterator
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from whinrack.base import Outcome
+from whinrack.engines import (
+    ChatStream,
+    Usage,
+    body_chunks,
+    read_body,
+    refused_unstarted,
+    whole_events,
+)
+from whinrack.exceptions import (
+    AnswerCut,
+    BadRequest,
+    ForeignAnswer,
+    Refusal,
+    TargetFailed,
+    TargetUnavailable,
+    UnknownModel,
+)
+from whinrack.objects import RequestClass
+from whinrack.requests import ChatRequest, Identity, cover_bound, output_limit
+from whinrack.routing import RequestFacts
+from whinrack.server._auth import Caller
+from whinrack.server._calls import Call, CallRunner, deadline_of, request_class_of
+from whinrack.server._context import ServerContext
+from whinrack.server._http import HttpAnswer, HttpRequest, answer_headers, error_body
+from whinrack.server._settlement import Settlement
+
+__all__ = ["ChatEndpoint"]
+
+_PATH = "/v1/chat/completions"
+_SSE = "text/event-stream"
+_PREFIX_BYTES = 512
+_RESUMES = 1
+_CHAT = msgspec.json.Decoder(ChatRequest)
+_FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
+class _WholeAnswer(msgspec.Struct):
+    """The part of a whole answer that whinrack reads."""
+
+    id: str = ""
+    usage: Usage | None = None
+
+
+_WHOLE = msgspec.json.Decoder(_WholeAnswer)
+
+
+def parse_chat(body: bytes) -> ChatRequest:
+    """Check a request body.
+
+    Raises
+    ------
+    BadRequest
+        Naming the field.
+    """
+    try:
+        chat = _CHAT.decode(body)
+    except msgspec.ValidationError as error:
+        message, _, where = str(error).partition(" - at `$")
+        param = where.rstrip("`").lstrip(".").split(".")[0].split("[")[0] or None
+        if param is None and "required field" in message:
+            param = message.rpartition("field `")[2].rstrip("`")
+        raise BadRequest(str(error), param=param) from error
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise BadRequest(f"the body is not JSON: {error}") from error
+    if not chat.messages:
+        raise BadRequest("messages: allowed is one or more, got none", param="messages")
+    return chat
+
+
+def engine_body(body: bytes, chat: ChatRequest, limit: int) -> bytes:
+    """Return the body for the engine: the caller's, with a limit and usage reports."""
+    fields = _FIELDS.decode(body)
+    fields.pop("max_completion_tokens", None)
+    fields["max_tokens"] = msgspec.Raw(str(limit).encode())
+    if chat.stream:
+        fields["stream_options"] = msgspec.Raw(b'{"include_usage":true}')
+    return msgspec.json.encode(fields)
+
+
+class ChatCall(Call):
+    """One chat request on its way.
+
+    Attributes
+    ----------
+    settlement : Settlement
+        Its cover and its bill.
+    stream : ChatStream or None
+        Checks of the answer that is being relayed.
+    """
+
+    def __init__(self, chat: ChatRequest, limit: int, **options):
+        super().__init__(**options)
+        self.chat = chat
+        self.limit = limit
+        self.settlement: Settlement | None = None
+        self.stream: ChatStream | None = None
+        self.resumes = 0
+
+    @property
+    def answer_id(self) -> str:
+        """The id that the engine's answer must carry."""
+        return f"chatcmpl-{self.identity.request_id}"
+
+    @property
+    def most_events(self) -> int:
+        """Content events beyond which the engine has gone past its limit."""
+        return self.chat.n * (self.limit + 1)
+
+
+class ChatEndpoint(CallRunner):
+    """Runs chat completions.
+
+    Parameters
+    ----------
+    context : ServerContext
+        The daemon's parts.
+    """
+
+    kind = "chat"
+
+    def __init__(self, context: ServerContext):
+        super().__init__(context)
+
+    def handle(self, request: HttpRequest, caller: Caller, identity: Identity) -> HttpAnswer:
+        """Answer one request."""
+        body = request.read_body()
+        chat = parse_chat(body)
+        serving = self.context.directory.serving(chat.model)
+        if not serving:
+            raise UnknownModel(f"no pool serves {chat.model[:80]!r}", param="model")
+        facts = RequestFacts(
+            workspace=caller.workspace_name,
+            request_class=request_class_of(request, caller),
+            model=chat.model,
+            stream=chat.stream,
+            prompt_bytes=len(body),
+            max_tokens=chat.max_tokens or 0,
+            repeatable=request.marked_repeatable(),
+        )
+        decision = self.decide(caller, facts, serving)
+        pool = serving[decision.pools[0]].spec
+        limit = output_limit(chat, pool)
+        bound = max(cover_bound(chat, len(body), serving[name].spec) for name in decision.pools)
+        call = ChatCall(
+            chat,
+            limit,
+            identity=identity,
+            caller=caller,
+            decision=decision,
+            body=engine_body(body, chat, limit),
+            digest_parts=(self.kind.encode(), body),
+            deadline=deadline_of(request, pool),
+            repeatable=facts.repeatable and all(serving[n].spec.repeatable for n in decision.pools),
+            affinity_key=f"{chat.model}/{body[:_PREFIX_BYTES].hex()}",
+            request=request,
+        )
+        call.settlement = Settlement(self.context, caller, identity, bound)
+        return self.run(call)
+
+    def start(self, call: ChatCall) -> HttpAnswer:
+        """Cover, send and relay a request that runs here."""
+        call.settlement.open()
+        try:
+            return self._attempts(call)
+        except BaseException:
+            call.settlement.abandon()
+            raise
+
+    def _attempts(self, call: ChatCall) -> HttpAnswer:
+        """Try targets until one has answered with a first byte, or give up."""
+        if call.provisional_against:
+            resumed = self._resume_anywhere(call)
+            if resumed is not None:
+                return resumed
+        while True:
+            slot = self.place(call)
+            reply = self.send(call, slot, _PATH, self._headers(call))
+            answer = self._answer(call, reply)
+            if not isinstance(answer, Failure):
+                return answer.unwrap()
+            refusal = answer.failure()
+            slot.release()
+            if refusal.outcome is not Outcome.NOT_RUN:
+                self._write_off(call)
+            if not self.may_retry(call, refusal):
+                raise self.final_refusal(call, refusal)
+            call.settlement.reopen()
+
+    def _headers(self, call: ChatCall) -> list[tuple[str, str]]:
+        return [
+            ("Content-Type", "application/json"),
+            ("X-Request-Id", call.identity.request_id),
+            ("X-Priority", _PRIORITY[call.decision.request_class]),
+        ]
+
+    def _answer(self, call: ChatCall, reply: Result) -> Result[HttpAnswer, Refusal]:
+        if isinstance(reply, Failure):
+            return reply
+        response = reply.unwrap()
+        if refused_unstarted(response):
+            response.drain_conn()
+            response.release_conn()
+            call.slot.target.overloaded()
+            return Failure(TargetUnavailable("the target is busy", retry_after=1.0))
+        if response.status >= 500:
+            response.close()
+            return Failure(TargetFailed(f"the target answered {response.status}"))
+        if response.status != 200:
+            return read_body(response).map(
+                lambda body: self._refused_by_engine(call, body, response)
+            )
+        if call.chat.stream:
+            return self._open_stream(call, response)
+        return self._whole(call, response)
+
+    def _refused_by_engine(self, call: ChatCall, body: bytes, response) -> HttpAnswer:
+        """Pass on the engine's word that the request is at fault."""
+        call.slot.release()
+        call.settlement.abandon()
+        content_type = response.headers.get("Content-Type", "application/json")
+        headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+        self.ended(call, Outcome.NOT_RUN)
+        fields = answer_headers(call.identity.request_id, call.attempts, Outcome.NOT_RUN)
+        return HttpAnswer(response.status, headers + fields, [body])
+
+    # --- whole answers -----------------------------------------------------------
+
+    def _whole(self, call: ChatCall, response) -> Result[HttpAnswer, Refusal]:
+        body = read_body(response)
+        if isinstance(body, Failure):
+            return body
+        data = body.unwrap()
+        try:
+            answer = _WHOLE.decode(data)
+        except msgspec.MsgspecError:
+            return Failure(AnswerCut("the answer is not JSON"))
+        if answer.id != call.answer_id:
+            self.context.metrics.answers_dropped.labels("foreign").inc()
+            return Failure(ForeignAnswer("the answer has another request's id"))
+        self._succeeded(call)
+        call.settlement.settle(answer.usage, events=call.limit * call.chat.n)
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
+        headers += answer_headers(call.identity.request_id, call.attempts, Outcome.RAN)
+        call.answer.start(200, headers)
+        call.answer.append(data)
+        call.settlement.wait_kept()
+        self.finish(call, whole=True)
+        return Success(HttpAnswer(200, headers, [data]))
+
+    # --- streams -----------------------------------------------------------------
+
+    def _open_stream(self, call: ChatCall, response) -> Result[HttpAnswer, Refusal]:
+        """Read the first events, so that a failure before them can still be retried."""
+        call.stream = ChatStream(call.answer_id, self._keeps_usage(call))
+        events = whole_events(body_chunks(response))
+        try:
+            first = self._next(call, events)
+        except TargetFailed as failure:
+            response.close()
+            if isinstance(failure, ForeignAnswer):
+                self.context.metrics.answers_dropped.labels("foreign").inc()
+            return Failure(failure)
+        self.context.metrics.first_byte.labels(self.kind).observe(
+            time.monotonic() - call.request.arrived
+        )
+        headers = [("Content-Type", _SSE), ("Cache-Control", "no-cache")]
+        headers += answer_headers(call.identity.request_id, call.attempts, Outcome.RAN)
+        call.answer.start(200, headers)
+        body = self._relay(call, response, events, first)
+        return Success(HttpAnswer(200, headers, self.caller_stream(call, body)))
+
+    def _keeps_usage(self, call: ChatCall) -> bool:
+        options = call.chat.stream_options
+        return options is not None and options.include_usage
+
+    def _next(self, call: ChatCall, events: Iterator[bytes]) -> bytes:
+        """Return the next checked events; the last ones are marked by `stream.done`."""
+        data = next(events, None)
+        if data is None:
+            raise AnswerCut("the stream ended without its end mark")
+        checked = call.stream.check(data)
+        if call.stream.content_events > call.most_events:
+            raise AnswerCut("the engine went past the limit")
+        return checked
+
+    def _relay(self, call: ChatCall, response, events: Iterator[bytes], data: bytes):
+        """Yield an answer to its caller; settle, bill and end it, whatever happens."""
+        append = call.answer.append
+        keep = call.identity.keyed
+        try:
+            while not call.stream.done:
+                if keep:
+                    append(data)
+                yield data
+                try:
+                    data = self._next(call, events)
+                except AnswerCut as cut:
+                    response, events = self._resume(call, response, cut)
+                    data = self._next(call, events)
+            self._check_count(call)
+            response.release_conn()
+            self._succeeded(call)
+            call.settlement.settle(call.stream.usage, events=call.stream.content_events)
+            call.settlement.wait_kept()
+            append(data)
+            yield data
+            self.finish(call, whole=True)
+        except TargetFailed as failure:
+            yield self._break_off(call, response, failure)
+        finally:
+            # Reached by a caller's hang-up too.
+            if not call.ended:
+                self._hang_up(call, response)
+
+    def _check_count(self, call: ChatCall) -> None:
+        """Refuse an answer with more events than its engine says it generated."""
+        usage = call.stream.usage
+        if usage is not None:
+            most = usage.completion_tokens + call.chat.n
+            if call.stream.content_events > most:
+                raise AnswerCut("more events than the engine generated")
+
+    def _break_off(self, call: ChatCall, response, failure: TargetFailed) -> bytes:
+        """End a cut answer so that nobody takes it for whole."""
+        response.close()
+        reason = "foreign" if isinstance(failure, ForeignAnswer) else "cut"
+        self.context.metrics.answers_dropped.labels(reason).inc()
+        self.context.directory.failed(call.slot.target)
+        self._cancel_and_settle(call)
+        event = b"data: " + error_body(failure) + b"\n\n"
+        call.answer.append(event)
+        self.finish(call, whole=False)
+        return event
+
+    def _hang_up(self, call: ChatCall, response) -> None:
+        response.close()
+        self._cancel_and_settle(call)
+        self.finish(call, whole=False)
+
+    def _cancel_and_settle(self, call: ChatCall) -> None:
+        usage = self.context.targets.cancel(call.slot.target.spec.address, call.identity.request_id)
+        call.settlement.settle(usage, events=call.stream.content_events)
+
+    def _write_off(self, call: ChatCall) -> None:
+        """Account for a try that may have run and whose answer nobody gets."""
+        usage = self.context.targets.cancel(call.slot.target.spec.address, call.identity.request_id)
+        call.settlement.write_off(usage)
+
+    def _succeeded(self, call: ChatCall) -> None:
+        call.slot.target.succeeded(time.monotonic())
+
+    # --- resuming ----------------------------------------------------------------
+
+    def _resume(self, call: ChatCall, response, cut: AnswerCut):
+        """Take a cut stream up again at its engine, after the events that came whole."""
+        response.close()
+        if call.resumes >= _RESUMES or call.stream.content_events > call.most_events:
+            raise cut
+        call.resumes += 1
+        resumed = self.context.targets.resume(
+            call.slot.target.spec.address,
+            call.identity.request_id,
+            call.stream.events,
+            call.time_left(),
+        )
+        if resumed is None:
+            raise cut
+        self.context.metrics.retries.labels("resumed").inc()
+        return resumed, whole_events(body_chunks(resumed))
+
+    def _resume_anywhere(self, call: ChatCall) -> HttpAnswer | None:
+        """Look for the stream of a lost instance at the engines that may hold it."""
+        if not call.chat.stream:
+            return None
+        for target in self.candidates(call):
+            response = self.context.targets.resume(
+                target.spec.address, call.identity.request_id, 0, call.time_left()
+            )
+            if response is None:
+                continue
+            call.attempts += 1
+            self.place_at(call, target)
+            answer = self._open_stream(call, response)
+            if not isinstance(answer, Failure):
+                self.context.metrics.retries.labels("taken_up").inc()
+                return answer.unwrap()
+            call.slot.release()
+        return None
+
+
+_PRIORITY = {
+    RequestClass.ALERT: "0",
+    RequestClass.INTERACTIVE: "1",
+    RequestClass.DEFERRABLE: "2",
+}
--- /dev/null
+++ b/whinrack/server/_daemon.py
@@ -0,0 +1,204 @@
+"""Puts a daemon together, runs it and stops it as planned."""
+
+import signal
+import time
+
+import eventlet
+import eventlet.wsgi
+from eventlet.semaphore import Semaphore
+
+from whinrack.base import new_incarnation
+from whinrack.budgets import AccountDrawer, BudgetKeeper
+from whinrack.engines import TargetClient
+from whinrack.exceptions import InvalidObject
+from whinrack.feed import ConfigStore
+from whinrack.journal import JournalWriter
+from whinrack.membership import MembershipTable
+from whinrack.observability import Event, Metrics, configure_logs, log_event
+from whinrack.peers import PeerClient, PeerServer, client_context, server_context
+from whinrack.platform import HttpObjectStore, StoredObject
+from whinrack.requests import ClaimStore, RequestMemory
+from whinrack.server._admission import PoolDirectory
+from whinrack.server._answers import AnswerShelf
+from whinrack.server._app import Application
+from whinrack.server._bills import BillKeeper
+from whinrack.server._context import DaemonState, ServerContext
+from whinrack.server._follower import ConfigFollower
+from whinrack.server._peer_handlers import ChangeSignal, DaemonHandlers
+from whinrack.server._protocol import CallerProtocol
+from whinrack.server._sources import PeerSpares, RegionSource
+from whinrack.server._tasks import BackgroundTasks
+from whinrack.settings import Settings
+
+__all__ = ["RouterDaemon"]
+
+_SHELF_BYTES = 33_554_432
+_SOCKET_TIMEOUT = 60.0
+_BACKLOG = 1024
+_STOP_PAUSE = 0.1
+_DRAIN_LONGEST = 10.0
+
+
+class RouterDaemon:
+    """One router: entry, relay, budgets, membership and configuration feed.
+
+    Parameters
+    ----------
+    settings : Settings
+        As read from the settings file.
+    """
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        self.metrics = Metrics()
+        self.signal = ChangeSignal()
+        self._exit = Semaphore(0)
+        self._build()
+
+    def run(self) -> int:
+        """Serve until a planned stop; returns the exit code."""
+        logs = self.settings.logs
+        configure_logs(logs.level, logs.format == "json")
+        signal.signal(signal.SIGTERM, lambda *_: self._exit.release())
+        signal.signal(signal.SIGINT, lambda *_: self._exit.release())
+        sock = self._listen()
+        self.peer_server.start()
+        self.tasks.read_list()
+        self.tasks.beat()
+        self.follower.load_first()
+        self.tasks.start()
+        server = eventlet.spawn(self._serve, sock)
+        log_event(Event.ROUTER_STARTED, incarnation=self.context.state.incarnation)
+        self._exit.acquire()
+        return self._stop(sock, server)
+
+    def _build(self) -> None:
+        settings, metrics = self.settings, self.metrics
+        incarnation = new_incarnation(settings.instance.name)
+        self.store = HttpObjectStore(
+            settings.platform.address,
+            timeout=settings.platform.timeout,
+            rate=settings.platform.calls_per_second,
+            on_call=lambda operation, result: metrics.platform_calls.labels(
+                operation, result
+            ).inc(),
+        )
+        table = MembershipTable(settings.instance.name, settings.membership.suspect_after)
+        peers = PeerClient(
+            settings.peer.fleet_key, settings.peer.timeout, metrics, self._tls(client_context)
+        )
+        drawer = AccountDrawer(self.store, Semaphore)
+        source = RegionSource(self._own, table, peers, drawer, metrics)
+        keeper = BudgetKeeper(
+            incarnation,
+            source,
+            PeerSpares(self._own, table, peers),
+            horizon=settings.budgets.horizon,
+            gather_wait=settings.budgets.gather_wait,
+            make_lock=Semaphore,
+        )
+        config = ConfigStore(self._config_changed, self._config_invalid)
+        writer = JournalWriter(self.store, incarnation)
+        self.directory = PoolDirectory(config, metrics)
+        self.context = ServerContext(
+            settings=settings,
+            state=DaemonState(incarnation),
+            config=config,
+            table=table,
+            keeper=keeper,
+            memory=RequestMemory(
+                incarnation, settings.requests.remember, settings.requests.entries
+            ),
+            claims=ClaimStore(self.store, incarnation),
+            bills=BillKeeper(writer, settings.journal.commit_interval),
+            directory=self.directory,
+            targets=TargetClient(),
+            peers=peers,
+            shelf=AnswerShelf(_SHELF_BYTES),
+            metrics=metrics,
+        )
+        self.follower = ConfigFollower(self.context, self.store)
+        handlers = DaemonHandlers(self.context, drawer, self.signal, self._leaving_told)
+        self.tasks = BackgroundTasks(self.context, handlers, self.follower, self.store)
+        self.peer_server = PeerServer(
+            handlers,
+            settings.peer.address,
+            settings.peer.fleet_key,
+            metrics,
+            self._tls(server_context),
+        )
+
+    def _own(self):
+        return self.context.own_member()
+
+    def _tls(self, make_context):
+        peer = self.settings.peer
+        if not peer.certificate:
+            return None
+        return make_context(peer.certificate, peer.private_key, peer.authority)
+
+    def _leaving_told(self) -> None:
+        self.tasks.update_leaving()
+
+    def _config_changed(self, taken: int) -> None:
+        log_event(Event.CONFIG_TAKEN, objects=taken, newest=self.context.config.newest)
+        self.directory.rebuild()
+        self.signal.send()
+
+    def _config_invalid(self, stored: StoredObject, error: InvalidObject) -> None:
+        log_event(
+            Event.CONFIG_INVALID,
+            object=f"{stored.kind}/{stored.name}",
+            at=stored.version,
+            error=error.message,
+        )
+
+    def _listen(self):
+        host, _, port = self.settings.http.address.partition(":")
+        return eventlet.listen((host, int(port)), backlog=_BACKLOG)
+
+    def _serve(self, sock) -> None:
+        CallerProtocol.header_timeout = self.settings.http.header_timeout
+        eventlet.wsgi.server(
+            sock,
+            Application(self.context),
+            log_output=False,
+            debug=False,
+            protocol=CallerProtocol,
+            max_size=self.settings.http.connections,
+            socket_timeout=_SOCKET_TIMEOUT,
+            minimum_chunk_size=1,
+            capitalize_response_headers=False,
+        )
+
+    def _stop(self, sock, server) -> int:
+        """Serve on until nobody holds this address, then give everything back."""
+        state = self.context.state
+        state.leaving = True
+        log_event(Event.ROUTER_STOPPING, in_progress=state.in_progress)
+        began = time.monotonic()
+        self.tasks.beat()
+        while self._must_serve_on(time.monotonic() - began):
+            eventlet.sleep(_STOP_PAUSE)
+        sock.close()
+        server.kill()
+        complete = self._give_back()
+        self.peer_server.stop()
+        self.context.peers.close()
+        log_event(Event.ROUTER_STOPPED if complete else Event.STOP_INCOMPLETE)
+        return 0
+
+    def _must_serve_on(self, seconds: float) -> bool:
+        stop = self.settings.stop
+        if seconds < stop.linger:
+            return True
+        return self.context.state.in_progress > 0 and seconds < stop.longest
+
+    def _give_back(self) -> bool:
+        end = time.monotonic() + _DRAIN_LONGEST
+        while time.monotonic() < end:
+            kept = self.context.bills.flush()
+            if kept and self.context.keeper.drain():
+                return True
+            eventlet.sleep(_STOP_PAUSE)
+        return False
--- /dev/null
+++ b/whinrack/server/_follower.py
@@ -0,0 +1,137 @@
+"""Keeps the configuration up to date, from the platform or from peers."""
+
+import time
+
+import eventlet
+from returns.result import Failure, Success
+
+from whinrack.exceptions import PeerUnavailable
+from whinrack.objects import DECLARED_KINDS
+from whinrack.observability import Event, log_event
+from whinrack.platform import ObjectStore
+from whinrack.server._context import ServerContext
+
+__all__ = ["ConfigFollower"]
+
+_KINDS = tuple(DECLARED_KINDS)
+_PAUSE = 0.2
+_PLATFORM = "platform"
+
+
+class ConfigFollower:
+    """Follows the platform if this instance is a watcher of its hall, else a watcher.
+
+    Parameters
+    ----------
+    context : ServerContext
+        The daemon's parts.
+    store : ObjectStore
+        The platform.
+    """
+
+    def __init__(self, context: ServerContext, store: ObjectStore):
+        self.context = context
+        self.store = store
+        self._source = ""
+        self._listed = False
+
+    def load_first(self) -> None:
+        """Get a first configuration, from the platform or from any peer."""
+        while not self._list():
+            self._catch_up_from_peers()
+            if self.context.config.newest:
+                break
+            eventlet.sleep(_PAUSE)
+        self.context.state.ready = True
+
+    def run(self) -> None:
+        """Follow, for ever."""
+        while True:
+            if self._should_watch():
+                self.context.state.watching = True
+                followed = self._watch()
+            else:
+                self.context.state.watching = False
+                followed = self._follow_peer()
+            if not followed:
+                self._catch_up_from_peers()
+                eventlet.sleep(_PAUSE)
+
+    def catch_up(self, address: str) -> bool:
+        """Take what a peer has beyond what is here, once."""
+        config = self.context.config
+        try:
+            for revision, objects in self.context.peers.feed(address, config.revision):
+                self._count("peer", config.take_batch(revision, objects))
+                return True
+        except PeerUnavailable:
+            return False
+        return False
+
+    def _should_watch(self) -> bool:
+        own = self.context.own_member()
+        return own.incarnation in self._watchers()
+
+    def _watchers(self) -> list[str]:
+        count = self.context.settings.membership.watchers_per_hall
+        return self.context.table.watchers(self.context.own_member(), count, time.monotonic())
+
+    def _watch(self) -> bool:
+        if not self._listed and not self._list():
+            return False
+        self._from(_PLATFORM)
+        config = self.context.config
+        wait = self.context.settings.platform.watch_wait
+        result = self.store.watch(_KINDS, config.revision, wait)
+        if isinstance(result, Failure):
+            self._listed = False
+            return False
+        batch = result.unwrap()
+        if batch.gap:
+            return self._list()
+        self._count(_PLATFORM, config.take_batch(batch.revision, batch.objects))
+        return True
+
+    def _list(self) -> bool:
+        result = self.store.list(_KINDS)
+        if not isinstance(result, Success):
+            return False
+        snapshot = result.unwrap()
+        taken = self.context.config.take_snapshot(snapshot.revision, snapshot.objects)
+        self._count(_PLATFORM, taken)
+        self._listed = True
+        return True
+
+    def _follow_peer(self) -> bool:
+        """Follow a watcher until it falls silent or this instance is to watch."""
+        config = self.context.config
+        for watcher in self._watchers():
+            member = self.context.table.find(watcher)
+            if member is None:
+                continue
+            self._from(watcher)
+            try:
+                for revision, objects in self.context.peers.feed(
+                    member.peer_address, config.revision
+                ):
+                    self._count("peer", config.take_batch(revision, objects))
+                    if watcher not in self._watchers():
+                        return True
+            except PeerUnavailable:
+                continue
+        return False
+
+    def _catch_up_from_peers(self) -> None:
+        seeds = self.context.settings.peer.seeds.split()
+        for address in self.context.table.addresses(seeds):
+            if self.catch_up(address):
+                return
+
+    def _from(self, source: str) -> None:
+        if source != self._source:
+            self._source = source
+            log_event(Event.FEED_CHANGED, source=source)
+
+    def _count(self, source: str, taken: int) -> None:
+        if taken:
+            self.context.metrics.config_taken.labels(source).inc(taken)
--- /dev/null
+++ b/whinrack/server/_http.py
@@ -0,0 +1,213 @@
+"""Requests and answers of the callers' side, independent of the WSGI runner."""
+
+import time
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+
+import eventlet
+import msgspec
+
+from whinrack.base import Outcome
+from whinrack.exceptions import BadRequest, BodyTooLarge, Refusal, RequestTimeout
+
+__all__ = [
+    "CODE_HEADER",
+    "HttpAnswer",
+    "HttpRequest",
+    "answer_headers",
+    "error_answer",
+    "json_answer",
+]
+
+KEY_HEADER = "Idempotency-Key"
+TICKET_HEADER = "Whinrack-Ticket"
+REPEATABLE_HEADER = "Whinrack-Repeatable"
+DEADLINE_HEADER = "Whinrack-Deadline"
+CLASS_HEADER = "Whinrack-Class"
+CODE_HEADER = "Whinrack-Code"
+_LONGEST_DEADLINE = 86_400.0
+_CHUNK = 65_536
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """The usual JSON form of an error."""
+
+    message: str
+    type: str
+    code: str
+    param: str | None = None
+
+
+class ErrorEnvelope(msgspec.Struct, frozen=True):
+    """Wraps an error, as OpenAI-compatible clients expect."""
+
+    error: ErrorBody
+
+
+class HttpAnswer(msgspec.Struct):
+    """An answer to a caller.
+
+    Attributes
+    ----------
+    body : iterable of bytes
+        Closed by the server when the caller hangs up.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: Iterable[bytes]
+
+    @property
+    def status_line(self) -> str:
+        """Return the status with its phrase."""
+        try:
+            return f"{self.status} {HTTPStatus(self.status).phrase}"
+        except ValueError:
+            return f"{self.status} Status"
+
+
+class HttpRequest:
+    """A caller's request over a WSGI environment.
+
+    Parameters
+    ----------
+    environ : dict
+        As the WSGI runner gives it.
+    body_limit : int
+        Most bytes of the body.
+    body_timeout : float
+        Seconds that reading the body may take.
+    """
+
+    def __init__(self, environ: dict, body_limit: int, body_timeout: float):
+        self.environ = environ
+        self.body_limit = body_limit
+        self.body_timeout = body_timeout
+        self.arrived = time.monotonic()
+
+    @property
+    def method(self) -> str:
+        """The request's method."""
+        return self.environ["REQUEST_METHOD"]
+
+    @property
+    def path(self) -> str:
+        """The path, decoded."""
+        return self.environ["PATH_INFO"]
+
+    def header(self, name: str) -> str:
+        """Return a header, "" if it isn't there."""
+        key = name.upper().replace("-", "_")
+        if key == "CONTENT_TYPE":
+            return self.environ.get(key, "")
+        return self.environ.get(f"HTTP_{key}", "")
+
+    def read_body(self) -> bytes:
+        """Read the whole body.
+
+        Raises
+        ------
+        BodyTooLarge, RequestTimeout, BadRequest
+        """
+        length = self._content_length()
+        if length > self.body_limit:
+            raise BodyTooLarge(f"allowed are {self.body_limit} bytes, got {length}")
+        timeout = eventlet.Timeout(self.body_timeout)
+        try:
+            return self._read(length)
+        except eventlet.Timeout as raised:
+            if raised is not timeout:
+                raise
+            raise RequestTimeout(f"the body took over {self.body_timeout:g} s") from raised
+        except (ValueError, OSError) as error:
+            raise BadRequest("the body can't be read") from error
+        finally:
+            timeout.cancel()
+
+    def deadline(self) -> float | None:
+        """Return the seconds that the caller gives the request, None for no limit."""
+        text = self.header(DEADLINE_HEADER)
+        if not text:
+            return None
+        try:
+            seconds = float(text)
+        except ValueError:
+            seconds = -1.0
+        if not 0.0 < seconds <= _LONGEST_DEADLINE:
+            raise BadRequest(
+                f"{DEADLINE_HEADER}: allowed is above 0 to {_LONGEST_DEADLINE:g} s",
+                param=DEADLINE_HEADER,
+            )
+        return seconds
+
+    def marked_repeatable(self) -> bool:
+        """Whether the caller lets the request run again."""
+        text = self.header(REPEATABLE_HEADER).lower() or "yes"
+        if text not in ("yes", "no"):
+            raise BadRequest(f"{REPEATABLE_HEADER}: allowed is yes or no", param=REPEATABLE_HEADER)
+        return text == "yes"
+
+    def _content_length(self) -> int:
+        text = self.environ.get("CONTENT_LENGTH") or "0"
+        if not text.isdigit():
+            raise BadRequest("Content-Length: allowed is a whole number")
+        return int(text)
+
+    def _read(self, length: int) -> bytes:
+        source = self.environ["wsgi.input"]
+        chunked = self.environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
+        if not chunked:
+            body = source.read(length) if length else b""
+            if len(body) < length:
+                raise BadRequest("the body is shorter than its Content-Length")
+            return body
+        parts, size = [], 0
+        while part := source.read(_CHUNK):
+            size += len(part)
+            if size > self.body_limit:
+                raise BodyTooLarge(f"allowed are {self.body_limit} bytes")
+            parts.append(part)
+        return b"".join(parts)
+
+
+def answer_headers(request_id: str, attempts: int, outcome: Outcome) -> list[tuple[str, str]]:
+    """Return the headers that every answer carries."""
+    return [
+        ("X-Request-Id", request_id),
+        ("Whinrack-Attempts", str(attempts)),
+        ("Whinrack-Outcome", str(outcome)),
+    ]
+
+
+def json_answer(value: object, status: int = 200, headers=()) -> HttpAnswer:
+    """Answer with a JSON value."""
+    body = msgspec.json.encode(value)
+    fields = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    return HttpAnswer(status, [*fields, *headers], [body])
+
+
+def error_body(refusal: Refusal) -> bytes:
+    """Encode a refusal in the usual JSON form."""
+    body = ErrorBody(refusal.message, refusal.kind, refusal.code, refusal.param)
+    return msgspec.json.encode(ErrorEnvelope(body))
+
+
+def error_answer(refusal: Refusal, request_id: str, attempts: int = 0) -> HttpAnswer:
+    """Answer with a refusal."""
+    body = error_body(refusal)
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        *answer_headers(request_id, attempts, refusal.outcome),
+        (CODE_HEADER, refusal.code),
+    ]
+    if refusal.retry_after is not None:
+        headers.append(("Retry-After", str(max(1, round(refusal.retry_after)))))
+    if refusal.status == 402:
+        # OpenAI-compatible clients honour this and don't come back by themselves.
+        headers.append(("X-Should-Retry", "false"))
+    return HttpAnswer(refusal.status, headers, [body])
+
+
+# What the WSGI runner needs: a function from environment to answer.
+Endpoint = Callable[[HttpRequest], HttpAnswer]
--- /dev/null
+++ b/whinrack/server/_operations.py
@@ -0,0 +1,146 @@
+"""Endpoints other than requests: entry addresses, models, status, health, metrics."""
+
+import hmac
+import time
+
+import msgspec
+
+from whinrack.exceptions import Unauthorized
+from whinrack.objects import TargetPool
+from whinrack.requests import Ticket, write_ticket
+from whinrack.server._context import ServerContext
+from whinrack.server._http import HttpAnswer, HttpRequest, json_answer
+from whinrack.status import FLEET_KEY_HEADER, GrantStatus, RouterStatus
+
+__all__ = ["OperationsEndpoint"]
+
+_MOST_ADDRESSES = 8
+
+
+class EntryReply(msgspec.Struct, frozen=True):
+    """Which addresses to use, in order, for how long, and the ticket to send along."""
+
+    addresses: list[str]
+    valid_seconds: float
+    ticket: str
+
+
+class ModelRow(msgspec.Struct, frozen=True):
+    """One model, in the widespread form."""
+
+    id: str
+    object: str = "model"
+    created: int = 0
+    owned_by: str = "whinrack"
+
+
+class ModelList(msgspec.Struct, frozen=True):
+    """All models."""
+
+    data: list[ModelRow]
+    object: str = "list"
+
+
+class Health(msgspec.Struct, frozen=True):
+    """The state of the process."""
+
+    status: str
+
+
+class OperationsEndpoint:
+    """Answers about the daemon itself.
+
+    Parameters
+    ----------
+    context : ServerContext
+        The daemon's parts.
+    """
+
+    def __init__(self, context: ServerContext):
+        self.context = context
+
+    def entry(self, request: HttpRequest) -> HttpAnswer:
+        """Answer "which address?"; needs no key, as it tells nothing secret."""
+        own = self.context.own_member()
+        members = self.context.table.entries(own, time.monotonic())
+        home = members[0] if members else own
+        reply = EntryReply(
+            addresses=[member.http_address for member in members[:_MOST_ADDRESSES]],
+            valid_seconds=self.context.settings.http.entry_seconds,
+            ticket=write_ticket(Ticket(home.incarnation)),
+        )
+        return json_answer(reply)
+
+    def models(self) -> HttpAnswer:
+        """List the models that any pool serves."""
+        pools = self.context.config.all(TargetPool).values()
+        names = sorted({model for pool in pools for model in pool.models})
+        return json_answer(ModelList([ModelRow(name) for name in names]))
+
+    def status(self, request: HttpRequest) -> HttpAnswer:
+        """Tell operators the state of this daemon; needs the fleet's key."""
+        shown = request.header(FLEET_KEY_HEADER)
+        expected = self.context.settings.peer.fleet_key
+        if not hmac.compare_digest(shown.encode(), expected.encode()):
+            raise Unauthorized("the fleet's key is needed")
+        return json_answer(self._status())
+
+    def health(self) -> HttpAnswer:
+        """Say that the process serves."""
+        return json_answer(Health("ok"))
+
+    def ready(self) -> HttpAnswer:
+        """Say whether the daemon has a configuration and isn't leaving."""
+        state = self.context.state
+        if state.leaving:
+            return json_answer(Health("leaving"), 503)
+        if not state.ready:
+            return json_answer(Health("no configuration yet"), 503)
+        return json_answer(Health("ready"))
+
+    def metrics(self) -> HttpAnswer:
+        """Return the metrics in text form."""
+        self._set_gauges()
+        body = self.context.metrics.render()
+        headers = [
+            ("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),
+            ("Content-Length", str(len(body))),
+        ]
+        return HttpAnswer(200, headers, [body])
+
+    def _status(self) -> RouterStatus:
+        context, now = self.context, time.monotonic()
+        targets = context.directory.targets()
+        grants = [
+            GrantStatus(
+                ledger.budget,
+                ledger.spendable,
+                ledger.open_cover,
+                ledger.closed,
+                ledger.unreported,
+            )
+            for ledger in context.keeper.ledgers()
+        ]
+        return RouterStatus(
+            incarnation=context.state.incarnation,
+            leaving=context.state.leaving,
+            newest=context.config.newest,
+            requests_in_progress=context.state.in_progress,
+            members=sorted(member.name for member in context.table.alive(now)),
+            watching=context.state.watching,
+            leaving_targets=sorted(target.name for target in targets if target.leaving),
+            ejected_targets=sorted(t.name for t in targets if t.ejection.ejected(now)),
+            grants=grants,
+            versions=context.config.versions(),
+        )
+
+    def _set_gauges(self) -> None:
+        context, metrics = self.context, self.context.metrics
+        ledgers = context.keeper.ledgers()
+        metrics.revision.set(context.config.newest)
+        metrics.members.set(len(context.table.alive(time.monotonic())))
+        metrics.in_progress.set(context.state.in_progress)
+        metrics.spendable.set(sum(ledger.spendable for ledger in ledgers))
+        metrics.open_cover.set(sum(ledger.open_cover for ledger in ledgers))
+        metrics.journal_pending.set(context.bills.writer.pending)
+        metrics.memory_entries.set(len(context.memory))
--- /dev/null
+++ b/whinrack/server/_ownership.py
@@ -0,0 +1,260 @@
+"""Decides who runs a request, before anything is spent or sent.
+
+The rules, in the order they are asked:
+
+1. A request without a key is its own; it runs here.
+2. What this incarnation remembers decides at once.
+3. The home, named by the ticket or by rendezvous, cedes the request or says who has it.
+4. A request that may not be repeated is claimed in the platform as well.
+
+A home that can't be reached leaves the outcome of earlier tries open: what may be
+repeated is run with a provisional bill, what may not is refused as unknown.
+"""
+
+import time
+
+import msgspec
+from returns.result import Failure
+
+from whinrack.exceptions import (
+    ClaimUnavailable,
+    KeyReused,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    RateExceeded,
+)
+from whinrack.membership import Member
+from whinrack.peers import ConsultQuery
+from whinrack.requests import (
+    ClaimVerdict,
+    Consultation,
+    Identity,
+    MemoryEntry,
+    RunState,
+    Ticket,
+    judge_claim,
+)
+from whinrack.server._context import ServerContext
+
+__all__ = ["JoinHere", "JoinPeer", "Ownership", "RunHere"]
+
+_RETRY_AFTER = 2.0
+_ROUNDS = 4
+
+
+class RunHere(msgspec.Struct, frozen=True):
+    """This incarnation runs the request.
+
+    Attributes
+    ----------
+    provisional_against : str
+        An incarnation that may have run it too, "" if there is none.
+    claimed : bool
+        A claim is held and must be given up if the request isn't run.
+    """
+
+    provisional_against: str = ""
+    claimed: bool = False
+
+
+class JoinHere(msgspec.Struct, frozen=True):
+    """The request runs or ran here."""
+
+    entry: MemoryEntry
+
+
+class JoinPeer(msgspec.Struct, frozen=True):
+    """The request runs or ran at a peer."""
+
+    member: Member
+
+
+class _Asked(msgspec.Struct, frozen=True):
+    """What is known about a request that is to be placed."""
+
+    identity: Identity
+    digest: bytes
+    repeatable: bool
+    ticketed: bool
+
+
+class Ownership:
+    """Finds the owner of each keyed request.
+
+    Parameters
+    ----------
+    context : ServerContext
+        The daemon's parts.
+    """
+
+    def __init__(self, context: ServerContext):
+        self.context = context
+
+    def settle(
+        self, identity: Identity, digest: bytes, ticket: Ticket | None, repeatable: bool
+    ) -> RunHere | JoinHere | JoinPeer:
+        """Decide who runs a request.
+
+        Raises
+        ------
+        KeyReused, OutcomeUnknown, ClaimUnavailable
+        """
+        if not identity.keyed:
+            return RunHere()
+        asked = _Asked(identity, digest, repeatable, ticket is not None)
+        entry = self._memory.find(identity.name)
+        if entry is not None and entry.digest != digest:
+            raise KeyReused("the key was used with another body")
+        first = self._first_to_ask(asked, entry, ticket)
+        if isinstance(first, JoinHere):
+            return first
+        self._memory.reserve(identity.name, digest, time.monotonic())
+        try:
+            decision = self._ask(asked, first)
+            if isinstance(decision, RunHere):
+                decision = self._confirm(asked, decision)
+            return decision
+        except Exception:
+            self._memory.set_state(identity.name, RunState.NOT_RUN, time.monotonic())
+            raise
+
+    @property
+    def _memory(self):
+        return self.context.memory
+
+    @property
+    def _own(self) -> str:
+        return self.context.state.incarnation
+
+    def _first_to_ask(self, asked, entry, ticket) -> str | JoinHere:
+        """Return the incarnation to ask, this one if nobody else is to be asked."""
+        if entry is not None and entry.owner != self._own:
+            return entry.owner
+        if entry is not None:
+            open_again = entry.state is RunState.NOT_RUN or (
+                entry.state is RunState.UNKNOWN and asked.repeatable
+            )
+            if entry.state is RunState.UNKNOWN and not asked.repeatable:
+                raise OutcomeUnknown("an earlier try may have run", retry_after=_RETRY_AFTER)
+            if not open_again:
+                return JoinHere(entry)
+        if ticket is not None:
+            return ticket.home
+        own = self.context.own_member()
+        return self.context.table.home(own, asked.identity.name, time.monotonic())
+
+    def _ask(self, asked: _Asked, home: str) -> RunHere | JoinPeer:
+        """Ask the home, and go on to the owner that it names."""
+        asking, lost = home, ""
+        for _ in range(_ROUNDS):
+            if asking == self._own:
+                return RunHere()
+            member = self.context.table.find(asking)
+            reply = self._consult(member, asked, lost)
+            if reply is None:
+                if asking != home and not lost:
+                    # The owner is lost: the home decides again, knowing that.
+                    asking, lost = home, asking
+                    continue
+                return self._without(asked, asking)
+            consultation, owner = reply
+            match consultation:
+                case Consultation.CEDED:
+                    return RunHere(provisional_against=lost)
+                case Consultation.HERE:
+                    self._hand_over(asked, member.incarnation)
+                    return JoinPeer(member)
+                case Consultation.ELSEWHERE:
+                    asking = owner
+                case Consultation.BODY_MISMATCH:
+                    raise KeyReused("the key was used with another body")
+                case Consultation.OUTCOME_UNKNOWN:
+                    raise OutcomeUnknown("an earlier try may have run", retry_after=_RETRY_AFTER)
+        return self._without(asked, asking)
+
+    def _consult(self, member: Member | None, asked: _Asked, lost: str):
+        if member is None:
+            self.context.metrics.consultations.labels("unreachable").inc()
+            return None
+        query = ConsultQuery(
+            identity=asked.identity.name,
+            digest=asked.digest,
+            asker=self._own,
+            lost_owner=lost,
+            repeatable=asked.repeatable,
+        )
+        reply = self.context.peers.consult(member.peer_address, query)
+        if isinstance(reply, Failure):
+            self.context.metrics.consultations.labels("unreachable").inc()
+            return None
+        consultation, owner = reply.unwrap()
+        self.context.metrics.consultations.labels(str(consultation)).inc()
+        return consultation, owner
+
+    def _without(self, asked: _Asked, lost: str) -> RunHere:
+        """Decide where an incarnation that may have run the request can't be asked."""
+        if asked.repeatable:
+            return RunHere(provisional_against=lost)
+        if not asked.ticketed and asked.identity.keyed:
+            # No ticket: the claim in the platform decides instead of the home.
+            return RunHere()
+        raise OutcomeUnknown(
+            "the instance that may have run the request can't be reached",
+            retry_after=_RETRY_AFTER,
+        )
+
+    def _confirm(self, asked: _Asked, decision: RunHere) -> RunHere | JoinPeer:
+        """Reserve the request for good, unless it was ceded while the home was asked."""
+        entry = self._memory.find(asked.identity.name)
+        if entry is not None and entry.owner != self._own:
+            return self._join_owner(entry.owner)
+        self._memory.set_state(asked.identity.name, RunState.RESERVED, time.monotonic())
+        if asked.repeatable:
+            return decision
+        return self._claim(asked, decision)
+
+    def _join_owner(self, owner: str) -> JoinPeer:
+        member = self.context.table.find(owner)
+        if member is None:
+            raise OutcomeUnknown("another instance runs the request", retry_after=_RETRY_AFTER)
+        return JoinPeer(member)
+
+    def _claim(self, asked: _Asked, decision: RunHere) -> RunHere | JoinPeer:
+        result = self.context.claims.claim(asked.identity, asked.digest)
+        verdict = judge_claim(result, self._own, asked.digest)
+        if isinstance(verdict, Failure):
+            unreachable = isinstance(verdict.failure(), PlatformUnavailable | RateExceeded)
+            if asked.ticketed and unreachable:
+                # The ticket's home has promised; the claim would only repeat it.
+                return decision
+            raise ClaimUnavailable(
+                "the platform can't be asked whether the request was run before",
+                retry_after=_RETRY_AFTER,
+            )
+        match verdict.unwrap():
+            case ClaimVerdict.MINE:
+                return RunHere(decision.provisional_against, claimed=True)
+            case ClaimVerdict.BODY_MISMATCH:
+                raise KeyReused("the key was used with another body")
+        return self._join_holder(asked, result.unwrap().holder)
+
+    def _join_holder(self, asked: _Asked, holder: str) -> RunHere | JoinPeer:
+        """Join the answer of the claim's holder, which alone may run the request."""
+        member = self.context.table.find(holder)
+        reply = self._consult(member, asked, "")
+        if reply is not None and reply[0] is Consultation.HERE:
+            self._hand_over(asked, holder)
+            return JoinPeer(member)
+        if reply is not None and reply[0] is Consultation.CEDED:
+            # The holder did not run it and promises that it won't.
+            return RunHere()
+        raise OutcomeUnknown(
+            "another instance holds the claim to run the request", retry_after=_RETRY_AFTER
+        )
+
+    def _hand_over(self, asked: _Asked, owner: str) -> None:
+        """Remember that another incarnation owns the request."""
+        entry = self._memory.find(asked.identity.name)
+        if entry is not None:
+            entry.owner = owner
+            entry.state = RunState.CEDED
--- /dev/null
+++ b/whinrack/server/_peer_handlers.py
@@ -0,0 +1,130 @@
+"""This daemon's answers to its peers."""
+
+import time
+from collections.abc import Callable, Iterator, Sequence
+
+import eventlet
+from eventlet.event import Event as GreenEvent
+from returns.result import Failure, Result
+
+from whinrack.budgets import AccountDrawer, DrawOrder, DrawResult
+from whinrack.exceptions import PeerUnavailable, PlatformFailure, Refusal
+from whinrack.membership import Member
+from whinrack.observability import Event, log_event
+from whinrack.peers import AnswerPart, ConsultQuery, FeedSubscription, PeerHandlers
+from whinrack.requests import Consultation, RunState
+from whinrack.server._context import ServerContext
+
+__all__ = ["ChangeSignal", "DaemonHandlers"]
+
+_JOIN_POLL = 0.02
+_JOIN_LONGEST = 120.0
+
+
+class ChangeSignal(FeedSubscription):
+    """Wakes everybody who waits for a configuration change."""
+
+    def __init__(self):
+        self._event = GreenEvent()
+
+    def send(self) -> None:
+        """Wake all waiters."""
+        event, self._event = self._event, GreenEvent()
+        event.send(None)
+
+    def wait(self, seconds: float) -> None:
+        """Return after a change, or after some seconds."""
+        with eventlet.Timeout(seconds, False):
+            self._event.wait()
+
+
+class DaemonHandlers(PeerHandlers):
+    """Answers peers from the daemon's parts.
+
+    Parameters
+    ----------
+    context : ServerContext
+        The daemon's parts.
+    drawer : AccountDrawer
+        Draws for peers.
+    signal : ChangeSignal
+        Tells of configuration changes.
+    on_leaving : callable
+        Called when a peer knew of leaving instances before this one.
+    """
+
+    def __init__(
+        self,
+        context: ServerContext,
+        drawer: AccountDrawer,
+        signal: ChangeSignal,
+        on_leaving: Callable[[], None],
+    ):
+        self.context = context
+        self.drawer = drawer
+        self.signal = signal
+        self.on_leaving = on_leaving
+        self.config = context.config
+
+    def heartbeat(self, sender: Member, leaving: Sequence[str]) -> tuple[Member, list[str]]:
+        """Take in a peer's word and answer with one's own."""
+        self.take_word(sender, leaving)
+        known = self.context.table.leaving_instances(time.monotonic())
+        return self.context.own_member(), sorted(known)
+
+    def take_word(self, member: Member, leaving: Sequence[str]) -> None:
+        """Learn from a heartbeat or its reply."""
+        now = time.monotonic()
+        if self.context.table.heard(member, now):
+            log_event(Event.MEMBER_JOINED, member=member.incarnation)
+        if self.context.table.told_leaving(leaving, now):
+            self.on_leaving()
+
+    def draw(self, order: DrawOrder) -> Result[DrawResult, PlatformFailure]:
+        """Draw from the platform for a peer."""
+        result = self.drawer.draw(order)
+        label = result.failure().code if isinstance(result, Failure) else "ok"
+        self.context.metrics.draws.labels("for_peer", label).inc()
+        return result
+
+    def spare(self, budget: str, receiver: str, already_received: int, want: int) -> int:
+        """Hand tokens to a peer; returns the cumulative total."""
+        return self.context.keeper.give(budget, receiver, already_received, want)
+
+    def consult(self, query: ConsultQuery) -> tuple[Consultation, str]:
+        """Tell whether a peer may run a request."""
+        return self.context.memory.consult(
+            query.identity,
+            query.digest,
+            query.asker,
+            query.lost_owner,
+            query.repeatable,
+            time.monotonic(),
+        )
+
+    def join(self, identity: str) -> Iterator[AnswerPart]:
+        """Yield the answer of a request that runs or ran here."""
+        end = time.monotonic() + _JOIN_LONGEST
+        while time.monotonic() < end:
+            entry = self.context.memory.find(identity)
+            if entry is None or entry.state in (RunState.NOT_RUN, RunState.CEDED):
+                raise PeerUnavailable("no such answer")
+            if entry.answer is not None and entry.answer.status:
+                yield from _bounded(entry.answer.read())
+                return
+            if entry.state is RunState.UNKNOWN:
+                raise PeerUnavailable("no such answer")
+            eventlet.sleep(_JOIN_POLL)
+        raise PeerUnavailable("no answer yet")
+
+    def subscribe(self) -> FeedSubscription:
+        """Follow the configuration in force here."""
+        return self.signal
+
+
+def _bounded(parts: Iterator[AnswerPart]) -> Iterator[AnswerPart]:
+    """Turn a refusal while reading into what the calling side understands."""
+    try:
+        yield from parts
+    except Refusal as refusal:
+        raise PeerUnavailable(refusal.message) from refusal
--- /dev/null
+++ b/whinrack/server/_protocol.py
@@ -0,0 +1,26 @@
+"""The WSGI runner's connection handler, with a bound on slow headers."""
+
+import eventlet
+from eventlet.wsgi import HttpProtocol
+
+__all__ = ["CallerProtocol"]
+
+
+class CallerProtocol(HttpProtocol):
+    """Closes connections whose headers take too long; answers in HTTP/1.1."""
+
+    header_timeout = 10.0
+
+    def parse_request(self) -> bool:
+        """Read the headers within the time allowed."""
+        timeout = eventlet.Timeout(self.header_timeout)
+        try:
+            return super().parse_request()
+        except eventlet.Timeout as raised:
+            if raised is not timeout:
+                raise
+            self.close_connection = True
+            self.wfile.write(b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n")
+            return False
+        finally:
+            timeout.cancel()
--- /dev/null
+++ b/whinrack/server/_services.py
@@ -0,0 +1,184 @@
+"""``ANY /services/<pool>/<path>``: plain services, body and headers whole both ways."""
+
+import time
+from collections.abc import Iterator
+
+from returns.result import Failure, Result, Success
+
+from whinrack.base import Outcome
+from whinrack.engines import body_chunks, refused_unstarted
+from whinrack.exceptions import AnswerCut, Refusal, TargetFailed, TargetUnavailable, UnknownPool
+from whinrack.objects import Protocol
+from whinrack.requests import Identity
+from whinrack.routing import RequestFacts
+from whinrack.server._auth import Caller
+from whinrack.server._calls import Call, CallRunner, deadline_of, request_class_of
+from whinrack.server._http import HttpAnswer, HttpRequest, answer_headers
+
+__all__ = ["SERVICES_PREFIX", "ServiceEndpoint"]
+
+SERVICES_PREFIX = "/services/"
+_SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+_HOP_BY_HOP = {
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+}
+_NOT_FORWARDED = _HOP_BY_HOP | {"authorization", "host", "content-length", "expect"}
+_HELD = 65_536
+
+
+class ServiceCall(Call):
+    """One service request on its way.
+
+    Attributes
+    ----------
+    target_path : str
+        Path and query at the target, as the caller wrote them.
+    """
+
+    def __init__(self, target_path: str, **options):
+        super().__init__(**options)
+        self.target_path = target_path
+
+
+class ServiceEndpoint(CallRunner):
+    """Runs calls of plain services; they cost no tokens."""
+
+    kind = "service"
+
+    def handle(self, request: HttpRequest, caller: Caller, identity: Identity) -> HttpAnswer:
+        """Answer one request."""
+        name, _, path = request.path.removeprefix(SERVICES_PREFIX).partition("/")
+        pool = self.context.directory.pools().get(name)
+        if pool is None or pool.spec.protocol is not Protocol.SERVICE:
+            raise UnknownPool(f"no service pool is named {name[:80]!r}")
+        body = request.read_body()
+        marked = request.marked_repeatable()
+        facts = RequestFacts(
+            workspace=caller.workspace_name,
+            request_class=request_class_of(request, caller),
+            prompt_bytes=len(body),
+            repeatable=marked,
+        )
+        safe = request.method in _SAFE_METHODS
+        target = _target_path(request, path)
+        call = ServiceCall(
+            target,
+            identity=identity,
+            caller=caller,
+            decision=self.decide(caller, facts, {name: pool}),
+            body=body,
+            digest_parts=(request.method.encode(), target.encode(), body),
+            deadline=deadline_of(request, pool.spec),
+            repeatable=marked and (pool.spec.repeatable or safe),
+            affinity_key=caller.workspace_name,
+            request=request,
+        )
+        return self.run(call)
+
+    def start(self, call: Call) -> HttpAnswer:
+        """Send a request that runs here."""
+        while True:
+            slot = self.place(call)
+            reply = self.send(call, slot, call.target_path, _forwarded_headers(call))
+            answer = self._answer(call, reply)
+            if not isinstance(answer, Failure):
+                return answer.unwrap()
+            refusal = answer.failure()
+            slot.release()
+            if not self.may_retry(call, refusal):
+                raise self.final_refusal(call, refusal)
+
+    def _answer(self, call: Call, reply: Result) -> Result[HttpAnswer, Refusal]:
+        if isinstance(reply, Failure):
+            return reply
+        response = reply.unwrap()
+        if refused_unstarted(response) and response.headers.get("Whinrack-Started") == "no":
+            response.close()
+            call.slot.target.overloaded()
+            return Failure(TargetUnavailable("the target is busy", retry_after=1.0))
+        chunks = body_chunks(response)
+        try:
+            held, ended = _read_ahead(chunks)
+        except AnswerCut as cut:
+            response.close()
+            return Failure(cut)
+        call.slot.target.succeeded(time.monotonic())
+        self.context.metrics.first_byte.labels(self.kind).observe(
+            time.monotonic() - call.request.arrived
+        )
+        headers = _returned_headers(response)
+        headers += answer_headers(call.identity.request_id, call.attempts, Outcome.RAN)
+        if ended and call.request.method != "HEAD":
+            headers.append(("Content-Length", str(len(held))))
+        call.answer.start(response.status, headers)
+        if ended:
+            response.release_conn()
+            call.answer.append(held)
+            self.finish(call, whole=True)
+            return Success(HttpAnswer(response.status, headers, [held]))
+        body = self._relay(call, response, held, chunks)
+        return Success(HttpAnswer(response.status, headers, self.caller_stream(call, body)))
+
+    def _relay(self, call: Call, response, held: bytes, chunks: Iterator[bytes]):
+        """Yield a long body; a cut one ends the connection, so that it isn't whole."""
+        whole = False
+        try:
+            call.answer.append(held)
+            yield held
+            for chunk in chunks:
+                call.answer.append(chunk)
+                yield chunk
+            whole = True
+        except TargetFailed:
+            self.context.metrics.answers_dropped.labels("cut").inc()
+            raise
+        finally:
+            if whole:
+                response.release_conn()
+            else:
+                response.close()
+            self.finish(call, whole)
+
+
+def _read_ahead(chunks: Iterator[bytes]) -> tuple[bytes, bool]:
+    """Read a body up to a limit; tells whether that was all of it."""
+    parts, size = [], 0
+    for chunk in chunks:
+        parts.append(chunk)
+        size += len(chunk)
+        if size >= _HELD:
+            return b"".join(parts), False
+    return b"".join(parts), True
+
+
+def _target_path(request: HttpRequest, path: str) -> str:
+    raw = request.environ.get("RAW_PATH_INFO", "").removeprefix(SERVICES_PREFIX)
+    text = raw.partition("/")[2] if raw else path
+    query = request.environ.get("QUERY_STRING", "")
+    return f"/{text}?{query}" if query else f"/{text}"
+
+
+def _forwarded_headers(call: Call) -> list[tuple[str, str]]:
+    """Return the caller's headers, without hop-by-hop ones and its key."""
+    raw = call.request.environ.get("headers_raw", ())
+    named = {value.lower() for name, value in raw if name.lower() == "connection"}
+    dropped = _NOT_FORWARDED | {part.strip() for value in named for part in value.split(",")}
+    kept = [(name, value) for name, value in raw if name.lower() not in dropped]
+    names = {name.lower() for name, _ in kept}
+    if "x-request-id" not in names:
+        kept.append(("X-Request-Id", call.identity.request_id))
+    return kept
+
+
+def _returned_headers(response) -> list[tuple[str, str]]:
+    dropped = _HOP_BY_HOP | {"content-length", "x-request-id"}
+    return [
+        (name, value) for name, value in response.headers.items() if name.lower() not in dropped
+    ]
--- /dev/null
+++ b/whinrack/server/_settlement.py
@@ -0,0 +1,124 @@
+"""The cover and the bill of one chat request."""
+
+import time
+
+from returns.result import Failure
+
+from whinrack.budgets import Cover
+from whinrack.engines import Usage
+from whinrack.journal import BillRecord
+from whinrack.observability import Event, log_event
+from whinrack.requests import Identity
+from whinrack.server._auth import Caller
+from whinrack.server._context import ServerContext
+
+__all__ = ["Settlement"]
+
+
+class Settlement:
+    """Covers a request in full before it is sent, and settles it on what was used.
+
+    Parameters
+    ----------
+    context : ServerContext
+        The daemon's parts.
+    caller : Caller
+        Who pays.
+    identity : Identity
+        What the bill is for.
+    bound : int
+        The proved bound on the request's tokens.
+    """
+
+    def __init__(self, context: ServerContext, caller: Caller, identity: Identity, bound: int):
+        self.context = context
+        self.caller = caller
+        self.identity = identity
+        self.bound = bound
+        self.provisional_against = ""
+        self._cover: Cover | None = None
+        self._mark = 0
+
+    def open(self) -> None:
+        """Set the bound aside.
+
+        Raises
+        ------
+        BudgetExhausted, BudgetContended
+        """
+        caller = self.caller
+        cover = self.context.keeper.cover(
+            caller.budget.account,
+            caller.budget_name,
+            self.bound,
+            caller.workspace.weighting,
+        )
+        if isinstance(cover, Failure):
+            raise cover.failure()
+        self._cover = cover.unwrap()
+
+    def reopen(self) -> None:
+        """Cover a further attempt, if the last one's cover was written off."""
+        if self._cover is None:
+            self.open()
+
+    def settle(self, usage: Usage | None, events: int) -> None:
+        """Bill what was used; what the engine can't prove unused stays out of use.
+
+        Parameters
+        ----------
+        usage : Usage or None
+            The engine's count.
+        events : int
+            Content events that were seen, each at least one token.
+        """
+        cover = self._cover
+        if cover is None or cover.settled:
+            return
+        if usage is None:
+            billed = min(events, cover.tokens)
+            unproven = cover.tokens - billed
+        else:
+            billed, unproven = min(usage.total_tokens, cover.tokens), 0
+            if usage.total_tokens > cover.tokens:
+                log_event(Event.COVER_EXCEEDED, budget=self.caller.budget_name)
+        cover.settle(billed, unproven)
+        self._count(billed, unproven)
+        record = BillRecord(
+            identity=self.identity.name,
+            workspace=self.caller.workspace_name,
+            budget=self.caller.budget_name,
+            tokens=billed,
+            provisional_against=self.provisional_against,
+        )
+        self._mark = self.context.bills.add(record)
+
+    def write_off(self, usage: Usage | None) -> None:
+        """Take the tokens of a try that may have run out of use, without a bill."""
+        cover = self._cover
+        if cover is None or cover.settled:
+            return
+        lost = cover.tokens if usage is None else min(usage.total_tokens, cover.tokens)
+        cover.settle(0, lost)
+        self._count(0, lost)
+        self._cover = None
+
+    def abandon(self) -> None:
+        """Give the whole cover back: nothing was sent."""
+        if self._cover is not None:
+            self._cover.settle(0)
+
+    def wait_kept(self) -> None:
+        """Wait until the bill is kept, as long as the settings say."""
+        if not self._mark:
+            return
+        started = time.monotonic()
+        kept = self.context.bills.wait_kept(self._mark, self.context.settings.journal.answer_wait)
+        self.context.metrics.bills.labels("kept" if kept else "unconfirmed").inc()
+        if not kept:
+            waited = time.monotonic() - started
+            log_event(Event.BILL_UNCONFIRMED, waited=f"{waited:.2f}")
+
+    def _count(self, billed: int, unproven: int) -> None:
+        self.context.metrics.tokens.labels("billed").inc(billed)
+        self.context.metrics.tokens.labels("unproven").inc(unproven)
--- /dev/null
+++ b/whinrack/server/_sources.py
@@ -0,0 +1,98 @@
+"""Where tokens come from: the region's drawer, the platform, and the peers."""
+
+import time
+from collections.abc import Iterable
+
+import eventlet
+from returns.result import Failure, Result
+
+from whinrack.budgets import AccountDrawer, DrawOrder, DrawResult, SpareSource, TokenSource
+from whinrack.exceptions import WhinrackError
+from whinrack.membership import Member, MembershipTable
+from whinrack.observability import Metrics
+from whinrack.peers import PeerClient
+
+__all__ = ["PeerSpares", "RegionSource"]
+
+_MOST_ASKED = 16
+
+
+class RegionSource(TokenSource):
+    """Sends orders to the region's drawer, or draws itself where that fails.
+
+    An order may reach the books by both ways; its sequence makes it count once.
+
+    Parameters
+    ----------
+    own : callable
+        Returns this daemon's member record.
+    """
+
+    def __init__(
+        self,
+        own,
+        table: MembershipTable,
+        peers: PeerClient,
+        drawer: AccountDrawer,
+        metrics: Metrics,
+    ):
+        self.own = own
+        self.table = table
+        self.peers = peers
+        self.drawer = drawer
+        self.metrics = metrics
+
+    def draw(self, order: DrawOrder) -> Result[DrawResult, WhinrackError]:
+        """Apply an order and return the books' state."""
+        own = self.own()
+        chosen = self.table.drawer(own, order.account, time.monotonic())
+        member = None if chosen == own.incarnation else self.table.find(chosen)
+        if member is not None:
+            result = self.peers.draw(member.peer_address, order)
+            self._count("peer", result)
+            if not isinstance(result, Failure):
+                return result
+        result = self.drawer.draw(order)
+        self._count("platform", result)
+        return result
+
+    def _count(self, path: str, result: Result) -> None:
+        label = result.failure().code if isinstance(result, Failure) else "ok"
+        self.metrics.draws.labels(path, label).inc()
+
+
+class PeerSpares(SpareSource):
+    """Asks the peers that look alive, all at once, the own region's first.
+
+    Parameters
+    ----------
+    own : callable
+        Returns this daemon's member record.
+    """
+
+    def __init__(self, own, table: MembershipTable, peers: PeerClient):
+        self.own = own
+        self.table = table
+        self.peers = peers
+
+    def gather(self, budget: str, want: int, received: dict[str, int]) -> Iterable[tuple[str, int]]:
+        """Ask peers for tokens; yields (giver, cumulative total)."""
+        own = self.own()
+        members = self.table.alive(time.monotonic())
+        members.sort(key=lambda member: (member.region != own.region, member.name))
+        pool = eventlet.GreenPool(_MOST_ASKED)
+        asked = members[:_MOST_ASKED]
+        missing = want
+
+        def ask(member: Member) -> tuple[str, int | None]:
+            known = received.get(member.incarnation, 0)
+            reply = self.peers.spare(
+                member.peer_address, budget, own.incarnation, known, max(0, missing)
+            )
+            return member.incarnation, reply.value_or(None)
+
+        for giver, total in pool.imap(ask, asked):
+            if total is None:
+                continue
+            missing -= max(0, total - received.get(giver, 0))
+            yield giver, total
--- /dev/null
+++ b/whinrack/server/_tasks.py
@@ -0,0 +1,159 @@
+"""The daemon's background tasks: heartbeats, lists, load reports, token reports."""
+
+import time
+from collections.abc import Callable
+
+import eventlet
+from returns.result import Failure, Success
+
+from whinrack.objects import TargetPool
+from whinrack.observability import Event, log_event
+from whinrack.platform import ObjectStore
+from whinrack.server._context import ServerContext
+from whinrack.server._follower import ConfigFollower
+from whinrack.server._peer_handlers import DaemonHandlers
+
+__all__ = ["BackgroundTasks"]
+
+_LOAD_INTERVAL = 1.0
+_TICK = 0.1
+_RESTART_PAUSE = 0.5
+_FORGET_AFTER = 60.0
+_HEARTBEAT_FANOUT = 12
+_BEHIND_BEATS = 2
+
+
+class BackgroundTasks:
+    """What runs beside the requests.
+
+    Parameters
+    ----------
+    context : ServerContext
+        The daemon's parts.
+    handlers : DaemonHandlers
+        Takes in what peers say.
+    follower : ConfigFollower
+        Brings the configuration up to date.
+    store : ObjectStore
+        The platform.
+    """
+
+    def __init__(
+        self,
+        context: ServerContext,
+        handlers: DaemonHandlers,
+        follower: ConfigFollower,
+        store: ObjectStore,
+    ):
+        self.context = context
+        self.handlers = handlers
+        self.follower = follower
+        self.store = store
+        self._platform_up = True
+        self._round = 0
+        self._behind = 0
+        self._alive: set[str] = set()
+
+    def start(self) -> None:
+        """Start every task."""
+        membership = self.context.settings.membership
+        budgets = self.context.settings.budgets
+        self._every(membership.heartbeat_interval, self.beat)
+        self._every(membership.list_interval, self.read_list)
+        self._every(_LOAD_INTERVAL, self.read_loads)
+        self._every(budgets.report_interval, self.context.keeper.report)
+        self._every(_TICK, self.context.directory.wake_all)
+        self._every(_RESTART_PAUSE, self.follower.run)
+        self._every(_RESTART_PAUSE, self.context.bills.run)
+
+    def beat(self) -> None:
+        """Send a heartbeat to the peers, and notice who is lost."""
+        own = self.context.own_member()
+        leaving = sorted(self.context.table.leaving_instances(time.monotonic()))
+        pool = eventlet.GreenPool(_HEARTBEAT_FANOUT)
+        for address in self._beat_addresses():
+            pool.spawn_n(self._beat_one, address, own, leaving)
+        pool.waitall()
+        self._notice_lost()
+        self._catch_up()
+
+    def read_list(self) -> None:
+        """Read the platform's list of instances."""
+        result = self.store.instances()
+        if isinstance(result, Success) != self._platform_up:
+            self._platform_up = not self._platform_up
+            log_event(Event.PLATFORM_BACK if self._platform_up else Event.PLATFORM_LOST)
+        if isinstance(result, Success):
+            self.context.table.read_list(result.unwrap(), time.monotonic())
+            self.update_leaving()
+
+    def update_leaving(self) -> None:
+        """Let the pools know which instances leave."""
+        self.context.directory.set_leaving(self.context.table.leaving_instances(time.monotonic()))
+
+    def read_loads(self) -> None:
+        """Read the load reports of the chat targets."""
+        pool = eventlet.GreenPool(_HEARTBEAT_FANOUT)
+        specs = self.context.config.all(TargetPool)
+        for target in self.context.directory.targets():
+            spec = specs.get(target.spec.pool)
+            if spec is not None and spec.models:
+                pool.spawn_n(self._read_load, target)
+        pool.waitall()
+
+    def _read_load(self, target) -> None:
+        load = self.context.targets.load(target.spec.address)
+        if load is not None:
+            self.context.directory.report(target, load.running, load.waiting)
+
+    def _beat_addresses(self) -> list[str]:
+        """Return all peers of a small fleet, or a turning part of a large one."""
+        settings = self.context.settings
+        seeds = settings.peer.seeds.split()
+        addresses = [
+            address
+            for address in self.context.table.addresses(seeds)
+            if address != settings.peer.address
+        ]
+        if len(addresses) <= settings.membership.full_mesh_limit:
+            return addresses
+        self._round += 1
+        start = self._round * _HEARTBEAT_FANOUT % len(addresses)
+        return (addresses + addresses)[start : start + _HEARTBEAT_FANOUT]
+
+    def _beat_one(self, address: str, own, leaving: list[str]) -> None:
+        reply = self.context.peers.heartbeat(address, own, leaving)
+        if isinstance(reply, Failure):
+            return
+        member, told = reply.unwrap()
+        self.handlers.take_word(member, told)
+
+    def _notice_lost(self) -> None:
+        now = time.monotonic()
+        alive = {member.name for member in self.context.table.alive(now)}
+        for name in self._alive - alive:
+            log_event(Event.MEMBER_LOST, member=name)
+        self._alive = alive
+        self.context.table.forget_silent(now, _FORGET_AFTER)
+
+    def _catch_up(self) -> None:
+        """Fetch from a peer that has had newer configuration for some heartbeats."""
+        members = self.context.table.alive(time.monotonic())
+        newest = max(members, key=lambda member: member.revision, default=None)
+        if newest is None or newest.revision <= self.context.config.newest:
+            self._behind = 0
+            return
+        self._behind += 1
+        if self._behind >= _BEHIND_BEATS:
+            self.follower.catch_up(newest.peer_address)
+
+    def _every(self, seconds: float, function: Callable[[], object]) -> None:
+        def loop() -> None:
+            while True:
+                try:
+                    function()
+                except Exception as error:
+                    log_event(Event.TASK_FAILED, task=function.__name__, error=type(error).__name__)
+                eventlet.sleep(seconds)
+
+        eventlet.spawn_n(loop)
