--- /dev/null
+++ b/standins/memory_store.py
@@ -0,0 +1,94 @@
+"""The platform's object API in memory, with faults, for tests and benchmarks of decisions."""
+
+import msgspec
+from returns.result import Failure, Success
+
+from whinrack.exceptions import Conflict, NotFound, PlatformUnavailable, WriteUnknown
+from whinrack.platform import ObjectStore, Snapshot, StoredObject, WatchBatch
+
+__all__ = ["MemoryStore"]
+
+
+class MemoryStore(ObjectStore):
+    """Objects in a dictionary.
+
+    Attributes
+    ----------
+    down : bool
+        Every call fails.
+    lose_replies : int
+        How many coming writes take effect and then lose their reply.
+    lose_writes : int
+        How many coming writes are lost before they take effect.
+    calls : int
+        Calls served or refused so far.
+    """
+
+    def __init__(self):
+        self.objects: dict[tuple[str, str], StoredObject] = {}
+        self.revision = 0
+        self.down = False
+        self.lose_replies = 0
+        self.lose_writes = 0
+        self.calls = 0
+        self.before_write = None
+
+    def get(self, kind, name):
+        """Read one object."""
+        self.calls += 1
+        if self.down:
+            return Failure(PlatformUnavailable("down"))
+        if (kind, name) not in self.objects:
+            return Failure(NotFound(name))
+        return Success(self.objects[kind, name])
+
+    def list(self, kinds):
+        """Read all objects of some kinds."""
+        self.calls += 1
+        if self.down:
+            return Failure(PlatformUnavailable("down"))
+        found = tuple(item for item in self.objects.values() if item.kind in kinds)
+        return Success(Snapshot(self.revision, found))
+
+    def put(self, kind, name, value, version):
+        """Write conditionally."""
+        self.calls += 1
+        if self.down:
+            return Failure(PlatformUnavailable("down"))
+        if self.before_write is not None:
+            hook, self.before_write = self.before_write, None
+            hook()
+        if self.lose_writes > 0:
+            self.lose_writes -= 1
+            return Failure(WriteUnknown(name))
+        current = self.objects.get((kind, name))
+        if version != (0 if current is None else current.version):
+            return Failure(Conflict(name, current))
+        self.revision += 1
+        stored = StoredObject(kind, name, self.revision, msgspec.Raw(value))
+        self.objects[kind, name] = stored
+        if self.lose_replies > 0:
+            self.lose_replies -= 1
+            return Failure(WriteUnknown(name))
+        return Success(stored)
+
+    def delete(self, kind, name, version):
+        """Delete conditionally."""
+        self.calls += 1
+        current = self.objects.get((kind, name))
+        if version != (0 if current is None else current.version):
+            return Failure(Conflict(name, current))
+        self.objects.pop((kind, name), None)
+        self.revision += 1
+        return Success(None)
+
+    def watch(self, kinds, since, wait):
+        """Return changes after a revision, without waiting."""
+        self.calls += 1
+        changed = tuple(i for i in self.objects.values() if i.version > since and i.kind in kinds)
+        return Success(WatchBatch(self.revision, changed))
+
+    def instances(self):
+        """Return an empty list."""
+        self.calls += 1
+        return Failure(PlatformUnavailable("down")) if self.down else Success(())
--- a/whinrack/budgets/_demand.py
+++ b/whinrack/budgets/_demand.py
@@ -4,6 +4,8 @@
 
 __all__ = ["DemandEstimate"]
 
+_LEAST_SEEN = 5.0
+
 
 class DemandEstimate:
     """Exponentially weighted rate of tokens a second.
@@ -18,16 +20,23 @@
         self.half_life = half_life
         self._sum = 0.0
         self._at: float | None = None
+        self._since: float | None = None
 
     def record(self, tokens: int, now: float) -> None:
         """Count the tokens of one request."""
         self._decay(now)
+        if self._since is None:
+            self._since = now
         self._sum += tokens
 
     def rate(self, now: float) -> float:
         """Return the tokens a second."""
         self._decay(now)
-        return self._sum * math.log(2) / self.half_life
+        if self._since is None:
+            return 0.0
+        # A young estimate has not seen a full period yet.
+        seen = 1.0 - 0.5 ** (max(_LEAST_SEEN, now - self._since) / self.half_life)
+        return self._sum * math.log(2) / self.half_life / seen
 
     def want(self, now: float, horizon: float) -> int:
         """Return the tokens that last for `horizon` seconds at the present rate."""
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -15,6 +15,7 @@
 __all__ = ["BudgetKeeper", "SpareSource", "TokenSource"]
 
 _DRY_SECONDS = 0.5
+_NO_FREE_SECONDS = 2.0
 _GATHER_WAIT = 1.0
 _GATHER_PAUSE = 0.1
 _IDLE_SURPLUS = 2
@@ -44,7 +45,10 @@
         self.ledger = ledger
         self.lock = lock
         self.demand = DemandEstimate()
+        # Until then neither the books nor the peers are asked for a request.
         self.dry_until = 0.0
+        # Until then the books aren't asked for tokens to have in hand.
+        self.no_free_until = 0.0
         self.last: DrawResult | None = None
 
 
@@ -190,14 +194,14 @@
         surplus = ledger.spendable - _IDLE_SURPLUS * want
         if surplus > max(0, want):
             ledger.give_back(surplus)
-        short = 0 if self.stopping or now < held.dry_until else want - ledger.spendable
+        short = 0 if self.stopping or now < held.no_free_until else want - ledger.spendable
         wish = short if short > want // 2 else 0
         if not (wish or ledger.unreported or everything):
             return 0
         with held.lock:
             sent = self._send(held, ledger.next_order(want=max(0, wish)))
         if held.last is not None and held.last.free == 0:
-            held.dry_until = self.clock() + _DRY_SECONDS
+            held.no_free_until = self.clock() + _NO_FREE_SECONDS
         return 0 if sent else 1
 
     def _drain_one(self, held: _Held) -> bool:
--- /dev/null
+++ b/whinrack/journal/tests/test_journal.py
@@ -0,0 +1,77 @@
+"""Each request is billed once, whatever was written, lost or read in whatever order."""
+
+import hypothesis.strategies as st
+from hypothesis import given, settings
+
+from standins.memory_store import MemoryStore
+from whinrack.journal import BillRecord, JournalSegment, JournalWriter, decode_segment, merge_bills
+
+
+def record(identity, tokens=10, against=""):
+    return BillRecord(identity, "w", "b", tokens, against)
+
+
+def stored(store):
+    return [decode_segment(item.value) for item in store.objects.values()]
+
+
+RECORDS = st.lists(
+    st.tuples(
+        st.sampled_from(["w/1", "w/2", "w/3"]),
+        st.integers(1, 50),
+        st.sampled_from(["", "home.1"]),
+    ),
+    max_size=8,
+)
+
+
+@given(st.lists(RECORDS, min_size=1, max_size=4), st.randoms())
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_every_reader_comes_to_the_same_bill(journals, random):
+    segments = [
+        JournalSegment(f"r{index}.1", 0, tuple(record(*fields) for fields in rows))
+        for index, rows in enumerate(journals)
+    ]
+    bills = merge_bills(segments)
+    random.shuffle(segments)
+    assert merge_bills(segments) == bills
+    identities = {fields[0] for rows in journals for fields in rows}
+    spent = sum(fields[1] for rows in journals for fields in rows)
+    if identities:
+        assert bills["w"].requests == len(identities)
+        assert bills["w"].tokens + bills["w"].duplicate_tokens == spent
+
+
+def test_a_certain_record_goes_before_a_provisional_one():
+    segments = [
+        JournalSegment("a.1", 0, (record("w/1", 30, "home.1"),)),
+        JournalSegment("home.1", 0, (record("w/1", 20),)),
+    ]
+    bill = merge_bills(segments)["w"]
+    assert (bill.requests, bill.tokens, bill.duplicate_tokens) == (1, 20, 30)
+
+
+def test_commits_survive_lost_replies_and_outages_without_doubling():
+    store = MemoryStore()
+    writer = JournalWriter(store, "r.1", seed=1, sleep=lambda seconds: None)
+    for number in range(600):
+        writer.add(record(f"w/{number}"))
+        store.lose_replies = number % 3 == 0
+        store.down = number % 7 == 0
+        writer.commit()
+    store.down = False
+    assert writer.commit()
+    assert merge_bills(stored(store))["w"].requests == 600
+    assert sum(len(segment.records) for segment in stored(store)) == 600
+
+
+def test_marks_tell_which_records_are_kept():
+    store = MemoryStore()
+    writer = JournalWriter(store, "r.1")
+    mark = writer.add(record("w/1"))
+    store.down = True
+    assert not writer.commit()
+    assert writer.committed < mark
+    store.down = False
+    assert writer.commit()
+    assert writer.committed >= mark
--- a/whinrack/platform/_transactions.py
+++ b/whinrack/platform/_transactions.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
@@ -24,6 +25,7 @@
 
 _FIRST_BACKOFF = 0.02
 _LONGEST_BACKOFF = 0.5
+_MOST_COPIES = 256
 
 
 class ObjectEditor(Generic[Value]):
@@ -66,13 +68,13 @@
         self.sleep = sleep
         self._random = random.Random(seed)
         self._decoder = msgspec.json.Decoder(value_type)
-        self._known: dict[str, StoredObject] = {}
+        self._known: OrderedDict[str, StoredObject] = OrderedDict()
 
     def read(self, name: str) -> Result[Value, PlatformFailure]:
         """Read the stored value afresh."""
         result = self.store.get(self.kind, name)
         if isinstance(result, Success):
-            self._known[name] = result.unwrap()
+            self._copy(name, result.unwrap())
         return result.map(lambda stored: self._decoder.decode(stored.value))
 
     def apply(
@@ -85,7 +87,8 @@
         """
         doubt: PlatformFailure | None = None
         for attempt in range(self.attempts):
-            before = self._current(name, fresh=doubt is not None)
+            copied = name in self._known
+            before = self._current(name)
             if isinstance(before, Failure):
                 if doubt is not None:
                     return Failure(doubt)
@@ -93,12 +96,16 @@
             stored = before.unwrap()
             old = None if stored is None else self._decoder.decode(stored.value)
             new = change(old)
+            if new is None and copied:
+                # A copy may be too old to conclude from that nothing is left to do.
+                self._known.pop(name, None)
+                continue
             if new is None:
                 return Success(old)
             version = 0 if stored is None else stored.version
             written = self.store.put(self.kind, name, msgspec.json.encode(new), version)
             if isinstance(written, Success):
-                self._known[name] = written.unwrap()
+                self._copy(name, written.unwrap())
                 return Success(new)
             failure = written.failure()
             if not isinstance(failure, Conflict | WriteUnknown):
@@ -114,18 +121,24 @@
         if failure.current is None:
             self._known.pop(name, None)
         else:
-            self._known[name] = failure.current
+            self._copy(name, failure.current)
         return doubt
 
-    def _current(self, name: str, fresh: bool) -> Result[StoredObject | None, PlatformFailure]:
+    def _current(self, name: str) -> Result[StoredObject | None, PlatformFailure]:
         known = self._known.get(name)
-        if known is not None and not fresh:
+        if known is not None:
             return Success(known)
         result = self.store.get(self.kind, name)
         if isinstance(result, Failure) and isinstance(result.failure(), NotFound):
             return Success(None)
         return result
 
+    def _copy(self, name: str, stored: StoredObject) -> None:
+        self._known[name] = stored
+        self._known.move_to_end(name)
+        if len(self._known) > _MOST_COPIES:
+            self._known.popitem(last=False)
+
     def _back_off(self, attempt: int) -> None:
         longest = min(_LONGEST_BACKOFF, _FIRST_BACKOFF * 2**attempt)
         self.sleep(longest * self._random.random())
--- /dev/null
+++ b/whinrack/platform/tests/test_platform.py
@@ -0,0 +1,117 @@
+"""The conditional editor under lost replies, conflicts and stale knowledge; pacing."""
+
+import msgspec
+from returns.result import Failure, Success
+
+from standins.memory_store import MemoryStore
+from whinrack.exceptions import PlatformUnavailable, RateExceeded, WriteUnknown
+from whinrack.platform import HttpObjectStore, ObjectEditor, TokenBucket
+
+
+class Marks(msgspec.Struct):
+    """A value whose changes leave marks."""
+
+    marks: dict[str, int] = {}
+
+
+def editor(store):
+    return ObjectEditor(store, "Marks", Marks, seed=1, sleep=lambda seconds: None)
+
+
+def add(mark):
+    """Return a change that counts once by its mark."""
+
+    def change(value):
+        value = value or Marks()
+        if mark in value.marks:
+            return None
+        value.marks[mark] = len(value.marks) + 1
+        return value
+
+    return change
+
+
+def test_a_change_whose_reply_is_lost_takes_effect_once():
+    store = MemoryStore()
+    store.lose_replies = 1
+    assert editor(store).apply("m", add("one")).unwrap().marks == {"one": 1}
+    assert store.revision == 1
+
+
+def test_a_change_that_is_lost_on_the_way_is_made_again():
+    store = MemoryStore()
+    store.lose_writes = 2
+    assert editor(store).apply("m", add("one")).unwrap().marks == {"one": 1}
+
+
+def test_an_outage_after_a_lost_reply_is_unknown_and_not_a_refusal():
+    store = MemoryStore()
+
+    def go_down():
+        store.lose_replies = 1
+        store.get = lambda kind, name: Failure(PlatformUnavailable("down"))
+
+    store.before_write = go_down
+    result = editor(store).apply("m", add("one"))
+    assert isinstance(result.failure(), WriteUnknown)
+
+
+def test_racing_editors_keep_both_changes():
+    store = MemoryStore()
+    first, second = editor(store), editor(store)
+    store.before_write = lambda: second.apply("m", add("two"))
+    first.apply("m", add("one"))
+    assert set(first.read("m").unwrap().marks) == {"one", "two"}
+
+
+def test_nothing_to_do_is_not_concluded_from_a_stale_copy():
+    """Found by the release of a grant: the copy did not have the holder's row yet."""
+    store = MemoryStore()
+    first, second = editor(store), editor(store)
+    first.apply("m", add("one"))
+    second.apply("m", add("two"))
+
+    def remove(value):
+        if value is None or "two" not in value.marks:
+            return None
+        del value.marks["two"]
+        return value
+
+    first.apply("m", remove)
+    assert set(second.read("m").unwrap().marks) == {"one"}
+
+
+def test_an_undisturbed_change_costs_one_call():
+    store = MemoryStore()
+    one = editor(store)
+    one.apply("m", add("one"))
+    before = store.calls
+    one.apply("m", add("two"))
+    assert store.calls == before + 1
+
+
+def test_a_platform_that_is_away_is_told_apart_from_a_lost_write():
+    store = HttpObjectStore("127.0.0.1:1", timeout=0.2)
+    assert isinstance(store.put("K", "n", b"{}", 0).failure(), PlatformUnavailable)
+
+
+def test_calls_beyond_the_rate_wait_and_then_fail():
+    waits = []
+    store = HttpObjectStore(
+        "127.0.0.1:1", rate=2.0, longest_wait=1.0, clock=lambda: 0.0, sleep=waits.append
+    )
+    results = [store.get("K", "n") for _ in range(5)]
+    assert waits == [0.5, 1.0]
+    assert isinstance(results[-1].failure(), RateExceeded)
+
+
+def test_token_bucket_saves_up_to_its_burst():
+    bucket = TokenBucket(rate=1.0, burst=2.0)
+    assert [bucket.try_take(0.0) for _ in range(3)] == [True, True, False]
+    assert [bucket.try_take(100.0) for _ in range(3)] == [True, True, False]
+
+
+def test_memory_store_agrees_with_the_interface():
+    store = MemoryStore()
+    assert isinstance(store.put("K", "n", b"1", 0), Success)
+    assert isinstance(store.put("K", "n", b"2", 0), Failure)
--- /dev/null
+++ b/whinrack/requests/tests/test_requests.py
@@ -0,0 +1,153 @@
+"""Identity, memory, claims and bounds."""
+
+import itertools
+
+import msgspec
+import pytest
+from returns.result import Failure, Success
+
+from standins.memory_store import MemoryStore
+from whinrack.exceptions import BadRequest, CoverUnbounded
+from whinrack.objects import TargetPool
+from whinrack.requests import (
+    ChatRequest,
+    ClaimStore,
+    ClaimVerdict,
+    Consultation,
+    Identity,
+    RequestMemory,
+    RunState,
+    Ticket,
+    body_digest,
+    cover_bound,
+    judge_claim,
+    read_ticket,
+    write_ticket,
+)
+
+POOL = TargetPool(models=("m",), max_output_tokens=100, prompt_overhead_tokens=10)
+DIGEST = body_digest(b"body")
+
+
+def chat(**fields):
+    plain = {"model": "m", "messages": [{"role": "user", "content": "hi"}], **fields}
+    return msgspec.json.decode(msgspec.json.encode(plain), type=ChatRequest)
+
+
+def consult(memory, asker, lost="", repeatable=True, digest=DIGEST):
+    return memory.consult("w/k", digest, asker, lost, repeatable, now=0.0)
+
+
+def test_identity_is_the_same_at_every_instance():
+    one, two = (Identity.from_header("w", "k-1") for _ in range(2))
+    assert one.request_id == two.request_id
+    assert one.request_id != Identity.from_header("v", "k-1").request_id
+    assert Identity.from_header("w", "").key != Identity.from_header("w", "").key
+
+
+@pytest.mark.parametrize("key", ["x" * 201, "a\nb", "é"])
+def test_bad_keys_are_refused(key):
+    with pytest.raises(BadRequest):
+        Identity.from_header("w", key)
+
+
+def test_ticket_survives_the_way_to_the_caller_and_back():
+    assert read_ticket(write_ticket(Ticket("r.1"))) == Ticket("r.1")
+    assert read_ticket("something else") is None
+
+
+def test_bound_counts_every_byte_message_and_choice():
+    assert cover_bound(chat(max_tokens=7, n=3), body_length=50, pool=POOL) == 50 + 20 + 21
+
+
+@pytest.mark.parametrize(
+    "fields", [{"max_tokens": 0}, {"max_tokens": -5}, {"max_tokens": 101}, {"n": 0}, {"n": 10**9}]
+)
+def test_absurd_limits_are_refused(fields):
+    with pytest.raises(BadRequest):
+        cover_bound(chat(**fields), body_length=50, pool=POOL)
+
+
+def test_content_without_a_provable_bound_is_refused():
+    image = [{"role": "user", "content": [{"type": "image_url", "image_url": {"url": "x"}}]}]
+    with pytest.raises(CoverUnbounded):
+        cover_bound(chat(messages=image), body_length=50, pool=POOL)
+
+
+def test_home_cedes_once_and_sends_others_to_the_owner():
+    memory = RequestMemory("home.1")
+    assert consult(memory, "b.1") == (Consultation.CEDED, "b.1")
+    assert consult(memory, "b.1") == (Consultation.CEDED, "b.1")
+    assert consult(memory, "c.1") == (Consultation.ELSEWHERE, "b.1")
+
+
+def test_a_lost_owner_is_replaced_only_for_what_may_be_repeated():
+    memory = RequestMemory("home.1")
+    consult(memory, "b.1")
+    verdict, _ = consult(memory, "c.1", lost="b.1", repeatable=False)
+    assert verdict is Consultation.OUTCOME_UNKNOWN
+    assert consult(memory, "c.1", lost="b.1") == (Consultation.CEDED, "c.1")
+
+
+def test_another_body_under_the_same_key_is_a_mistake():
+    memory = RequestMemory("home.1")
+    consult(memory, "b.1")
+    assert consult(memory, "c.1", digest=body_digest(b"x"))[0] is Consultation.BODY_MISMATCH
+
+
+def test_what_runs_here_is_joined_here_and_what_did_not_run_is_ceded():
+    memory = RequestMemory("home.1")
+    memory.reserve("w/k", DIGEST, now=0.0)
+    memory.set_state("w/k", RunState.RUNNING, now=0.0)
+    assert consult(memory, "b.1") == (Consultation.HERE, "home.1")
+    memory.set_state("w/k", RunState.NOT_RUN, now=0.0)
+    assert consult(memory, "b.1") == (Consultation.CEDED, "b.1")
+
+
+def test_two_that_ask_each_other_come_to_one_owner():
+    first, second = RequestMemory("a.1"), RequestMemory("b.1")
+    for memory in (first, second):
+        memory.reserve("w/k", DIGEST, now=0.0)
+    verdicts = [consult(second, "a.1")[0], consult(first, "b.1")[0]]
+    assert verdicts == [Consultation.CEDED, Consultation.HERE]
+
+
+def test_memory_is_bounded_and_keeps_what_runs():
+    memory = RequestMemory("home.1", keep=10.0, limit=50)
+    memory.reserve("w/running", DIGEST, now=0.0)
+    memory.set_state("w/running", RunState.RUNNING, now=0.0)
+    for number in range(500):
+        memory.reserve(f"w/{number}", DIGEST, now=float(number))
+        memory.set_state(f"w/{number}", RunState.FINISHED, now=float(number))
+    assert len(memory) <= 60
+    assert memory.find("w/running") is not None
+
+
+def test_a_claim_has_one_holder_through_lost_replies_and_races():
+    for lost in itertools.product((0, 1), repeat=2):
+        store = MemoryStore()
+        identity = Identity.from_header("w", "k")
+        verdicts = []
+        for holder, replies in zip(("a.1", "b.1"), lost, strict=True):
+            store.lose_replies = replies
+            claims = ClaimStore(store, holder, seed=1, sleep=lambda seconds: None)
+            verdicts.append(judge_claim(claims.claim(identity, DIGEST), holder, DIGEST).unwrap())
+        assert verdicts == [ClaimVerdict.MINE, ClaimVerdict.OTHER]
+
+
+def test_a_claim_that_was_given_up_can_be_made_anew():
+    store = MemoryStore()
+    identity = Identity.from_header("w", "k")
+    first, second = ClaimStore(store, "a.1"), ClaimStore(store, "b.1")
+    first.claim(identity, DIGEST)
+    assert isinstance(first.give_up(identity), Success)
+    assert second.claim(identity, DIGEST).unwrap().holder == "b.1"
+    other = second.claim(identity, body_digest(b"x"))
+    assert judge_claim(other, "b.1", body_digest(b"x")).unwrap() is ClaimVerdict.BODY_MISMATCH
+
+
+def test_no_claim_is_made_while_the_platform_is_away():
+    store = MemoryStore()
+    store.down = True
+    result = ClaimStore(store, "a.1").claim(Identity.from_header("w", "k"), DIGEST)
+    assert isinstance(judge_claim(result, "a.1", DIGEST), Failure)
--- /dev/null
+++ b/whinrack/routing/tests/test_routing.py
@@ -0,0 +1,232 @@
+"""Programs, pickers, queues, limits, ejection and retries."""
+
+import pytest
+from returns.result import Failure, Success
+
+from whinrack.exceptions import DeadlineUnreachable, PolicyFailure, QueueFull
+from whinrack.objects import RequestClass, Target, TargetPool, TargetState
+from whinrack.routing import (
+    AffinityPicker,
+    EjectAfterVote,
+    EjectAlone,
+    LoadReport,
+    PickQuery,
+    PoolFacts,
+    PoolQueue,
+    PoolState,
+    RandomPicker,
+    RequestFacts,
+    RoutingProgram,
+    Spread,
+    TargetView,
+    TwoChoicesPicker,
+    Waiter,
+)
+
+FACTS = RequestFacts(workspace="w", request_class=RequestClass.DEFERRABLE, prompt_bytes=10)
+POOLS = {"fast": PoolFacts(targets=1), "slow": PoolFacts(targets=2)}
+INTERACTIVE = PickQuery(request_class=RequestClass.INTERACTIVE)
+
+
+def view(name, limit=4, state=TargetState.ACTIVE):
+    spec = Target(pool="p", address="127.0.0.1:1", max_concurrency=limit, state=state)
+    return TargetView(name, spec, EjectAlone(failures=2))
+
+
+def pool(count=2, limit=4):
+    state = PoolState("p", TargetPool(models=("m",)), seed=1)
+    state.targets = {f"t{index}": view(f"t{index}", limit) for index in range(count)}
+    return state
+
+
+def waiter(request_class=RequestClass.INTERACTIVE, deadline=100.0):
+    return Waiter(request_class, deadline, lambda: None)
+
+
+# --- programs ------------------------------------------------------------------------
+
+
+def test_a_program_sees_the_request_and_decides():
+    program = RoutingProgram(
+        '{"pools": request.class == "deferrable" ? ["slow", "gone"] : ["fast"],'
+        ' "wait": 3, "spread": "affinity", "class": "interactive"}'
+    )
+    decision = program.decide(FACTS, POOLS).unwrap()
+    assert decision.pools == ("slow",)
+    assert (decision.wait, decision.spread) == (3.0, Spread.AFFINITY)
+    assert decision.request_class is RequestClass.INTERACTIVE
+
+
+@pytest.mark.parametrize(
+    "source",
+    [
+        "1",
+        '{"pools": ["gone"]}',
+        '{"attempts": 99}',
+        '{"wait": -1}',
+        '{"wait": 0.0 / 0.0}',
+        '{"spread": "all"}',
+        '{"typo": 1}',
+        "request.nothing",
+        '{"pools": 3}',
+    ],
+)
+def test_a_wrong_program_fails_with_a_type(source):
+    result = RoutingProgram(source).decide(FACTS, POOLS)
+    assert isinstance(result.failure(), PolicyFailure)
+
+
+@pytest.mark.parametrize("source", ["1 +", "x" * 10_000])
+def test_what_does_not_compile_is_refused(source):
+    with pytest.raises(PolicyFailure):
+        RoutingProgram(source)
+
+
+# --- targets and pickers -------------------------------------------------------------
+
+
+def test_own_requests_count_at_once_and_old_reports_fade():
+    target = view("t")
+    target.report = LoadReport(running=4, waiting=0, at=0.0, own=0)
+    target.started()
+    assert target.load(0.0) == 5.0
+    assert target.load(2.0) == 3.0
+
+
+def test_a_leaving_target_takes_nothing_whoever_says_so():
+    declared = view("t", state=TargetState.LEAVING)
+    listed = view("u")
+    listed.instance_leaving = True
+    assert not declared.takes_work(0.0)
+    assert not listed.takes_work(0.0)
+
+
+def test_limit_falls_when_the_target_is_busy_and_recovers():
+    target = view("t", limit=8)
+    for _ in range(4):
+        target.started()
+    target.overloaded()
+    assert target.limit == pytest.approx(3.5)
+    for _ in range(100):
+        target.succeeded(0.0)
+    assert target.limit == 8.0
+
+
+@pytest.mark.parametrize(
+    "picker", [RandomPicker(1), TwoChoicesPicker(1), AffinityPicker(RandomPicker(1))]
+)
+def test_every_picker_takes_one_of_the_given_or_none(picker):
+    targets = [view("a"), view("b")]
+    assert picker.pick(targets, "key", 0.0) in targets
+    assert picker.pick([], "key", 0.0) is None
+
+
+def test_two_choices_even_out_the_load_better_than_chance():
+    spreads = {}
+    for picker in (RandomPicker(1), TwoChoicesPicker(1)):
+        targets = [view(f"t{index}", limit=100) for index in range(10)]
+        for _ in range(500):
+            picker.pick(targets, "", 0.0).started()
+        loads = [target.in_flight for target in targets]
+        spreads[type(picker)] = max(loads) - min(loads)
+    assert spreads[TwoChoicesPicker] * 3 < spreads[RandomPicker]
+
+
+def test_affinity_stays_until_the_load_is_out_of_balance():
+    targets = [view(f"t{index}", limit=100) for index in range(5)]
+    picker = AffinityPicker(TwoChoicesPicker(1))
+    first = picker.pick(targets, "prefix", 0.0)
+    assert picker.pick(targets, "prefix", 0.0) is first
+    for _ in range(50):
+        first.started()
+    assert picker.pick(targets, "prefix", 0.0) is not first
+
+
+# --- ejection ------------------------------------------------------------------------
+
+
+def test_ejection_lasts_longer_each_time_and_ends_with_an_answer():
+    policy = EjectAlone(failures=2, first=1.0)
+    for now in (0.0, 0.1, 1.2):
+        policy.failed(now)
+    assert policy.ejected(3.1)
+    assert not policy.ejected(3.3)
+    policy.succeeded(3.3)
+    policy.failed(3.4)
+    assert not policy.ejected(3.4)
+
+
+@pytest.mark.parametrize(("failing", "ejected"), [(0, False), (3, True)])
+def test_a_vote_ejects_only_with_most_peers(failing, ejected):
+    policy = EjectAfterVote(EjectAlone(failures=1), lambda now: (failing, 4))
+    policy.failed(0.0)
+    assert policy.ejected(0.1) is ejected
+
+
+# --- queues --------------------------------------------------------------------------
+
+
+def test_order_is_by_class_then_deadline_and_what_can_wait_still_finishes():
+    queue = PoolQueue(limit=10)
+    late = waiter(RequestClass.DEFERRABLE, deadline=100.0)
+    soon = waiter(RequestClass.INTERACTIVE, deadline=50.0)
+    later = waiter(RequestClass.INTERACTIVE, deadline=60.0)
+    alert = waiter(RequestClass.ALERT, deadline=90.0)
+    for one in (late, later, soon, alert):
+        queue.join(one, slots=4, now=0.0)
+    order = []
+    while len(queue):
+        first = queue.first(0.0)
+        order.append(first)
+        queue.leave(first)
+    assert order == [alert, soon, later, late]
+    queue.join(late, slots=4, now=0.0)
+    queue.join(waiter(deadline=150.0), slots=4, now=99.0)
+    assert queue.first(99.0) is late
+
+
+def test_what_cannot_be_met_is_refused_at_once_with_when_to_come_back():
+    queue = PoolQueue(limit=100)
+    queue.service_time = 2.0
+    for _ in range(5):
+        assert isinstance(queue.join(waiter(), slots=1, now=0.0), Success)
+    refusal = queue.join(waiter(deadline=5.0), slots=1, now=0.0).failure()
+    assert isinstance(refusal, DeadlineUnreachable)
+    assert refusal.retry_after == pytest.approx(12.0)
+
+
+def test_a_full_queue_sends_deferrable_work_away_for_urgent_work():
+    queue = PoolQueue(limit=2)
+    woken = []
+    last = Waiter(RequestClass.DEFERRABLE, 100.0, lambda: woken.append(1))
+    queue.join(waiter(RequestClass.DEFERRABLE, 90.0), slots=8, now=0.0)
+    queue.join(last, slots=8, now=0.0)
+    assert isinstance(queue.join(waiter(RequestClass.DEFERRABLE), slots=8, now=0.0), Failure)
+    assert isinstance(queue.join(waiter(), slots=8, now=0.0), Success)
+    assert isinstance(last.refusal, QueueFull)
+    assert woken == [1]
+
+
+# --- pools ---------------------------------------------------------------------------
+
+
+def test_deferrable_work_leaves_room_for_interactive_work():
+    state = pool(count=2, limit=4)
+    deferrable = PickQuery(request_class=RequestClass.DEFERRABLE)
+    placed = 0
+    while state.pick(deferrable, 0.0) is not None:
+        placed += 1
+    assert placed == 6
+    assert state.pick(INTERACTIVE, 0.0) is not None
+
+
+def test_another_attempt_avoids_where_the_last_one_failed():
+    state = pool(count=2)
+    query = PickQuery(request_class=RequestClass.INTERACTIVE, avoid=("t0",))
+    assert {state.pick(query, 0.0).name for _ in range(4)} == {"t1"}
+
+
+def test_facts_do_not_grow_with_the_targets():
+    small, large = pool(2).facts(0.0), pool(200).facts(0.0)
+    assert type(small) is type(large)
+    assert large.targets == 200
