--- a/standins/engine.py
+++ b/standins/engine.py
@@ -12,6 +12,7 @@
 import json
 import sys
 import time
+from urllib.parse import parse_qs
 
 import eventlet
 
@@ -77,7 +78,7 @@
         if path == "/starts":
             return respond(start_response, 200, [_row(stream) for stream in STARTS])
         if path.startswith("/v1/streams/"):
-            return _stream_order(path.split("/")[3:], start_response)
+            return _stream_order(path.split("/")[3:], environ, start_response)
         raise Reply(404)
     except Reply as reply:
         return respond(start_response, reply.status, reply.value)
@@ -94,15 +95,18 @@
     }
 
 
-def _stream_order(parts, start_response):
+def _stream_order(parts, environ, start_response):
     stream = STREAMS.get(parts[0])
     if stream is None:
         raise Reply(404)
     if parts[1:] == ["cancel"]:
         stream.cancelled = True
         return respond(start_response, 200, {"usage": stream.usage()})
+    if stream.cancelled:
+        raise Reply(404)
+    query = parse_qs(environ.get("QUERY_STRING", ""))
     start_response("200 OK", [("Content-Type", "text/event-stream")])
-    return _events(stream, {}, 0)
+    return _events(stream, {"stream_options": {"include_usage": True}}, int(query["skip"][0]))
 
 
 def _chat(environ, start_response):
@@ -116,7 +120,7 @@
     text = "".join(_generate(stream))
     if FAULTS["cut_after"] >= 0:
         start_response("200 OK", [("Content-Length", "5000")])
-        return [b'{"id": "cut']
+        return _cut_body()
     value = {
         "id": _answer_id(stream),
         "object": "chat.completion",
@@ -134,6 +138,11 @@
     return respond(start_response, 200, value)
 
 
+def _cut_body():
+    yield b'{"id": "cut'
+    raise ConnectionResetError("cut by fault")
+
+
 def _start(environ, request):
     stream_id = environ.get("HTTP_X_REQUEST_ID", "none")
     prompt = " ".join(str(message.get("content", "")) for message in request["messages"])
@@ -148,30 +157,31 @@
     return "chatcmpl-other" if FAULTS["foreign_id"] else f"chatcmpl-{stream.stream_id}"
 
 
-def _generate(stream):
+def _generate(stream, start=0):
+    """Yield the words from an index on; what was generated before comes at once."""
     RUNNING.add(stream.stream_id)
     limit = stream.limit + FAULTS["overrun"]
     if FAULTS["stop_at"] >= 0:
         limit = min(limit, FAULTS["stop_at"])
+    index = start
     try:
-        eventlet.sleep(FAULTS["first_delay"])
-        while stream.generated < limit and not stream.cancelled:
-            stream.generated += 1
-            yield stream.word(stream.generated - 1)
-            eventlet.sleep(FAULTS["token_delay"])
-    finally:
+        if not stream.generated:
+            eventlet.sleep(FAULTS["first_delay"])
+        while index < limit and not stream.cancelled:
+            if index >= stream.generated:
+                stream.generated = index + 1
+                eventlet.sleep(FAULTS["token_delay"])
+            yield stream.word(index)
+            index += 1
         stream.done = True
+    finally:
         RUNNING.discard(stream.stream_id)
 
 
 def _events(stream, request, start):
-    """Yield the events; the caller's hang-up ends the generation as well."""
+    """Yield the events from an index on; a hang-up stops the generation until resumed."""
     include = (request.get("stream_options") or {}).get("include_usage")
-    if stream.done:
-        words = (stream.word(index) for index in range(start, stream.generated))
-    else:
-        words = _generate(stream)
-    for count, word in enumerate(words):
+    for count, word in enumerate(_generate(stream, start)):
         if count == FAULTS["cut_after"]:
             # A close in mid-answer: the chunked body never ends properly.
             raise ConnectionResetError("cut by fault")
@@ -179,6 +189,8 @@
         yield event
         if FAULTS["duplicate"]:
             yield event
+    if stream.cancelled:
+        return
     yield _event(stream, [{"index": 0, "delta": {}, "finish_reason": "length"}])
     if include and not FAULTS["silent_usage"]:
         yield _event(stream, [], stream.usage())
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,186 @@
+"""Requests, declarations and parallel callers for the tests with real processes."""
+
+import json
+import threading
+
+import pytest
+
+from standins.fleet import FLEET_KEY, LocalFleet, wait_until
+from whinrack.objects import make_key
+
+__all__ = [
+    "FLEET_KEY",
+    "Caller",
+    "budget_entry",
+    "declare",
+    "in_parallel",
+    "new_fleet",
+    "stream_text",
+    "wait_until",
+]
+
+FAST = {
+    "membership": {"heartbeat_interval": "0.2", "suspect_after": "1.0", "list_interval": "0.3"},
+    "budgets": {"report_interval": "0.3", "horizon": "5", "gather_wait": "0.3"},
+    "journal": {"commit_interval": "0.02"},
+    "peer": {"timeout": "0.5"},
+}
+
+
+class Caller:
+    """Sends requests with one key."""
+
+    def __init__(self, bearer):
+        self.bearer = bearer
+
+    def headers(self, **more):
+        """Return headers; `key`, `ticket`, `repeatable` and others by short names."""
+        names = {
+            "key": "Idempotency-Key",
+            "ticket": "Whinrack-Ticket",
+            "repeatable": "Whinrack-Repeatable",
+            "deadline": "Whinrack-Deadline",
+            "kind": "Whinrack-Class",
+        }
+        fields = {names[name]: value for name, value in more.items()}
+        return {"Authorization": f"Bearer {self.bearer}", **fields}
+
+    def chat(self, router, text="one two three", max_tokens=10, fields=None, **headers):
+        """Send a chat completion and return the answer, read whole."""
+        body = {
+            "model": "m",
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": max_tokens,
+            **(fields or {}),
+        }
+        return router.call("POST", "/v1/chat/completions", body, self.headers(**headers))
+
+    def stream(self, router, **options):
+        """Send a streamed chat completion."""
+        return self.chat(router, fields={"stream": True}, **options)
+
+    def post(self, router, path="/services/board/notices", value=None, **headers):
+        """Call the plain service."""
+        return router.call("POST", path, value or {"text": "hi"}, self.headers(**headers))
+
+
+def new_fleet(routers=3, engines=("e1",), services=("s1",), budget=100_000, settings=None, **kw):
+    """Start a fleet with one workspace `w`, budget `b`, pools `chat` and `board`."""
+    merged = {name: dict(values) for name, values in FAST.items()}
+    for section, values in (settings or {}).items():
+        merged.setdefault(section, {}).update(values)
+    fleet = LocalFleet(settings=merged, **kw)
+    try:
+        fleet.start_platform()
+        for name in engines:
+            fleet.start_engine(name)
+        for name in services:
+            fleet.start_service(name)
+        fleet.caller = declare(fleet, budget)
+        fleet.start_routers(routers)
+        fleet.wait_config()
+    except BaseException:
+        fleet.__exit__()
+        raise
+    return fleet
+
+
+def declare(fleet, budget):
+    """Write the objects of a small fleet; returns a caller."""
+    bearer, key = make_key("k", "w", "b")
+    fleet.put("Workspace", "w", {})
+    fleet.put("TargetPool", "chat", {"models": ["m"], "max_output_tokens": 2000})
+    fleet.put("TargetPool", "board", {"protocol": "service", "repeatable": True})
+    fleet.put("Budget", "b", {"workspace": "w", "account": "account-0001"})
+    fleet.whinrack("budget", "topup", "b", budget, "--id", "first")
+    for name, process in fleet.targets.items():
+        pool = "board" if name.startswith("s") else "chat"
+        declare_target(fleet, name, pool, process)
+    spec = {field: getattr(key, field) for field in key.__struct_fields__}
+    fleet.put("ApiKey", "k", spec)
+    return Caller(bearer)
+
+
+def declare_target(fleet, name, pool, process, **fields):
+    """Write a target."""
+    spec = {"pool": pool, "address": process.address, "instance": f"i-{name}", **fields}
+    fleet.put("Target", name, spec)
+
+
+def budget_entry(fleet, name="b"):
+    """Return a budget's books as the command line shows them."""
+    return json.loads(fleet.whinrack("budget", "show", name, "--output", "json").stdout)
+
+
+def bill(fleet):
+    """Return the bill of workspace `w`, None if there is none."""
+    return json.loads(fleet.whinrack("bill", "--output", "json").stdout).get("w")
+
+
+def stream_text(answer):
+    """Return a stream's text, failing if it isn't whole."""
+    data = answer.data if hasattr(answer, "data") else answer
+    assert data.endswith(b"data: [DONE]\n\n"), data[-300:]
+    words = []
+    for event in data.decode().split("\n\n"):
+        if event.startswith("data: {"):
+            for choice in json.loads(event[6:])["choices"]:
+                words.append(choice["delta"].get("content", ""))
+    return "".join(words)
+
+
+def expected_text(prompt, count):
+    """Return the text that the engine stand-in generates."""
+    words = prompt.split()
+    return "".join(f"{words[index % len(words)]}-{index} " for index in range(count))
+
+
+def in_parallel(*functions):
+    """Run functions in threads; returns results or exceptions in order."""
+    results = [None] * len(functions)
+
+    def run(index, function):
+        try:
+            results[index] = function()
+        except Exception as error:
+            results[index] = error
+
+    threads = [threading.Thread(target=run, args=item) for item in enumerate(functions)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return results
+
+
+def fleet_fixture(**options):
+    """Make a module fixture that gives a fleet."""
+
+    @pytest.fixture(scope="module")
+    def fleet():
+        with new_fleet(**options) as started:
+            yield started
+
+    return fleet
+
+
+@pytest.fixture
+def clean_faults(fleet):
+    """Reset the faults of all stand-ins after a test."""
+    yield
+    fleet.platform.fault(down=False, delay=0.0, lose_replies=0, watch_lag=0.0, list_lag=0.0)
+    for name, process in fleet.targets.items():
+        if name.startswith("s"):
+            process.fault(delay=0.0, status=200, cut=False)
+        else:
+            process.fault(
+                token_delay=0.0,
+                first_delay=0.0,
+                cut_after=-1,
+                foreign_id=False,
+                busy=False,
+                overrun=0,
+                duplicate=False,
+                silent_usage=False,
+                stop_at=-1,
+            )
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,259 @@
+"""The callers' side: unchanged clients, bad input, whole answers, hang-ups."""
+
+import hashlib
+import json
+import socket
+import time
+
+import httpx2 as httpx
+import openai
+import pytest
+
+from tests.support import (
+    clean_faults,  # noqa: F401
+    expected_text,
+    fleet_fixture,
+    stream_text,
+    wait_until,
+)
+
+fleet = fleet_fixture(routers=2, settings={"http": {"body_timeout": "0.5"}})
+
+
+def open_cover(fleet):
+    return sum(
+        grant["open_cover"] for router in fleet.routers for grant in fleet.status(router)["grants"]
+    )
+
+
+def client(fleet, **options):
+    router = fleet.routers[0]
+    return openai.OpenAI(
+        base_url=f"http://{router.address}/v1", api_key=fleet.caller.bearer, **options
+    )
+
+
+# --- the official client, unchanged ----------------------------------------------------
+
+
+def test_the_openai_client_streams(fleet):
+    stream = client(fleet).chat.completions.create(
+        model="m",
+        messages=[{"role": "user", "content": "alpha beta"}],
+        max_tokens=5,
+        stream=True,
+        stream_options={"include_usage": True},
+    )
+    chunks = list(stream)
+    text = "".join(c.choices[0].delta.content or "" for c in chunks if c.choices)
+    assert text == expected_text("alpha beta", 5)
+    assert chunks[-1].usage.total_tokens == 7
+
+
+def test_the_openai_client_gets_whole_answers_and_models(fleet):
+    answer = client(fleet).chat.completions.create(
+        model="m", messages=[{"role": "user", "content": "alpha"}], max_completion_tokens=3
+    )
+    assert answer.choices[0].message.content == expected_text("alpha", 3)
+    assert [model.id for model in client(fleet).models.list()] == ["m"]
+
+
+def test_the_openai_client_raises_its_own_errors(fleet):
+    wrong = openai.OpenAI(base_url=f"http://{fleet.routers[0].address}/v1", api_key="wr_k_x")
+    with pytest.raises(openai.AuthenticationError) as raised:
+        wrong.models.list()
+    assert raised.value.code == "invalid_api_key"
+    with pytest.raises(openai.BadRequestError) as raised:
+        client(fleet).chat.completions.create(
+            model="m", messages=[{"role": "user", "content": "a"}], max_tokens=10**9
+        )
+    assert raised.value.param == "max_tokens"
+    with pytest.raises(openai.NotFoundError):
+        client(fleet).chat.completions.create(
+            model="none", messages=[{"role": "user", "content": "a"}]
+        )
+
+
+def test_an_exhausted_budget_is_not_retried_by_the_client(fleet):
+    router = fleet.routers[0]
+    before = fleet.counters(router).get('whinrack_refusals_total{reason="budget_exhausted"}', 0)
+    with pytest.raises(openai.APIStatusError) as raised:
+        client(fleet, max_retries=3).chat.completions.create(
+            model="m", messages=[{"role": "user", "content": "a " * 60_000}], max_tokens=2
+        )
+    assert raised.value.status_code == 402
+    after = fleet.counters(router)['whinrack_refusals_total{reason="budget_exhausted"}']
+    assert after == before + 1
+
+
+# --- bad input ---------------------------------------------------------------------------
+
+GOOD = {"model": "m", "messages": [{"role": "user", "content": "a"}]}
+BAD_BODIES = [
+    (b"", 400),
+    (b"{", 400),
+    (b"[]", 400),
+    (b"\xff\xfe", 400),
+    (b'{"model": "m", "messages": [], "max_tokens": 1}', 400),
+    (json.dumps({**GOOD, "max_tokens": -1}).encode(), 400),
+    (json.dumps({**GOOD, "max_tokens": 0}).encode(), 400),
+    (json.dumps({**GOOD, "max_tokens": 1.5}).encode(), 400),
+    (json.dumps({**GOOD, "max_tokens": "7"}).encode(), 400),
+    (json.dumps({**GOOD, "max_tokens": float("nan")}).encode(), 400),
+    (json.dumps({**GOOD, "max_tokens": 10**30}).encode(), 400),
+    (json.dumps({**GOOD, "n": -2}).encode(), 400),
+    (json.dumps({**GOOD, "n": 10**6}).encode(), 400),
+    (json.dumps({**GOOD, "stream": "yes"}).encode(), 400),
+    (json.dumps({**GOOD, "messages": "hi"}).encode(), 400),
+    (json.dumps({**GOOD, "model": ["m"]}).encode(), 400),
+    (json.dumps({**GOOD, "model": "none"}).encode(), 404),
+    (b"[" * 100_000, 400),
+    (b"x" * 1_100_000, 413),
+]
+
+
+@pytest.mark.parametrize(("body", "status"), BAD_BODIES)
+def test_bad_bodies_are_refused_in_milliseconds_and_reserve_nothing(fleet, body, status):
+    url = f"http://{fleet.routers[0].address}/v1/chat/completions"
+    began = time.monotonic()
+    answer = httpx.post(url, content=body, headers=fleet.caller.headers())
+    assert time.monotonic() - began < 0.5
+    assert answer.status_code == status
+    assert answer.json()["error"]["code"]
+    assert b"Traceback" not in answer.content
+    assert answer.headers["whinrack-outcome"] == "not_run"
+    assert open_cover(fleet) == 0
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"deadline": "nan"},
+        {"deadline": "-1"},
+        {"deadline": "soon"},
+        {"repeatable": "maybe"},
+        {"kind": "urgent"},
+        {"key": "x" * 300},
+    ],
+)
+def test_bad_headers_are_refused_with_their_name(fleet, headers):
+    answer = fleet.caller.chat(fleet.routers[0], **headers)
+    assert answer.status == 400
+    assert json.loads(answer.data)["error"]["param"]
+    assert open_cover(fleet) == 0
+
+
+@pytest.mark.parametrize("path", ["/nothing", "/v1/../etc", "/services/none/x", "/v1/status"])
+def test_unknown_paths_are_refused(fleet, path):
+    answer = fleet.routers[0].call("GET", path, headers=fleet.caller.headers())
+    assert answer.status in (401, 404)
+
+
+def test_a_slow_body_is_given_up(fleet):
+    router = fleet.routers[0]
+    host, port = router.address.split(":")
+    with socket.create_connection((host, int(port)), timeout=15) as sock:
+        sock.sendall(
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n"
+            + f"Authorization: Bearer {fleet.caller.bearer}\r\n\r\n{{".encode()
+        )
+        # Others are served meanwhile.
+        assert fleet.caller.chat(router).status == 200
+        assert sock.recv(100).startswith(b"HTTP/1.1 408")
+
+
+# --- whole answers ---------------------------------------------------------------------
+
+
+def test_a_streamed_answer_says_what_became_of_it(fleet):
+    answer = fleet.caller.stream(fleet.routers[0])
+    assert stream_text(answer) == expected_text("one two three", 10)
+    assert answer.headers["Whinrack-Outcome"] == "ran"
+    assert answer.headers["Whinrack-Attempts"] == "1"
+    assert answer.headers["X-Request-Id"]
+    assert b'"usage"' not in answer.data
+
+
+@pytest.mark.usefixtures("clean_faults")
+def test_a_cut_stream_is_taken_up_again_and_comes_whole(fleet):
+    fleet.targets["e1"].fault(cut_after=4)
+    answer = fleet.caller.stream(fleet.routers[0])
+    assert stream_text(answer) == expected_text("one two three", 10)
+    assert len([s for s in fleet.targets["e1"].starts() if s["id"] in str(answer.headers)]) == 1
+
+
+@pytest.mark.usefixtures("clean_faults")
+@pytest.mark.parametrize(
+    "faults", [{"foreign_id": True}, {"duplicate": True}, {"overrun": 50}, {"cut_after": 0}]
+)
+def test_a_wrong_stream_is_never_shown_as_whole(fleet, faults):
+    fleet.targets["e1"].fault(**faults)
+    answer = fleet.caller.stream(fleet.routers[0])
+    if faults.get("cut_after") == 0 and answer.status == 200:
+        assert stream_text(answer) == expected_text("one two three", 10)
+        return
+    assert b"[DONE]" not in answer.data
+    assert b"chatcmpl-other" not in answer.data
+    assert b'"error"' in answer.data
+
+
+@pytest.mark.usefixtures("clean_faults")
+@pytest.mark.parametrize("faults", [{"foreign_id": True}, {"cut_after": 0}])
+def test_a_wrong_whole_answer_is_dropped(fleet, faults):
+    fleet.targets["e1"].fault(**faults)
+    answer = fleet.caller.chat(fleet.routers[0])
+    assert answer.status == 502
+    assert answer.headers["Whinrack-Outcome"] == "unknown"
+    assert b"chatcmpl-other" not in answer.data
+
+
+@pytest.mark.usefixtures("clean_faults")
+def test_a_hang_up_cancels_at_the_engine_and_settles(fleet):
+    fleet.targets["e1"].fault(token_delay=0.02)
+    router = fleet.routers[0]
+    host, port = router.address.split(":")
+    body = json.dumps({**GOOD, "max_tokens": 1000, "stream": True}).encode()
+    with socket.create_connection((host, int(port)), timeout=15) as sock:
+        sock.sendall(
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+            + f"Content-Length: {len(body)}\r\n".encode()
+            + f"Authorization: Bearer {fleet.caller.bearer}\r\n\r\n".encode()
+            + body
+        )
+        assert sock.recv(100).startswith(b"HTTP/1.1 200")
+    last = wait_until(lambda: (s := fleet.targets["e1"].starts()[-1])["cancelled"] and s)
+    assert last["generated"] < 500
+    wait_until(lambda: open_cover(fleet) == 0)
+
+
+@pytest.mark.usefixtures("clean_faults")
+def test_busy_targets_are_told_with_when_to_come_back(fleet):
+    fleet.targets["e1"].fault(busy=True)
+    answer = fleet.caller.chat(fleet.routers[0])
+    assert answer.status == 503
+    assert int(answer.headers["Retry-After"]) >= 1
+    assert answer.headers["Whinrack-Outcome"] == "not_run"
+
+
+# --- plain services ----------------------------------------------------------------------
+
+
+def test_a_service_gets_body_and_headers_whole(fleet):
+    body = bytes(range(256)) * 1000
+    answer = httpx.post(
+        f"http://{fleet.routers[0].address}/services/board/a%20b/c?d=e&f",
+        content=body,
+        headers={**fleet.caller.headers(), "X-Kept": "yes"},
+    )
+    assert answer.status_code == 200
+    value = answer.json()
+    assert value["digest"] == hashlib.sha256(body).hexdigest()
+    assert (value["path"], value["query"], value["kept"]) == ("/a b/c", "d=e&f", "yes")
+    assert answer.headers["x-service"] == "echo"
+
+
+def test_another_body_under_a_used_key_is_refused(fleet):
+    first = fleet.caller.post(fleet.routers[0], key="reused", value={"a": 1})
+    second = fleet.caller.post(fleet.routers[0], key="reused", value={"a": 2})
+    third = fleet.caller.post(fleet.routers[1], key="reused", value={"a": 2})
+    assert (first.status, second.status, third.status) == (200, 409, 409)
--- a/whinrack/server/_chat.py
+++ b/whinrack/server/_chat.py
@@ -38,7 +38,7 @@
 _PATH = "/v1/chat/completions"
 _SSE = "text/event-stream"
 _PREFIX_BYTES = 512
-_RESUMES = 1
+_RESUMES = 3
 _CHAT = msgspec.json.Decoder(ChatRequest)
 _FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
