Relay: read a stream's own end before its connection is used again; no delay of small packets

Cause 1: after the end mark the connection went back to the pool with the chunked body's end unread, and the next request on it broke. Ruled out: the engine closing idle connections. The new test failed first.

--- a/standins/_wsgi.py
+++ b/standins/_wsgi.py
@@ -35,7 +35,9 @@
 
 def listen(port: int = 0) -> socket.socket:
     """Open a listening socket on the loopback address."""
-    return eventlet.listen(("127.0.0.1", port), backlog=1024, reuse_port=False)
+    sock = eventlet.listen(("127.0.0.1", port), backlog=1024, reuse_port=False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
 
 
 def serve(application, sock: socket.socket) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -156,11 +156,14 @@
     def start_routers(self, count=None):
         """Start routers and wait until they serve and see each other."""
         count = len(self.halls) if count is None else count
-        started = [self.start_router(f"router-{index + 1}") for index in range(count)]
+        names = [f"router-{index + 1}" for index in range(count)]
+        started = [self.start_router(name, wait=False) for name in names]
+        for router in started:
+            self.wait_serving(router)
         self.wait_members()
         return started
 
-    def start_router(self, name, peer_port=None, **overrides):
+    def start_router(self, name, peer_port=None, wait=True, **overrides):
         """Start one router; a name used before gives a new incarnation."""
         region, hall = self.halls[len(self.routers) % len(self.halls)]
         http, peer = free_port(), peer_port or free_port()
@@ -175,9 +178,14 @@
         self.processes.append(router)
         self.routers.append(router)
         self.list_router(router, "live", region, hall)
-        wait_until(lambda: self.serves(router), _START_TIMEOUT, f"{name} to serve")
+        if wait:
+            self.wait_serving(router)
         return router
 
+    def wait_serving(self, router):
+        """Wait until a router is ready."""
+        wait_until(lambda: self.serves(router), _START_TIMEOUT, f"{router.name} to serve")
+
     def write_settings(self, name, region, hall, http, peer, overrides):
         """Write a router's settings file."""
         sections = {
--- a/standins/service.py
+++ b/standins/service.py
@@ -7,6 +7,7 @@
 import argparse
 import hashlib
 import json
+import socket
 import sys
 
 import eventlet
@@ -33,7 +34,8 @@
     STARTS.append({"id": request_id, "path": path, "method": environ["REQUEST_METHOD"]})
     eventlet.sleep(FAULTS["delay"])
     if FAULTS["cut"]:
-        raise ConnectionResetError("cut by fault")
+        environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
+        return []
     value = {
         "path": path,
         "query": environ.get("QUERY_STRING", ""),
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -13,6 +13,7 @@
     clean_faults,  # noqa: F401
     expected_text,
     fleet_fixture,
+    in_parallel,
     stream_text,
     wait_until,
 )
@@ -257,3 +258,19 @@
     second = fleet.caller.post(fleet.routers[0], key="reused", value={"a": 2})
     third = fleet.caller.post(fleet.routers[1], key="reused", value={"a": 2})
     assert (first.status, second.status, third.status) == (200, 409, 409)
+
+
+@pytest.mark.usefixtures("clean_faults")
+def test_connections_to_targets_are_used_again_without_a_failure(fleet):
+    """Found by a load test: the end of a stream was left unread on a reused connection."""
+    router = fleet.routers[1]
+    fleet.targets["e1"].fault(token_delay=0.002)
+
+    def send_some():
+        for number in range(25):
+            answer = fleet.caller.stream(router, text=f"text {number}")
+            assert stream_text(answer) == expected_text(f"text {number}", 10)
+        return "done"
+
+    assert in_parallel(*[send_some] * 4) == ["done"] * 4
+    assert not [name for name in fleet.counters(router) if "retries_total" in name]
--- /dev/null
+++ b/tests/test_once.py
@@ -0,0 +1,216 @@
+"""Billed once; run at most once where it may not be repeated; "not run" is never wrong."""
+
+import json
+import threading
+import time
+
+import pytest
+
+from tests.support import (
+    bill,
+    budget_entry,
+    clean_faults,  # noqa: F401
+    expected_text,
+    in_parallel,
+    new_fleet,
+    stream_text,
+    wait_until,
+)
+
+
+@pytest.fixture
+def fleet():
+    with new_fleet() as started:
+        yield started
+
+
+def ticket_of(router):
+    return router.json("GET", "/v1/entry")["ticket"]
+
+
+def service_starts(fleet):
+    return len(fleet.targets["s1"].starts())
+
+
+def outcome(answer):
+    return answer.headers["Whinrack-Outcome"]
+
+
+def start_and_kill(fleet, send):
+    """Send a request to the first router and kill it while its target works."""
+    thread = threading.Thread(target=lambda: in_parallel(send))
+    before = sum(len(process.starts()) for process in fleet.targets.values())
+    thread.start()
+    wait_until(
+        lambda: sum(len(process.starts()) for process in fleet.targets.values()) > before,
+        what="the target to start",
+    )
+    fleet.routers[0].kill()
+    thread.join()
+
+
+# --- repeatable requests -----------------------------------------------------------------
+
+
+def test_retries_at_once_at_all_instances_run_and_bill_once(fleet):
+    fleet.targets["e1"].fault(token_delay=0.02)
+    ticket = ticket_of(fleet.routers[0])
+    sends = [
+        lambda router=router: fleet.caller.stream(router, key="same", ticket=ticket)
+        for router in fleet.routers
+    ]
+    answers = in_parallel(*sends, *sends)
+    texts = {stream_text(answer) for answer in answers}
+    assert texts == {expected_text("one two three", 10)}
+    assert len(fleet.targets["e1"].starts()) == 1
+    wait_until(lambda: budget_entry(fleet)["billed"] == 13)
+    assert bill(fleet) == {"requests": 1, "tokens": 13, "duplicate_tokens": 0}
+
+
+def test_retries_without_a_ticket_find_each_other_too(fleet):
+    fleet.targets["e1"].fault(token_delay=0.02)
+    answers = in_parallel(
+        *[lambda router=router: fleet.caller.stream(router, key="same") for router in fleet.routers]
+    )
+    assert {stream_text(answer) for answer in answers} == {expected_text("one two three", 10)}
+    assert len(fleet.targets["e1"].starts()) == 1
+    assert bill(fleet)["requests"] == 1
+
+
+def test_a_later_retry_gets_the_same_answer_and_no_second_bill(fleet):
+    ticket = ticket_of(fleet.routers[0])
+    first = fleet.caller.chat(fleet.routers[0], key="same", ticket=ticket)
+    again = fleet.caller.chat(fleet.routers[1], key="same", ticket=ticket)
+    assert first.data == again.data
+    assert again.headers["Whinrack-Joined"] == "yes"
+    assert bill(fleet)["requests"] == 1
+
+
+def test_a_router_killed_in_mid_stream_is_taken_over_whole_and_billed_once(fleet):
+    fleet.targets["e1"].fault(token_delay=0.05)
+    ticket = ticket_of(fleet.routers[0])
+    send = lambda router: fleet.caller.stream(router, key="k", ticket=ticket)  # noqa: E731
+    start_and_kill(fleet, lambda: send(fleet.routers[0]))
+    answers = in_parallel(*[lambda r=r: send(r) for r in fleet.routers[1:]])
+    for answer in answers:
+        assert stream_text(answer) == expected_text("one two three", 10)
+    assert bill(fleet)["requests"] == 1
+    assert bill(fleet)["tokens"] == 13
+
+
+def test_a_router_killed_after_the_answer_has_billed_it(fleet):
+    """The end of an answer waits for its bill, so a kill right after it loses nothing."""
+    for number in range(5):
+        assert fleet.caller.stream(fleet.routers[0], text=f"t {number}").status == 200
+    fleet.routers[0].kill()
+    assert bill(fleet)["requests"] == 5
+
+
+# --- requests that may not be repeated -----------------------------------------------------
+
+
+def test_not_repeatable_requests_run_once_whoever_is_asked(fleet):
+    fleet.targets["s1"].fault(delay=0.3)
+    sends = [
+        lambda router=router: fleet.caller.post(router, key="alert", repeatable="no")
+        for router in fleet.routers
+    ]
+    answers = in_parallel(*sends, *sends)
+    assert [answer.status for answer in answers] == [200] * 6
+    assert service_starts(fleet) == 1
+
+
+@pytest.mark.parametrize("ticketed", [True, False])
+def test_after_a_kill_a_not_repeatable_request_is_unknown_and_not_run_again(fleet, ticketed):
+    fleet.targets["s1"].fault(delay=2.0)
+    options = {"key": "alert", "repeatable": "no"}
+    if ticketed:
+        options["ticket"] = ticket_of(fleet.routers[0])
+    start_and_kill(fleet, lambda: fleet.caller.post(fleet.routers[0], **options))
+    answers = in_parallel(*[lambda r=r: fleet.caller.post(r, **options) for r in fleet.routers[1:]])
+    for answer in answers:
+        assert answer.status == 503
+        assert outcome(answer) == "unknown"
+        assert json.loads(answer.data)["error"]["code"] == "outcome_unknown"
+    assert service_starts(fleet) == 1
+
+
+@pytest.mark.parametrize("ticketed", [True, False])
+def test_a_paused_home_that_wakes_does_not_run_it_twice(fleet, ticketed):
+    options = {"key": "alert", "repeatable": "no"}
+    if ticketed:
+        options["ticket"] = ticket_of(fleet.routers[0])
+    fleet.routers[0].freeze()
+    results = []
+    sleeper = threading.Thread(
+        target=lambda: results.extend(
+            in_parallel(lambda: fleet.caller.post(fleet.routers[0], **options))
+        )
+    )
+    sleeper.start()
+    time.sleep(0.3)
+    answers = in_parallel(*[lambda r=r: fleet.caller.post(r, **options) for r in fleet.routers[1:]])
+    ran = sum(answer.status == 200 for answer in answers)
+    time.sleep(1.5)
+    fleet.routers[0].thaw()
+    sleeper.join()
+    assert service_starts(fleet) <= 1
+    if ticketed:
+        assert ran == 0
+        assert {outcome(answer) for answer in answers} == {"unknown"}
+    for answer in [*answers, *results]:
+        if answer.status != 200:
+            assert outcome(answer) != "ran"
+
+
+def test_without_platform_and_ticket_it_is_refused_as_not_run(fleet):
+    fleet.platform.fault(down=True)
+    answer = fleet.caller.post(fleet.routers[1], key="alert", repeatable="no")
+    assert answer.status == 503
+    assert outcome(answer) == "not_run"
+    assert json.loads(answer.data)["error"]["code"] == "claim_unavailable"
+    assert int(answer.headers["Retry-After"]) >= 1
+    assert service_starts(fleet) == 0
+    fleet.platform.fault(down=False)
+    again = fleet.caller.post(fleet.routers[2], key="alert", repeatable="no")
+    assert again.status == 200
+    assert service_starts(fleet) == 1
+
+
+def test_a_claim_whose_reply_is_lost_runs_once(fleet):
+    fleet.platform.fault(lose_replies=1)
+    options = {"key": "alert", "repeatable": "no"}
+    answers = in_parallel(*[lambda r=r: fleet.caller.post(r, **options) for r in fleet.routers])
+    assert 200 in [answer.status for answer in answers]
+    assert service_starts(fleet) == 1
+
+
+@pytest.mark.parametrize("ticketed", [True, False])
+def test_a_service_that_dies_after_the_start_is_unknown_and_not_run_again(fleet, ticketed):
+    fleet.targets["s1"].fault(cut=True)
+    options = {"key": "alert", "repeatable": "no"}
+    if ticketed:
+        options["ticket"] = ticket_of(fleet.routers[0])
+    first = fleet.caller.post(fleet.routers[0], **options)
+    assert outcome(first) == "unknown"
+    fleet.targets["s1"].fault(cut=False)
+    for router in fleet.routers:
+        assert outcome(fleet.caller.post(router, **options)) == "unknown"
+    assert service_starts(fleet) == 1
+
+
+def test_a_pool_can_only_make_requests_stricter(fleet):
+    fleet.put("TargetPool", "board", {"protocol": "service", "repeatable": False})
+    fleet.wait_config()
+    fleet.targets["s1"].fault(cut=True)
+    answer = fleet.caller.post(fleet.routers[0], repeatable="yes")
+    assert outcome(answer) == "unknown"
+    assert service_starts(fleet) == 1
+
+
+def test_a_target_that_refuses_connections_did_not_run_anything(fleet):
+    fleet.targets["s1"].kill()
+    answer = fleet.caller.post(fleet.routers[0], key="alert", repeatable="no")
+    assert answer.status == 503
+    assert outcome(answer) == "not_run"
+    assert int(answer.headers["Retry-After"]) >= 1
--- /dev/null
+++ b/tests/test_spend.py
@@ -0,0 +1,158 @@
+"""Spend never exceeds the prepaid budget; counted at the engines, not in our books."""
+
+import threading
+import time
+
+import pytest
+
+from tests.support import budget_entry, in_parallel, new_fleet, wait_until
+
+BUDGET = 4000
+
+
+def engine_tokens(fleet):
+    return sum(
+        row["tokens"]
+        for name, process in fleet.targets.items()
+        if name.startswith("e")
+        for row in process.starts()
+    )
+
+
+def assert_books_balance(fleet):
+    books = budget_entry(fleet)
+    parts = books["billed"] + books["unproven"] + books["outstanding"] + books["free"]
+    assert books["limit"] == parts
+    return books
+
+
+def load(fleet, routers, seconds, statuses):
+    """Send requests to routers in turn until the time is over."""
+    end = time.monotonic() + seconds
+    number = 0
+    while time.monotonic() < end:
+        router = routers[number % len(routers)]
+        number += 1
+        try:
+            answer = fleet.caller.stream(router, text="soak test triage", max_tokens=20)
+            statuses.append(answer.status)
+        except Exception as error:
+            statuses.append(type(error).__name__)
+            time.sleep(0.05)
+
+
+def run_load(fleet, seconds, threads=8):
+    statuses = []
+    routers = fleet.routers
+    workers = [
+        threading.Thread(
+            target=load,
+            args=(fleet, routers[index % 3 :] + routers[: index % 3], seconds, statuses),
+        )
+        for index in range(threads)
+    ]
+    for worker in workers:
+        worker.start()
+    return workers, statuses
+
+
+def outage(fleet):
+    fleet.platform.fault(down=True)
+    time.sleep(1.0)
+    fleet.platform.fault(down=False)
+
+
+def lost_replies(fleet):
+    for _ in range(5):
+        fleet.platform.fault(lose_replies=3)
+        time.sleep(0.2)
+
+
+def frozen_holder(fleet):
+    fleet.routers[1].freeze()
+    time.sleep(2.5)
+    fleet.routers[1].thaw()
+    time.sleep(0.5)
+
+
+def killed_holder(fleet):
+    time.sleep(0.5)
+    fleet.routers[2].kill()
+
+
+def top_up_race(fleet):
+    add = lambda: fleet.whinrack("budget", "topup", "b", 500, "--id", "more")  # noqa: E731
+    in_parallel(add, add, add)
+
+
+FAULTS = [outage, lost_replies, frozen_holder, killed_holder, top_up_race]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_no_token_is_served_beyond_the_budget(fault):
+    with new_fleet(budget=BUDGET, engines=("e1", "e2")) as fleet:
+        for engine in fleet.targets.values():
+            if engine.name.startswith("e"):
+                engine.fault(token_delay=0.002)
+        workers, statuses = run_load(fleet, seconds=5.0)
+        time.sleep(0.4)
+        fault(fleet)
+        for worker in workers:
+            worker.join()
+        for engine in ("e1", "e2"):
+            wait_until(
+                lambda engine=engine: fleet.targets[engine].json("GET", "/load")["running"] == 0
+            )
+        books = assert_books_balance(fleet)
+        assert engine_tokens(fleet) <= books["limit"]
+        assert statuses.count(200) > 20
+        # A holder that was killed or woke late still holds tokens: contended, not exhausted.
+        assert 402 in statuses or 429 in statuses
+
+
+def test_a_cut_between_regions_lets_neither_spend_what_the_other_holds():
+    """Two regions lose each other and the platform; both keep serving from their grants."""
+    halls = (("north", "a"), ("south", "b"))
+    settings = {"budgets": {"horizon": "20"}}
+    with new_fleet(
+        routers=2, budget=3000, engines=("e1",), halls=halls, settings=settings
+    ) as fleet:
+        for _ in range(8):
+            for router in fleet.routers:
+                assert fleet.caller.stream(router, max_tokens=20).status == 200
+        fleet.platform.fault(down=True)
+        fleet.routers[1].freeze()
+        north = [fleet.caller.stream(fleet.routers[0], max_tokens=20).status for _ in range(30)]
+        fleet.routers[1].thaw()
+        south = [fleet.caller.stream(fleet.routers[1], max_tokens=20).status for _ in range(30)]
+        assert engine_tokens(fleet) <= 3000
+        assert north.count(200) >= 5
+        assert south.count(200) >= 5
+        fleet.platform.fault(down=False)
+        wait_until(lambda: budget_entry(fleet)["billed"] == engine_tokens(fleet))
+        assert_books_balance(fleet)
+
+
+def test_what_a_killed_holder_held_stays_out_of_use_until_an_operator_speaks():
+    with new_fleet(routers=2, budget=5000) as fleet:
+        assert fleet.caller.stream(fleet.routers[1]).status == 200
+        wait_until(lambda: any(h["billed"] for h in budget_entry(fleet)["holders"]))
+        held = fleet.status(fleet.routers[1])["incarnation"]
+        fleet.routers[1].kill()
+        books = assert_books_balance(fleet)
+        row = next(row for row in books["holders"] if row["holder"] == held)
+        assert row["outstanding"] > 0
+        fleet.whinrack("budget", "release", "b", "--holder", held, "--served", 0, "--yes")
+        after = assert_books_balance(fleet)
+        assert after["free"] == books["free"] + row["outstanding"]
+
+
+def test_a_planned_stop_loses_no_token():
+    with new_fleet(routers=2, budget=5000) as fleet:
+        for router in fleet.routers:
+            assert fleet.caller.stream(router).status == 200
+        for router in fleet.routers:
+            assert router.stop() == 0
+        books = assert_books_balance(fleet)
+        assert books["outstanding"] == 0
+        assert books["billed"] == engine_tokens(fleet)
--- a/whinrack/server/_bills.py
+++ b/whinrack/server/_bills.py
@@ -6,10 +6,12 @@
 from eventlet.event import Event
 
 from whinrack.journal import BillRecord, JournalWriter
+from whinrack.platform import TokenBucket
 
 __all__ = ["BillKeeper"]
 
 _RETRY_PAUSE = 0.2
+_BURST = 5.0
 
 
 class BillKeeper:
@@ -20,12 +22,14 @@
     writer : JournalWriter
         This incarnation's journal.
     interval : float
-        Least seconds between two commits.
+        Seconds between two commits in the long run; some are saved up, so that a bill
+        in a quiet time is kept at once.
     """
 
     def __init__(self, writer: JournalWriter, interval: float):
         self.writer = writer
         self.interval = interval
+        self._pace = TokenBucket(rate=1.0 / interval, burst=_BURST)
         self._wanted = Event()
         self._committed = Event()
 
@@ -52,9 +56,8 @@
         while True:
             self._wanted.wait()
             self._wanted = Event()
-            if self.flush():
-                eventlet.sleep(self.interval)
-            else:
+            eventlet.sleep(self._pace.delay(time.monotonic()))
+            if not self.flush():
                 eventlet.sleep(_RETRY_PAUSE)
                 self._want_again()
 
--- a/whinrack/server/_chat.py
+++ b/whinrack/server/_chat.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Iterator
 
+import eventlet
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -39,6 +40,7 @@
 _SSE = "text/event-stream"
 _PREFIX_BYTES = 512
 _RESUMES = 3
+_END_TIMEOUT = 0.5
 _CHAT = msgspec.json.Decoder(ChatRequest)
 _FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
@@ -307,13 +309,13 @@
                     response, events = self._resume(call, response, cut)
                     data = self._next(call, events)
             self._check_count(call)
-            response.release_conn()
             self._succeeded(call)
             call.settlement.settle(call.stream.usage, events=call.stream.content_events)
             call.settlement.wait_kept()
             append(data)
             yield data
             self.finish(call, whole=True)
+            _end_connection(response, events)
         except TargetFailed as failure:
             yield self._break_off(call, response, failure)
         finally:
@@ -397,6 +399,18 @@
         return None
 
 
+def _end_connection(response, events: Iterator[bytes]) -> None:
+    """Read the body's own end, so that the connection can be used again; else close it."""
+    with eventlet.Timeout(_END_TIMEOUT, False):
+        try:
+            if next(events, None) is None:
+                response.release_conn()
+                return
+        except AnswerCut:
+            pass
+    response.close()
+
+
 _PRIORITY = {
     RequestClass.ALERT: "0",
     RequestClass.INTERACTIVE: "1",
--- a/whinrack/server/_daemon.py
+++ b/whinrack/server/_daemon.py
@@ -1,6 +1,7 @@
 """Puts a daemon together, runs it and stops it as planned."""
 
 import signal
+import socket
 import time
 
 import eventlet
@@ -155,7 +156,10 @@
 
     def _listen(self):
         host, _, port = self.settings.http.address.partition(":")
-        return eventlet.listen((host, int(port)), backlog=_BACKLOG)
+        sock = eventlet.listen((host, int(port)), backlog=_BACKLOG)
+        # Accepted connections inherit it: a token must not wait for the next one.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
 
     def _serve(self, sock) -> None:
         CallerProtocol.header_timeout = self.settings.http.header_timeout
