Proofs with processes: leaving targets, planned stops, configuration, peers

Leaving by object or by list, a list that lags 10 s, a rolling planned stop of all routers, lagging watches with racing writes, a diskless restart without the platform, eight routers with one watcher a hall, a peer with another key, mutual TLS.

--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,131 @@
+"""Accepted configuration: in force everywhere soon, never an older version after a newer."""
+
+import json
+import threading
+import time
+
+import pytest
+
+from tests.support import FAST, in_parallel, new_fleet, wait_until
+
+
+@pytest.fixture
+def fleet():
+    with new_fleet(engines=(), services=("s1",)) as started:
+        yield started
+
+
+def version_of(fleet, router, name="Workspace/w"):
+    return fleet.status(router)["versions"][name]
+
+
+def stored_version(fleet):
+    return fleet.platform.json("GET", "/v1/objects/Workspace/w")["version"]
+
+
+def test_a_change_is_in_force_everywhere_within_the_bar(fleet):
+    seconds = []
+    for number in range(10):
+        state = ("false_refusals", "overspend")[number % 2]
+        began = time.monotonic()
+        fleet.put("Workspace", "w", {"weighting": state})
+        fleet.wait_config()
+        seconds.append(time.monotonic() - began)
+    assert max(seconds) < 2.0
+
+
+def test_versions_never_go_back_while_watches_lag_and_operators_race(fleet):
+    fleet.platform.fault(watch_lag=0.5)
+    seen = {router.name: [] for router in fleet.routers}
+    ended = threading.Event()
+
+    def follow(router):
+        while not ended.is_set():
+            seen[router.name].append(version_of(fleet, router))
+
+    followers = [threading.Thread(target=follow, args=(router,)) for router in fleet.routers]
+    for follower in followers:
+        follower.start()
+    for number in range(20):
+        fleet.put("Workspace", "w", {"weighting": ("false_refusals", "overspend")[number % 2]})
+        fleet.platform.fault(watch_lag=(0.5, 0.0)[number % 2])
+        time.sleep(0.03)
+    fleet.wait_config()
+    ended.set()
+    for follower in followers:
+        follower.join()
+    for versions in seen.values():
+        assert versions == sorted(versions)
+        assert versions[-1] == stored_version(fleet)
+
+
+def test_a_restart_without_disk_or_platform_gets_its_configuration_from_peers(fleet):
+    version = stored_version(fleet)
+    fleet.platform.fault(down=True)
+    fleet.routers[0].kill()
+    again = fleet.start_router("router-1")
+    assert version_of(fleet, again) == version
+    assert fleet.caller.post(again).status == 200
+
+
+def test_a_change_that_some_missed_reaches_them_after_an_outage(fleet):
+    fleet.routers[1].freeze()
+    fleet.put("Workspace", "w", {"weighting": "false_refusals"})
+    fleet.platform.fault(down=True)
+    fleet.routers[1].thaw()
+    # The platform is away: only the peers can tell.
+    wait_until(lambda: version_of(fleet, fleet.routers[0]) == stored_now(fleet))
+    wait_until(lambda: version_of(fleet, fleet.routers[1]) == stored_now(fleet))
+
+
+def stored_now(fleet):
+    fleet.platform.fault(down=False)
+    version = stored_version(fleet)
+    fleet.platform.fault(down=True)
+    return version
+
+
+def test_racing_operators_get_a_conflict_that_shows_both_sides(fleet, tmp_path):
+    text = 'kind = "Workspace"\nname = "w"\n[spec]\nweighting = "false_refusals"\n'
+    (tmp_path / "w.toml").write_text(text)
+    read = json.loads(fleet.platform.call("GET", "/v1/objects?kinds=Workspace").data)["revision"]
+    fleet.put("Workspace", "w", {"default_class": "deferrable"})
+    result = fleet.whinrack("apply", tmp_path, "--read", read, check=False)
+    assert result.returncode == 3
+    assert "conflict" in result.stderr
+    assert "false_refusals" in result.stderr
+    assert "deferrable" in result.stderr
+
+
+def test_an_invalid_object_leaves_the_last_good_version_in_force(fleet):
+    fleet.put("TargetPool", "board", {"protocol": "service", "queue_limit": -3})
+    fleet.wait_config()
+    assert fleet.caller.post(fleet.routers[0]).status == 200
+    assert "W3002" in fleet.routers[0].log.read_text()
+
+
+def test_apply_after_a_lost_reply_is_done_once(fleet, tmp_path):
+    (tmp_path / "b.toml").write_text(
+        'kind = "Budget"\nname = "c"\n[spec]\nworkspace = "w"\ntopups = [{id = "x", tokens = 70}]\n'
+    )
+    fleet.platform.fault(lose_replies=2)
+    for _ in range(2):
+        fleet.whinrack("apply", tmp_path)
+    shown = json.loads(fleet.whinrack("budget", "show", "c", "--output", "json").stdout)
+    assert (shown["limit"], shown["free"]) == (70, 70)
+
+
+def test_eight_routers_agree_with_two_watchers_a_hall():
+    # A short watch, so that those who started alone soon look whether they still should.
+    settings = {
+        "membership": {**FAST["membership"], "watchers_per_hall": "1"},
+        "platform": {"watch_wait": "1"},
+    }
+    halls = (("south", "a"), ("south", "b"))
+    with new_fleet(routers=8, engines=(), halls=halls, settings=settings) as fleet:
+        wait_until(lambda: sum(fleet.status(router)["watching"] for router in fleet.routers) == 2)
+        change = lambda: fleet.put("Workspace", "w", {"weighting": "false_refusals"})  # noqa: E731
+        began = time.monotonic()
+        in_parallel(change)
+        fleet.wait_config()
+        assert time.monotonic() - began < 2.0
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,150 @@
+"""Leaving targets get no new work soon; planned stops cut nothing off."""
+
+import threading
+import time
+
+import pytest
+import urllib3
+
+from tests.support import (
+    budget_entry,
+    expected_text,
+    new_fleet,
+    stream_text,
+    wait_until,
+)
+
+BAR_SECONDS = 3.0
+
+
+class Load:
+    """Callers that ask which address to use, keep the answer, and send requests."""
+
+    def __init__(self, fleet, threads=6, max_tokens=20):
+        self.fleet = fleet
+        self.max_tokens = max_tokens
+        self.ended = threading.Event()
+        self.failures = []
+        self.answered = 0
+        self.threads = [threading.Thread(target=self._run, args=(i,)) for i in range(threads)]
+        for thread in self.threads:
+            thread.start()
+
+    def _run(self, index):
+        number = 0
+        while not self.ended.is_set():
+            router = self._router(index + number)
+            number += 1
+            text = f"load {index} {number}"
+            try:
+                answer = self.fleet.caller.stream(router, text=text, max_tokens=self.max_tokens)
+                assert stream_text(answer) == expected_text(text, self.max_tokens)
+                self.answered += 1
+            except Exception as error:
+                self.failures.append(error)
+
+    def _router(self, number):
+        """Choose among the addresses that a serving instance names."""
+        serving = [router for router in self.fleet.routers if router.running]
+        by_address = {router.address: router for router in serving}
+        try:
+            entry = serving[number % len(serving)].json("GET", "/v1/entry")
+        except urllib3.exceptions.HTTPError:
+            # It has just stopped: ask another one.
+            return self._router(number + 1)
+        named = [by_address[a] for a in entry["addresses"] if a in by_address]
+        return named[number % len(named)]
+
+    def end(self):
+        self.ended.set()
+        for thread in self.threads:
+            thread.join()
+
+
+@pytest.fixture
+def fleet():
+    with new_fleet(engines=("e1", "e2"), settings={"stop": {"linger": "1.5"}}) as started:
+        for name in ("e1", "e2"):
+            started.targets[name].fault(token_delay=0.01)
+        yield started
+
+
+def starts(fleet, name):
+    return len(fleet.targets[name].starts())
+
+
+def seconds_until_last_start(fleet, name, watched=5.0):
+    """Return the time from now until the last start that a target sees."""
+    began = last = time.monotonic()
+    count = starts(fleet, name)
+    while time.monotonic() - began < watched:
+        time.sleep(0.05)
+        now = starts(fleet, name)
+        if now != count:
+            count, last = now, time.monotonic()
+    return last - began
+
+
+def by_object(fleet):
+    assert fleet.whinrack("instance", "drain", "i-e1").returncode == 0
+
+
+def by_list_with_lag(fleet):
+    fleet.list_target("i-e1", "leaving")
+
+
+@pytest.mark.parametrize("announce", [by_object, by_list_with_lag])
+def test_a_leaving_target_gets_no_new_work_soon_and_ends_what_it_has(fleet, announce):
+    load = Load(fleet)
+    wait_until(lambda: starts(fleet, "e1") > 5)
+    announce(fleet)
+    seconds = seconds_until_last_start(fleet, "e1")
+    load.end()
+    assert load.failures == []
+    assert seconds < BAR_SECONDS
+    assert starts(fleet, "e2") > 5
+
+
+def test_the_object_is_enough_while_the_list_lags(fleet):
+    fleet.platform.fault(list_lag=10.0)
+    load = Load(fleet)
+    wait_until(lambda: starts(fleet, "e1") > 5)
+    by_object(fleet)
+    fleet.list_target("i-e1", "leaving")
+    seconds = seconds_until_last_start(fleet, "e1")
+    load.end()
+    assert load.failures == []
+    assert seconds < BAR_SECONDS
+
+
+def test_a_rolling_planned_stop_of_all_routers_cuts_no_request_and_loses_no_token(fleet):
+    load = Load(fleet)
+    wait_until(lambda: load.answered > 10)
+    for index in range(3):
+        fleet.start_router(f"new-{index + 1}")
+        fleet.wait_members()
+        fleet.wait_config()
+        assert fleet.routers[index].stop() == 0
+    load.end()
+    assert load.failures == []
+    for router in fleet.routers[3:]:
+        assert router.stop() == 0
+    books = budget_entry(fleet)
+    assert books["outstanding"] == books["unproven"] == 0
+    served = sum(row["tokens"] for name in ("e1", "e2") for row in fleet.targets[name].starts())
+    assert books["billed"] == served
+
+
+def test_a_leaving_router_is_not_named_and_serves_on(fleet):
+    leaving = fleet.routers[0]
+    stopper = threading.Thread(target=leaving.stop)
+    stopper.start()
+    wait_until(lambda: leaving.call("GET", "/readyz").status == 503)
+    assert fleet.caller.chat(leaving).status == 200
+    wait_until(
+        lambda: all(
+            leaving.address not in router.json("GET", "/v1/entry")["addresses"]
+            for router in fleet.routers[1:]
+        )
+    )
+    stopper.join()
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,85 @@
+"""Peers without the fleet's key or certificate are refused; secrets stay out of logs."""
+
+import datetime
+import ipaddress
+
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+
+from tests.support import FLEET_KEY, new_fleet, wait_until
+
+
+def refused(fleet, router):
+    return fleet.counters(router).get('whinrack_peer_refused_total{reason="fleet_key"}', 0)
+
+
+def test_a_peer_with_another_key_is_refused_and_counted():
+    with new_fleet(routers=2, engines=()) as fleet:
+        stranger = fleet.start_router("stranger", peer={"fleet_key": "another-key-of-some-length"})
+        wait_until(lambda: refused(fleet, fleet.routers[0]) > 0)
+        assert "stranger" not in fleet.status(fleet.routers[0])["members"]
+        assert fleet.serves(stranger)
+
+
+def test_neither_keys_nor_callers_text_reach_the_logs():
+    with new_fleet(routers=2, settings={"logs": {"level": "DEBUG", "format": "json"}}) as fleet:
+        for router in fleet.routers:
+            fleet.caller.chat(router, text="a secret sentence", key="idem-secret")
+        fleet.caller.chat(fleet.routers[0], text="a secret sentence", max_tokens=-1)
+        for router in fleet.routers:
+            router.stop()
+            text = router.log.read_text()
+            assert "secret" not in text
+            assert FLEET_KEY not in text
+            assert fleet.caller.bearer not in text
+            assert '"event":1001' in text
+
+
+@pytest.fixture
+def certificates(tmp_path):
+    """Write an authority and a certificate of it."""
+    authority_key, authority = _certificate("fleet", None, None)
+    key, certificate = _certificate("router", authority_key, authority)
+    paths = {name: tmp_path / f"{name}.pem" for name in ("authority", "certificate", "private_key")}
+    paths["authority"].write_bytes(authority.public_bytes(serialization.Encoding.PEM))
+    paths["certificate"].write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+    paths["private_key"].write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return {name: str(path) for name, path in paths.items()}
+
+
+def test_mutual_tls_lets_in_only_peers_with_a_certificate(certificates):
+    with new_fleet(routers=2, engines=(), settings={"peer": certificates}) as fleet:
+        for router in fleet.routers:
+            assert len(fleet.status(router)["members"]) == 1
+        plain = dict.fromkeys(certificates, "")
+        stranger = fleet.start_router("stranger", peer=plain)
+        fleet.caller.post(stranger)
+        assert fleet.status(stranger)["members"] == []
+        assert "stranger" not in fleet.status(fleet.routers[0])["members"]
+
+
+def _certificate(name, issuer_key, issuer):
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, name)])
+    now = datetime.datetime.now(datetime.UTC)
+    names = [x509.IPAddress(ipaddress.ip_address("127.0.0.1"))]
+    builder = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(subject if issuer is None else issuer.subject)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .add_extension(x509.BasicConstraints(ca=issuer is None, path_length=None), critical=True)
+        .add_extension(x509.SubjectAlternativeName(names), critical=False)
+    )
+    return key, builder.sign(issuer_key or key, hashes.SHA256())
