--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,4 +1,4 @@
-"""Generate the peer messages, or check that the committed ones are up to date."""
+"""Generate the peer messages and reference pages, or check that the committed ones are up to date."""
 
 import argparse
 import pathlib
@@ -6,6 +6,7 @@
 import tempfile
 
 import grpc_tools
+from generate_docs import generated_pages
 from grpc_tools import protoc
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -38,6 +39,8 @@
     parser.add_argument("--check", action="store_true")
     if not parser.parse_args().check:
         generate(ROOT)
+        for path, text in generated_pages().items():
+            (ROOT / path).write_text(text)
         return 0
     with tempfile.TemporaryDirectory() as folder:
         generate(pathlib.Path(folder))
@@ -47,6 +50,11 @@
             if (pathlib.Path(folder) / PACKAGE / name).read_bytes()
             != (ROOT / PACKAGE / name).read_bytes()
         ]
+    stale += [
+        str(path)
+        for path, text in generated_pages().items()
+        if not (ROOT / path).exists() or (ROOT / path).read_text() != text
+    ]
     if stale:
         print("generated code is out of date, run `make generate`:", ", ".join(stale))
         return 1
