--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of whole mechanisms; ``make bench`` runs them all."""
--- /dev/null
+++ b/benchmarks/bench_budgets.py
@@ -0,0 +1,332 @@
+"""Overspend, false refusals and platform calls: grants against two baselines.
+
+Eight instances draw on one budget in simulated time (simpy). Every way sees the same
+seeded arrivals. The baselines are a conditional write at the start and at the end of
+each request, and an equal split of the budget at the start.
+
+A refusal is *false* if the budget, less what was used and what open requests are
+covered with, still had the request's cover. It is *early* if the cover of one request
+for each instance was left as well.
+"""
+
+import random
+from contextlib import nullcontext
+
+import simpy
+from returns.result import Failure, Success
+
+from benchmarks.report import report, section
+from standins.memory_store import MemoryStore
+from whinrack.budgets import (
+    ACCOUNT_KIND,
+    AccountDrawer,
+    BudgetAccount,
+    BudgetKeeper,
+    DrawOrder,
+    SpareSource,
+    TokenSource,
+    apply_draws,
+    apply_topups,
+)
+from whinrack.exceptions import BudgetContended
+from whinrack.objects import Weighting
+from whinrack.platform import ObjectEditor
+
+INSTANCES = 8
+LIMIT = 1_000_000
+COVER = 600
+RATE = 20.0
+DURATION = 240.0
+ENDLESS = 10**9
+REPORT_INTERVAL = 2.0
+
+
+class Ways:
+    """Base of the ways to cover requests; the same interface for each."""
+
+    name = ""
+
+    def __init__(self, env, limit, weighting):
+        self.env = env
+        self.limit = limit
+        self.weighting = weighting
+        self.store = MemoryStore()
+        self.editor = ObjectEditor(
+            self.store, ACCOUNT_KIND, BudgetAccount, sleep=lambda seconds: None, seed=1
+        )
+        self.editor.apply("a", lambda account: apply_topups(account, "b", {"1": limit}))
+        self.store.calls = 0
+
+    def cover(self, instance, tokens):
+        """Return a handle for a covered request, None for a refused one."""
+        raise NotImplementedError
+
+    def settle(self, handle, used):
+        """End a covered request."""
+        raise NotImplementedError
+
+    def kill(self, instance):
+        """End an instance without warning; a new one takes its place."""
+
+
+class Grants(Ways):
+    """Whinrack's own way."""
+
+    name = "grants"
+
+    def __init__(self, env, limit, weighting, horizon=60.0):
+        super().__init__(env, limit, weighting)
+        self.horizon = horizon
+        self.drawer = AccountDrawer(self.store, nullcontext, seed=1, sleep=lambda seconds: None)
+        self.generation = dict.fromkeys(range(INSTANCES), 1)
+        self.keepers = {i: self._keeper(i) for i in range(INSTANCES)}
+        env.process(self._report())
+
+    def _keeper(self, instance):
+        return BudgetKeeper(
+            f"r{instance}.{self.generation[instance]}",
+            _Direct(self.drawer),
+            _Peers(self, instance),
+            horizon=self.horizon,
+            gather_wait=0.0,
+            clock=lambda: self.env.now,
+        )
+
+    def cover(self, instance, tokens):
+        result = self.keepers[instance].cover("a", "b", tokens, self.weighting)
+        return result.unwrap() if isinstance(result, Success) else None
+
+    def may_wait(self, instance, tokens):
+        """Whether a refused request may be tried again shortly: the tokens exist."""
+        result = self.keepers[instance].cover("a", "b", tokens, self.weighting)
+        if isinstance(result, Success):
+            return result.unwrap()
+        return isinstance(result.failure(), BudgetContended)
+
+    def settle(self, handle, used):
+        handle.settle(used)
+
+    def kill(self, instance):
+        self.generation[instance] += 1
+        self.keepers[instance] = self._keeper(instance)
+
+    def _report(self):
+        while True:
+            yield self.env.timeout(REPORT_INTERVAL)
+            for keeper in list(self.keepers.values()):
+                keeper.report()
+
+
+class _Direct(TokenSource):
+    def __init__(self, drawer):
+        self.drawer = drawer
+
+    def draw(self, order):
+        return self.drawer.draw(order)
+
+
+class _Peers(SpareSource):
+    def __init__(self, ways, instance):
+        self.ways, self.instance = ways, instance
+
+    def gather(self, budget, want, received):
+        own = self.ways.keepers[self.instance].holder
+        for peer, keeper in self.ways.keepers.items():
+            if peer != self.instance:
+                total = keeper.give(budget, own, received.get(keeper.holder, 0), want)
+                yield keeper.holder, total
+
+
+class WritePerRequest(Ways):
+    """A conditional write before each request and one after it."""
+
+    name = "write_per_request"
+
+    def __init__(self, env, limit, weighting):
+        super().__init__(env, limit, weighting)
+        self.sequence = 0
+        self.billed = 0
+        self.returned = 0
+
+    def cover(self, instance, tokens):
+        before = self._row().drawn
+        if not self._write(need=tokens):
+            return None
+        got = self._row().drawn - before
+        if got < tokens:
+            self.returned += got
+            self._write(need=0)
+            return None
+        return tokens
+
+    def settle(self, handle, used):
+        self.billed += used
+        self.returned += handle - used
+        self._write(need=0)
+
+    def _write(self, need):
+        self.sequence += 1
+        order = DrawOrder(
+            account="a",
+            budget="b",
+            holder="all.1",
+            sequence=self.sequence,
+            need=need,
+            billed=self.billed,
+            returned=self.returned,
+            opening=True,
+        )
+        result = self.editor.apply("a", lambda account: apply_draws(account, [order]))
+        return not isinstance(result, Failure)
+
+    def _row(self):
+        calls, down = self.store.calls, self.store.down
+        self.store.down = False
+        rows = self.editor.read("a").unwrap().budgets["b"].rows
+        self.store.calls, self.store.down = calls, down
+        return rows.get("all.1") or _NO_ROW
+
+
+class _NoRow:
+    drawn = 0
+
+
+_NO_ROW = _NoRow()
+
+
+class StaticSplit(Ways):
+    """An equal part for each instance, once."""
+
+    name = "static_split"
+
+    def __init__(self, env, limit, weighting):
+        super().__init__(env, limit, weighting)
+        self.left = dict.fromkeys(range(INSTANCES), limit // INSTANCES)
+
+    def cover(self, instance, tokens):
+        if self.left[instance] < tokens:
+            return None
+        self.left[instance] -= tokens
+        return (instance, tokens)
+
+    def settle(self, handle, used):
+        instance, tokens = handle
+        self.left[instance] += tokens - used
+
+    def kill(self, instance):
+        self.left[instance] = 0
+
+
+class Run:
+    """One scenario with one way."""
+
+    def __init__(self, make, scenario, seed, weighting, limit):
+        self.env = simpy.Environment()
+        self.ways = make(self.env, limit, weighting)
+        self.limit = limit
+        self.random = random.Random(seed)
+        self.weighting = weighting
+        self.used = self.open = self.requests = 0
+        self.false = self.early = self.refused = 0
+        self.lost = 0
+        self.patience = 1.0 if weighting is Weighting.FALSE_REFUSALS else 0.0
+        weights = scenario.get("weights", [1] * INSTANCES)
+        self.instances = self.random.choices(range(INSTANCES), weights, k=int(RATE * DURATION) + 1)
+        self.killed_at = {}
+        self.env.process(self._arrivals())
+        if "outage" in scenario:
+            self.env.process(self._outage(*scenario["outage"]))
+        for at, instance in scenario.get("kills", ()):
+            self.env.process(self._kill(at, instance))
+
+    def run(self):
+        self.env.run(until=DURATION + 20.0)
+        return self
+
+    def _arrivals(self):
+        for instance in self.instances:
+            yield self.env.timeout(self.random.expovariate(RATE))
+            use, length = self.random.randint(100, COVER), self.random.uniform(0.5, 4.0)
+            self.env.process(self._request(instance, use, length))
+
+    def _request(self, instance, use, length):
+        self.requests += 1
+        handle = self.ways.cover(instance, COVER)
+        waited = 0.0
+        while handle is None and waited < self.patience and isinstance(self.ways, Grants):
+            yield self.env.timeout(0.1)
+            waited += 0.1
+            again = self.ways.may_wait(instance, COVER)
+            if again is False:
+                break
+            if again is not True:
+                handle = again
+        if handle is None:
+            self._count_refusal()
+            return
+        self.open += COVER
+        generation = self.killed_at.get(instance)
+        yield self.env.timeout(length)
+        self.open -= COVER
+        self.used += use
+        if self.killed_at.get(instance) == generation:
+            self.ways.settle(handle, use)
+
+    def _count_refusal(self):
+        self.refused += 1
+        left = self.limit - self.used - self.open
+        if left >= COVER:
+            self.false += 1
+        if left >= COVER * INSTANCES:
+            self.early += 1
+
+    def _outage(self, start, seconds):
+        yield self.env.timeout(start)
+        self.ways.store.down = True
+        yield self.env.timeout(seconds)
+        self.ways.store.down = False
+
+    def _kill(self, at, instance):
+        yield self.env.timeout(at)
+        self.killed_at[instance] = at
+        self.ways.kill(instance)
+
+
+SCENARIOS = {
+    "tail": ({}, LIMIT),
+    "skew": ({"weights": [30, 1, 1, 1, 1, 1, 1, 1]}, LIMIT),
+    "outage_180s": ({"outage": (30.0, 180.0)}, ENDLESS),
+    "outage_45s": ({"outage": (60.0, 45.0)}, ENDLESS),
+    "kills": ({"kills": [(60.0, 1), (90.0, 5)]}, LIMIT),
+}
+SEEDS = range(5)
+
+
+def main():
+    """Run every scenario with every way."""
+    for scenario, (fields, limit) in SCENARIOS.items():
+        section(f"budgets: {scenario}")
+        for weighting in Weighting:
+            for make in (Grants, WritePerRequest, StaticSplit):
+                if make is not Grants and weighting is Weighting.FALSE_REFUSALS:
+                    continue
+                runs = [Run(make, fields, seed, weighting, limit).run() for seed in SEEDS]
+                _report(scenario, make.name, weighting, runs)
+
+
+def _report(scenario, way, weighting, runs):
+    labels = {"scenario": scenario, "way": way, "weighting": str(weighting)}
+    requests = sum(run.requests for run in runs)
+    overspend = sum(max(0, run.used - run.limit) for run in runs)
+    calls = sum(run.ways.store.calls for run in runs)
+    report("overspend", overspend, "tokens", **labels)
+    report("false_refusals", 1000 * sum(r.false for r in runs) / requests, "per 1000", **labels)
+    report(
+        "early_false_refusals", 1000 * sum(r.early for r in runs) / requests, "per 1000", **labels
+    )
+    report("platform_calls", 1000 * calls / requests, "per 1000", **labels)
+    report("platform_call_rate", calls / len(runs) / DURATION, "per s", **labels)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,25 @@
+"""One form for all figures: a line for people and a line for machines."""
+
+import json
+import sys
+
+__all__ = ["percentile", "report", "section"]
+
+
+def section(title: str) -> None:
+    """Print a heading."""
+    print(f"\n== {title}", flush=True)
+
+
+def report(name: str, value: float, unit: str, **labels: object) -> None:
+    """Print one figure, and the same as a JSON line on standard error."""
+    shown = " ".join(f"{key}={label}" for key, label in labels.items())
+    print(f"{name:34} {value:>12.4g} {unit:12} {shown}", flush=True)
+    line = {"name": name, "value": value, "unit": unit, **labels}
+    print(json.dumps(line), file=sys.stderr, flush=True)
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile of values by the nearest rank."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
