Grants: what a holder may hold is capped, not each draw; longer horizon

Cause: each draw took a part of what was free, so repeated draws piled up while a short horizon still ran dry in an outage. Now all holders together hold at most half of what is left beyond present needs, and the horizon is 600 s.

--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,4 +1,4 @@
-"""Generate the peer messages and reference pages, or check that the committed ones are up to date."""
+"""Generate the peer messages and reference pages, or check the committed ones."""
 
 import argparse
 import pathlib
--- a/whinrack/budgets/_account.py
+++ b/whinrack/budgets/_account.py
@@ -23,7 +23,7 @@
     "release_holder",
 ]
 
-_SHARE_OF_FREE = 2
+_SHARE_OF_LEFT = 2
 
 
 class AccountRow(msgspec.Struct, kw_only=True):
@@ -282,10 +282,16 @@
 
 
 def _grant_size(entry: BudgetEntry, order: DrawOrder) -> int:
-    """Give what is needed, and of the wish no more than a fair part of what is free."""
-    holders = sum(1 for row in entry.rows.values() if not row.closed)
-    fair = entry.free // (_SHARE_OF_FREE * max(1, holders))
-    size = max(order.need, min(order.need + order.want, fair))
+    """Give what is needed, and of the wish no more than the holder's fair part allows.
+
+    All holders together hold at most a part of what is left, beyond present needs, so
+    that a kill takes little out of use and the grants shrink as the budget runs low.
+    """
+    live = [row for row in entry.rows.values() if not row.closed]
+    left = entry.free + sum(row.outstanding for row in live)
+    fair = left // (_SHARE_OF_LEFT * max(1, len(live)))
+    room = fair - entry.rows[order.holder].outstanding
+    size = max(order.need, min(order.need + order.want, room))
     return max(0, min(size, entry.free))
 
 
--- a/whinrack/settings/_settings.py
+++ b/whinrack/settings/_settings.py
@@ -83,7 +83,7 @@
 class BudgetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Grants."""
 
-    horizon: SecondsOrNone = 60.0
+    horizon: SecondsOrNone = 600.0
     report_interval: Seconds = 2.0
     gather_wait: SecondsOrNone = 1.0
 
