--- a/benchmarks/bench_budgets.py
+++ b/benchmarks/bench_budgets.py
@@ -93,6 +93,7 @@
         )
 
     def cover(self, instance, tokens):
+        """Cover a request from what this way holds."""
         result = self.keepers[instance].cover("a", "b", tokens, self.weighting)
         return result.unwrap() if isinstance(result, Success) else None
 
@@ -104,9 +105,11 @@
         return isinstance(result.failure(), BudgetContended)
 
     def settle(self, handle, used):
+        """Give back what was not used."""
         handle.settle(used)
 
     def kill(self, instance):
+        """Lose what the instance held."""
         self.generation[instance] += 1
         self.keepers[instance] = self._keeper(instance)
 
@@ -149,6 +152,7 @@
         self.returned = 0
 
     def cover(self, instance, tokens):
+        """Cover a request from what this way holds."""
         before = self._row().drawn
         if not self._write(need=tokens):
             return None
@@ -160,6 +164,7 @@
         return tokens
 
     def settle(self, handle, used):
+        """Give back what was not used."""
         self.billed += used
         self.returned += handle - used
         self._write(need=0)
@@ -204,16 +209,19 @@
         self.left = dict.fromkeys(range(INSTANCES), limit // INSTANCES)
 
     def cover(self, instance, tokens):
+        """Cover a request from what this way holds."""
         if self.left[instance] < tokens:
             return None
         self.left[instance] -= tokens
         return (instance, tokens)
 
     def settle(self, handle, used):
+        """Give back what was not used."""
         instance, tokens = handle
         self.left[instance] += tokens - used
 
     def kill(self, instance):
+        """Lose what the instance held."""
         self.left[instance] = 0
 
 
@@ -240,6 +248,7 @@
             self.env.process(self._kill(at, instance))
 
     def run(self):
+        """Simulate the whole scenario."""
         self.env.run(until=DURATION + 20.0)
         return self
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -21,7 +21,7 @@
 
 FAST = {
     "membership": {"heartbeat_interval": "0.2", "suspect_after": "1.0", "list_interval": "0.3"},
-    "budgets": {"report_interval": "0.3", "horizon": "5", "gather_wait": "0.3"},
+    "budgets": {"check_interval": "0.3", "report_after": "0", "horizon": "5", "gather_wait": "0.3"},
     "journal": {"commit_interval": "0.02"},
     "peer": {"timeout": "0.5"},
 }
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -14,8 +14,10 @@
 
 __all__ = ["BudgetKeeper", "SpareSource", "TokenSource"]
 
-_DRY_SECONDS = 0.5
-_NO_FREE_SECONDS = 2.0
+_NO_FREE_FIRST = 0.5
+_NO_FREE_LONGEST = 5.0
+_NO_SPARE_SECONDS = 0.2
+_WISH_PAUSE = 10.0
 _GATHER_WAIT = 1.0
 _GATHER_PAUSE = 0.1
 _IDLE_SURPLUS = 2
@@ -45,10 +47,13 @@
         self.ledger = ledger
         self.lock = lock
         self.demand = DemandEstimate()
-        # Until then neither the books nor the peers are asked for a request.
-        self.dry_until = 0.0
-        # Until then the books aren't asked for tokens to have in hand.
+        # Until then the books aren't asked, since they had nothing free.
         self.no_free_until = 0.0
+        self.no_free_seconds = _NO_FREE_FIRST
+        # Until then the peers aren't asked, since they had nothing either.
+        self.no_spare_until = 0.0
+        self.reported_at = 0.0
+        self.wished_at = float("-inf")
         self.last: DrawResult | None = None
 
 
@@ -63,6 +68,9 @@
         Applies draw orders.
     spares : SpareSource
         Asked when the books have nothing free.
+    report_after : float
+        Seconds for which settled amounts may stay unreported. They are safe meanwhile:
+        the books count them as outstanding, and the bills are in the journal.
     horizon : float
         Seconds of demand that a draw should last for; how long the platform may be
         away without requests being refused.
@@ -78,7 +86,8 @@
         holder: str,
         source: TokenSource,
         spares: SpareSource,
-        horizon: float = 120.0,
+        report_after: float = 10.0,
+        horizon: float = 600.0,
         gather_wait: float = _GATHER_WAIT,
         clock: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], None] = time.sleep,
@@ -87,6 +96,7 @@
         self.holder = holder
         self.source = source
         self.spares = spares
+        self.report_after = report_after
         self.horizon = horizon
         self.gather_wait = gather_wait
         self.clock = clock
@@ -154,36 +164,49 @@
         cover = ledger.open(tokens)
         if isinstance(cover, Success):
             return cover
-        if self.clock() >= held.dry_until:
-            self._draw(held, tokens - ledger.spendable)
+        for ask in (self._draw, self._gather):
+            ask(held, tokens - ledger.spendable)
             cover = ledger.open(tokens)
             if isinstance(cover, Success):
                 return cover
-            self._gather(held, tokens - ledger.spendable)
-            cover = ledger.open(tokens)
-            if isinstance(cover, Success):
-                return cover
-            held.dry_until = self.clock() + _DRY_SECONDS
         return Failure(_refusal(held, tokens))
 
-    def _draw(self, held: _Held, need: int) -> bool:
-        want = held.demand.want(self.clock(), self.horizon)
-        order = held.ledger.next_order(need=need, want=want)
-        return self._send(held, order)
+    def _draw(self, held: _Held, need: int) -> None:
+        now = self.clock()
+        if now < held.no_free_until:
+            return
+        want = held.demand.want(now, self.horizon)
+        self._send(held, held.ledger.next_order(need=need, want=want))
 
     def _send(self, held: _Held, order: DrawOrder) -> bool:
+        held.reported_at = self.clock()
         result = self.source.draw(order)
         if isinstance(result, Failure):
             held.last = None
             return False
         held.last = result.unwrap()
         held.ledger.learn(order, held.last)
+        self._pace(held)
         return True
 
+    def _pace(self, held: _Held) -> None:
+        """Ask books that have nothing free more and more rarely."""
+        if held.last.free > 0:
+            held.no_free_until = 0.0
+            held.no_free_seconds = _NO_FREE_FIRST
+            return
+        held.no_free_until = self.clock() + held.no_free_seconds
+        held.no_free_seconds = min(_NO_FREE_LONGEST, 2 * held.no_free_seconds)
+
     def _gather(self, held: _Held, need: int) -> None:
-        ledger = held.ledger
+        ledger, now = held.ledger, self.clock()
+        if now < held.no_spare_until:
+            return
+        before = ledger.spendable
         for giver, total in self.spares.gather(ledger.budget, need, dict(ledger.received)):
             ledger.receive(giver, total)
+        if ledger.spendable < before + need:
+            held.no_spare_until = now + _NO_SPARE_SECONDS
 
     def _report_one(self, held: _Held, everything: bool) -> int:
         ledger = held.ledger
@@ -195,13 +218,14 @@
         if surplus > max(0, want):
             ledger.give_back(surplus)
         short = 0 if self.stopping or now < held.no_free_until else want - ledger.spendable
-        wish = short if short > want // 2 else 0
-        if not (wish or ledger.unreported or everything):
+        wish = short if short > want // 2 and now >= held.wished_at + _WISH_PAUSE else 0
+        due = ledger.unreported and now >= held.reported_at + self.report_after
+        if not (wish or due or everything):
             return 0
+        if wish:
+            held.wished_at = now
         with held.lock:
             sent = self._send(held, ledger.next_order(want=max(0, wish)))
-        if held.last is not None and held.last.free == 0:
-            held.no_free_until = self.clock() + _NO_FREE_SECONDS
         return 0 if sent else 1
 
     def _drain_one(self, held: _Held) -> bool:
--- a/whinrack/budgets/tests/test_books.py
+++ b/whinrack/budgets/tests/test_books.py
@@ -49,6 +49,7 @@
             holder,
             _Source(self, holder, drawer),
             _Spares(self, holder),
+            report_after=0.0,
             horizon=self.horizon,
             gather_wait=0.0,
             clock=lambda: self.now,
--- a/whinrack/server/_daemon.py
+++ b/whinrack/server/_daemon.py
@@ -94,6 +94,7 @@
             incarnation,
             source,
             PeerSpares(self._own, table, peers),
+            report_after=settings.budgets.report_after,
             horizon=settings.budgets.horizon,
             gather_wait=settings.budgets.gather_wait,
             make_lock=Semaphore,
--- a/whinrack/server/_tasks.py
+++ b/whinrack/server/_tasks.py
@@ -61,7 +61,7 @@
         self._every(membership.heartbeat_interval, self.beat)
         self._every(membership.list_interval, self.read_list)
         self._every(_LOAD_INTERVAL, self.read_loads)
-        self._every(budgets.report_interval, self.context.keeper.report)
+        self._every(budgets.check_interval, self.context.keeper.report)
         self._every(_TICK, self.context.directory.wake_all)
         self._every(_RESTART_PAUSE, self.follower.run)
         self._every(_RESTART_PAUSE, self.context.bills.run)
--- a/whinrack/settings/_settings.py
+++ b/whinrack/settings/_settings.py
@@ -84,7 +84,8 @@
     """Grants."""
 
     horizon: SecondsOrNone = 600.0
-    report_interval: Seconds = 2.0
+    check_interval: Seconds = 2.0
+    report_after: SecondsOrNone = 10.0
     gather_wait: SecondsOrNone = 1.0
 
 
