--- a/whinrack/budgets/_account.py
+++ b/whinrack/budgets/_account.py
@@ -158,12 +158,20 @@
 
 
 class DrawResult(msgspec.Struct, frozen=True, kw_only=True):
-    """The books after a write, as far as they concern one holder."""
+    """The books after a write, as far as they concern one holder.
+
+    Attributes
+    ----------
+    free : int
+        Tokens that nobody holds.
+    outstanding : int
+        Tokens that all holders together hold, this one included.
+    """
 
     sequence: int = 0
     drawn: int = 0
     free: int = 0
-    outstanding_elsewhere: int = 0
+    outstanding: int = 0
     closed: bool = False
 
 
@@ -200,14 +208,12 @@
         return DrawResult()
     row = entry.rows.get(order.holder)
     if row is None:
-        return DrawResult(
-            free=entry.free, outstanding_elsewhere=entry.outstanding, closed=not order.opening
-        )
+        return DrawResult(free=entry.free, outstanding=entry.outstanding, closed=not order.opening)
     return DrawResult(
         sequence=row.sequence,
         drawn=row.drawn,
         free=entry.free,
-        outstanding_elsewhere=entry.outstanding - row.outstanding,
+        outstanding=entry.outstanding,
         closed=row.closed,
     )
 
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -126,10 +126,14 @@
             self.sleep(_GATHER_PAUSE)
 
     def give(self, budget: str, receiver: str, already_received: int, want: int) -> int:
-        """Hand tokens to a peer that ran out; returns the cumulative total."""
+        """Hand tokens to a peer that ran out; returns the cumulative total.
+
+        What is settled here is reported soon, so that the peer learns what is left.
+        """
         held = self._held.get(budget)
         if held is None:
             return 0
+        held.reported_at = float("-inf")
         return held.ledger.give(receiver, already_received, want)
 
     def report(self, everything: bool = False) -> int:
@@ -238,16 +242,16 @@
 
 
 def _refusal(held: _Held, tokens: int) -> Refusal:
-    ledger, last = held.ledger, held.last
+    last = held.last
     if last is None:
         return BudgetContended(
             "the budget's books can't be reached and the tokens held here don't suffice",
             retry_after=_CONTENDED_RETRY,
         )
-    reachable = ledger.spendable + ledger.open_cover + last.free + last.outstanding_elsewhere
-    if tokens > reachable:
+    left = last.free + last.outstanding
+    if tokens > left:
         return BudgetExhausted(
-            f"the request needs cover for {tokens} tokens, the budget has {reachable} left"
+            f"the request needs cover for {tokens} tokens, the budget has {left} left"
         )
     return BudgetContended(
         f"the request needs cover for {tokens} tokens, which other requests hold now",
--- a/whinrack/budgets/tests/test_books.py
+++ b/whinrack/budgets/tests/test_books.py
@@ -312,3 +312,23 @@
     fleet.editor.apply("a", lambda account: release_holder(account, "b", "x.1", None))
     fleet.keepers["x.1"].report(everything=True)
     assert isinstance(fleet.cover("x.1", 10), Failure)
+
+
+def test_tokens_given_to_a_peer_are_not_taken_for_spent():
+    """Found by reading a golden session: the giver called the budget exhausted."""
+    fleet = Fleet(("x.1", "y.1"), 1000, horizon=600.0)
+    settle(fleet, fleet.cover("x.1", 700).unwrap(), 10)
+    fleet.cover("y.1", 900).unwrap()
+    fleet.now += 60.0
+    assert isinstance(fleet.cover("x.1", 395).failure(), BudgetContended)
+
+
+def test_holders_report_soon_after_a_peer_ran_out():
+    fleet = Fleet(("x.1", "y.1"), 1000, horizon=0.0)
+    for keeper in fleet.keepers.values():
+        keeper.report_after = 1000.0
+    settle(fleet, fleet.cover("y.1", 900).unwrap(), 900)
+    assert isinstance(fleet.cover("x.1", 500).failure(), BudgetContended)
+    fleet.keepers["y.1"].report()
+    fleet.now += 60.0
+    assert isinstance(fleet.cover("x.1", 500).failure(), BudgetExhausted)
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -140,6 +140,11 @@
         Seconds after which coming back makes sense.
     outcome : Outcome, optional
         Overrides the type's usual outcome.
+
+    Attributes
+    ----------
+    attempts : int
+        Tries at targets before the request was given up.
     """
 
     code = "refused"
@@ -157,6 +162,7 @@
         super().__init__(message)
         self.param = param
         self.retry_after = retry_after
+        self.attempts = 0
         if outcome is not None:
             self.outcome = outcome
 
--- a/whinrack/peers/_codec.py
+++ b/whinrack/peers/_codec.py
@@ -52,7 +52,7 @@
     """Encode a draw result; a free count below 0 shows as 0."""
     fields = {name: getattr(result, name) for name in _RESULT_FIELDS}
     fields["free"] = max(0, result.free)
-    fields["outstanding_elsewhere"] = max(0, result.outstanding_elsewhere)
+    fields["outstanding"] = max(0, result.outstanding)
     return pb.DrawReply(**fields)
 
 
--- a/whinrack/server/_calls.py
+++ b/whinrack/server/_calls.py
@@ -363,6 +363,7 @@
             self._not_run(call)
 
     def _end_refused(self, call: Call, refusal: Refusal) -> None:
+        refusal.attempts = call.attempts
         if call.slot is not None:
             call.slot.release()
         if call.ended:
--- a/whinrack/server/_http.py
+++ b/whinrack/server/_http.py
@@ -192,13 +192,13 @@
     return msgspec.json.encode(ErrorEnvelope(body))
 
 
-def error_answer(refusal: Refusal, request_id: str, attempts: int = 0) -> HttpAnswer:
+def error_answer(refusal: Refusal, request_id: str) -> HttpAnswer:
     """Answer with a refusal."""
     body = error_body(refusal)
     headers = [
         ("Content-Type", "application/json"),
         ("Content-Length", str(len(body))),
-        *answer_headers(request_id, attempts, refusal.outcome),
+        *answer_headers(request_id, refusal.attempts, refusal.outcome),
         (CODE_HEADER, refusal.code),
     ]
     if refusal.retry_after is not None:
