--- /dev/null
+++ b/benchmarks/bench_fleet.py
@@ -0,0 +1,136 @@
+"""Eight routers: time until a leaving target gets no more work, and until a change is in force."""
+
+import statistics
+import threading
+import time
+
+from benchmarks.report import percentile, report, section
+from tests.support import new_fleet
+
+ROUTERS = 8
+CHANGES = 40
+DEFAULTS = {
+    "membership": {"heartbeat_interval": "1", "suspect_after": "3.5", "list_interval": "2"},
+    "budgets": {"check_interval": "2", "report_after": "10", "horizon": "600"},
+    "journal": {"commit_interval": "0.05"},
+    "peer": {"timeout": "1"},
+}
+
+
+class Load:
+    """Sends short streams to all routers in turn."""
+
+    def __init__(self, fleet, threads=8):
+        self.fleet = fleet
+        self.ended = threading.Event()
+        self.bad = 0
+        self.threads = [threading.Thread(target=self._run, args=(i,)) for i in range(threads)]
+        for thread in self.threads:
+            thread.start()
+
+    def _run(self, index):
+        while not self.ended.is_set():
+            index += 1
+            router = self.fleet.routers[index % ROUTERS]
+            answer = self.fleet.caller.stream(router, max_tokens=5)
+            self.bad += not answer.data.endswith(b"data: [DONE]\n\n")
+
+    def end(self):
+        """Stop sending."""
+        self.ended.set()
+        for thread in self.threads:
+            thread.join()
+
+
+def last_start(fleet, name, watched, began=None):
+    """Return seconds from `began`, or now, until the last start that a target sees."""
+    began = last = began or time.monotonic()
+    count = len(fleet.targets[name].starts())
+    while time.monotonic() - began < watched:
+        time.sleep(0.02)
+        now = len(fleet.targets[name].starts())
+        if now != count:
+            count, last = now, time.monotonic()
+    return last - began
+
+
+def measure_leaving(fleet):
+    """Drain a target by its object, by the list alone, and by the list without platform."""
+    section("leaving: seconds until the last new start, 8 routers under load")
+    load = Load(fleet)
+    time.sleep(1.0)
+    fleet.platform.fault(list_lag=10.0)
+    fleet.list_target("i-e1", "leaving")
+    began = time.monotonic()
+    address = fleet.targets["e1"].address
+    spec = {"pool": "chat", "address": address, "instance": "i-e1", "state": "leaving"}
+    fleet.put("Target", "e1", spec)
+    seconds = last_start(fleet, "e1", 5.0, began)
+    report("leaving_seconds", seconds, "s", by="object", list_lag=10)
+    fleet.platform.fault(list_lag=0.0)
+    fleet.list_target("i-e2", "leaving")
+    report("leaving_seconds", last_start(fleet, "e2", 5.0), "s", by="list", list_lag=0)
+    load.end()
+    report("leaving_cut_requests", load.bad, "requests")
+
+
+def measure_leaving_without_platform(fleet):
+    """One router learns of a leaving target just before the platform goes away."""
+    section("leaving with the platform down: the word goes from peer to peer")
+    load = Load(fleet)
+    time.sleep(0.5)
+    fleet.list_target("i-e3", "leaving")
+    while not any(fleet.status(r)["leaving_targets"].count("e3") for r in fleet.routers):
+        time.sleep(0.01)
+    fleet.platform.fault(down=True)
+    seconds = last_start(fleet, "e3", 5.0)
+    report("leaving_seconds", seconds, "s", by="peers", platform="down")
+    load.end()
+    fleet.platform.fault(down=False)
+
+
+def measure_configuration(fleet):
+    """Change an object again and again and poll all routers until it is in force."""
+    section("configuration: seconds until in force at 8 routers")
+    seconds = []
+    for number in range(CHANGES):
+        value = {"weighting": ("false_refusals", "overspend")[number % 2]}
+        version = fleet.put("Workspace", "w", value).json()["version"]
+        began = time.monotonic()
+        waiting = list(fleet.routers)
+        while waiting:
+            waiting = [r for r in waiting if fleet.status(r)["newest"] < version]
+        seconds.append(time.monotonic() - began)
+    report("configuration_seconds", statistics.median(seconds), "s", at="median")
+    report("configuration_seconds", percentile(seconds, 0.99), "s", at="99th")
+
+
+def measure_platform_calls(fleet):
+    """Count the platform's calls of an idle fleet."""
+    section("platform calls of 8 idle routers")
+    before = fleet.platform.json("GET", "/counts")
+    time.sleep(10.0)
+    after = fleet.platform.json("GET", "/counts")
+    for name in sorted(after):
+        rate = (after[name] - before.get(name, 0)) / 10.0
+        if rate:
+            report("idle_platform_calls", rate, "per s", operation=name)
+
+
+def main():
+    """Measure a fleet of eight routers."""
+    halls = (("south", "a"), ("south", "b"), ("south", "c"))
+    engines = ("e1", "e2", "e3", "e4")
+    with new_fleet(
+        routers=ROUTERS, engines=engines, budget=10**9, halls=halls, settings=DEFAULTS
+    ) as fleet:
+        for name in engines:
+            fleet.targets[name].fault(token_delay=0.005)
+        measure_configuration(fleet)
+        measure_leaving(fleet)
+        measure_leaving_without_platform(fleet)
+        measure_platform_calls(fleet)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/bench_load.py
@@ -0,0 +1,120 @@
+"""Twice the capacity of the targets offered to three routers, with all classes.
+
+Two engines serve 4 requests each at 0.2 s a request: 40 a second. Offered are 20
+interactive and 60 deferrable requests a second; deferrable ones have 20 s.
+"""
+
+import threading
+import time
+
+import psutil
+
+from benchmarks.report import percentile, report, section
+from tests.support import declare_target, new_fleet
+
+TOKENS = 20
+TOKEN_DELAY = 0.01
+INTERACTIVE_RATE = 20.0
+DEFERRABLE_RATE = 60.0
+SECONDS = 15.0
+
+
+class Offer:
+    """Sends requests at a fixed rate, whether or not earlier ones have ended."""
+
+    def __init__(self, fleet, kind, rate, seconds, **headers):
+        self.fleet = fleet
+        self.kind = kind
+        self.rate = rate
+        self.seconds = seconds
+        self.headers = headers
+        self.times, self.refused, self.early, self.other = [], 0, [], 0
+        self.without_retry_after = 0
+        self._requests = []
+
+    def run(self):
+        """Offer for the whole time and wait for every answer."""
+        began = time.monotonic()
+        for number in range(int(self.rate * self.seconds)):
+            pause = began + number / self.rate - time.monotonic()
+            if pause > 0:
+                time.sleep(pause)
+            thread = threading.Thread(target=self._one, args=(number,))
+            thread.start()
+            self._requests.append(thread)
+        for thread in self._requests:
+            thread.join()
+
+    def _one(self, number):
+        router = self.fleet.routers[number % len(self.fleet.routers)]
+        began = time.monotonic()
+        try:
+            answer = self.fleet.caller.stream(
+                router, max_tokens=TOKENS, kind=self.kind, **self.headers
+            )
+        except Exception:
+            self.other += 1
+            return
+        seconds = time.monotonic() - began
+        if answer.status == 200:
+            self.times.append(seconds)
+        elif answer.status in (429, 503):
+            self.refused += 1
+            self.early.append(seconds)
+            self.without_retry_after += "Retry-After" not in answer.headers
+        else:
+            self.other += 1
+
+
+def tell(offer, phase):
+    """Report one offer."""
+    labels = {"phase": phase, "class": offer.kind}
+    if offer.times:
+        report("answer_seconds", percentile(offer.times, 0.5), "s", at="median", **labels)
+        report("answer_seconds", percentile(offer.times, 0.99), "s", at="99th", **labels)
+    report("answered", len(offer.times), "requests", **labels)
+    report("refused", offer.refused, "requests", **labels)
+    if offer.early:
+        report("refusal_seconds", percentile(offer.early, 0.5), "s", at="median", **labels)
+    report("refused_without_retry_after", offer.without_retry_after, "requests", **labels)
+    report("failed_otherwise", offer.other, "requests", **labels)
+
+
+def main():
+    """Offer interactive work alone, then all of it, then interactive work again."""
+    with new_fleet(routers=3, engines=("e1", "e2"), budget=10**9) as fleet:
+        for name in ("e1", "e2"):
+            fleet.targets[name].fault(token_delay=TOKEN_DELAY)
+            declare_target(fleet, name, "chat", fleet.targets[name], max_concurrency=4)
+        fleet.wait_config()
+        section("load: interactive work alone")
+        alone = Offer(fleet, "interactive", INTERACTIVE_RATE, 8.0)
+        alone.run()
+        tell(alone, "alone")
+        section("load: twice the capacity")
+        interactive = Offer(fleet, "interactive", INTERACTIVE_RATE, SECONDS)
+        deferrable = Offer(fleet, "deferrable", DEFERRABLE_RATE, SECONDS, deadline="20")
+        threads = [threading.Thread(target=offer.run) for offer in (interactive, deferrable)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        tell(interactive, "overload")
+        tell(deferrable, "overload")
+        section("load: right after the overload")
+        after = Offer(fleet, "interactive", INTERACTIVE_RATE, 5.0)
+        after.run()
+        tell(after, "after")
+        memory = max(psutil.Process(r.popen.pid).memory_info().rss for r in fleet.routers)
+        report("memory_after_overload", memory / 1e6, "MB")
+        retries = sum(
+            value
+            for router in fleet.routers
+            for name, value in fleet.counters(router).items()
+            if name.startswith("whinrack_retries_total")
+        )
+        report("retries", retries, "requests")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/bench_router.py
@@ -0,0 +1,158 @@
+"""One router against a direct connection to the same stand-in engine.
+
+CPU is the router process's own, by the operating system's account.
+"""
+
+import http.client
+import json
+import threading
+import time
+
+import psutil
+
+from benchmarks.report import percentile, report, section
+from tests.support import new_fleet
+
+REQUESTS = 600
+STREAMS = 50
+TOKENS = 300
+TOKEN_DELAY = 0.02
+SETTINGS = {
+    "journal": {"commit_interval": "0.05"},
+    "budgets": {"check_interval": "2", "report_after": "10", "horizon": "600"},
+}
+
+
+class Client:
+    """One kept connection to a router or an engine."""
+
+    def __init__(self, process, bearer=""):
+        host, port = process.address.split(":")
+        self.connection = http.client.HTTPConnection(host, int(port), timeout=60)
+        self.headers = {"Content-Type": "application/json", "Authorization": f"Bearer {bearer}"}
+
+    def chat(self, max_tokens, stream=False):
+        """Send one request; returns seconds to the first byte of the body, and the body."""
+        body = {
+            "model": "m",
+            "messages": [{"role": "user", "content": "log tag summary of a soak run"}],
+            "max_tokens": max_tokens,
+            "stream": stream,
+        }
+        began = time.perf_counter()
+        self.connection.request(
+            "POST", "/v1/chat/completions", json.dumps(body), headers=self.headers
+        )
+        answer = self.connection.getresponse()
+        first = answer.read(1)
+        seconds = time.perf_counter() - began
+        return seconds, first + answer.read()
+
+
+def cpu_seconds(process):
+    """Return the CPU time that a process has used."""
+    times = psutil.Process(process.popen.pid).cpu_times()
+    return times.user + times.system
+
+
+def in_threads(count, function):
+    """Run a function in threads and wait for all."""
+    threads = [threading.Thread(target=function, args=(index,)) for index in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def measure_first_token(fleet, router, engine):
+    """Compare time to the first byte, in turn through the router and directly."""
+    section("router: time to the first byte of a stream")
+    through = Client(router, fleet.caller.bearer)
+    direct = Client(engine)
+    seconds = {"through": [], "direct": []}
+    for number in range(REQUESTS // 2):
+        for name, client in (("through", through), ("direct", direct)):
+            taken, body = client.chat(2, stream=True)
+            assert body.endswith(b"data: [DONE]\n\n")
+            if number >= 20:
+                seconds[name].append(taken)
+    for share, name in ((0.5, "median"), (0.99, "99th")):
+        values = {key: 1000 * percentile(found, share) for key, found in seconds.items()}
+        report("first_byte_direct", values["direct"], "ms", at=name)
+        report("first_byte_through", values["through"], "ms", at=name)
+        report("first_byte_added", values["through"] - values["direct"], "ms", at=name)
+
+
+def measure_requests(fleet, router):
+    """Measure CPU a request and requests a second with whole answers."""
+    section("router: whole answers of one token")
+    for clients in (1, 16):
+        each = REQUESTS // clients
+
+        def run(_index, each=each):
+            client = Client(router, fleet.caller.bearer)
+            for _ in range(each):
+                client.chat(1)
+
+        in_threads(clients, run)
+        cpu, began = cpu_seconds(router), time.perf_counter()
+        in_threads(clients, run)
+        seconds = time.perf_counter() - began
+        done = each * clients
+        report("cpu_per_request", 1000 * (cpu_seconds(router) - cpu) / done, "ms", clients=clients)
+        report("requests_per_second", done / seconds, "per s", clients=clients)
+
+
+def measure_tokens(fleet, router, engine):
+    """Measure CPU a relayed token with many streams open."""
+    section(f"router: {STREAMS} streams of {TOKENS} tokens at {1 / TOKEN_DELAY:g} a second")
+    engine.fault(token_delay=TOKEN_DELAY)
+
+    def run(_index):
+        _, body = Client(router, fleet.caller.bearer).chat(TOKENS, stream=True)
+        assert body.count(b'"content"') == TOKENS
+
+    idle = idle_cpu(router)
+    cpu, began = cpu_seconds(router), time.perf_counter()
+    in_threads(STREAMS, run)
+    seconds = time.perf_counter() - began
+    used = cpu_seconds(router) - cpu
+    tokens = STREAMS * TOKENS
+    report("cpu_per_token", 1e6 * used / tokens, "us", streams=STREAMS)
+    net = used - idle * seconds
+    report("cpu_per_token_net_of_idle", 1e6 * net / tokens, "us", streams=STREAMS)
+    report("tokens_per_second", tokens / seconds, "per s", streams=STREAMS)
+    engine.fault(token_delay=0.0)
+
+
+def idle_cpu(router):
+    """Return the share of a core that an idle router uses."""
+    cpu = cpu_seconds(router)
+    time.sleep(4.0)
+    return (cpu_seconds(router) - cpu) / 4.0
+
+
+def main():
+    """Measure one router."""
+    with new_fleet(routers=1, budget=10**9, settings=SETTINGS) as fleet:
+        router, engine = fleet.routers[0], fleet.targets["e1"]
+        fleet.put("TargetPool", "chat", {"models": ["m"], "max_output_tokens": 2000})
+        fleet.put(
+            "Target",
+            "e1",
+            {"pool": "chat", "address": engine.address, "max_concurrency": 200},
+        )
+        fleet.wait_config()
+        section("router: at rest")
+        memory = psutil.Process(router.popen.pid).memory_info().rss
+        report("memory_at_rest", memory / 1e6, "MB")
+        report("cpu_at_rest", 100 * idle_cpu(router), "% of a core")
+        measure_first_token(fleet, router, engine)
+        measure_requests(fleet, router)
+        measure_tokens(fleet, router, engine)
+        memory = psutil.Process(router.popen.pid).memory_info().rss
+        report("memory_after_load", memory / 1e6, "MB")
+
+
+if __name__ == "__main__":
+    main()
--- a/whinrack/routing/_ejection.py
+++ b/whinrack/routing/_ejection.py
@@ -47,7 +47,7 @@
     (True, False)
     """
 
-    def __init__(self, failures: int = 3, first: float = 1.0, longest: float = 30.0):
+    def __init__(self, failures: int = 3, first: float = 1.0, longest: float = 4.0):
         self.failures = failures
         self.first = first
         self.longest = longest
--- a/whinrack/settings/_settings.py
+++ b/whinrack/settings/_settings.py
@@ -92,7 +92,7 @@
 class JournalSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bills."""
 
-    commit_interval: Seconds = 0.1
+    commit_interval: Seconds = 0.05
     answer_wait: SecondsOrNone = 1.0
 
 
