--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,31 @@
+"""Run every benchmark; figures go to standard output, JSON lines to standard error."""
+
+import sys
+
+from benchmarks import (
+    bench_budgets,
+    bench_capacity,
+    bench_ejection,
+    bench_fleet,
+    bench_load,
+    bench_router,
+)
+
+BENCHMARKS = {
+    "budgets": bench_budgets,
+    "ejection": bench_ejection,
+    "router": bench_router,
+    "fleet": bench_fleet,
+    "load": bench_load,
+    "capacity": bench_capacity,
+}
+
+
+def main(names: list[str]) -> None:
+    """Run the named benchmarks, all of them if none is named."""
+    for name in names or BENCHMARKS:
+        BENCHMARKS[name].main()
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/benchmarks/bench_capacity.py
@@ -0,0 +1,350 @@
+"""Slopes of each role's state, messages and processor time, at three sizes or more.
+
+Every figure is measured at the sizes shown and fitted by a straight line; what follows
+for the size aimed for is worked out in docs/CAPACITY.md from these lines.
+"""
+
+import gc
+import time
+import tracemalloc
+
+import msgspec
+from returns.result import Success
+
+from benchmarks.report import report, section
+from standins.memory_store import MemoryStore
+from whinrack.budgets import (
+    BudgetAccount,
+    BudgetEntry,
+    BudgetKeeper,
+    DrawOrder,
+    SpareSource,
+    TokenSource,
+    apply_draws,
+    apply_topups,
+    draw_result,
+)
+from whinrack.feed import ConfigStore
+from whinrack.journal import BillRecord, JournalWriter
+from whinrack.membership import Member, MembershipTable
+from whinrack.objects import RequestClass, Target, TargetPool, Weighting
+from whinrack.peers._codec import member_from_pb, member_to_pb, object_to_pb, order_to_pb
+from whinrack.peers._pb import peer_pb2 as pb
+from whinrack.platform import StoredObject
+from whinrack.requests import RequestMemory, RunState, body_digest
+from whinrack.routing import EjectAlone, PickQuery, PoolState, TargetView
+
+
+def fit(points):
+    """Return slope and intercept of the least-squares line through (x, y) points."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    square = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / square
+    return slope, mean_y - slope * mean_x
+
+
+def show(name, points, unit, per):
+    """Report points and their line."""
+    for size, value in points:
+        report(name, value, unit, size=size)
+    slope, intercept = fit(points)
+    report(f"{name}.slope", slope, f"{unit}/{per}")
+    report(f"{name}.intercept", intercept, unit)
+
+
+def seconds_of(function, times):
+    """Return the processor seconds of one call, by the mean of many."""
+    began = time.process_time()
+    for _ in range(times):
+        function()
+    return (time.process_time() - began) / times
+
+
+def bytes_of(build):
+    """Return the bytes that what `build` returns keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+# --- budget accounts -----------------------------------------------------------------------
+
+
+def account_with(budgets, holders=2):
+    """Return an account object with so many budgets, each held by some incarnations."""
+    account = BudgetAccount()
+    for number in range(budgets):
+        name = f"budget-{number:06d}"
+        apply_topups(account, name, {"2026-12": 10**6})
+        orders = [
+            DrawOrder(
+                account="a",
+                budget=name,
+                holder=f"router-{holder}.0123456789",
+                sequence=1,
+                need=100,
+                opening=True,
+            )
+            for holder in range(holders)
+        ]
+        apply_draws(account, orders)
+    return account
+
+
+def measure_accounts():
+    """Size of an account object, and processor time of one write of it."""
+    section("budget accounts")
+    sizes, times = [], []
+    for budgets in (10, 50, 200, 800):
+        value = msgspec.json.encode(account_with(budgets))
+
+        def write(value=value):
+            account = msgspec.json.decode(value, type=BudgetAccount)
+            order = DrawOrder(
+                account="a",
+                budget="budget-000001",
+                holder="router-1.0123456789",
+                sequence=2,
+                need=100,
+            )
+            apply_draws(account, [order])
+            draw_result(account, order)
+            msgspec.json.encode(account)
+
+        sizes.append((budgets, len(value)))
+        times.append((budgets, 1e6 * seconds_of(write, 50)))
+    show("account_bytes", sizes, "B", "budget")
+    show("account_write_cpu", times, "us", "budget")
+    rows = [
+        (holders, len(msgspec.json.encode(account_with(10, holders))) / 10)
+        for holders in (1, 8, 64, 380)
+    ]
+    show("budget_bytes_by_holders", rows, "B", "holder")
+
+
+class _Source(TokenSource):
+    def __init__(self):
+        self.entries = {}
+
+    def draw(self, order):
+        account = self.entries.setdefault(order.budget, BudgetAccount())
+        if order.budget not in account.budgets:
+            account.budgets[order.budget] = BudgetEntry(topups={"1": 10**9})
+        apply_draws(account, [order])
+        return Success(draw_result(account, order))
+
+
+class _NoSpares(SpareSource):
+    def gather(self, budget, want, received):
+        return ()
+
+
+def measure_keepers():
+    """Memory of budgets held here, and processor time of a cover and of a report round."""
+    section("budgets held by one daemon")
+    memory, covers, reports = [], [], []
+    for budgets in (1000, 3000, 10_000):
+        source = _Source()
+
+        def build(budgets=budgets, source=source):
+            keeper = BudgetKeeper("r.1", source, _NoSpares())
+            for number in range(budgets):
+                keeper.cover("a", f"budget-{number:06d}", 100, Weighting.OVERSPEND)
+            source.entries.clear()
+            return keeper
+
+        memory.append((budgets, bytes_of(build)))
+        keeper = build()
+
+        def cover(keeper=keeper):
+            keeper.cover("a", "budget-000001", 1, Weighting.OVERSPEND).unwrap().settle(1)
+
+        covers.append((budgets, 1e6 * seconds_of(cover, 2000)))
+        keeper.report()
+        reports.append((budgets, 1e3 * seconds_of(keeper.report, 3)))
+    show("held_budgets_memory", memory, "B", "budget")
+    show("cover_cpu", covers, "us", "budget")
+    show("report_round_cpu", reports, "ms", "budget")
+
+
+# --- configuration -------------------------------------------------------------------------
+
+
+def budget_objects(count):
+    """Return stored Budget objects."""
+    value = b'{"workspace":"workspace-17","topups":[{"id":"2026-12","tokens":1000000}],'
+    value += b'"account":"account-0017"}'
+    return [
+        StoredObject("Budget", f"budget-{number:06d}", number + 1, msgspec.Raw(value))
+        for number in range(count)
+    ]
+
+
+def measure_configuration():
+    """Memory and processor time of objects in force, and of one change."""
+    section("configuration")
+    memory, times = [], []
+    for count in (1000, 5000, 20_000):
+
+        def build(count=count):
+            config = ConfigStore()
+            config.take_snapshot(count, budget_objects(count))
+            return config
+
+        memory.append((count, bytes_of(build)))
+        times.append((count, 1e3 * seconds_of(build, 1)))
+    show("config_memory", memory, "B", "object")
+    show("config_snapshot_cpu", times, "ms", "object")
+    config = ConfigStore()
+    config.take_snapshot(20_000, budget_objects(20_000))
+    version = [20_000]
+
+    def change():
+        version[0] += 1
+        stored = budget_objects(1)[0]
+        config.take_batch(version[0], [msgspec.structs.replace(stored, version=version[0])])
+
+    report("config_change_cpu", 1e6 * seconds_of(change, 500), "us")
+    since = version[0] - 1
+    lookup = seconds_of(lambda: config.changes_after(since), 5)
+    report("config_changes_after_cpu", 1e6 * lookup, "us", objects=20_000)
+    message = object_to_pb(budget_objects(1)[0])
+    report("config_change_message", message.ByteSize(), "B")
+
+
+# --- membership ------------------------------------------------------------------------------
+
+
+def member(number):
+    """Return a member record."""
+    return Member(
+        incarnation=f"router-{number}.0123456789",
+        name=f"router-{number}",
+        region=f"region-{number % 11}",
+        data_hall=f"hall-{number % 39}",
+        http_address=f"10.0.{number // 250}.{number % 250}:8080",
+        peer_address=f"10.0.{number // 250}.{number % 250}:8081",
+        revision=123_456,
+        requests_in_progress=20,
+    )
+
+
+def measure_membership():
+    """Processor time of one heartbeat and one look at the fleet, and bytes on the wire."""
+    section("membership")
+    beats, looks, memory = [], [], []
+    for count in (8, 64, 380):
+        members = [member(number) for number in range(count)]
+
+        def build(members=members):
+            table = MembershipTable("router-0")
+            for one in members:
+                table.heard(member_from_pb(member_to_pb(one)), 0.0)
+            return table
+
+        memory.append((count, bytes_of(build)))
+        table = build()
+
+        def beat(table=table, members=members):
+            message = pb.HeartbeatRequest(sender=member_to_pb(members[1]))
+            decoded = pb.HeartbeatRequest.FromString(message.SerializeToString())
+            table.heard(member_from_pb(decoded.sender), 0.0)
+
+        beats.append((count, 1e6 * seconds_of(beat, 500)))
+        own = members[0]
+        looks.append((count, 1e6 * seconds_of(lambda t=table, o=own: t.drawer(o, "a", 0.0), 50)))
+    show("member_memory", memory, "B", "member")
+    show("heartbeat_cpu", beats, "us", "member")
+    show("drawer_choice_cpu", looks, "us", "member")
+    size = pb.HeartbeatRequest(sender=member_to_pb(member(1))).ByteSize()
+    report("heartbeat_message", size, "B")
+    order = DrawOrder(
+        account="account-0017", budget="budget-000001", holder="router-1.0123456789", sequence=9
+    )
+    report("draw_message", order_to_pb(order).ByteSize(), "B")
+
+
+# --- request memory, journal, routing ----------------------------------------------------------
+
+
+def measure_requests():
+    """Memory of remembered requests and processor time of one consultation."""
+    section("request memory")
+    digest = body_digest(b"body")
+    memory = []
+    for count in (1000, 5000, 20_000):
+
+        def build(count=count):
+            kept = RequestMemory("r.1", limit=count)
+            for number in range(count):
+                kept.reserve(f"workspace-1/key-{number:012d}", digest, 0.0)
+                kept.set_state(f"workspace-1/key-{number:012d}", RunState.FINISHED, 0.0)
+            return kept
+
+        memory.append((count, bytes_of(build)))
+    show("request_entry_memory", memory, "B", "request")
+    kept = build()
+    ask = lambda: kept.consult("workspace-1/key-000000000007", digest, "b.1", "", True, 0.0)  # noqa: E731
+    report("consult_cpu", 1e6 * seconds_of(ask, 2000), "us")
+
+
+def measure_journal():
+    """Processor time and bytes of one commit by the records in it."""
+    section("journal")
+    times, sizes = [], []
+    for records in (1, 8, 32, 128):
+        store = MemoryStore()
+        writer = JournalWriter(store, "r.1")
+        record = BillRecord("workspace-1/key-000000000007", "workspace-1", "budget-1", 512)
+
+        def commit(writer=writer, record=record, records=records):
+            for _ in range(records):
+                writer.add(record)
+            writer.commit()
+
+        times.append((records, 1e6 * seconds_of(commit, 40)))
+        written = sum(len(item.value) for item in store.objects.values())
+        sizes.append((records, written / len(store.objects) / 256 * records))
+    show("journal_commit_cpu", times, "us", "record")
+    show("journal_bytes_kept", sizes, "B", "record")
+
+
+def measure_routing():
+    """Processor time of one choice by the targets of a pool."""
+    section("routing")
+    picks, facts = [], []
+    for count in (10, 100, 450, 1000):
+        pool = PoolState("p", TargetPool(models=("m",)), seed=1)
+        spec = Target(pool="p", address="127.0.0.1:1", max_concurrency=16)
+        pool.targets = {f"t{n}": TargetView(f"t{n}", spec, EjectAlone()) for n in range(count)}
+        query = PickQuery(request_class=RequestClass.INTERACTIVE)
+
+        def pick(pool=pool, query=query):
+            pool.pick(query, 0.0).finished()
+
+        picks.append((count, 1e6 * seconds_of(pick, 200)))
+        facts.append((count, 1e6 * seconds_of(lambda pool=pool: pool.facts(0.0), 200)))
+    show("pick_cpu", picks, "us", "target")
+    show("pool_facts_cpu", facts, "us", "target")
+
+
+def main():
+    """Measure every slope."""
+    measure_accounts()
+    measure_keepers()
+    measure_configuration()
+    measure_membership()
+    measure_requests()
+    measure_journal()
+    measure_routing()
+
+
+if __name__ == "__main__":
+    main()
