What grows with the fleet leaves the path of every change and request

Cause: changes were found by reading every object, a choice and its facts looked at every target, and a report round at every budget ever held. Now versions are kept in order, a large pool is sampled (12 targets, all if too few have room), facts are at most 0.1 s old, and budgets with nothing to do leave the round until they are used again.

--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -17,6 +17,7 @@
     BudgetAccount,
     BudgetEntry,
     BudgetKeeper,
+    DemandEstimate,
     DrawOrder,
     SpareSource,
     TokenSource,
@@ -156,17 +157,30 @@
         def build(budgets=budgets, source=source):
             keeper = BudgetKeeper("r.1", source, _NoSpares())
             for number in range(budgets):
-                keeper.cover("a", f"budget-{number:06d}", 100, Weighting.OVERSPEND)
+                name = f"budget-{number:06d}"
+                keeper.cover("a", name, 100, Weighting.OVERSPEND).unwrap().settle(0)
+            return keeper
+
+        def build_alone(build=build, source=source):
+            keeper = build()
             source.entries.clear()
             return keeper
 
-        memory.append((budgets, bytes_of(build)))
-        keeper = build()
+        memory.append((budgets, bytes_of(build_alone)))
+        source = _Source()
+        keeper = build(source=source)
 
         def cover(keeper=keeper):
             keeper.cover("a", "budget-000001", 1, Weighting.OVERSPEND).unwrap().settle(1)
 
         covers.append((budgets, 1e6 * seconds_of(cover, 2000)))
+        # Nine in ten are idle by then: spent to the last token, and reported.
+        for number, held in enumerate(keeper._held.values()):
+            if number % 10:
+                tokens = held.ledger.spendable
+                held.ledger.open(tokens).unwrap().settle(tokens)
+                held.demand = DemandEstimate()
+        keeper.report(everything=True)
         keeper.report()
         reports.append((budgets, 1e3 * seconds_of(keeper.report, 3)))
     show("held_budgets_memory", memory, "B", "budget")
@@ -323,7 +337,8 @@
     for count in (10, 100, 450, 1000):
         pool = PoolState("p", TargetPool(models=("m",)), seed=1)
         spec = Target(pool="p", address="127.0.0.1:1", max_concurrency=16)
-        pool.targets = {f"t{n}": TargetView(f"t{n}", spec, EjectAlone()) for n in range(count)}
+        for number in range(count):
+            pool.add(TargetView(f"t{number}", spec, EjectAlone()))
         query = PickQuery(request_class=RequestClass.INTERACTIVE)
 
         def pick(pool=pool, query=query):
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -192,7 +192,7 @@
     pool = PoolState("p", TargetPool(models=("m",), queue_limit=3), seed=7)
     for name in ("t1", "t2", "t3"):
         spec = Target(pool="p", address="127.0.0.1:1", max_concurrency=2)
-        pool.targets[name] = TargetView(name, spec, EjectAlone(failures=2, first=5.0))
+        pool.add(TargetView(name, spec, EjectAlone(failures=2, first=5.0)))
     pool.queue.service_time = 2.0
     placed = []
 
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -104,6 +104,8 @@
         self.make_lock = make_lock
         self.stopping = False
         self._held: dict[str, _Held] = {}
+        # Those with something to report, to draw ahead or to return.
+        self._active: dict[str, _Held] = {}
 
     def cover(
         self, account: str, budget: str, tokens: int, weighting: Weighting
@@ -134,6 +136,7 @@
         if held is None:
             return 0
         held.reported_at = float("-inf")
+        self._active[budget] = held
         return held.ledger.give(receiver, already_received, want)
 
     def report(self, everything: bool = False) -> int:
@@ -144,7 +147,9 @@
         int
             Orders that failed; they are sent again with the next report.
         """
-        return sum(self._report_one(held, everything) for held in list(self._held.values()))
+        if everything:
+            self._active.update(self._held)
+        return sum(self._report_one(held, everything) for held in list(self._active.values()))
 
     def drain(self) -> bool:
         """Give everything back for a planned stop; True once the books know it."""
@@ -161,6 +166,7 @@
         if held is None:
             ledger = BudgetLedger(account, budget, self.holder)
             held = self._held[budget] = _Held(ledger, self.make_lock())
+        self._active[budget] = held
         return held
 
     def _refill(self, held: _Held, tokens: int) -> Result[Cover, Refusal]:
@@ -179,7 +185,7 @@
         now = self.clock()
         if now < held.no_free_until:
             return
-        want = held.demand.want(now, self.horizon)
+        want = self._want(held)
         self._send(held, held.ledger.next_order(need=need, want=want))
 
     def _send(self, held: _Held, order: DrawOrder) -> bool:
@@ -214,10 +220,11 @@
 
     def _report_one(self, held: _Held, everything: bool) -> int:
         ledger = held.ledger
-        if ledger.closed:
+        if ledger.closed or self._idle(held):
+            self._active.pop(ledger.budget, None)
             return 0
         now = self.clock()
-        want = held.demand.want(now, self.horizon)
+        want = self._want(held)
         surplus = ledger.spendable - _IDLE_SURPLUS * want
         if surplus > max(0, want):
             ledger.give_back(surplus)
@@ -232,6 +239,15 @@
             sent = self._send(held, ledger.next_order(want=max(0, wish)))
         return 0 if sent else 1
 
+    def _want(self, held: _Held) -> int:
+        return held.demand.want(self.clock(), self.horizon)
+
+    def _idle(self, held: _Held) -> bool:
+        """Whether nothing is left to do for a budget until it is used again."""
+        ledger = held.ledger
+        empty = ledger.spendable == 0 and ledger.open_cover == 0
+        return empty and not ledger.unreported and not self._want(held)
+
     def _drain_one(self, held: _Held) -> bool:
         ledger = held.ledger
         if ledger.sequence == 0 or ledger.closed:
--- a/whinrack/feed/_store.py
+++ b/whinrack/feed/_store.py
@@ -1,5 +1,6 @@
 """The configuration in force here: never an older version after a newer one."""
 
+import bisect
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -11,6 +12,10 @@
 __all__ = ["ConfigStore", "ConfigView"]
 
 
+def _version_of(row: tuple[int, str, str]) -> int:
+    return row[0]
+
+
 class ConfigView:
     """Typed read access to the objects in force."""
 
@@ -48,6 +53,7 @@
         self.revision = 0
         self._newest = 0
         self._stored: dict[tuple[str, str], StoredObject] = {}
+        self._versions: list[tuple[int, str, str]] = []
 
     @property
     def newest(self) -> int:
@@ -63,6 +69,7 @@
         if stored.kind not in DECLARED_KINDS:
             return False
         self._stored[key] = stored
+        self._index(held, stored)
         self._newest = max(self._newest, stored.version)
         self._apply(stored)
         return True
@@ -91,8 +98,8 @@
 
     def changes_after(self, revision: int) -> list[StoredObject]:
         """Return the objects whose last change is after a revision, deletions too."""
-        changed = [stored for stored in self._stored.values() if stored.version > revision]
-        return sorted(changed, key=lambda stored: stored.version)
+        start = bisect.bisect_right(self._versions, revision, key=_version_of)
+        return [self._stored[kind, name] for _, kind, name in self._versions[start:]]
 
     def versions(self) -> dict[str, int]:
         """Return the version in force of each object, by `kind/name`."""
@@ -102,6 +109,13 @@
             if not stored.deleted
         }
 
+    def _index(self, held: StoredObject | None, stored: StoredObject) -> None:
+        """Keep the list of versions in order, so that recent changes are found at once."""
+        if held is not None:
+            old = (held.version, held.kind, held.name)
+            del self._versions[bisect.bisect_left(self._versions, old)]
+        bisect.insort(self._versions, (stored.version, stored.kind, stored.name))
+
     def _apply(self, stored: StoredObject) -> None:
         specs = self._specs[stored.kind]
         if stored.deleted:
--- a/whinrack/routing/_pools.py
+++ b/whinrack/routing/_pools.py
@@ -1,6 +1,7 @@
 """A pool's targets and queue together: who may start where, now."""
 
 import math
+import random
 from collections.abc import Sequence
 
 import msgspec
@@ -15,6 +16,8 @@
 __all__ = ["PickQuery", "PoolState"]
 
 _DEFERRABLE_SHARE = 0.75
+_SAMPLED = 12
+_FACTS_AGE = 0.1
 
 
 class PickQuery(msgspec.Struct, frozen=True, kw_only=True):
@@ -54,6 +57,9 @@
         self.queue = PoolQueue(spec.queue_limit)
         self.retries = RetryBudget()
         self.targets: dict[str, TargetView] = {}
+        self._ordered: tuple[TargetView, ...] = ()
+        self._facts: tuple[float, PoolFacts] | None = None
+        self._random = random.Random(seed)
         two_choices = TwoChoicesPicker(seed)
         self._pickers: dict[Spread, Picker] = {
             Spread.TWO_CHOICES: two_choices,
@@ -65,12 +71,29 @@
         self.spec = spec
         self.queue.limit = spec.queue_limit
 
+    def add(self, target: TargetView) -> None:
+        """Take in a target."""
+        self.targets[target.name] = target
+        self._order()
+
+    def remove(self, name: str) -> None:
+        """Forget a target, if it is here."""
+        if self.targets.pop(name, None) is not None:
+            self._order()
+
     def slots(self, now: float) -> int:
         """Return how many requests the pool's targets run at once."""
         return math.floor(sum(t.limit for t in self.targets.values() if t.takes_work(now)))
 
     def facts(self, now: float) -> PoolFacts:
-        """Return what routing programs see."""
+        """Return what routing programs see, at most some moments old."""
+        if self._facts is not None and 0.0 <= now - self._facts[0] < _FACTS_AGE:
+            return self._facts[1]
+        facts = self._count(now)
+        self._facts = (now, facts)
+        return facts
+
+    def _count(self, now: float) -> PoolFacts:
         ready = [target for target in self.targets.values() if target.takes_work(now)]
         slots = sum(target.limit for target in ready)
         load = sum(target.load(now) for target in ready)
@@ -83,23 +106,33 @@
 
     def pick(self, query: PickQuery, now: float) -> TargetView | None:
         """Choose a target that has room and count the request there; None if none has."""
-        roomy = [target for target in self.targets.values() if target.has_room(now)]
-        others = [target for target in roomy if target.name not in query.avoid]
         if query.request_class is RequestClass.DEFERRABLE and not self._spare_room(now):
             return None
         picker = self._pickers[query.spread]
-        target = picker.pick(_sorted(others or roomy), query.affinity_key, now)
+        target = picker.pick(self._candidates(query, now), query.affinity_key, now)
         if target is not None:
             target.started()
         return target
 
+    def _candidates(self, query: PickQuery, now: float) -> Sequence[TargetView]:
+        """Return targets with room; of a large pool a sample, if enough of it has room."""
+        if len(self._ordered) > _SAMPLED and query.spread is Spread.TWO_CHOICES:
+            sample = self._random.sample(self._ordered, _SAMPLED)
+            roomy = [target for target in sample if target.has_room(now)]
+            if len(roomy) > 1 and not query.avoid:
+                return roomy
+        roomy = [target for target in self._ordered if target.has_room(now)]
+        others = [target for target in roomy if target.name not in query.avoid]
+        return others or roomy
+
     def _spare_room(self, now: float) -> bool:
         """Whether deferrable work leaves room for interactive work to start at once."""
-        ready = [target for target in self.targets.values() if target.takes_work(now)]
+        ready = [target for target in self._ordered if target.takes_work(now)]
         load = sum(target.load(now) for target in ready)
         slots = sum(target.limit for target in ready)
         return load < max(1.0, slots * _DEFERRABLE_SHARE)
 
-
-def _sorted(targets: Sequence[TargetView]) -> list[TargetView]:
-    return sorted(targets, key=lambda target: target.name)
+    def _order(self) -> None:
+        """Keep the targets in the order of their names: choices don't depend on arrival."""
+        self._ordered = tuple(self.targets[name] for name in sorted(self.targets))
+        self._facts = None
--- a/whinrack/routing/tests/test_routing.py
+++ b/whinrack/routing/tests/test_routing.py
@@ -35,7 +35,8 @@
 
 def pool(count=2, limit=4):
     state = PoolState("p", TargetPool(models=("m",)), seed=1)
-    state.targets = {f"t{index}": view(f"t{index}", limit) for index in range(count)}
+    for index in range(count):
+        state.add(view(f"t{index}", limit))
     return state
 
 
--- a/whinrack/server/_admission.py
+++ b/whinrack/server/_admission.py
@@ -190,18 +190,19 @@
         specs = self.config.all(Target)
         for pool in self._pools.values():
             for name in set(pool.targets) - set(specs):
-                del pool.targets[name]
+                pool.remove(name)
         for name, spec in specs.items():
             for pool in self._pools.values():
                 if pool.name != spec.pool:
-                    pool.targets.pop(name, None)
+                    pool.remove(name)
             if spec.pool in self._pools:
                 self._place(self._pools[spec.pool], name, spec)
 
     def _place(self, pool: PoolState, name: str, spec: Target) -> None:
         target = pool.targets.get(name)
         if target is None:
-            target = pool.targets[name] = TargetView(name, spec, EjectAlone())
+            target = TargetView(name, spec, EjectAlone())
+            pool.add(target)
         was_leaving = target.leaving
         target.update(spec)
         target.instance_leaving = spec.instance in self._leaving_instances
