--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -44,7 +44,7 @@
 class WhinrackError(Exception):
     """Base of every failure; `code` is stable, the message is for people."""
 
-    code = "internal"
+    code = "whinrack"
 
     def __init__(self, message: str = ""):
         super().__init__(message or self.code)
--- a/whinrack/server/_chat.py
+++ b/whinrack/server/_chat.py
@@ -26,6 +26,7 @@
     UnknownModel,
 )
 from whinrack.objects import RequestClass
+from whinrack.observability import Event, log_event
 from whinrack.requests import ChatRequest, Identity, cover_bound, output_limit
 from whinrack.routing import RequestFacts
 from whinrack.server._auth import Caller
@@ -246,8 +247,9 @@
         except msgspec.MsgspecError:
             return Failure(AnswerCut("the answer is not JSON"))
         if answer.id != call.answer_id:
-            self.context.metrics.answers_dropped.labels("foreign").inc()
-            return Failure(ForeignAnswer("the answer has another request's id"))
+            failure = ForeignAnswer("the answer has another request's id")
+            self._count_dropped(call, failure)
+            return Failure(failure)
         self._succeeded(call)
         call.settlement.settle(answer.usage, events=call.limit * call.chat.n)
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
@@ -268,8 +270,7 @@
             first = self._next(call, events)
         except TargetFailed as failure:
             response.close()
-            if isinstance(failure, ForeignAnswer):
-                self.context.metrics.answers_dropped.labels("foreign").inc()
+            self._count_dropped(call, failure)
             return Failure(failure)
         self.context.metrics.first_byte.labels(self.kind).observe(
             time.monotonic() - call.request.arrived
@@ -334,8 +335,7 @@
     def _break_off(self, call: ChatCall, response, failure: TargetFailed) -> bytes:
         """End a cut answer so that nobody takes it for whole."""
         response.close()
-        reason = "foreign" if isinstance(failure, ForeignAnswer) else "cut"
-        self.context.metrics.answers_dropped.labels(reason).inc()
+        self._count_dropped(call, failure)
         self.context.directory.failed(call.slot.target)
         self._cancel_and_settle(call)
         event = b"data: " + error_body(failure) + b"\n\n"
@@ -343,6 +343,12 @@
         self.finish(call, whole=False)
         return event
 
+    def _count_dropped(self, call: ChatCall, failure: TargetFailed) -> None:
+        foreign = isinstance(failure, ForeignAnswer)
+        self.context.metrics.answers_dropped.labels("foreign" if foreign else "cut").inc()
+        event = Event.ANSWER_FOREIGN if foreign else Event.ANSWER_CUT
+        log_event(event, target=call.slot.target.name, request=call.identity.request_id)
+
     def _hang_up(self, call: ChatCall, response) -> None:
         response.close()
         self._cancel_and_settle(call)
--- a/whinrack/server/_tasks.py
+++ b/whinrack/server/_tasks.py
@@ -53,6 +53,7 @@
         self._round = 0
         self._behind = 0
         self._alive: set[str] = set()
+        self._closed: set[str] = set()
 
     def start(self) -> None:
         """Start every task."""
@@ -61,7 +62,7 @@
         self._every(membership.heartbeat_interval, self.beat)
         self._every(membership.list_interval, self.read_list)
         self._every(_LOAD_INTERVAL, self.read_loads)
-        self._every(budgets.check_interval, self.context.keeper.report)
+        self._every(budgets.check_interval, self.report_tokens)
         self._every(_TICK, self.context.directory.wake_all)
         self._every(_RESTART_PAUSE, self.follower.run)
         self._every(_RESTART_PAUSE, self.context.bills.run)
@@ -87,6 +88,14 @@
             self.context.table.read_list(result.unwrap(), time.monotonic())
             self.update_leaving()
 
+    def report_tokens(self) -> None:
+        """Report settled tokens, and notice grants that an operator released."""
+        self.context.keeper.report()
+        for ledger in self.context.keeper.ledgers():
+            if ledger.closed and ledger.budget not in self._closed:
+                self._closed.add(ledger.budget)
+                log_event(Event.GRANT_CLOSED, budget=ledger.budget)
+
     def update_leaving(self) -> None:
         """Let the pools know which instances leave."""
         self.context.directory.set_leaving(self.context.table.leaving_instances(time.monotonic()))
