A POST to a plain service is not sent again by itself; policies can mark requests; clean stop

Cause: read as a newcomer, a notice whose answer broke was retried as repeatable by default, so it could be posted twice. Without the header only idempotent methods (RFC 9110) count as repeatable now. A routing program can say 'repeatable: false', as the issue asks. While a router leaves, kept connections are closed after their next answer, and once it has stopped a late request is refused as not run instead of being cut by the exit. The tests of the first two failed first; the last is not tested by itself.

--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -199,6 +199,22 @@
     assert service_starts(fleet) == 1
 
 
+def test_a_post_that_nobody_marked_is_not_sent_twice(fleet):
+    """Found by reading: a notice whose answer broke would have been posted again."""
+    fleet.targets["s1"].fault(cut=True)
+    assert outcome(fleet.caller.post(fleet.routers[0])) == "unknown"
+    assert service_starts(fleet) == 1
+
+
+def test_a_policy_can_only_make_requests_stricter(fleet):
+    fleet.put("RoutingPolicy", "strict", {"program": '{"repeatable": false}'})
+    fleet.put("Workspace", "w", {"policy": "strict"})
+    fleet.wait_config()
+    fleet.targets["s1"].fault(cut=True)
+    assert outcome(fleet.caller.post(fleet.routers[0], repeatable="yes")) == "unknown"
+    assert service_starts(fleet) == 1
+
+
 def test_a_pool_can_only_make_requests_stricter(fleet):
     fleet.put("TargetPool", "board", {"protocol": "service", "repeatable": False})
     fleet.wait_config()
--- a/whinrack/routing/_program.py
+++ b/whinrack/routing/_program.py
@@ -26,7 +26,7 @@
 _LONGEST_PROGRAM = 8192
 _MOST_ATTEMPTS = 5
 _LONGEST_WAIT = 3600.0
-_FIELDS = {"pools", "class", "attempts", "wait", "spread"}
+_FIELDS = {"pools", "class", "attempts", "wait", "spread", "repeatable"}
 
 
 class Spread(StrEnum):
@@ -67,6 +67,8 @@
         Most tries at targets, the first included.
     wait : float
         Seconds the request may queue.
+    repeatable : bool
+        False makes the request not repeatable; True changes nothing.
     """
 
     pools: tuple[str, ...]
@@ -74,6 +76,7 @@
     attempts: int = 2
     wait: float = 10.0
     spread: Spread = Spread.TWO_CHOICES
+    repeatable: bool = True
 
 
 class RoutingProgram:
@@ -83,7 +86,7 @@
     ----------
     source : str
         A CEL expression over `request` and `pools` that gives a map with any of
-        `pools`, `class`, `attempts`, `wait` and `spread`.
+        `pools`, `class`, `attempts`, `wait`, `spread` and `repeatable`.
 
     Raises
     ------
@@ -153,7 +156,10 @@
     wait = value.get("wait", default.wait)
     good = isinstance(wait, int | float) and math.isfinite(wait) and 0 <= wait <= _LONGEST_WAIT
     _require(good, "wait", f"0 to {_LONGEST_WAIT:g} s", wait)
+    repeatable = value.get("repeatable", True)
+    _require(isinstance(repeatable, bool), "repeatable", "true or false", repeatable)
     return RouteDecision(
+        repeatable=repeatable,
         pools=pools,
         request_class=_member(RequestClass, "class", value, default.request_class),
         attempts=attempts,
--- a/whinrack/server/_app.py
+++ b/whinrack/server/_app.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 
-from whinrack.exceptions import BadRequest, Refusal
+from whinrack.exceptions import BadRequest, Refusal, TargetUnavailable
 from whinrack.observability import Event, log_event
 from whinrack.requests import Identity, new_request_id
 from whinrack.server._auth import Authenticator
@@ -67,6 +67,8 @@
             operation = self._operation(request)
             if operation is not None:
                 return operation
+            if self.context.state.closed:
+                raise TargetUnavailable("this instance has stopped", retry_after=1.0)
             endpoint = self._endpoint(request)
             caller = self._authenticator.identify(request)
             identity = Identity.from_header(caller.workspace_name, request.header(KEY_HEADER))
--- a/whinrack/server/_chat.py
+++ b/whinrack/server/_chat.py
@@ -162,7 +162,9 @@
             body=engine_body(body, chat, limit),
             digest_parts=(self.kind.encode(), body),
             deadline=deadline_of(request, pool),
-            repeatable=facts.repeatable and all(serving[n].spec.repeatable for n in decision.pools),
+            repeatable=facts.repeatable
+            and decision.repeatable
+            and all(serving[name].spec.repeatable for name in decision.pools),
             affinity_key=f"{chat.model}/{body[:_PREFIX_BYTES].hex()}",
             request=request,
         )
--- a/whinrack/server/_context.py
+++ b/whinrack/server/_context.py
@@ -24,12 +24,15 @@
     ----------
     leaving : bool
         A planned stop has begun.
+    closed : bool
+        The planned stop is over but for giving things back: nothing is begun any more.
     in_progress : int
         Requests of callers that are not answered yet.
     """
 
     incarnation: str
     leaving: bool = False
+    closed: bool = False
     ready: bool = False
     watching: bool = False
     in_progress: int = 0
--- a/whinrack/server/_daemon.py
+++ b/whinrack/server/_daemon.py
@@ -180,6 +180,7 @@
         """Serve on until nobody holds this address, then give everything back."""
         state = self.context.state
         state.leaving = True
+        CallerProtocol.leaving = True
         log_event(Event.ROUTER_STOPPING, in_progress=state.in_progress)
         began = time.monotonic()
         self.tasks.beat()
@@ -187,6 +188,8 @@
             eventlet.sleep(_STOP_PAUSE)
         sock.close()
         server.kill()
+        # A kept connection may still bring a request: from here on it is refused.
+        state.closed = True
         complete = self._give_back()
         self.peer_server.stop()
         self.context.peers.close()
--- a/whinrack/server/_http.py
+++ b/whinrack/server/_http.py
@@ -140,9 +140,11 @@
             )
         return seconds
 
-    def marked_repeatable(self) -> bool:
-        """Whether the caller lets the request run again."""
-        text = self.header(REPEATABLE_HEADER).lower() or "yes"
+    def marked_repeatable(self, default: bool = True) -> bool:
+        """Whether the caller lets the request run again; `default` if it doesn't say."""
+        text = self.header(REPEATABLE_HEADER).lower()
+        if not text:
+            return default
         if text not in ("yes", "no"):
             raise BadRequest(f"{REPEATABLE_HEADER}: allowed is yes or no", param=REPEATABLE_HEADER)
         return text == "yes"
--- a/whinrack/server/_protocol.py
+++ b/whinrack/server/_protocol.py
@@ -7,15 +7,19 @@
 
 
 class CallerProtocol(HttpProtocol):
-    """Closes connections whose headers take too long; answers in HTTP/1.1."""
+    """Closes connections whose headers take too long, and kept ones of a leaving router."""
 
     header_timeout = 10.0
+    leaving = False
 
     def parse_request(self) -> bool:
         """Read the headers within the time allowed."""
         timeout = eventlet.Timeout(self.header_timeout)
         try:
-            return super().parse_request()
+            parsed = super().parse_request()
+            if self.leaving:
+                self.close_connection = True
+            return parsed
         except eventlet.Timeout as raised:
             if raised is not timeout:
                 raise
--- a/whinrack/server/_services.py
+++ b/whinrack/server/_services.py
@@ -19,6 +19,8 @@
 
 SERVICES_PREFIX = "/services/"
 _SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+# RFC 9110, section 9.2.2: these may be repeated by whoever passes them on.
+_IDEMPOTENT_METHODS = (*_SAFE_METHODS, "PUT", "DELETE", "TRACE")
 _HOP_BY_HOP = {
     "connection",
     "keep-alive",
@@ -59,7 +61,7 @@
         if pool is None or pool.spec.protocol is not Protocol.SERVICE:
             raise UnknownPool(f"no service pool is named {name[:80]!r}")
         body = request.read_body()
-        marked = request.marked_repeatable()
+        marked = request.marked_repeatable(default=request.method in _IDEMPOTENT_METHODS)
         facts = RequestFacts(
             workspace=caller.workspace_name,
             request_class=request_class_of(request, caller),
@@ -68,15 +70,16 @@
         )
         safe = request.method in _SAFE_METHODS
         target = _target_path(request, path)
+        decision = self.decide(caller, facts, {name: pool})
         call = ServiceCall(
             target,
             identity=identity,
             caller=caller,
-            decision=self.decide(caller, facts, {name: pool}),
+            decision=decision,
             body=body,
             digest_parts=(request.method.encode(), target.encode(), body),
             deadline=deadline_of(request, pool.spec),
-            repeatable=marked and (pool.spec.repeatable or safe),
+            repeatable=marked and decision.repeatable and (pool.spec.repeatable or safe),
             affinity_key=caller.workspace_name,
             request=request,
         )
