--- /dev/null
+++ b/whinrack/membership/tests/test_membership.py
@@ -0,0 +1,69 @@
+"""Membership from a lagging list and heartbeats."""
+
+from whinrack.membership import Member, MembershipTable
+from whinrack.platform import InstanceRecord, InstanceState
+
+
+def member(number, hall="a", **fields):
+    name = f"r{number}"
+    return Member(
+        incarnation=f"{name}.1",
+        name=name,
+        region="south",
+        data_hall=hall,
+        http_address=f"{name}:80",
+        peer_address=f"{name}:81",
+        **fields,
+    )
+
+
+def table(*members):
+    kept = MembershipTable("r0", suspect_after=3.0)
+    for one in members:
+        kept.heard(one, 0.0)
+    return kept
+
+
+def test_a_silent_peer_stops_looking_alive_and_comes_back():
+    kept = table(member(1))
+    assert [one.name for one in kept.alive(2.0)] == ["r1"]
+    assert kept.alive(4.0) == []
+    assert kept.heard(member(1), 5.0)
+    assert not kept.heard(member(1), 6.0)
+
+
+def test_leaving_is_believed_from_whoever_says_it_first():
+    kept = table(member(1), member(2, leaving=True))
+    record = InstanceRecord("r1", "router", InstanceState.LEAVING)
+    own = member(0)
+    assert [one.name for one in kept.entries(own, 0.0)] == ["r0", "r1"]
+    kept.read_list([record], 0.0)
+    assert [one.name for one in kept.entries(own, 0.0)] == ["r0"]
+    assert kept.told_leaving(["t1"], 0.0) == ["t1"]
+    assert kept.told_leaving(["t1"], 0.0) == []
+    assert kept.leaving_instances(1.0) == {"r1", "t1"}
+    assert kept.leaving_instances(500.0) == {"r1"}
+
+
+def test_callers_are_sent_to_near_and_idle_instances_first():
+    own = member(0, requests_in_progress=9)
+    kept = table(member(1, hall="b"), member(2, requests_in_progress=1))
+    assert [one.name for one in kept.entries(own, 0.0)] == ["r2", "r0", "r1"]
+
+
+def test_those_who_see_the_same_choose_the_same():
+    members = [member(number) for number in range(4)]
+    choices = set()
+    for own in members:
+        kept = MembershipTable(own.name, 3.0)
+        for one in members:
+            kept.heard(one, 0.0)
+        choices.add((kept.drawer(own, "a", 0.0), tuple(kept.watchers(own, 2, 0.0))))
+    assert len(choices) == 1
+
+
+def test_a_peer_neither_listed_nor_heard_is_forgotten():
+    kept = table(member(1), member(2))
+    kept.read_list([InstanceRecord("r2", "router", peer_address="r2:81")], 0.0)
+    assert kept.forget_silent(100.0, after=60.0) == ["r1"]
+    assert kept.addresses() == ["r2:81"]
