Tail of a budget: absurd requests move nothing, one gathering lasts; outages cost no waits

Cause 1, found by a callers' test: a request far beyond the budget drew everything that was free to its instance before it was refused; others then had to gather. Cause 2: a gathering asked for just what one request needed, so each request asked again. Cause 3, found by reading: with the platform away each answer's end waited a second for its bill, and each call its time-out; now failing commits keep nobody waiting and calls back off (0.05 to 1 s). Cause 4: engine extensions that make tokens without a bound are refused by name.

--- a/benchmarks/bench_budgets.py
+++ b/benchmarks/bench_budgets.py
@@ -132,11 +132,11 @@
     def __init__(self, ways, instance):
         self.ways, self.instance = ways, instance
 
-    def gather(self, budget, want, received):
+    def gather(self, budget, need, wish, received):
         own = self.ways.keepers[self.instance].holder
         for peer, keeper in self.ways.keepers.items():
             if peer != self.instance:
-                total = keeper.give(budget, own, received.get(keeper.holder, 0), want)
+                total = keeper.give(budget, own, received.get(keeper.holder, 0), need, wish)
                 yield keeper.holder, total
 
 
--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -143,7 +143,7 @@
 
 
 class _NoSpares(SpareSource):
-    def gather(self, budget, want, received):
+    def gather(self, budget, need, wish, received):
         return ()
 
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -108,6 +108,7 @@
     (json.dumps({**GOOD, "messages": "hi"}).encode(), 400),
     (json.dumps({**GOOD, "model": ["m"]}).encode(), 400),
     (json.dumps({**GOOD, "model": "none"}).encode(), 404),
+    (json.dumps({**GOOD, "best_of": 9}).encode(), 400),
     (b"[" * 100_000, 400),
     (b"x" * 1_100_000, 413),
 ]
--- a/whinrack/budgets/_account.py
+++ b/whinrack/budgets/_account.py
@@ -293,6 +293,9 @@
     All holders together hold at most a part of what is left, beyond present needs, so
     that a kill takes little out of use and the grants shrink as the budget runs low.
     """
+    if order.need > entry.free + entry.outstanding:
+        # The budget can't cover the request: leave the tokens where they are.
+        return 0
     live = [row for row in entry.rows.values() if not row.closed]
     left = entry.free + sum(row.outstanding for row in live)
     fair = left // (_SHARE_OF_LEFT * max(1, len(live)))
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -35,7 +35,9 @@
 class SpareSource:
     """The peers that may hold unspent tokens."""
 
-    def gather(self, budget: str, want: int, received: dict[str, int]) -> Iterable[tuple[str, int]]:
+    def gather(
+        self, budget: str, need: int, wish: int, received: dict[str, int]
+    ) -> Iterable[tuple[str, int]]:
         """Ask peers for tokens; yields (giver, cumulative total)."""
         raise NotImplementedError
 
@@ -127,7 +129,9 @@
                 return cover
             self.sleep(_GATHER_PAUSE)
 
-    def give(self, budget: str, receiver: str, already_received: int, want: int) -> int:
+    def give(
+        self, budget: str, receiver: str, already_received: int, need: int, wish: int = 0
+    ) -> int:
         """Hand tokens to a peer that ran out; returns the cumulative total.
 
         What is settled here is reported soon, so that the peer learns what is left.
@@ -137,7 +141,7 @@
             return 0
         held.reported_at = float("-inf")
         self._active[budget] = held
-        return held.ledger.give(receiver, already_received, want)
+        return held.ledger.give(receiver, already_received, need, wish)
 
     def report(self, everything: bool = False) -> int:
         """Report settled amounts, draw ahead and return surplus.
@@ -213,7 +217,9 @@
         if now < held.no_spare_until:
             return
         before = ledger.spendable
-        for giver, total in self.spares.gather(ledger.budget, need, dict(ledger.received)):
+        wish = self._want(held)
+        received = dict(ledger.received)
+        for giver, total in self.spares.gather(ledger.budget, need, wish, received):
             ledger.receive(giver, total)
         if ledger.spendable < before + need:
             held.no_spare_until = now + _NO_SPARE_SECONDS
--- a/whinrack/budgets/_ledger.py
+++ b/whinrack/budgets/_ledger.py
@@ -128,15 +128,17 @@
         now = (self.billed, self.unproven, self.returned, dict(self.received))
         return now != (self._reported or (0, 0, 0, {}))
 
-    def give(self, receiver: str, already_received: int, want: int) -> int:
+    def give(self, receiver: str, already_received: int, need: int, wish: int = 0) -> int:
         """Hand spendable tokens to a peer and return the cumulative total.
 
-        A total above `already_received` means that the last reply was lost: it is
-        repeated, and no more is given.
+        What the peer needs is given if it is here, and of its wish as much as leaves
+        half of the tokens here. A total above `already_received` means that the last
+        reply was lost: it is repeated, and no more is given.
         """
         total = self.given.get(receiver, 0)
         if total <= already_received:
-            total += max(0, min(want, self.spendable))
+            half = min(need + wish, self.spendable // 2)
+            total += max(0, min(max(need, half), self.spendable))
         if total:
             self.given[receiver] = total
         return total
--- a/whinrack/budgets/tests/test_books.py
+++ b/whinrack/budgets/tests/test_books.py
@@ -86,11 +86,11 @@
     def __init__(self, fleet, holder):
         self.fleet, self.holder = fleet, holder
 
-    def gather(self, budget, want, received):
+    def gather(self, budget, need, wish, received):
         for name, keeper in self.fleet.keepers.items():
             if name == self.holder or {name, self.holder} & self.fleet.cut:
                 continue
-            total = keeper.give(budget, self.holder, received.get(name, 0), want)
+            total = keeper.give(budget, self.holder, received.get(name, 0), need, wish)
             if self.fleet.lose_spare_replies > 0:
                 self.fleet.lose_spare_replies -= 1
                 continue
@@ -332,3 +332,22 @@
     fleet.keepers["y.1"].report()
     fleet.now += 60.0
     assert isinstance(fleet.cover("x.1", 500).failure(), BudgetExhausted)
+
+
+def test_a_request_beyond_the_whole_budget_draws_nothing():
+    """Found by a test of refusals: one absurd request moved the whole budget to its instance."""
+    fleet = Fleet(("x.1", "y.1"), 1000, horizon=0.0)
+    assert isinstance(fleet.cover("x.1", 5000).failure(), BudgetExhausted)
+    assert fleet.entry().free == 1000
+
+
+def test_one_gathering_lasts_for_some_requests():
+    fleet = Fleet(("x.1", "y.1"), 1000, horizon=600.0)
+    settle(fleet, fleet.cover("x.1", 900).unwrap(), 10)
+    fleet.keepers["x.1"].stopping = True
+    asked = []
+    give = fleet.keepers["x.1"].give
+    fleet.keepers["x.1"].give = lambda *numbers: asked.append(1) or give(*numbers)
+    for _ in range(12):
+        settle(fleet, fleet.cover("y.1", 30).unwrap(), 30)
+    assert len(asked) <= 4
--- a/whinrack/peers/_client.py
+++ b/whinrack/peers/_client.py
@@ -79,11 +79,21 @@
         return Success(_codec.result_from_pb(message))
 
     def spare(
-        self, address: str, budget: str, receiver: str, already_received: int, want: int
+        self,
+        address: str,
+        budget: str,
+        receiver: str,
+        already_received: int,
+        need: int,
+        wish: int,
     ) -> Result[int, WhinrackError]:
         """Ask a peer for tokens; returns its cumulative total."""
         request = pb.SpareRequest(
-            budget=budget, receiver=receiver, already_received=already_received, want=want
+            budget=budget,
+            receiver=receiver,
+            already_received=already_received,
+            need=need,
+            wish=wish,
         )
         reply = self._call("Spare", address, request, self.timeout)
         return reply.map(lambda message: message.given)
--- a/whinrack/peers/_server.py
+++ b/whinrack/peers/_server.py
@@ -55,7 +55,11 @@
     async def Spare(self, stream: Stream) -> None:  # noqa: N802
         request = await stream.recv_message()
         given = self.handlers.spare(
-            request.budget, request.receiver, request.already_received, request.want
+            request.budget,
+            request.receiver,
+            request.already_received,
+            request.need,
+            request.wish,
         )
         await stream.send_message(pb.SpareReply(given=given))
 
--- a/whinrack/peers/base.py
+++ b/whinrack/peers/base.py
@@ -62,7 +62,7 @@
         """Draw from the platform for a peer."""
         raise NotImplementedError
 
-    def spare(self, budget: str, receiver: str, already_received: int, want: int) -> int:
+    def spare(self, budget: str, receiver: str, already_received: int, need: int, wish: int) -> int:
         """Hand tokens to a peer; returns the cumulative total."""
         raise NotImplementedError
 
--- a/whinrack/platform/_http.py
+++ b/whinrack/platform/_http.py
@@ -33,6 +33,8 @@
 
 _CONNECT_TIMEOUT = 1.0
 _WATCH_SLACK = 5.0
+_FIRST_PAUSE = 0.05
+_LONGEST_PAUSE = 1.0
 _JSON = "application/json"
 _SNAPSHOT = msgspec.json.Decoder(Snapshot)
 _OBJECT = msgspec.json.Decoder(StoredObject)
@@ -81,6 +83,8 @@
         self.clock = clock
         self.sleep = sleep
         self._bucket = TokenBucket(rate, burst=rate)
+        self._away_until = float("-inf")
+        self._pause = 0.0
         self._pool = urllib3.PoolManager(maxsize=16, retries=False)
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
@@ -128,11 +132,25 @@
         version: int | None = None,
         timeout: float | None = None,
     ) -> Result[bytes, PlatformFailure]:
+        if self.clock() < self._away_until:
+            return Failure(PlatformUnavailable(f"{operation}: backing off"))
         result = self._paced(operation, method, path, body, version, timeout)
+        self._back_off(result)
         code = "ok" if isinstance(result, Success) else result.failure().code
         self.on_call(operation, code)
         return result
 
+    def _back_off(self, result: Result) -> None:
+        """While the platform is away, fail at once and try more and more rarely."""
+        away = isinstance(result, Failure) and isinstance(
+            result.failure(), PlatformUnavailable | WriteUnknown
+        )
+        if not away:
+            self._pause = 0.0
+            return
+        self._away_until = self.clock() + self._pause
+        self._pause = min(_LONGEST_PAUSE, max(_FIRST_PAUSE, 2 * self._pause))
+
     def _paced(self, operation, method, path, body, version, timeout):
         delay = self._bucket.delay(self.clock())
         if delay > self.longest_wait:
--- a/whinrack/platform/tests/test_platform.py
+++ b/whinrack/platform/tests/test_platform.py
@@ -95,12 +95,37 @@
     assert isinstance(store.put("K", "n", b"{}", 0).failure(), PlatformUnavailable)
 
 
+def test_while_the_platform_is_away_most_calls_fail_at_once():
+    now = [0.0]
+    sent = []
+    store = HttpObjectStore(
+        "127.0.0.1:1",
+        rate=1000.0,
+        on_call=lambda operation, result: sent.append(now[0]),
+        clock=lambda: now[0],
+    )
+    for step in range(1000):
+        now[0] = step / 100
+        assert isinstance(store.get("K", "n").failure(), PlatformUnavailable)
+    assert 8 <= len(sent) <= 16
+    assert sent[1] - sent[0] < 0.1
+    assert max(b - a for a, b in zip(sent, sent[1:], strict=False)) < 1.1
+
+
 def test_calls_beyond_the_rate_wait_and_then_fail():
     waits = []
+    now = [0.0]
+
+    def clock():
+        now[0] += 1e-6
+        return now[0]
+
     store = HttpObjectStore(
-        "127.0.0.1:1", rate=2.0, longest_wait=1.0, clock=lambda: 0.0, sleep=waits.append
+        "127.0.0.1:1", rate=2.0, longest_wait=1.0, clock=clock, sleep=waits.append
     )
+    store._back_off = lambda result: None
     results = [store.get("K", "n") for _ in range(5)]
+    waits = [round(wait, 3) for wait in waits]
     assert waits == [0.5, 1.0]
     assert isinstance(results[-1].failure(), RateExceeded)
 
--- a/whinrack/requests/__init__.py
+++ b/whinrack/requests/__init__.py
@@ -7,7 +7,13 @@
     RequestClaim,
     judge_claim,
 )
-from whinrack.requests._cover import ChatMessage, ChatRequest, cover_bound, output_limit
+from whinrack.requests._cover import (
+    ChatMessage,
+    ChatRequest,
+    check_fields,
+    cover_bound,
+    output_limit,
+)
 from whinrack.requests._identity import (
     Identity,
     Ticket,
@@ -32,6 +38,7 @@
     "RunState",
     "Ticket",
     "body_digest",
+    "check_fields",
     "cover_bound",
     "judge_claim",
     "new_request_id",
--- a/whinrack/requests/_cover.py
+++ b/whinrack/requests/_cover.py
@@ -1,13 +1,26 @@
 """Bounds on the tokens of a request that can be proved before it is sent."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from whinrack.exceptions import BadRequest, CoverUnbounded
 from whinrack.objects import TargetPool
 
-__all__ = ["ChatMessage", "ChatRequest", "StreamOptions", "cover_bound", "output_limit"]
+__all__ = [
+    "ChatMessage",
+    "ChatRequest",
+    "StreamOptions",
+    "check_fields",
+    "cover_bound",
+    "output_limit",
+]
 
 _MOST_CHOICES = 8
+# Extensions of engines that repeat the prompt, fetch content or generate unseen choices.
+_UNBOUNDED_FIELDS = frozenset(
+    {"best_of", "use_beam_search", "chat_template", "chat_template_kwargs", "documents"}
+)
 
 
 class StreamOptions(msgspec.Struct):
@@ -34,10 +47,25 @@
     max_tokens: int | None = None
     max_completion_tokens: int | None = None
     n: int = 1
+    tools: list[msgspec.Raw] = []
+    functions: list[msgspec.Raw] = []
     stream: bool = False
     stream_options: StreamOptions | None = None
 
 
+def check_fields(names: Iterable[str]) -> None:
+    """Refuse fields with which an engine may use more tokens than the bound.
+
+    Raises
+    ------
+    CoverUnbounded
+        Naming the field.
+    """
+    for name in names:
+        if name in _UNBOUNDED_FIELDS:
+            raise CoverUnbounded(f"{name}: its tokens can't be bounded", param=name)
+
+
 def output_limit(request: ChatRequest, pool: TargetPool) -> int:
     """Return the most tokens that one choice may have.
 
@@ -65,8 +93,8 @@
     -----
     A byte-level tokeniser makes at most one token of each byte, so the length of the
     request in bytes bounds its prompt. What an engine's template adds is bounded by
-    the pool's `prompt_overhead_tokens` a message. Content that the engine fetches from
-    elsewhere has no such bound and is refused.
+    the pool's `prompt_overhead_tokens` a message or tool. Content that the engine
+    fetches from elsewhere has no such bound and is refused.
     """
     if not 1 <= request.n <= _MOST_CHOICES:
         raise BadRequest(f"n: allowed is 1 to {_MOST_CHOICES}, got {request.n}", param="n")
@@ -74,5 +102,6 @@
         content = bytes(message.content).lstrip()
         if not content.startswith((b'"', b"null")):
             raise CoverUnbounded("messages.content: allowed is text", param="messages")
-    overhead = pool.prompt_overhead_tokens * (len(request.messages) + 1)
+    parts = len(request.messages) + len(request.tools) + len(request.functions) + 1
+    overhead = pool.prompt_overhead_tokens * parts
     return body_length + overhead + request.n * output_limit(request, pool)
--- a/whinrack/server/_bills.py
+++ b/whinrack/server/_bills.py
@@ -30,6 +30,7 @@
         self.writer = writer
         self.interval = interval
         self._pace = TokenBucket(rate=1.0 / interval, burst=_BURST)
+        self._failing = False
         self._wanted = Event()
         self._committed = Event()
 
@@ -41,11 +42,14 @@
         return mark
 
     def wait_kept(self, mark: int, seconds: float) -> bool:
-        """Wait until a bill is kept; False if it isn't after some seconds."""
+        """Wait until a bill is kept; False if it isn't after some seconds.
+
+        While commits fail, nobody is kept waiting for them.
+        """
         end = time.monotonic() + seconds
         while self.writer.committed < mark:
             left = end - time.monotonic()
-            if left <= 0:
+            if left <= 0 or self._failing:
                 return False
             with eventlet.Timeout(left, False):
                 self._committed.wait()
@@ -64,6 +68,7 @@
     def flush(self) -> bool:
         """Commit what is queued now."""
         done = self.writer.commit()
+        self._failing = not done
         event, self._committed = self._committed, Event()
         event.send(None)
         return done
--- a/whinrack/server/_calls.py
+++ b/whinrack/server/_calls.py
@@ -348,7 +348,8 @@
             return
         call.slot.release()
         call.answer.finish(whole)
-        self.context.shelf.add(call.answer)
+        if call.identity.keyed:
+            self.context.shelf.add(call.answer)
         if whole:
             self._remember(call, RunState.FINISHED)
         else:
--- a/whinrack/server/_chat.py
+++ b/whinrack/server/_chat.py
@@ -27,7 +27,7 @@
 )
 from whinrack.objects import RequestClass
 from whinrack.observability import Event, log_event
-from whinrack.requests import ChatRequest, Identity, cover_bound, output_limit
+from whinrack.requests import ChatRequest, Identity, check_fields, cover_bound, output_limit
 from whinrack.routing import RequestFacts
 from whinrack.server._auth import Caller
 from whinrack.server._calls import Call, CallRunner, deadline_of, request_class_of
@@ -82,6 +82,7 @@
 def engine_body(body: bytes, chat: ChatRequest, limit: int) -> bytes:
     """Return the body for the engine: the caller's, with a limit and usage reports."""
     fields = _FIELDS.decode(body)
+    check_fields(fields)
     fields.pop("max_completion_tokens", None)
     fields["max_tokens"] = msgspec.Raw(str(limit).encode())
     if chat.stream:
--- a/whinrack/server/_peer_handlers.py
+++ b/whinrack/server/_peer_handlers.py
@@ -87,9 +87,9 @@
         self.context.metrics.draws.labels("for_peer", label).inc()
         return result
 
-    def spare(self, budget: str, receiver: str, already_received: int, want: int) -> int:
+    def spare(self, budget: str, receiver: str, already_received: int, need: int, wish: int) -> int:
         """Hand tokens to a peer; returns the cumulative total."""
-        return self.context.keeper.give(budget, receiver, already_received, want)
+        return self.context.keeper.give(budget, receiver, already_received, need, wish)
 
     def consult(self, query: ConsultQuery) -> tuple[Consultation, str]:
         """Tell whether a peer may run a request."""
--- a/whinrack/server/_sources.py
+++ b/whinrack/server/_sources.py
@@ -75,19 +75,21 @@
         self.table = table
         self.peers = peers
 
-    def gather(self, budget: str, want: int, received: dict[str, int]) -> Iterable[tuple[str, int]]:
+    def gather(
+        self, budget: str, need: int, wish: int, received: dict[str, int]
+    ) -> Iterable[tuple[str, int]]:
         """Ask peers for tokens; yields (giver, cumulative total)."""
         own = self.own()
         members = self.table.alive(time.monotonic())
         members.sort(key=lambda member: (member.region != own.region, member.name))
         pool = eventlet.GreenPool(_MOST_ASKED)
         asked = members[:_MOST_ASKED]
-        missing = want
+        missing = need
 
         def ask(member: Member) -> tuple[str, int | None]:
             known = received.get(member.incarnation, 0)
             reply = self.peers.spare(
-                member.peer_address, budget, own.incarnation, known, max(0, missing)
+                member.peer_address, budget, own.incarnation, known, max(0, missing), wish
             )
             return member.incarnation, reply.value_or(None)
 
