Larger fleets: patience with peers, load reports and rebuilds are bounded; idle cost measured

Cause: with more than 24 peers heartbeats go in turn, and a peer would have looked dead between two (3.5 s against 16 s at 380 daemons). Load reports were read from every target every second, and any change rebuilt every pool.

--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -11,7 +11,7 @@
 import msgspec
 from returns.result import Success
 
-from benchmarks.report import report, section
+from benchmarks.report import fit, report, section
 from standins.memory_store import MemoryStore
 from whinrack.budgets import (
     BudgetAccount,
@@ -36,16 +36,6 @@
 from whinrack.routing import EjectAlone, PickQuery, PoolState, TargetView
 
 
-def fit(points):
-    """Return slope and intercept of the least-squares line through (x, y) points."""
-    count = len(points)
-    mean_x = sum(x for x, _ in points) / count
-    mean_y = sum(y for _, y in points) / count
-    square = sum((x - mean_x) ** 2 for x, _ in points)
-    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / square
-    return slope, mean_y - slope * mean_x
-
-
 def show(name, points, unit, per):
     """Report points and their line."""
     for size, value in points:
--- a/benchmarks/bench_fleet.py
+++ b/benchmarks/bench_fleet.py
@@ -4,7 +4,9 @@
 import threading
 import time
 
-from benchmarks.report import percentile, report, section
+import psutil
+
+from benchmarks.report import fit, percentile, report, section
 from tests.support import new_fleet
 
 ROUTERS = 8
@@ -117,8 +119,28 @@
             report("idle_platform_calls", rate, "per s", operation=name)
 
 
+def measure_idle(sizes=(1, 2, 4, 8)):
+    """Measure what control costs a daemon, by the number of daemons."""
+    section("control: an idle daemon's CPU and memory by the size of the fleet")
+    points = []
+    for size in sizes:
+        with new_fleet(routers=size, engines=("e1",), settings=DEFAULTS) as fleet:
+            process = psutil.Process(fleet.routers[0].popen.pid)
+            time.sleep(3.0)
+            before = sum(process.cpu_times()[:2])
+            time.sleep(10.0)
+            percent = 10.0 * (sum(process.cpu_times()[:2]) - before)
+            points.append((size - 1, percent))
+            report("idle_cpu", percent, "% of a core", routers=size)
+            report("idle_memory", process.memory_info().rss / 1e6, "MB", routers=size)
+    slope, intercept = fit(points)
+    report("idle_cpu.slope", slope, "%/peer")
+    report("idle_cpu.intercept", intercept, "% of a core")
+
+
 def main():
     """Measure a fleet of eight routers."""
+    measure_idle()
     halls = (("south", "a"), ("south", "b"), ("south", "c"))
     engines = ("e1", "e2", "e3", "e4")
     with new_fleet(
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -3,7 +3,7 @@
 import json
 import sys
 
-__all__ = ["percentile", "report", "section"]
+__all__ = ["fit", "percentile", "report", "section"]
 
 
 def section(title: str) -> None:
@@ -23,3 +23,13 @@
     """Return a percentile of values by the nearest rank."""
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def fit(points):
+    """Return slope and intercept of the least-squares line through (x, y) points."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    square = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / square
+    return slope, mean_y - slope * mean_x
--- a/whinrack/feed/_store.py
+++ b/whinrack/feed/_store.py
@@ -37,14 +37,14 @@
     Parameters
     ----------
     on_change : callable, optional
-        Told how many objects a batch brought into force.
+        Told the kinds of the objects that a batch brought into force.
     on_invalid : callable, optional
         Told each object that was refused, with the reason.
     """
 
     def __init__(
         self,
-        on_change: Callable[[int], None] = lambda taken: None,
+        on_change: Callable[[set[str]], None] = lambda kinds: None,
         on_invalid: Callable[[StoredObject, InvalidObject], None] = lambda stored, error: None,
     ):
         super().__init__()
@@ -76,11 +76,11 @@
 
     def take_batch(self, revision: int, objects: Iterable[StoredObject]) -> int:
         """Take in changes up to a revision; returns how many were new."""
-        taken = sum(self.take(stored) for stored in objects)
+        taken = [stored.kind for stored in objects if self.take(stored)]
         self.revision = max(self.revision, revision)
         if taken:
-            self.on_change(taken)
-        return taken
+            self.on_change(set(taken))
+        return len(taken)
 
     def take_snapshot(self, revision: int, objects: Iterable[StoredObject]) -> int:
         """Take in everything there is at a revision.
--- a/whinrack/membership/_members.py
+++ b/whinrack/membership/_members.py
@@ -12,6 +12,8 @@
 ROUTER_ROLE = "router"
 TARGET_ROLE = "target"
 _REMEMBER_LEAVING = 120.0
+# Peers that each daemon exchanges heartbeats with in every round, both ways counted.
+FULL_MESH = 24
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True):
@@ -40,7 +42,8 @@
     name : str
         This instance.
     suspect_after : float
-        Seconds without a word after which a peer doesn't look alive.
+        Seconds without a word after which a peer doesn't look alive. In a fleet larger
+        than `FULL_MESH` peers are heard from in turn, and it grows in proportion.
     """
 
     def __init__(self, name: str, suspect_after: float = 3.5):
@@ -154,7 +157,8 @@
 
     def _alive(self, name: str, now: float) -> bool:
         at = self._heard.get(name)
-        return at is not None and now - at <= self.suspect_after
+        patience = self.suspect_after * max(1.0, len(self._members) / FULL_MESH)
+        return at is not None and now - at <= patience
 
     def _is_leaving(self, member: Member) -> bool:
         record = self._listed.get(member.name)
--- a/whinrack/membership/tests/test_membership.py
+++ b/whinrack/membership/tests/test_membership.py
@@ -32,6 +32,12 @@
     assert not kept.heard(member(1), 6.0)
 
 
+def test_in_a_large_fleet_peers_are_given_more_time():
+    kept = table(*[member(number) for number in range(1, 97)])
+    assert len(kept.alive(11.0)) == 96
+    assert kept.alive(13.0) == []
+
+
 def test_leaving_is_believed_from_whoever_says_it_first():
     kept = table(member(1), member(2, leaving=True))
     record = InstanceRecord("r1", "router", InstanceState.LEAVING)
--- a/whinrack/server/_admission.py
+++ b/whinrack/server/_admission.py
@@ -189,12 +189,10 @@
     def _rebuild_targets(self) -> None:
         specs = self.config.all(Target)
         for pool in self._pools.values():
-            for name in set(pool.targets) - set(specs):
-                pool.remove(name)
-        for name, spec in specs.items():
-            for pool in self._pools.values():
-                if pool.name != spec.pool:
+            for name in list(pool.targets):
+                if name not in specs or specs[name].pool != pool.name:
                     pool.remove(name)
+        for name, spec in specs.items():
             if spec.pool in self._pools:
                 self._place(self._pools[spec.pool], name, spec)
 
--- a/whinrack/server/_daemon.py
+++ b/whinrack/server/_daemon.py
@@ -142,9 +142,11 @@
     def _leaving_told(self) -> None:
         self.tasks.update_leaving()
 
-    def _config_changed(self, taken: int) -> None:
-        log_event(Event.CONFIG_TAKEN, objects=taken, newest=self.context.config.newest)
-        self.directory.rebuild()
+    def _config_changed(self, kinds: set[str]) -> None:
+        newest = self.context.config.newest
+        log_event(Event.CONFIG_TAKEN, kinds=",".join(sorted(kinds)), newest=newest)
+        if kinds & {"Target", "TargetPool"}:
+            self.directory.rebuild()
         self.signal.send()
 
     def _config_invalid(self, stored: StoredObject, error: InvalidObject) -> None:
--- a/whinrack/server/_tasks.py
+++ b/whinrack/server/_tasks.py
@@ -1,5 +1,6 @@
 """The daemon's background tasks: heartbeats, lists, load reports, token reports."""
 
+import heapq
 import time
 from collections.abc import Callable
 
@@ -9,6 +10,7 @@
 from whinrack.objects import TargetPool
 from whinrack.observability import Event, log_event
 from whinrack.platform import ObjectStore
+from whinrack.routing import TargetView
 from whinrack.server._context import ServerContext
 from whinrack.server._follower import ConfigFollower
 from whinrack.server._peer_handlers import DaemonHandlers
@@ -21,6 +23,7 @@
 _FORGET_AFTER = 60.0
 _HEARTBEAT_FANOUT = 12
 _BEHIND_BEATS = 2
+_MOST_LOADS_READ = 64
 
 
 class BackgroundTasks:
@@ -104,12 +107,19 @@
         """Read the load reports of the chat targets."""
         pool = eventlet.GreenPool(_HEARTBEAT_FANOUT)
         specs = self.context.config.all(TargetPool)
-        for target in self.context.directory.targets():
+        for target in self._read_targets():
             spec = specs.get(target.spec.pool)
             if spec is not None and spec.models:
                 pool.spawn_n(self._read_load, target)
         pool.waitall()
 
+    def _read_targets(self) -> list[TargetView]:
+        """Return the targets to ask: all of few, of many those with most work of ours."""
+        targets = self.context.directory.targets()
+        if len(targets) <= _MOST_LOADS_READ:
+            return targets
+        return heapq.nlargest(_MOST_LOADS_READ, targets, key=lambda target: target.in_flight)
+
     def _read_load(self, target) -> None:
         load = self.context.targets.load(target.spec.address)
         if load is not None:
