A follower that is ahead no longer keeps its source busy; one heartbeat a pair and round

Cause, found when eight routers started at once: a feed whose follower asks from a later revision than the source has never paused, so the source sent 50,009 replies in 1.5 s and did nothing else: it hung. Ruled out: port collisions, the platform. Heartbeats: a peer heard from within the interval is not called, since a heartbeat and its reply tell both sides.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,7 @@
 """Peers without the fleet's key or certificate are refused; secrets stay out of logs."""
 
+import asyncio
+import contextlib
 import datetime
 import ipaddress
 
@@ -7,8 +9,11 @@
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
+from grpclib.client import Channel
 
 from tests.support import FLEET_KEY, new_fleet, wait_until
+from whinrack.peers._pb import peer_pb2
+from whinrack.peers._pb.peer_grpc import PeerStub
 
 
 def refused(fleet, router):
@@ -83,3 +88,29 @@
         .add_extension(x509.SubjectAlternativeName(names), critical=False)
     )
     return key, builder.sign(issuer_key or key, hashes.SHA256())
+
+
+def test_a_follower_that_is_ahead_does_not_keep_its_source_busy():
+    """Found by eight routers starting at once: the source sent replies without a pause."""
+
+    async def follow(address):
+        host, _, port = address.partition(":")
+        channel = Channel(host, int(port))
+        try:
+            request = peer_pb2.FeedRequest(since=10**9)
+            async with PeerStub(channel).Feed.open(metadata={"whinrack-fleet-key": FLEET_KEY}) as s:
+                await s.send_message(request, end=True)
+                count = 0
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(1.5):
+                        while await s.recv_message() is not None:
+                            count += 1
+                await s.cancel()
+                return count
+        finally:
+            channel.close()
+
+    with new_fleet(routers=1, engines=()) as fleet:
+        router = fleet.routers[0]
+        assert asyncio.run(follow(router.peer_address)) <= 4
+        assert router.call("GET", "/readyz", timeout=2.0).status == 200
--- a/whinrack/membership/_members.py
+++ b/whinrack/membership/_members.py
@@ -96,6 +96,10 @@
         known = {member.peer_address for member in self._members.values()}
         return sorted({*listed, *known, *seeds} - {""})
 
+    def heard_since(self, moment: float) -> set[str]:
+        """Return the peer addresses that were heard from after a moment."""
+        return {self._members[name].peer_address for name, at in self._heard.items() if at > moment}
+
     def alive(self, now: float) -> list[Member]:
         """Return the peers that look alive."""
         return [member for name, member in self._members.items() if self._alive(name, now)]
--- a/whinrack/peers/_server.py
+++ b/whinrack/peers/_server.py
@@ -99,7 +99,7 @@
             objects = [_codec.object_to_pb(stored) for stored in changed]
             await stream.send_message(pb.FeedReply(revision=revision, objects=objects))
             since = max(since, revision)
-            if config.revision == since:
+            if config.revision <= since:
                 await call_green(subscription.wait, _FEED_KEEPALIVE)
 
 
--- a/whinrack/server/_daemon.py
+++ b/whinrack/server/_daemon.py
@@ -185,7 +185,7 @@
         CallerProtocol.leaving = True
         log_event(Event.ROUTER_STOPPING, in_progress=state.in_progress)
         began = time.monotonic()
-        self.tasks.beat()
+        self.tasks.beat(everyone=True)
         while self._must_serve_on(time.monotonic() - began):
             eventlet.sleep(_STOP_PAUSE)
         sock.close()
--- a/whinrack/server/_tasks.py
+++ b/whinrack/server/_tasks.py
@@ -23,6 +23,7 @@
 _FORGET_AFTER = 60.0
 _HEARTBEAT_FANOUT = 12
 _BEHIND_BEATS = 2
+_SAME_BEAT = 0.9
 _MOST_LOADS_READ = 64
 
 
@@ -70,12 +71,16 @@
         self._every(_RESTART_PAUSE, self.follower.run)
         self._every(_RESTART_PAUSE, self.context.bills.run)
 
-    def beat(self) -> None:
-        """Send a heartbeat to the peers, and notice who is lost."""
+    def beat(self, everyone: bool = False) -> None:
+        """Send heartbeats, and notice who is lost.
+
+        A heartbeat and its reply tell both sides, so a peer that was heard from within
+        the interval is left out, unless there is news for everyone.
+        """
         own = self.context.own_member()
         leaving = sorted(self.context.table.leaving_instances(time.monotonic()))
         pool = eventlet.GreenPool(_HEARTBEAT_FANOUT)
-        for address in self._beat_addresses():
+        for address in self._beat_addresses(everyone):
             pool.spawn_n(self._beat_one, address, own, leaving)
         pool.waitall()
         self._notice_lost()
@@ -125,7 +130,7 @@
         if load is not None:
             self.context.directory.report(target, load.running, load.waiting)
 
-    def _beat_addresses(self) -> list[str]:
+    def _beat_addresses(self, everyone: bool) -> list[str]:
         """Return all peers of a small fleet, or a turning part of a large one."""
         settings = self.context.settings
         seeds = settings.peer.seeds.split()
@@ -134,6 +139,10 @@
             for address in self.context.table.addresses(seeds)
             if address != settings.peer.address
         ]
+        if not everyone:
+            recent = time.monotonic() - _SAME_BEAT * settings.membership.heartbeat_interval
+            heard = self.context.table.heard_since(recent)
+            addresses = [address for address in addresses if address not in heard]
         if len(addresses) <= settings.membership.full_mesh_limit:
             return addresses
         self._round += 1
