--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,73 @@
+"""Idle connections, slow headers and slow readers do not stop others."""
+
+import json
+import socket
+import time
+
+import pytest
+
+from tests.support import expected_text, new_fleet, stream_text
+
+IDLE = 3000
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    settings = {"http": {"header_timeout": "0.5"}}
+    with new_fleet(routers=1, settings=settings) as started:
+        yield started
+
+
+def connect(router):
+    host, port = router.address.split(":")
+    return socket.create_connection((host, int(port)), timeout=10)
+
+
+def assert_served_quickly(fleet):
+    began = time.monotonic()
+    answer = fleet.caller.stream(fleet.routers[0])
+    assert stream_text(answer) == expected_text("one two three", 10)
+    assert time.monotonic() - began < 1.0
+
+
+def test_idle_connections_do_not_stop_others(fleet):
+    idle = [connect(fleet.routers[0]) for _ in range(IDLE)]
+    try:
+        assert_served_quickly(fleet)
+    finally:
+        for sock in idle:
+            sock.close()
+
+
+def test_slow_headers_are_given_up(fleet):
+    with connect(fleet.routers[0]) as sock:
+        sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: x\r\nX-Slow: ")
+        assert_served_quickly(fleet)
+        assert sock.recv(100).startswith(b"HTTP/1.1 408")
+
+
+def test_a_slow_reader_does_not_stop_others(fleet):
+    body = json.dumps(
+        {
+            "model": "m",
+            "messages": [{"role": "user", "content": "slow " * 50}],
+            "max_tokens": 2000,
+            "stream": True,
+        }
+    ).encode()
+    readers = []
+    for _ in range(4):
+        sock = connect(fleet.routers[0])
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.sendall(
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+            + f"Content-Length: {len(body)}\r\n".encode()
+            + f"Authorization: Bearer {fleet.caller.bearer}\r\n\r\n".encode()
+            + body
+        )
+        readers.append(sock)
+    assert readers[0].recv(15).startswith(b"HTTP/1.1 200")
+    for _ in range(5):
+        assert_served_quickly(fleet)
+    for sock in readers:
+        sock.close()
--- /dev/null
+++ b/whinrack/cli/_fleet.py
@@ -0,0 +1,65 @@
+"""Commands on the fleet: status, and instances of targets."""
+
+import click
+import msgspec
+
+from whinrack.cli._options import FLEET_KEY, OUTPUT, PLATFORM, open_store
+from whinrack.cli._output import show, unwrap
+from whinrack.objects import Declaration, Target, TargetState
+from whinrack.operators import Change, ChangeKind, FleetRow, apply_change, fleet_status
+
+__all__ = ["instance", "status"]
+
+
+@click.command()
+@PLATFORM
+@FLEET_KEY
+@OUTPUT
+def status(platform: str, fleet_key: str, output: str) -> None:
+    """Show each router: versions in force, leaving targets, tokens held."""
+    rows = unwrap(fleet_status(open_store(platform), fleet_key))
+    lines = []
+    for row in rows:
+        if row.status is None:
+            lines.append(f"{row.name} {row.address} {row.listed_as}: no answer")
+            continue
+        state = row.status
+        held = sum(grant.spendable + grant.open_cover for grant in state.grants)
+        lines.append(
+            f"{row.name} {row.address} {'leaving' if state.leaving else 'serving'} "
+            f"newest={state.newest} in_progress={state.requests_in_progress} "
+            f"tokens_held={held} leaving_targets={','.join(state.leaving_targets) or '-'}"
+        )
+    reached = [row.status.newest for row in rows if row.status is not None]
+    if reached:
+        lines.append(f"in force everywhere: {min(reached)}" + _behind(rows))
+    show(rows, output, "\n".join(lines))
+
+
+def _behind(rows: list[FleetRow]) -> str:
+    silent = [row.name for row in rows if row.status is None]
+    return f" (not heard: {', '.join(silent)})" if silent else ""
+
+
+@click.group()
+def instance() -> None:
+    """Instances of targets."""
+
+
+@instance.command("drain")
+@click.argument("name")
+@PLATFORM
+def instance_drain(name: str, platform: str) -> None:
+    """Mark every target on instance NAME as leaving: no new work, work in progress ends."""
+    store = open_store(platform)
+    snapshot = unwrap(store.list(("Target",)))
+    drained = 0
+    for item in snapshot.objects:
+        spec = msgspec.json.decode(item.value, type=Target)
+        if spec.instance != name or spec.state is TargetState.LEAVING:
+            continue
+        leaving = msgspec.structs.replace(spec, state=TargetState.LEAVING)
+        declaration = Declaration("Target", item.name, leaving)
+        unwrap(apply_change(store, Change(ChangeKind.UPDATE, declaration, item.version)))
+        drained += 1
+    click.echo(f"{drained} targets on {name} are leaving")
--- /dev/null
+++ b/whinrack/cli/_local.py
@@ -0,0 +1,101 @@
+"""Commands that need no platform: routing programs, settings, and the daemon itself."""
+
+import sys
+import tomllib
+from pathlib import Path
+
+import click
+import msgspec
+
+from whinrack.cli._options import OUTPUT
+from whinrack.cli._output import fail, show, unwrap
+from whinrack.exceptions import InvalidObject, WhinrackError
+from whinrack.objects import RequestClass
+from whinrack.routing import PoolFacts, RequestFacts, RoutingProgram
+from whinrack.settings import Settings, load_settings
+
+__all__ = ["policy", "router", "settings"]
+
+
+@click.group()
+def policy() -> None:
+    """Routing programs."""
+
+
+@policy.command("check")
+@click.argument("program", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def policy_check(program: Path) -> None:
+    """Compile a PROGRAM file and say whether it is in order."""
+    _compile(program)
+    click.echo("in order")
+
+
+@policy.command("try")
+@click.argument("program", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.argument("request", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@OUTPUT
+def policy_try(program: Path, request: Path, output: str) -> None:
+    """Run a PROGRAM file for a sample REQUEST, a TOML file, outside the fleet.
+
+    \b
+    The file holds a table `request` and one table `pools.NAME` for each pool.
+    """
+    compiled = _compile(program)
+    try:
+        sample = tomllib.loads(request.read_text())
+        pools = msgspec.convert(sample.get("pools", {}), dict[str, PoolFacts])
+        plain = {"workspace": "sample", "request_class": RequestClass.INTERACTIVE}
+        plain |= sample.get("request", {})
+        facts = msgspec.convert(plain, RequestFacts)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        fail(InvalidObject(f"{request.name}: {error}"))
+    decision = unwrap(compiled.decide(facts, pools))
+    text = "\n".join(f"{name}: {getattr(decision, name)}" for name in decision.__struct_fields__)
+    show(decision, output, text)
+
+
+def _compile(path: Path) -> RoutingProgram:
+    try:
+        return RoutingProgram(path.read_text())
+    except WhinrackError as error:
+        fail(error)
+
+
+@click.group()
+def settings() -> None:
+    """Settings of a router."""
+
+
+@settings.command("check")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def settings_check(file: Path) -> None:
+    """Check every key of a settings FILE."""
+    _load(file)
+    click.echo("in order")
+
+
+@click.group()
+def router() -> None:
+    """The router daemon."""
+
+
+@router.command("run")
+@click.option(
+    "--settings",
+    "file",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    required=True,
+)
+def router_run(file: Path) -> None:
+    """Run one router until SIGTERM, which is a planned stop."""
+    loaded = _load(file)
+    from whinrack.server import RouterDaemon
+
+    sys.exit(RouterDaemon(loaded).run())
+
+
+def _load(file: Path) -> Settings:
+    try:
+        return load_settings(file)
+    except WhinrackError as error:
+        fail(error)
--- a/whinrack/server/_chat.py
+++ b/whinrack/server/_chat.py
@@ -18,7 +18,6 @@
 )
 from whinrack.exceptions import (
     AnswerCut,
-    BadRequest,
     ForeignAnswer,
     Refusal,
     TargetFailed,
@@ -27,10 +26,12 @@
 )
 from whinrack.objects import RequestClass
 from whinrack.observability import Event, log_event
-from whinrack.requests import ChatRequest, Identity, check_fields, cover_bound, output_limit
+from whinrack.requests import ChatRequest, Identity, cover_bound, output_limit
 from whinrack.routing import RequestFacts
 from whinrack.server._auth import Caller
-from whinrack.server._calls import Call, CallRunner, deadline_of, request_class_of
+from whinrack.server._call import Call, deadline_of, request_class_of
+from whinrack.server._calls import CallRunner
+from whinrack.server._chat_request import engine_body, parse_chat
 from whinrack.server._context import ServerContext
 from whinrack.server._http import HttpAnswer, HttpRequest, answer_headers, error_body
 from whinrack.server._settlement import Settlement
@@ -42,8 +43,6 @@
 _PREFIX_BYTES = 512
 _RESUMES = 3
 _END_TIMEOUT = 0.5
-_CHAT = msgspec.json.Decoder(ChatRequest)
-_FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
 class _WholeAnswer(msgspec.Struct):
@@ -56,40 +55,6 @@
 _WHOLE = msgspec.json.Decoder(_WholeAnswer)
 
 
-def parse_chat(body: bytes) -> ChatRequest:
-    """Check a request body.
-
-    Raises
-    ------
-    BadRequest
-        Naming the field.
-    """
-    try:
-        chat = _CHAT.decode(body)
-    except msgspec.ValidationError as error:
-        message, _, where = str(error).partition(" - at `$")
-        param = where.rstrip("`").lstrip(".").split(".")[0].split("[")[0] or None
-        if param is None and "required field" in message:
-            param = message.rpartition("field `")[2].rstrip("`")
-        raise BadRequest(str(error), param=param) from error
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise BadRequest(f"the body is not JSON: {error}") from error
-    if not chat.messages:
-        raise BadRequest("messages: allowed is one or more, got none", param="messages")
-    return chat
-
-
-def engine_body(body: bytes, chat: ChatRequest, limit: int) -> bytes:
-    """Return the body for the engine: the caller's, with a limit and usage reports."""
-    fields = _FIELDS.decode(body)
-    check_fields(fields)
-    fields.pop("max_completion_tokens", None)
-    fields["max_tokens"] = msgspec.Raw(str(limit).encode())
-    if chat.stream:
-        fields["stream_options"] = msgspec.Raw(b'{"include_usage":true}')
-    return msgspec.json.encode(fields)
-
-
 class ChatCall(Call):
     """One chat request on its way.
 
@@ -150,7 +115,7 @@
             max_tokens=chat.max_tokens or 0,
             repeatable=request.marked_repeatable(),
         )
-        decision = self.decide(caller, facts, serving)
+        decision = self.policies.decide(caller.workspace.policy, facts, serving)
         pool = serving[decision.pools[0]].spec
         limit = output_limit(chat, pool)
         bound = max(cover_bound(chat, len(body), serving[name].spec) for name in decision.pools)
@@ -198,7 +163,7 @@
             if refusal.outcome is not Outcome.NOT_RUN:
                 self._write_off(call)
             if not self.may_retry(call, refusal):
-                raise self.final_refusal(call, refusal)
+                raise refusal
             call.settlement.reopen()
 
     def _headers(self, call: ChatCall) -> list[tuple[str, str]]:
--- /dev/null
+++ b/whinrack/server/_policies.py
@@ -0,0 +1,79 @@
+"""Evaluates the routing programs in force, or falls to the documented default."""
+
+import time
+
+from returns.result import Failure
+
+from whinrack.exceptions import PolicyFailure
+from whinrack.feed import ConfigStore
+from whinrack.objects import RoutingPolicy
+from whinrack.observability import Event, Metrics, log_event
+from whinrack.routing import (
+    PoolState,
+    RequestFacts,
+    RouteDecision,
+    RoutingProgram,
+    default_decision,
+)
+
+__all__ = ["PolicyEvaluator"]
+
+_MOST_PROGRAMS = 1000
+_LONGEST_ERROR = 200
+
+
+class PolicyEvaluator:
+    """Decides where requests may go.
+
+    Parameters
+    ----------
+    config : ConfigStore
+        Holds the programs.
+    metrics : Metrics
+        Counts programs that failed.
+    """
+
+    def __init__(self, config: ConfigStore, metrics: Metrics):
+        self.config = config
+        self.metrics = metrics
+        self._programs: dict[str, RoutingProgram] = {}
+
+    def decide(
+        self, name: str, facts: RequestFacts, serving: dict[str, PoolState]
+    ) -> RouteDecision:
+        """Evaluate a policy's program for one request.
+
+        Parameters
+        ----------
+        name : str
+            The RoutingPolicy object; "" for the default.
+        serving : dict of str to PoolState
+            The pools that serve what is asked for.
+        """
+        policy = self.config.get(RoutingPolicy, name) if name else None
+        default = default_decision(facts, tuple(serving))
+        if policy is None:
+            return default
+        now = time.monotonic()
+        try:
+            program = self._program(policy.program)
+        except PolicyFailure as error:
+            return self._failed(name, error, default)
+        pools = {key: pool.facts(now) for key, pool in serving.items()}
+        decided = program.decide(facts, pools)
+        if isinstance(decided, Failure):
+            return self._failed(name, decided.failure(), default)
+        return decided.unwrap()
+
+    def _program(self, source: str) -> RoutingProgram:
+        program = self._programs.get(source)
+        if program is None:
+            if len(self._programs) >= _MOST_PROGRAMS:
+                self._programs.clear()
+            program = self._programs[source] = RoutingProgram(source)
+        return program
+
+    def _failed(self, name: str, error: PolicyFailure, default: RouteDecision) -> RouteDecision:
+        self.metrics.policy_failures.labels(name).inc()
+        log_event(Event.POLICY_FAILED, policy=name, error=error.message[:_LONGEST_ERROR])
+        return default
--- a/whinrack/server/_services.py
+++ b/whinrack/server/_services.py
@@ -12,7 +12,8 @@
 from whinrack.requests import Identity
 from whinrack.routing import RequestFacts
 from whinrack.server._auth import Caller
-from whinrack.server._calls import Call, CallRunner, deadline_of, request_class_of
+from whinrack.server._call import Call, deadline_of, request_class_of
+from whinrack.server._calls import CallRunner
 from whinrack.server._http import HttpAnswer, HttpRequest, answer_headers
 
 __all__ = ["SERVICES_PREFIX", "ServiceEndpoint"]
@@ -70,7 +71,7 @@
         )
         safe = request.method in _SAFE_METHODS
         target = _target_path(request, path)
-        decision = self.decide(caller, facts, {name: pool})
+        decision = self.policies.decide(caller.workspace.policy, facts, {name: pool})
         call = ServiceCall(
             target,
             identity=identity,
@@ -96,7 +97,7 @@
             refusal = answer.failure()
             slot.release()
             if not self.may_retry(call, refusal):
-                raise self.final_refusal(call, refusal)
+                raise refusal
 
     def _answer(self, call: Call, reply: Result) -> Result[HttpAnswer, Refusal]:
         if isinstance(reply, Failure):
--- /dev/null
+++ b/whinrack/server/_streams.py
@@ -0,0 +1,71 @@
+"""Streamed bodies towards callers: hang-ups, and answers joined from elsewhere."""
+
+import time
+from collections.abc import Iterator
+
+import eventlet
+
+from whinrack.exceptions import PeerUnavailable, Refusal, TargetFailed
+from whinrack.peers import AnswerPart
+from whinrack.server._call import Call
+from whinrack.server._http import HttpAnswer, error_body
+
+__all__ = ["CallerStream", "joined_answer"]
+
+
+class CallerStream:
+    """A streamed body towards its caller.
+
+    When the caller hangs up, an answer that nobody can ask for again is ended at once.
+    A keyed one runs on for a while, so that a retry can join it; one that may not be
+    repeated runs to its end.
+
+    Parameters
+    ----------
+    grace : float
+        Seconds that a keyed answer runs on without a reader.
+    """
+
+    def __init__(self, call: Call, body: Iterator[bytes], grace: float):
+        self.call = call
+        self.body = body
+        self.grace = grace
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self.body
+
+    def close(self) -> None:
+        """End or detach the body; the server calls this in every case."""
+        if self.call.ended or not self.call.identity.keyed:
+            self.body.close()
+            return
+        eventlet.spawn_n(self._run_on)
+
+    def _run_on(self) -> None:
+        end = time.monotonic() + self.grace
+        for _ in self.body:
+            if self.call.answer.readers or not self.call.repeatable:
+                end = time.monotonic() + self.grace
+            if time.monotonic() >= end:
+                break
+        self.body.close()
+
+
+def joined_answer(parts: Iterator[AnswerPart]) -> HttpAnswer:
+    """Turn the parts of another try's answer into an answer for this caller."""
+    first = next(parts)
+    headers = [*first.headers, ("Whinrack-Joined", "yes")]
+    if any(name.lower() == "content-length" for name, _ in headers):
+        body = b"".join(part.body for part in parts)
+        return HttpAnswer(first.status, headers, [body])
+    return HttpAnswer(first.status, headers, _joined_stream(parts))
+
+
+def _joined_stream(parts: Iterator) -> Iterator[bytes]:
+    try:
+        for part in parts:
+            if part.body:
+                yield part.body
+    except (PeerUnavailable, Refusal) as error:
+        refusal = error if isinstance(error, Refusal) else TargetFailed(error.message)
+        yield b"data: " + error_body(refusal) + b"\n\n"
