--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -106,6 +106,22 @@
     assert bill(fleet)["requests"] == 5
 
 
+@pytest.mark.parametrize("ticketed", [True, False])
+@pytest.mark.parametrize("repeatable", ["yes", "no"])
+def test_what_ran_before_a_planned_stop_is_known_after_it(fleet, ticketed, repeatable):
+    options = {"key": "before", "repeatable": repeatable}
+    if ticketed:
+        options["ticket"] = ticket_of(fleet.routers[0])
+    assert fleet.caller.post(fleet.routers[0], **options).status == 200
+    for router in fleet.routers[:2]:
+        assert router.stop() == 0
+    again = fleet.caller.post(fleet.routers[2], **options)
+    assert (again.status, outcome(again)) == (409, "ran")
+    assert service_starts(fleet) == 1
+    other = {**options, "key": "after"}
+    assert fleet.caller.post(fleet.routers[2], **other).status == 200
+
+
 # --- requests that may not be repeated -----------------------------------------------------
 
 
--- a/whinrack/membership/_members.py
+++ b/whinrack/membership/_members.py
@@ -159,6 +159,10 @@
         names = [member.incarnation for member in self.alive(now)]
         return rendezvous(identity, [own.incarnation, *names])[0]
 
+    def heirs(self, now: float) -> list[str]:
+        """Return the incarnations that may inherit a stopping home's memory."""
+        return [member.incarnation for member in self.alive(now) if not member.leaving]
+
     def _alive(self, name: str, now: float) -> bool:
         at = self._heard.get(name)
         patience = self.suspect_after * max(1.0, len(self._members) / FULL_MESH)
--- a/whinrack/peers/_client.py
+++ b/whinrack/peers/_client.py
@@ -19,7 +19,7 @@
 from whinrack.peers._server import _CONSULTATIONS, FLEET_KEY_HEADER
 from whinrack.peers.base import AnswerPart, ConsultQuery
 from whinrack.platform import StoredObject
-from whinrack.requests import Consultation
+from whinrack.requests import Consultation, HandedEntry
 
 __all__ = ["FeedUpdate", "PeerClient"]
 
@@ -108,10 +108,19 @@
             asker=query.asker,
             lost_owner=query.lost_owner,
             repeatable=query.repeatable,
+            home=query.home,
         )
         reply = self._call("Consult", address, request, self.timeout)
         return reply.map(lambda message: (_CONSULTATION_OF[message.consultation], message.owner))
 
+    def hand_over(
+        self, address: str, home: str, entries: Sequence[HandedEntry]
+    ) -> Result[None, WhinrackError]:
+        """Give a peer the part of a stopping home's memory that it will be asked for."""
+        handed = [_codec.handed_to_pb(entry) for entry in entries]
+        request = pb.HandoverRequest(home=home, entries=handed)
+        return self._call("Handover", address, request, self.timeout).map(lambda _reply: None)
+
     def join(self, address: str, identity: str) -> Iterator[AnswerPart]:
         """Yield the parts of an answer that a peer has.
 
--- a/whinrack/peers/_codec.py
+++ b/whinrack/peers/_codec.py
@@ -6,8 +6,11 @@
 from whinrack.membership import Member
 from whinrack.peers._pb import peer_pb2 as pb
 from whinrack.platform import StoredObject
+from whinrack.requests import HandedEntry, RunState
 
 __all__ = [
+    "handed_from_pb",
+    "handed_to_pb",
     "member_from_pb",
     "member_to_pb",
     "object_from_pb",
@@ -61,6 +64,22 @@
     return DrawResult(**{name: getattr(message, name) for name in _RESULT_FIELDS})
 
 
+def handed_to_pb(entry: HandedEntry) -> pb.HandoverEntry:
+    """Encode an entry of request memory."""
+    return pb.HandoverEntry(
+        identity=entry.identity,
+        body_hash=entry.digest,
+        owner=entry.owner,
+        state=str(entry.state),
+    )
+
+
+def handed_from_pb(message: pb.HandoverEntry) -> HandedEntry:
+    """Decode an entry of request memory."""
+    state = RunState(message.state)
+    return HandedEntry(message.identity, message.body_hash, message.owner, state)
+
+
 def object_to_pb(stored: StoredObject) -> pb.FeedObject:
     """Encode a stored object."""
     return pb.FeedObject(
--- a/whinrack/peers/_pb/peer_grpc.py
+++ b/whinrack/peers/_pb/peer_grpc.py
@@ -30,6 +30,10 @@
     async def Consult(self, stream: 'grpclib.server.Stream[whinrack.peers._pb.peer_pb2.ConsultRequest, whinrack.peers._pb.peer_pb2.ConsultReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Handover(self, stream: 'grpclib.server.Stream[whinrack.peers._pb.peer_pb2.HandoverRequest, whinrack.peers._pb.peer_pb2.HandoverReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Join(self, stream: 'grpclib.server.Stream[whinrack.peers._pb.peer_pb2.JoinRequest, whinrack.peers._pb.peer_pb2.JoinChunk]') -> None:
         pass
@@ -64,6 +68,12 @@
                 whinrack.peers._pb.peer_pb2.ConsultRequest,
                 whinrack.peers._pb.peer_pb2.ConsultReply,
             ),
+            '/whinrack.peer.v1.Peer/Handover': grpclib.const.Handler(
+                self.Handover,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                whinrack.peers._pb.peer_pb2.HandoverRequest,
+                whinrack.peers._pb.peer_pb2.HandoverReply,
+            ),
             '/whinrack.peer.v1.Peer/Join': grpclib.const.Handler(
                 self.Join,
                 grpclib.const.Cardinality.UNARY_STREAM,
@@ -106,6 +116,12 @@
             whinrack.peers._pb.peer_pb2.ConsultRequest,
             whinrack.peers._pb.peer_pb2.ConsultReply,
         )
+        self.Handover = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/whinrack.peer.v1.Peer/Handover',
+            whinrack.peers._pb.peer_pb2.HandoverRequest,
+            whinrack.peers._pb.peer_pb2.HandoverReply,
+        )
         self.Join = grpclib.client.UnaryStreamMethod(
             channel,
             '/whinrack.peer.v1.Peer/Join',
--- a/whinrack/peers/_server.py
+++ b/whinrack/peers/_server.py
@@ -26,6 +26,8 @@
     Consultation.ELSEWHERE: pb.ELSEWHERE,
     Consultation.BODY_MISMATCH: pb.BODY_MISMATCH,
     Consultation.OUTCOME_UNKNOWN: pb.OUTCOME_UNKNOWN,
+    Consultation.RAN: pb.RAN,
+    Consultation.NOT_HEIR: pb.NOT_HEIR,
 }
 
 
@@ -71,11 +73,18 @@
             asker=request.asker,
             lost_owner=request.lost_owner,
             repeatable=request.repeatable,
+            home=request.home,
         )
         consultation, owner = self.handlers.consult(query)
         reply = pb.ConsultReply(consultation=_CONSULTATIONS[consultation], owner=owner)
         await stream.send_message(reply)
 
+    async def Handover(self, stream: Stream) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        entries = [_codec.handed_from_pb(entry) for entry in request.entries]
+        self.handlers.inherit(request.home, entries)
+        await stream.send_message(pb.HandoverReply())
+
     async def Join(self, stream: Stream) -> None:  # noqa: N802
         request = await stream.recv_message()
         parts = self.handlers.join(request.identity)
--- a/whinrack/peers/base.py
+++ b/whinrack/peers/base.py
@@ -9,7 +9,7 @@
 from whinrack.exceptions import WhinrackError
 from whinrack.feed import ConfigStore
 from whinrack.membership import Member
-from whinrack.requests import Consultation
+from whinrack.requests import Consultation, HandedEntry
 
 __all__ = ["AnswerPart", "ConsultQuery", "FeedSubscription", "PeerHandlers"]
 
@@ -22,6 +22,7 @@
     asker: str
     lost_owner: str = ""
     repeatable: bool = True
+    home: str = ""
 
 
 class AnswerPart(msgspec.Struct, frozen=True, kw_only=True):
@@ -70,6 +71,10 @@
         """Tell whether a peer may run a request."""
         raise NotImplementedError
 
+    def inherit(self, home: str, entries: list[HandedEntry]) -> None:
+        """Take over the memory of a home that stops as planned."""
+        raise NotImplementedError
+
     def join(self, identity: str) -> Iterator[AnswerPart]:
         """Yield the answer of a request that runs or ran here."""
         raise NotImplementedError
--- a/whinrack/requests/__init__.py
+++ b/whinrack/requests/__init__.py
@@ -22,7 +22,13 @@
     read_ticket,
     write_ticket,
 )
-from whinrack.requests._memory import Consultation, MemoryEntry, RequestMemory, RunState
+from whinrack.requests._memory import (
+    Consultation,
+    HandedEntry,
+    MemoryEntry,
+    RequestMemory,
+    RunState,
+)
 
 __all__ = [
     "CLAIM_KIND",
@@ -31,6 +37,7 @@
     "ClaimStore",
     "ClaimVerdict",
     "Consultation",
+    "HandedEntry",
     "Identity",
     "MemoryEntry",
     "RequestClaim",
--- a/whinrack/requests/_memory.py
+++ b/whinrack/requests/_memory.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-__all__ = ["Consultation", "MemoryEntry", "RequestMemory", "RunState"]
+__all__ = ["Consultation", "HandedEntry", "MemoryEntry", "RequestMemory", "RunState"]
 
 
 class RunState(StrEnum):
@@ -33,6 +33,8 @@
     HERE = "here"
     ELSEWHERE = "elsewhere"
     BODY_MISMATCH = "body_mismatch"
+    RAN = "ran"
+    NOT_HEIR = "not_heir"
     OUTCOME_UNKNOWN = "outcome_unknown"
 
 
@@ -61,6 +63,15 @@
     expires: float = 0.0
 
 
+class HandedEntry(msgspec.Struct, frozen=True):
+    """An entry on its way from a home that stops to the one asked next."""
+
+    identity: str
+    digest: bytes
+    owner: str
+    state: RunState
+
+
 class RequestMemory:
     """Entries by identity, bounded in number and age.
 
@@ -79,6 +90,7 @@
         self.keep = keep
         self.limit = limit
         self._entries: OrderedDict[str, MemoryEntry] = OrderedDict()
+        self._inherited: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -111,6 +123,34 @@
         if state is RunState.NOT_RUN:
             entry.answer = None
 
+    def hand_over(self) -> list[HandedEntry]:
+        """Return what those who are asked after a planned stop have to know."""
+        return [
+            HandedEntry(identity, entry.digest, entry.owner, entry.state)
+            for identity, entry in self._entries.items()
+            if entry.state is not RunState.NOT_RUN
+        ]
+
+    def inherit(self, home: str, entries: list[HandedEntry], now: float) -> None:
+        """Take over the memory of a home that has stopped as planned."""
+        self._inherited[home] = now + self.keep
+        for handed in entries:
+            held = self._entries.get(handed.identity)
+            # What was ceded to the home that stops is better known to it.
+            if held is None or held.owner == home:
+                self._entries[handed.identity] = MemoryEntry(
+                    handed.digest, handed.owner, handed.state, expires=now + self.keep
+                )
+        self._trim(now)
+
+    def inherited_homes(self, now: float) -> list[str]:
+        """Return the homes that this incarnation is an heir of."""
+        return [home for home, until in self._inherited.items() if until > now]
+
+    def answers_for(self, home: str, now: float) -> bool:
+        """Whether this incarnation is a home's heir, or the home itself."""
+        return home in ("", self.incarnation) or self._inherited.get(home, 0.0) > now
+
     def consult(
         self,
         identity: str,
@@ -143,6 +183,8 @@
             return self._consult_own(identity, entry, asker, repeatable, now)
         if entry.owner == asker:
             return Consultation.CEDED, asker
+        if entry.state is RunState.FINISHED:
+            return Consultation.RAN, entry.owner
         if entry.owner == lost_owner:
             if repeatable:
                 return self._cede(identity, digest, asker, now)
--- a/whinrack/server/_daemon.py
+++ b/whinrack/server/_daemon.py
@@ -8,7 +8,7 @@
 import eventlet.wsgi
 from eventlet.semaphore import Semaphore
 
-from whinrack.base import new_incarnation
+from whinrack.base import new_incarnation, rendezvous
 from whinrack.budgets import AccountDrawer, BudgetKeeper
 from whinrack.engines import TargetClient
 from whinrack.exceptions import InvalidObject
@@ -192,6 +192,7 @@
         server.kill()
         # A kept connection may still bring a request: from here on it is refused.
         state.closed = True
+        self._hand_over_memory()
         complete = self._give_back()
         self.peer_server.stop()
         self.context.peers.close()
@@ -204,6 +205,20 @@
             return True
         return self.context.state.in_progress > 0 and seconds < stop.longest
 
+    def _hand_over_memory(self) -> None:
+        """Tell each peer what callers will ask it instead of this instance."""
+        context, now = self.context, time.monotonic()
+        home = context.state.incarnation
+        shares = {heir: [] for heir in context.table.heirs(now)}
+        for entry in context.memory.hand_over():
+            if shares:
+                shares[rendezvous(entry.identity, shares)[0]].append(entry)
+        for heir, entries in shares.items():
+            address = context.table.find(heir).peer_address
+            context.peers.hand_over(address, home, entries)
+            for earlier in context.memory.inherited_homes(now):
+                context.peers.hand_over(address, earlier, ())
+
     def _give_back(self) -> bool:
         end = time.monotonic() + _DRAIN_LONGEST
         while time.monotonic() < end:
--- a/whinrack/server/_ownership.py
+++ b/whinrack/server/_ownership.py
@@ -7,7 +7,8 @@
 3. The home, named by the ticket or by rendezvous, cedes the request or says who has it.
 4. A request that may not be repeated is claimed in the platform as well.
 
-A home that can't be reached leaves the outcome of earlier tries open: what may be
+A home that stopped as planned has left its memory to those who are asked next. One that
+can't be reached otherwise leaves the outcome of earlier tries open: what may be
 repeated is run with a provisional bill, what may not is refused as unknown.
 """
 
@@ -16,6 +17,7 @@
 import msgspec
 from returns.result import Failure
 
+from whinrack.base import rendezvous
 from whinrack.exceptions import (
     ClaimUnavailable,
     KeyReused,
@@ -34,6 +36,7 @@
     Ticket,
     judge_claim,
 )
+from whinrack.server._answers import AnswerNotKept
 from whinrack.server._context import ServerContext
 
 __all__ = ["JoinHere", "JoinPeer", "Ownership", "RunHere"]
@@ -129,6 +132,8 @@
     def _first_to_ask(self, asked, entry, ticket) -> str | JoinHere:
         """Return the incarnation to ask, this one if nobody else is to be asked."""
         if entry is not None and entry.owner != self._own:
+            if entry.state is RunState.FINISHED:
+                raise AnswerNotKept("the request ran at an instance that has stopped")
             return entry.owner
         if entry is not None:
             open_again = entry.state is RunState.NOT_RUN or (
@@ -156,9 +161,14 @@
                     # The owner is lost: the home decides again, knowing that.
                     asking, lost = home, asking
                     continue
-                return self._without(asked, asking)
+                heir = self._heir(asked, home)
+                if heir is None:
+                    return self._without(asked, asking)
+                member, reply = heir
             consultation, owner = reply
             match consultation:
+                case Consultation.RAN:
+                    raise AnswerNotKept("the request ran at an instance that has stopped")
                 case Consultation.CEDED:
                     return RunHere(provisional_against=lost)
                 case Consultation.HERE:
@@ -172,7 +182,22 @@
                     raise OutcomeUnknown("an earlier try may have run", retry_after=_RETRY_AFTER)
         return self._without(asked, asking)
 
-    def _consult(self, member: Member | None, asked: _Asked, lost: str):
+    def _heir(self, asked: _Asked, home: str):
+        """Ask who inherited the memory of a home that may have stopped as planned."""
+        now = time.monotonic()
+        heirs = [self._own, *self.context.table.heirs(now)]
+        name = rendezvous(asked.identity.name, heirs)[0]
+        if name == self._own:
+            if self._memory.answers_for(home, now):
+                return None, (Consultation.CEDED, self._own)
+            return None
+        member = self.context.table.find(name)
+        reply = self._consult(member, asked, "", home)
+        if reply is None or reply[0] is Consultation.NOT_HEIR:
+            return None
+        return member, reply
+
+    def _consult(self, member: Member | None, asked: _Asked, lost: str, home: str = ""):
         if member is None:
             self.context.metrics.consultations.labels("unreachable").inc()
             return None
@@ -182,6 +207,7 @@
             asker=self._own,
             lost_owner=lost,
             repeatable=asked.repeatable,
+            home=home,
         )
         reply = self.context.peers.consult(member.peer_address, query)
         if isinstance(reply, Failure):
--- a/whinrack/server/_peer_handlers.py
+++ b/whinrack/server/_peer_handlers.py
@@ -12,7 +12,7 @@
 from whinrack.membership import Member
 from whinrack.observability import Event, log_event
 from whinrack.peers import AnswerPart, ConsultQuery, FeedSubscription, PeerHandlers
-from whinrack.requests import Consultation, RunState
+from whinrack.requests import Consultation, HandedEntry, RunState
 from whinrack.server._context import ServerContext
 
 __all__ = ["ChangeSignal", "DaemonHandlers"]
@@ -93,6 +93,8 @@
 
     def consult(self, query: ConsultQuery) -> tuple[Consultation, str]:
         """Tell whether a peer may run a request."""
+        if not self.context.memory.answers_for(query.home, time.monotonic()):
+            return Consultation.NOT_HEIR, ""
         return self.context.memory.consult(
             query.identity,
             query.digest,
@@ -102,6 +104,10 @@
             time.monotonic(),
         )
 
+    def inherit(self, home: str, entries: list[HandedEntry]) -> None:
+        """Take over the memory of a home that stops as planned."""
+        self.context.memory.inherit(home, entries, time.monotonic())
+
     def join(self, identity: str) -> Iterator[AnswerPart]:
         """Yield the answer of a request that runs or ran here."""
         end = time.monotonic() + _JOIN_LONGEST
