--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -36,8 +36,8 @@
     return answer.headers["Whinrack-Outcome"]
 
 
-def start_and_kill(fleet, send):
-    """Send a request to the first router and kill it while its target works."""
+def start_and_kill(fleet, send, victim=0):
+    """Send a request to a router and kill it while its target works."""
     thread = threading.Thread(target=lambda: in_parallel(send))
     before = sum(len(process.starts()) for process in fleet.targets.values())
     thread.start()
@@ -45,7 +45,7 @@
         lambda: sum(len(process.starts()) for process in fleet.targets.values()) > before,
         what="the target to start",
     )
-    fleet.routers[0].kill()
+    fleet.routers[victim].kill()
     thread.join()
 
 
@@ -201,6 +201,23 @@
     assert service_starts(fleet) == 1
 
 
+@pytest.mark.parametrize("ticketed", [True, False])
+def test_a_home_never_runs_what_it_ceded_to_a_lost_owner(fleet, ticketed):
+    """Found by reading: the first retry at the home was refused, the second one ran."""
+    ticket = ticket_of(fleet.routers[0])
+    options = {"key": "alert", "repeatable": "no"}
+    fleet.targets["s1"].fault(delay=1.0)
+    fleet.platform.fault(down=True)
+    send = lambda: fleet.caller.post(fleet.routers[1], ticket=ticket, **options)  # noqa: E731
+    start_and_kill(fleet, send, victim=1)
+    fleet.platform.fault(down=False)
+    if ticketed:
+        options["ticket"] = ticket
+    for _ in range(3):
+        assert outcome(fleet.caller.post(fleet.routers[0], **options)) == "unknown"
+    assert service_starts(fleet) == 1
+
+
 @pytest.mark.parametrize("ticketed", [True, False])
 def test_a_service_that_dies_after_the_start_is_unknown_and_not_run_again(fleet, ticketed):
     fleet.targets["s1"].fault(cut=True)
--- a/whinrack/peers/_client.py
+++ b/whinrack/peers/_client.py
@@ -16,21 +16,22 @@
 from whinrack.peers._bridge import run_coroutine, spawn_coroutine
 from whinrack.peers._pb import peer_pb2 as pb
 from whinrack.peers._pb.peer_grpc import PeerStub
-from whinrack.peers._server import _CONSULTATIONS, FLEET_KEY_HEADER
-from whinrack.peers.base import AnswerPart, ConsultQuery
-from whinrack.platform import StoredObject
-from whinrack.requests import Consultation, HandedEntry
+from whinrack.peers.base import (
+    FLEET_KEY_HEADER,
+    AnswerPart,
+    ConsultQuery,
+    FeedUpdate,
+    PeerWord,
+)
+from whinrack.requests import HandedEntry, Verdict
 
-__all__ = ["FeedUpdate", "PeerClient"]
+__all__ = ["PeerClient"]
 
 _LOST = (OSError, asyncio.TimeoutError, GRPCError, StreamTerminatedError)
-_CONSULTATION_OF = {value: key for key, value in _CONSULTATIONS.items()}
 _FEED_SILENCE = 3.0
 _JOIN_SILENCE = 60.0
 _DRAW_FACTOR = 4.0
 
-FeedUpdate = tuple[int, list[StoredObject]]
-
 
 class PeerClient:
     """Calls to peers by their address; every failure is a `PeerUnavailable`.
@@ -56,12 +57,12 @@
 
     def heartbeat(
         self, address: str, sender: Member, leaving: Sequence[str]
-    ) -> Result[tuple[Member, list[str]], WhinrackError]:
+    ) -> Result[PeerWord, WhinrackError]:
         """Send a heartbeat and return the peer's own word."""
         request = pb.HeartbeatRequest(sender=_codec.member_to_pb(sender), leaving_targets=leaving)
         reply = self._call("Heartbeat", address, request, self.timeout)
         return reply.map(
-            lambda message: (
+            lambda message: PeerWord(
                 _codec.member_from_pb(message.receiver),
                 list(message.leaving_targets),
             )
@@ -98,9 +99,7 @@
         reply = self._call("Spare", address, request, self.timeout)
         return reply.map(lambda message: message.given)
 
-    def consult(
-        self, address: str, query: ConsultQuery
-    ) -> Result[tuple[Consultation, str], WhinrackError]:
+    def consult(self, address: str, query: ConsultQuery) -> Result[Verdict, WhinrackError]:
         """Ask whether this incarnation may run a request."""
         request = pb.ConsultRequest(
             identity=query.identity,
@@ -111,7 +110,7 @@
             home=query.home,
         )
         reply = self._call("Consult", address, request, self.timeout)
-        return reply.map(lambda message: (_CONSULTATION_OF[message.consultation], message.owner))
+        return reply.map(_codec.verdict_from_pb)
 
     def hand_over(
         self, address: str, home: str, entries: Sequence[HandedEntry]
@@ -147,7 +146,7 @@
         request = pb.FeedRequest(since=since)
         for reply in self._stream("Feed", address, request, _FEED_SILENCE):
             objects = [_codec.object_from_pb(message) for message in reply.objects]
-            yield reply.revision, objects
+            yield FeedUpdate(reply.revision, objects)
 
     def close(self) -> None:
         """Close all connections."""
--- a/whinrack/peers/_codec.py
+++ b/whinrack/peers/_codec.py
@@ -6,7 +6,7 @@
 from whinrack.membership import Member
 from whinrack.peers._pb import peer_pb2 as pb
 from whinrack.platform import StoredObject
-from whinrack.requests import HandedEntry, RunState
+from whinrack.requests import Consultation, HandedEntry, RunState, Verdict
 
 __all__ = [
     "handed_from_pb",
@@ -19,11 +19,23 @@
     "order_to_pb",
     "result_from_pb",
     "result_to_pb",
+    "verdict_from_pb",
+    "verdict_to_pb",
 ]
 
 _MEMBER_FIELDS = Member.__struct_fields__
 _ORDER_FIELDS = tuple(name for name in DrawOrder.__struct_fields__ if name != "received")
 _RESULT_FIELDS = DrawResult.__struct_fields__
+_CONSULTATIONS = {
+    Consultation.CEDED: pb.CEDED,
+    Consultation.HERE: pb.HERE,
+    Consultation.ELSEWHERE: pb.ELSEWHERE,
+    Consultation.BODY_MISMATCH: pb.BODY_MISMATCH,
+    Consultation.OUTCOME_UNKNOWN: pb.OUTCOME_UNKNOWN,
+    Consultation.RAN: pb.RAN,
+    Consultation.NOT_HEIR: pb.NOT_HEIR,
+}
+_CONSULTATION_OF = {value: key for key, value in _CONSULTATIONS.items()}
 
 
 def member_to_pb(member: Member) -> pb.Member:
@@ -80,6 +92,16 @@
     return HandedEntry(message.identity, message.body_hash, message.owner, state)
 
 
+def verdict_to_pb(verdict: Verdict) -> pb.ConsultReply:
+    """Encode a verdict."""
+    return pb.ConsultReply(consultation=_CONSULTATIONS[verdict.consultation], owner=verdict.owner)
+
+
+def verdict_from_pb(message: pb.ConsultReply) -> Verdict:
+    """Decode a verdict."""
+    return Verdict(_CONSULTATION_OF[message.consultation], message.owner)
+
+
 def object_to_pb(stored: StoredObject) -> pb.FeedObject:
     """Encode a stored object."""
     return pb.FeedObject(
--- a/whinrack/peers/_server.py
+++ b/whinrack/peers/_server.py
@@ -13,22 +13,11 @@
 from whinrack.peers._bridge import call_green, run_coroutine
 from whinrack.peers._pb import peer_pb2 as pb
 from whinrack.peers._pb.peer_grpc import PeerBase
-from whinrack.peers.base import ConsultQuery, PeerHandlers
-from whinrack.requests import Consultation
+from whinrack.peers.base import FLEET_KEY_HEADER, ConsultQuery, PeerHandlers
 
-__all__ = ["FLEET_KEY_HEADER", "PeerServer"]
+__all__ = ["PeerServer"]
 
-FLEET_KEY_HEADER = "whinrack-fleet-key"
 _FEED_KEEPALIVE = 1.0
-_CONSULTATIONS = {
-    Consultation.CEDED: pb.CEDED,
-    Consultation.HERE: pb.HERE,
-    Consultation.ELSEWHERE: pb.ELSEWHERE,
-    Consultation.BODY_MISMATCH: pb.BODY_MISMATCH,
-    Consultation.OUTCOME_UNKNOWN: pb.OUTCOME_UNKNOWN,
-    Consultation.RAN: pb.RAN,
-    Consultation.NOT_HEIR: pb.NOT_HEIR,
-}
 
 
 class _PeerService(PeerBase):
@@ -40,8 +29,10 @@
     async def Heartbeat(self, stream: Stream) -> None:  # noqa: N802
         request = await stream.recv_message()
         sender = _codec.member_from_pb(request.sender)
-        member, leaving = self.handlers.heartbeat(sender, list(request.leaving_targets))
-        reply = pb.HeartbeatReply(receiver=_codec.member_to_pb(member), leaving_targets=leaving)
+        word = self.handlers.heartbeat(sender, list(request.leaving_targets))
+        reply = pb.HeartbeatReply(
+            receiver=_codec.member_to_pb(word.member), leaving_targets=word.leaving
+        )
         await stream.send_message(reply)
 
     async def DrawTokens(self, stream: Stream) -> None:  # noqa: N802
@@ -75,9 +66,8 @@
             repeatable=request.repeatable,
             home=request.home,
         )
-        consultation, owner = self.handlers.consult(query)
-        reply = pb.ConsultReply(consultation=_CONSULTATIONS[consultation], owner=owner)
-        await stream.send_message(reply)
+        verdict = self.handlers.consult(query)
+        await stream.send_message(_codec.verdict_to_pb(verdict))
 
     async def Handover(self, stream: Stream) -> None:  # noqa: N802
         request = await stream.recv_message()
--- a/whinrack/peers/base.py
+++ b/whinrack/peers/base.py
@@ -1,6 +1,7 @@
 """What a daemon answers to its peers; the server calls these in green threads."""
 
 from collections.abc import Iterator, Sequence
+from typing import NamedTuple
 
 import msgspec
 from returns.result import Result
@@ -9,9 +10,34 @@
 from whinrack.exceptions import WhinrackError
 from whinrack.feed import ConfigStore
 from whinrack.membership import Member
-from whinrack.requests import Consultation, HandedEntry
+from whinrack.platform import StoredObject
+from whinrack.requests import HandedEntry, Verdict
 
-__all__ = ["AnswerPart", "ConsultQuery", "FeedSubscription", "PeerHandlers"]
+__all__ = [
+    "FLEET_KEY_HEADER",
+    "AnswerPart",
+    "ConsultQuery",
+    "FeedSubscription",
+    "FeedUpdate",
+    "PeerHandlers",
+    "PeerWord",
+]
+
+FLEET_KEY_HEADER = "whinrack-fleet-key"
+
+
+class PeerWord(NamedTuple):
+    """A peer's word on itself, and the leaving instances that it knows of."""
+
+    member: Member
+    leaving: list[str]
+
+
+class FeedUpdate(NamedTuple):
+    """Configuration changes up to a revision."""
+
+    revision: int
+    objects: list[StoredObject]
 
 
 class ConsultQuery(msgspec.Struct, frozen=True, kw_only=True):
@@ -55,7 +81,7 @@
 
     config: ConfigStore
 
-    def heartbeat(self, sender: Member, leaving: Sequence[str]) -> tuple[Member, list[str]]:
+    def heartbeat(self, sender: Member, leaving: Sequence[str]) -> PeerWord:
         """Take in a peer's word and answer with one's own."""
         raise NotImplementedError
 
@@ -67,7 +93,7 @@
         """Hand tokens to a peer; returns the cumulative total."""
         raise NotImplementedError
 
-    def consult(self, query: ConsultQuery) -> tuple[Consultation, str]:
+    def consult(self, query: ConsultQuery) -> Verdict:
         """Tell whether a peer may run a request."""
         raise NotImplementedError
 
--- a/whinrack/requests/__init__.py
+++ b/whinrack/requests/__init__.py
@@ -28,6 +28,7 @@
     MemoryEntry,
     RequestMemory,
     RunState,
+    Verdict,
 )
 
 __all__ = [
@@ -44,6 +45,7 @@
     "RequestMemory",
     "RunState",
     "Ticket",
+    "Verdict",
     "body_digest",
     "check_fields",
     "cover_bound",
--- a/whinrack/requests/_memory.py
+++ b/whinrack/requests/_memory.py
@@ -8,10 +8,11 @@
 
 from collections import OrderedDict
 from enum import StrEnum
+from typing import NamedTuple
 
 import msgspec
 
-__all__ = ["Consultation", "HandedEntry", "MemoryEntry", "RequestMemory", "RunState"]
+__all__ = ["Consultation", "HandedEntry", "MemoryEntry", "RequestMemory", "RunState", "Verdict"]
 
 
 class RunState(StrEnum):
@@ -63,6 +64,13 @@
     expires: float = 0.0
 
 
+class Verdict(NamedTuple):
+    """The answer to a question, and the owner for `HERE`, `ELSEWHERE` and `RAN`."""
+
+    consultation: Consultation
+    owner: str = ""
+
+
 class HandedEntry(msgspec.Struct, frozen=True):
     """An entry on its way from a home that stops to the one asked next."""
 
@@ -109,6 +117,11 @@
         self._trim(now)
         return entry
 
+    def restore(self, identity: str, entry: MemoryEntry | None) -> None:
+        """Put back what was remembered before a reservation that came to nothing."""
+        if entry is not None:
+            self._entries[identity] = entry
+
     def set_state(
         self, identity: str, state: RunState, now: float, answer: object | None = None
     ) -> None:
@@ -159,7 +172,7 @@
         lost_owner: str,
         repeatable: bool,
         now: float,
-    ) -> tuple[Consultation, str]:
+    ) -> Verdict:
         """Answer an incarnation that wants to run a request.
 
         Parameters
@@ -171,27 +184,29 @@
 
         Returns
         -------
-        tuple of Consultation and str
-            The answer, and the owner for `HERE` and `ELSEWHERE`.
+        Verdict
+            The answer.
         """
         entry = self._entries.get(identity)
         if entry is None:
             return self._cede(identity, digest, asker, now)
         if entry.digest != digest:
-            return Consultation.BODY_MISMATCH, ""
+            return Verdict(Consultation.BODY_MISMATCH)
         if entry.owner == self.incarnation:
             return self._consult_own(identity, entry, asker, repeatable, now)
         if entry.owner == asker:
-            return Consultation.CEDED, asker
+            return Verdict(Consultation.CEDED, asker)
         if entry.state is RunState.FINISHED:
-            return Consultation.RAN, entry.owner
+            return Verdict(Consultation.RAN, entry.owner)
         if entry.owner == lost_owner:
             if repeatable:
                 return self._cede(identity, digest, asker, now)
-            return Consultation.OUTCOME_UNKNOWN, entry.owner
-        return Consultation.ELSEWHERE, entry.owner
+            return Verdict(Consultation.OUTCOME_UNKNOWN, entry.owner)
+        return Verdict(Consultation.ELSEWHERE, entry.owner)
 
-    def _consult_own(self, identity, entry, asker, repeatable, now):
+    def _consult_own(
+        self, identity: str, entry: MemoryEntry, asker: str, repeatable: bool, now: float
+    ) -> Verdict:
         if entry.state is RunState.NOT_RUN:
             return self._cede(identity, entry.digest, asker, now)
         if entry.state is RunState.ASKING and asker < self.incarnation:
@@ -200,15 +215,15 @@
         if entry.state is RunState.UNKNOWN:
             if repeatable:
                 return self._cede(identity, entry.digest, asker, now)
-            return Consultation.OUTCOME_UNKNOWN, self.incarnation
-        return Consultation.HERE, self.incarnation
+            return Verdict(Consultation.OUTCOME_UNKNOWN, self.incarnation)
+        return Verdict(Consultation.HERE, self.incarnation)
 
-    def _cede(self, identity, digest, asker, now):
+    def _cede(self, identity: str, digest: bytes, asker: str, now: float) -> Verdict:
         self._entries[identity] = MemoryEntry(
             digest=digest, owner=asker, state=RunState.CEDED, expires=now + self.keep
         )
         self._trim(now)
-        return Consultation.CEDED, asker
+        return Verdict(Consultation.CEDED, asker)
 
     def _trim(self, now: float) -> None:
         """Forget expired entries, and the oldest ended ones beyond the limit."""
--- a/whinrack/server/_ownership.py
+++ b/whinrack/server/_ownership.py
@@ -13,6 +13,7 @@
 """
 
 import time
+from typing import NamedTuple
 
 import msgspec
 from returns.result import Failure
@@ -34,6 +35,7 @@
     MemoryEntry,
     RunState,
     Ticket,
+    Verdict,
     judge_claim,
 )
 from whinrack.server._answers import AnswerNotKept
@@ -73,12 +75,26 @@
 
 
 class _Asked(msgspec.Struct, frozen=True):
-    """What is known about a request that is to be placed."""
+    """What is known about a request that is to be placed.
+
+    Attributes
+    ----------
+    elsewhere : bool
+        This incarnation remembers another owner.
+    """
 
     identity: Identity
     digest: bytes
     repeatable: bool
     ticketed: bool
+    elsewhere: bool
+
+
+class _HeirReply(NamedTuple):
+    """What the heir of a home says; `member` is None where this incarnation is the heir."""
+
+    member: Member | None
+    verdict: Verdict
 
 
 class Ownership:
@@ -104,10 +120,11 @@
         """
         if not identity.keyed:
             return RunHere()
-        asked = _Asked(identity, digest, repeatable, ticket is not None)
         entry = self._memory.find(identity.name)
         if entry is not None and entry.digest != digest:
             raise KeyReused("the key was used with another body")
+        elsewhere = entry is not None and entry.owner != self._own
+        asked = _Asked(identity, digest, repeatable, ticket is not None, elsewhere)
         first = self._first_to_ask(asked, entry, ticket)
         if isinstance(first, JoinHere):
             return first
@@ -119,6 +136,9 @@
             return decision
         except Exception:
             self._memory.set_state(identity.name, RunState.NOT_RUN, time.monotonic())
+            if elsewhere:
+                # Another owner may have run it: that must not be forgotten.
+                self._memory.restore(identity.name, entry)
             raise
 
     @property
@@ -134,6 +154,8 @@
         if entry is not None and entry.owner != self._own:
             if entry.state is RunState.FINISHED:
                 raise AnswerNotKept("the request ran at an instance that has stopped")
+            if entry.state is RunState.UNKNOWN and not asked.repeatable:
+                raise OutcomeUnknown("an earlier try may have run", retry_after=_RETRY_AFTER)
             return entry.owner
         if entry is not None:
             open_again = entry.state is RunState.NOT_RUN or (
@@ -161,12 +183,11 @@
                     # The owner is lost: the home decides again, knowing that.
                     asking, lost = home, asking
                     continue
-                heir = self._heir(asked, home)
+                heir = self._ask_heir(asked, home)
                 if heir is None:
                     return self._without(asked, asking)
                 member, reply = heir
-            consultation, owner = reply
-            match consultation:
+            match reply.consultation:
                 case Consultation.RAN:
                     raise AnswerNotKept("the request ran at an instance that has stopped")
                 case Consultation.CEDED:
@@ -175,29 +196,32 @@
                     self._hand_over(asked, member.incarnation)
                     return JoinPeer(member)
                 case Consultation.ELSEWHERE:
-                    asking = owner
+                    asking = reply.owner
                 case Consultation.BODY_MISMATCH:
                     raise KeyReused("the key was used with another body")
                 case Consultation.OUTCOME_UNKNOWN:
                     raise OutcomeUnknown("an earlier try may have run", retry_after=_RETRY_AFTER)
         return self._without(asked, asking)
 
-    def _heir(self, asked: _Asked, home: str):
+    def _ask_heir(self, asked: _Asked, home: str) -> "_HeirReply | None":
         """Ask who inherited the memory of a home that may have stopped as planned."""
         now = time.monotonic()
         heirs = [self._own, *self.context.table.heirs(now)]
         name = rendezvous(asked.identity.name, heirs)[0]
         if name == self._own:
             if self._memory.answers_for(home, now):
-                return None, (Consultation.CEDED, self._own)
+                return _HeirReply(None, Verdict(Consultation.CEDED, self._own))
             return None
         member = self.context.table.find(name)
         reply = self._consult(member, asked, "", home)
-        if reply is None or reply[0] is Consultation.NOT_HEIR:
+        if reply is None or reply.consultation is Consultation.NOT_HEIR:
             return None
-        return member, reply
+        return _HeirReply(member, reply)
 
-    def _consult(self, member: Member | None, asked: _Asked, lost: str, home: str = ""):
+    def _consult(
+        self, member: Member | None, asked: _Asked, lost: str, home: str = ""
+    ) -> Verdict | None:
+        """Ask one peer; None if it can't be reached."""
         if member is None:
             self.context.metrics.consultations.labels("unreachable").inc()
             return None
@@ -213,15 +237,15 @@
         if isinstance(reply, Failure):
             self.context.metrics.consultations.labels("unreachable").inc()
             return None
-        consultation, owner = reply.unwrap()
-        self.context.metrics.consultations.labels(str(consultation)).inc()
-        return consultation, owner
+        verdict = reply.unwrap()
+        self.context.metrics.consultations.labels(str(verdict.consultation)).inc()
+        return verdict
 
     def _without(self, asked: _Asked, lost: str) -> RunHere:
         """Decide where an incarnation that may have run the request can't be asked."""
         if asked.repeatable:
             return RunHere(provisional_against=lost)
-        if not asked.ticketed and asked.identity.keyed:
+        if not asked.ticketed and not asked.elsewhere:
             # No ticket: the claim in the platform decides instead of the home.
             return RunHere()
         raise OutcomeUnknown(
@@ -268,10 +292,10 @@
         """Join the answer of the claim's holder, which alone may run the request."""
         member = self.context.table.find(holder)
         reply = self._consult(member, asked, "")
-        if reply is not None and reply[0] is Consultation.HERE:
+        if reply is not None and reply.consultation is Consultation.HERE:
             self._hand_over(asked, holder)
             return JoinPeer(member)
-        if reply is not None and reply[0] is Consultation.CEDED:
+        if reply is not None and reply.consultation is Consultation.CEDED:
             # The holder did not run it and promises that it won't.
             return RunHere()
         raise OutcomeUnknown(
--- a/whinrack/server/_peer_handlers.py
+++ b/whinrack/server/_peer_handlers.py
@@ -11,8 +11,14 @@
 from whinrack.exceptions import PeerUnavailable, PlatformFailure, Refusal
 from whinrack.membership import Member
 from whinrack.observability import Event, log_event
-from whinrack.peers import AnswerPart, ConsultQuery, FeedSubscription, PeerHandlers
-from whinrack.requests import Consultation, HandedEntry, RunState
+from whinrack.peers import (
+    AnswerPart,
+    ConsultQuery,
+    FeedSubscription,
+    PeerHandlers,
+    PeerWord,
+)
+from whinrack.requests import Consultation, HandedEntry, RunState, Verdict
 from whinrack.server._context import ServerContext
 
 __all__ = ["ChangeSignal", "DaemonHandlers"]
@@ -66,11 +72,11 @@
         self.on_leaving = on_leaving
         self.config = context.config
 
-    def heartbeat(self, sender: Member, leaving: Sequence[str]) -> tuple[Member, list[str]]:
+    def heartbeat(self, sender: Member, leaving: Sequence[str]) -> PeerWord:
         """Take in a peer's word and answer with one's own."""
         self.take_word(sender, leaving)
         known = self.context.table.leaving_instances(time.monotonic())
-        return self.context.own_member(), sorted(known)
+        return PeerWord(self.context.own_member(), sorted(known))
 
     def take_word(self, member: Member, leaving: Sequence[str]) -> None:
         """Learn from a heartbeat or its reply."""
@@ -91,10 +97,10 @@
         """Hand tokens to a peer; returns the cumulative total."""
         return self.context.keeper.give(budget, receiver, already_received, need, wish)
 
-    def consult(self, query: ConsultQuery) -> tuple[Consultation, str]:
+    def consult(self, query: ConsultQuery) -> Verdict:
         """Tell whether a peer may run a request."""
         if not self.context.memory.answers_for(query.home, time.monotonic()):
-            return Consultation.NOT_HEIR, ""
+            return Verdict(Consultation.NOT_HEIR)
         return self.context.memory.consult(
             query.identity,
             query.digest,
--- a/whinrack/server/_tasks.py
+++ b/whinrack/server/_tasks.py
@@ -153,8 +153,8 @@
         reply = self.context.peers.heartbeat(address, own, leaving)
         if isinstance(reply, Failure):
             return
-        member, told = reply.unwrap()
-        self.handlers.take_word(member, told)
+        word = reply.unwrap()
+        self.handlers.take_word(word.member, word.leaving)
 
     def _notice_lost(self) -> None:
         now = time.monotonic()
