--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -3,10 +3,8 @@
 import pathlib
 import re
 
-from whinrack.exceptions import Refusal
+from whinrack.exceptions import AnswerNotKept, InternalFailure, NoSuchPath, Refusal
 from whinrack.observability import Event, Metrics
-from whinrack.server._answers import AnswerNotKept
-from whinrack.server._app import InternalFailure, NoSuchPath
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -1,6 +1,8 @@
 """The command line: help, exit codes, policies and settings outside a fleet."""
 
 import pathlib
+import subprocess
+import sys
 
 import pytest
 from click.testing import CliRunner
@@ -19,6 +21,16 @@
     assert run("policy", "check", ROOT / "examples/declarations/daytime.cel").exit_code == 0
 
 
+def test_the_examples_run():
+    program = ROOT / "examples/declarations/daytime.cel"
+    result = run("policy", "try", program, ROOT / "examples/sample-request.toml")
+    assert "spread: affinity" in result.output
+    books = subprocess.run(
+        [sys.executable, ROOT / "examples/books.py"], capture_output=True, text=True, check=True
+    )
+    assert "free after an operator's word: 820" in books.stdout
+
+
 def test_a_policy_can_be_tried_outside_the_fleet(tmp_path):
     sample = tmp_path / "sample.toml"
     sample.write_text('[request]\nrequest_class = "deferrable"\n[pools.small]\ntargets = 2\n')
--- a/whinrack/budgets/__init__.py
+++ b/whinrack/budgets/__init__.py
@@ -14,7 +14,7 @@
 )
 from whinrack.budgets._demand import DemandEstimate
 from whinrack.budgets._drawer import ACCOUNT_KIND, AccountDrawer
-from whinrack.budgets._keeper import BudgetKeeper, SpareSource, TokenSource
+from whinrack.budgets._keeper import BudgetKeeper, SpareSource, SpareTotal, TokenSource
 from whinrack.budgets._ledger import BudgetLedger, Cover
 
 __all__ = [
@@ -30,6 +30,7 @@
     "DrawOrder",
     "DrawResult",
     "SpareSource",
+    "SpareTotal",
     "TokenSource",
     "account_name",
     "apply_draws",
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable, Iterable
 from contextlib import AbstractContextManager, nullcontext
+from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
@@ -12,7 +13,7 @@
 from whinrack.exceptions import BudgetContended, BudgetExhausted, Refusal, WhinrackError
 from whinrack.objects import Weighting
 
-__all__ = ["BudgetKeeper", "SpareSource", "TokenSource"]
+__all__ = ["BudgetKeeper", "SpareSource", "SpareTotal", "TokenSource"]
 
 _NO_FREE_FIRST = 0.5
 _NO_FREE_LONGEST = 5.0
@@ -32,13 +33,20 @@
         raise NotImplementedError
 
 
+class SpareTotal(NamedTuple):
+    """A peer's cumulative total of tokens that it gave to this incarnation."""
+
+    giver: str
+    total: int
+
+
 class SpareSource:
     """The peers that may hold unspent tokens."""
 
     def gather(
         self, budget: str, need: int, wish: int, received: dict[str, int]
-    ) -> Iterable[tuple[str, int]]:
-        """Ask peers for tokens; yields (giver, cumulative total)."""
+    ) -> Iterable[SpareTotal]:
+        """Ask peers for tokens and yield what each has given in all."""
         raise NotImplementedError
 
 
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "AnswerCut",
+    "AnswerNotKept",
     "BadRequest",
     "BodyTooLarge",
     "BudgetContended",
@@ -18,9 +19,11 @@
     "DeadlineUnreachable",
     "Forbidden",
     "ForeignAnswer",
+    "InternalFailure",
     "InvalidObject",
     "InvalidSettings",
     "KeyReused",
+    "NoSuchPath",
     "NotFound",
     "OutcomeUnknown",
     "PeerUnavailable",
@@ -281,3 +284,22 @@
     """The target answered with another request's id."""
 
     code = "foreign_answer"
+
+
+class AnswerNotKept(Refusal):
+    """The request ran and was billed, but its answer is no longer here."""
+
+    code, status, kind = "answer_not_kept", 409, "invalid_request_error"
+    outcome = Outcome.RAN
+
+
+class NoSuchPath(Refusal):
+    """No endpoint has this path and method."""
+
+    code, status, kind = "no_such_path", 404, "invalid_request_error"
+
+
+class InternalFailure(Refusal):
+    """Whinrack itself failed."""
+
+    code, status, kind = "internal", 500, "api_error"
--- a/whinrack/server/_answers.py
+++ b/whinrack/server/_answers.py
@@ -6,22 +6,14 @@
 from eventlet import Timeout
 from eventlet.event import Event
 
-from whinrack.base import Outcome
-from whinrack.exceptions import PeerUnavailable, Refusal
+from whinrack.exceptions import AnswerNotKept, PeerUnavailable
 from whinrack.peers import AnswerPart
 
-__all__ = ["AnswerNotKept", "AnswerShelf", "RunningAnswer"]
+__all__ = ["AnswerShelf", "RunningAnswer"]
 
 _SILENCE = 300.0
 
 
-class AnswerNotKept(Refusal):
-    """The request ran and was billed, but its answer is no longer here."""
-
-    code, status, kind = "answer_not_kept", 409, "invalid_request_error"
-    outcome = Outcome.RAN
-
-
 class RunningAnswer:
     """One answer, filled by whoever runs the request, read by any number of retries.
 
--- a/whinrack/server/_app.py
+++ b/whinrack/server/_app.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Callable, Iterator
 
-from whinrack.exceptions import BadRequest, Refusal, TargetUnavailable
+from whinrack.exceptions import (
+    BadRequest,
+    InternalFailure,
+    NoSuchPath,
+    Refusal,
+    TargetUnavailable,
+)
 from whinrack.observability import Event, log_event
 from whinrack.requests import Identity, new_request_id
 from whinrack.server._auth import Authenticator
@@ -20,18 +26,6 @@
 __all__ = ["Application"]
 
 
-class NoSuchPath(Refusal):
-    """No endpoint has this path and method."""
-
-    code, status, kind = "no_such_path", 404, "invalid_request_error"
-
-
-class InternalFailure(Refusal):
-    """Whinrack itself failed."""
-
-    code, status, kind = "internal", 500, "api_error"
-
-
 class Application:
     """Answers callers.
 
--- a/whinrack/server/_http.py
+++ b/whinrack/server/_http.py
@@ -1,7 +1,7 @@
 """Requests and answers of the callers' side, independent of the WSGI runner."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from http import HTTPStatus
 
 import eventlet
@@ -11,11 +11,17 @@
 from whinrack.exceptions import BadRequest, BodyTooLarge, Refusal, RequestTimeout
 
 __all__ = [
+    "CLASS_HEADER",
     "CODE_HEADER",
+    "DEADLINE_HEADER",
+    "KEY_HEADER",
+    "REPEATABLE_HEADER",
+    "TICKET_HEADER",
     "HttpAnswer",
     "HttpRequest",
     "answer_headers",
     "error_answer",
+    "error_body",
     "json_answer",
 ]
 
@@ -209,7 +215,3 @@
         # OpenAI-compatible clients honour this and don't come back by themselves.
         headers.append(("X-Should-Retry", "false"))
     return HttpAnswer(refusal.status, headers, [body])
-
-
-# What the WSGI runner needs: a function from environment to answer.
-Endpoint = Callable[[HttpRequest], HttpAnswer]
--- a/whinrack/server/_ownership.py
+++ b/whinrack/server/_ownership.py
@@ -20,6 +20,7 @@
 
 from whinrack.base import rendezvous
 from whinrack.exceptions import (
+    AnswerNotKept,
     ClaimUnavailable,
     KeyReused,
     OutcomeUnknown,
@@ -38,7 +39,6 @@
     Verdict,
     judge_claim,
 )
-from whinrack.server._answers import AnswerNotKept
 from whinrack.server._context import ServerContext
 
 __all__ = ["JoinHere", "JoinPeer", "Ownership", "RunHere"]
--- a/whinrack/server/_sources.py
+++ b/whinrack/server/_sources.py
@@ -6,7 +6,14 @@
 import eventlet
 from returns.result import Failure, Result
 
-from whinrack.budgets import AccountDrawer, DrawOrder, DrawResult, SpareSource, TokenSource
+from whinrack.budgets import (
+    AccountDrawer,
+    DrawOrder,
+    DrawResult,
+    SpareSource,
+    SpareTotal,
+    TokenSource,
+)
 from whinrack.exceptions import WhinrackError
 from whinrack.membership import Member, MembershipTable
 from whinrack.observability import Metrics
@@ -77,24 +84,21 @@
 
     def gather(
         self, budget: str, need: int, wish: int, received: dict[str, int]
-    ) -> Iterable[tuple[str, int]]:
-        """Ask peers for tokens; yields (giver, cumulative total)."""
+    ) -> Iterable[SpareTotal]:
+        """Ask peers for tokens and yield what each has given in all."""
         own = self.own()
         members = self.table.alive(time.monotonic())
         members.sort(key=lambda member: (member.region != own.region, member.name))
         pool = eventlet.GreenPool(_MOST_ASKED)
-        asked = members[:_MOST_ASKED]
         missing = need
 
-        def ask(member: Member) -> tuple[str, int | None]:
+        def ask(member: Member) -> SpareTotal:
             known = received.get(member.incarnation, 0)
             reply = self.peers.spare(
                 member.peer_address, budget, own.incarnation, known, max(0, missing), wish
             )
-            return member.incarnation, reply.value_or(None)
+            return SpareTotal(member.incarnation, reply.value_or(known))
 
-        for giver, total in pool.imap(ask, asked):
-            if total is None:
-                continue
-            missing -= max(0, total - received.get(giver, 0))
-            yield giver, total
+        for spare in pool.imap(ask, members[:_MOST_ASKED]):
+            missing -= max(0, spare.total - received.get(spare.giver, 0))
+            yield spare
