--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,6 +1,7 @@
 """Idle connections, slow headers and slow readers do not stop others."""
 
 import json
+import resource
 import socket
 import time
 
@@ -8,11 +9,14 @@
 
 from tests.support import expected_text, new_fleet, stream_text
 
-IDLE = 3000
+IDLE = 10_000
 
 
 @pytest.fixture(scope="module")
 def fleet():
+    # Routers inherit it: each idle connection takes one descriptor at either end.
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     settings = {"http": {"header_timeout": "0.5"}}
     with new_fleet(routers=1, settings=settings) as started:
         yield started
--- a/whinrack/membership/_members.py
+++ b/whinrack/membership/_members.py
@@ -122,10 +122,11 @@
             del self._heard[name], self._members[name]
         return silent
 
-    def entries(self, own: Member, now: float) -> list[Member]:
+    def entries(self, own: Member, now: float, busy: int = 1_000_000) -> list[Member]:
         """Return the instances that callers may be sent to, preferred first.
 
-        Own data hall first, then the own region, each by load.
+        Own data hall first, then the own region, each by load. Instances with `busy`
+        or more requests in progress are left out, unless all are that busy.
         """
         candidates = [own, *self.alive(now)]
         serving = [member for member in candidates if not self._is_leaving(member)]
@@ -138,7 +139,8 @@
                 member.name,
             )
 
-        return sorted(serving, key=order)
+        idle = [member for member in serving if member.requests_in_progress < busy]
+        return sorted(idle or serving, key=order)
 
     def watchers(self, own: Member, count: int, now: float) -> list[str]:
         """Return the incarnations of the own hall that watch the platform."""
--- a/whinrack/membership/tests/test_membership.py
+++ b/whinrack/membership/tests/test_membership.py
@@ -57,6 +57,13 @@
     assert [one.name for one in kept.entries(own, 0.0)] == ["r2", "r0", "r1"]
 
 
+def test_callers_are_not_sent_to_overloaded_instances_unless_all_are():
+    kept = table(member(1, requests_in_progress=50), member(2, requests_in_progress=5))
+    own = member(0, requests_in_progress=60)
+    assert [one.name for one in kept.entries(own, 0.0, busy=50)] == ["r2"]
+    assert [one.name for one in kept.entries(own, 0.0, busy=5)] == ["r2", "r1", "r0"]
+
+
 def test_those_who_see_the_same_choose_the_same():
     members = [member(number) for number in range(4)]
     choices = set()
--- a/whinrack/server/_operations.py
+++ b/whinrack/server/_operations.py
@@ -62,7 +62,8 @@
     def entry(self, request: HttpRequest) -> HttpAnswer:
         """Answer "which address?"; needs no key, as it tells nothing secret."""
         own = self.context.own_member()
-        members = self.context.table.entries(own, time.monotonic())
+        busy = self.context.settings.http.busy_requests
+        members = self.context.table.entries(own, time.monotonic(), busy)
         home = members[0] if members else own
         reply = EntryReply(
             addresses=[member.http_address for member in members[:_MOST_ADDRESSES]],
--- a/whinrack/settings/_settings.py
+++ b/whinrack/settings/_settings.py
@@ -47,6 +47,7 @@
     body_timeout: Seconds = 10.0
     connections: Count = 20_000
     entry_seconds: Seconds = 30.0
+    busy_requests: Count = 400
 
 
 class PeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
