--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -99,6 +99,10 @@
     wait_until(lambda: starts(fleet, "e1") > 5)
     announce(fleet)
     seconds = seconds_until_last_start(fleet, "e1")
+    wait_until(lambda: fleet.targets["e1"].json("GET", "/load")["running"] == 0)
+    fleet.targets["e1"].stop()
+    answered = load.answered
+    wait_until(lambda: load.answered > answered + 10)
     load.end()
     assert load.failures == []
     assert seconds < BAR_SECONDS
