Read once more: one place decides what is kept, cancelled, committed and remembered

No behaviour a caller sees changes, and no test is touched. - Whether an answer is kept is decided where it is made (limit 0 without a key) instead of again in the relay; a forgotten body no longer wakes its readers with every further chunk, and long answers of plain services without a key are no longer copied. - The settlement is made where its inputs are known, so the provisional mark isn't copied into it afterwards: that copy was once forgotten. - Cancelling at the engine, asking for a commit, and the check for an unknown earlier outcome stood twice and stand once. Two bounds that could never apply are gone.

--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -240,7 +240,7 @@
         now = self.clock()
         want = self._want(held)
         surplus = ledger.spendable - _IDLE_SURPLUS * want
-        if surplus > max(0, want):
+        if surplus > want:
             ledger.give_back(surplus)
         short = 0 if self.stopping or now < held.no_free_until else want - ledger.spendable
         wish = short if short > want // 2 and now >= held.wished_at + _WISH_PAUSE else 0
@@ -250,7 +250,7 @@
         if wish:
             held.wished_at = now
         with held.lock:
-            sent = self._send(held, ledger.next_order(want=max(0, wish)))
+            sent = self._send(held, ledger.next_order(want=wish))
         return 0 if sent else 1
 
     def _want(self, held: _Held) -> int:
--- a/whinrack/server/_answers.py
+++ b/whinrack/server/_answers.py
@@ -20,7 +20,8 @@
     Parameters
     ----------
     limit : int
-        Bytes that are kept; a longer answer can't be joined from its start.
+        Bytes that are kept; a longer answer can't be joined from its start. 0 for an
+        answer that nobody can ask for again.
     """
 
     def __init__(self, limit: int):
@@ -42,12 +43,14 @@
         self._notify()
 
     def append(self, data: bytes) -> None:
-        """Add a piece of the body."""
+        """Add a piece of the body; does nothing once the body was forgotten."""
+        if not self.kept:
+            return
         self.size += len(data)
         if self.size > self.limit:
             self.drop()
-        elif self.kept:
-            self._chunks.append(data)
+            return
+        self._chunks.append(data)
         if self.readers:
             self._notify()
 
--- a/whinrack/server/_bills.py
+++ b/whinrack/server/_bills.py
@@ -37,8 +37,7 @@
     def add(self, record: BillRecord) -> int:
         """Queue a bill; returns the mark to wait for."""
         mark = self.writer.add(record)
-        if not self._wanted.ready():
-            self._wanted.send(None)
+        self._want_commit()
         return mark
 
     def wait_kept(self, mark: int, seconds: float) -> bool:
@@ -63,7 +62,7 @@
             eventlet.sleep(self._pace.delay(time.monotonic()))
             if not self.flush():
                 eventlet.sleep(_RETRY_PAUSE)
-                self._want_again()
+                self._want_commit()
 
     def flush(self) -> bool:
         """Commit what is queued now."""
@@ -73,6 +72,6 @@
         event.send(None)
         return done
 
-    def _want_again(self) -> None:
+    def _want_commit(self) -> None:
         if not self._wanted.ready():
             self._wanted.send(None)
--- a/whinrack/server/_calls.py
+++ b/whinrack/server/_calls.py
@@ -64,7 +64,8 @@
     def _run_here(self, call: Call, decision: RunHere) -> HttpAnswer:
         call.claimed = decision.claimed
         call.provisional_against = decision.provisional_against
-        call.answer = RunningAnswer(self.context.settings.requests.answer_limit)
+        limit = self.context.settings.requests.answer_limit if call.identity.keyed else 0
+        call.answer = RunningAnswer(limit)
         self._remember(call, RunState.RUNNING)
         try:
             return self.start(call)
--- a/whinrack/server/_chat.py
+++ b/whinrack/server/_chat.py
@@ -60,16 +60,21 @@
 
     Attributes
     ----------
-    settlement : Settlement
-        Its cover and its bill.
+    limit : int
+        Most tokens of one choice.
+    bound : int
+        Most tokens in all, prompt included.
+    settlement : Settlement or None
+        Its cover and its bill, once it runs here.
     stream : ChatStream or None
         Checks of the answer that is being relayed.
     """
 
-    def __init__(self, chat: ChatRequest, limit: int, **options):
+    def __init__(self, chat: ChatRequest, limit: int, bound: int, **options):
         super().__init__(**options)
         self.chat = chat
         self.limit = limit
+        self.bound = bound
         self.settlement: Settlement | None = None
         self.stream: ChatStream | None = None
         self.resumes = 0
@@ -122,6 +127,7 @@
         call = ChatCall(
             chat,
             limit,
+            bound,
             identity=identity,
             caller=caller,
             decision=decision,
@@ -134,12 +140,13 @@
             affinity_key=f"{chat.model}/{body[:_PREFIX_BYTES].hex()}",
             request=request,
         )
-        call.settlement = Settlement(self.context, caller, identity, bound)
         return self.run(call)
 
     def start(self, call: ChatCall) -> HttpAnswer:
         """Cover, send and relay a request that runs here."""
-        call.settlement.provisional_against = call.provisional_against
+        call.settlement = Settlement(
+            self.context, call.caller, call.identity, call.bound, call.provisional_against
+        )
         call.settlement.open()
         try:
             return self._attempts(call)
@@ -267,11 +274,9 @@
     def _relay(self, call: ChatCall, response, events: Iterator[bytes], data: bytes):
         """Yield an answer to its caller; settle, bill and end it, whatever happens."""
         append = call.answer.append
-        keep = call.identity.keyed
         try:
             while not call.stream.done:
-                if keep:
-                    append(data)
+                append(data)
                 yield data
                 try:
                     data = self._next(call, events)
@@ -325,13 +330,16 @@
         self.finish(call, whole=False)
 
     def _cancel_and_settle(self, call: ChatCall) -> None:
-        usage = self.context.targets.cancel(call.slot.target.spec.address, call.identity.request_id)
-        call.settlement.settle(usage, events=call.stream.content_events)
+        call.settlement.settle(self._cancel(call), events=call.stream.content_events)
 
     def _write_off(self, call: ChatCall) -> None:
         """Account for a try that may have run and whose answer nobody gets."""
-        usage = self.context.targets.cancel(call.slot.target.spec.address, call.identity.request_id)
-        call.settlement.write_off(usage)
+        call.settlement.write_off(self._cancel(call))
+
+    def _cancel(self, call: ChatCall) -> Usage | None:
+        """Cancel a try at its engine; returns what it used, if the engine can say."""
+        address = call.slot.target.spec.address
+        return self.context.targets.cancel(address, call.identity.request_id)
 
     def _succeeded(self, call: ChatCall) -> None:
         call.slot.target.succeeded(time.monotonic())
--- a/whinrack/server/_ownership.py
+++ b/whinrack/server/_ownership.py
@@ -151,19 +151,14 @@
 
     def _first_to_ask(self, asked, entry, ticket) -> str | JoinHere:
         """Return the incarnation to ask, this one if nobody else is to be asked."""
-        if entry is not None and entry.owner != self._own:
-            if entry.state is RunState.FINISHED:
-                raise AnswerNotKept("the request ran at an instance that has stopped")
-            if entry.state is RunState.UNKNOWN and not asked.repeatable:
-                raise OutcomeUnknown("an earlier try may have run", retry_after=_RETRY_AFTER)
-            return entry.owner
         if entry is not None:
-            open_again = entry.state is RunState.NOT_RUN or (
-                entry.state is RunState.UNKNOWN and asked.repeatable
-            )
             if entry.state is RunState.UNKNOWN and not asked.repeatable:
                 raise OutcomeUnknown("an earlier try may have run", retry_after=_RETRY_AFTER)
-            if not open_again:
+            if asked.elsewhere:
+                if entry.state is RunState.FINISHED:
+                    raise AnswerNotKept("the request ran at an instance that has stopped")
+                return entry.owner
+            if entry.state not in (RunState.NOT_RUN, RunState.UNKNOWN):
                 return JoinHere(entry)
         if ticket is not None:
             return ticket.home
--- a/whinrack/server/_settlement.py
+++ b/whinrack/server/_settlement.py
@@ -28,14 +28,23 @@
         What the bill is for.
     bound : int
         The proved bound on the request's tokens.
+    provisional_against : str
+        A lost incarnation that may have billed the request too, "" if there is none.
     """
 
-    def __init__(self, context: ServerContext, caller: Caller, identity: Identity, bound: int):
+    def __init__(
+        self,
+        context: ServerContext,
+        caller: Caller,
+        identity: Identity,
+        bound: int,
+        provisional_against: str,
+    ):
         self.context = context
         self.caller = caller
         self.identity = identity
         self.bound = bound
-        self.provisional_against = ""
+        self.provisional_against = provisional_against
         self._cover: Cover | None = None
         self._mark = 0
 
