Rename whinrack/platform to whinrack/store

The folder platform/ at the root will hold the adapter to the users' platform; the product's own client of its object API gets a name of its own, so that the word means one thing.

--- a/benchmarks/bench_budgets.py
+++ b/benchmarks/bench_budgets.py
@@ -30,7 +30,7 @@
 )
 from whinrack.exceptions import BudgetContended
 from whinrack.objects import Weighting
-from whinrack.platform import ObjectEditor
+from whinrack.store import ObjectEditor
 
 INSTANCES = 8
 LIMIT = 1_000_000
--- a/benchmarks/bench_capacity.py
+++ b/benchmarks/bench_capacity.py
@@ -31,9 +31,9 @@
 from whinrack.objects import RequestClass, Target, TargetPool, Weighting
 from whinrack.peers._codec import member_from_pb, member_to_pb, object_to_pb, order_to_pb
 from whinrack.peers._pb import peer_pb2 as pb
-from whinrack.platform import StoredObject
 from whinrack.requests import RequestMemory, RunState, body_digest
 from whinrack.routing import EjectAlone, PickQuery, PoolState, TargetView
+from whinrack.store import StoredObject
 
 
 def show(name, points, unit, per):
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -4,7 +4,7 @@
 from returns.result import Failure, Success
 
 from whinrack.exceptions import Conflict, NotFound, PlatformUnavailable, WriteUnknown
-from whinrack.platform import ObjectStore, Snapshot, StoredObject, WatchBatch
+from whinrack.store import ObjectStore, Snapshot, StoredObject, WatchBatch
 
 __all__ = ["MemoryStore"]
 
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -10,9 +10,9 @@
 from whinrack.budgets.tests.test_books import Fleet
 from whinrack.feed import ConfigStore
 from whinrack.objects import RequestClass, Target, TargetPool, Weighting, Workspace
-from whinrack.platform import StoredObject
 from whinrack.requests import Identity, RequestMemory, RunState, body_digest
 from whinrack.routing import EjectAlone, PickQuery, PoolState, TargetView, Waiter
+from whinrack.store import StoredObject
 
 __all__ = ["SESSIONS"]
 
--- a/whinrack/budgets/_drawer.py
+++ b/whinrack/budgets/_drawer.py
@@ -13,7 +13,7 @@
 )
 from whinrack.budgets._keeper import TokenSource
 from whinrack.exceptions import PlatformFailure
-from whinrack.platform import ObjectEditor, ObjectStore
+from whinrack.store import ObjectEditor, ObjectStore
 
 __all__ = ["ACCOUNT_KIND", "AccountDrawer"]
 
--- a/whinrack/budgets/tests/test_books.py
+++ b/whinrack/budgets/tests/test_books.py
@@ -23,7 +23,7 @@
 )
 from whinrack.exceptions import BudgetContended, BudgetExhausted, PeerUnavailable
 from whinrack.objects import Weighting
-from whinrack.platform import ObjectEditor
+from whinrack.store import ObjectEditor
 
 
 class Fleet:
--- a/whinrack/cli/_declarations.py
+++ b/whinrack/cli/_declarations.py
@@ -9,7 +9,7 @@
 from whinrack.exceptions import Conflict, InvalidObject, NotFound
 from whinrack.objects import DECLARED_KINDS, load_declarations
 from whinrack.operators import Change, ChangeKind, apply_change, plan_changes, read_snapshot
-from whinrack.platform import ObjectStore
+from whinrack.store import ObjectStore
 
 __all__ = ["apply", "delete", "diff", "get"]
 
--- a/whinrack/cli/_options.py
+++ b/whinrack/cli/_options.py
@@ -2,7 +2,7 @@
 
 import click
 
-from whinrack.platform import HttpObjectStore, ObjectStore
+from whinrack.store import HttpObjectStore, ObjectStore
 
 __all__ = ["FLEET_KEY", "OUTPUT", "PLATFORM", "open_store"]
 
--- a/whinrack/feed/_store.py
+++ b/whinrack/feed/_store.py
@@ -7,7 +7,7 @@
 
 from whinrack.exceptions import InvalidObject
 from whinrack.objects import DECLARED_KINDS, Spec, decode_spec
-from whinrack.platform import StoredObject
+from whinrack.store import StoredObject
 
 __all__ = ["ConfigStore", "ConfigView"]
 
--- a/whinrack/feed/tests/test_feed.py
+++ b/whinrack/feed/tests/test_feed.py
@@ -6,7 +6,7 @@
 
 from whinrack.feed import ConfigStore
 from whinrack.objects import Workspace
-from whinrack.platform import StoredObject
+from whinrack.store import StoredObject
 
 NAMES = ("u", "v", "w")
 VALUES = (b'{"weighting":"overspend"}', b'{"weighting":"false_refusals"}')
--- a/whinrack/journal/_writer.py
+++ b/whinrack/journal/_writer.py
@@ -6,7 +6,7 @@
 from returns.result import Failure
 
 from whinrack.journal._records import JOURNAL_KIND, BillRecord, JournalSegment
-from whinrack.platform import ObjectEditor, ObjectStore
+from whinrack.store import ObjectEditor, ObjectStore
 
 __all__ = ["JournalWriter", "decode_segment", "segment_name"]
 
--- a/whinrack/membership/_members.py
+++ b/whinrack/membership/_members.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from whinrack.base import rendezvous
-from whinrack.platform import InstanceRecord, InstanceState
+from whinrack.store import InstanceRecord, InstanceState
 
 __all__ = ["ROUTER_ROLE", "TARGET_ROLE", "Member", "MembershipTable"]
 
--- a/whinrack/membership/tests/test_membership.py
+++ b/whinrack/membership/tests/test_membership.py
@@ -1,7 +1,7 @@
 """Membership from a lagging list and heartbeats."""
 
 from whinrack.membership import Member, MembershipTable
-from whinrack.platform import InstanceRecord, InstanceState
+from whinrack.store import InstanceRecord, InstanceState
 
 
 def member(number, hall="a", **fields):
--- a/whinrack/operators/_accounts.py
+++ b/whinrack/operators/_accounts.py
@@ -13,7 +13,7 @@
 from whinrack.exceptions import NotFound, PlatformFailure, WhinrackError
 from whinrack.journal import JOURNAL_KIND, WorkspaceBill, decode_segment, merge_bills
 from whinrack.objects import Budget
-from whinrack.platform import InstanceRecord, ObjectEditor, ObjectStore
+from whinrack.store import InstanceRecord, ObjectEditor, ObjectStore
 
 __all__ = [
     "BudgetBooks",
--- a/whinrack/operators/_apply.py
+++ b/whinrack/operators/_apply.py
@@ -16,7 +16,7 @@
     check_references,
     decode_spec,
 )
-from whinrack.platform import ObjectEditor, ObjectStore, Snapshot, StoredObject
+from whinrack.store import ObjectEditor, ObjectStore, Snapshot, StoredObject
 
 __all__ = ["Change", "ChangeKind", "FieldDiff", "apply_change", "plan_changes", "read_snapshot"]
 
--- a/whinrack/operators/_fleet.py
+++ b/whinrack/operators/_fleet.py
@@ -5,8 +5,8 @@
 from returns.result import Failure, Result, Success
 
 from whinrack.exceptions import PeerUnavailable, WhinrackError
-from whinrack.platform import InstanceRecord, ObjectStore
 from whinrack.status import FLEET_KEY_HEADER, RouterStatus
+from whinrack.store import InstanceRecord, ObjectStore
 
 __all__ = ["FleetRow", "fleet_status"]
 
--- a/whinrack/peers/_codec.py
+++ b/whinrack/peers/_codec.py
@@ -5,8 +5,8 @@
 from whinrack.budgets import DrawOrder, DrawResult
 from whinrack.membership import Member
 from whinrack.peers._pb import peer_pb2 as pb
-from whinrack.platform import StoredObject
 from whinrack.requests import Consultation, HandedEntry, RunState, Verdict
+from whinrack.store import StoredObject
 
 __all__ = [
     "handed_from_pb",
--- a/whinrack/peers/base.py
+++ b/whinrack/peers/base.py
@@ -10,8 +10,8 @@
 from whinrack.exceptions import WhinrackError
 from whinrack.feed import ConfigStore
 from whinrack.membership import Member
-from whinrack.platform import StoredObject
 from whinrack.requests import HandedEntry, Verdict
+from whinrack.store import StoredObject
 
 __all__ = [
     "FLEET_KEY_HEADER",
--- a/whinrack/requests/_claims.py
+++ b/whinrack/requests/_claims.py
@@ -12,8 +12,8 @@
 from returns.result import Failure, Result, Success
 
 from whinrack.exceptions import PlatformFailure
-from whinrack.platform import ObjectEditor, ObjectStore
 from whinrack.requests._identity import Identity
+from whinrack.store import ObjectEditor, ObjectStore
 
 __all__ = ["CLAIM_KIND", "ClaimStore", "ClaimVerdict", "RequestClaim", "judge_claim"]
 
--- a/whinrack/server/_bills.py
+++ b/whinrack/server/_bills.py
@@ -6,7 +6,7 @@
 from eventlet.event import Event
 
 from whinrack.journal import BillRecord, JournalWriter
-from whinrack.platform import TokenBucket
+from whinrack.store import TokenBucket
 
 __all__ = ["BillKeeper"]
 
--- a/whinrack/server/_daemon.py
+++ b/whinrack/server/_daemon.py
@@ -17,7 +17,6 @@
 from whinrack.membership import MembershipTable
 from whinrack.observability import Event, Metrics, configure_logs, log_event
 from whinrack.peers import PeerClient, PeerServer, client_context, server_context
-from whinrack.platform import HttpObjectStore, StoredObject
 from whinrack.requests import ClaimStore, RequestMemory
 from whinrack.server._admission import PoolDirectory
 from whinrack.server._answers import AnswerShelf
@@ -30,6 +29,7 @@
 from whinrack.server._sources import PeerSpares, RegionSource
 from whinrack.server._tasks import BackgroundTasks
 from whinrack.settings import Settings
+from whinrack.store import HttpObjectStore, StoredObject
 
 __all__ = ["RouterDaemon"]
 
--- a/whinrack/server/_follower.py
+++ b/whinrack/server/_follower.py
@@ -8,8 +8,8 @@
 from whinrack.exceptions import PeerUnavailable
 from whinrack.objects import DECLARED_KINDS
 from whinrack.observability import Event, log_event
-from whinrack.platform import ObjectStore
 from whinrack.server._context import ServerContext
+from whinrack.store import ObjectStore
 
 __all__ = ["ConfigFollower"]
 
--- a/whinrack/server/_tasks.py
+++ b/whinrack/server/_tasks.py
@@ -9,11 +9,11 @@
 
 from whinrack.objects import TargetPool
 from whinrack.observability import Event, log_event
-from whinrack.platform import ObjectStore
 from whinrack.routing import TargetView
 from whinrack.server._context import ServerContext
 from whinrack.server._follower import ConfigFollower
 from whinrack.server._peer_handlers import DaemonHandlers
+from whinrack.store import ObjectStore
 
 __all__ = ["BackgroundTasks"]
 
--- /dev/null
+++ b/whinrack/store/__init__.py
@@ -0,0 +1,25 @@
+"""The one way to the object API: versioned objects, watches and the list of instances."""
+
+from whinrack.store._http import HttpObjectStore
+from whinrack.store._limiter import TokenBucket
+from whinrack.store._transactions import ObjectEditor
+from whinrack.store._types import (
+    InstanceRecord,
+    InstanceState,
+    Snapshot,
+    StoredObject,
+    WatchBatch,
+)
+from whinrack.store.base import ObjectStore
+
+__all__ = [
+    "HttpObjectStore",
+    "InstanceRecord",
+    "InstanceState",
+    "ObjectEditor",
+    "ObjectStore",
+    "Snapshot",
+    "StoredObject",
+    "TokenBucket",
+    "WatchBatch",
+]
--- a/whinrack/platform/_http.py
+++ b/whinrack/store/_http.py
@@ -25,9 +25,9 @@
     RateExceeded,
     WriteUnknown,
 )
-from whinrack.platform._limiter import TokenBucket
-from whinrack.platform._types import InstanceRecord, Snapshot, StoredObject, WatchBatch
-from whinrack.platform.base import ObjectStore
+from whinrack.store._limiter import TokenBucket
+from whinrack.store._types import InstanceRecord, Snapshot, StoredObject, WatchBatch
+from whinrack.store.base import ObjectStore
 
 __all__ = ["HttpObjectStore"]
 
--- a/whinrack/platform/_transactions.py
+++ b/whinrack/store/_transactions.py
@@ -16,8 +16,8 @@
     PlatformUnavailable,
     WriteUnknown,
 )
-from whinrack.platform._types import StoredObject
-from whinrack.platform.base import ObjectStore
+from whinrack.store._types import StoredObject
+from whinrack.store.base import ObjectStore
 
 __all__ = ["ObjectEditor"]
 
--- a/whinrack/platform/base.py
+++ b/whinrack/store/base.py
@@ -5,7 +5,7 @@
 from returns.result import Result
 
 from whinrack.exceptions import PlatformFailure
-from whinrack.platform._types import InstanceRecord, Snapshot, StoredObject, WatchBatch
+from whinrack.store._types import InstanceRecord, Snapshot, StoredObject, WatchBatch
 
 __all__ = ["ObjectStore"]
 
--- a/whinrack/platform/tests/test_platform.py
+++ b/whinrack/store/tests/test_store.py
@@ -5,7 +5,7 @@
 
 from standins.memory_store import MemoryStore
 from whinrack.exceptions import PlatformUnavailable, RateExceeded, WriteUnknown
-from whinrack.platform import HttpObjectStore, ObjectEditor, TokenBucket
+from whinrack.store import HttpObjectStore, ObjectEditor, TokenBucket
 
 
 class Marks(msgspec.Struct):
