--- a/whinrack/budgets/__init__.py
+++ b/whinrack/budgets/__init__.py
@@ -10,12 +10,15 @@
     apply_draws,
     apply_topups,
     draw_result,
+    release_earlier_runs,
     release_holder,
 )
 from whinrack.budgets._demand import DemandEstimate
 from whinrack.budgets._drawer import ACCOUNT_KIND, AccountDrawer
+from whinrack.budgets._grants import GrantKeeper, GrantOptions
 from whinrack.budgets._keeper import BudgetKeeper, SpareSource, SpareTotal, TokenSource
 from whinrack.budgets._ledger import BudgetLedger, Cover
+from whinrack.budgets._schedule import ReleaseGuard, ReleaseSchedule, RestartMoment
 
 __all__ = [
     "ACCOUNT_KIND",
@@ -29,6 +32,11 @@
     "DemandEstimate",
     "DrawOrder",
     "DrawResult",
+    "GrantKeeper",
+    "GrantOptions",
+    "ReleaseGuard",
+    "ReleaseSchedule",
+    "RestartMoment",
     "SpareSource",
     "SpareTotal",
     "TokenSource",
@@ -36,5 +44,6 @@
     "apply_draws",
     "apply_topups",
     "draw_result",
+    "release_earlier_runs",
     "release_holder",
 ]
--- a/whinrack/budgets/_account.py
+++ b/whinrack/budgets/_account.py
@@ -10,6 +10,9 @@
 import msgspec
 import xxhash
 
+from whinrack.base import instance_of
+from whinrack.budgets._schedule import ReleaseSchedule, RestartMoment
+
 __all__ = [
     "AccountRow",
     "BudgetAccount",
@@ -20,6 +23,7 @@
     "apply_draws",
     "apply_topups",
     "draw_result",
+    "release_earlier_runs",
     "release_holder",
 ]
 
@@ -49,7 +53,10 @@
     closed : bool
         No order of this holder is applied any more.
     released : bool
-        Closed by an operator's word; kept, since peers may still report transfers.
+        Closed by an operator's word, or by the next run of the same instance; kept,
+        since peers may still report transfers.
+    schedule : ReleaseSchedule or None
+        How much of the grant its holder may have used by when.
     """
 
     drawn: int = 0
@@ -61,6 +68,7 @@
     sequence: int = 0
     closed: bool = False
     released: bool = False
+    schedule: ReleaseSchedule | None = None
 
     @property
     def taken(self) -> int:
@@ -80,6 +88,9 @@
     ----------
     topups : dict of str to int
         Payments by id.
+    declared, declared_version : int
+        A limit that the configuration states in place of payments, and the version of
+        the configuration that stated it; version 0 if none does.
     settled_billed, settled_unproven : int
         Totals of rows that were folded away.
     rows : dict of str to AccountRow
@@ -87,13 +98,17 @@
     """
 
     topups: dict[str, int] = {}
+    declared: int = 0
+    declared_version: int = 0
     settled_billed: int = 0
     settled_unproven: int = 0
     rows: dict[str, AccountRow] = {}
 
     @property
     def limit(self) -> int:
-        """Tokens ever paid in."""
+        """Tokens that may be spent in all."""
+        if self.declared_version:
+            return self.declared
         return sum(self.topups.values())
 
     @property
@@ -141,6 +156,11 @@
         The holder knows of no applied order yet, so its row may be made.
     final : bool
         The holder stops: close its row.
+    limit, limit_version : int
+        The budget's declared limit, and the version of the configuration that stated
+        it; version 0 where payments make the limit.
+    schedule : ReleaseSchedule or None
+        The holder keeps to this from now on.
     """
 
     account: str
@@ -155,6 +175,9 @@
     received: dict[str, int] = {}
     opening: bool = False
     final: bool = False
+    limit: int = 0
+    limit_version: int = 0
+    schedule: ReleaseSchedule | None = None
 
 
 class DrawResult(msgspec.Struct, frozen=True, kw_only=True):
@@ -166,6 +189,8 @@
         Tokens that nobody holds.
     outstanding : int
         Tokens that all holders together hold, this one included.
+    limit_version : int
+        Version of the configuration whose limit is in the books.
     """
 
     sequence: int = 0
@@ -173,6 +198,7 @@
     free: int = 0
     outstanding: int = 0
     closed: bool = False
+    limit_version: int = 0
 
 
 def account_name(budget: str, accounts: int) -> str:
@@ -196,7 +222,9 @@
 def apply_draws(account: BudgetAccount | None, orders: list[DrawOrder]) -> BudgetAccount | None:
     """Apply orders that were not applied before; None where nothing is left to do."""
     if account is None:
-        return None
+        if not any(order.limit_version for order in orders):
+            return None
+        account = BudgetAccount()
     applied = [order for order in orders if _apply_draw(account, order)]
     return account if applied else None
 
@@ -208,13 +236,19 @@
         return DrawResult()
     row = entry.rows.get(order.holder)
     if row is None:
-        return DrawResult(free=entry.free, outstanding=entry.outstanding, closed=not order.opening)
+        return DrawResult(
+            free=entry.free,
+            outstanding=entry.outstanding,
+            closed=not order.opening,
+            limit_version=entry.declared_version,
+        )
     return DrawResult(
         sequence=row.sequence,
         drawn=row.drawn,
         free=entry.free,
         outstanding=entry.outstanding,
         closed=row.closed,
+        limit_version=entry.declared_version,
     )
 
 
@@ -245,10 +279,54 @@
     return account
 
 
+def release_earlier_runs(
+    account: BudgetAccount | None, holder: str, restart: RestartMoment
+) -> BudgetAccount | None:
+    """Close the rows of earlier runs of the holder's instance; their unused tokens are free.
+
+    Parameters
+    ----------
+    holder : str
+        The present run, whose start proves that earlier ones have ended.
+    restart : RestartMoment
+        When the present run started.
+
+    Notes
+    -----
+    An earlier run kept to its schedule, so what it used is bounded by that at the
+    moment of the restart. The rest comes back.
+    """
+    if account is None:
+        return None
+    released = [
+        _release_row(entry.rows[name], restart)
+        for entry in account.budgets.values()
+        for name in list(entry.rows)
+        if name != holder and instance_of(name) == instance_of(holder)
+    ]
+    return account if any(released) else None
+
+
+def _release_row(row: AccountRow, restart: RestartMoment) -> bool:
+    if row.closed:
+        return False
+    accounted = row.billed + row.unproven + row.moved_out
+    used = row.outstanding
+    if row.schedule is not None:
+        most = restart.most_used(row.schedule) + sum(row.received.values())
+        used = max(0, min(used, most - accounted))
+    row.unproven += used
+    row.returned += row.outstanding
+    row.closed = row.released = True
+    return True
+
+
 def _apply_draw(account: BudgetAccount, order: DrawOrder) -> bool:
     entry = account.budgets.get(order.budget)
     if entry is None:
-        return False
+        if not order.limit_version:
+            return False
+        entry = account.budgets[order.budget] = BudgetEntry()
     row = entry.rows.get(order.holder)
     if row is None:
         # A late copy of an order whose holder has been folded away.
@@ -257,7 +335,11 @@
         row = entry.rows[order.holder] = AccountRow()
     if row.closed or order.sequence <= row.sequence:
         return False
+    if order.limit_version > entry.declared_version:
+        entry.declared = order.limit
+        entry.declared_version = order.limit_version
     _record_received(entry, row, order)
+    row.schedule = order.schedule
     row.billed = max(row.billed, order.billed)
     row.unproven = max(row.unproven, order.unproven)
     row.returned = max(row.returned, order.returned)
--- a/whinrack/budgets/_drawer.py
+++ b/whinrack/budgets/_drawer.py
@@ -10,8 +10,10 @@
     DrawResult,
     apply_draws,
     draw_result,
+    release_earlier_runs,
 )
 from whinrack.budgets._keeper import TokenSource
+from whinrack.budgets._schedule import RestartMoment
 from whinrack.exceptions import PlatformFailure
 from whinrack.store import ObjectEditor, ObjectStore
 
@@ -53,16 +55,29 @@
 
     def draw(self, order: DrawOrder) -> Result[DrawResult, PlatformFailure]:
         """Apply an order together with the others that wait for the same account."""
-        batch = self._batches.setdefault(order.account, _Batch())
-        batch.orders.append(order)
-        lock = self._locks.setdefault(order.account, self.make_lock())
+        return self.draw_many([order]).map(lambda results: results[0])
+
+    def draw_many(self, orders: list[DrawOrder]) -> Result[list[DrawResult], PlatformFailure]:
+        """Apply orders for one account, with the others that wait for it."""
+        account = orders[0].account
+        batch = self._batches.setdefault(account, _Batch())
+        batch.orders.extend(orders)
+        lock = self._locks.setdefault(account, self.make_lock())
         with lock:
             if batch.result is None:
-                self._batches.pop(order.account)
-                batch.result = self._write(order.account, batch.orders)
+                self._batches.pop(account)
+                batch.result = self._write(account, batch.orders)
         if isinstance(batch.result, Failure):
             return Failure(batch.result.failure())
-        return Success(draw_result(batch.result.unwrap(), order))
+        return Success([draw_result(batch.result.unwrap(), order) for order in orders])
+
+    def release_earlier_runs(
+        self, account: str, holder: str, restart: RestartMoment
+    ) -> Result[BudgetAccount, PlatformFailure]:
+        """Give back what earlier runs of the holder's instance can't have used."""
+        return self._editor.apply(
+            account, lambda value: release_earlier_runs(value, holder, restart)
+        )
 
     def _write(self, account: str, orders: list[DrawOrder]):
         return self._editor.apply(account, lambda value: apply_draws(value, orders))
--- /dev/null
+++ b/whinrack/budgets/_grants.py
@@ -0,0 +1,318 @@
+"""Keeps short grants of declared budgets: drawn ahead, reported often, found again.
+
+`BudgetKeeper` serves budgets that are paid in and grants that last for minutes. This
+keeper serves budgets whose limit the configuration declares, on machines that keep
+nothing: a grant lasts for some seconds of demand, long enough for an outage of the
+store, and its holder states a `ReleaseSchedule`, so that what a killed run did not use
+comes back with the next run.
+"""
+
+import time
+from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from whinrack.budgets._account import DrawOrder, DrawResult
+from whinrack.budgets._demand import DemandEstimate
+from whinrack.budgets._drawer import AccountDrawer
+from whinrack.budgets._keeper import SpareSource
+from whinrack.budgets._ledger import BudgetLedger, Cover
+from whinrack.budgets._schedule import ReleaseGuard, ReleaseSchedule, RestartMoment
+from whinrack.exceptions import BudgetContended, BudgetExhausted, PlatformFailure, Refusal
+
+__all__ = ["GrantKeeper", "GrantOptions"]
+
+_HALF_LIFE_SECONDS = 8.0
+_TRIES = 3
+
+
+def _call(function: Callable) -> Result:
+    return function()
+
+
+class GrantOptions(msgspec.Struct, frozen=True):
+    """How far ahead tokens are drawn.
+
+    Attributes
+    ----------
+    horizon : float
+        Seconds of demand that a grant lasts for.
+    release_seconds : float
+        Seconds of demand that a schedule releases at once.
+    release_factor : float
+        Rate of a schedule as a multiple of the demand.
+    store_patience : float
+        Seconds without a reply after which the peers are asked before the books.
+    retry_after : float
+        Seconds after which a caller should come back when tokens are held elsewhere.
+    """
+
+    horizon: float = 12.0
+    release_seconds: float = 2.0
+    release_factor: float = 1.5
+    store_patience: float = 1.6
+    retry_after: float = 0.4
+
+
+class _Grant:
+    """What this run holds of one budget, and what it knows of its books."""
+
+    def __init__(self, ledger: BudgetLedger, lock: AbstractContextManager):
+        self.ledger = ledger
+        self.lock = lock
+        self.guard = ReleaseGuard()
+        self.demand = DemandEstimate(_HALF_LIFE_SECONDS)
+        self.last: DrawResult | None = None
+        self.learnt_at = float("-inf")
+        self.largest = 0
+
+    def usable(self, now: float) -> int:
+        """Tokens that may cover a request, or be given to a peer, now."""
+        released = self.guard.most_used(now) - self.ledger.used
+        return min(self.ledger.spendable, released)
+
+
+class GrantKeeper:
+    """All grants of one run of an instance.
+
+    Parameters
+    ----------
+    holder : str
+        This run.
+    account : str
+        The object that holds the books.
+    drawer : AccountDrawer
+        Applies orders to the books.
+    spares : SpareSource
+        Asked when the books have nothing free or can't be reached.
+    options : GrantOptions
+    clock, wall_clock, make_lock : callable, optional
+        Replaced in tests.
+    isolate : callable, optional
+        Runs an order to its end even if the request that waits for it is given up.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        account: str,
+        drawer: AccountDrawer,
+        spares: SpareSource,
+        options: GrantOptions,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+        make_lock: Callable[[], AbstractContextManager] = nullcontext,
+        isolate: Callable[[Callable], Result] = _call,
+    ):
+        self.holder = holder
+        self.account = account
+        self.drawer = drawer
+        self.spares = spares
+        self.options = options
+        self.clock = clock
+        self.wall_clock = wall_clock
+        self.make_lock = make_lock
+        self.isolate = isolate
+        self.stopping = False
+        self.answered_at = clock()
+        self._asked_at: float | None = None
+        self._limits: dict[str, int] = {}
+        self._limit_version = 0
+        self._grants: dict[str, _Grant] = {}
+
+    def declare(self, version: int, limits: dict[str, int]) -> None:
+        """Take in the limits of a newer version of the configuration."""
+        if version <= self._limit_version:
+            return
+        self._limit_version = version
+        self._limits = dict(limits)
+
+    def limited(self, budget: str) -> bool:
+        """Whether the configuration states a limit for a budget."""
+        return budget in self._limits
+
+    def cover(self, budget: str, tokens: int) -> Result[Cover, Refusal]:
+        """Set tokens aside for one request: from here, from the books, from peers."""
+        grant = self._grant(budget)
+        grant.demand.record(tokens, self.clock())
+        grant.largest = max(grant.largest, tokens)
+        cover = self._open(grant, tokens)
+        if isinstance(cover, Success):
+            return cover
+        with grant.lock:
+            return self._refill(grant, tokens)
+
+    def give(self, budget: str, receiver: str, already_received: int, need: int, wish: int) -> int:
+        """Hand tokens to a peer that ran out; returns the cumulative total."""
+        grant = self._grants.get(budget)
+        if grant is None:
+            return 0
+        usable = max(0, grant.usable(self.clock()))
+        return grant.ledger.give(receiver, already_received, need, wish, usable)
+
+    def renew(self) -> Result[None, PlatformFailure]:
+        """Report what was used, draw ahead and state new schedules, all in one write."""
+        due = [grant for grant in self._grants.values() if self._due(grant)]
+        if not due:
+            return Success(None)
+        return self._send([self._order(grant) for grant in due])
+
+    def drain(self, final: bool) -> Result[None, PlatformFailure]:
+        """Give everything unused back for a planned stop.
+
+        Parameters
+        ----------
+        final : bool
+            No request is open any more: close the rows.
+        """
+        self.stopping = True
+        orders = []
+        for grant in self._grants.values():
+            if grant.ledger.sequence and not grant.ledger.closed:
+                grant.ledger.give_back(grant.ledger.spendable)
+                orders.append(self._order(grant, final=final and not grant.ledger.open_cover))
+        return self._send(orders) if orders else Success(None)
+
+    def release_earlier_runs(self, restart: RestartMoment) -> Result[None, PlatformFailure]:
+        """Give back what earlier runs of this instance held and can't have used."""
+        released = self.drawer.release_earlier_runs(self.account, self.holder, restart)
+        return released.map(lambda _: None)
+
+    def spendable(self) -> dict[str, int]:
+        """Return the unspent tokens by budget, for heartbeats and metrics."""
+        return {name: grant.ledger.spendable for name, grant in self._grants.items()}
+
+    def last_known(self, budget: str) -> DrawResult | None:
+        """Return the books' state when they answered last, for logs."""
+        grant = self._grants.get(budget)
+        return grant.last if grant is not None else None
+
+    # --- covering ----------------------------------------------------------------
+
+    def _grant(self, budget: str) -> _Grant:
+        grant = self._grants.get(budget)
+        if grant is None:
+            ledger = BudgetLedger(self.account, budget, self.holder)
+            grant = self._grants[budget] = _Grant(ledger, self.make_lock())
+        return grant
+
+    def _open(self, grant: _Grant, tokens: int) -> Result[Cover, Refusal]:
+        usable = grant.usable(self.clock())
+        if tokens > usable:
+            return Failure(
+                BudgetContended(
+                    f"{tokens} tokens are to be covered, {usable} are usable here",
+                    retry_after=self.options.retry_after,
+                )
+            )
+        return grant.ledger.open(tokens)
+
+    def _refill(self, grant: _Grant, tokens: int) -> Result[Cover, Refusal]:
+        for _ in range(_TRIES):
+            cover = self._open(grant, tokens)
+            if isinstance(cover, Success):
+                return cover
+            asked = self.clock()
+            steps = (self._draw, self._gather) if self._store_answers() else (self._gather,)
+            for ask in steps:
+                ask(grant, tokens)
+                cover = self._open(grant, tokens)
+                if isinstance(cover, Success):
+                    return cover
+            if grant.learnt_at >= asked and _exhausted(grant, tokens):
+                return Failure(BudgetExhausted(_left_text(grant, tokens)))
+            if not self._store_answers():
+                break
+        return cover
+
+    def _store_answers(self) -> bool:
+        waiting_since = self._asked_at
+        if waiting_since is not None:
+            return self.clock() - waiting_since < self.options.store_patience / 4
+        return self.clock() - self.answered_at < self.options.store_patience
+
+    def _draw(self, grant: _Grant, tokens: int) -> None:
+        self._send([self._order(grant, need=tokens)])
+
+    def _gather(self, grant: _Grant, tokens: int) -> None:
+        """Ask peers, both for tokens and for what the schedule does not release yet."""
+        need = tokens - max(0, grant.usable(self.clock()))
+        ledger = grant.ledger
+        for giver, total in self.spares.gather(ledger.budget, need, 0, dict(ledger.received)):
+            ledger.receive(giver, total)
+
+    # --- orders ------------------------------------------------------------------
+
+    def _due(self, grant: _Grant) -> bool:
+        if grant.ledger.closed:
+            return False
+        if grant.ledger.unreported or not grant.ledger.sequence:
+            return True
+        stated = grant.last is None or self._limit_version > grant.last.limit_version
+        return stated or self._overdrawn(grant)
+
+    def _overdrawn(self, grant: _Grant) -> bool:
+        return grant.last is not None and grant.last.free < 0 and grant.ledger.spendable > 0
+
+    def _order(self, grant: _Grant, need: int = 0, final: bool = False) -> DrawOrder:
+        ledger, now = grant.ledger, self.clock()
+        if self._overdrawn(grant):
+            ledger.give_back(min(ledger.spendable, -grant.last.free))
+        want = int(grant.demand.rate(now) * self.options.horizon) + grant.largest
+        short = max(0, need - ledger.spendable)
+        wish = max(0, want - ledger.spendable - short)
+        schedule = self._schedule(grant, need, now)
+        order = ledger.next_order(
+            need=0 if self.stopping else short,
+            want=0 if self.stopping else wish,
+            final=final,
+            limit=self._limits.get(ledger.budget, 0),
+            limit_version=self._limit_version if ledger.budget in self._limits else 0,
+            schedule=schedule,
+        )
+        grant.guard.stated(order.sequence, schedule)
+        return order
+
+    def _schedule(self, grant: _Grant, need: int, now: float) -> ReleaseSchedule:
+        rate = grant.demand.rate(now)
+        ahead = max(need, int(rate * self.options.release_seconds))
+        return ReleaseSchedule(
+            base=grant.ledger.used + ahead,
+            rate=rate * self.options.release_factor,
+            steady=now,
+            wall=self.wall_clock(),
+        )
+
+    def _send(self, orders: list[DrawOrder]) -> Result[None, PlatformFailure]:
+        return self.isolate(lambda: self._send_now(orders))
+
+    def _send_now(self, orders: list[DrawOrder]) -> Result[None, PlatformFailure]:
+        asked = self.clock()
+        self._asked_at = asked if self._asked_at is None else self._asked_at
+        result = self.drawer.draw_many(orders)
+        self._asked_at = None
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        self.answered_at = self.clock()
+        for order, answer in zip(orders, result.unwrap(), strict=True):
+            self._learn(order, answer, asked)
+        return Success(None)
+
+    def _learn(self, order: DrawOrder, answer: DrawResult, asked: float) -> None:
+        grant = self._grants[order.budget]
+        grant.last = answer
+        grant.learnt_at = max(grant.learnt_at, asked)
+        grant.ledger.learn(order, answer)
+        if answer.sequence >= order.sequence:
+            grant.guard.applied(answer.sequence)
+
+
+def _exhausted(grant: _Grant, tokens: int) -> bool:
+    return grant.last is not None and tokens > grant.last.free + grant.last.outstanding
+
+
+def _left_text(grant: _Grant, tokens: int) -> str:
+    left = grant.last.free + grant.last.outstanding
+    return f"the request needs cover for {tokens} tokens, the budget has {left} left"
--- a/whinrack/budgets/_ledger.py
+++ b/whinrack/budgets/_ledger.py
@@ -96,10 +96,25 @@
         self.billed += billed
         self.unproven += unproven
 
-    def next_order(self, need: int = 0, want: int = 0, final: bool = False) -> DrawOrder:
-        """Make the next report and wish; each has a sequence of its own."""
+    @property
+    def used(self) -> int:
+        """Tokens that are gone from here or promised, less those that peers gave."""
+        gone = self.billed + self.unproven + self.open_cover + sum(self.given.values())
+        return gone - sum(self.received.values())
+
+    def next_order(
+        self, need: int = 0, want: int = 0, final: bool = False, **statements
+    ) -> DrawOrder:
+        """Make the next report and wish; each has a sequence of its own.
+
+        Parameters
+        ----------
+        **statements
+            `limit`, `limit_version` and `schedule` of the order.
+        """
         self.sequence += 1
         return DrawOrder(
+            **statements,
             account=self.account,
             budget=self.budget,
             holder=self.holder,
@@ -128,17 +143,26 @@
         now = (self.billed, self.unproven, self.returned, dict(self.received))
         return now != (self._reported or (0, 0, 0, {}))
 
-    def give(self, receiver: str, already_received: int, need: int, wish: int = 0) -> int:
+    def give(
+        self,
+        receiver: str,
+        already_received: int,
+        need: int,
+        wish: int = 0,
+        usable: int | None = None,
+    ) -> int:
         """Hand spendable tokens to a peer and return the cumulative total.
 
         What the peer needs is given if it is here, and of its wish as much as leaves
         half of the tokens here. A total above `already_received` means that the last
-        reply was lost: it is repeated, and no more is given.
+        reply was lost: it is repeated, and no more is given. `usable` lowers what may
+        be handed on.
         """
+        here = self.spendable if usable is None else min(usable, self.spendable)
         total = self.given.get(receiver, 0)
         if total <= already_received:
-            half = min(need + wish, self.spendable // 2)
-            total += max(0, min(max(need, half), self.spendable))
+            half = min(need + wish, here // 2)
+            total += max(0, min(max(need, half), here))
         if total:
             self.given[receiver] = total
         return total
--- /dev/null
+++ b/whinrack/dispatch/__init__.py
@@ -0,0 +1,43 @@
+"""Declared routes: from a caller's request to a target's answer."""
+
+from whinrack.dispatch._configuration import Configuration
+from whinrack.dispatch._directory import Directory
+from whinrack.dispatch._dispatcher import Dispatcher, DispatchOptions
+from whinrack.dispatch._registry import TargetRegistry, TargetState
+from whinrack.dispatch._retries import RetryAllowance
+from whinrack.dispatch._values import (
+    Attempt,
+    CallerLimits,
+    DeclaredCover,
+    EngineShape,
+    IncomingRequest,
+    PoolRecord,
+    PoolShare,
+    Route,
+    RouteKind,
+    TargetRecord,
+    WorkspaceRecord,
+)
+from whinrack.dispatch.base import Dialect
+
+__all__ = [
+    "Attempt",
+    "CallerLimits",
+    "Configuration",
+    "DeclaredCover",
+    "Dialect",
+    "Directory",
+    "DispatchOptions",
+    "Dispatcher",
+    "EngineShape",
+    "IncomingRequest",
+    "PoolRecord",
+    "PoolShare",
+    "RetryAllowance",
+    "Route",
+    "RouteKind",
+    "TargetRecord",
+    "TargetRegistry",
+    "TargetState",
+    "WorkspaceRecord",
+]
--- /dev/null
+++ b/whinrack/dispatch/_configuration.py
@@ -0,0 +1,83 @@
+"""One version of the configuration, indexed for the path of requests."""
+
+from collections.abc import Iterable
+
+from whinrack.dispatch._values import CallerLimits, PoolRecord, Route, WorkspaceRecord
+from whinrack.exceptions import NoRoute, Unauthorized
+
+__all__ = ["Configuration"]
+
+
+class Configuration:
+    """Routes, pools, workspaces and limits that are in force together.
+
+    Parameters
+    ----------
+    version : int
+        Higher versions replace lower ones.
+    routes, pools, workspaces : iterable
+    limits : CallerLimits
+    checks_keys : bool
+        Whether routes that aren't public need a key.
+    """
+
+    def __init__(
+        self,
+        version: int,
+        routes: Iterable[Route],
+        pools: Iterable[PoolRecord],
+        workspaces: Iterable[WorkspaceRecord],
+        limits: CallerLimits,
+        checks_keys: bool = True,
+    ):
+        self.version = version
+        self.limits = limits
+        self.checks_keys = checks_keys
+        self.pools = {pool.name: pool for pool in pools}
+        self.workspaces = {workspace.name: workspace for workspace in workspaces}
+        self._routes: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self._routes.setdefault(route.host, {})[route.path_prefix] = route
+        self._keys = {
+            key: workspace for workspace in self.workspaces.values() for key in workspace.keys
+        }
+
+    @property
+    def limits_by_workspace(self) -> dict[str, int]:
+        """The prepaid limits, in tokens."""
+        return {
+            name: workspace.limit
+            for name, workspace in self.workspaces.items()
+            if workspace.limit is not None
+        }
+
+    def route(self, host: str, path: str) -> Route:
+        """Return the route with the longest prefix of a path.
+
+        Raises
+        ------
+        NoRoute
+        """
+        routes = self._routes.get(host, {})
+        end = len(path)
+        while end > 0:
+            end = path.rfind("/", 0, end) + 1
+            route = routes.get(path[:end])
+            if route is not None:
+                return route
+            end -= 1
+        raise NoRoute("no route has this host and path")
+
+    def identify(self, route: Route, key: str) -> WorkspaceRecord | None:
+        """Return the workspace that a key belongs to, None on public routes.
+
+        Raises
+        ------
+        Unauthorized
+        """
+        if route.public or not self.checks_keys:
+            return self._keys.get(key)
+        workspace = self._keys.get(key)
+        if workspace is None:
+            raise Unauthorized("the key isn't known")
+        return workspace
--- /dev/null
+++ b/whinrack/dispatch/_directory.py
@@ -0,0 +1,57 @@
+"""The configuration in force here; versions only rise."""
+
+import time
+from collections.abc import Callable
+
+from whinrack.dispatch._configuration import Configuration
+from whinrack.dispatch._values import CallerLimits
+from whinrack.exceptions import ConfigurationUnknown
+
+__all__ = ["Directory"]
+
+_RETRY_SECONDS = 0.3
+
+
+class Directory:
+    """Holds the newest configuration that this run has met.
+
+    Parameters
+    ----------
+    changed : callable
+        Called with each configuration that comes into force.
+    """
+
+    def __init__(self, changed: Callable[[Configuration], None]):
+        self.changed = changed
+        self.taken_at = 0.0
+        self._current: Configuration | None = None
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 if none is known."""
+        return 0 if self._current is None else self._current.version
+
+    @property
+    def limits(self) -> CallerLimits:
+        """The limits in force, or their defaults."""
+        return CallerLimits() if self._current is None else self._current.limits
+
+    def current(self) -> Configuration:
+        """Return the configuration in force.
+
+        Raises
+        ------
+        ConfigurationUnknown
+        """
+        if self._current is None:
+            raise ConfigurationUnknown("no configuration is known yet", retry_after=_RETRY_SECONDS)
+        return self._current
+
+    def take(self, configuration: Configuration) -> bool:
+        """Put a configuration in force unless a newer one is; True if it is new."""
+        if configuration.version <= self.version:
+            return False
+        self._current = configuration
+        self.taken_at = time.monotonic()
+        self.changed(configuration)
+        return True
--- /dev/null
+++ b/whinrack/dispatch/_dispatcher.py
@@ -0,0 +1,411 @@
+"""The pipeline: identify, route, cover, choose, attempt, relay, settle."""
+
+import random
+import time
+from collections.abc import Callable, Iterator
+
+import msgspec
+from returns.result import Failure
+
+from whinrack.base import Outcome
+from whinrack.budgets import GrantKeeper
+from whinrack.dispatch._directory import Directory
+from whinrack.dispatch._events import EventBlock, event_blocks
+from whinrack.dispatch._registry import TargetRegistry, TargetState
+from whinrack.dispatch._retries import RetryAllowance
+from whinrack.dispatch._run import Run
+from whinrack.dispatch._values import Attempt, IncomingRequest, PoolRecord, Route, RouteKind
+from whinrack.dispatch.base import Dialect
+from whinrack.exceptions import (
+    AnswerCut,
+    AttemptTimeout,
+    CallerGone,
+    Refusal,
+    RouterStopping,
+    TargetFailed,
+    TargetUnavailable,
+)
+from whinrack.http1 import (
+    ConnectionPool,
+    Exchange,
+    Headers,
+    RequestHead,
+    ResponseHead,
+    TargetConnection,
+    end_to_end_headers,
+)
+from whinrack.observability import Event, Metrics, log_event
+
+__all__ = ["DispatchOptions", "Dispatcher"]
+
+_OK = 200
+_SERVER_ERROR = 500
+_UNREACHED_TRIES = 4
+_BUSY_RETRY_SECONDS = 0.25
+# A target is told a little less time than is left, so that its own word can arrive.
+_TIMEOUT_MARGIN = 0.05
+
+
+class DispatchOptions(msgspec.Struct, frozen=True):
+    """Retries that all instances share; see `RetryAllowance`."""
+
+    retry_ratio: float
+    retry_slack: float
+    retry_window: float
+
+
+class _AttemptFailed(Exception):
+    """An attempt that gave the caller no answer.
+
+    Attributes
+    ----------
+    refusal : Refusal
+        What the caller is told if there is no further attempt.
+    counts : bool
+        Whether the target was sent anything.
+    """
+
+    def __init__(self, refusal: Refusal, counts: bool):
+        super().__init__(refusal.message)
+        self.refusal = refusal
+        self.counts = counts
+
+
+class Dispatcher:
+    """Runs requests on declared routes.
+
+    Parameters
+    ----------
+    dialect : Dialect
+    directory : Directory
+    registry : TargetRegistry
+    keeper : GrantKeeper
+    connections : ConnectionPool
+    metrics : Metrics
+    options : DispatchOptions
+    instances : callable
+        Returns the number of instances that share the retries.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        directory: Directory,
+        registry: TargetRegistry,
+        keeper: GrantKeeper,
+        connections: ConnectionPool,
+        metrics: Metrics,
+        options: DispatchOptions,
+        instances: Callable[[], int],
+    ):
+        self.dialect = dialect
+        self.directory = directory
+        self.registry = registry
+        self.keeper = keeper
+        self.connections = connections
+        self.metrics = metrics
+        self.options = options
+        self.instances = instances
+        self.in_progress = 0
+        self.refusing = False
+        self._allowances: dict[str, RetryAllowance] = {}
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer one request; `CallerGone` passes through."""
+        self.in_progress += 1
+        self.metrics.in_progress.set(self.in_progress)
+        request = None
+        try:
+            request = self.dialect.read(exchange.head, exchange.body)
+            self._serve(exchange, request)
+        except Refusal as refusal:
+            self._refuse(exchange, request, refusal)
+        finally:
+            self.in_progress -= 1
+            self.metrics.in_progress.set(self.in_progress)
+
+    def _serve(self, exchange: Exchange, request: IncomingRequest) -> None:
+        if self.refusing:
+            raise RouterStopping("this instance stops", retry_after=_BUSY_RETRY_SECONDS)
+        configuration = self.directory.current()
+        route = configuration.route(request.host, request.path)
+        workspace = configuration.identify(route, request.key)
+        run = Run(exchange, request, configuration, route, workspace)
+        self._cover(run)
+        try:
+            self._attempt_all(run)
+        except CallerGone:
+            self._log(Event.CALLER_LEFT, run)
+            raise
+        finally:
+            # Whatever was not settled by a known end.
+            if run.may_have_run:
+                run.settle_unknown()
+            else:
+                run.settle_not_run()
+
+    def _cover(self, run: Run) -> None:
+        declared = run.request.cover
+        if declared is None or run.workspace is None:
+            return
+        if not self.keeper.limited(run.workspace.name):
+            return
+        cover = self.keeper.cover(run.workspace.name, declared.total)
+        if isinstance(cover, Failure):
+            self._log_uncovered(run, declared.total)
+            raise cover.failure()
+        run.cover = cover.unwrap()
+
+    # --- attempts ----------------------------------------------------------------
+
+    def _attempt_all(self, run: Run) -> None:
+        pool = self._choose_pool(run.route)
+        allowance = self._allowance(pool)
+        allowance.record_request(time.monotonic())
+        unreached = 0
+        while True:
+            try:
+                self._attempt(run, pool)
+                return
+            except _AttemptFailed as failed:
+                unreached += not failed.counts
+                self._log_attempt(run, failed)
+                if not self._may_go_on(run, failed, unreached, allowance):
+                    raise self._final(run, failed.refusal) from failed
+
+    def _choose_pool(self, route: Route) -> str:
+        shares = route.shares
+        if len(shares) == 1:
+            return shares[0].pool
+        weights = [share.weight for share in shares]
+        return random.choices(shares, weights)[0].pool
+
+    def _allowance(self, pool: str) -> RetryAllowance:
+        allowance = self._allowances.get(pool)
+        if allowance is None:
+            options = self.options
+            allowance = self._allowances[pool] = RetryAllowance(
+                options.retry_ratio, options.retry_slack, options.retry_window
+            )
+        return allowance
+
+    def _may_go_on(
+        self, run: Run, failed: _AttemptFailed, unreached: int, allowance: RetryAllowance
+    ) -> bool:
+        if failed.refusal.outcome is not Outcome.NOT_RUN and not run.route.may_run_again:
+            return False
+        if run.seconds_left() <= _TIMEOUT_MARGIN or unreached >= _UNREACHED_TRIES:
+            return False
+        if not failed.counts:
+            return True
+        if run.attempts >= run.route.most_attempts:
+            self.metrics.retries_denied.labels("attempts").inc()
+            return False
+        if not allowance.try_take(time.monotonic(), self.instances()):
+            self.metrics.retries_denied.labels("budget").inc()
+            return False
+        self.metrics.retries.labels(failed.refusal.code).inc()
+        return True
+
+    def _final(self, run: Run, refusal: Refusal) -> Refusal:
+        """Promise nothing that an earlier attempt may have broken."""
+        refusal.attempts = run.attempts
+        if run.may_have_run and refusal.outcome is Outcome.NOT_RUN:
+            return TargetFailed("an earlier attempt may have run")
+        return refusal
+
+    def _attempt(self, run: Run, pool_name: str) -> None:
+        """Send the request to one target and relay its answer."""
+        pool = run.configuration.pools.get(pool_name)
+        now = time.monotonic()
+        state = self.registry.choose(pool_name, run.affinity, run.tried, now)
+        if state is None or pool is None:
+            raise _AttemptFailed(_no_target(), counts=False)
+        run.tried.add(state.record.incarnation)
+        run.target = state.record.incarnation
+        self.registry.started(state)
+        connection = None
+        try:
+            connection = self._connect(run, state)
+            self._exchange(run, pool, state, connection)
+        finally:
+            self.registry.finished(state)
+            if connection is not None:
+                self.connections.give_back(connection)
+
+    def _connect(self, run: Run, state: TargetState) -> TargetConnection:
+        try:
+            return self.connections.take(state.address, run.end)
+        except TargetUnavailable as failure:
+            state.ejection.failed(time.monotonic())
+            raise _AttemptFailed(_no_target(), counts=False) from failure
+
+    def _exchange(
+        self, run: Run, pool: PoolRecord, state: TargetState, connection: TargetConnection
+    ) -> None:
+        run.attempts += 1
+        may_have_run_before = run.may_have_run
+        run.may_have_run = True
+        try:
+            self._send(run, state, connection)
+            head = connection.read_head(
+                run.end, lambda headers: self.dialect.is_answer_to(run.request, headers)
+            )
+            if self.dialect.did_not_run(head):
+                run.may_have_run = may_have_run_before
+                self._refused_by_target(state, head)
+            state.ejection.succeeded(time.monotonic())
+            if run.route.kind is RouteKind.STREAM and head.status == _OK:
+                self._relay_stream(run, pool, connection, head)
+            else:
+                self._relay_whole(run, pool, connection, head)
+        except (AnswerCut, AttemptTimeout) as failure:
+            if not isinstance(failure, AttemptTimeout):
+                state.ejection.failed(time.monotonic())
+            raise _AttemptFailed(failure, counts=True) from failure
+
+    def _send(self, run: Run, state: TargetState, connection: TargetConnection) -> None:
+        request = run.request
+        attempt = Attempt(
+            request=request,
+            incarnation=state.record.incarnation,
+            workspace=run.workspace_name,
+            seconds_left=max(0.001, run.seconds_left()),
+            priority=run.priority,
+            resume_after=run.last_id,
+        )
+        head = RequestHead(request.method, request.target, self.dialect.attempt_headers(attempt))
+        connection.send(head, request.body, run.end)
+
+    def _refused_by_target(self, state: TargetState, head: ResponseHead) -> None:
+        if self.dialect.is_other_target(head):
+            self.registry.remove(state.record.incarnation)
+        else:
+            self.registry.busy(state, time.monotonic())
+        raise _AttemptFailed(
+            TargetUnavailable("the target is full", retry_after=_BUSY_RETRY_SECONDS), counts=True
+        )
+
+    # --- answers -----------------------------------------------------------------
+
+    def _relay_whole(
+        self, run: Run, pool: PoolRecord, connection: TargetConnection, head: ResponseHead
+    ) -> None:
+        """Pass an answer on once all of it is here."""
+        body = b"".join(_chunks(connection, run.end))
+        if head.status >= _SERVER_ERROR and run.route.kind is RouteKind.REPEATABLE:
+            self._run_again(run, head)
+        if run.exchange.started:
+            raise AnswerCut(f"the target answered {head.status} in the middle of a stream")
+        run.settle_whole(pool)
+        run.exchange.respond(head.status, _answer_headers(head), body)
+        self._log(Event.REQUEST_ANSWERED, run, status=head.status)
+        self.metrics.requests.labels(str(run.route.kind), str(head.status)).inc()
+
+    def _run_again(self, run: Run, head: ResponseHead) -> None:
+        """Try another target after a target's own failure, where that is allowed."""
+        pool = run.route.shares[0].pool
+        others = self.registry.choose(pool, "", run.tried, time.monotonic())
+        if run.attempts < run.route.most_attempts and others is not None:
+            raise AnswerCut(f"the target answered {head.status}")
+
+    def _relay_stream(
+        self, run: Run, pool: PoolRecord, connection: TargetConnection, head: ResponseHead
+    ) -> None:
+        """Pass events on as they come; the head goes out with the first one."""
+        exchange = run.exchange
+        for block in event_blocks(_chunks(connection, run.end), run.last_id):
+            if not exchange.started:
+                exchange.start(head.status, _answer_headers(head))
+                self._observe_first(run)
+            self._pass_on(run, block)
+        if not exchange.started:
+            exchange.start(head.status, _answer_headers(head))
+        run.settle_whole(pool)
+        exchange.finish()
+        self._log(Event.REQUEST_ANSWERED, run, status=head.status)
+        self.metrics.requests.labels(str(run.route.kind), str(head.status)).inc()
+
+    def _pass_on(self, run: Run, block: EventBlock) -> None:
+        run.exchange.write(block.data)
+        run.events += block.count
+        if block.last_id is not None:
+            run.last_id = block.last_id
+
+    def _observe_first(self, run: Run) -> None:
+        seconds = time.monotonic() - run.exchange.arrived
+        self.metrics.first_byte.labels(str(run.route.kind)).observe(seconds)
+
+    # --- refusals ----------------------------------------------------------------
+
+    def _refuse(
+        self, exchange: Exchange, request: IncomingRequest | None, refusal: Refusal
+    ) -> None:
+        label = request.request_id.decode("latin-1") if request is not None else ""
+        self.metrics.refusals.labels(refusal.code).inc()
+        waited = round(time.monotonic() - exchange.arrived, 4)
+        fields = {"request": label, "code": refusal.code, "attempts": refusal.attempts}
+        if exchange.started:
+            # The exchange is left without an end: the connection is closed.
+            log_event(Event.ANSWER_BROKEN_OFF, waited=waited, why=refusal.message, **fields)
+            return
+        log_event(
+            Event.REQUEST_REFUSED,
+            waited=waited,
+            why=refusal.message,
+            configuration=self.directory.version,
+            **fields,
+        )
+        status, headers, body = self.dialect.refusal(refusal, request)
+        exchange.respond(status, headers, body)
+
+    # --- logs --------------------------------------------------------------------
+
+    def _log(self, event: Event, run: Run, **fields) -> None:
+        log_event(
+            event,
+            request=run.label,
+            route=run.route.name,
+            workspace=run.workspace_name,
+            target=run.target,
+            attempts=run.attempts,
+            events=run.events,
+            waited=round(time.monotonic() - run.exchange.arrived, 4),
+            configuration=run.configuration.version,
+            **fields,
+        )
+
+    def _log_attempt(self, run: Run, failed: _AttemptFailed) -> None:
+        self._log(
+            Event.ATTEMPT_FAILED,
+            run,
+            code=failed.refusal.code,
+            outcome=failed.refusal.outcome,
+            why=failed.refusal.message,
+        )
+
+    def _log_uncovered(self, run: Run, tokens: int) -> None:
+        last = self.keeper.last_known(run.workspace_name)
+        log_event(
+            Event.COVER_REFUSED,
+            request=run.label,
+            workspace=run.workspace_name,
+            tokens=tokens,
+            free=last.free if last is not None else "unknown",
+            outstanding=last.outstanding if last is not None else "unknown",
+            store_silent=round(time.monotonic() - self.keeper.answered_at, 3),
+        )
+
+
+def _no_target() -> Refusal:
+    return TargetUnavailable("no target takes work now", retry_after=_BUSY_RETRY_SECONDS)
+
+
+def _chunks(connection: TargetConnection, end: float) -> Iterator[bytes]:
+    while (data := connection.read_data(end)) is not None:
+        yield data
+
+
+def _answer_headers(head: ResponseHead) -> Headers:
+    """Return an answer's headers without those that frame it: the edge frames anew."""
+    return [field for field in end_to_end_headers(head.headers) if field[0] != b"content-length"]
--- /dev/null
+++ b/whinrack/dispatch/_registry.py
@@ -0,0 +1,162 @@
+"""The targets that this instance knows, and which of them takes a request."""
+
+import math
+import random
+from collections.abc import Collection
+
+from whinrack.base import rendezvous
+from whinrack.dispatch._values import TargetRecord
+from whinrack.ejection import EjectAlone
+
+__all__ = ["TargetRegistry", "TargetState"]
+
+# How far above the mean a target's load may be before affinity gives way.
+_IMBALANCE = 1.25
+_IMBALANCE_SLACK = 2
+_BUSY_SECONDS = 0.25
+
+
+class TargetState:
+    """One target as this instance sees it. Decisions only, no I/O."""
+
+    def __init__(self, record: TargetRecord):
+        self.record = record
+        self.in_flight = 0
+        self.gone = False
+        self.told_leaving = False
+        self.busy_until = float("-inf")
+        self.ejection = EjectAlone(failures=3, first=1.0, longest=4.0)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        return self.record.host, self.record.port
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it takes no new work."""
+        return self.gone or self.told_leaving or self.record.leaving
+
+    def takes_work(self, now: float) -> bool:
+        """Whether a request may be sent to it."""
+        return not self.leaving and not self.ejection.ejected(now)
+
+
+class TargetRegistry:
+    """All targets by pool.
+
+    Parameters
+    ----------
+    seed : int, optional
+        Seeds the choice between equals.
+    """
+
+    def __init__(self, seed: int | None = None):
+        self._targets: dict[str, TargetState] = {}
+        self._pools: dict[str, dict[str, TargetState]] = {}
+        self._random = random.Random(seed)
+
+    def replace_all(self, records: Collection[TargetRecord]) -> list[str]:
+        """Take in a whole list; returns the incarnations that are new to leaving."""
+        listed = {record.incarnation for record in records}
+        left = [name for name in list(self._targets) if name not in listed and self.remove(name)]
+        return left + [record.incarnation for record in records if self.put(record)]
+
+    def put(self, record: TargetRecord) -> bool:
+        """Take in one record; True if the target turned to leaving by it."""
+        state = self._targets.get(record.incarnation)
+        if state is None:
+            state = self._targets[record.incarnation] = TargetState(record)
+            self._pools.setdefault(record.pool, {})[record.incarnation] = state
+            return record.leaving
+        was_leaving = state.leaving
+        if state.record.leaving and not record.leaving:
+            # A run that is leaving doesn't come back; the record is an old one.
+            return False
+        state.record = record
+        state.gone = False
+        return state.leaving and not was_leaving
+
+    def remove(self, incarnation: str) -> bool:
+        """Learn that a target's record is gone; True if it turned to leaving by that."""
+        state = self._targets.get(incarnation)
+        if state is None or state.gone:
+            return False
+        was_leaving = state.leaving
+        state.gone = True
+        if not state.in_flight:
+            self._drop(state)
+        return not was_leaving
+
+    def leave(self, incarnation: str) -> bool:
+        """Learn from a peer that a target is leaving; True if that is news."""
+        state = self._targets.get(incarnation)
+        if state is None or state.leaving:
+            return False
+        state.told_leaving = True
+        return True
+
+    def leaving(self) -> list[str]:
+        """Return the incarnations that said that they are leaving, for the peers."""
+        return [
+            name
+            for name, state in self._targets.items()
+            if state.record.leaving or state.told_leaving
+        ]
+
+    def of_pool(self, pool: str) -> list[TargetState]:
+        """Return every known target of a pool."""
+        return list(self._pools.get(pool, {}).values())
+
+    def choose(
+        self, pool: str, affinity: str, tried: Collection[str], now: float
+    ) -> TargetState | None:
+        """Return the target for a request, None if no target takes work.
+
+        Parameters
+        ----------
+        affinity : str
+            Requests with the same text go to the same target while its load allows
+            it; empty for none.
+        tried : collection of str
+            Incarnations that this request has been sent to.
+        """
+        states = [
+            state
+            for name, state in self._pools.get(pool, {}).items()
+            if name not in tried and state.takes_work(now)
+        ]
+        if not states:
+            return None
+        rested = [state for state in states if state.busy_until <= now] or states
+        if affinity:
+            return self._by_affinity(rested, affinity)
+        return min(rested, key=lambda state: (state.in_flight, self._random.random()))
+
+    def _by_affinity(self, states: list[TargetState], affinity: str) -> TargetState:
+        mean = sum(state.in_flight for state in states) / len(states)
+        most = math.ceil(_IMBALANCE * mean) + _IMBALANCE_SLACK
+        by_name = {state.record.incarnation: state for state in states}
+        for name in rendezvous(affinity, by_name):
+            if by_name[name].in_flight < most:
+                return by_name[name]
+        return min(states, key=lambda state: state.in_flight)
+
+    def started(self, state: TargetState) -> None:
+        """Count a request that is sent to a target."""
+        state.in_flight += 1
+
+    def finished(self, state: TargetState) -> None:
+        """Count a request that ended, in whatever way."""
+        state.in_flight -= 1
+        if state.gone and not state.in_flight:
+            self._drop(state)
+
+    def busy(self, state: TargetState, now: float) -> None:
+        """Learn from a target's word that it is full."""
+        state.busy_until = now + _BUSY_SECONDS
+
+    def _drop(self, state: TargetState) -> None:
+        name = state.record.incarnation
+        self._targets.pop(name, None)
+        self._pools.get(state.record.pool, {}).pop(name, None)
--- /dev/null
+++ b/whinrack/dispatch/_retries.py
@@ -0,0 +1,56 @@
+"""The share of this instance in what all instances together may send again."""
+
+from collections import deque
+
+__all__ = ["RetryAllowance"]
+
+# Windows slide, and instances disagree on how many there are.
+_SAFETY = 0.7
+
+
+class RetryAllowance:
+    """Permits further attempts at the targets of one pool within sliding windows.
+
+    Parameters
+    ----------
+    ratio : float
+        Further attempts for each request of the window, over all instances.
+    slack : float
+        Further attempts of all instances together that need no requests.
+    window : float
+        Seconds.
+
+    Examples
+    --------
+    >>> allowance = RetryAllowance(ratio=0.0, slack=2.0, window=10.0)
+    >>> allowance.try_take(0.0, instances=1), allowance.try_take(0.1, instances=1)
+    (True, False)
+    >>> allowance.try_take(10.2, instances=1)
+    True
+    """
+
+    def __init__(self, ratio: float, slack: float, window: float):
+        self.ratio = ratio
+        self.slack = slack
+        self.window = window
+        self._requests: deque[float] = deque()
+        self._retries: deque[float] = deque()
+
+    def record_request(self, now: float) -> None:
+        """Count a first attempt."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def try_take(self, now: float, instances: int) -> bool:
+        """Take a permit for one further attempt, if there is one."""
+        self._forget(now)
+        allowed = self.ratio * len(self._requests) + self.slack / max(1, instances)
+        if len(self._retries) + 1 > max(1.0, allowed * _SAFETY):
+            return False
+        self._retries.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        for times in (self._requests, self._retries):
+            while times and times[0] < now - self.window:
+                times.popleft()
--- /dev/null
+++ b/whinrack/dispatch/_run.py
@@ -0,0 +1,101 @@
+"""One request on its way through the pipeline."""
+
+import time
+
+from whinrack.budgets import Cover
+from whinrack.dispatch._configuration import Configuration
+from whinrack.dispatch._values import IncomingRequest, PoolRecord, Route, WorkspaceRecord
+from whinrack.http1 import Exchange
+
+__all__ = ["Run"]
+
+_MARGIN_EVENTS = 2
+
+
+class Run:
+    """What is known of a request, and what happened to it so far.
+
+    Attributes
+    ----------
+    end : float
+        Steady clock at which the caller or the route gives up.
+    attempts : int
+        Targets that the request was sent to.
+    tried : set of str
+        Their incarnations.
+    may_have_run : bool
+        Some target may have begun to work on it.
+    events, last_id
+        Events relayed so far, and the id of the last one.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        request: IncomingRequest,
+        configuration: Configuration,
+        route: Route,
+        workspace: WorkspaceRecord | None,
+    ):
+        self.exchange = exchange
+        self.request = request
+        self.configuration = configuration
+        self.route = route
+        self.workspace = workspace
+        self.end = exchange.arrived + min(request.deadline or route.timeout, route.timeout)
+        self.cover: Cover | None = None
+        self.attempts = 0
+        self.tried: set[str] = set()
+        self.may_have_run = False
+        self.events = 0
+        self.last_id = request.resume_after
+        self.target = ""
+
+    @property
+    def label(self) -> str:
+        """The request's id, for logs."""
+        return self.request.request_id.decode("latin-1")
+
+    @property
+    def workspace_name(self) -> str:
+        """The workspace, empty on public routes."""
+        return self.workspace.name if self.workspace is not None else ""
+
+    @property
+    def priority(self) -> int:
+        """The rank at targets: the workspace's goes before the route's."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
+    @property
+    def affinity(self) -> str:
+        """What requests that share a prompt prefix have in common, empty for none."""
+        parts = self.request.prompt_parts
+        return parts[-2].hex() if len(parts) > 1 else ""
+
+    def seconds_left(self) -> float:
+        """Time until the caller or the route gives up."""
+        return self.end - time.monotonic()
+
+    def settle_not_run(self) -> None:
+        """Give the whole cover back: no target worked on the request."""
+        if self.cover is not None:
+            self.cover.settle(0)
+
+    def settle_whole(self, pool: PoolRecord) -> None:
+        """Bill what the target handed out in an answer that is known to be whole."""
+        if self.cover is None:
+            return
+        declared = self.request.cover
+        event_tokens = pool.engine.event_tokens if pool.engine is not None else 1
+        made = self.events * event_tokens
+        if self.attempts > 1 and self.may_have_run:
+            # An earlier target may have handed out events that never came here.
+            made += declared.output
+        self.cover.settle(min(declared.total, declared.prompt + made))
+
+    def settle_unknown(self) -> None:
+        """Count the whole cover: nobody knows how much was handed out."""
+        if self.cover is not None:
+            self.cover.settle(0, unproven=self.cover.tokens)
--- /dev/null
+++ b/whinrack/dispatch/_values.py
@@ -0,0 +1,214 @@
+"""Typed values that the pipeline works on; no protocol's names are in them."""
+
+from enum import StrEnum
+
+import msgspec
+
+from whinrack.http1 import Headers
+
+__all__ = [
+    "Attempt",
+    "CallerLimits",
+    "DeclaredCover",
+    "EngineShape",
+    "IncomingRequest",
+    "PoolRecord",
+    "PoolShare",
+    "Route",
+    "RouteKind",
+    "TargetRecord",
+    "WorkspaceRecord",
+]
+
+
+class RouteKind(StrEnum):
+    """What may be done with a request after a failure."""
+
+    REPEATABLE = "repeatable"
+    AT_MOST_ONCE = "at_most_once"
+    STREAM = "stream"
+
+
+class PoolShare(msgspec.Struct, frozen=True):
+    """The part of a route's requests that goes to one pool; weights are relative."""
+
+    pool: str
+    weight: float = 1.0
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True):
+    """Which requests go where, and how.
+
+    Attributes
+    ----------
+    path_prefix : str
+        Begins and ends with a slash.
+    timeout : float
+        Most seconds that a request is held.
+    goal : float
+        Seconds within which an answer, or its first event, is in time.
+    priority : int
+        0 is the most urgent.
+    most_attempts : int
+        Most targets that one request is sent to.
+    public : bool
+        No key is needed.
+    resumable : bool
+        A broken stream may go on at another target.
+    pause_goal : float
+        Most seconds between events of an answer in time.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout: float
+    goal: float
+    shares: tuple[PoolShare, ...]
+    priority: int = 0
+    most_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    pause_goal: float = 1.0
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether a request that may have run can be sent to another target."""
+        return self.kind is RouteKind.REPEATABLE or self.resumable
+
+
+class EngineShape(msgspec.Struct, frozen=True):
+    """What is known of the engines of a pool.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that one engine runs at once.
+    memory : int
+        Tokens that fit into one engine.
+    event_tokens : int
+        Most tokens in one event of a stream.
+    """
+
+    slots: int
+    memory: int
+    event_tokens: int
+
+
+class PoolRecord(msgspec.Struct, frozen=True):
+    """A pool of targets.
+
+    Attributes
+    ----------
+    most_connections : int
+        Connections that one target accepts from all instances together.
+    engine : EngineShape or None
+        None for plain services.
+    """
+
+    name: str
+    most_connections: int
+    engine: EngineShape | None = None
+
+
+class WorkspaceRecord(msgspec.Struct, frozen=True):
+    """A workspace, its keys and its prepaid limit in tokens, None for no limit."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+    limit: int | None = None
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """What callers may send; bytes and seconds."""
+
+    head_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    head_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+class TargetRecord(msgspec.Struct, frozen=True):
+    """One run of a target.
+
+    Attributes
+    ----------
+    incarnation : str
+        Names this run; another run at the same address has another one.
+    leaving : bool
+        It takes no new work.
+    """
+
+    incarnation: str
+    pool: str
+    host: str
+    port: int
+    data_hall: str = ""
+    slots: int = 1
+    leaving: bool = False
+
+
+class DeclaredCover(msgspec.Struct, frozen=True):
+    """The most tokens that a request can use, as its caller declares it."""
+
+    prompt: int
+    output: int
+
+    @property
+    def total(self) -> int:
+        """Tokens in and out together."""
+        return self.prompt + self.output
+
+
+class IncomingRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A caller's request, read.
+
+    Attributes
+    ----------
+    request_id : bytes
+        One attempt of the caller; new with each.
+    headers : Headers
+        Those that travel on to the target.
+    key : str
+        The caller's key, empty if there is none.
+    deadline : float or None
+        Seconds that the caller will wait.
+    prompt_parts : tuple of bytes
+        Ids of the prompt's parts in order; the last is the request's own.
+    resume_after : int or None
+        The last event that the caller has.
+    """
+
+    request_id: bytes
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    headers: Headers
+    body: bytes
+    key: str = ""
+    deadline: float | None = None
+    cover: DeclaredCover | None = None
+    prompt_parts: tuple[bytes, ...] = ()
+    resume_after: int | None = None
+
+
+class Attempt(msgspec.Struct, frozen=True, kw_only=True):
+    """What is sent to one target.
+
+    Attributes
+    ----------
+    seconds_left : float
+        Time that the target has.
+    workspace : str
+        Empty on public routes.
+    """
+
+    request: IncomingRequest
+    incarnation: str
+    workspace: str
+    seconds_left: float
+    priority: int
+    resume_after: int | None
--- /dev/null
+++ b/whinrack/edge/__init__.py
@@ -0,0 +1,8 @@
+"""The daemon that serves declared routes."""
+
+from whinrack.edge._answers import SmallAnswers
+from whinrack.edge._daemon import EdgeDaemon
+from whinrack.edge._options import EdgeOptions
+from whinrack.edge._sources import ConfigurationReader, TargetReader
+
+__all__ = ["ConfigurationReader", "EdgeDaemon", "EdgeOptions", "SmallAnswers", "TargetReader"]
--- /dev/null
+++ b/whinrack/edge/_answers.py
@@ -0,0 +1,57 @@
+"""The small questions that the daemon answers besides requests."""
+
+from whinrack.edge._membership import Membership
+from whinrack.edge._options import EdgeOptions
+from whinrack.http1 import Exchange, Headers
+from whinrack.observability import Metrics
+
+__all__ = ["SmallAnswers"]
+
+_OK = 200
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_TEXT: Headers = [(b"content-type", b"text/plain; version=0.0.4")]
+
+
+class SmallAnswers:
+    """Answers where callers should go, whether to send them here, and figures.
+
+    A dialect's subclass says how the first two are put.
+    """
+
+    directory_path = b"/where"
+    ready_path = b"/ready"
+
+    def bind(self, membership: Membership, metrics: Metrics, options: EdgeOptions) -> None:
+        """Learn where the facts are."""
+        self.membership = membership
+        self.metrics = metrics
+        self.options = options
+
+    def where_body(self, addresses: list[str], seconds: float) -> tuple[Headers, bytes]:
+        """Put the answer into words: addresses and how long they may be kept."""
+        raise NotImplementedError
+
+    def where_to_go(self, exchange: Exchange) -> None:
+        """Tell the instances that take callers."""
+        if not _asks_for(exchange, self.directory_path):
+            exchange.respond(_NOT_FOUND, [], b"")
+            return
+        addresses = self.membership.caller_addresses()
+        headers, body = self.where_body(addresses, self.options.answer_seconds)
+        exchange.respond(_OK, headers, body)
+
+    def is_ready(self, exchange: Exchange) -> None:
+        """Tell whether this instance takes callers."""
+        if not _asks_for(exchange, self.ready_path):
+            exchange.respond(_NOT_FOUND, [], b"")
+            return
+        exchange.respond(_OK if self.membership.ready else _UNAVAILABLE, [], b"")
+
+    def figures(self, exchange: Exchange) -> None:
+        """Tell the metrics."""
+        exchange.respond(_OK, _TEXT, self.metrics.render())
+
+
+def _asks_for(exchange: Exchange, path: bytes) -> bool:
+    return exchange.head.target.partition(b"?")[0] == path
--- /dev/null
+++ b/whinrack/edge/_daemon.py
@@ -0,0 +1,321 @@
+"""Wires the pipeline to sockets, store and peers, and runs until it is stopped."""
+
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable
+
+import eventlet
+from eventlet.semaphore import Semaphore
+from returns.result import Failure, Success
+
+from whinrack.base import new_incarnation
+from whinrack.budgets import AccountDrawer, GrantKeeper, GrantOptions, RestartMoment
+from whinrack.dispatch import (
+    Configuration,
+    Dialect,
+    Directory,
+    Dispatcher,
+    DispatchOptions,
+    TargetRegistry,
+)
+from whinrack.edge._answers import SmallAnswers
+from whinrack.edge._membership import Membership
+from whinrack.edge._options import EdgeOptions
+from whinrack.edge._sources import ConfigurationReader, KindFollower, TargetReader
+from whinrack.exceptions import InvalidObject
+from whinrack.gossip import PeerSpares, TokenReply, TokenRequest
+from whinrack.http1 import ConnectionPool, HttpServer, ServerLimits
+from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
+from whinrack.store import ObjectStore, StoredObject
+
+__all__ = ["EdgeDaemon"]
+
+_ACCOUNT = "account-0000"
+_STDOUT = 1
+_POLL_SECONDS = 0.05
+_PUMP_SECONDS = 0.1
+_KILL_MARGIN_SECONDS = 0.6
+# Callers may keep the answer where to go this many times as long as they were told.
+_STALE_ANSWERS = 3
+_FULL_EXIT = 0
+
+
+class EdgeDaemon:
+    """One instance that serves declared routes.
+
+    Parameters
+    ----------
+    options : EdgeOptions
+    store : ObjectStore
+    dialect : Dialect
+    configuration_reader : ConfigurationReader
+    target_reader : TargetReader
+    small_answers : SmallAnswers
+        Answers callers' question where to go, and whether this instance is ready.
+    restart : RestartMoment
+        When this run started.
+    reload : callable, optional
+        Reads the settings again; returns what changed, as text for the log.
+    """
+
+    def __init__(
+        self,
+        options: EdgeOptions,
+        store: ObjectStore,
+        dialect: Dialect,
+        configuration_reader: ConfigurationReader,
+        target_reader: TargetReader,
+        small_answers: SmallAnswers,
+        restart: RestartMoment,
+        reload: Callable[[], str] = str,
+    ):
+        self.options = options
+        self.store = store
+        self.dialect = dialect
+        self.configuration_reader = configuration_reader
+        self.target_reader = target_reader
+        self.restart = restart
+        self.reload = reload
+        self.holder = new_incarnation(options.name)
+        self.metrics = Metrics()
+        self.output = BoundedOutput(_STDOUT, options.log_lines_per_second)
+        self.registry = TargetRegistry()
+        self.directory = Directory(self._in_force)
+        self.membership = Membership(
+            options,
+            self.holder,
+            self.directory,
+            self.registry,
+            lambda: self.dispatcher.in_progress,
+            self._suspect_configuration,
+            self._give_tokens,
+            lambda reply: self.spares.replied(reply),
+        )
+        self.spares = PeerSpares(
+            self.holder, self.membership.link, self.membership.table, options.gather_seconds
+        )
+        self.keeper = GrantKeeper(
+            self.holder,
+            _ACCOUNT,
+            AccountDrawer(store, Semaphore, sleep=eventlet.sleep),
+            self.spares,
+            GrantOptions(),
+            make_lock=Semaphore,
+            isolate=_isolate,
+        )
+        self.dispatcher = Dispatcher(
+            dialect,
+            self.directory,
+            self.registry,
+            self.keeper,
+            ConnectionPool(),
+            self.metrics,
+            DispatchOptions(options.retry_ratio, options.retry_slack, options.retry_window),
+            self.membership.instances,
+        )
+        self.small_answers = small_answers
+        self.front = HttpServer(
+            options.callers,
+            self.dispatcher.handle,
+            lambda refusal: dialect.refusal(refusal, None),
+            self._limits,
+        )
+        self._store_answers = True
+        self._reading = False
+        self._stopping = False
+        self._reported_drops = 0
+
+    def run(self) -> int:
+        """Serve until a signal stops the process; returns its exit code."""
+        configure_logs("INFO", json_lines=True, sink=self.output)
+        eventlet.spawn_n(self._pump_forever)
+        log_event(Event.ROUTER_STARTED, instance=self.options.name, run=self.holder)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: eventlet.spawn_n(self._stop))
+        signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(self._reload))
+        self.membership.start()
+        self._start_servers()
+        self._start_tasks()
+        while True:
+            eventlet.sleep(3600)
+
+    # --- start -------------------------------------------------------------------
+
+    def _start_servers(self) -> None:
+        self.front.start()
+        answers = self.small_answers
+        answers.bind(self.membership, self.metrics, self.options)
+        places = (
+            (self.options.directory, answers.where_to_go),
+            (self.options.ready, answers.is_ready),
+            (self.options.metrics, answers.figures),
+        )
+        for address, handle in places:
+            if address is not None:
+                HttpServer(address, handle, lambda refusal: (refusal.status, [], b"")).start()
+
+    def _start_tasks(self) -> None:
+        watch = self.options.watch_seconds
+        readers = (
+            (self.configuration_reader.kind, self._configuration_listed, self._configured),
+            (self.target_reader.kind, self._targets_listed, self._targets_changed),
+        )
+        for kind, listed, changed in readers:
+            follower = KindFollower(self.store, kind, listed, changed, self._store_answered, watch)
+            eventlet.spawn_n(follower.run)
+        eventlet.spawn_n(self._renew_forever)
+
+    # --- configuration and targets -----------------------------------------------
+
+    def _in_force(self, configuration: Configuration) -> None:
+        self.keeper.declare(configuration.version, configuration.limits_by_workspace)
+        self.metrics.revision.set(configuration.version)
+        log_event(Event.CONFIG_TAKEN, version=configuration.version)
+
+    def _configuration_listed(self, objects: tuple[StoredObject, ...]) -> None:
+        self._configured(objects)
+
+    def _configured(self, objects: tuple[StoredObject, ...]) -> None:
+        for stored in objects:
+            if stored.deleted or stored.name != self.configuration_reader.name:
+                continue
+            try:
+                self.directory.take(self.configuration_reader.read(stored))
+            except InvalidObject as error:
+                log_event(Event.CONFIG_INVALID, object=stored.name, error=error.message)
+
+    def _suspect_configuration(self) -> None:
+        """Read the configuration now: a peer has a newer one."""
+        if not self._reading:
+            self._reading = True
+            eventlet.spawn_n(self._read_configuration)
+
+    def _read_configuration(self) -> None:
+        reader = self.configuration_reader
+        try:
+            stored = self.store.get(reader.kind, reader.name)
+            if isinstance(stored, Success):
+                self._configured((stored.unwrap(),))
+            else:
+                eventlet.sleep(0.5)
+        finally:
+            self._reading = False
+
+    def _targets_listed(self, objects: tuple[StoredObject, ...]) -> None:
+        records = [record for record in map(self._target, objects) if record is not None]
+        for incarnation in self.registry.replace_all(records):
+            log_event(Event.TARGET_LEAVING, target=incarnation, source="list")
+
+    def _targets_changed(self, objects: tuple[StoredObject, ...]) -> None:
+        for stored in objects:
+            if self._target_changed(stored):
+                log_event(Event.TARGET_LEAVING, target=stored.name, source="watch")
+
+    def _target_changed(self, stored: StoredObject) -> bool:
+        if stored.deleted:
+            return self.registry.remove(stored.name)
+        record = self._target(stored)
+        return record is not None and self.registry.put(record)
+
+    def _target(self, stored: StoredObject):
+        try:
+            return self.target_reader.read(stored)
+        except InvalidObject as error:
+            log_event(Event.CONFIG_INVALID, object=stored.name, error=error.message)
+            return None
+
+    def _store_answered(self, answered: bool) -> None:
+        if answered != self._store_answers:
+            self._store_answers = answered
+            log_event(Event.PLATFORM_BACK if answered else Event.PLATFORM_LOST)
+
+    # --- tokens ------------------------------------------------------------------
+
+    def _give_tokens(self, request: TokenRequest) -> TokenReply | None:
+        if request.giver != self.holder:
+            return None
+        total = self.keeper.give(
+            request.budget,
+            request.receiver,
+            request.already_received,
+            request.need,
+            request.wish,
+        )
+        return TokenReply(request.question, request.budget, self.holder, total)
+
+    def _renew_forever(self) -> None:
+        released = False
+        while not self._stopping:
+            if not released:
+                released = self._release_earlier_runs()
+            self.keeper.renew()
+            eventlet.sleep(self.options.renew_seconds)
+
+    def _release_earlier_runs(self) -> bool:
+        result = self.keeper.release_earlier_runs(self.restart)
+        if isinstance(result, Failure):
+            return False
+        log_event(Event.EARLIER_RUNS_RELEASED, instance=self.options.name)
+        return True
+
+    # --- signals -----------------------------------------------------------------
+
+    def _reload(self) -> None:
+        log_event(Event.SETTINGS_RELOADED, changed=self.reload() or "nothing")
+
+    def _stop(self) -> None:
+        """Finish what was taken, hand the tokens back and exit."""
+        if self._stopping:
+            return
+        self._stopping = True
+        signalled = time.monotonic()
+        log_event(Event.ROUTER_STOPPING, in_progress=self.dispatcher.in_progress)
+        self.membership.stopping = True
+        self.membership.beat()
+        self.front.closing = True
+        # Until callers have asked anew where to go, new requests are served as before.
+        known_until = signalled + min(3.0, self.options.answer_seconds * _STALE_ANSWERS)
+        kill_at = signalled + self.options.stop_seconds - _KILL_MARGIN_SECONDS
+        eventlet.spawn_n(self.keeper.drain, False)
+        _sleep_until(known_until)
+        self.dispatcher.refusing = True
+        self.front.close_idle()
+        while self.dispatcher.in_progress and time.monotonic() < kill_at:
+            eventlet.sleep(_POLL_SECONDS)
+        self.front.stop_listening()
+        with eventlet.Timeout(max(0.1, kill_at - time.monotonic()), False):
+            self.keeper.drain(True)
+        log_event(Event.ROUTER_STOPPED, in_progress=self.dispatcher.in_progress)
+        self.output.pump()
+        sys.stdout.flush()
+        os._exit(_FULL_EXIT)
+
+    # --- upkeep ------------------------------------------------------------------
+
+    def _limits(self) -> ServerLimits:
+        limits = self.directory.limits
+        return ServerLimits(
+            head_bytes=limits.head_bytes,
+            body_bytes=limits.body_bytes,
+            head_seconds=limits.head_seconds,
+            idle_seconds=limits.idle_seconds,
+        )
+
+    def _pump_forever(self) -> None:
+        while True:
+            self.output.pump()
+            if self.output.dropped > self._reported_drops:
+                log_event(Event.LINES_DROPPED, count=self.output.dropped - self._reported_drops)
+                self._reported_drops = self.output.dropped
+            eventlet.sleep(_PUMP_SECONDS)
+
+
+def _isolate(function: Callable):
+    """Run to the end in a green thread of its own, whatever happens to the waiter."""
+    return eventlet.spawn(function).wait()
+
+
+def _sleep_until(moment: float) -> None:
+    eventlet.sleep(max(0.0, moment - time.monotonic()))
--- /dev/null
+++ b/whinrack/edge/_membership.py
@@ -0,0 +1,144 @@
+"""Heartbeats: who is there, who takes callers, which targets leave."""
+
+import time
+from collections.abc import Callable
+
+import eventlet
+
+from whinrack.dispatch import Directory, TargetRegistry
+from whinrack.edge._options import EdgeOptions
+from whinrack.gossip import (
+    GossipLink,
+    Heartbeat,
+    PeerAddress,
+    PeerTable,
+    TokenReply,
+    TokenRequest,
+)
+from whinrack.observability import Event, log_event
+
+__all__ = ["Membership"]
+
+_MOST_LEAVING = 200
+
+
+class Membership:
+    """Sends heartbeats and takes in those of the peers.
+
+    Parameters
+    ----------
+    options : EdgeOptions
+    holder : str
+        This run.
+    directory : Directory
+    registry : TargetRegistry
+    load : callable
+        Returns the requests in progress here.
+    newer_configuration : callable
+        Called when a peer has a newer configuration than this instance.
+    token_request, token_reply : callable
+        Called with peers' messages on tokens; the first returns a reply or None.
+    """
+
+    def __init__(
+        self,
+        options: EdgeOptions,
+        holder: str,
+        directory: Directory,
+        registry: TargetRegistry,
+        load: Callable[[], int],
+        newer_configuration: Callable[[], None],
+        token_request: Callable[[TokenRequest], TokenReply | None],
+        token_reply: Callable[[TokenReply], None],
+    ):
+        self.options = options
+        self.holder = holder
+        self.directory = directory
+        self.registry = registry
+        self.load = load
+        self.newer_configuration = newer_configuration
+        self.token_request = token_request
+        self.token_reply = token_reply
+        self.stopping = False
+        self.table = PeerTable(options.name, options.silent_seconds, options.forget_seconds)
+        self.link = GossipLink(options.gossip, self._receive)
+        self._callers = f"{options.callers[0]}:{options.callers[1]}"
+        self._sequence = 0
+        self._known_live: set[str] = set()
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return not self.stopping and self.directory.version > 0
+
+    def start(self) -> None:
+        """Listen, and send the first heartbeat."""
+        self.link.start()
+        self.table.add_addresses(self.options.seeds, time.monotonic())
+        eventlet.spawn_n(self._beat_forever)
+
+    def beat(self) -> None:
+        """Send a heartbeat to every address where a peer may be."""
+        now = time.monotonic()
+        self._sequence += 1
+        host, port = self.options.gossip
+        message = Heartbeat(
+            incarnation=self.holder,
+            sequence=self._sequence,
+            sender=PeerAddress(self.options.name, host, port),
+            callers=self._callers,
+            data_hall=self.options.data_hall,
+            ready=self.ready,
+            load=self.load(),
+            configuration=self.directory.version,
+            leaving=self.registry.leaving()[-_MOST_LEAVING:],
+            peers=self.table.addresses(now),
+        )
+        for address in self.table.targets(now):
+            if address != self.options.gossip:
+                self.link.send(message, address)
+        self._log_changes(now)
+
+    def caller_addresses(self) -> list[str]:
+        """Return the addresses that callers may connect to."""
+        ready = [view.beat.callers for view in self.table.ready(time.monotonic())]
+        if self.ready or not ready:
+            ready.append(self._callers)
+        return ready
+
+    def instances(self) -> int:
+        """Return the number of instances that look alive."""
+        return self.table.live_count(time.monotonic())
+
+    def _beat_forever(self) -> None:
+        while True:
+            self.beat()
+            eventlet.sleep(self.options.heartbeat_seconds)
+
+    def _receive(self, message, address) -> None:
+        if isinstance(message, Heartbeat):
+            self._heard(message)
+        elif isinstance(message, TokenRequest):
+            reply = self.token_request(message)
+            if reply is not None:
+                self.link.send(reply, address)
+        else:
+            self.token_reply(message)
+
+    def _heard(self, beat: Heartbeat) -> None:
+        if self.table.heard(beat, time.monotonic()):
+            # Answer at once, so that a peer that has just started knows this one.
+            self.beat()
+        for incarnation in beat.leaving:
+            if self.registry.leave(incarnation):
+                log_event(Event.TARGET_LEAVING, target=incarnation, source=beat.sender.name)
+        if beat.configuration > self.directory.version:
+            self.newer_configuration()
+
+    def _log_changes(self, now: float) -> None:
+        live = {view.beat.sender.name for view in self.table.live(now)}
+        for name in sorted(live - self._known_live):
+            log_event(Event.MEMBER_JOINED, peer=name, live=len(live))
+        for name in sorted(self._known_live - live):
+            log_event(Event.MEMBER_LOST, peer=name, live=len(live))
+        self._known_live = live
--- /dev/null
+++ b/whinrack/edge/_options.py
@@ -0,0 +1,51 @@
+"""What the daemon needs to know of its place and its patience."""
+
+import msgspec
+
+__all__ = ["EdgeOptions", "HostPort"]
+
+HostPort = tuple[str, int]
+
+
+class EdgeOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Addresses, bounds and shares; seconds throughout.
+
+    Attributes
+    ----------
+    name : str
+        This instance; the next run after a restart has the same name.
+    callers, directory, ready, gossip : HostPort
+        Where to listen: for callers, for their question where to go, for the question
+        whether this instance is ready, and for peers' datagrams.
+    metrics : HostPort or None
+    seeds : tuple of HostPort
+        Where peers may hear datagrams.
+    answer_seconds : float
+        How long callers may keep the answer where to go.
+    stop_seconds : float
+        Time from a stop's signal until the process is killed.
+    retry_ratio, retry_slack, retry_window
+        See `whinrack.dispatch.RetryAllowance`.
+    """
+
+    name: str
+    data_hall: str
+    callers: HostPort
+    directory: HostPort | None
+    ready: HostPort | None
+    gossip: HostPort
+    metrics: HostPort | None = None
+    seeds: tuple[HostPort, ...] = ()
+    answer_seconds: float = 1.5
+    stop_seconds: float = 8.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 50.0
+    retry_window: float = 10.0
+    heartbeat_seconds: float = 0.25
+    silent_seconds: float = 0.9
+    forget_seconds: float = 60.0
+    watch_seconds: float = 2.0
+    renew_seconds: float = 1.0
+    gather_seconds: float = 0.06
+    wall_margin_seconds: float = 3.5
+    log_lines_per_second: float = 150.0
--- /dev/null
+++ b/whinrack/edge/_sources.py
@@ -0,0 +1,119 @@
+"""Follows one kind of object in the store: a list, then watches, then lists again."""
+
+import random
+from collections.abc import Callable
+
+import eventlet
+from returns.result import Failure
+
+from whinrack.dispatch import Configuration, TargetRecord
+from whinrack.store import ObjectStore, StoredObject
+
+__all__ = ["ConfigurationReader", "KindFollower", "TargetReader"]
+
+_FIRST_PAUSE = 0.1
+_LONGEST_PAUSE = 0.6
+
+
+class ConfigurationReader:
+    """Translates the stored configuration."""
+
+    kind: str
+    name: str
+
+    def read(self, stored: StoredObject) -> Configuration:
+        """Return the configuration that an object holds.
+
+        Raises
+        ------
+        InvalidObject
+        """
+        raise NotImplementedError
+
+
+class TargetReader:
+    """Translates the stored records of targets."""
+
+    kind: str
+
+    def read(self, stored: StoredObject) -> TargetRecord:
+        """Return the record that an object holds.
+
+        Raises
+        ------
+        InvalidObject
+        """
+        raise NotImplementedError
+
+
+class KindFollower:
+    """Keeps up with a kind of object, through outages and lost history.
+
+    Parameters
+    ----------
+    store : ObjectStore
+    kind : str
+    listed : callable
+        Called with all objects after each list.
+    changed : callable
+        Called with the objects of each watch that had some.
+    answered : callable
+        Called with True after each answer of the store, with False after a failure.
+    watch_seconds : float
+        How long one watch is held.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        kind: str,
+        listed: Callable[[tuple[StoredObject, ...]], None],
+        changed: Callable[[tuple[StoredObject, ...]], None],
+        answered: Callable[[bool], None],
+        watch_seconds: float,
+    ):
+        self.store = store
+        self.kind = kind
+        self.listed = listed
+        self.changed = changed
+        self.answered = answered
+        self.watch_seconds = watch_seconds
+        self.revision: int | None = None
+        self._pause = _FIRST_PAUSE
+
+    def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            if not self.step():
+                eventlet.sleep(self._pause * (0.5 + random.random()))
+                self._pause = min(_LONGEST_PAUSE, 2 * self._pause)
+            else:
+                self._pause = _FIRST_PAUSE
+
+    def step(self) -> bool:
+        """Make one call to the store; False if it failed."""
+        answered = self._list() if self.revision is None else self._watch()
+        self.answered(answered)
+        return answered
+
+    def _list(self) -> bool:
+        result = self.store.list([self.kind])
+        if isinstance(result, Failure):
+            return False
+        snapshot = result.unwrap()
+        self.listed(snapshot.objects)
+        self.revision = snapshot.revision
+        return True
+
+    def _watch(self) -> bool:
+        result = self.store.watch([self.kind], self.revision, self.watch_seconds)
+        if isinstance(result, Failure):
+            return False
+        batch = result.unwrap()
+        if batch.gap:
+            self.revision = None
+            return True
+        if batch.objects:
+            self.changed(batch.objects)
+        self.revision = max(self.revision, batch.revision)
+        return True
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -13,12 +13,16 @@
     "BodyTooLarge",
     "BudgetContended",
     "BudgetExhausted",
+    "CallerGone",
     "ClaimUnavailable",
+    "ConfigurationUnknown",
     "Conflict",
     "CoverUnbounded",
     "DeadlineUnreachable",
+    "AttemptTimeout",
     "Forbidden",
     "ForeignAnswer",
+    "HeadersTooLarge",
     "InternalFailure",
     "InvalidObject",
     "InvalidSettings",
@@ -32,7 +36,9 @@
     "PolicyFailure",
     "QueueFull",
     "RateExceeded",
+    "NoRoute",
     "Refusal",
+    "RouterStopping",
     "RequestTimeout",
     "TargetFailed",
     "TargetUnavailable",
@@ -78,6 +84,12 @@
     code = "peer_unavailable"
 
 
+class CallerGone(WhinrackError):
+    """The caller closed its connection, or doesn't read its answer."""
+
+    code = "caller_gone"
+
+
 # --- the platform's object API ---------------------------------------------------
 
 
@@ -224,6 +236,30 @@
     code, status, kind = "body_too_large", 413, "invalid_request_error"
 
 
+class HeadersTooLarge(Refusal):
+    """The request's head is larger than allowed."""
+
+    code, status, kind = "headers_too_large", 431, "invalid_request_error"
+
+
+class NoRoute(Refusal):
+    """No route in force has this host and path."""
+
+    code, status, kind = "no_route", 404, "invalid_request_error"
+
+
+class ConfigurationUnknown(Refusal):
+    """This instance has not learnt any configuration yet."""
+
+    code, status, kind = "configuration_unknown", 503, "overloaded_error"
+
+
+class RouterStopping(Refusal):
+    """This instance is about to stop and takes no more requests."""
+
+    code, status, kind = "router_stopping", 503, "overloaded_error"
+
+
 class BudgetExhausted(Refusal):
     """The prepaid budget can't cover the request."""
 
@@ -274,6 +310,12 @@
     outcome = Outcome.UNKNOWN
 
 
+class AttemptTimeout(TargetFailed):
+    """The target gave no whole answer within the time that the request had."""
+
+    code, status = "attempt_timeout", 504
+
+
 class AnswerCut(TargetFailed):
     """The target's answer ended before it was whole."""
 
--- /dev/null
+++ b/whinrack/gossip/__init__.py
@@ -0,0 +1,17 @@
+"""Datagrams between instances: who is there, who is leaving, and spare tokens."""
+
+from whinrack.gossip._link import GossipLink
+from whinrack.gossip._messages import Heartbeat, PeerAddress, TokenReply, TokenRequest
+from whinrack.gossip._peers import PeerTable, PeerView
+from whinrack.gossip._spares import PeerSpares
+
+__all__ = [
+    "GossipLink",
+    "Heartbeat",
+    "PeerAddress",
+    "PeerSpares",
+    "PeerTable",
+    "PeerView",
+    "TokenReply",
+    "TokenRequest",
+]
--- /dev/null
+++ b/whinrack/gossip/_link.py
@@ -0,0 +1,68 @@
+"""Sends and receives datagrams."""
+
+from collections.abc import Callable
+
+import eventlet
+import msgspec
+from eventlet.green import socket
+
+from whinrack.gossip._messages import Message
+
+__all__ = ["GossipLink"]
+
+_MOST_BYTES = 65_000
+
+
+class GossipLink:
+    """One datagram socket; what arrives is decoded and handed on.
+
+    Parameters
+    ----------
+    address : tuple of str and int
+        Where to listen.
+    receive : callable
+        Called with each message and the address that it came from.
+    """
+
+    def __init__(self, address: tuple[str, int], receive: Callable[[Message, tuple], None]):
+        self.address = address
+        self.receive = receive
+        self.malformed = 0
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Message)
+        self._socket = None
+
+    def start(self) -> None:
+        """Bind and receive in the background."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind(self.address)
+        self.address = self._socket.getsockname()
+        eventlet.spawn_n(self._receive_all)
+
+    def send(self, message: Message, address: tuple[str, int]) -> None:
+        """Send once; a datagram that can't be sent counts as lost."""
+        try:
+            self._socket.sendto(self._encoder.encode(message), address)
+        except OSError:
+            return
+
+    def close(self) -> None:
+        """Stop receiving."""
+        link, self._socket = self._socket, None
+        if link is not None:
+            link.close()
+
+    def _receive_all(self) -> None:
+        while self._socket is not None:
+            try:
+                data, address = self._socket.recvfrom(_MOST_BYTES)
+            except OSError:
+                # A peer's dead port, reported back; or the link was closed.
+                eventlet.sleep(0.01)
+                continue
+            try:
+                message = self._decoder.decode(data)
+            except msgspec.MsgspecError:
+                self.malformed += 1
+                continue
+            self.receive(message, address)
--- /dev/null
+++ b/whinrack/gossip/_messages.py
@@ -0,0 +1,86 @@
+"""Typed datagrams, encoded as MessagePack by `msgspec`."""
+
+import msgspec
+
+__all__ = ["Heartbeat", "Message", "PeerAddress", "TokenReply", "TokenRequest"]
+
+
+class PeerAddress(msgspec.Struct, frozen=True, array_like=True):
+    """Where an instance hears datagrams."""
+
+    name: str
+    host: str
+    port: int
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
+    """An instance's word on itself, sent to every peer it knows.
+
+    Attributes
+    ----------
+    incarnation : str
+        This run of the instance.
+    sequence : int
+        Grows by one with each heartbeat of the run.
+    sender : PeerAddress
+    callers : str
+        Where callers connect, "host:port".
+    data_hall : str
+    ready : bool
+        Whether callers should be sent here.
+    load : int
+        Requests in progress.
+    configuration : int
+        Version in force, 0 if none is known.
+    leaving : list of str
+        Incarnations of targets that are known to be leaving.
+    peers : list of PeerAddress
+        Other instances that the sender heard lately.
+    """
+
+    incarnation: str
+    sequence: int
+    sender: PeerAddress
+    callers: str
+    data_hall: str
+    ready: bool
+    load: int
+    configuration: int
+    leaving: list[str] = []
+    peers: list[PeerAddress] = []
+
+
+class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
+    """Asks a peer for unspent tokens of a budget.
+
+    Attributes
+    ----------
+    question : int
+        Returned with the reply.
+    receiver : str
+        The asking run.
+    already_received : int
+        Cumulative tokens that the asker has from this peer's run.
+    giver : str
+        The run that is asked; another run doesn't answer.
+    """
+
+    question: int
+    budget: str
+    receiver: str
+    giver: str
+    already_received: int
+    need: int
+    wish: int
+
+
+class TokenReply(msgspec.Struct, frozen=True, array_like=True, tag="give"):
+    """What a run has given to another in all; repeating it changes nothing."""
+
+    question: int
+    budget: str
+    giver: str
+    total: int
+
+
+Message = Heartbeat | TokenRequest | TokenReply
--- /dev/null
+++ b/whinrack/http1/__init__.py
@@ -0,0 +1,24 @@
+"""HTTP/1.1 on green sockets; `h11` reads and writes the bytes."""
+
+from whinrack.http1._client import ConnectionPool, TargetConnection
+from whinrack.http1._messages import (
+    Headers,
+    RequestHead,
+    ResponseHead,
+    end_to_end_headers,
+    header_value,
+)
+from whinrack.http1._server import Exchange, HttpServer, ServerLimits
+
+__all__ = [
+    "ConnectionPool",
+    "Exchange",
+    "Headers",
+    "HttpServer",
+    "RequestHead",
+    "ResponseHead",
+    "ServerLimits",
+    "TargetConnection",
+    "end_to_end_headers",
+    "header_value",
+]
--- /dev/null
+++ b/whinrack/http1/_client.py
@@ -0,0 +1,249 @@
+"""The side towards targets: kept connections whose answers are matched to requests."""
+
+import contextlib
+import socket
+import time
+from collections.abc import Callable
+
+import h11
+from eventlet.green import socket as green_socket
+
+from whinrack.exceptions import AnswerCut, AttemptTimeout, TargetUnavailable
+from whinrack.http1._messages import Headers, RequestHead, ResponseHead, header_value
+
+__all__ = ["ConnectionPool", "TargetConnection"]
+
+_READ_BYTES = 65_536
+_HEAD_BYTES = 65_536
+_CONNECT_SECONDS = 1.0
+_DEFAULT_IDLE_SECONDS = 4.0
+# Part of a target's stated idle time for which a connection is used again.
+_IDLE_PART = 0.5
+_MOST_FOREIGN = 4
+
+
+class TargetConnection:
+    """One connection to a target, for one request at a time.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether any byte of the present request may have reached the target.
+    fresh : bool
+        Whether no request was sent on it before the present one.
+    """
+
+    def __init__(self, address: tuple[str, int], sock):
+        self.address = address
+        self.sock = sock
+        self.sent = False
+        self.fresh = True
+        self.idle_seconds = _DEFAULT_IDLE_SECONDS
+        self.released_at = 0.0
+        self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES)
+        self._request: RequestHead | None = None
+        self._closed = False
+
+    @classmethod
+    def open(cls, address: tuple[str, int], seconds: float) -> "TargetConnection":
+        """Connect.
+
+        Raises
+        ------
+        TargetUnavailable
+        """
+        try:
+            sock = _connect(address, seconds)
+        except OSError as error:
+            raise TargetUnavailable("no connection to the target") from error
+        return cls(address, sock)
+
+    def send(self, request: RequestHead, body: bytes, end: float) -> None:
+        """Send a whole request. A failure on the way shows when the answer is read."""
+        self.sent = False
+        self._request = request
+        headers = list(request.headers)
+        if body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"content-length", b"%d" % len(body)))
+        events = [h11.Request(method=request.method, target=request.target, headers=headers)]
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        data = b"".join(self._protocol.send(event) for event in events)
+        self.sent = True
+        self.sock.settimeout(max(0.001, end - time.monotonic()))
+        with contextlib.suppress(OSError):
+            self.sock.sendall(data)
+
+    def read_head(self, end: float, is_own: Callable[[Headers], bool]) -> ResponseHead:
+        """Read the answer's head; whole answers to other requests are skipped.
+
+        Raises
+        ------
+        AnswerCut, AttemptTimeout
+        """
+        for _ in range(_MOST_FOREIGN):
+            event = self._next_event(end)
+            while isinstance(event, h11.InformationalResponse):
+                event = self._next_event(end)
+            if not isinstance(event, h11.Response):
+                raise AnswerCut("the target closed without an answer")
+            if is_own(event.headers):
+                self._learn_idle(event.headers)
+                return ResponseHead(event.status_code, list(event.headers))
+            self._skip_foreign(end)
+        raise AnswerCut("the target answers other requests only")
+
+    def read_data(self, end: float) -> bytes | None:
+        """Return the next bytes of the body, None at its end.
+
+        Raises
+        ------
+        AnswerCut, AttemptTimeout
+        """
+        event = self._next_event(end)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise AnswerCut("the answer ended early")
+
+    def reusable(self) -> bool:
+        """Whether the answer ended cleanly and nothing unread is left."""
+        protocol = self._protocol
+        done = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
+        return done and not self._closed and not protocol.trailing_data[0]
+
+    def prepare_next(self) -> bool:
+        """Get ready for another request; False if the connection is of no more use."""
+        if time.monotonic() - self.released_at > self.idle_seconds * _IDLE_PART:
+            return False
+        if _readable(self.sock):
+            # Closed by the target, or an answer that nobody asked for.
+            return False
+        self._protocol.start_next_cycle()
+        self.fresh = False
+        self.sent = False
+        return True
+
+    def close(self) -> None:
+        """Close; a target that still works for it notices."""
+        if not self._closed:
+            self._closed = True
+            self.sock.close()
+
+    def _next_event(self, end: float):
+        while True:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise AnswerCut("the target's bytes are no answer") from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._receive(end)
+
+    def _receive(self, end: float) -> None:
+        left = end - time.monotonic()
+        if left <= 0:
+            raise AttemptTimeout("the target gave no answer in time")
+        self.sock.settimeout(left)
+        try:
+            data = self.sock.recv(_READ_BYTES)
+        except TimeoutError as error:
+            raise AttemptTimeout("the target gave no answer in time") from error
+        except OSError as error:
+            raise AnswerCut("the connection broke") from error
+        try:
+            self._protocol.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise AnswerCut("the target's bytes are no answer") from error
+
+    def _skip_foreign(self, end: float) -> None:
+        """Read a late answer to another request to its end and wait for the own one."""
+        while self.read_data(end) is not None:
+            pass
+        rest, closed = self._protocol.trailing_data
+        if closed or self._protocol.their_state is not h11.DONE:
+            raise AnswerCut("the target answered another request and closed")
+        self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES)
+        request = self._request
+        self._protocol.send(
+            h11.Request(method=request.method, target=request.target, headers=request.headers)
+        )
+        self._protocol.send(h11.EndOfMessage())
+        if rest:
+            self._protocol.receive_data(rest)
+
+    def _learn_idle(self, headers: Headers) -> None:
+        for part in header_value(headers, b"keep-alive").split(b","):
+            name, _, value = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.isdigit():
+                self.idle_seconds = float(value)
+
+
+class ConnectionPool:
+    """Idle connections by target, the one used last first.
+
+    Parameters
+    ----------
+    connect_seconds : float
+        Patience with a new connection.
+    """
+
+    def __init__(self, connect_seconds: float = _CONNECT_SECONDS):
+        self.connect_seconds = connect_seconds
+        self.opened = 0
+        self._idle: dict[tuple[str, int], list[TargetConnection]] = {}
+
+    def take(self, address: tuple[str, int], end: float) -> TargetConnection:
+        """Return a kept connection, or a new one.
+
+        Raises
+        ------
+        TargetUnavailable
+        """
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.prepare_next():
+                return connection
+            connection.close()
+        self.opened += 1
+        left = min(self.connect_seconds, end - time.monotonic())
+        return TargetConnection.open(address, max(0.01, left))
+
+    def give_back(self, connection: TargetConnection) -> None:
+        """Keep a connection whose answer ended cleanly; close any other."""
+        if not connection.reusable():
+            connection.close()
+            return
+        connection.released_at = time.monotonic()
+        self._idle.setdefault(connection.address, []).append(connection)
+
+    def forget(self, address: tuple[str, int]) -> None:
+        """Close the idle connections to a target that is gone."""
+        for connection in self._idle.pop(address, []):
+            connection.close()
+
+
+def _connect(address: tuple[str, int], seconds: float):
+    sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.settimeout(seconds)
+    try:
+        sock.connect(address)
+    except BaseException:
+        sock.close()
+        raise
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def _readable(sock) -> bool:
+    """Whether bytes or an end wait to be read; the plain socket never blocks."""
+    try:
+        sock.fd.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -5,6 +5,7 @@
 
 import sys
 from enum import Enum
+from typing import TextIO
 
 import msgspec
 from loguru import logger
@@ -22,6 +23,9 @@
     TASK_FAILED = (1005, "ERROR", "a background task failed and is tried again")
     REQUEST_FAILED = (1006, "ERROR", "a request failed inside whinrack")
 
+    SETTINGS_RELOADED = (1007, "INFO", "settings file read again")
+    LINES_DROPPED = (1008, "WARNING", "log lines left out to keep the volume bounded")
+
     PLATFORM_LOST = (2001, "WARNING", "platform doesn't answer")
     PLATFORM_BACK = (2002, "INFO", "platform answers again")
 
@@ -42,6 +46,14 @@
     GRANT_CLOSED = (6001, "ERROR", "this incarnation's grant was released by an operator")
     BILL_UNCONFIRMED = (6002, "WARNING", "answer ended before its bill was kept")
     POLICY_FAILED = (6003, "WARNING", "routing program failed, the default applies")
+    EARLIER_RUNS_RELEASED = (6004, "INFO", "unused tokens of earlier runs given back")
+
+    REQUEST_ANSWERED = (7001, "INFO", "a target's answer was passed on whole")
+    REQUEST_REFUSED = (7002, "INFO", "request refused")
+    ANSWER_BROKEN_OFF = (7003, "WARNING", "answer ended early, connection closed")
+    CALLER_LEFT = (7004, "INFO", "caller left before its answer was whole")
+    ATTEMPT_FAILED = (7005, "WARNING", "an attempt at a target failed")
+    COVER_REFUSED = (7006, "INFO", "tokens of a request could not be set aside")
 
     def __init__(self, number: int, level: str, text: str):
         self.number = number
@@ -66,10 +78,10 @@
     bound.log(event.level, event.text)
 
 
-def configure_logs(level: str, json_lines: bool) -> None:
-    """Send logs to standard error as text or JSON lines."""
+def configure_logs(level: str, json_lines: bool, sink: TextIO | None = None) -> None:
+    """Send logs as text or JSON lines to a sink, by default standard error."""
     logger.remove()
-    logger.add(sys.stderr, level=level, format=_json_line if json_lines else _text_line)
+    logger.add(sink or sys.stderr, level=level, format=_json_line if json_lines else _text_line)
 
 
 def _text_line(record) -> str:
--- a/whinrack/routing/__init__.py
+++ b/whinrack/routing/__init__.py
@@ -1,6 +1,6 @@
 """Routing: programs, choice of targets, queues, limits and retries."""
 
-from whinrack.routing._ejection import EjectAfterVote, EjectAlone, EjectionPolicy
+from whinrack.ejection import EjectAfterVote, EjectAlone, EjectionPolicy
 from whinrack.routing._pickers import AffinityPicker, Picker, RandomPicker, TwoChoicesPicker
 from whinrack.routing._pools import PickQuery, PoolState
 from whinrack.routing._program import (
--- a/whinrack/routing/_targets.py
+++ b/whinrack/routing/_targets.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
+from whinrack.ejection import EjectionPolicy
 from whinrack.objects import Target, TargetState
-from whinrack.routing._ejection import EjectionPolicy
 
 __all__ = ["LoadReport", "TargetView"]
 
