A quiet keeper no longer takes itself for cut off from the books; peers draw for those that are

Cause: a keeper with nothing to report made no calls, and took its own silence for the store's; requests were refused from stale grants. Ruled out: exhausted budgets (free tokens were in the books at the refusals).

--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -14,7 +14,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from whinrack.budgets._account import DrawOrder, DrawResult
+from whinrack.base import instance_of
+from whinrack.budgets._account import BudgetAccount, DrawOrder, DrawResult
 from whinrack.budgets._demand import DemandEstimate
 from whinrack.budgets._drawer import AccountDrawer
 from whinrack.budgets._keeper import SpareSource
@@ -25,7 +26,8 @@
 __all__ = ["GrantKeeper", "GrantOptions"]
 
 _HALF_LIFE_SECONDS = 8.0
-_TRIES = 3
+# For so long the books that had nothing free aren't asked again.
+_NOTHING_FREE_SECONDS = 0.5
 
 
 def _call(function: Callable) -> Result:
@@ -44,16 +46,19 @@
     release_factor : float
         Rate of a schedule as a multiple of the demand.
     store_patience : float
-        Seconds without a reply after which the peers are asked before the books.
+        Seconds without a reply after which the books count as out of reach.
     retry_after : float
         Seconds after which a caller should come back when tokens are held elsewhere.
+    loan_seconds : float
+        Seconds of demand that a peer is asked to draw while the books are out of reach.
     """
 
     horizon: float = 12.0
-    release_seconds: float = 2.0
-    release_factor: float = 1.5
-    store_patience: float = 1.6
+    release_seconds: float = 1.0
+    release_factor: float = 2.0
+    store_patience: float = 0.4
     retry_after: float = 0.4
+    loan_seconds: float = 2.0
 
 
 class _Grant:
@@ -117,6 +122,7 @@
         self.isolate = isolate
         self.stopping = False
         self.answered_at = clock()
+        self._lost = False
         self._asked_at: float | None = None
         self._limits: dict[str, int] = {}
         self._limit_version = 0
@@ -144,11 +150,30 @@
         with grant.lock:
             return self._refill(grant, tokens)
 
-    def give(self, budget: str, receiver: str, already_received: int, need: int, wish: int) -> int:
-        """Hand tokens to a peer that ran out; returns the cumulative total."""
+    def give(
+        self,
+        budget: str,
+        receiver: str,
+        already_received: int,
+        need: int,
+        wish: int,
+        draw: bool = False,
+    ) -> int:
+        """Hand tokens to a peer that ran out; returns the cumulative total.
+
+        Parameters
+        ----------
+        draw : bool
+            Draw from the books first what isn't here; may block.
+        """
         grant = self._grants.get(budget)
         if grant is None:
-            return 0
+            if not draw or not self.limited(budget):
+                return 0
+            grant = self._grant(budget)
+        if draw and self.store_answers and grant.usable(self.clock()) < need + wish:
+            with grant.lock:
+                self._draw(grant, need + wish)
         usable = max(0, grant.usable(self.clock()))
         return grant.ledger.give(receiver, already_received, need, wish, usable)
 
@@ -175,10 +200,26 @@
                 orders.append(self._order(grant, final=final and not grant.ledger.open_cover))
         return self._send(orders) if orders else Success(None)
 
-    def release_earlier_runs(self, restart: RestartMoment) -> Result[None, PlatformFailure]:
-        """Give back what earlier runs of this instance held and can't have used."""
+    def release_earlier_runs(self, restart: RestartMoment) -> Result[str, PlatformFailure]:
+        """Give back what earlier runs of this instance held and can't have used.
+
+        Returns
+        -------
+        str
+            The books that they were found in, for the log.
+        """
         released = self.drawer.release_earlier_runs(self.account, self.holder, restart)
-        return released.map(lambda _: None)
+        return released.map(lambda account: _summary(account, self.holder))
+
+    def summary(self) -> str:
+        """Return what is known of every budget, for the log."""
+        now = self.clock()
+        return " ".join(
+            f"{name}:{grant.ledger.spendable}/{max(0, grant.usable(now))}"
+            f"/{grant.last.free}/{grant.last.outstanding}@{now - grant.learnt_at:.1f}"
+            for name, grant in self._grants.items()
+            if grant.last is not None
+        )
 
     def spendable(self) -> dict[str, int]:
         """Return the unspent tokens by budget, for heartbeats and metrics."""
@@ -210,39 +251,61 @@
         return grant.ledger.open(tokens)
 
     def _refill(self, grant: _Grant, tokens: int) -> Result[Cover, Refusal]:
-        for _ in range(_TRIES):
+        for ask in self._ways(grant, tokens):
+            ask(grant, tokens)
             cover = self._open(grant, tokens)
             if isinstance(cover, Success):
                 return cover
-            asked = self.clock()
-            steps = (self._draw, self._gather) if self._store_answers() else (self._gather,)
-            for ask in steps:
-                ask(grant, tokens)
-                cover = self._open(grant, tokens)
-                if isinstance(cover, Success):
-                    return cover
-            if grant.learnt_at >= asked and _exhausted(grant, tokens):
-                return Failure(BudgetExhausted(_left_text(grant, tokens)))
-            if not self._store_answers():
-                break
+        if self._is_exhausted(grant, tokens):
+            return Failure(BudgetExhausted(_left_text(grant, tokens)))
         return cover
 
-    def _store_answers(self) -> bool:
+    def _ways(self, grant: _Grant, tokens: int) -> tuple[Callable[[_Grant, int], None], ...]:
+        """Return what to try for more tokens, in order."""
+        if not self.store_answers:
+            return self._gather, self._borrow
+        if self._nothing_free(grant) and grant.ledger.spendable < tokens:
+            return (self._gather,)
+        return self._draw, self._gather
+
+    @property
+    def store_answers(self) -> bool:
+        """Whether the books can be reached, as far as is known."""
+        if self._lost:
+            return False
         waiting_since = self._asked_at
-        if waiting_since is not None:
-            return self.clock() - waiting_since < self.options.store_patience / 4
-        return self.clock() - self.answered_at < self.options.store_patience
+        waited = 0.0 if waiting_since is None else self.clock() - waiting_since
+        return waited < self.options.store_patience
+
+    def _nothing_free(self, grant: _Grant) -> bool:
+        """Whether the books said a moment ago that nothing is free."""
+        fresh = self.clock() - grant.learnt_at < _NOTHING_FREE_SECONDS
+        return fresh and grant.last.free <= 0
+
+    def _is_exhausted(self, grant: _Grant, tokens: int) -> bool:
+        """Whether the budget can't cover a request, by what the books said just now."""
+        if self.clock() - grant.learnt_at >= _NOTHING_FREE_SECONDS:
+            return False
+        return tokens > grant.last.free + grant.last.outstanding
 
     def _draw(self, grant: _Grant, tokens: int) -> None:
         self._send([self._order(grant, need=tokens)])
 
     def _gather(self, grant: _Grant, tokens: int) -> None:
-        """Ask peers, both for tokens and for what the schedule does not release yet."""
-        need = tokens - max(0, grant.usable(self.clock()))
+        """Ask all peers for what they hold and may use."""
         ledger = grant.ledger
+        need = tokens - max(0, grant.usable(self.clock()))
         for giver, total in self.spares.gather(ledger.budget, need, 0, dict(ledger.received)):
             ledger.receive(giver, total)
 
+    def _borrow(self, grant: _Grant, tokens: int) -> None:
+        """Ask a peer that reaches the books to draw from them for this instance."""
+        ledger, now = grant.ledger, self.clock()
+        need = tokens - max(0, grant.usable(now))
+        wish = int(grant.demand.rate(now) * self.options.loan_seconds)
+        for giver, total in self.spares.borrow(ledger.budget, need, wish, dict(ledger.received)):
+            ledger.receive(giver, total)
+
     # --- orders ------------------------------------------------------------------
 
     def _due(self, grant: _Grant) -> bool:
@@ -293,7 +356,8 @@
         self._asked_at = asked if self._asked_at is None else self._asked_at
         result = self.drawer.draw_many(orders)
         self._asked_at = None
-        if isinstance(result, Failure):
+        self._lost = isinstance(result, Failure)
+        if self._lost:
             return Failure(result.failure())
         self.answered_at = self.clock()
         for order, answer in zip(orders, result.unwrap(), strict=True):
@@ -309,10 +373,23 @@
             grant.guard.applied(answer.sequence)
 
 
-def _exhausted(grant: _Grant, tokens: int) -> bool:
-    return grant.last is not None and tokens > grant.last.free + grant.last.outstanding
-
-
 def _left_text(grant: _Grant, tokens: int) -> str:
     left = grant.last.free + grant.last.outstanding
     return f"the request needs cover for {tokens} tokens, the budget has {left} left"
+
+
+def _summary(account: BudgetAccount | None, holder: str) -> str:
+    """Tell what released runs of the holder's instance left out of use, by budget."""
+    if account is None:
+        return "no books"
+    parts = []
+    for name, entry in account.budgets.items():
+        rows = [
+            row
+            for run, row in entry.rows.items()
+            if run != holder and instance_of(run) == instance_of(holder)
+        ]
+        unproven = sum(row.unproven for row in rows)
+        returned = sum(row.returned for row in rows)
+        parts.append(f"{name}:{returned}/{unproven}/{entry.free}/{entry.limit}")
+    return " ".join(parts)
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -49,6 +49,12 @@
         """Ask peers for tokens and yield what each has given in all."""
         raise NotImplementedError
 
+    def borrow(
+        self, budget: str, need: int, wish: int, received: dict[str, int]
+    ) -> Iterable["SpareTotal"]:
+        """Ask a peer that reaches the books to draw for this run."""
+        raise NotImplementedError
+
 
 class _Held:
     """One budget's state in the keeper."""
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -40,6 +40,7 @@
 # Callers may keep the answer where to go this many times as long as they were told.
 _STALE_ANSWERS = 3
 _FULL_EXIT = 0
+_BOOKS_LOG_ROUNDS = 5
 
 
 class EdgeDaemon:
@@ -89,6 +90,7 @@
             self.directory,
             self.registry,
             lambda: self.dispatcher.in_progress,
+            lambda: self.keeper.store_answers,
             self._suspect_configuration,
             self._give_tokens,
             lambda reply: self.spares.replied(reply),
@@ -242,22 +244,26 @@
             request.already_received,
             request.need,
             request.wish,
+            request.draw,
         )
         return TokenReply(request.question, request.budget, self.holder, total)
 
     def _renew_forever(self) -> None:
-        released = False
+        released, rounds = False, 0
         while not self._stopping:
             if not released:
                 released = self._release_earlier_runs()
             self.keeper.renew()
+            rounds += 1
+            if rounds % _BOOKS_LOG_ROUNDS == 0:
+                log_event(Event.BOOKS_KNOWN, books=self.keeper.summary())
             eventlet.sleep(self.options.renew_seconds)
 
     def _release_earlier_runs(self) -> bool:
         result = self.keeper.release_earlier_runs(self.restart)
         if isinstance(result, Failure):
             return False
-        log_event(Event.EARLIER_RUNS_RELEASED, instance=self.options.name)
+        log_event(Event.EARLIER_RUNS_RELEASED, instance=self.options.name, books=result.unwrap())
         return True
 
     # --- signals -----------------------------------------------------------------
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -34,10 +34,13 @@
     registry : TargetRegistry
     load : callable
         Returns the requests in progress here.
+    store_answers : callable
+        Tells whether the store can be reached from here.
     newer_configuration : callable
         Called when a peer has a newer configuration than this instance.
     token_request, token_reply : callable
-        Called with peers' messages on tokens; the first returns a reply or None.
+        Called with peers' messages on tokens; the first in a green thread of its own,
+        it returns a reply or None.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         directory: Directory,
         registry: TargetRegistry,
         load: Callable[[], int],
+        store_answers: Callable[[], bool],
         newer_configuration: Callable[[], None],
         token_request: Callable[[TokenRequest], TokenReply | None],
         token_reply: Callable[[TokenReply], None],
@@ -56,6 +60,7 @@
         self.directory = directory
         self.registry = registry
         self.load = load
+        self.store_answers = store_answers
         self.newer_configuration = newer_configuration
         self.token_request = token_request
         self.token_reply = token_reply
@@ -89,6 +94,7 @@
             callers=self._callers,
             data_hall=self.options.data_hall,
             ready=self.ready,
+            store_answers=self.store_answers(),
             load=self.load(),
             configuration=self.directory.version,
             leaving=self.registry.leaving()[-_MOST_LEAVING:],
@@ -119,12 +125,15 @@
         if isinstance(message, Heartbeat):
             self._heard(message)
         elif isinstance(message, TokenRequest):
-            reply = self.token_request(message)
-            if reply is not None:
-                self.link.send(reply, address)
+            eventlet.spawn_n(self._reply_with_tokens, message, address)
         else:
             self.token_reply(message)
 
+    def _reply_with_tokens(self, request: TokenRequest, address: tuple[str, int]) -> None:
+        reply = self.token_request(request)
+        if reply is not None:
+            self.link.send(reply, address)
+
     def _heard(self, beat: Heartbeat) -> None:
         if self.table.heard(beat, time.monotonic()):
             # Answer at once, so that a peer that has just started knows this one.
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -28,6 +28,8 @@
     data_hall : str
     ready : bool
         Whether callers should be sent here.
+    store_answers : bool
+        Whether the sender reaches the store.
     load : int
         Requests in progress.
     configuration : int
@@ -44,6 +46,7 @@
     callers: str
     data_hall: str
     ready: bool
+    store_answers: bool
     load: int
     configuration: int
     leaving: list[str] = []
@@ -63,6 +66,8 @@
         Cumulative tokens that the asker has from this peer's run.
     giver : str
         The run that is asked; another run doesn't answer.
+    draw : bool
+        The peer should draw from the books what it doesn't hold.
     """
 
     question: int
@@ -72,6 +77,7 @@
     already_received: int
     need: int
     wish: int
+    draw: bool = False
 
 
 class TokenReply(msgspec.Struct, frozen=True, array_like=True, tag="give"):
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -2,18 +2,22 @@
 
 import itertools
 import time
-from collections.abc import Iterable
 
+import msgspec
 from eventlet.event import Event
 from eventlet.timeout import Timeout
 
+from whinrack.base import rendezvous
 from whinrack.budgets import SpareSource, SpareTotal
 from whinrack.gossip._link import GossipLink
 from whinrack.gossip._messages import TokenReply, TokenRequest
-from whinrack.gossip._peers import PeerTable
+from whinrack.gossip._peers import PeerTable, PeerView
 
 __all__ = ["PeerSpares"]
 
+# A lender has to write to the store before it replies.
+_BORROW_FACTOR = 4
+
 
 class _Question:
     """One round of requests and the replies so far."""
@@ -53,34 +57,64 @@
 
     def gather(
         self, budget: str, need: int, wish: int, received: dict[str, int]
-    ) -> Iterable[SpareTotal]:
+    ) -> list[SpareTotal]:
         """Ask every live peer for what is needed and return what each gave in all."""
         views = self.peers.live(time.monotonic())
+        request = self._request(budget, need, wish)
+        return self._ask(views, request, received, self.patience)
+
+    def borrow(
+        self, budget: str, need: int, wish: int, received: dict[str, int]
+    ) -> list[SpareTotal]:
+        """Ask one peer that reaches the store to draw what is needed."""
+        views = {
+            view.beat.sender.name: view
+            for view in self.peers.live(time.monotonic())
+            if view.beat.store_answers
+        }
         if not views:
             return []
-        number = next(self._numbers)
-        question = self._open[number] = _Question(len(views))
+        lender = rendezvous(f"{self.holder}/{budget}", views)[0]
+        request = self._request(budget, need, wish, draw=True)
+        return self._ask([views[lender]], request, received, _BORROW_FACTOR * self.patience)
+
+    def replied(self, reply: TokenReply) -> None:
+        """Take in a reply; one that comes too late is repeated by the next question."""
+        question = self._open.get(reply.question)
+        if question is not None:
+            question.add(reply)
+
+    def _request(self, budget: str, need: int, wish: int, draw: bool = False) -> TokenRequest:
+        return TokenRequest(
+            question=next(self._numbers),
+            budget=budget,
+            receiver=self.holder,
+            giver="",
+            already_received=0,
+            need=need,
+            wish=wish,
+            draw=draw,
+        )
+
+    def _ask(
+        self,
+        views: list[PeerView],
+        request: TokenRequest,
+        received: dict[str, int],
+        patience: float,
+    ) -> list[SpareTotal]:
+        if not views:
+            return []
+        question = self._open[request.question] = _Question(len(views))
         try:
             for view in views:
                 giver = view.beat.incarnation
-                request = TokenRequest(
-                    question=number,
-                    budget=budget,
-                    receiver=self.holder,
-                    giver=giver,
-                    already_received=received.get(giver, 0),
-                    need=need,
-                    wish=wish,
+                addressed = msgspec.structs.replace(
+                    request, giver=giver, already_received=received.get(giver, 0)
                 )
-                self.link.send(request, (view.beat.sender.host, view.beat.sender.port))
-            with Timeout(self.patience, False):
+                self.link.send(addressed, (view.beat.sender.host, view.beat.sender.port))
+            with Timeout(patience, False):
                 question.done.wait()
         finally:
-            del self._open[number]
+            del self._open[request.question]
         return [SpareTotal(giver, total) for giver, total in question.replies.items()]
-
-    def replied(self, reply: TokenReply) -> None:
-        """Take in a reply; one that comes too late is repeated by the next question."""
-        question = self._open.get(reply.question)
-        if question is not None:
-            question.add(reply)
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -47,6 +47,7 @@
     BILL_UNCONFIRMED = (6002, "WARNING", "answer ended before its bill was kept")
     POLICY_FAILED = (6003, "WARNING", "routing program failed, the default applies")
     EARLIER_RUNS_RELEASED = (6004, "INFO", "unused tokens of earlier runs given back")
+    BOOKS_KNOWN = (6005, "INFO", "budgets: spendable/usable here/free/held by all @age in seconds")
 
     REQUEST_ANSWERED = (7001, "INFO", "a target's answer was passed on whole")
     REQUEST_REFUSED = (7002, "INFO", "request refused")
