One instance writes the books for all; scarce budgets release less ahead

Orders go to one writer now, chosen by rendezvous among those in touch; an order that finds no reply in 0.15 s is written directly. Cause 2: an instance that is stopping drew nothing for the requests that it still took.

--- a/whinrack/budgets/__init__.py
+++ b/whinrack/budgets/__init__.py
@@ -9,12 +9,14 @@
     account_name,
     apply_draws,
     apply_topups,
+    books_for,
     draw_result,
+    read_books,
     release_earlier_runs,
     release_holder,
 )
 from whinrack.budgets._demand import DemandEstimate
-from whinrack.budgets._drawer import ACCOUNT_KIND, AccountDrawer
+from whinrack.budgets._drawer import ACCOUNT_KIND, AccountDrawer, BookSource
 from whinrack.budgets._grants import GrantKeeper, GrantOptions
 from whinrack.budgets._keeper import BudgetKeeper, SpareSource, SpareTotal, TokenSource
 from whinrack.budgets._ledger import BudgetLedger, Cover
@@ -24,6 +26,7 @@
     "ACCOUNT_KIND",
     "AccountDrawer",
     "AccountRow",
+    "BookSource",
     "BudgetAccount",
     "BudgetEntry",
     "BudgetKeeper",
@@ -43,7 +46,9 @@
     "account_name",
     "apply_draws",
     "apply_topups",
+    "books_for",
     "draw_result",
+    "read_books",
     "release_earlier_runs",
     "release_holder",
 ]
--- a/whinrack/budgets/_account.py
+++ b/whinrack/budgets/_account.py
@@ -22,7 +22,9 @@
     "account_name",
     "apply_draws",
     "apply_topups",
+    "books_for",
     "draw_result",
+    "read_books",
     "release_earlier_runs",
     "release_holder",
 ]
@@ -81,6 +83,9 @@
         return self.taken - self.billed - self.unproven
 
 
+_NO_ROW = AccountRow()
+
+
 class BudgetEntry(msgspec.Struct, kw_only=True):
     """One budget's books.
 
@@ -191,6 +196,8 @@
         Tokens that all holders together hold, this one included.
     limit_version : int
         Version of the configuration whose limit is in the books.
+    holders : int
+        Holders that are not closed.
     """
 
     sequence: int = 0
@@ -199,6 +206,12 @@
     outstanding: int = 0
     closed: bool = False
     limit_version: int = 0
+    holders: int = 0
+
+    @property
+    def left(self) -> int:
+        """Tokens that are not spent, as far as the holders have reported."""
+        return self.free + self.outstanding
 
 
 def account_name(budget: str, accounts: int) -> str:
@@ -229,29 +242,43 @@
     return account if applied else None
 
 
-def draw_result(account: BudgetAccount | None, order: DrawOrder) -> DrawResult:
-    """Read what the books say to the holder of an order."""
-    entry = account.budgets.get(order.budget) if account is not None else None
+def read_books(account: BudgetAccount | None, budget: str, holder: str) -> DrawResult:
+    """Read what the books say of a budget, and of what a holder has of it."""
+    entry = account.budgets.get(budget) if account is not None else None
     if entry is None:
         return DrawResult()
-    row = entry.rows.get(order.holder)
-    if row is None:
-        return DrawResult(
-            free=entry.free,
-            outstanding=entry.outstanding,
-            closed=not order.opening,
-            limit_version=entry.declared_version,
-        )
+    row = entry.rows.get(holder, _NO_ROW)
     return DrawResult(
         sequence=row.sequence,
         drawn=row.drawn,
+        closed=row.closed,
         free=entry.free,
         outstanding=entry.outstanding,
-        closed=row.closed,
         limit_version=entry.declared_version,
+        holders=sum(not row.closed for row in entry.rows.values()),
     )
 
 
+def draw_result(account: BudgetAccount | None, order: DrawOrder) -> DrawResult:
+    """Read what the books say to the holder of an order."""
+    result = read_books(account, order.budget, order.holder)
+    if account is None or order.opening or order.budget not in account.budgets:
+        return result
+    if order.holder in account.budgets[order.budget].rows:
+        return result
+    return msgspec.structs.replace(result, closed=True)
+
+
+def books_for(
+    account: BudgetAccount | None, holder: str, orders: list[DrawOrder]
+) -> dict[str, DrawResult]:
+    """Read the state of every budget for a holder, after its orders were applied."""
+    names = account.budgets if account is not None else ()
+    books = {name: read_books(account, name, holder) for name in names}
+    books.update({order.budget: draw_result(account, order) for order in orders})
+    return books
+
+
 def release_holder(
     account: BudgetAccount | None, budget: str, holder: str, served: int | None
 ) -> BudgetAccount | None:
--- a/whinrack/budgets/_drawer.py
+++ b/whinrack/budgets/_drawer.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable
 
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from whinrack.budgets._account import (
     BudgetAccount,
     DrawOrder,
     DrawResult,
     apply_draws,
+    books_for,
     draw_result,
     release_earlier_runs,
 )
@@ -17,7 +18,7 @@
 from whinrack.exceptions import PlatformFailure
 from whinrack.store import ObjectEditor, ObjectStore
 
-__all__ = ["ACCOUNT_KIND", "AccountDrawer"]
+__all__ = ["ACCOUNT_KIND", "AccountDrawer", "BookSource"]
 
 ACCOUNT_KIND = "BudgetAccount"
 
@@ -30,7 +31,15 @@
         self.result: Result[BudgetAccount, PlatformFailure] | None = None
 
 
-class AccountDrawer(TokenSource):
+class BookSource:
+    """Where a holder's orders for several budgets go: the books, or a peer that writes."""
+
+    def draw_books(self, orders: list[DrawOrder]) -> Result[dict[str, DrawResult], PlatformFailure]:
+        """Apply one holder's orders for one account; returns the state of all budgets."""
+        raise NotImplementedError
+
+
+class AccountDrawer(TokenSource, BookSource):
     """Draws from the platform; orders that arrive during a write share the next one.
 
     Parameters
@@ -55,10 +64,21 @@
 
     def draw(self, order: DrawOrder) -> Result[DrawResult, PlatformFailure]:
         """Apply an order together with the others that wait for the same account."""
-        return self.draw_many([order]).map(lambda results: results[0])
+        return self.draw_many([order]).map(lambda account: draw_result(account, order))
+
+    def draw_books(self, orders: list[DrawOrder]) -> Result[dict[str, DrawResult], PlatformFailure]:
+        """Apply one holder's orders for one account; returns the state of all budgets."""
+        holder = orders[0].holder
+        return self.draw_many(orders).map(lambda account: books_for(account, holder, orders))
+
+    def draw_many(self, orders: list[DrawOrder]) -> Result[BudgetAccount, PlatformFailure]:
+        """Apply orders for one account, with the others that wait for it.
 
-    def draw_many(self, orders: list[DrawOrder]) -> Result[list[DrawResult], PlatformFailure]:
-        """Apply orders for one account, with the others that wait for it."""
+        Returns
+        -------
+        BudgetAccount
+            All books of the account after the write.
+        """
         account = orders[0].account
         batch = self._batches.setdefault(account, _Batch())
         batch.orders.extend(orders)
@@ -67,9 +87,7 @@
             if batch.result is None:
                 self._batches.pop(account)
                 batch.result = self._write(account, batch.orders)
-        if isinstance(batch.result, Failure):
-            return Failure(batch.result.failure())
-        return Success([draw_result(batch.result.unwrap(), order) for order in orders])
+        return batch.result
 
     def release_earlier_runs(
         self, account: str, holder: str, restart: RestartMoment
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -15,9 +15,13 @@
 from returns.result import Failure, Result, Success
 
 from whinrack.base import instance_of
-from whinrack.budgets._account import BudgetAccount, DrawOrder, DrawResult
+from whinrack.budgets._account import (
+    BudgetAccount,
+    DrawOrder,
+    DrawResult,
+)
 from whinrack.budgets._demand import DemandEstimate
-from whinrack.budgets._drawer import AccountDrawer
+from whinrack.budgets._drawer import AccountDrawer, BookSource
 from whinrack.budgets._keeper import SpareSource
 from whinrack.budgets._ledger import BudgetLedger, Cover
 from whinrack.budgets._schedule import ReleaseGuard, ReleaseSchedule, RestartMoment
@@ -27,7 +31,7 @@
 
 _HALF_LIFE_SECONDS = 8.0
 # For so long the books that had nothing free aren't asked again.
-_NOTHING_FREE_SECONDS = 0.5
+_NOTHING_FREE_SECONDS = 1.3
 
 
 def _call(function: Callable) -> Result:
@@ -45,6 +49,9 @@
         Seconds of demand that a schedule releases at once.
     release_factor : float
         Rate of a schedule as a multiple of the demand.
+    release_part, release_horizon : float
+        Bounds of both by what is left of the budget: the part of an equal share that is
+        released at once, and the seconds in which all of it would be.
     store_patience : float
         Seconds without a reply after which the books count as out of reach.
     retry_after : float
@@ -56,6 +63,8 @@
     horizon: float = 12.0
     release_seconds: float = 1.0
     release_factor: float = 2.0
+    release_part: float = 0.02
+    release_horizon: float = 15.0
     store_patience: float = 0.4
     retry_after: float = 0.4
     loan_seconds: float = 2.0
@@ -89,6 +98,8 @@
     account : str
         The object that holds the books.
     drawer : AccountDrawer
+        Gives back what earlier runs held.
+    books : BookSource
         Applies orders to the books.
     spares : SpareSource
         Asked when the books have nothing free or can't be reached.
@@ -104,6 +115,7 @@
         holder: str,
         account: str,
         drawer: AccountDrawer,
+        books: BookSource,
         spares: SpareSource,
         options: GrantOptions,
         clock: Callable[[], float] = time.monotonic,
@@ -114,6 +126,7 @@
         self.holder = holder
         self.account = account
         self.drawer = drawer
+        self.books = books
         self.spares = spares
         self.options = options
         self.clock = clock
@@ -164,14 +177,19 @@
         Parameters
         ----------
         draw : bool
-            Draw from the books first what isn't here; may block.
+            Draw from the books first what isn't here.
+
+        Notes
+        -----
+        May block: what the schedule in the books doesn't release has to be stated there
+        before it is handed on.
         """
         grant = self._grants.get(budget)
         if grant is None:
             if not draw or not self.limited(budget):
                 return 0
             grant = self._grant(budget)
-        if draw and self.store_answers and grant.usable(self.clock()) < need + wish:
+        if self.store_answers and self._short(grant, need + wish, draw):
             with grant.lock:
                 self._draw(grant, need + wish)
         usable = max(0, grant.usable(self.clock()))
@@ -286,7 +304,13 @@
         """Whether the budget can't cover a request, by what the books said just now."""
         if self.clock() - grant.learnt_at >= _NOTHING_FREE_SECONDS:
             return False
-        return tokens > grant.last.free + grant.last.outstanding
+        return tokens > grant.last.left
+
+    def _short(self, grant: _Grant, tokens: int, draw: bool) -> bool:
+        """Whether a peer can't get tokens before the books know of it."""
+        if grant.usable(self.clock()) >= tokens:
+            return False
+        return draw or grant.ledger.spendable >= tokens
 
     def _draw(self, grant: _Grant, tokens: int) -> None:
         self._send([self._order(grant, need=tokens)])
@@ -328,7 +352,7 @@
         wish = max(0, want - ledger.spendable - short)
         schedule = self._schedule(grant, need, now)
         order = ledger.next_order(
-            need=0 if self.stopping else short,
+            need=short,
             want=0 if self.stopping else wish,
             final=final,
             limit=self._limits.get(ledger.budget, 0),
@@ -340,10 +364,16 @@
 
     def _schedule(self, grant: _Grant, need: int, now: float) -> ReleaseSchedule:
         rate = grant.demand.rate(now)
-        ahead = max(need, int(rate * self.options.release_seconds))
+        ahead, pace = rate * self.options.release_seconds, rate * self.options.release_factor
+        if grant.last is not None and grant.last.holders:
+            # What is released and not used is lost with this run: the less is left, the
+            # less may be lost.
+            share = grant.last.left / grant.last.holders
+            pace = min(pace, share / self.options.release_horizon)
+            ahead = min(ahead, share * self.options.release_part)
         return ReleaseSchedule(
-            base=grant.ledger.used + ahead,
-            rate=rate * self.options.release_factor,
+            base=grant.ledger.used + max(need, int(ahead)),
+            rate=max(0.0, pace),
             steady=now,
             wall=self.wall_clock(),
         )
@@ -354,28 +384,31 @@
     def _send_now(self, orders: list[DrawOrder]) -> Result[None, PlatformFailure]:
         asked = self.clock()
         self._asked_at = asked if self._asked_at is None else self._asked_at
-        result = self.drawer.draw_many(orders)
+        result = self.books.draw_books(orders)
         self._asked_at = None
         self._lost = isinstance(result, Failure)
         if self._lost:
             return Failure(result.failure())
         self.answered_at = self.clock()
-        for order, answer in zip(orders, result.unwrap(), strict=True):
-            self._learn(order, answer, asked)
+        self._learn(orders, result.unwrap(), asked)
         return Success(None)
 
-    def _learn(self, order: DrawOrder, answer: DrawResult, asked: float) -> None:
-        grant = self._grants[order.budget]
-        grant.last = answer
-        grant.learnt_at = max(grant.learnt_at, asked)
-        grant.ledger.learn(order, answer)
-        if answer.sequence >= order.sequence:
-            grant.guard.applied(answer.sequence)
+    def _learn(self, orders: list[DrawOrder], books: dict[str, DrawResult], asked: float) -> None:
+        """Take in the books: the orders' results, and the state of all other budgets."""
+        for budget, grant in self._grants.items():
+            if asked >= grant.learnt_at and budget in books:
+                grant.learnt_at = asked
+                grant.last = books[budget]
+        for order in orders:
+            answer = books.get(order.budget, DrawResult())
+            grant = self._grants[order.budget]
+            grant.ledger.learn(order, answer)
+            if answer.sequence >= order.sequence:
+                grant.guard.applied(answer.sequence)
 
 
 def _left_text(grant: _Grant, tokens: int) -> str:
-    left = grant.last.free + grant.last.outstanding
-    return f"the request needs cover for {tokens} tokens, the budget has {left} left"
+    return f"the request needs cover for {tokens} tokens, the budget has {grant.last.left} left"
 
 
 def _summary(account: BudgetAccount | None, holder: str) -> str:
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -7,11 +7,10 @@
 from collections.abc import Callable
 
 import eventlet
-from eventlet.semaphore import Semaphore
 from returns.result import Failure, Success
 
 from whinrack.base import new_incarnation
-from whinrack.budgets import AccountDrawer, GrantKeeper, GrantOptions, RestartMoment
+from whinrack.budgets import RestartMoment
 from whinrack.dispatch import (
     Configuration,
     Dialect,
@@ -24,15 +23,14 @@
 from whinrack.edge._membership import Membership
 from whinrack.edge._options import EdgeOptions
 from whinrack.edge._sources import ConfigurationReader, KindFollower, TargetReader
+from whinrack.edge._tokens import TokenExchange
 from whinrack.exceptions import InvalidObject
-from whinrack.gossip import PeerSpares, TokenReply, TokenRequest
 from whinrack.http1 import ConnectionPool, HttpServer, ServerLimits
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
-from whinrack.store import ObjectStore, StoredObject
+from whinrack.store import MeteredStore, ObjectStore, StoredObject
 
 __all__ = ["EdgeDaemon"]
 
-_ACCOUNT = "account-0000"
 _STDOUT = 1
 _POLL_SECONDS = 0.05
 _PUMP_SECONDS = 0.1
@@ -73,7 +71,6 @@
         reload: Callable[[], str] = str,
     ):
         self.options = options
-        self.store = store
         self.dialect = dialect
         self.configuration_reader = configuration_reader
         self.target_reader = target_reader
@@ -81,6 +78,7 @@
         self.reload = reload
         self.holder = new_incarnation(options.name)
         self.metrics = Metrics()
+        self.store = MeteredStore(store, self._count_call)
         self.output = BoundedOutput(_STDOUT, options.log_lines_per_second)
         self.registry = TargetRegistry()
         self.directory = Directory(self._in_force)
@@ -92,21 +90,12 @@
             lambda: self.dispatcher.in_progress,
             lambda: self.keeper.store_answers,
             self._suspect_configuration,
-            self._give_tokens,
-            lambda reply: self.spares.replied(reply),
+            lambda message, address: self.tokens.receive(message, address),
         )
-        self.spares = PeerSpares(
-            self.holder, self.membership.link, self.membership.table, options.gather_seconds
-        )
-        self.keeper = GrantKeeper(
-            self.holder,
-            _ACCOUNT,
-            AccountDrawer(store, Semaphore, sleep=eventlet.sleep),
-            self.spares,
-            GrantOptions(),
-            make_lock=Semaphore,
-            isolate=_isolate,
+        self.tokens = TokenExchange(
+            options, self.holder, self.store, self.membership.link, self.membership.table
         )
+        self.keeper = self.tokens.keeper
         self.dispatcher = Dispatcher(
             dialect,
             self.directory,
@@ -235,19 +224,6 @@
 
     # --- tokens ------------------------------------------------------------------
 
-    def _give_tokens(self, request: TokenRequest) -> TokenReply | None:
-        if request.giver != self.holder:
-            return None
-        total = self.keeper.give(
-            request.budget,
-            request.receiver,
-            request.already_received,
-            request.need,
-            request.wish,
-            request.draw,
-        )
-        return TokenReply(request.question, request.budget, self.holder, total)
-
     def _renew_forever(self) -> None:
         released, rounds = False, 0
         while not self._stopping:
@@ -256,7 +232,9 @@
             self.keeper.renew()
             rounds += 1
             if rounds % _BOOKS_LOG_ROUNDS == 0:
-                log_event(Event.BOOKS_KNOWN, books=self.keeper.summary())
+                log_event(
+                    Event.BOOKS_KNOWN, books=self.keeper.summary(), calls=self.store.summary()
+                )
             eventlet.sleep(self.options.renew_seconds)
 
     def _release_earlier_runs(self) -> bool:
@@ -309,6 +287,9 @@
             idle_seconds=limits.idle_seconds,
         )
 
+    def _count_call(self, operation: str, result: str) -> None:
+        self.metrics.platform_calls.labels(operation, result).inc()
+
     def _pump_forever(self) -> None:
         while True:
             self.output.pump()
@@ -318,10 +299,5 @@
             eventlet.sleep(_PUMP_SECONDS)
 
 
-def _isolate(function: Callable):
-    """Run to the end in a green thread of its own, whatever happens to the waiter."""
-    return eventlet.spawn(function).wait()
-
-
 def _sleep_until(moment: float) -> None:
     eventlet.sleep(max(0.0, moment - time.monotonic()))
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -7,14 +7,7 @@
 
 from whinrack.dispatch import Directory, TargetRegistry
 from whinrack.edge._options import EdgeOptions
-from whinrack.gossip import (
-    GossipLink,
-    Heartbeat,
-    PeerAddress,
-    PeerTable,
-    TokenReply,
-    TokenRequest,
-)
+from whinrack.gossip import GossipLink, Heartbeat, Message, PeerAddress, PeerTable
 from whinrack.observability import Event, log_event
 
 __all__ = ["Membership"]
@@ -38,9 +31,8 @@
         Tells whether the store can be reached from here.
     newer_configuration : callable
         Called when a peer has a newer configuration than this instance.
-    token_request, token_reply : callable
-        Called with peers' messages on tokens; the first in a green thread of its own,
-        it returns a reply or None.
+    other_message : callable
+        Called with every message that is no heartbeat, and its sender's address.
     """
 
     def __init__(
@@ -52,8 +44,7 @@
         load: Callable[[], int],
         store_answers: Callable[[], bool],
         newer_configuration: Callable[[], None],
-        token_request: Callable[[TokenRequest], TokenReply | None],
-        token_reply: Callable[[TokenReply], None],
+        other_message: Callable[[Message, tuple[str, int]], None],
     ):
         self.options = options
         self.holder = holder
@@ -62,8 +53,7 @@
         self.load = load
         self.store_answers = store_answers
         self.newer_configuration = newer_configuration
-        self.token_request = token_request
-        self.token_reply = token_reply
+        self.other_message = other_message
         self.stopping = False
         self.table = PeerTable(options.name, options.silent_seconds, options.forget_seconds)
         self.link = GossipLink(options.gossip, self._receive)
@@ -121,18 +111,11 @@
             self.beat()
             eventlet.sleep(self.options.heartbeat_seconds)
 
-    def _receive(self, message, address) -> None:
+    def _receive(self, message, address: tuple[str, int]) -> None:
         if isinstance(message, Heartbeat):
             self._heard(message)
-        elif isinstance(message, TokenRequest):
-            eventlet.spawn_n(self._reply_with_tokens, message, address)
         else:
-            self.token_reply(message)
-
-    def _reply_with_tokens(self, request: TokenRequest, address: tuple[str, int]) -> None:
-        reply = self.token_request(request)
-        if reply is not None:
-            self.link.send(reply, address)
+            self.other_message(message, address)
 
     def _heard(self, beat: Heartbeat) -> None:
         if self.table.heard(beat, time.monotonic()):
--- a/whinrack/edge/_options.py
+++ b/whinrack/edge/_options.py
@@ -47,5 +47,6 @@
     watch_seconds: float = 2.0
     renew_seconds: float = 1.0
     gather_seconds: float = 0.06
+    draw_seconds: float = 0.15
     wall_margin_seconds: float = 3.5
     log_lines_per_second: float = 150.0
--- /dev/null
+++ b/whinrack/edge/_tokens.py
@@ -0,0 +1,91 @@
+"""The daemon's part in moving tokens: its keeper, its peers, and who writes the books."""
+
+from collections.abc import Callable
+
+import eventlet
+from eventlet.semaphore import Semaphore
+
+from whinrack.budgets import AccountDrawer, GrantKeeper, GrantOptions
+from whinrack.edge._options import EdgeOptions
+from whinrack.gossip import (
+    DrawReply,
+    DrawRequest,
+    FleetDrawer,
+    GossipLink,
+    Message,
+    PeerSpares,
+    PeerTable,
+    TokenReply,
+    TokenRequest,
+)
+from whinrack.store import ObjectStore
+
+__all__ = ["TokenExchange"]
+
+_ACCOUNT = "account-0000"
+
+
+class TokenExchange:
+    """Wires the keeper of grants to the store and to the peers.
+
+    Parameters
+    ----------
+    options : EdgeOptions
+    holder : str
+        This run.
+    store : ObjectStore
+    link : GossipLink
+    peers : PeerTable
+    """
+
+    def __init__(
+        self,
+        options: EdgeOptions,
+        holder: str,
+        store: ObjectStore,
+        link: GossipLink,
+        peers: PeerTable,
+    ):
+        self.holder = holder
+        self.link = link
+        drawer = AccountDrawer(store, Semaphore, sleep=eventlet.sleep)
+        self.fleet = FleetDrawer(options.name, drawer, link, peers, options.draw_seconds)
+        self.spares = PeerSpares(holder, link, peers, options.gather_seconds)
+        self.keeper = GrantKeeper(
+            holder,
+            _ACCOUNT,
+            drawer,
+            self.fleet,
+            self.spares,
+            GrantOptions(),
+            make_lock=Semaphore,
+            isolate=_isolate,
+        )
+
+    def receive(self, message: Message, address: tuple[str, int]) -> None:
+        """Take in a peer's message; what may block runs in a green thread of its own."""
+        if isinstance(message, TokenReply):
+            self.spares.replied(message)
+        elif isinstance(message, DrawReply):
+            self.fleet.replied(message)
+        elif isinstance(message, DrawRequest):
+            eventlet.spawn_n(self.fleet.requested, message, address)
+        elif isinstance(message, TokenRequest) and message.giver == self.holder:
+            eventlet.spawn_n(self._give, message, address)
+
+    def _give(self, request: TokenRequest, address: tuple[str, int]) -> None:
+        total = self.keeper.give(
+            request.budget,
+            request.receiver,
+            request.already_received,
+            request.need,
+            request.wish,
+            request.draw,
+        )
+        reply = TokenReply(request.question, request.budget, self.holder, total)
+        self.link.send(reply, address)
+
+
+def _isolate(function: Callable):
+    """Run to the end in a green thread of its own, whatever happens to the waiter."""
+    return eventlet.spawn(function).wait()
--- a/whinrack/gossip/__init__.py
+++ b/whinrack/gossip/__init__.py
@@ -1,13 +1,26 @@
 """Datagrams between instances: who is there, who is leaving, and spare tokens."""
 
+from whinrack.gossip._drawers import FleetDrawer
 from whinrack.gossip._link import GossipLink
-from whinrack.gossip._messages import Heartbeat, PeerAddress, TokenReply, TokenRequest
+from whinrack.gossip._messages import (
+    DrawReply,
+    DrawRequest,
+    Heartbeat,
+    Message,
+    PeerAddress,
+    TokenReply,
+    TokenRequest,
+)
 from whinrack.gossip._peers import PeerTable, PeerView
 from whinrack.gossip._spares import PeerSpares
 
 __all__ = [
+    "DrawReply",
+    "DrawRequest",
+    "FleetDrawer",
     "GossipLink",
     "Heartbeat",
+    "Message",
     "PeerAddress",
     "PeerSpares",
     "PeerTable",
--- /dev/null
+++ b/whinrack/gossip/_drawers.py
@@ -0,0 +1,103 @@
+"""One instance writes the books for all that reach it, so that writes don't collide."""
+
+import itertools
+import time
+
+from eventlet.event import Event
+from eventlet.timeout import Timeout
+from returns.result import Result, Success
+
+from whinrack.base import rendezvous
+from whinrack.budgets import BookSource, DrawOrder, DrawResult
+from whinrack.exceptions import PlatformFailure
+from whinrack.gossip._link import GossipLink
+from whinrack.gossip._messages import DrawReply, DrawRequest
+from whinrack.gossip._peers import PeerTable, PeerView
+
+__all__ = ["FleetDrawer"]
+
+# For so long an instance that didn't reply isn't asked again.
+_AVOID_SECONDS = 2.0
+
+
+class FleetDrawer(BookSource):
+    """Sends orders to the instance that writes an account, or writes them itself.
+
+    Who that is follows from the names of the instances that look alive and reach the
+    store. Two that disagree, or an order that is applied on both ways, cost a conflict,
+    never safety: writes are conditional and orders carry a sequence.
+
+    Parameters
+    ----------
+    name : str
+        This instance.
+    local : BookSource
+        Writes to the store from here.
+    link : GossipLink
+    peers : PeerTable
+    patience : float
+        Seconds to wait for the reply before writing from here.
+    """
+
+    def __init__(
+        self, name: str, local: BookSource, link: GossipLink, peers: PeerTable, patience: float
+    ):
+        self.name = name
+        self.local = local
+        self.link = link
+        self.peers = peers
+        self.patience = patience
+        self._numbers = itertools.count(1)
+        self._open: dict[int, Event] = {}
+        self._avoided: dict[str, float] = {}
+
+    def draw_books(self, orders: list[DrawOrder]) -> Result[dict[str, DrawResult], PlatformFailure]:
+        """Apply one holder's orders for one account."""
+        writer = self._writer(orders[0].account)
+        if writer is not None:
+            books = self._ask(writer, orders)
+            if books is not None:
+                return Success(books)
+            self._avoided[writer.beat.sender.name] = time.monotonic() + _AVOID_SECONDS
+        return self.local.draw_books(orders)
+
+    def requested(self, request: DrawRequest, address: tuple[str, int]) -> None:
+        """Write a peer's orders; a failure isn't told, the peer writes by itself then."""
+        if not request.orders:
+            return
+        books = self.local.draw_books(request.orders)
+        if isinstance(books, Success):
+            self.link.send(DrawReply(request.question, books.unwrap()), address)
+
+    def replied(self, reply: DrawReply) -> None:
+        """Take in a reply; one that comes too late is dropped, the books keep it."""
+        question = self._open.get(reply.question)
+        if question is not None and not question.ready():
+            question.send(reply.books)
+
+    def _writer(self, account: str) -> PeerView | None:
+        """Return the peer that writes an account, None if it is this instance."""
+        now = time.monotonic()
+        views = {
+            view.beat.sender.name: view
+            for view in self.peers.live(now)
+            if view.beat.store_answers and view.beat.ready
+        }
+        for name in rendezvous(account, [*views, self.name]):
+            if name == self.name:
+                return None
+            if self._avoided.get(name, 0.0) <= now:
+                return views[name]
+        return None
+
+    def _ask(self, writer: PeerView, orders: list[DrawOrder]) -> dict[str, DrawResult] | None:
+        number = next(self._numbers)
+        question = self._open[number] = Event()
+        sender = writer.beat.sender
+        try:
+            self.link.send(DrawRequest(number, orders), (sender.host, sender.port))
+            with Timeout(self.patience, False):
+                return question.wait()
+            return None
+        finally:
+            del self._open[number]
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -2,7 +2,17 @@
 
 import msgspec
 
-__all__ = ["Heartbeat", "Message", "PeerAddress", "TokenReply", "TokenRequest"]
+from whinrack.budgets import DrawOrder, DrawResult
+
+__all__ = [
+    "DrawReply",
+    "DrawRequest",
+    "Heartbeat",
+    "Message",
+    "PeerAddress",
+    "TokenReply",
+    "TokenRequest",
+]
 
 
 class PeerAddress(msgspec.Struct, frozen=True, array_like=True):
@@ -89,4 +99,18 @@
     total: int
 
 
-Message = Heartbeat | TokenRequest | TokenReply
+class DrawRequest(msgspec.Struct, frozen=True, array_like=True, tag="draw"):
+    """One holder's orders, for the peer that writes the books for all."""
+
+    question: int
+    orders: list[DrawOrder]
+
+
+class DrawReply(msgspec.Struct, frozen=True, array_like=True, tag="drawn"):
+    """The state of the budgets after a write, as far as it concerns the asker."""
+
+    question: int
+    books: dict[str, DrawResult]
+
+
+Message = Heartbeat | TokenRequest | TokenReply | DrawRequest | DrawReply
--- a/whinrack/store/__init__.py
+++ b/whinrack/store/__init__.py
@@ -2,6 +2,7 @@
 
 from whinrack.store._http import HttpObjectStore
 from whinrack.store._limiter import TokenBucket
+from whinrack.store._metered import MeteredStore
 from whinrack.store._transactions import ObjectEditor
 from whinrack.store._types import (
     InstanceRecord,
@@ -16,6 +17,7 @@
     "HttpObjectStore",
     "InstanceRecord",
     "InstanceState",
+    "MeteredStore",
     "ObjectEditor",
     "ObjectStore",
     "Snapshot",
--- /dev/null
+++ b/whinrack/store/_metered.py
@@ -0,0 +1,69 @@
+"""Counts the calls to a store by operation and result."""
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+from returns.result import Failure, Result
+
+from whinrack.exceptions import PlatformFailure
+from whinrack.store._types import Snapshot, StoredObject, WatchBatch
+from whinrack.store.base import ObjectStore
+
+__all__ = ["MeteredStore"]
+
+_DONE = "ok"
+
+
+class MeteredStore(ObjectStore):
+    """Passes calls on to another store and counts them.
+
+    Parameters
+    ----------
+    store : ObjectStore
+    count : callable
+        Called with operation and result of each call.
+
+    Attributes
+    ----------
+    calls : Counter
+        Calls by (operation, result).
+    """
+
+    def __init__(self, store: ObjectStore, count: Callable[[str, str], None]):
+        self.store = store
+        self.count = count
+        self.calls: Counter[tuple[str, str]] = Counter()
+
+    def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
+        """Read one object."""
+        return self._counted("get", self.store.get(kind, name))
+
+    def list(self, kinds: Sequence[str]) -> Result[Snapshot, PlatformFailure]:
+        """Read all objects of some kinds at one revision."""
+        return self._counted("list", self.store.list(kinds))
+
+    def put(
+        self, kind: str, name: str, value: bytes, version: int
+    ) -> Result[StoredObject, PlatformFailure]:
+        """Write an object that is at `version`."""
+        return self._counted("put", self.store.put(kind, name, value, version))
+
+    def delete(self, kind: str, name: str, version: int) -> Result[None, PlatformFailure]:
+        """Delete an object that is at `version`."""
+        return self._counted("delete", self.store.delete(kind, name, version))
+
+    def watch(
+        self, kinds: Sequence[str], since: int, wait: float
+    ) -> Result[WatchBatch, PlatformFailure]:
+        """Wait for changes after a revision."""
+        return self._counted("watch", self.store.watch(kinds, since, wait))
+
+    def summary(self) -> str:
+        """Return the counts as text, for the log."""
+        return " ".join(f"{name}/{result}:{n}" for (name, result), n in self.calls.items())
+
+    def _counted(self, operation: str, result: Result) -> Result:
+        outcome = result.failure().code if isinstance(result, Failure) else _DONE
+        self.calls[operation, outcome] += 1
+        self.count(operation, outcome)
+        return result
