An unframed answer that is reset on its way is cut, not whole

Cause: eventlet's recv returns an empty read for a reset connection, which h11 takes for the end of an answer without a length. Ruled out: h11, which reports cut frames.

--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -10,6 +10,7 @@
 
 from whinrack.exceptions import AnswerCut, AttemptTimeout, TargetUnavailable
 from whinrack.http1._messages import Headers, RequestHead, ResponseHead, header_value
+from whinrack.http1._sockets import receive
 
 __all__ = ["ConnectionPool", "TargetConnection"]
 
@@ -143,12 +144,8 @@
             self._receive(end)
 
     def _receive(self, end: float) -> None:
-        left = end - time.monotonic()
-        if left <= 0:
-            raise AttemptTimeout("the target gave no answer in time")
-        self.sock.settimeout(left)
         try:
-            data = self.sock.recv(_READ_BYTES)
+            data = receive(self.sock, _READ_BYTES, end)
         except TimeoutError as error:
             raise AttemptTimeout("the target gave no answer in time") from error
         except OSError as error:
--- /dev/null
+++ b/whinrack/http1/tests/_scripts.py
@@ -0,0 +1,63 @@
+"""Servers on loopback that write what a test says, byte for byte."""
+
+import socket
+import struct
+import threading
+from collections.abc import Callable
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class ScriptedServer:
+    """Accepts connections and runs a script with each, in threads of its own."""
+
+    def __init__(self, script: Callable[[socket.socket], None]):
+        self.script = script
+        self.accepted = 0
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = self._listener.getsockname()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self.accepted += 1
+            threading.Thread(target=self._run, args=(sock,), daemon=True).start()
+
+    def _run(self, sock):
+        try:
+            self.script(sock)
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+    def close(self):
+        self._listener.close()
+
+
+def read_request(sock: socket.socket) -> bytes:
+    """Read one request with a Content-Length, or without a body."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(65536)
+        if not more:
+            raise OSError("closed")
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            length = int(line.split(b":")[1])
+    while len(body) < length:
+        body += sock.recv(65536)
+    return head + b"\r\n\r\n" + body
+
+
+def reset(sock: socket.socket) -> None:
+    """Close so that the other side's next read fails."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.close()
--- /dev/null
+++ b/whinrack/http1/tests/test_client.py
@@ -0,0 +1,198 @@
+"""What the side towards targets takes for an answer, and when it uses a connection again."""
+
+import threading
+import time
+
+import eventlet
+import pytest
+
+from whinrack.exceptions import AnswerCut, AttemptTimeout, TargetUnavailable
+from whinrack.http1 import ConnectionPool, RequestHead, header_value
+from whinrack.http1.tests._scripts import ScriptedServer, read_request, reset
+
+REQUEST = RequestHead(b"GET", b"/x", [(b"host", b"h"), (b"id", b"1")])
+WHOLE = b"HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 2\r\n\r\nok"
+FOREIGN = b"HTTP/1.1 200 OK\r\nid: 9\r\nContent-Length: 3\r\n\r\nbad"
+
+
+def is_own(headers):
+    return header_value(headers, b"id") == b"1"
+
+
+def soon():
+    return time.monotonic() + 5.0
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(script):
+        servers.append(ScriptedServer(script))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+def ask(pool, server, end=None):
+    """Send a request and read its answer; the connection goes back to the pool."""
+    end = end or soon()
+    connection = pool.take(server.address, end)
+    try:
+        connection.send(REQUEST, b"", end)
+        head = connection.read_head(end, is_own)
+        parts = []
+        while (data := connection.read_data(end)) is not None:
+            parts.append(data)
+        return head, b"".join(parts)
+    finally:
+        pool.give_back(connection)
+
+
+def test_whole_answers_share_one_connection(serve):
+    def script(sock):
+        while True:
+            read_request(sock)
+            sock.sendall(WHOLE)
+
+    server, pool = serve(script), ConnectionPool()
+    for _ in range(3):
+        assert ask(pool, server)[1] == b"ok"
+    assert server.accepted == 1
+
+
+def test_an_unframed_answer_ends_with_its_connection(serve):
+    def script(sock):
+        read_request(sock)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\nall of it")
+
+    server, pool = serve(script), ConnectionPool()
+    assert ask(pool, server)[1] == b"all of it"
+    assert ask(pool, server)[1] == b"all of it"
+    assert server.accepted == 2
+
+
+def test_an_unframed_answer_that_is_reset_is_cut(serve):
+    go_on = threading.Event()
+
+    def script(sock):
+        read_request(sock)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nid: 1\r\n\r\nhalf of")
+        go_on.wait(5)
+        reset(sock)
+
+    server, pool = serve(script), ConnectionPool()
+    end = soon()
+    connection = pool.take(server.address, end)
+    connection.send(REQUEST, b"", end)
+    assert connection.read_head(end, is_own).status == 200
+    assert connection.read_data(end) == b"half of"
+    go_on.set()
+    with pytest.raises(AnswerCut):
+        connection.read_data(end)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\nid: 1",
+        b"HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 20\r\n\r\nshort",
+        b"HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+        b"no answer at all\r\n\r\n",
+    ],
+)
+def test_what_ends_early_is_cut(serve, data):
+    def script(sock):
+        read_request(sock)
+        sock.sendall(data)
+
+    with pytest.raises(AnswerCut):
+        ask(ConnectionPool(), serve(script))
+
+
+def test_late_answers_to_others_are_skipped(serve):
+    def script(sock):
+        read_request(sock)
+        sock.sendall(FOREIGN + FOREIGN + WHOLE)
+        read_request(sock)
+
+    server, pool = serve(script), ConnectionPool()
+    assert ask(pool, server)[1] == b"ok"
+
+
+def test_a_connection_with_bytes_left_over_is_not_used_again(serve):
+    def script(sock):
+        read_request(sock)
+        sock.sendall(WHOLE + FOREIGN)
+        read_request(sock)
+
+    server, pool = serve(script), ConnectionPool()
+    assert ask(pool, server)[1] == b"ok"
+    assert ask(pool, server)[1] == b"ok"
+    assert server.accepted == 2
+
+
+def test_a_connection_with_a_late_answer_is_not_used_again(serve):
+    sent = threading.Event()
+
+    def script(sock):
+        read_request(sock)
+        sock.sendall(WHOLE)
+        time.sleep(0.05)
+        sock.sendall(FOREIGN)
+        sent.set()
+        read_request(sock)
+
+    server, pool = serve(script), ConnectionPool()
+    assert ask(pool, server)[1] == b"ok"
+    while not sent.is_set():
+        eventlet.sleep(0.01)
+    assert ask(pool, server)[1] == b"ok"
+    assert server.accepted == 2
+
+
+def test_a_connection_that_the_target_closes_is_not_used_again(serve):
+    def script(sock):
+        read_request(sock)
+        sock.sendall(WHOLE.replace(b"id: 1", b"id: 1\r\nConnection: close"))
+
+    server, pool = serve(script), ConnectionPool()
+    assert ask(pool, server)[1] == b"ok"
+    assert ask(pool, server)[1] == b"ok"
+    assert server.accepted == 2
+
+
+def test_a_connection_is_not_used_beyond_half_its_stated_idle_time(serve):
+    def script(sock):
+        while True:
+            read_request(sock)
+            sock.sendall(WHOLE.replace(b"id: 1", b"id: 1\r\nKeep-Alive: timeout=1"))
+
+    server, pool = serve(script), ConnectionPool()
+    ask(pool, server)
+    connection = pool.take(server.address, soon())
+    assert server.accepted == 1
+    connection.released_at = time.monotonic() - 0.6
+    assert not connection.prepare_next()
+
+
+def test_silence_is_a_timeout(serve):
+    release = threading.Event()
+
+    def script(sock):
+        read_request(sock)
+        release.wait(5)
+
+    with pytest.raises(AttemptTimeout):
+        ask(ConnectionPool(), serve(script), time.monotonic() + 0.1)
+    release.set()
+
+
+def test_a_dead_port_is_told_apart_from_a_failed_answer():
+    server = ScriptedServer(lambda sock: None)
+    server.close()
+    with pytest.raises(TargetUnavailable):
+        ConnectionPool().take(server.address, soon())
