--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -8,8 +8,9 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, nullcontext
+from typing import NamedTuple
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -70,6 +71,14 @@
     loan_seconds: float = 2.0
 
 
+class GivenTotal(NamedTuple):
+    """Cumulative tokens of a budget that this run gave to another."""
+
+    budget: str
+    receiver: str
+    total: int
+
+
 class _Grant:
     """What this run holds of one budget, and what it knows of its books."""
 
@@ -195,6 +204,16 @@
         usable = max(0, grant.usable(self.clock()))
         return grant.ledger.give(receiver, already_received, need, wish, usable)
 
+    def receive(self, budget: str, giver: str, total: int) -> None:
+        """Take in what a peer has given in all, also when nobody waits for it any more."""
+        self._grant(budget).ledger.receive(giver, total)
+
+    def given(self) -> Iterator[GivenTotal]:
+        """Yield what was given to peers, for telling them again before a stop."""
+        for budget, grant in self._grants.items():
+            for receiver, total in grant.ledger.given.items():
+                yield GivenTotal(budget, receiver, total)
+
     def renew(self) -> Result[None, PlatformFailure]:
         """Report what was used, draw ahead and state new schedules, all in one write."""
         due = [grant for grant in self._grants.values() if self._due(grant)]
@@ -317,18 +336,19 @@
 
     def _gather(self, grant: _Grant, tokens: int) -> None:
         """Ask all peers for what they hold and may use."""
-        ledger = grant.ledger
         need = tokens - max(0, grant.usable(self.clock()))
-        for giver, total in self.spares.gather(ledger.budget, need, 0, dict(ledger.received)):
-            ledger.receive(giver, total)
+        budget, received = grant.ledger.budget, dict(grant.ledger.received)
+        for giver, total in self.spares.gather(budget, need, 0, received):
+            self.receive(budget, giver, total)
 
     def _borrow(self, grant: _Grant, tokens: int) -> None:
         """Ask a peer that reaches the books to draw from them for this instance."""
-        ledger, now = grant.ledger, self.clock()
+        now = self.clock()
         need = tokens - max(0, grant.usable(now))
         wish = int(grant.demand.rate(now) * self.options.loan_seconds)
-        for giver, total in self.spares.borrow(ledger.budget, need, wish, dict(ledger.received)):
-            ledger.receive(giver, total)
+        budget, received = grant.ledger.budget, dict(grant.ledger.received)
+        for giver, total in self.spares.borrow(budget, need, wish, received):
+            self.receive(budget, giver, total)
 
     # --- orders ------------------------------------------------------------------
 
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -269,6 +269,7 @@
         while self.dispatcher.in_progress and time.monotonic() < kill_at:
             eventlet.sleep(_POLL_SECONDS)
         self.front.stop_listening()
+        self.tokens.tell_given()
         with eventlet.Timeout(max(0.1, kill_at - time.monotonic()), False):
             self.keeper.drain(True)
         log_event(Event.ROUTER_STOPPED, in_progress=self.dispatcher.in_progress)
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -1,5 +1,6 @@
 """The daemon's part in moving tokens: its keeper, its peers, and who writes the books."""
 
+import time
 from collections.abc import Callable
 
 import eventlet
@@ -48,6 +49,7 @@
     ):
         self.holder = holder
         self.link = link
+        self.peers = peers
         drawer = AccountDrawer(store, Semaphore, sleep=eventlet.sleep)
         self.fleet = FleetDrawer(options.name, drawer, link, peers, options.draw_seconds)
         self.spares = PeerSpares(holder, link, peers, options.gather_seconds)
@@ -65,7 +67,7 @@
     def receive(self, message: Message, address: tuple[str, int]) -> None:
         """Take in a peer's message; what may block runs in a green thread of its own."""
         if isinstance(message, TokenReply):
-            self.spares.replied(message)
+            self._received(message)
         elif isinstance(message, DrawReply):
             self.fleet.replied(message)
         elif isinstance(message, DrawRequest):
@@ -73,6 +75,20 @@
         elif isinstance(message, TokenRequest) and message.giver == self.holder:
             eventlet.spawn_n(self._give, message, address)
 
+    def tell_given(self) -> None:
+        """Tell the peers once more what they were given: a stop makes it final."""
+        by_run = {view.beat.incarnation: view for view in self.peers.live(time.monotonic())}
+        for given in self.keeper.given():
+            view = by_run.get(given.receiver)
+            if view is not None:
+                reply = TokenReply(0, given.budget, self.holder, given.receiver, given.total)
+                self.link.send(reply, (view.beat.sender.host, view.beat.sender.port))
+
+    def _received(self, reply: TokenReply) -> None:
+        if reply.receiver == self.holder:
+            self.keeper.receive(reply.budget, reply.giver, reply.total)
+            self.spares.replied(reply)
+
     def _give(self, request: TokenRequest, address: tuple[str, int]) -> None:
         total = self.keeper.give(
             request.budget,
@@ -82,7 +98,7 @@
             request.wish,
             request.draw,
         )
-        reply = TokenReply(request.question, request.budget, self.holder, total)
+        reply = TokenReply(request.question, request.budget, self.holder, request.receiver, total)
         self.link.send(reply, address)
 
 
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -91,11 +91,18 @@
 
 
 class TokenReply(msgspec.Struct, frozen=True, array_like=True, tag="give"):
-    """What a run has given to another in all; repeating it changes nothing."""
+    """What a run has given to another in all; repeating it changes nothing.
+
+    Attributes
+    ----------
+    question : int
+        The request that is answered; 0 if the giver says it unasked.
+    """
 
     question: int
     budget: str
     giver: str
+    receiver: str
     total: int
 
 
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -79,7 +79,7 @@
         return self._ask([views[lender]], request, received, _BORROW_FACTOR * self.patience)
 
     def replied(self, reply: TokenReply) -> None:
-        """Take in a reply; one that comes too late is repeated by the next question."""
+        """Wake the asker with the last reply."""
         question = self._open.get(reply.question)
         if question is not None:
             question.add(reply)
