A final order returns all that its holder neither used nor gave; peers are asked for parts first

Ruled out: earlier runs not released (their rows were closed). Final orders state what was given, and the books return the rest.

--- a/whinrack/budgets/_account.py
+++ b/whinrack/budgets/_account.py
@@ -161,6 +161,9 @@
         The holder knows of no applied order yet, so its row may be made.
     final : bool
         The holder stops: close its row.
+    given : int or None
+        With a final order, what the holder gave to peers in all. All that it neither
+        used nor gave is free then, also what it was granted without its knowledge.
     limit, limit_version : int
         The budget's declared limit, and the version of the configuration that stated
         it; version 0 where payments make the limit.
@@ -180,6 +183,7 @@
     received: dict[str, int] = {}
     opening: bool = False
     final: bool = False
+    given: int | None = None
     limit: int = 0
     limit_version: int = 0
     schedule: ReleaseSchedule | None = None
@@ -371,7 +375,7 @@
     row.unproven = max(row.unproven, order.unproven)
     row.returned = max(row.returned, order.returned)
     if order.final:
-        row.closed = True
+        _close(row, order)
     else:
         row.drawn += _grant_size(entry, order)
     row.sequence = order.sequence
@@ -379,6 +383,13 @@
     return True
 
 
+def _close(row: AccountRow, order: DrawOrder) -> None:
+    row.closed = True
+    if order.given is not None:
+        unused = row.outstanding - (order.given - row.moved_out)
+        row.returned += max(0, unused)
+
+
 def _record_received(entry: BudgetEntry, row: AccountRow, order: DrawOrder) -> None:
     for giver, tokens in order.received.items():
         more = tokens - row.received.get(giver, 0)
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -232,9 +232,14 @@
         self.stopping = True
         orders = []
         for grant in self._grants.values():
-            if grant.ledger.sequence and not grant.ledger.closed:
-                grant.ledger.give_back(grant.ledger.spendable)
-                orders.append(self._order(grant, final=final and not grant.ledger.open_cover))
+            ledger = grant.ledger
+            if not ledger.sequence or ledger.closed:
+                continue
+            ledger.give_back(ledger.spendable)
+            closes = final and not ledger.open_cover
+            orders.append(self._order(grant, final=closes))
+            # From here on nothing is used, given or drawn any more.
+            ledger.closed = closes
         return self._send(orders) if orders else Success(None)
 
     def release_earlier_runs(self, restart: RestartMoment) -> Result[str, PlatformFailure]:
@@ -332,13 +337,23 @@
         return draw or grant.ledger.spendable >= tokens
 
     def _draw(self, grant: _Grant, tokens: int) -> None:
+        if grant.ledger.closed:
+            return
         self._send([self._order(grant, need=tokens)])
 
     def _gather(self, grant: _Grant, tokens: int) -> None:
         """Ask all peers for what they hold and may use."""
-        need = tokens - max(0, grant.usable(self.clock()))
+        for everything in (False, True):
+            need = tokens - max(0, grant.usable(self.clock()))
+            if need <= 0:
+                return
+            self._gather_round(grant, need, everything)
+
+    def _gather_round(self, grant: _Grant, need: int, everything: bool) -> None:
+        """Ask each peer for a part that suffices if most have it, or for all of it."""
+        part = need if everything else -(-2 * need // max(1, self.spares.peers_asked()))
         budget, received = grant.ledger.budget, dict(grant.ledger.received)
-        for giver, total in self.spares.gather(budget, need, 0, received):
+        for giver, total in self.spares.gather(budget, min(need, part), 0, received):
             self.receive(budget, giver, total)
 
     def _borrow(self, grant: _Grant, tokens: int) -> None:
@@ -375,6 +390,7 @@
             need=short,
             want=0 if self.stopping else wish,
             final=final,
+            given=sum(ledger.given.values()) if final else None,
             limit=self._limits.get(ledger.budget, 0),
             limit_version=self._limit_version if ledger.budget in self._limits else 0,
             schedule=schedule,
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -49,6 +49,10 @@
         """Ask peers for tokens and yield what each has given in all."""
         raise NotImplementedError
 
+    def peers_asked(self) -> int:
+        """Return how many peers `gather` asks now."""
+        raise NotImplementedError
+
     def borrow(
         self, budget: str, need: int, wish: int, received: dict[str, int]
     ) -> Iterable["SpareTotal"]:
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -63,6 +63,10 @@
         request = self._request(budget, need, wish)
         return self._ask(views, request, received, self.patience)
 
+    def peers_asked(self) -> int:
+        """Return how many peers `gather` asks now."""
+        return len(self.peers.live(time.monotonic()))
+
     def borrow(
         self, budget: str, need: int, wish: int, received: dict[str, int]
     ) -> list[SpareTotal]:
@@ -70,7 +74,7 @@
         views = {
             view.beat.sender.name: view
             for view in self.peers.live(time.monotonic())
-            if view.beat.store_answers
+            if view.beat.store_answers and view.beat.ready
         }
         if not views:
             return []
