--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -20,6 +20,8 @@
         How many coming writes take effect and then lose their reply.
     lose_writes : int
         How many coming writes are lost before they take effect.
+    hold_writes : int
+        How many coming writes are held back; `apply_held` applies them late.
     calls : int
         Calls served or refused so far.
     """
@@ -30,6 +32,8 @@
         self.down = False
         self.lose_replies = 0
         self.lose_writes = 0
+        self.hold_writes = 0
+        self._held: list[tuple[str, str, bytes, int]] = []
         self.calls = 0
         self.before_write = None
 
@@ -61,6 +65,19 @@
         if self.lose_writes > 0:
             self.lose_writes -= 1
             return Failure(WriteUnknown(name))
+        if self.hold_writes > 0:
+            self.hold_writes -= 1
+            self._held.append((kind, name, value, version))
+            return Failure(WriteUnknown(name))
+        return self._write(kind, name, value, version)
+
+    def apply_held(self):
+        """Apply the writes that were held back, as far as their condition still holds."""
+        held, self._held = self._held, []
+        for write in held:
+            self._write(*write)
+
+    def _write(self, kind, name, value, version):
         current = self.objects.get((kind, name))
         if version != (0 if current is None else current.version):
             return Failure(Conflict(name, current))
--- /dev/null
+++ b/whinrack/budgets/tests/test_grants.py
@@ -0,0 +1,443 @@
+"""Keepers of short grants together: no overspend, whatever dies, is cut off or comes late."""
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from returns.result import Failure, Success
+
+from standins.memory_store import MemoryStore
+from whinrack.budgets import (
+    ACCOUNT_KIND,
+    AccountDrawer,
+    BudgetAccount,
+    GrantKeeper,
+    GrantOptions,
+    RestartMoment,
+    SpareSource,
+    SpareTotal,
+)
+from whinrack.exceptions import BudgetContended, BudgetExhausted, PlatformUnavailable
+from whinrack.store import ObjectEditor, ObjectStore
+
+BUDGET = "b"
+WALL_MARGIN = 3.5
+
+
+class LinkedStore(ObjectStore):
+    """One machine's way to the store."""
+
+    def __init__(self, store, machine):
+        self.store = store
+        self.machine = machine
+
+    def get(self, kind, name):
+        if self.machine.cut_off:
+            return Failure(PlatformUnavailable("cut off"))
+        return self.store.get(kind, name)
+
+    def put(self, kind, name, value, version):
+        if self.machine.cut_off:
+            return Failure(PlatformUnavailable("cut off"))
+        return self.store.put(kind, name, value, version)
+
+
+class Machine:
+    """A machine with its clocks, and the run that is on it now."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.steady_offset = 100.0 * len(fleet.machines)
+        self.wall_offset = 0.0
+        self.cut_off = False
+        self.runs = 0
+        self.released = False
+        self.covers = []
+        self.start()
+
+    def steady(self):
+        return self.fleet.now + self.steady_offset
+
+    def wall(self):
+        return 1e9 + self.fleet.now + self.wall_offset
+
+    def start(self):
+        self.runs += 1
+        self.restart = RestartMoment(self.steady(), self.wall(), WALL_MARGIN)
+        self.released = False
+        self.covers = []
+        store = LinkedStore(self.fleet.store, self)
+        drawer = AccountDrawer(store, _Lock, sleep=lambda seconds: None, seed=1)
+        self.keeper = GrantKeeper(
+            f"{self.name}.{self.runs}",
+            "a",
+            drawer,
+            drawer,
+            Peers(self.fleet, self),
+            GrantOptions(),
+            clock=self.steady,
+            wall_clock=self.wall,
+            make_lock=_Lock,
+        )
+        self.keeper.declare(1, {BUDGET: self.fleet.limit})
+
+    def release(self):
+        if not self.released:
+            self.released = isinstance(self.keeper.release_earlier_runs(self.restart), Success)
+
+    def die(self):
+        """Open requests may have been answered to their end."""
+        self.fleet.used += sum(cover.tokens for cover in self.covers)
+        self.start()
+
+    def request(self, tokens):
+        cover = self.keeper.cover(BUDGET, tokens)
+        if isinstance(cover, Success):
+            self.covers.append(cover.unwrap())
+        return cover
+
+    def settle(self, part):
+        cover = self.covers.pop(0)
+        billed = int(cover.tokens * part)
+        self.fleet.used += billed
+        cover.settle(billed)
+
+
+class Peers(SpareSource):
+    """The other machines, reached unless the fleet is told to lose replies."""
+
+    def __init__(self, fleet, machine):
+        self.fleet = fleet
+        self.machine = machine
+
+    def others(self):
+        return [other for other in self.fleet.machines if other is not self.machine]
+
+    def peers_asked(self):
+        return len(self.others())
+
+    def gather(self, budget, need, wish, received):
+        return self._ask(self.others(), need, wish, received, draw=False)
+
+    def borrow(self, budget, need, wish, received):
+        reach = [other for other in self.others() if other.keeper.store_answers]
+        return self._ask(reach[:1], need, wish, received, draw=True)
+
+    def _ask(self, others, need, wish, received, draw):
+        for other in others:
+            giver = other.keeper.holder
+            total = other.keeper.give(
+                BUDGET, self.machine.keeper.holder, received.get(giver, 0), need, wish, draw
+            )
+            if self.fleet.lose_peer_replies > 0:
+                self.fleet.lose_peer_replies -= 1
+            elif total:
+                yield SpareTotal(giver, total)
+
+
+class _Lock:
+    """No two green threads here."""
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc):
+        return False
+
+
+class Fleet:
+    def __init__(self, machines, limit):
+        self.now = 50.0
+        self.limit = limit
+        self.used = 0
+        self.lose_peer_replies = 0
+        self.store = MemoryStore()
+        self.machines = []
+        for index in range(machines):
+            self.machines.append(Machine(self, f"m{index}"))
+
+    def books(self):
+        editor = ObjectEditor(self.store, ACCOUNT_KIND, BudgetAccount)
+        return editor.read("a").unwrap().budgets[BUDGET]
+
+    def spent_at_most(self):
+        open_covers = sum(cover.tokens for m in self.machines for cover in m.covers)
+        return self.used + open_covers
+
+
+class NeverBeyondTheLimit(RuleBasedStateMachine):
+    """Tokens used and promised never exceed the limit."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = busy_fleet(limit=40_000, seconds=6)
+
+    def machine(self, index):
+        return self.fleet.machines[index]
+
+    @rule(index=st.integers(0, 2), tokens=st.integers(1, 600), times=st.integers(1, 6))
+    def request(self, index, tokens, times):
+        for _ in range(times):
+            self.machine(index).request(tokens)
+
+    @rule(index=st.integers(0, 2), tokens=st.sampled_from([37, 300, 2000]))
+    def use_all_that_can_be_had(self, index, tokens):
+        machine = self.machine(index)
+        for _ in range(200):
+            if isinstance(machine.request(tokens), Failure):
+                return
+            machine.settle(1.0)
+
+    @rule(index=st.integers(0, 2), seconds=st.sampled_from([0.0, 0.5, 9.0]))
+    def use_all_while_cut_off_and_die(self, index, seconds):
+        self.machine(index).cut_off = True
+        self.fleet.now += seconds
+        self.use_all_that_can_be_had(index, 37)
+        self.machine(index).die()
+        self.machine(index).cut_off = False
+
+    @rule(index=st.integers(0, 2), part=st.floats(0.0, 1.0))
+    def settle(self, index, part):
+        if self.machine(index).covers:
+            self.machine(index).settle(part)
+
+    @rule(index=st.integers(0, 2))
+    def settle_nothing(self, index):
+        while self.machine(index).covers:
+            self.machine(index).settle(0.0)
+
+    @rule(index=st.integers(0, 2))
+    def renew(self, index):
+        self.machine(index).release()
+        self.machine(index).keeper.renew()
+
+    @rule(seconds=st.sampled_from([0.05, 0.5, 2.0, 9.0]))
+    def pass_time(self, seconds):
+        self.fleet.now += seconds
+
+    @rule(index=st.integers(0, 2))
+    def cut(self, index):
+        self.machine(index).cut_off = True
+
+    @rule(index=st.integers(0, 2))
+    def heal(self, index):
+        self.machine(index).cut_off = False
+
+    @rule(index=st.integers(0, 2))
+    def kill(self, index):
+        self.machine(index).die()
+
+    @rule()
+    def kill_all(self):
+        for machine in self.fleet.machines:
+            machine.die()
+
+    @rule(index=st.integers(0, 2), steady=st.floats(-1e4, 1e6))
+    def lose_power(self, index, steady):
+        self.machine(index).steady_offset = steady
+        self.machine(index).die()
+
+    @rule(index=st.integers(0, 2), jump=st.sampled_from([-1.5, 0.0, 1.5]))
+    def jump_of_the_time_of_day(self, index, jump):
+        self.machine(index).wall_offset = jump
+
+    @rule(index=st.integers(0, 2))
+    def planned_stop(self, index):
+        machine = self.machine(index)
+        machine.keeper.drain(False)
+        machine.keeper.drain(True)
+        machine.die()
+
+    @rule(replies=st.integers(1, 3))
+    def lose_store_replies(self, replies):
+        self.fleet.store.lose_replies = replies
+
+    @rule(writes=st.integers(1, 3))
+    def hold_writes(self, writes):
+        self.fleet.store.hold_writes = writes
+
+    @rule()
+    def apply_held_writes(self):
+        self.fleet.store.apply_held()
+
+    @rule(replies=st.integers(1, 3))
+    def lose_peer_replies(self, replies):
+        self.fleet.lose_peer_replies = replies
+
+    @rule(more=st.integers(1, 500))
+    def raise_limit(self, more):
+        self.fleet.limit += more
+        version = self.fleet.limit
+        for machine in self.fleet.machines:
+            machine.keeper.declare(version, {BUDGET: self.fleet.limit})
+
+    @invariant()
+    def never_beyond_the_limit(self):
+        assert self.fleet.spent_at_most() <= self.fleet.limit
+
+    def teardown(self):
+        """Heal everything and use what is left: what was used before must not come back."""
+        self.fleet.store.apply_held()
+        for machine in self.fleet.machines:
+            machine.cut_off = False
+        use_all(self.fleet)
+        self.never_beyond_the_limit()
+
+
+NeverBeyondTheLimit.TestCase.settings = settings(
+    max_examples=100, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestNeverBeyondTheLimit = NeverBeyondTheLimit.TestCase
+
+
+def busy_fleet(limit=100_000, seconds=20):
+    """Three machines that each use 300 tokens a second of one budget."""
+    fleet = Fleet(3, limit)
+    for _ in range(seconds):
+        work(fleet)
+    return fleet
+
+
+def work(fleet):
+    served = 0
+    for machine in fleet.machines:
+        for _ in range(3):
+            served += isinstance(machine.request(100), Success)
+            while machine.covers:
+                machine.settle(1.0)
+        machine.release()
+        machine.keeper.renew()
+    fleet.now += 1.0
+    return served
+
+
+def test_an_outage_of_nine_seconds_refuses_nothing():
+    fleet = busy_fleet()
+    for machine in fleet.machines:
+        machine.cut_off = True
+    assert sum(work(fleet) for _ in range(9)) == 9 * 9
+
+
+def test_a_machine_cut_off_alone_is_served_by_way_of_its_peers():
+    fleet = busy_fleet()
+    lonely = fleet.machines[0]
+    lonely.cut_off = True
+    lonely.keeper.renew()
+    served = 0
+    for _ in range(40):
+        fleet.now += 1.0
+        for _ in range(6):
+            served += isinstance(lonely.request(100), Success)
+            while lonely.covers:
+                lonely.settle(1.0)
+        for machine in fleet.machines[1:]:
+            machine.keeper.renew()
+    assert served == 240
+
+
+@pytest.mark.parametrize("power", [False, True])
+def test_what_dies_with_all_machines_comes_back_but_for_some_seconds(power):
+    fleet = busy_fleet()
+    held = sum(machine.keeper.spendable()[BUDGET] for machine in fleet.machines)
+    fleet.now += 1.3
+    for index, machine in enumerate(fleet.machines):
+        if power:
+            machine.steady_offset = 1e5 * index
+        machine.die()
+        machine.release()
+    lost = fleet.limit - fleet.books().free - fleet.used
+    seconds = 1.3 + (WALL_MARGIN if power else 0.0)
+    demand = 900
+    options = GrantOptions()
+    most = demand * (options.release_seconds + options.release_factor * (seconds + 1.0))
+    assert held > 8000
+    assert lost <= 1.1 * most
+    assert lost < held
+
+
+def test_little_is_lost_of_a_budget_that_runs_out():
+    fleet = busy_fleet(limit=23_000)
+    left = fleet.limit - fleet.used
+    fleet.now += 1.3
+    for machine in fleet.machines:
+        machine.die()
+        machine.release()
+    assert fleet.books().free > 0.6 * left
+
+
+def test_a_quiet_keeper_does_not_take_itself_for_cut_off():
+    fleet = busy_fleet()
+    fleet.now += 60.0
+    assert isinstance(fleet.machines[0].request(9000), Success)
+
+
+def test_a_stopping_machine_still_draws_for_the_requests_that_it_takes():
+    fleet = busy_fleet()
+    fleet.machines[0].keeper.drain(False)
+    assert isinstance(fleet.machines[0].request(500), Success)
+
+
+def test_exhausted_and_contended_are_told_apart():
+    fleet = Fleet(2, 1000)
+    assert isinstance(fleet.machines[0].request(900), Success)
+    assert isinstance(fleet.machines[1].request(200).failure(), BudgetContended)
+    while fleet.machines[0].covers:
+        fleet.machines[0].settle(1.0)
+    fleet.machines[0].keeper.renew()
+    fleet.now += 5.0
+    assert isinstance(fleet.machines[1].request(200).failure(), BudgetExhausted)
+
+
+def test_tokens_whose_reply_was_lost_are_counted_when_the_giver_tells_them_again():
+    fleet = Fleet(2, 1000)
+    giver, asker = fleet.machines
+    giver.request(800)
+    giver.settle(0.0)
+    fleet.lose_peer_replies = 10
+    asker.request(700)
+    (given,) = [total for total in giver.keeper.given() if total.receiver == "m1.1"]
+    asker.keeper.receive(BUDGET, giver.keeper.holder, given.total)
+    assert isinstance(asker.request(700), Success)
+
+
+def test_a_lowered_limit_is_given_back():
+    fleet = busy_fleet()
+    for machine in fleet.machines:
+        machine.keeper.declare(2, {BUDGET: fleet.used + 100})
+    for _ in range(3):
+        for machine in fleet.machines:
+            machine.keeper.renew()
+    assert sum(machine.keeper.spendable()[BUDGET] for machine in fleet.machines) <= 100
+
+
+def use_all(fleet):
+    """Use whatever can still be had anywhere."""
+    for _ in range(6):
+        for machine in fleet.machines:
+            machine.release()
+            machine.keeper.renew()
+            for tokens in (2000, 300, 37):
+                while isinstance(machine.request(tokens), Success):
+                    machine.settle(1.0)
+        fleet.now += 2.0
+
+
+@pytest.mark.parametrize("death", ["kill", "power", "power and a jump back"])
+@pytest.mark.parametrize("seconds", [0.0, 2.0, 9.0])
+def test_what_was_used_while_cut_off_is_not_given_out_again(death, seconds):
+    fleet = busy_fleet(limit=40_000, seconds=6)
+    machine = fleet.machines[0]
+    machine.cut_off = True
+    machine.keeper.renew()
+    fleet.now += seconds
+    while isinstance(machine.request(37), Success):
+        machine.settle(1.0)
+    if death != "kill":
+        machine.steady_offset = 5e5
+    if death == "power and a jump back":
+        machine.wall_offset = -3.0
+    machine.die()
+    machine.cut_off = False
+    use_all(fleet)
+    assert 0.7 * fleet.limit < fleet.used <= fleet.limit
--- /dev/null
+++ b/whinrack/budgets/tests/test_schedule.py
@@ -0,0 +1,127 @@
+"""Schedules: what a run may use by when, and what the next run concludes from them."""
+
+from whinrack.budgets import (
+    BudgetAccount,
+    BudgetEntry,
+    DrawOrder,
+    ReleaseGuard,
+    ReleaseSchedule,
+    RestartMoment,
+    apply_draws,
+    release_earlier_runs,
+)
+
+
+def schedule(base, rate=0.0, steady=100.0, wall=1000.0):
+    return ReleaseSchedule(base=base, rate=rate, steady=steady, wall=wall)
+
+
+def test_nothing_may_be_used_before_a_schedule_is_stated():
+    assert ReleaseGuard().most_used(0.0) == 0
+
+
+def test_an_order_without_a_reply_binds_together_with_the_one_before():
+    guard = ReleaseGuard()
+    guard.stated(1, schedule(10))
+    guard.stated(2, schedule(50))
+    assert guard.most_used(100.0) == 10
+    guard.applied(2)
+    assert guard.most_used(100.0) == 50
+
+
+def test_a_later_schedule_that_allows_less_binds_at_once():
+    guard = ReleaseGuard()
+    guard.stated(1, schedule(50))
+    guard.applied(1)
+    guard.stated(2, schedule(10))
+    assert guard.most_used(100.0) == 10
+
+
+def test_more_is_released_as_time_goes_by():
+    guard = ReleaseGuard()
+    guard.stated(1, schedule(10, rate=3.0))
+    assert [guard.most_used(at) for at in (99.0, 100.0, 101.0, 101.5)] == [10, 10, 13, 15]
+
+
+def test_after_a_kill_the_steady_clock_tells_the_time():
+    restart = RestartMoment(steady=102.0, wall=1002.0, wall_margin=3.5)
+    assert restart.most_used(schedule(10, rate=5.0)) == 20
+
+
+def test_after_a_loss_of_power_the_time_of_day_tells_it_with_a_margin():
+    for steady in (0.0, 5.0, 7e6):
+        restart = RestartMoment(steady=steady, wall=1002.0, wall_margin=3.5)
+        assert restart.most_used(schedule(10, rate=2.0)) == 10 + 2 * 5.5
+
+
+def test_a_time_of_day_that_jumped_back_never_makes_the_bound_smaller_than_the_margin():
+    restart = RestartMoment(steady=3.0, wall=997.0, wall_margin=3.5)
+    assert restart.most_used(schedule(10, rate=2.0)) == 17
+
+
+def books(**order):
+    account = BudgetAccount(budgets={"b": BudgetEntry(topups={"1": 1000})})
+    first = DrawOrder(account="a", budget="b", holder="m.1", sequence=1, need=300, opening=True)
+    return apply_draws(account, [first, DrawOrder(**_SECOND | order)])
+
+
+_SECOND = {"account": "a", "budget": "b", "holder": "m.1", "sequence": 2}
+
+
+def test_the_next_run_gives_back_what_the_schedule_did_not_release():
+    account = books(billed=40, schedule=schedule(100, rate=10.0))
+    release_earlier_runs(account, "m.2", RestartMoment(102.0, 1002.0, 3.5))
+    entry = account.budgets["b"]
+    # Of 300, at most 100 + 20 were used; 40 of these are billed.
+    assert (entry.free, entry.unproven, entry.billed) == (880, 80, 40)
+
+
+def test_without_a_schedule_nothing_of_a_dead_run_comes_back():
+    account = books(billed=40)
+    release_earlier_runs(account, "m.2", RestartMoment(102.0, 1002.0, 3.5))
+    entry = account.budgets["b"]
+    assert (entry.free, entry.unproven) == (700, 260)
+
+
+def test_only_runs_of_the_same_instance_are_released():
+    account = books(schedule=schedule(0))
+    assert release_earlier_runs(account, "n.1", RestartMoment(102.0, 1002.0, 3.5)) is None
+
+
+def test_an_order_that_comes_after_the_release_changes_nothing():
+    account = books(schedule=schedule(0))
+    release_earlier_runs(account, "m.2", RestartMoment(102.0, 1002.0, 3.5))
+    late = DrawOrder(**_SECOND | {"sequence": 3, "need": 100})
+    assert apply_draws(account, [late]) is None
+
+
+def test_a_final_order_returns_what_was_drawn_without_its_holders_knowledge():
+    account = books(billed=40, returned=10)
+    draw = DrawOrder(**_SECOND | {"sequence": 3, "need": 200, "billed": 40, "returned": 10})
+    final = DrawOrder(
+        **_SECOND | {"sequence": 4, "billed": 40, "returned": 10, "final": True, "given": 30}
+    )
+    apply_draws(account, [draw, final])
+    entry = account.budgets["b"]
+    # All but what was billed and what a peer has yet to report.
+    assert entry.free == 1000 - 40 - 30
+    peer = DrawOrder(
+        account="a", budget="b", holder="n.1", sequence=1, received={"m.1": 30}, opening=True
+    )
+    apply_draws(account, [peer])
+    assert "m.1" not in entry.rows
+    assert entry.rows["n.1"].outstanding == 30
+
+
+def test_a_declared_limit_takes_the_place_of_payments_and_only_newer_versions_count():
+    orders = [
+        DrawOrder(
+            account="a", budget="b", holder="m.1", sequence=1, opening=True,
+            limit=500, limit_version=3,
+        ),
+        DrawOrder(account="a", budget="b", holder="m.1", sequence=2, limit=900, limit_version=2),
+    ]  # fmt: skip
+    account = apply_draws(None, orders)
+    assert account.budgets["b"].limit == 500
+    apply_draws(account, [DrawOrder(**_SECOND | {"sequence": 3, "limit": 70, "limit_version": 9})])
+    assert account.budgets["b"].free == 70
