--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -47,7 +47,7 @@
     horizon : float
         Seconds of demand that a grant lasts for.
     release_seconds : float
-        Seconds of demand that a schedule releases at once.
+        Seconds of demand that a schedule releases at once, but at least one request.
     release_factor : float
         Rate of a schedule as a multiple of the demand.
     release_part, release_horizon : float
@@ -64,7 +64,7 @@
     horizon: float = 12.0
     release_seconds: float = 1.0
     release_factor: float = 2.0
-    release_part: float = 0.02
+    release_part: float = 0.05
     release_horizon: float = 15.0
     store_patience: float = 0.4
     retry_after: float = 0.4
@@ -400,7 +400,8 @@
 
     def _schedule(self, grant: _Grant, need: int, now: float) -> ReleaseSchedule:
         rate = grant.demand.rate(now)
-        ahead, pace = rate * self.options.release_seconds, rate * self.options.release_factor
+        ahead = max(rate * self.options.release_seconds, grant.largest)
+        pace = rate * self.options.release_factor
         if grant.last is not None and grant.last.holders:
             # What is released and not used is lost with this run: the less is left, the
             # less may be lost.
--- a/whinrack/http1/_server.py
+++ b/whinrack/http1/_server.py
@@ -220,7 +220,7 @@
         """Return the next request, None if the caller closed before one began."""
         if not self._await_request(limits.idle_seconds):
             return None
-        head = self._read_head(time.monotonic() + limits.head_seconds)
+        head = self._read_head(limits)
         if head is None:
             return None
         return head, self._read_body(limits, time.monotonic() + limits.body_seconds)
@@ -242,10 +242,12 @@
             self._receive(early)
         return True
 
-    def _read_head(self, end: float) -> RequestHead | None:
-        event = self._next_event(end)
+    def _read_head(self, limits: ServerLimits) -> RequestHead | None:
+        event = self._next_event(time.monotonic() + limits.head_seconds)
         if isinstance(event, h11.ConnectionClosed):
             return None
+        if _head_size(event) > limits.head_bytes:
+            raise HeadersTooLarge(f"allowed are {limits.head_bytes} bytes")
         self._keep = not _caller_closes(event)
         return RequestHead(event.method, event.target, list(event.headers))
 
@@ -363,7 +365,8 @@
     def _break_off(self) -> None:
         """Make sure that an unfinished answer can't be taken for a whole one."""
         self._keep = True
-        if self.protocol.our_state is h11.SEND_BODY:
+        unframed = (self.protocol.their_http_version or b"") < b"1.1"
+        if self.protocol.our_state is h11.SEND_BODY and unframed:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
     def _close(self) -> None:
@@ -387,6 +390,13 @@
             self.sock.shutdown(how)
 
 
+def _head_size(request: h11.Request) -> int:
+    """Return the bytes of a head: h11 bounds only heads that arrive in pieces."""
+    line = len(request.method) + len(request.target) + len(b"  HTTP/1.1\r\n")
+    fields = sum(len(name) + len(value) + len(b": \r\n") for name, value in request.headers)
+    return line + fields
+
+
 def _caller_closes(request: h11.Request) -> bool:
     if request.http_version < b"1.1":
         return True
