--- a/whinrack/budgets/_account.py
+++ b/whinrack/budgets/_account.py
@@ -420,6 +420,11 @@
     left = entry.free + sum(row.outstanding for row in live)
     fair = left // (_SHARE_OF_LEFT * max(1, len(live)))
     room = fair - entry.rows[order.holder].outstanding
+    if order.schedule is not None:
+        # What dies with a holder that keeps to a schedule comes back: one may hold the
+        # part of those that hold little.
+        held = sum(row.outstanding for row in live)
+        room = max(room, left // _SHARE_OF_LEFT - held)
     size = max(order.need, min(order.need + order.want, room))
     return max(0, min(size, entry.free))
 
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -87,10 +87,34 @@
         self.lock = lock
         self.guard = ReleaseGuard()
         self.demand = DemandEstimate(_HALF_LIFE_SECONDS)
+        # Of all holders, as the books tell.
+        self.spending = DemandEstimate(_HALF_LIFE_SECONDS)
         self.last: DrawResult | None = None
         self.learnt_at = float("-inf")
         self.largest = 0
 
+    def learn(self, books: DrawResult, asked: float) -> None:
+        """Take in the books as they were when they were asked."""
+        if self.last is not None and books.limit_version == self.last.limit_version:
+            self.spending.record(max(0, self.last.left - books.left), asked)
+        self.last = books
+        self.learnt_at = asked
+
+    def part_of_demand(self, now: float) -> float:
+        """Return this run's part of the budget's use, an equal one at least."""
+        total = self.spending.rate(now)
+        part = self.demand.rate(now) / total if total > 0 else 0.0
+        return min(1.0, max(part, 1.0 / self.last.holders))
+
+    def share_of_demand(self, now: float) -> float:
+        """Return an equal share of the tokens a second that all holders use.
+
+        A peer may need them though there is little demand here.
+        """
+        if self.last is None or not self.last.holders:
+            return 0.0
+        return self.spending.rate(now) / self.last.holders
+
     def usable(self, now: float) -> int:
         """Tokens that may cover a request, or be given to a peer, now."""
         released = self.guard.most_used(now) - self.ledger.used
@@ -399,13 +423,13 @@
         return order
 
     def _schedule(self, grant: _Grant, need: int, now: float) -> ReleaseSchedule:
-        rate = grant.demand.rate(now)
+        rate = max(grant.demand.rate(now), grant.share_of_demand(now))
         ahead = max(rate * self.options.release_seconds, grant.largest)
         pace = rate * self.options.release_factor
         if grant.last is not None and grant.last.holders:
             # What is released and not used is lost with this run: the less is left, the
             # less may be lost.
-            share = grant.last.left / grant.last.holders
+            share = grant.last.left * grant.part_of_demand(now)
             pace = min(pace, share / self.options.release_horizon)
             ahead = min(ahead, share * self.options.release_part)
         return ReleaseSchedule(
@@ -434,8 +458,7 @@
         """Take in the books: the orders' results, and the state of all other budgets."""
         for budget, grant in self._grants.items():
             if asked >= grant.learnt_at and budget in books:
-                grant.learnt_at = asked
-                grant.last = books[budget]
+                grant.learn(books[budget], asked)
         for order in orders:
             answer = books.get(order.budget, DrawResult())
             grant = self._grants[order.budget]
--- a/whinrack/budgets/tests/test_grants.py
+++ b/whinrack/budgets/tests/test_grants.py
@@ -366,6 +366,31 @@
     assert fleet.books().free > 0.6 * left
 
 
+def test_demand_at_one_machine_is_served_through_an_outage_from_what_all_hold():
+    fleet = Fleet(6, 1_000_000)
+    busy, *others = fleet.machines
+
+    def second():
+        served = 0
+        for _ in range(10):
+            served += isinstance(busy.request(1200), Success)
+            while busy.covers:
+                busy.settle(1.0)
+        for machine in others:
+            if isinstance(machine.request(100), Success):
+                machine.settle(1.0)
+        for machine in fleet.machines:
+            machine.keeper.renew()
+        fleet.now += 1.0
+        return served
+
+    for _ in range(20):
+        second()
+    for machine in fleet.machines:
+        machine.cut_off = True
+    assert sum(second() for _ in range(9)) == 90
+
+
 def test_a_quiet_keeper_does_not_take_itself_for_cut_off():
     fleet = busy_fleet()
     fleet.now += 60.0
