--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -15,7 +15,6 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from whinrack.base import instance_of
 from whinrack.budgets._account import (
     BudgetAccount,
     DrawOrder,
@@ -63,7 +62,7 @@
 
     horizon: float = 12.0
     release_seconds: float = 1.0
-    release_factor: float = 2.0
+    release_factor: float = 1.4
     release_part: float = 0.05
     release_horizon: float = 15.0
     store_patience: float = 0.4
@@ -245,6 +244,10 @@
             return Success(None)
         return self._send([self._order(grant) for grant in due])
 
+    def store_regained(self) -> None:
+        """Learn from others' calls that the books can be reached again."""
+        self._lost = False
+
     def drain(self, final: bool) -> Result[None, PlatformFailure]:
         """Give everything unused back for a planned stop.
 
@@ -275,7 +278,7 @@
             The books that they were found in, for the log.
         """
         released = self.drawer.release_earlier_runs(self.account, self.holder, restart)
-        return released.map(lambda account: _summary(account, self.holder))
+        return released.map(_summary)
 
     def summary(self) -> str:
         """Return what is known of every budget, for the log."""
@@ -471,18 +474,11 @@
     return f"the request needs cover for {tokens} tokens, the budget has {grant.last.left} left"
 
 
-def _summary(account: BudgetAccount | None, holder: str) -> str:
-    """Tell what released runs of the holder's instance left out of use, by budget."""
+def _summary(account: BudgetAccount | None) -> str:
+    """Tell limit, billed, unproven, free and held tokens of every budget."""
     if account is None:
         return "no books"
-    parts = []
-    for name, entry in account.budgets.items():
-        rows = [
-            row
-            for run, row in entry.rows.items()
-            if run != holder and instance_of(run) == instance_of(holder)
-        ]
-        unproven = sum(row.unproven for row in rows)
-        returned = sum(row.returned for row in rows)
-        parts.append(f"{name}:{returned}/{unproven}/{entry.free}/{entry.limit}")
-    return " ".join(parts)
+    return " ".join(
+        f"{name}:{entry.limit}/{entry.billed}/{entry.unproven}/{entry.free}/{entry.outstanding}"
+        for name, entry in account.budgets.items()
+    )
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -20,6 +20,7 @@
     TargetRegistry,
 )
 from whinrack.edge._answers import SmallAnswers
+from whinrack.edge._contact import StoreContact
 from whinrack.edge._membership import Membership
 from whinrack.edge._options import EdgeOptions
 from whinrack.edge._sources import ConfigurationReader, KindFollower, TargetReader
@@ -80,6 +81,7 @@
         self.metrics = Metrics()
         self.store = MeteredStore(store, self._count_call)
         self.output = BoundedOutput(_STDOUT, options.log_lines_per_second)
+        self.contact = StoreContact(self._contact_changed)
         self.registry = TargetRegistry()
         self.directory = Directory(self._in_force)
         self.membership = Membership(
@@ -113,7 +115,6 @@
             lambda refusal: dialect.refusal(refusal, None),
             self._limits,
         )
-        self._store_answers = True
         self._reading = False
         self._stopping = False
         self._reported_drops = 0
@@ -154,7 +155,8 @@
             (self.target_reader.kind, self._targets_listed, self._targets_changed),
         )
         for kind, listed, changed in readers:
-            follower = KindFollower(self.store, kind, listed, changed, self._store_answered, watch)
+            probes = kind == self.configuration_reader.kind
+            follower = KindFollower(self.store, kind, listed, changed, self.contact, watch, probes)
             eventlet.spawn_n(follower.run)
         eventlet.spawn_n(self._renew_forever)
 
@@ -217,10 +219,10 @@
             log_event(Event.CONFIG_INVALID, object=stored.name, error=error.message)
             return None
 
-    def _store_answered(self, answered: bool) -> None:
-        if answered != self._store_answers:
-            self._store_answers = answered
-            log_event(Event.PLATFORM_BACK if answered else Event.PLATFORM_LOST)
+    def _contact_changed(self, answers: bool) -> None:
+        log_event(Event.PLATFORM_BACK if answers else Event.PLATFORM_LOST)
+        if answers:
+            self.keeper.store_regained()
 
     # --- tokens ------------------------------------------------------------------
 
@@ -229,13 +231,15 @@
         while not self._stopping:
             if not released:
                 released = self._release_earlier_runs()
-            self.keeper.renew()
+            if isinstance(self.keeper.renew(), Failure):
+                self.contact.report(False)
             rounds += 1
             if rounds % _BOOKS_LOG_ROUNDS == 0:
                 log_event(
                     Event.BOOKS_KNOWN, books=self.keeper.summary(), calls=self.store.summary()
                 )
             eventlet.sleep(self.options.renew_seconds)
+            self.contact.wait(self.options.renew_seconds)
 
     def _release_earlier_runs(self) -> bool:
         result = self.keeper.release_earlier_runs(self.restart)
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -7,12 +7,15 @@
 from returns.result import Failure
 
 from whinrack.dispatch import Configuration, TargetRecord
+from whinrack.edge._contact import StoreContact
 from whinrack.store import ObjectStore, StoredObject
 
 __all__ = ["ConfigurationReader", "KindFollower", "TargetReader"]
 
 _FIRST_PAUSE = 0.1
-_LONGEST_PAUSE = 0.6
+_LONGEST_PAUSE = 0.3
+# A task that doesn't probe tries by itself after so long.
+_LONGEST_WAIT = 2.0
 
 
 class ConfigurationReader:
@@ -57,10 +60,12 @@
         Called with all objects after each list.
     changed : callable
         Called with the objects of each watch that had some.
-    answered : callable
-        Called with True after each answer of the store, with False after a failure.
+    contact : StoreContact
+        Told the outcome of every call.
     watch_seconds : float
         How long one watch is held.
+    probes : bool
+        Go on calling while the store is away, for all who wait for it.
     """
 
     def __init__(
@@ -69,31 +74,39 @@
         kind: str,
         listed: Callable[[tuple[StoredObject, ...]], None],
         changed: Callable[[tuple[StoredObject, ...]], None],
-        answered: Callable[[bool], None],
+        contact: StoreContact,
         watch_seconds: float,
+        probes: bool,
     ):
         self.store = store
         self.kind = kind
         self.listed = listed
         self.changed = changed
-        self.answered = answered
+        self.contact = contact
         self.watch_seconds = watch_seconds
+        self.probes = probes
         self.revision: int | None = None
         self._pause = _FIRST_PAUSE
 
     def run(self) -> None:
         """Follow for ever."""
         while True:
-            if not self.step():
-                eventlet.sleep(self._pause * (0.5 + random.random()))
-                self._pause = min(_LONGEST_PAUSE, 2 * self._pause)
-            else:
+            if self.step():
                 self._pause = _FIRST_PAUSE
+            else:
+                self._rest()
+
+    def _rest(self) -> None:
+        """Wait before the next call after a failure."""
+        eventlet.sleep(self._pause * (0.5 + random.random()))
+        self._pause = min(_LONGEST_PAUSE, 2 * self._pause)
+        if not self.probes:
+            self.contact.wait(_LONGEST_WAIT)
 
     def step(self) -> bool:
         """Make one call to the store; False if it failed."""
         answered = self._list() if self.revision is None else self._watch()
-        self.answered(answered)
+        self.contact.report(answered)
         return answered
 
     def _list(self) -> bool:
