--- a/whinrack/budgets/_drawer.py
+++ b/whinrack/budgets/_drawer.py
@@ -4,16 +4,11 @@
 
 from returns.result import Result
 
-from whinrack.budgets._account import (
-    BudgetAccount,
-    DrawOrder,
-    DrawResult,
-    apply_draws,
-    books_for,
-    draw_result,
-    release_earlier_runs,
-)
+from whinrack.budgets._books import BudgetAccount, DrawOrder, DrawResult
+from whinrack.budgets._draws import apply_draws
 from whinrack.budgets._keeper import TokenSource
+from whinrack.budgets._reading import books_for, draw_result
+from whinrack.budgets._release import release_earlier_runs
 from whinrack.budgets._schedule import RestartMoment
 from whinrack.exceptions import PlatformFailure
 from whinrack.store import ObjectEditor, ObjectStore
--- /dev/null
+++ b/whinrack/budgets/_draws.py
@@ -0,0 +1,124 @@
+"""Applies payments and holders' orders to the books; doing so twice changes nothing."""
+
+import xxhash
+
+from whinrack.budgets._books import AccountRow, BudgetAccount, BudgetEntry, DrawOrder
+
+__all__ = ["account_name", "apply_draws", "apply_topups"]
+
+# All holders together hold at most one part in so many of what is left.
+_SHARE_OF_LEFT = 2
+
+
+def account_name(budget: str, accounts: int) -> str:
+    """Return the account object that a new budget is assigned to."""
+    return f"account-{xxhash.xxh64_intdigest(budget.encode()) % accounts:04d}"
+
+
+def apply_topups(
+    account: BudgetAccount | None, budget: str, topups: dict[str, int]
+) -> BudgetAccount | None:
+    """Pay in the top-ups whose ids are new; None where all are there already."""
+    account = account or BudgetAccount()
+    entry = account.budgets.setdefault(budget, BudgetEntry())
+    missing = {key: tokens for key, tokens in topups.items() if key not in entry.topups}
+    if not missing:
+        return None
+    entry.topups = {**entry.topups, **missing}
+    return account
+
+
+def apply_draws(account: BudgetAccount | None, orders: list[DrawOrder]) -> BudgetAccount | None:
+    """Apply orders that were not applied before; None where nothing is left to do."""
+    if account is None:
+        if not any(order.limit_version for order in orders):
+            return None
+        account = BudgetAccount()
+    applied = [order for order in orders if _apply_draw(account, order)]
+    return account if applied else None
+
+
+def _apply_draw(account: BudgetAccount, order: DrawOrder) -> bool:
+    entry = account.budgets.get(order.budget)
+    if entry is None:
+        if not order.limit_version:
+            return False
+        entry = account.budgets[order.budget] = BudgetEntry()
+    row = entry.rows.get(order.holder)
+    if row is None:
+        # A late copy of an order whose holder has been folded away.
+        if not order.opening:
+            return False
+        row = entry.rows[order.holder] = AccountRow()
+    if row.closed or order.sequence <= row.sequence:
+        return False
+    if order.limit_version > entry.declared_version:
+        entry.declared = order.limit
+        entry.declared_version = order.limit_version
+    _record_received(entry, row, order)
+    row.schedule = order.schedule
+    row.billed = max(row.billed, order.billed)
+    row.unproven = max(row.unproven, order.unproven)
+    row.returned = max(row.returned, order.returned)
+    if order.final:
+        _close(row, order)
+    else:
+        row.drawn += _grant_size(entry, order)
+    row.sequence = order.sequence
+    _fold(entry, order.holder)
+    return True
+
+
+def _close(row: AccountRow, order: DrawOrder) -> None:
+    row.closed = True
+    if order.given is not None:
+        unused = row.outstanding - (order.given - row.moved_out)
+        row.returned += max(0, unused)
+
+
+def _record_received(entry: BudgetEntry, row: AccountRow, order: DrawOrder) -> None:
+    for giver, tokens in order.received.items():
+        more = tokens - row.received.get(giver, 0)
+        if more <= 0:
+            continue
+        row.received = {**row.received, giver: tokens}
+        source = entry.rows.setdefault(giver, AccountRow(closed=True))
+        if source.closed and source.outstanding < more:
+            # The giver's row was released before this transfer was known.
+            correction = more - source.outstanding
+            written_off = min(correction, source.unproven)
+            source.unproven -= written_off
+            source.returned -= correction - written_off
+        source.moved_out += more
+        _fold(entry, giver)
+
+
+def _grant_size(entry: BudgetEntry, order: DrawOrder) -> int:
+    """Give what is needed, and of the wish no more than the holder's fair part allows.
+
+    All holders together hold at most a part of what is left, beyond present needs, so
+    that a kill takes little out of use and the grants shrink as the budget runs low.
+    """
+    if order.need > entry.free + entry.outstanding:
+        # The budget can't cover the request: leave the tokens where they are.
+        return 0
+    live = [row for row in entry.rows.values() if not row.closed]
+    left = entry.free + sum(row.outstanding for row in live)
+    fair = left // (_SHARE_OF_LEFT * max(1, len(live)))
+    room = fair - entry.rows[order.holder].outstanding
+    if order.schedule is not None:
+        # What dies with a holder that keeps to a schedule comes back: one may hold the
+        # part of those that hold little.
+        held = sum(row.outstanding for row in live)
+        room = max(room, left // _SHARE_OF_LEFT - held)
+    size = max(order.need, min(order.need + order.want, room))
+    return max(0, min(size, entry.free))
+
+
+def _fold(entry: BudgetEntry, holder: str) -> None:
+    row = entry.rows[holder]
+    if row.released or not row.closed or row.outstanding != 0:
+        return
+    entry.settled_billed += row.billed
+    entry.settled_unproven += row.unproven
+    del entry.rows[holder]
--- /dev/null
+++ b/whinrack/budgets/_grant.py
@@ -0,0 +1,112 @@
+"""One budget's grant at one run: what it holds, may use, and knows of the books."""
+
+from contextlib import AbstractContextManager
+
+import msgspec
+
+from whinrack.budgets._books import DrawResult
+from whinrack.budgets._demand import DemandEstimate
+from whinrack.budgets._ledger import BudgetLedger
+from whinrack.budgets._schedule import ReleaseGuard, ReleaseSchedule
+
+__all__ = ["Grant", "GrantOptions"]
+
+_HALF_LIFE_SECONDS = 8.0
+
+
+class GrantOptions(msgspec.Struct, frozen=True):
+    """How far ahead tokens are drawn.
+
+    Attributes
+    ----------
+    horizon : float
+        Seconds of demand that a grant lasts for.
+    release_seconds : float
+        Seconds of demand that a schedule releases at once, but at least one request.
+    release_factor : float
+        Rate of a schedule as a multiple of the demand.
+    release_part, release_horizon : float
+        Bounds of both by what is left of the budget: the part of an equal share that is
+        released at once, and the seconds in which all of it would be.
+    store_patience : float
+        Seconds without a reply after which the books count as out of reach.
+    retry_after : float
+        Seconds after which a caller should come back when tokens are held elsewhere.
+    loan_seconds : float
+        Seconds of demand that a peer is asked to draw while the books are out of reach.
+    """
+
+    horizon: float = 12.0
+    release_seconds: float = 1.0
+    release_factor: float = 1.4
+    release_part: float = 0.05
+    release_horizon: float = 15.0
+    store_patience: float = 0.4
+    retry_after: float = 0.4
+    loan_seconds: float = 2.0
+
+
+class Grant:
+    """What this run holds of one budget, and what it knows of its books."""
+
+    def __init__(self, ledger: BudgetLedger, lock: AbstractContextManager):
+        self.ledger = ledger
+        self.lock = lock
+        self.guard = ReleaseGuard()
+        self.demand = DemandEstimate(_HALF_LIFE_SECONDS)
+        # Of all holders, as the books tell.
+        self.spending = DemandEstimate(_HALF_LIFE_SECONDS)
+        self.last: DrawResult | None = None
+        self.learnt_at = float("-inf")
+        self.largest = 0
+
+    def learn(self, books: DrawResult, asked: float) -> None:
+        """Take in the books as they were when they were asked."""
+        if self.last is not None and books.limit_version == self.last.limit_version:
+            self.spending.record(max(0, self.last.left - books.left), asked)
+        self.last = books
+        self.learnt_at = asked
+
+    def part_of_demand(self, now: float) -> float:
+        """Return this run's part of the budget's use, an equal one at least."""
+        total = self.spending.rate(now)
+        part = self.demand.rate(now) / total if total > 0 else 0.0
+        return min(1.0, max(part, 1.0 / self.last.holders))
+
+    def share_of_demand(self, now: float) -> float:
+        """Return an equal share of the tokens a second that all holders use.
+
+        A peer may need them though there is little demand here.
+        """
+        if self.last is None or not self.last.holders:
+            return 0.0
+        return self.spending.rate(now) / self.last.holders
+
+    def usable(self, now: float) -> int:
+        """Tokens that may cover a request, or be given to a peer, now."""
+        released = self.guard.most_used(now) - self.ledger.used
+        return min(self.ledger.spendable, released)
+
+    def schedule(
+        self, options: GrantOptions, need: int, now: float, wall: float
+    ) -> ReleaseSchedule:
+        """Return what this run may use from now on: what is needed, and some ahead."""
+        rate = max(self.demand.rate(now), self.share_of_demand(now))
+        ahead = max(rate * options.release_seconds, self.largest)
+        pace = rate * options.release_factor
+        if self.last is not None and self.last.holders:
+            # What is released and not used is lost with this run: the less is left, the
+            # less may be lost.
+            share = self.last.left * self.part_of_demand(now)
+            pace = min(pace, share / options.release_horizon)
+            ahead = min(ahead, share * options.release_part)
+        return ReleaseSchedule(
+            base=self.ledger.used + max(need, int(ahead)),
+            rate=max(0.0, pace),
+            steady=now,
+            wall=wall,
+        )
+
+    def overdrawn(self) -> bool:
+        """Whether the limit was lowered below what all hold, and some is held here."""
+        return self.last is not None and self.last.free < 0 and self.ledger.spendable > 0
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -12,24 +12,18 @@
 from contextlib import AbstractContextManager, nullcontext
 from typing import NamedTuple
 
-import msgspec
 from returns.result import Failure, Result, Success
 
-from whinrack.budgets._account import (
-    BudgetAccount,
-    DrawOrder,
-    DrawResult,
-)
-from whinrack.budgets._demand import DemandEstimate
+from whinrack.budgets._books import BudgetAccount, DrawOrder, DrawResult
 from whinrack.budgets._drawer import AccountDrawer, BookSource
+from whinrack.budgets._grant import Grant, GrantOptions
 from whinrack.budgets._keeper import SpareSource
 from whinrack.budgets._ledger import BudgetLedger, Cover
-from whinrack.budgets._schedule import ReleaseGuard, ReleaseSchedule, RestartMoment
+from whinrack.budgets._schedule import RestartMoment
 from whinrack.exceptions import BudgetContended, BudgetExhausted, PlatformFailure, Refusal
 
-__all__ = ["GrantKeeper", "GrantOptions"]
+__all__ = ["GrantKeeper"]
 
-_HALF_LIFE_SECONDS = 8.0
 # For so long the books that had nothing free aren't asked again.
 _NOTHING_FREE_SECONDS = 1.3
 
@@ -38,38 +32,6 @@
     return function()
 
 
-class GrantOptions(msgspec.Struct, frozen=True):
-    """How far ahead tokens are drawn.
-
-    Attributes
-    ----------
-    horizon : float
-        Seconds of demand that a grant lasts for.
-    release_seconds : float
-        Seconds of demand that a schedule releases at once, but at least one request.
-    release_factor : float
-        Rate of a schedule as a multiple of the demand.
-    release_part, release_horizon : float
-        Bounds of both by what is left of the budget: the part of an equal share that is
-        released at once, and the seconds in which all of it would be.
-    store_patience : float
-        Seconds without a reply after which the books count as out of reach.
-    retry_after : float
-        Seconds after which a caller should come back when tokens are held elsewhere.
-    loan_seconds : float
-        Seconds of demand that a peer is asked to draw while the books are out of reach.
-    """
-
-    horizon: float = 12.0
-    release_seconds: float = 1.0
-    release_factor: float = 1.4
-    release_part: float = 0.05
-    release_horizon: float = 15.0
-    store_patience: float = 0.4
-    retry_after: float = 0.4
-    loan_seconds: float = 2.0
-
-
 class GivenTotal(NamedTuple):
     """Cumulative tokens of a budget that this run gave to another."""
 
@@ -78,48 +40,6 @@
     total: int
 
 
-class _Grant:
-    """What this run holds of one budget, and what it knows of its books."""
-
-    def __init__(self, ledger: BudgetLedger, lock: AbstractContextManager):
-        self.ledger = ledger
-        self.lock = lock
-        self.guard = ReleaseGuard()
-        self.demand = DemandEstimate(_HALF_LIFE_SECONDS)
-        # Of all holders, as the books tell.
-        self.spending = DemandEstimate(_HALF_LIFE_SECONDS)
-        self.last: DrawResult | None = None
-        self.learnt_at = float("-inf")
-        self.largest = 0
-
-    def learn(self, books: DrawResult, asked: float) -> None:
-        """Take in the books as they were when they were asked."""
-        if self.last is not None and books.limit_version == self.last.limit_version:
-            self.spending.record(max(0, self.last.left - books.left), asked)
-        self.last = books
-        self.learnt_at = asked
-
-    def part_of_demand(self, now: float) -> float:
-        """Return this run's part of the budget's use, an equal one at least."""
-        total = self.spending.rate(now)
-        part = self.demand.rate(now) / total if total > 0 else 0.0
-        return min(1.0, max(part, 1.0 / self.last.holders))
-
-    def share_of_demand(self, now: float) -> float:
-        """Return an equal share of the tokens a second that all holders use.
-
-        A peer may need them though there is little demand here.
-        """
-        if self.last is None or not self.last.holders:
-            return 0.0
-        return self.spending.rate(now) / self.last.holders
-
-    def usable(self, now: float) -> int:
-        """Tokens that may cover a request, or be given to a peer, now."""
-        released = self.guard.most_used(now) - self.ledger.used
-        return min(self.ledger.spendable, released)
-
-
 class GrantKeeper:
     """All grants of one run of an instance.
 
@@ -171,7 +91,7 @@
         self._asked_at: float | None = None
         self._limits: dict[str, int] = {}
         self._limit_version = 0
-        self._grants: dict[str, _Grant] = {}
+        self._grants: dict[str, Grant] = {}
 
     def declare(self, version: int, limits: dict[str, int]) -> None:
         """Take in the limits of a newer version of the configuration."""
@@ -301,14 +221,14 @@
 
     # --- covering ----------------------------------------------------------------
 
-    def _grant(self, budget: str) -> _Grant:
+    def _grant(self, budget: str) -> Grant:
         grant = self._grants.get(budget)
         if grant is None:
             ledger = BudgetLedger(self.account, budget, self.holder)
-            grant = self._grants[budget] = _Grant(ledger, self.make_lock())
+            grant = self._grants[budget] = Grant(ledger, self.make_lock())
         return grant
 
-    def _open(self, grant: _Grant, tokens: int) -> Result[Cover, Refusal]:
+    def _open(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
         usable = grant.usable(self.clock())
         if tokens > usable:
             return Failure(
@@ -319,7 +239,7 @@
             )
         return grant.ledger.open(tokens)
 
-    def _refill(self, grant: _Grant, tokens: int) -> Result[Cover, Refusal]:
+    def _refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
         for ask in self._ways(grant, tokens):
             ask(grant, tokens)
             cover = self._open(grant, tokens)
@@ -329,7 +249,7 @@
             return Failure(BudgetExhausted(_left_text(grant, tokens)))
         return cover
 
-    def _ways(self, grant: _Grant, tokens: int) -> tuple[Callable[[_Grant, int], None], ...]:
+    def _ways(self, grant: Grant, tokens: int) -> tuple[Callable[[Grant, int], None], ...]:
         """Return what to try for more tokens, in order."""
         if not self.store_answers:
             return self._gather, self._borrow
@@ -346,29 +266,29 @@
         waited = 0.0 if waiting_since is None else self.clock() - waiting_since
         return waited < self.options.store_patience
 
-    def _nothing_free(self, grant: _Grant) -> bool:
+    def _nothing_free(self, grant: Grant) -> bool:
         """Whether the books said a moment ago that nothing is free."""
         fresh = self.clock() - grant.learnt_at < _NOTHING_FREE_SECONDS
         return fresh and grant.last.free <= 0
 
-    def _is_exhausted(self, grant: _Grant, tokens: int) -> bool:
+    def _is_exhausted(self, grant: Grant, tokens: int) -> bool:
         """Whether the budget can't cover a request, by what the books said just now."""
         if self.clock() - grant.learnt_at >= _NOTHING_FREE_SECONDS:
             return False
         return tokens > grant.last.left
 
-    def _short(self, grant: _Grant, tokens: int, draw: bool) -> bool:
+    def _short(self, grant: Grant, tokens: int, draw: bool) -> bool:
         """Whether a peer can't get tokens before the books know of it."""
         if grant.usable(self.clock()) >= tokens:
             return False
         return draw or grant.ledger.spendable >= tokens
 
-    def _draw(self, grant: _Grant, tokens: int) -> None:
+    def _draw(self, grant: Grant, tokens: int) -> None:
         if grant.ledger.closed:
             return
         self._send([self._order(grant, need=tokens)])
 
-    def _gather(self, grant: _Grant, tokens: int) -> None:
+    def _gather(self, grant: Grant, tokens: int) -> None:
         """Ask all peers for what they hold and may use."""
         for everything in (False, True):
             need = tokens - max(0, grant.usable(self.clock()))
@@ -376,14 +296,14 @@
                 return
             self._gather_round(grant, need, everything)
 
-    def _gather_round(self, grant: _Grant, need: int, everything: bool) -> None:
+    def _gather_round(self, grant: Grant, need: int, everything: bool) -> None:
         """Ask each peer for a part that suffices if most have it, or for all of it."""
         part = need if everything else -(-2 * need // max(1, self.spares.peers_asked()))
         budget, received = grant.ledger.budget, dict(grant.ledger.received)
         for giver, total in self.spares.gather(budget, min(need, part), 0, received):
             self.receive(budget, giver, total)
 
-    def _borrow(self, grant: _Grant, tokens: int) -> None:
+    def _borrow(self, grant: Grant, tokens: int) -> None:
         """Ask a peer that reaches the books to draw from them for this instance."""
         now = self.clock()
         need = tokens - max(0, grant.usable(now))
@@ -394,25 +314,22 @@
 
     # --- orders ------------------------------------------------------------------
 
-    def _due(self, grant: _Grant) -> bool:
+    def _due(self, grant: Grant) -> bool:
         if grant.ledger.closed:
             return False
         if grant.ledger.unreported or not grant.ledger.sequence:
             return True
         stated = grant.last is None or self._limit_version > grant.last.limit_version
-        return stated or self._overdrawn(grant)
+        return stated or grant.overdrawn()
 
-    def _overdrawn(self, grant: _Grant) -> bool:
-        return grant.last is not None and grant.last.free < 0 and grant.ledger.spendable > 0
-
-    def _order(self, grant: _Grant, need: int = 0, final: bool = False) -> DrawOrder:
+    def _order(self, grant: Grant, need: int = 0, final: bool = False) -> DrawOrder:
         ledger, now = grant.ledger, self.clock()
-        if self._overdrawn(grant):
+        if grant.overdrawn():
             ledger.give_back(min(ledger.spendable, -grant.last.free))
         want = int(grant.demand.rate(now) * self.options.horizon) + grant.largest
         short = max(0, need - ledger.spendable)
         wish = max(0, want - ledger.spendable - short)
-        schedule = self._schedule(grant, need, now)
+        schedule = grant.schedule(self.options, need, now, self.wall_clock())
         order = ledger.next_order(
             need=short,
             want=0 if self.stopping else wish,
@@ -425,23 +342,6 @@
         grant.guard.stated(order.sequence, schedule)
         return order
 
-    def _schedule(self, grant: _Grant, need: int, now: float) -> ReleaseSchedule:
-        rate = max(grant.demand.rate(now), grant.share_of_demand(now))
-        ahead = max(rate * self.options.release_seconds, grant.largest)
-        pace = rate * self.options.release_factor
-        if grant.last is not None and grant.last.holders:
-            # What is released and not used is lost with this run: the less is left, the
-            # less may be lost.
-            share = grant.last.left * grant.part_of_demand(now)
-            pace = min(pace, share / self.options.release_horizon)
-            ahead = min(ahead, share * self.options.release_part)
-        return ReleaseSchedule(
-            base=grant.ledger.used + max(need, int(ahead)),
-            rate=max(0.0, pace),
-            steady=now,
-            wall=self.wall_clock(),
-        )
-
     def _send(self, orders: list[DrawOrder]) -> Result[None, PlatformFailure]:
         return self.isolate(lambda: self._send_now(orders))
 
@@ -470,7 +370,7 @@
                 grant.guard.applied(answer.sequence)
 
 
-def _left_text(grant: _Grant, tokens: int) -> str:
+def _left_text(grant: Grant, tokens: int) -> str:
     return f"the request needs cover for {tokens} tokens, the budget has {grant.last.left} left"
 
 
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from whinrack.budgets._account import DrawOrder, DrawResult
+from whinrack.budgets._books import DrawOrder, DrawResult
 from whinrack.budgets._demand import DemandEstimate
 from whinrack.budgets._ledger import BudgetLedger, Cover
 from whinrack.exceptions import BudgetContended, BudgetExhausted, Refusal, WhinrackError
--- a/whinrack/budgets/_ledger.py
+++ b/whinrack/budgets/_ledger.py
@@ -2,7 +2,7 @@
 
 from returns.result import Failure, Result, Success
 
-from whinrack.budgets._account import DrawOrder, DrawResult
+from whinrack.budgets._books import DrawOrder, DrawResult
 from whinrack.exceptions import BudgetContended, Refusal
 
 __all__ = ["BudgetLedger", "Cover"]
--- /dev/null
+++ b/whinrack/budgets/_reading.py
@@ -0,0 +1,46 @@
+"""What the books say to a holder."""
+
+import msgspec
+
+from whinrack.budgets._books import AccountRow, BudgetAccount, DrawOrder, DrawResult
+
+__all__ = ["books_for", "draw_result", "read_books"]
+
+_NO_ROW = AccountRow()
+
+
+def read_books(account: BudgetAccount | None, budget: str, holder: str) -> DrawResult:
+    """Read what the books say of a budget, and of what a holder has of it."""
+    entry = account.budgets.get(budget) if account is not None else None
+    if entry is None:
+        return DrawResult()
+    row = entry.rows.get(holder, _NO_ROW)
+    return DrawResult(
+        sequence=row.sequence,
+        drawn=row.drawn,
+        closed=row.closed,
+        free=entry.free,
+        outstanding=entry.outstanding,
+        limit_version=entry.declared_version,
+        holders=sum(not row.closed for row in entry.rows.values()),
+    )
+
+
+def draw_result(account: BudgetAccount | None, order: DrawOrder) -> DrawResult:
+    """Read what the books say to the holder of an order."""
+    result = read_books(account, order.budget, order.holder)
+    if account is None or order.opening or order.budget not in account.budgets:
+        return result
+    if order.holder in account.budgets[order.budget].rows:
+        return result
+    return msgspec.structs.replace(result, closed=True)
+
+
+def books_for(
+    account: BudgetAccount | None, holder: str, orders: list[DrawOrder]
+) -> dict[str, DrawResult]:
+    """Read the state of every budget for a holder, after its orders were applied."""
+    names = account.budgets if account is not None else ()
+    books = {name: read_books(account, name, holder) for name in names}
+    books.update({order.budget: draw_result(account, order) for order in orders})
+    return books
