--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,6 +5,7 @@
 from benchmarks import (
     bench_budgets,
     bench_capacity,
+    bench_edge,
     bench_ejection,
     bench_fleet,
     bench_load,
@@ -18,6 +19,7 @@
     "fleet": bench_fleet,
     "load": bench_load,
     "capacity": bench_capacity,
+    "edge": bench_edge,
 }
 
 
--- /dev/null
+++ b/benchmarks/bench_edge.py
@@ -0,0 +1,119 @@
+"""Slopes of what the edge daemon does besides requests: heartbeats, books, choices."""
+
+import time
+
+import msgspec
+
+from benchmarks.report import report, section
+from whinrack.budgets import BudgetAccount, DrawOrder, ReleaseSchedule, apply_draws, books_for
+from whinrack.dispatch import TargetRecord, TargetRegistry
+from whinrack.gossip import Heartbeat, PeerAddress, PeerTable
+
+BUDGETS = 24
+HOLDERS = (8, 30, 87, 300)
+TARGETS = (9, 70, 300, 1200)
+ROUNDS = 200
+
+
+def _microseconds(function, rounds: int = ROUNDS) -> float:
+    began = time.process_time()
+    for _ in range(rounds):
+        function()
+    return (time.process_time() - began) / rounds * 1e6
+
+
+def _orders(holder: int, sequence: int) -> list[DrawOrder]:
+    return [
+        DrawOrder(
+            account="a",
+            budget=f"workspace-{budget}",
+            holder=f"instance-{holder}.0123456789",
+            sequence=sequence,
+            want=10,
+            billed=sequence,
+            opening=sequence == 1,
+            limit=10**9,
+            limit_version=1,
+            schedule=ReleaseSchedule(base=10**5, rate=1234.5, steady=1.5e5, wall=1.7e9),
+        )
+        for budget in range(BUDGETS)
+    ]
+
+
+def _books(holders: int) -> BudgetAccount:
+    account = None
+    for holder in range(holders):
+        account = apply_draws(account, _orders(holder, 1))
+    return account
+
+
+def measure_books() -> None:
+    """Report bytes and processor time of one write of the books, by holders."""
+    for holders in HOLDERS:
+        data = msgspec.json.encode(_books(holders))
+        decode = msgspec.json.Decoder(BudgetAccount).decode
+
+        def write(data=data, decode=decode):
+            account = decode(data)
+            orders = _orders(0, 2)
+            apply_draws(account, orders)
+            books_for(account, orders[0].holder, orders)
+            msgspec.json.encode(account)
+
+        report("books", len(data), "B", holders=holders, budgets=BUDGETS)
+        report("write_of_books", _microseconds(write, 20), "us", holders=holders)
+
+
+def measure_heartbeats() -> None:
+    """Report bytes of a heartbeat and the time to take one in, by peers."""
+    for peers in HOLDERS:
+        known = [
+            PeerAddress(f"instance-{n}", f"10.0.{n // 250}.{n % 250}", 7340) for n in range(peers)
+        ]
+        beat = Heartbeat(
+            incarnation="instance-1.0123456789",
+            sequence=1,
+            sender=known[1],
+            callers="10.0.0.1:8000",
+            data_hall="a",
+            ready=True,
+            store_answers=True,
+            load=5,
+            configuration=7,
+            peers=known,
+        )
+        encoded = msgspec.msgpack.encode(beat)
+        decode = msgspec.msgpack.Decoder(Heartbeat).decode
+        table_ = PeerTable("instance-0", 1.0, 60.0)
+        times = iter(range(10**9))
+
+        def take(encoded=encoded, decode=decode, table_=table_, times=times):
+            received = decode(encoded)
+            table_.heard(msgspec.structs.replace(received, sequence=next(times)), 0.0)
+
+        report("heartbeat", len(encoded), "B", peers=peers)
+        report("heartbeat_taken_in", _microseconds(take), "us", peers=peers)
+
+
+def measure_choice() -> None:
+    """Report the time to choose a target by prompt prefix, by targets."""
+    for count in TARGETS:
+        registry = TargetRegistry(seed=1)
+        registry.replace_all([TargetRecord(f"i-{n}", "p", "127.0.0.1", n) for n in range(count)])
+
+        def choose(registry=registry):
+            registry.choose("p", "prefix", (), 0.0)
+
+        report("choice_by_prefix", _microseconds(choose), "us", targets=count)
+
+
+def main() -> None:
+    """Run the benchmark."""
+    section("edge: books, heartbeats, choices")
+    measure_books()
+    measure_heartbeats()
+    measure_choice()
+
+
+if __name__ == "__main__":
+    main()
