Silent targets are set aside; a set-aside target is better than none; connections are shared out

Cause: a target that takes requests and never answers was never suspected, since callers left before the time was up; one that was set aside turned requests away where it was the last; the limit on connections to a target, which all instances share, was not kept.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -1,6 +1,7 @@
 """The pipeline: identify, route, cover, choose, attempt, relay, settle."""
 
 import random
+import sys
 import time
 from collections.abc import Callable, Iterator
 
@@ -42,6 +43,11 @@
 _SERVER_ERROR = 500
 _UNREACHED_TRIES = 4
 _BUSY_RETRY_SECONDS = 0.25
+# A target that says nothing for so long is suspected to hang.
+_SILENT_SECONDS = 1.5
+# Part of the connections that a target accepts which all instances together use.
+_CONNECTION_PART = 0.9
+_LEAST_IN_FLIGHT = 2
 # A target is told a little less time than is left, so that its own word can arrive.
 _TIMEOUT_MARGIN = 0.05
 
@@ -218,8 +224,11 @@
         """Send the request to one target and relay its answer."""
         pool = run.configuration.pools.get(pool_name)
         now = time.monotonic()
-        state = self.registry.choose(pool_name, run.affinity, run.tried, now)
-        if state is None or pool is None:
+        if pool is None:
+            raise _AttemptFailed(_no_target(), counts=False)
+        most = self._most_in_flight(pool)
+        state = self.registry.choose(pool_name, run.affinity, run.tried, now, most)
+        if state is None:
             raise _AttemptFailed(_no_target(), counts=False)
         run.tried.add(state.record.incarnation)
         run.target = state.record.incarnation
@@ -233,6 +242,13 @@
             if connection is not None:
                 self.connections.give_back(connection)
 
+    def _most_in_flight(self, pool: PoolRecord) -> int:
+        """Return this instance's share of the connections that one target accepts."""
+        if not pool.most_connections:
+            return sys.maxsize
+        share = _CONNECTION_PART * pool.most_connections / max(1, self.instances())
+        return max(_LEAST_IN_FLIGHT, int(share))
+
     def _connect(self, run: Run, state: TargetState) -> TargetConnection:
         try:
             return self.connections.take(state.address, run.end)
@@ -246,6 +262,7 @@
         run.attempts += 1
         may_have_run_before = run.may_have_run
         run.may_have_run = True
+        began, answered = time.monotonic(), False
         try:
             self._send(run, state, connection)
             head = connection.read_head(
@@ -254,15 +271,27 @@
             if self.dialect.did_not_run(head):
                 run.may_have_run = may_have_run_before
                 self._refused_by_target(state, head)
+            answered = True
             state.ejection.succeeded(time.monotonic())
             if run.route.kind is RouteKind.STREAM and head.status == _OK:
                 self._relay_stream(run, pool, connection, head)
             else:
                 self._relay_whole(run, pool, connection, head)
-        except (AnswerCut, AttemptTimeout) as failure:
-            if not isinstance(failure, AttemptTimeout):
-                state.ejection.failed(time.monotonic())
+        except AnswerCut as failure:
+            state.ejection.failed(time.monotonic())
+            raise _AttemptFailed(failure, counts=True) from failure
+        except AttemptTimeout as failure:
+            self._suspect_silence(state, began, answered)
             raise _AttemptFailed(failure, counts=True) from failure
+        except CallerGone:
+            self._suspect_silence(state, began, answered)
+            raise
+
+    def _suspect_silence(self, state: TargetState, began: float, answered: bool) -> None:
+        """Count a target that was silent for long as failing; short waits tell nothing."""
+        now = time.monotonic()
+        if not answered and now - began >= _SILENT_SECONDS:
+            state.ejection.failed(now)
 
     def _send(self, run: Run, state: TargetState, connection: TargetConnection) -> None:
         request = run.request
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+import sys
 from collections.abc import Collection
 
 from whinrack.base import rendezvous
@@ -109,10 +110,18 @@
         return list(self._pools.get(pool, {}).values())
 
     def choose(
-        self, pool: str, affinity: str, tried: Collection[str], now: float
+        self,
+        pool: str,
+        affinity: str,
+        tried: Collection[str],
+        now: float,
+        most_in_flight: int = sys.maxsize,
     ) -> TargetState | None:
         """Return the target for a request, None if no target takes work.
 
+        Targets that are set aside are chosen only where no other is left: a wrong
+        suspicion must not turn requests away.
+
         Parameters
         ----------
         affinity : str
@@ -120,12 +129,15 @@
             it; empty for none.
         tried : collection of str
             Incarnations that this request has been sent to.
+        most_in_flight : int
+            Requests that this instance may have at one target at once.
         """
-        states = [
+        open_ = [
             state
             for name, state in self._pools.get(pool, {}).items()
-            if name not in tried and state.takes_work(now)
+            if name not in tried and not state.leaving and state.in_flight < most_in_flight
         ]
+        states = [state for state in open_ if state.takes_work(now)] or open_
         if not states:
             return None
         rested = [state for state in states if state.busy_until <= now] or states
--- a/whinrack/dispatch/tests/test_decisions.py
+++ b/whinrack/dispatch/tests/test_decisions.py
@@ -135,6 +135,21 @@
     assert {choose(targets, now=1.5) for _ in range(40)} == {"a", "b"}
 
 
+def test_a_target_that_is_set_aside_is_better_than_none():
+    targets = registry("a")
+    for _ in range(3):
+        targets.of_pool("p")[0].ejection.failed(0.0)
+    assert choose(targets, now=0.1) == "a"
+
+
+def test_no_more_requests_go_to_a_target_than_its_connections_allow():
+    targets = registry("a", "b")
+    for _ in range(4):
+        targets.started(targets.choose("p", "", (), 0.0, 2))
+    assert [state.in_flight for state in targets.of_pool("p")] == [2, 2]
+    assert targets.choose("p", "", (), 0.0, 2) is None
+
+
 def test_a_full_target_rests_but_is_better_than_none():
     targets = registry("a")
     targets.busy(targets.of_pool("p")[0], 0.0)
