--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -21,6 +21,7 @@
     AnswerCut,
     AttemptTimeout,
     CallerGone,
+    InternalFailure,
     Refusal,
     RouterStopping,
     TargetFailed,
@@ -126,6 +127,11 @@
             self._serve(exchange, request)
         except Refusal as refusal:
             self._refuse(exchange, request, refusal)
+        except CallerGone:
+            raise
+        except Exception as error:
+            log_event(Event.REQUEST_FAILED, error=repr(error))
+            self._refuse(exchange, request, InternalFailure("whinrack failed"))
         finally:
             self.in_progress -= 1
             self.metrics.in_progress.set(self.in_progress)
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 import eventlet
-from returns.result import Failure, Success
+from returns.result import Failure
 
 from whinrack.base import new_incarnation
 from whinrack.budgets import RestartMoment
@@ -21,14 +21,14 @@
 )
 from whinrack.edge._answers import SmallAnswers
 from whinrack.edge._contact import StoreContact
+from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._membership import Membership
 from whinrack.edge._options import EdgeOptions
-from whinrack.edge._sources import ConfigurationReader, KindFollower, TargetReader
+from whinrack.edge._sources import ConfigurationReader, TargetReader
 from whinrack.edge._tokens import TokenExchange
-from whinrack.exceptions import InvalidObject
 from whinrack.http1 import ConnectionPool, HttpServer, ServerLimits
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
-from whinrack.store import MeteredStore, ObjectStore, StoredObject
+from whinrack.store import MeteredStore, ObjectStore
 
 __all__ = ["EdgeDaemon"]
 
@@ -38,8 +38,9 @@
 _KILL_MARGIN_SECONDS = 0.6
 # Callers may keep the answer where to go this many times as long as they were told.
 _STALE_ANSWERS = 3
-_FULL_EXIT = 0
+_EXIT_OK = 0
 _BOOKS_LOG_ROUNDS = 5
+_TASK_PAUSE_SECONDS = 0.5
 
 
 class EdgeDaemon:
@@ -73,8 +74,6 @@
     ):
         self.options = options
         self.dialect = dialect
-        self.configuration_reader = configuration_reader
-        self.target_reader = target_reader
         self.restart = restart
         self.reload = reload
         self.holder = new_incarnation(options.name)
@@ -91,9 +90,18 @@
             self.registry,
             lambda: self.dispatcher.in_progress,
             lambda: self.keeper.store_answers,
-            self._suspect_configuration,
+            lambda: self.knowledge.suspect_configuration(),
             lambda message, address: self.tokens.receive(message, address),
         )
+        self.knowledge = StoreKnowledge(
+            self.store,
+            self.contact,
+            configuration_reader,
+            target_reader,
+            self.directory,
+            self.registry,
+            options.watch_seconds,
+        )
         self.tokens = TokenExchange(
             options, self.holder, self.store, self.membership.link, self.membership.table
         )
@@ -115,7 +123,6 @@
             lambda refusal: dialect.refusal(refusal, None),
             self._limits,
         )
-        self._reading = False
         self._stopping = False
         self._reported_drops = 0
 
@@ -149,76 +156,14 @@
                 HttpServer(address, handle, lambda refusal: (refusal.status, [], b"")).start()
 
     def _start_tasks(self) -> None:
-        watch = self.options.watch_seconds
-        readers = (
-            (self.configuration_reader.kind, self._configuration_listed, self._configured),
-            (self.target_reader.kind, self._targets_listed, self._targets_changed),
-        )
-        for kind, listed, changed in readers:
-            probes = kind == self.configuration_reader.kind
-            follower = KindFollower(self.store, kind, listed, changed, self.contact, watch, probes)
-            eventlet.spawn_n(follower.run)
-        eventlet.spawn_n(self._renew_forever)
-
-    # --- configuration and targets -----------------------------------------------
+        for task in (*self.knowledge.tasks(), self._renew_forever, self.membership.beat_forever):
+            eventlet.spawn_n(_keep_running, task)
 
     def _in_force(self, configuration: Configuration) -> None:
         self.keeper.declare(configuration.version, configuration.limits_by_workspace)
         self.metrics.revision.set(configuration.version)
         log_event(Event.CONFIG_TAKEN, version=configuration.version)
 
-    def _configuration_listed(self, objects: tuple[StoredObject, ...]) -> None:
-        self._configured(objects)
-
-    def _configured(self, objects: tuple[StoredObject, ...]) -> None:
-        for stored in objects:
-            if stored.deleted or stored.name != self.configuration_reader.name:
-                continue
-            try:
-                self.directory.take(self.configuration_reader.read(stored))
-            except InvalidObject as error:
-                log_event(Event.CONFIG_INVALID, object=stored.name, error=error.message)
-
-    def _suspect_configuration(self) -> None:
-        """Read the configuration now: a peer has a newer one."""
-        if not self._reading:
-            self._reading = True
-            eventlet.spawn_n(self._read_configuration)
-
-    def _read_configuration(self) -> None:
-        reader = self.configuration_reader
-        try:
-            stored = self.store.get(reader.kind, reader.name)
-            if isinstance(stored, Success):
-                self._configured((stored.unwrap(),))
-            else:
-                eventlet.sleep(0.5)
-        finally:
-            self._reading = False
-
-    def _targets_listed(self, objects: tuple[StoredObject, ...]) -> None:
-        records = [record for record in map(self._target, objects) if record is not None]
-        for incarnation in self.registry.replace_all(records):
-            log_event(Event.TARGET_LEAVING, target=incarnation, source="list")
-
-    def _targets_changed(self, objects: tuple[StoredObject, ...]) -> None:
-        for stored in objects:
-            if self._target_changed(stored):
-                log_event(Event.TARGET_LEAVING, target=stored.name, source="watch")
-
-    def _target_changed(self, stored: StoredObject) -> bool:
-        if stored.deleted:
-            return self.registry.remove(stored.name)
-        record = self._target(stored)
-        return record is not None and self.registry.put(record)
-
-    def _target(self, stored: StoredObject):
-        try:
-            return self.target_reader.read(stored)
-        except InvalidObject as error:
-            log_event(Event.CONFIG_INVALID, object=stored.name, error=error.message)
-            return None
-
     def _contact_changed(self, answers: bool) -> None:
         log_event(Event.PLATFORM_BACK if answers else Event.PLATFORM_LOST)
         if answers:
@@ -279,7 +224,7 @@
         log_event(Event.ROUTER_STOPPED, in_progress=self.dispatcher.in_progress)
         self.output.pump()
         sys.stdout.flush()
-        os._exit(_FULL_EXIT)
+        os._exit(_EXIT_OK)
 
     # --- upkeep ------------------------------------------------------------------
 
@@ -304,5 +249,16 @@
             eventlet.sleep(_PUMP_SECONDS)
 
 
+def _keep_running(task: Callable[[], None]) -> None:
+    """Run a background task that should never end; one that fails begins anew."""
+    while True:
+        try:
+            task()
+            return
+        except Exception as error:
+            log_event(Event.TASK_FAILED, task=task.__qualname__, error=repr(error))
+            eventlet.sleep(_TASK_PAUSE_SECONDS)
+
+
 def _sleep_until(moment: float) -> None:
     eventlet.sleep(max(0.0, moment - time.monotonic()))
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -67,10 +67,9 @@
         return not self.stopping and self.directory.version > 0
 
     def start(self) -> None:
-        """Listen, and send the first heartbeat."""
+        """Listen for heartbeats."""
         self.link.start()
         self.table.add_addresses(self.options.seeds, time.monotonic())
-        eventlet.spawn_n(self._beat_forever)
 
     def beat(self) -> None:
         """Send a heartbeat to every address where a peer may be."""
@@ -106,7 +105,8 @@
         """Return the number of instances that look alive."""
         return self.table.live_count(time.monotonic())
 
-    def _beat_forever(self) -> None:
+    def beat_forever(self) -> None:
+        """Send heartbeats until the process ends."""
         while True:
             self.beat()
             eventlet.sleep(self.options.heartbeat_seconds)
