Orders of the older daemon travel by gRPC again

Cause: the codec took its fields from the structs, which have grown fields that the messages don't have. Ruled out: load (they failed alone too). A unit test of the codec failed before.

--- a/whinrack/peers/_codec.py
+++ b/whinrack/peers/_codec.py
@@ -24,8 +24,15 @@
 ]
 
 _MEMBER_FIELDS = Member.__struct_fields__
-_ORDER_FIELDS = tuple(name for name in DrawOrder.__struct_fields__ if name != "received")
-_RESULT_FIELDS = DrawResult.__struct_fields__
+# What short grants state with their orders travels by `whinrack.gossip`, not here.
+_ORDER_FIELDS = tuple(
+    name
+    for name in DrawOrder.__struct_fields__
+    if name in pb.Draw.DESCRIPTOR.fields_by_name and name != "received"
+)
+_RESULT_FIELDS = tuple(
+    name for name in DrawResult.__struct_fields__ if name in pb.DrawReply.DESCRIPTOR.fields_by_name
+)
 _CONSULTATIONS = {
     Consultation.CEDED: pb.CEDED,
     Consultation.HERE: pb.HERE,
