--- /dev/null
+++ b/whinrack/edge/tests/test_store_tasks.py
@@ -0,0 +1,95 @@
+"""Following the store, and waiting for it while it is away."""
+
+import eventlet
+from returns.result import Failure, Success
+
+from standins.memory_store import MemoryStore
+from whinrack.edge._contact import StoreContact
+from whinrack.edge._sources import KindFollower
+from whinrack.exceptions import PlatformUnavailable
+from whinrack.store import WatchBatch
+
+
+def follower(store, seen, probes=True, contact=None):
+    return KindFollower(
+        store,
+        "k",
+        lambda objects: seen.append(("listed", sorted(item.name for item in objects))),
+        lambda objects: seen.append(("changed", sorted(item.name for item in objects))),
+        contact or StoreContact(lambda answers: None),
+        watch_seconds=0.1,
+        probes=probes,
+    )
+
+
+def test_a_list_comes_first_and_then_the_changes():
+    store, seen = MemoryStore(), []
+    store.put("k", "a", b"1", 0)
+    following = follower(store, seen)
+    assert following.step()
+    store.put("k", "b", b"1", 0)
+    assert following.step()
+    assert following.step()
+    assert seen == [("listed", ["a"]), ("changed", ["b"])]
+
+
+def test_lost_history_means_a_new_list():
+    class Forgetful(MemoryStore):
+        def watch(self, kinds, since, wait):
+            return Success(WatchBatch(since, gap=True))
+
+    store, seen = Forgetful(), []
+    following = follower(store, seen)
+    for _ in range(3):
+        assert following.step()
+    assert seen == [("listed", []), ("listed", [])]
+
+
+def test_contact_tells_only_changes():
+    told = []
+    contact = StoreContact(told.append)
+    for answered in (True, False, False, True, True, False):
+        contact.report(answered)
+    assert told == [False, True, False]
+
+
+def test_who_waits_goes_on_as_soon_as_the_store_answers():
+    contact = StoreContact(lambda answers: None)
+    contact.report(False)
+    order = []
+
+    def wait(name):
+        contact.wait(60.0)
+        order.append(name)
+
+    for name in ("renewal", "follower"):
+        eventlet.spawn(wait, name)
+    eventlet.sleep(0)
+    assert order == []
+    contact.report(True)
+    eventlet.sleep(0.01)
+    assert sorted(order) == ["follower", "renewal"]
+
+
+def test_nobody_waits_while_the_store_answers():
+    contact = StoreContact(lambda answers: None)
+    contact.wait(60.0)
+
+
+def test_only_the_probing_task_calls_a_lost_store_again_and_again():
+    class Down(MemoryStore):
+        def list(self, kinds):
+            self.calls += 1
+            return Failure(PlatformUnavailable("down"))
+
+    contact = StoreContact(lambda answers: None)
+    probed, waiting = Down(), Down()
+    threads = [
+        eventlet.spawn(follower(probed, [], True, contact).run),
+        eventlet.spawn(follower(waiting, [], False, contact).run),
+    ]
+    while probed.calls < 5:
+        eventlet.sleep(0.01)
+    for thread in threads:
+        thread.kill()
+    assert waiting.calls == 1
--- /dev/null
+++ b/whinrack/gossip/tests/test_drawers.py
@@ -0,0 +1,78 @@
+"""Who writes the books, and what happens when the writer doesn't reply."""
+
+import eventlet
+import pytest
+from returns.result import Success
+
+from whinrack.budgets import BookSource, DrawOrder, DrawResult
+from whinrack.gossip import DrawReply, FleetDrawer, Heartbeat, PeerAddress, PeerTable
+
+ORDERS = [DrawOrder(account="a", budget="b", holder="m1.1", sequence=1, need=5)]
+
+
+class Books(BookSource):
+    def __init__(self):
+        self.written = []
+
+    def draw_books(self, orders):
+        self.written.append(orders)
+        return Success({"b": DrawResult(sequence=1, drawn=5)})
+
+
+class Link:
+    """Hands datagrams to the drawer at the other end, unless it is cut."""
+
+    def __init__(self):
+        self.sent = []
+        self.deliver = None
+
+    def send(self, message, address):
+        self.sent.append(message)
+        if self.deliver is not None:
+            eventlet.spawn_n(self.deliver, message)
+
+
+def beat(name, **changes):
+    fields = {"incarnation": f"{name}.1", "sequence": 1, "sender": PeerAddress(name, name, 1)}
+    fields |= {"callers": "", "data_hall": "", "ready": True, "store_answers": True}
+    return Heartbeat(**fields | {"load": 0, "configuration": 1} | changes)
+
+
+@pytest.fixture
+def world(monkeypatch):
+    """Two instances; the account's writer is the other one."""
+    monkeypatch.setattr("whinrack.gossip._drawers.time.monotonic", lambda: 0.0)
+    monkeypatch.setattr("whinrack.gossip._drawers.rendezvous", lambda key, names: sorted(names))
+    peers, link, books = PeerTable("m1", 1.0, 10.0), Link(), Books()
+    return FleetDrawer("m1", books, link, peers, patience=0.05), peers, link, books
+
+
+def test_the_writer_writes_for_the_others(world):
+    drawer, peers, link, books = world
+    peers.heard(beat("m0"), 0.0)
+    link.deliver = lambda request: drawer.replied(
+        DrawReply(request.question, {"b": DrawResult(drawn=9)})
+    )
+    assert drawer.draw_books(ORDERS).unwrap()["b"].drawn == 9
+    assert books.written == []
+
+
+def test_without_a_reply_an_instance_writes_by_itself_and_asks_another_for_a_while(world):
+    drawer, peers, link, books = world
+    peers.heard(beat("m0"), 0.0)
+    assert drawer.draw_books(ORDERS).unwrap()["b"].drawn == 5
+    drawer.draw_books(ORDERS)
+    assert (len(link.sent), len(books.written)) == (1, 2)
+
+
+@pytest.mark.parametrize("changes", [{"store_answers": False}, {"ready": False}])
+def test_an_instance_out_of_reach_or_stopping_is_no_writer(world, changes):
+    drawer, peers, link, _ = world
+    peers.heard(beat("m0", **changes), 0.0)
+    drawer.draw_books(ORDERS)
+    assert link.sent == []
+
+
+def test_a_late_reply_is_dropped(world):
+    drawer, *_ = world
+    drawer.replied(DrawReply(77, {}))
