--- a/whinrack/dispatch/_run.py
+++ b/whinrack/dispatch/_run.py
@@ -9,8 +9,6 @@
 
 __all__ = ["Run"]
 
-_MARGIN_EVENTS = 2
-
 
 class Run:
     """What is known of a request, and what happened to it so far.
--- a/whinrack/edge/_options.py
+++ b/whinrack/edge/_options.py
@@ -26,6 +26,19 @@
         Time from a stop's signal until the process is killed.
     retry_ratio, retry_slack, retry_window
         See `whinrack.dispatch.RetryAllowance`.
+    heartbeat_seconds, silent_seconds, forget_seconds : float
+        Between heartbeats; silence after which a peer counts as gone; silence after
+        which its address is no longer tried.
+    watch_seconds : float
+        How long one watch of the store is held.
+    renew_seconds : float
+        Between reports of what was used and new schedules.
+    gather_seconds, draw_seconds : float
+        Patience with peers that are asked for tokens, and with the writer of the books.
+    wall_margin_seconds : float
+        How far the time of day may have jumped between two runs.
+    log_lines_per_second : float
+        Lines beyond this are left out and counted.
     """
 
     name: str
