Take out state that nothing read

A connection kept whether it was fresh and whether bytes were sent, the pool counted what it opened and could forget an address, the directory kept when a version was taken: written and never read. No behaviour changes; the library's, the adapter's, boundary and catalogue tests pass.

--- a/whinrack/dispatch/_directory.py
+++ b/whinrack/dispatch/_directory.py
@@ -1,6 +1,5 @@
 """The configuration in force here; versions only rise."""
 
-import time
 from collections.abc import Callable
 
 from whinrack.dispatch._configuration import Configuration
@@ -23,7 +22,6 @@
 
     def __init__(self, changed: Callable[[Configuration], None]):
         self.changed = changed
-        self.taken_at = 0.0
         self._current: Configuration | None = None
 
     @property
@@ -52,6 +50,5 @@
         if configuration.version <= self.version:
             return False
         self._current = configuration
-        self.taken_at = time.monotonic()
         self.changed(configuration)
         return True
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -24,21 +24,11 @@
 
 
 class TargetConnection:
-    """One connection to a target, for one request at a time.
-
-    Attributes
-    ----------
-    sent : bool
-        Whether any byte of the present request may have reached the target.
-    fresh : bool
-        Whether no request was sent on it before the present one.
-    """
+    """One connection to a target, for one request at a time."""
 
     def __init__(self, address: tuple[str, int], sock):
         self.address = address
         self.sock = sock
-        self.sent = False
-        self.fresh = True
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         self.released_at = 0.0
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES)
@@ -61,7 +51,6 @@
 
     def send(self, request: RequestHead, body: bytes, end: float) -> None:
         """Send a whole request. A failure on the way shows when the answer is read."""
-        self.sent = False
         self._request = request
         headers = list(request.headers)
         if body or request.method not in (b"GET", b"HEAD", b"DELETE"):
@@ -71,7 +60,6 @@
             events.append(h11.Data(data=body))
         events.append(h11.EndOfMessage())
         data = b"".join(self._protocol.send(event) for event in events)
-        self.sent = True
         self.sock.settimeout(max(0.001, end - time.monotonic()))
         with contextlib.suppress(OSError):
             self.sock.sendall(data)
@@ -123,8 +111,6 @@
             # Closed by the target, or an answer that nobody asked for.
             return False
         self._protocol.start_next_cycle()
-        self.fresh = False
-        self.sent = False
         return True
 
     def close(self) -> None:
@@ -189,7 +175,6 @@
 
     def __init__(self, connect_seconds: float = _CONNECT_SECONDS):
         self.connect_seconds = connect_seconds
-        self.opened = 0
         self._idle: dict[tuple[str, int], list[TargetConnection]] = {}
 
     def take(self, address: tuple[str, int], end: float) -> TargetConnection:
@@ -205,7 +190,6 @@
             if connection.prepare_next():
                 return connection
             connection.close()
-        self.opened += 1
         left = min(self.connect_seconds, end - time.monotonic())
         return TargetConnection.open(address, max(0.01, left))
 
@@ -217,11 +201,6 @@
         connection.released_at = time.monotonic()
         self._idle.setdefault(connection.address, []).append(connection)
 
-    def forget(self, address: tuple[str, int]) -> None:
-        """Close the idle connections to a target that is gone."""
-        for connection in self._idle.pop(address, []):
-            connection.close()
-
 
 def _connect(address: tuple[str, int], seconds: float):
     sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
