Clocks checked by peers, reports through a planned stop, covers counted in full in the log

And a stopping instance reported nothing between the signal and its last order, for which 0.1 s was left.

Heartbeats carry the sender's time of day; where most peers, and two at least, agree within 0.25 s, schedules and restarts are marked as checked and the margin is 0.5 s. A stopping instance goes on reporting each second, its requests end at 0.84 of the stop's time and its last order closes its rows, open covers counted in full.

Ruled out: the steady clock (arbitrary after a loss of power), dates of the store (it sends none).

The delay stays as an option, 0 by default.

--- a/whinrack/budgets/__init__.py
+++ b/whinrack/budgets/__init__.py
@@ -15,8 +15,13 @@
 from whinrack.budgets._keeper import BudgetKeeper, SpareSource, SpareTotal, TokenSource
 from whinrack.budgets._ledger import BudgetLedger, Cover
 from whinrack.budgets._reading import books_for, draw_result, read_books
-from whinrack.budgets._release import release_earlier_runs, release_holder
-from whinrack.budgets._schedule import ReleaseGuard, ReleaseSchedule, RestartMoment
+from whinrack.budgets._release import ReleasedRow, release_earlier_runs, release_holder
+from whinrack.budgets._schedule import (
+    ReleaseGuard,
+    ReleaseSchedule,
+    RestartMoment,
+    WallReading,
+)
 
 __all__ = [
     "ACCOUNT_KIND",
@@ -35,10 +40,12 @@
     "GrantOptions",
     "ReleaseGuard",
     "ReleaseSchedule",
+    "ReleasedRow",
     "RestartMoment",
     "SpareSource",
     "SpareTotal",
     "TokenSource",
+    "WallReading",
     "account_name",
     "apply_draws",
     "apply_topups",
--- a/whinrack/budgets/_drawer.py
+++ b/whinrack/budgets/_drawer.py
@@ -8,7 +8,7 @@
 from whinrack.budgets._draws import apply_draws
 from whinrack.budgets._keeper import TokenSource
 from whinrack.budgets._reading import books_for, draw_result
-from whinrack.budgets._release import release_earlier_runs
+from whinrack.budgets._release import ReleasedRow, release_earlier_runs
 from whinrack.budgets._schedule import RestartMoment
 from whinrack.exceptions import PlatformFailure
 from whinrack.store import ObjectEditor, ObjectStore
@@ -86,11 +86,16 @@
 
     def release_earlier_runs(
         self, account: str, holder: str, restart: RestartMoment
-    ) -> Result[BudgetAccount, PlatformFailure]:
+    ) -> Result[list[ReleasedRow], PlatformFailure]:
         """Give back what earlier runs of the holder's instance can't have used."""
-        return self._editor.apply(
-            account, lambda value: release_earlier_runs(value, holder, restart)
-        )
+        rows: list[ReleasedRow] = []
+
+        def release(value: BudgetAccount | None) -> BudgetAccount | None:
+            # Called again with newer books after a conflict.
+            rows[:] = release_earlier_runs(value, holder, restart)
+            return value if rows else None
+
+        return self._editor.apply(account, release).map(lambda _: rows)
 
     def _write(self, account: str, orders: list[DrawOrder]):
         return self._editor.apply(account, lambda value: apply_draws(value, orders))
--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -7,7 +7,7 @@
 from whinrack.budgets._books import DrawResult
 from whinrack.budgets._demand import DemandEstimate
 from whinrack.budgets._ledger import BudgetLedger
-from whinrack.budgets._schedule import ReleaseGuard, ReleaseSchedule
+from whinrack.budgets._schedule import ReleaseGuard, ReleaseSchedule, WallReading
 
 __all__ = ["Grant", "GrantOptions"]
 
@@ -27,6 +27,9 @@
         Seconds of demand that a schedule releases at once, but at least one request.
     release_factor : float
         Rate of a schedule as a multiple of the demand.
+    release_delay : float
+        Seconds after which a schedule releases more than that; one that is stated anew
+        in time never gets there.
     release_part, release_horizon : float
         Bounds of both by what is left of the budget: the part of an equal share that is
         released at once, and the seconds in which all of it would be.
@@ -41,6 +44,7 @@
     horizon: float = 12.0
     release_seconds: float = 1.0
     release_factor: float = 1.4
+    release_delay: float = 0.0
     release_part: float = 0.05
     release_horizon: float = 15.0
     store_patience: float = 0.4
@@ -91,7 +95,7 @@
         return min(self.ledger.spendable, released)
 
     def schedule(
-        self, options: GrantOptions, need: int, now: float, wall: float
+        self, options: GrantOptions, need: int, now: float, wall: WallReading
     ) -> ReleaseSchedule:
         """Return what this run may use from now on: what is needed, and some ahead."""
         rate = max(self.demand.rate(now), self.share_of_demand(now))
@@ -108,7 +112,9 @@
             base=self.ledger.used + max(need, int(ahead)),
             rate=max(0.0, pace),
             steady=now,
-            wall=wall,
+            wall=wall.seconds,
+            wall_checked=wall.checked,
+            delay=options.release_delay,
         )
 
     def releases_idly(self, now: float) -> bool:
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -14,12 +14,13 @@
 
 from returns.result import Failure, Result, Success
 
-from whinrack.budgets._books import BudgetAccount, DrawOrder, DrawResult
+from whinrack.budgets._books import DrawOrder, DrawResult
 from whinrack.budgets._drawer import AccountDrawer, BookSource
 from whinrack.budgets._grant import Grant, GrantOptions
 from whinrack.budgets._keeper import SpareSource
 from whinrack.budgets._ledger import BudgetLedger, Cover
-from whinrack.budgets._schedule import RestartMoment
+from whinrack.budgets._release import ReleasedRow
+from whinrack.budgets._schedule import RestartMoment, WallReading
 from whinrack.exceptions import BudgetContended, BudgetExhausted, PlatformFailure, Refusal
 
 __all__ = ["GrantKeeper"]
@@ -28,6 +29,10 @@
 _NOTHING_FREE_SECONDS = 1.3
 
 
+def _unchecked_wall_clock() -> WallReading:
+    return WallReading(time.time())
+
+
 def _call(function: Callable) -> Result:
     return function()
 
@@ -56,8 +61,10 @@
     spares : SpareSource
         Asked when the books have nothing free or can't be reached.
     options : GrantOptions
-    clock, wall_clock, make_lock : callable, optional
+    clock, make_lock : callable, optional
         Replaced in tests.
+    wall_clock : callable, optional
+        Reads the time of day, and tells whether it was checked.
     isolate : callable, optional
         Runs an order to its end even if the request that waits for it is given up.
     """
@@ -71,7 +78,7 @@
         spares: SpareSource,
         options: GrantOptions,
         clock: Callable[[], float] = time.monotonic,
-        wall_clock: Callable[[], float] = time.time,
+        wall_clock: Callable[[], WallReading] = _unchecked_wall_clock,
         make_lock: Callable[[], AbstractContextManager] = nullcontext,
         isolate: Callable[[Callable], Result] = _call,
     ):
@@ -176,7 +183,7 @@
         Parameters
         ----------
         final : bool
-            No request is open any more: close the rows.
+            This run ends now: count open requests in full and close the rows.
         """
         self.stopping = True
         orders = []
@@ -184,23 +191,18 @@
             ledger = grant.ledger
             if not ledger.sequence or ledger.closed:
                 continue
-            ledger.give_back(ledger.spendable)
-            closes = final and not ledger.open_cover
-            orders.append(self._order(grant, final=closes))
+            if final:
+                ledger.write_off_open()
+            orders.append(self._order(grant, final=final))
             # From here on nothing is used, given or drawn any more.
-            ledger.closed = closes
+            ledger.closed = final
         return self._send(orders) if orders else Success(None)
 
-    def release_earlier_runs(self, restart: RestartMoment) -> Result[str, PlatformFailure]:
-        """Give back what earlier runs of this instance held and can't have used.
-
-        Returns
-        -------
-        str
-            The books that they were found in, for the log.
-        """
-        released = self.drawer.release_earlier_runs(self.account, self.holder, restart)
-        return released.map(_summary)
+    def release_earlier_runs(
+        self, restart: RestartMoment
+    ) -> Result[list[ReleasedRow], PlatformFailure]:
+        """Give back what earlier runs of this instance held and can't have used."""
+        return self.drawer.release_earlier_runs(self.account, self.holder, restart)
 
     def summary(self) -> str:
         """Return what is known of every budget, for the log."""
@@ -216,6 +218,8 @@
         """Return the unspent tokens by budget, for heartbeats and metrics."""
         return {name: grant.ledger.spendable for name, grant in self._grants.items()}
 
+
+
     def last_known(self, budget: str) -> DrawResult | None:
         """Return the books' state when they answered last, for logs."""
         grant = self._grants.get(budget)
@@ -319,6 +323,8 @@
     def _due(self, grant: Grant) -> bool:
         if grant.ledger.closed:
             return False
+        if self.stopping and grant.ledger.spendable > 0:
+            return True
         if grant.ledger.unreported or not grant.ledger.sequence:
             return True
         if grant.last is None or self._limit_version > grant.last.limit_version:
@@ -327,7 +333,9 @@
 
     def _order(self, grant: Grant, need: int = 0, final: bool = False) -> DrawOrder:
         ledger, now = grant.ledger, self.clock()
-        if grant.overdrawn():
+        if self.stopping:
+            ledger.give_back(ledger.spendable - need)
+        elif grant.overdrawn():
             ledger.give_back(min(ledger.spendable, -grant.last.free))
         want = int(grant.demand.rate(now) * self.options.horizon) + grant.largest
         short = max(0, need - ledger.spendable)
@@ -375,13 +383,3 @@
 
 def _left_text(grant: Grant, tokens: int) -> str:
     return f"the request needs cover for {tokens} tokens, the budget has {grant.last.left} left"
-
-
-def _summary(account: BudgetAccount | None) -> str:
-    """Tell limit, billed, unproven, free and held tokens of every budget."""
-    if account is None:
-        return "no books"
-    return " ".join(
-        f"{name}:{entry.limit}/{entry.billed}/{entry.unproven}/{entry.free}/{entry.outstanding}"
-        for name, entry in account.budgets.items()
-    )
--- a/whinrack/budgets/_ledger.py
+++ b/whinrack/budgets/_ledger.py
@@ -70,6 +70,7 @@
         self.open_cover = 0
         self.sequence = 0
         self.closed = False
+        self._open_written_off = False
         self._reported: tuple | None = None
 
     @property
@@ -92,10 +93,18 @@
 
     def close(self, cover: int, billed: int, unproven: int) -> None:
         """End a cover; what is neither billed nor unproven can be spent again."""
+        if self._open_written_off:
+            return
         self.open_cover -= cover
         self.billed += billed
         self.unproven += unproven
 
+    def write_off_open(self) -> None:
+        """Count all open covers in full: their requests end with this run."""
+        self.unproven += self.open_cover
+        self.open_cover = 0
+        self._open_written_off = True
+
     @property
     def used(self) -> int:
         """Tokens that are gone from here or promised, less those that peers gave."""
--- a/whinrack/budgets/_release.py
+++ b/whinrack/budgets/_release.py
@@ -1,10 +1,31 @@
 """Gives back what holders that are gone did not use."""
 
+import msgspec
+
 from whinrack.base import instance_of
 from whinrack.budgets._books import AccountRow, BudgetAccount
 from whinrack.budgets._schedule import RestartMoment
 
-__all__ = ["release_earlier_runs", "release_holder"]
+__all__ = ["ReleasedRow", "release_earlier_runs", "release_holder"]
+
+
+class ReleasedRow(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of the tokens that an earlier run held of one budget.
+
+    Attributes
+    ----------
+    written_off : int
+        Tokens that the run may have spent without a report.
+    freed : int
+        Tokens that it can't have spent.
+    seconds : float
+        Time from the run's last schedule to the restart, the margin included.
+    """
+
+    budget: str
+    written_off: int
+    freed: int
+    seconds: float
 
 
 def release_holder(
@@ -36,7 +57,7 @@
 
 def release_earlier_runs(
     account: BudgetAccount | None, holder: str, restart: RestartMoment
-) -> BudgetAccount | None:
+) -> list[ReleasedRow]:
     """Close the rows of earlier runs of the holder's instance; their unused tokens are free.
 
     Parameters
@@ -46,31 +67,35 @@
     restart : RestartMoment
         When the present run started.
 
+    Returns
+    -------
+    list of ReleasedRow
+        Empty if there was nothing to close.
+
     Notes
     -----
     An earlier run kept to its schedule, so what it used is bounded by that at the
     moment of the restart. The rest comes back.
     """
     if account is None:
-        return None
-    released = [
-        _release_row(entry.rows[name], restart)
-        for entry in account.budgets.values()
-        for name in list(entry.rows)
-        if name != holder and instance_of(name) == instance_of(holder)
+        return []
+    return [
+        _release_row(budget, row, restart)
+        for budget, entry in account.budgets.items()
+        for name, row in entry.rows.items()
+        if not row.closed and name != holder and instance_of(name) == instance_of(holder)
     ]
-    return account if any(released) else None
 
 
-def _release_row(row: AccountRow, restart: RestartMoment) -> bool:
-    if row.closed:
-        return False
+def _release_row(budget: str, row: AccountRow, restart: RestartMoment) -> ReleasedRow:
     accounted = row.billed + row.unproven + row.moved_out
-    used = row.outstanding
+    used, seconds = row.outstanding, 0.0
     if row.schedule is not None:
-        most = restart.most_used(row.schedule) + sum(row.received.values())
+        seconds = restart.seconds_since(row.schedule)
+        most = row.schedule.most_used(seconds) + sum(row.received.values())
         used = max(0, min(used, most - accounted))
     row.unproven += used
-    row.returned += row.outstanding
+    freed = row.outstanding
+    row.returned += freed
     row.closed = row.released = True
-    return True
+    return ReleasedRow(budget=budget, written_off=used, freed=freed, seconds=seconds)
--- a/whinrack/budgets/_schedule.py
+++ b/whinrack/budgets/_schedule.py
@@ -3,20 +3,38 @@
 A holder that dies leaves no word on what it spent last. But it has stated a schedule in
 the books: a base, and a rate at which more is released as time goes by. The next run of
 the same instance knows when it started itself, so it knows the most that the earlier run
-can have used, and gives the rest back.
+can have used, and gives the rest back. A schedule is stated anew about every second
+while the store answers; the rate matters once it doesn't, so it sets in after a delay.
 """
 
 import math
 
 import msgspec
 
-__all__ = ["ReleaseGuard", "ReleaseSchedule", "RestartMoment"]
+__all__ = ["ReleaseGuard", "ReleaseSchedule", "RestartMoment", "WallReading"]
 
 _SAME_BOOT_SECONDS = 0.25
+# How far two readings of checked clocks may be wrong together, seconds.
+_CHECKED_MARGIN = 0.5
+
+
+class WallReading(msgspec.Struct, frozen=True):
+    """A machine's time of day.
+
+    Attributes
+    ----------
+    seconds : float
+        Since the epoch.
+    checked : bool
+        Most peers had nearly the same time of day just then, so it has not jumped.
+    """
+
+    seconds: float
+    checked: bool = False
 
 
 class ReleaseSchedule(msgspec.Struct, frozen=True):
-    """A promise to use at most `base + rate * (time - steady)` tokens by any time.
+    """A promise to use at most `base + rate * (time - steady - delay)` tokens by any time.
 
     Used are the tokens billed, unproven, covering open requests and given to peers,
     less those received from peers.
@@ -31,16 +49,22 @@
         Steady clock of the machine, seconds, when the schedule was made.
     wall : float
         The machine's time of day then, seconds since the epoch.
+    wall_checked : bool
+        Whether most peers agreed with that time of day.
+    delay : float
+        Seconds after which the rate sets in; until then only the base may be used.
     """
 
     base: int
     rate: float
     steady: float
     wall: float
+    wall_checked: bool = False
+    delay: float = 0.0
 
     def most_used(self, seconds: float) -> int:
         """Return the most that is used some seconds after the schedule was made."""
-        return self.base + math.ceil(self.rate * max(0.0, seconds))
+        return self.base + math.ceil(self.rate * max(0.0, seconds - self.delay))
 
 
 class RestartMoment(msgspec.Struct, frozen=True):
@@ -51,25 +75,31 @@
     steady, wall : float
         As in `ReleaseSchedule`.
     wall_margin : float
-        Seconds by which the time of day may have jumped.
+        Seconds by which a time of day that isn't checked may have jumped.
+    wall_checked : bool
+        Whether most peers agree with the time of day.
     """
 
     steady: float
     wall: float
     wall_margin: float
+    wall_checked: bool = False
 
     def most_used(self, schedule: ReleaseSchedule) -> int:
         """Return the most that an earlier run can have used of its grant."""
-        return schedule.most_used(self._seconds_since(schedule))
+        return schedule.most_used(self.seconds_since(schedule))
 
-    def _seconds_since(self, schedule: ReleaseSchedule) -> float:
+    def seconds_since(self, schedule: ReleaseSchedule) -> float:
+        """Return the longest time that an earlier run can have used its schedule for."""
         by_steady = self.steady - schedule.steady
         by_wall = self.wall - schedule.wall
         if abs(by_steady - by_wall) <= _SAME_BOOT_SECONDS and by_steady >= 0:
             return by_steady
         # The machine lost power, and its steady clock began anew; or the time of day
         # jumped. In both cases the time of day tells, within the margin.
-        return max(by_wall, 0.0) + self.wall_margin
+        checked = self.wall_checked and schedule.wall_checked
+        margin = _CHECKED_MARGIN if checked else self.wall_margin
+        return max(by_wall, 0.0) + margin
 
 
 class ReleaseGuard:
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -151,10 +151,10 @@
             raise
         finally:
             # Whatever was not settled by a known end.
-            if run.may_have_run:
-                run.settle_unknown()
-            else:
+            if not run.may_have_run:
                 run.settle_not_run()
+            elif run.settle_unknown():
+                self._log(Event.COVER_COUNTED, run, tokens=run.cover.tokens)
 
     def _cover(self, run: Run) -> None:
         declared = run.request.cover
--- a/whinrack/dispatch/_run.py
+++ b/whinrack/dispatch/_run.py
@@ -93,7 +93,14 @@
             made += declared.output
         self.cover.settle(min(declared.total, declared.prompt + made))
 
-    def settle_unknown(self) -> None:
-        """Count the whole cover: nobody knows how much was handed out."""
-        if self.cover is not None:
-            self.cover.settle(0, unproven=self.cover.tokens)
+    def settle_unknown(self) -> bool:
+        """Count the whole cover: nobody knows how much was handed out.
+
+        Returns
+        -------
+        bool
+            False if there was no cover, or it was settled by a known end.
+        """
+        if self.cover is None:
+            return False
+        return self.cover.settle(0, unproven=self.cover.tokens)
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable
 
 import eventlet
-from returns.result import Failure
+import msgspec
+from returns.result import Failure, Result
 
 from whinrack.base import new_incarnation
-from whinrack.budgets import RestartMoment
+from whinrack.budgets import ReleasedRow, RestartMoment
 from whinrack.dispatch import (
     Configuration,
     Dialect,
@@ -26,6 +27,7 @@
 from whinrack.edge._options import EdgeOptions
 from whinrack.edge._sources import ConfigurationReader, TargetReader
 from whinrack.edge._tokens import TokenExchange
+from whinrack.exceptions import PlatformFailure
 from whinrack.http1 import ConnectionPool, HttpServer, ServerLimits
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
 from whinrack.store import MeteredStore, ObjectStore
@@ -35,12 +37,18 @@
 _STDOUT = 1
 _POLL_SECONDS = 0.05
 _PUMP_SECONDS = 0.1
-_KILL_MARGIN_SECONDS = 0.6
+_KILL_MARGIN_SECONDS = 0.4
+# Part of a stop's time in which requests are finished; the rest is for the last orders.
+_SERVING_PART_OF_STOP = 0.84
 # Callers may keep the answer where to go this many times as long as they were told.
 _STALE_ANSWERS = 3
 _EXIT_OK = 0
 _BOOKS_LOG_ROUNDS = 5
 _TASK_PAUSE_SECONDS = 0.5
+# For so long the peers' clocks are waited for after a start.
+_CLOCK_CHECK_SECONDS = 1.0
+# A larger difference between the clocks' progress is a jump of the time of day.
+_CLOCK_JUMP_SECONDS = 0.25
 
 
 class EdgeDaemon:
@@ -103,7 +111,12 @@
             options.watch_seconds,
         )
         self.tokens = TokenExchange(
-            options, self.holder, self.store, self.membership.link, self.membership.table
+            options,
+            self.holder,
+            self.store,
+            self.membership.link,
+            self.membership.table,
+            self.membership.wall_clock,
         )
         self.keeper = self.tokens.keeper
         self.dispatcher = Dispatcher(
@@ -124,6 +137,7 @@
             self._limits,
         )
         self._stopping = False
+        self._stopped = False
         self._reported_drops = 0
 
     def run(self) -> int:
@@ -156,7 +170,13 @@
                 HttpServer(address, handle, lambda refusal: (refusal.status, [], b"")).start()
 
     def _start_tasks(self) -> None:
-        for task in (*self.knowledge.tasks(), self._renew_forever, self.membership.beat_forever):
+        tasks = (
+            *self.knowledge.tasks(),
+            self._release_earlier_runs,
+            self._renew_forever,
+            self.membership.beat_forever,
+        )
+        for task in tasks:
             eventlet.spawn_n(_keep_running, task)
 
     def _in_force(self, configuration: Configuration) -> None:
@@ -172,10 +192,8 @@
     # --- tokens ------------------------------------------------------------------
 
     def _renew_forever(self) -> None:
-        released, rounds = False, 0
-        while not self._stopping:
-            if not released:
-                released = self._release_earlier_runs()
+        rounds = 0
+        while not self._stopped:
             if isinstance(self.keeper.renew(), Failure):
                 self.contact.report(False)
             rounds += 1
@@ -186,12 +204,35 @@
             eventlet.sleep(self.options.renew_seconds)
             self.contact.wait(self.options.renew_seconds)
 
-    def _release_earlier_runs(self) -> bool:
-        result = self.keeper.release_earlier_runs(self.restart)
+    def _release_earlier_runs(self) -> None:
+        """Give back what earlier runs can't have used, once the clock is judged."""
+        while not self._clock_is_judged():
+            eventlet.sleep(_POLL_SECONDS)
+        while isinstance(rows := self._try_release(), Failure):
+            eventlet.sleep(_POLL_SECONDS)
+            self.contact.wait(self.options.renew_seconds)
+        text = " ".join(
+            f"{row.budget}:{row.written_off}/{row.freed}@{row.seconds:.1f}" for row in rows.unwrap()
+        )
+        log_event(Event.EARLIER_RUNS_RELEASED, instance=self.options.name, rows=text)
+
+    def _clock_is_judged(self) -> bool:
+        """Whether the peers have checked the time of day, or have had time enough to."""
+        waited = time.monotonic() - self.restart.steady
+        return waited >= _CLOCK_CHECK_SECONDS or self.membership.wall_clock().checked
+
+    def _checked_restart(self) -> RestartMoment:
+        """Return the moment of the restart, with what the peers say of its clock."""
+        now = self.membership.wall_clock()
+        jumped = (now.seconds - self.restart.wall) - (time.monotonic() - self.restart.steady)
+        checked = now.checked and abs(jumped) <= _CLOCK_JUMP_SECONDS
+        return msgspec.structs.replace(self.restart, wall_checked=checked)
+
+    def _try_release(self) -> Result[list[ReleasedRow], PlatformFailure]:
+        result = self.keeper.release_earlier_runs(self._checked_restart())
         if isinstance(result, Failure):
-            return False
-        log_event(Event.EARLIER_RUNS_RELEASED, instance=self.options.name, books=result.unwrap())
-        return True
+            self.contact.report(False)
+        return result
 
     # --- signals -----------------------------------------------------------------
 
@@ -210,13 +251,15 @@
         self.front.closing = True
         # Until callers have asked anew where to go, new requests are served as before.
         known_until = signalled + min(3.0, self.options.answer_seconds * _STALE_ANSWERS)
+        end = signalled + self.options.stop_seconds * _SERVING_PART_OF_STOP
         kill_at = signalled + self.options.stop_seconds - _KILL_MARGIN_SECONDS
         eventlet.spawn_n(self.keeper.drain, False)
         _sleep_until(known_until)
         self.dispatcher.refusing = True
         self.front.close_idle()
-        while self.dispatcher.in_progress and time.monotonic() < kill_at:
+        while self.dispatcher.in_progress and time.monotonic() < end:
             eventlet.sleep(_POLL_SECONDS)
+        self._stopped = True
         self.front.stop_listening()
         self.tokens.tell_given()
         with eventlet.Timeout(max(0.1, kill_at - time.monotonic()), False):
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -5,9 +5,10 @@
 
 import eventlet
 
+from whinrack.budgets import WallReading
 from whinrack.dispatch import Directory, TargetRegistry
 from whinrack.edge._options import EdgeOptions
-from whinrack.gossip import GossipLink, Heartbeat, Message, PeerAddress, PeerTable
+from whinrack.gossip import ClockCheck, GossipLink, Heartbeat, Message, PeerAddress, PeerTable
 from whinrack.observability import Event, log_event
 
 __all__ = ["Membership"]
@@ -56,6 +57,7 @@
         self.other_message = other_message
         self.stopping = False
         self.table = PeerTable(options.name, options.silent_seconds, options.forget_seconds)
+        self.clocks = ClockCheck()
         self.link = GossipLink(options.gossip, self._receive)
         self._callers = f"{options.callers[0]}:{options.callers[1]}"
         self._sequence = 0
@@ -86,6 +88,7 @@
             store_answers=self.store_answers(),
             load=self.load(),
             configuration=self.directory.version,
+            wall=time.time(),
             leaving=self.registry.leaving()[-_MOST_LEAVING:],
             peers=self.table.addresses(now),
         )
@@ -105,6 +108,11 @@
         """Return the number of instances that look alive."""
         return self.table.live_count(time.monotonic())
 
+    def wall_clock(self) -> WallReading:
+        """Return the time of day, checked by that of the peers."""
+        seconds = time.time()
+        return WallReading(seconds, self.clocks.agrees(seconds, time.monotonic()))
+
     def beat_forever(self) -> None:
         """Send heartbeats until the process ends."""
         while True:
@@ -118,6 +126,7 @@
             self.other_message(message, address)
 
     def _heard(self, beat: Heartbeat) -> None:
+        self.clocks.heard(beat.sender.name, beat.wall, time.monotonic())
         if self.table.heard(beat, time.monotonic()):
             # Answer at once, so that a peer that has just started knows this one.
             self.beat()
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -6,7 +6,7 @@
 import eventlet
 from eventlet.semaphore import Semaphore
 
-from whinrack.budgets import AccountDrawer, GrantKeeper, GrantOptions
+from whinrack.budgets import AccountDrawer, GrantKeeper, GrantOptions, WallReading
 from whinrack.edge._options import EdgeOptions
 from whinrack.gossip import (
     DrawReply,
@@ -37,6 +37,8 @@
     store : ObjectStore
     link : GossipLink
     peers : PeerTable
+    wall_clock : callable
+        Reads the time of day.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         store: ObjectStore,
         link: GossipLink,
         peers: PeerTable,
+        wall_clock: Callable[[], WallReading],
     ):
         self.holder = holder
         self.link = link
@@ -60,6 +63,7 @@
             self.fleet,
             self.spares,
             GrantOptions(),
+            wall_clock=wall_clock,
             make_lock=Semaphore,
             isolate=_isolate,
         )
--- a/whinrack/gossip/__init__.py
+++ b/whinrack/gossip/__init__.py
@@ -1,5 +1,6 @@
 """Datagrams between instances: who is there, who is leaving, and spare tokens."""
 
+from whinrack.gossip._clocks import ClockCheck
 from whinrack.gossip._drawers import FleetDrawer
 from whinrack.gossip._link import GossipLink
 from whinrack.gossip._messages import (
@@ -15,6 +16,7 @@
 from whinrack.gossip._spares import PeerSpares
 
 __all__ = [
+    "ClockCheck",
     "DrawReply",
     "DrawRequest",
     "FleetDrawer",
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -44,6 +44,8 @@
         Requests in progress.
     configuration : int
         Version in force, 0 if none is known.
+    wall : float
+        The sender's time of day, seconds since the epoch.
     leaving : list of str
         Incarnations of targets that are known to be leaving.
     peers : list of PeerAddress
@@ -59,6 +61,7 @@
     store_answers: bool
     load: int
     configuration: int
+    wall: float = 0.0
     leaving: list[str] = []
     peers: list[PeerAddress] = []
 
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -46,7 +46,7 @@
     GRANT_CLOSED = (6001, "ERROR", "this incarnation's grant was released by an operator")
     BILL_UNCONFIRMED = (6002, "WARNING", "answer ended before its bill was kept")
     POLICY_FAILED = (6003, "WARNING", "routing program failed, the default applies")
-    EARLIER_RUNS_RELEASED = (6004, "INFO", "unused tokens of earlier runs given back")
+    EARLIER_RUNS_RELEASED = (6004, "INFO", "earlier runs: written off/freed @seconds used at most")
     BOOKS_KNOWN = (6005, "INFO", "budgets: spendable/usable here/free/held by all @age in seconds")
 
     REQUEST_ANSWERED = (7001, "INFO", "a target's answer was passed on whole")
@@ -55,6 +55,7 @@
     CALLER_LEFT = (7004, "INFO", "caller left before its answer was whole")
     ATTEMPT_FAILED = (7005, "WARNING", "an attempt at a target failed")
     COVER_REFUSED = (7006, "INFO", "tokens of a request could not be set aside")
+    COVER_COUNTED = (7007, "INFO", "end of a request's run is unknown, its cover counts in full")
 
     def __init__(self, number: int, level: str, text: str):
         self.number = number
