--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -72,6 +72,11 @@
         """Return the live peers to which callers may be sent."""
         return [view for view in self.live(now) if view.beat.ready]
 
+    def with_store(self, now: float) -> list[PeerView]:
+        """Return the live peers that reach the store; stopping ones only if no others do."""
+        reaching = [view for view in self.live(now) if view.beat.store_answers]
+        return [view for view in reaching if view.beat.ready] or reaching
+
     def targets(self, now: float) -> list[tuple[str, int]]:
         """Return the addresses to send heartbeats to."""
         for address, seen in list(self._addresses.items()):
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -71,11 +71,8 @@
         self, budget: str, need: int, wish: int, received: dict[str, int]
     ) -> list[SpareTotal]:
         """Ask one peer that reaches the store to draw what is needed."""
-        views = {
-            view.beat.sender.name: view
-            for view in self.peers.live(time.monotonic())
-            if view.beat.store_answers and view.beat.ready
-        }
+        reaching = self.peers.with_store(time.monotonic())
+        views = {view.beat.sender.name: view for view in reaching}
         if not views:
             return []
         lender = rendezvous(f"{self.holder}/{budget}", views)[0]
