Requests that wait for the same budget are covered together

Cause: requests that wait for more tokens of a budget took turns, each with an order or a loan of its own, though what the first brought would often have sufficed: with a slow store 0.4 s each. A waiting request now tries again first when its turn comes, orders and loans include what waits behind them, and a lender gets 0.6 s to reply, since it may have to write to a slow store.

--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -65,6 +65,8 @@
         self.last: DrawResult | None = None
         self.learnt_at = float("-inf")
         self.largest = 0
+        # Tokens of requests that wait for others to be covered.
+        self.waiting = 0
         self.stated_at = float("-inf")
 
     def learn(self, books: DrawResult, asked: float) -> None:
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -117,8 +117,7 @@
         grant.largest = max(grant.largest, tokens)
         cover = self._open(grant, tokens)
         if isinstance(cover, Failure):
-            with grant.lock:
-                cover = self._refill(grant, tokens)
+            cover = self._wait_and_refill(grant, tokens)
         if isinstance(cover, Success):
             # Refused requests come again, so they would count more than once.
             grant.demand.record(tokens, self.clock())
@@ -243,6 +242,16 @@
             )
         return grant.ledger.open(tokens)
 
+    def _wait_and_refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
+        """Wait for requests that came before; what they brought may suffice for this one."""
+        grant.waiting += tokens
+        with grant.lock:
+            grant.waiting -= tokens
+            cover = self._open(grant, tokens)
+            if isinstance(cover, Success):
+                return cover
+            return self._refill(grant, tokens)
+
     def _refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
         for ask in self._ways(grant, tokens):
             ask(grant, tokens)
@@ -311,7 +320,8 @@
         """Ask a peer that reaches the books to draw from them for this instance."""
         now = self.clock()
         need = tokens - max(0, grant.usable(now))
-        wish = int(grant.demand.rate(now) * self.options.loan_seconds)
+        ahead = int(grant.demand.rate(now) * self.options.loan_seconds)
+        wish = max(ahead, grant.largest) + grant.waiting
         budget, received = grant.ledger.budget, dict(grant.ledger.received)
         for giver, total in self.spares.borrow(budget, need, wish, received):
             self.receive(budget, giver, total)
@@ -335,10 +345,11 @@
             ledger.give_back(ledger.spendable - need)
         elif grant.overdrawn():
             ledger.give_back(min(ledger.spendable, -grant.last.free))
-        want = int(grant.demand.rate(now) * self.options.horizon) + grant.largest
+        ahead = int(grant.demand.rate(now) * self.options.horizon)
+        want = ahead + grant.largest + grant.waiting
         short = max(0, need - ledger.spendable)
         wish = max(0, want - ledger.spendable - short)
-        schedule = grant.schedule(self.options, need, now, self.wall_clock())
+        schedule = grant.schedule(self.options, need + grant.waiting, now, self.wall_clock())
         order = ledger.next_order(
             need=short,
             want=0 if self.stopping else wish,
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -16,7 +16,7 @@
 __all__ = ["PeerSpares"]
 
 # A lender has to write to the store before it replies.
-_BORROW_FACTOR = 4
+_BORROW_FACTOR = 10
 
 
 class _Question:
