A request waits 0.7 s at most for an order of its own

Cause: when the store falls silent, the request that has just sent an order waited for the call's time-out, and all requests of the same budget behind it. It goes on to the peers after 0.7 s now; the order runs to its end and its outcome is learnt. A test with a silent store failed before.

--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -35,6 +35,8 @@
         released at once, and the seconds in which all of it would be.
     store_patience : float
         Seconds without a reply after which the books count as out of reach.
+    draw_patience : float
+        Seconds that a request waits for an order of its own.
     retry_after : float
         Seconds after which a caller should come back when tokens are held elsewhere.
     loan_seconds : float
@@ -48,6 +50,7 @@
     release_part: float = 0.1
     release_horizon: float = 15.0
     store_patience: float = 0.4
+    draw_patience: float = 0.7
     retry_after: float = 0.4
     loan_seconds: float = 2.0
 
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -21,7 +21,13 @@
 from whinrack.budgets._ledger import BudgetLedger, Cover
 from whinrack.budgets._release import ReleasedRow
 from whinrack.budgets._schedule import RestartMoment, WallReading
-from whinrack.exceptions import BudgetContended, BudgetExhausted, PlatformFailure, Refusal
+from whinrack.exceptions import (
+    BudgetContended,
+    BudgetExhausted,
+    PlatformFailure,
+    PlatformUnavailable,
+    Refusal,
+)
 
 __all__ = ["GrantKeeper"]
 
@@ -33,7 +39,7 @@
     return WallReading(time.time())
 
 
-def _call(function: Callable) -> Result:
+def _call(function: Callable, seconds: float | None) -> Result:
     return function()
 
 
@@ -66,7 +72,8 @@
     wall_clock : callable, optional
         Reads the time of day, and tells whether it was checked.
     isolate : callable, optional
-        Runs an order to its end even if the request that waits for it is given up.
+        Runs a function to its end even if its caller is given up, and returns what it
+        returns; None if that takes longer than the given seconds, None for any time.
     """
 
     def __init__(
@@ -80,7 +87,7 @@
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], WallReading] = _unchecked_wall_clock,
         make_lock: Callable[[], AbstractContextManager] = nullcontext,
-        isolate: Callable[[Callable], Result] = _call,
+        isolate: Callable[[Callable, float | None], Result | None] = _call,
     ):
         self.holder = holder
         self.account = account
@@ -299,7 +306,9 @@
     def _draw(self, grant: Grant, tokens: int) -> None:
         if grant.ledger.closed:
             return
-        self._send([self._order(grant, need=tokens)])
+        # A request doesn't wait for an order that a silent store holds up; peers may
+        # have what it needs. The order's outcome is learnt whenever it comes.
+        self._send([self._order(grant, need=tokens)], self.options.draw_patience)
 
     def _gather(self, grant: Grant, tokens: int) -> None:
         """Ask all peers for what they hold and may use."""
@@ -362,8 +371,13 @@
         grant.guard.stated(order.sequence, schedule)
         return order
 
-    def _send(self, orders: list[DrawOrder]) -> Result[None, PlatformFailure]:
-        return self.isolate(lambda: self._send_now(orders))
+    def _send(
+        self, orders: list[DrawOrder], seconds: float | None = None
+    ) -> Result[None, PlatformFailure]:
+        result = self.isolate(lambda: self._send_now(orders), seconds)
+        if result is None:
+            return Failure(PlatformUnavailable("the books have not answered yet"))
+        return result
 
     def _send_now(self, orders: list[DrawOrder]) -> Result[None, PlatformFailure]:
         asked = self.clock()
--- a/whinrack/budgets/tests/test_waiting.py
+++ b/whinrack/budgets/tests/test_waiting.py
@@ -3,7 +3,7 @@
 import eventlet
 import pytest
 from eventlet.semaphore import Semaphore
-from returns.result import Success
+from returns.result import Failure, Success
 
 from standins.memory_store import MemoryStore
 from whinrack.budgets import AccountDrawer, BookSource, GrantKeeper, GrantOptions, SpareSource
@@ -17,10 +17,11 @@
     def __init__(self):
         self.drawer = AccountDrawer(MemoryStore(), Semaphore, sleep=eventlet.sleep, seed=1)
         self.calls = 0
+        self.seconds = 0.02
 
     def draw_books(self, orders):
         self.calls += 1
-        eventlet.sleep(0.02)
+        eventlet.sleep(self.seconds)
         return self.drawer.draw_books(orders)
 
 
@@ -51,3 +52,34 @@
     covers = [waiter.wait() for waiter in waiters]
     assert all(isinstance(cover, Success) for cover in covers)
     assert books.calls <= 3
+
+
+def isolate(function, seconds):
+    with eventlet.Timeout(seconds, False):
+        return eventlet.spawn(function).wait()
+    return None
+
+
+def test_a_request_does_not_wait_for_a_store_that_has_fallen_silent(books):
+    options = GrantOptions(draw_patience=0.05)
+    keeper = GrantKeeper(
+        "m.1", "a", books.drawer, books, NoPeers(), options, make_lock=Semaphore, isolate=isolate
+    )
+    keeper.declare(1, {BUDGET: 10_000_000})
+    keeper.renew()
+    books.seconds = 3.0
+    with eventlet.Timeout(1.0):
+        assert isinstance(keeper.cover(BUDGET, 5_000), Failure)
+
+
+def test_an_order_that_a_request_gave_up_is_learnt_when_it_is_answered(books):
+    options = GrantOptions(draw_patience=0.05)
+    keeper = GrantKeeper(
+        "m.1", "a", books.drawer, books, NoPeers(), options, make_lock=Semaphore, isolate=isolate
+    )
+    keeper.declare(1, {BUDGET: 10_000_000})
+    books.seconds = 0.2
+    assert isinstance(keeper.cover(BUDGET, 5_000), Failure)
+    eventlet.sleep(0.3)
+    assert keeper.spendable()[BUDGET] >= 5_000
+    assert isinstance(keeper.cover(BUDGET, 5_000), Success)
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -109,6 +109,8 @@
         self.link.send(reply, address)
 
 
-def _isolate(function: Callable):
+def _isolate(function: Callable, seconds: float | None):
     """Run to the end in a green thread of its own, whatever happens to the waiter."""
-    return eventlet.spawn(function).wait()
+    with eventlet.Timeout(seconds, False):
+        return eventlet.spawn(function).wait()
+    return None
