402 where what is unspent can't hold a request, by what peers' requests cover

Cause: the books count the tokens of open requests as held, so a budget that was all but used up looked as if tokens were merely held elsewhere: 429, the caller came back after 0.4 s and was refused again. Peers that are asked for tokens now also tell what their open requests cover, and what the books don't know as used yet; a request that doesn't fit into the rest beside those that run, each at its most, gets 402 at once. Books up to 5 s old tell that, since nothing but a raised limit makes their bound too low.

--- a/benchmarks/bench_budgets.py
+++ b/benchmarks/bench_budgets.py
@@ -24,6 +24,7 @@
     BudgetKeeper,
     DrawOrder,
     SpareSource,
+    SpareTotal,
     TokenSource,
     apply_draws,
     apply_topups,
@@ -137,7 +138,7 @@
         for peer, keeper in self.ways.keepers.items():
             if peer != self.instance:
                 total = keeper.give(budget, own, received.get(keeper.holder, 0), need, wish)
-                yield keeper.holder, total
+                yield SpareTotal(keeper.holder, total)
 
 
 class WritePerRequest(Ways):
--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -70,6 +70,8 @@
         self.largest = 0
         # Tokens of requests that wait for others to be covered.
         self.waiting = 0
+        # Tokens that peers said are used up by requests there, by giver.
+        self.covering_elsewhere: dict[str, int] = {}
         self.stated_at = float("-inf")
 
     def learn(self, books: DrawResult, asked: float) -> None:
@@ -126,6 +128,11 @@
         """Whether the schedule goes on releasing what nobody uses here."""
         return self.ledger.spendable > 0 and now - self.stated_at >= _IDLE_SECONDS
 
+    def unspent_at_most(self) -> int:
+        """Tokens that can be had from anywhere, as far as the books and the peers tell."""
+        covering = self.ledger.covering + sum(self.covering_elsewhere.values())
+        return self.last.left - covering
+
     def overdrawn(self) -> bool:
         """Whether the limit was lowered below what all hold, and some is held here."""
         return self.last is not None and self.last.free < 0 and self.ledger.spendable > 0
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -33,6 +33,8 @@
 
 # For so long the books that had nothing free aren't asked again.
 _NOTHING_FREE_SECONDS = 1.3
+# For so long the books tell how much is left at most, unless the limit is raised.
+_BOOKS_TELL_SECONDS = 5.0
 
 
 def _unchecked_wall_clock() -> WallReading:
@@ -224,6 +226,11 @@
         """Return the unspent tokens by budget, for heartbeats and metrics."""
         return {name: grant.ledger.spendable for name, grant in self._grants.items()}
 
+    def covering(self, budget: str) -> int:
+        """Return the tokens of a budget that requests use up here, unknown to the books."""
+        grant = self._grants.get(budget)
+        return grant.ledger.covering if grant is not None else 0
+
     def last_known(self, budget: str) -> DrawResult | None:
         """Return the books' state when they answered last, for logs."""
         grant = self._grants.get(budget)
@@ -260,6 +267,7 @@
             return self._refill(grant, tokens)
 
     def _refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
+        grant.covering_elsewhere.clear()
         for ask in self._ways(grant, tokens):
             ask(grant, tokens)
             cover = self._open(grant, tokens)
@@ -292,10 +300,10 @@
         return fresh and grant.last.free <= 0
 
     def _is_exhausted(self, grant: Grant, tokens: int) -> bool:
-        """Whether the budget can't cover a request, by what the books said just now."""
-        if self.clock() - grant.learnt_at >= _NOTHING_FREE_SECONDS:
+        """Whether the budget can't cover a request beside those that run now."""
+        if self.clock() - grant.learnt_at >= _BOOKS_TELL_SECONDS:
             return False
-        return tokens > grant.last.left
+        return tokens > grant.unspent_at_most()
 
     def _short(self, grant: Grant, tokens: int, draw: bool) -> bool:
         """Whether a peer can't get tokens before the books know of it."""
@@ -322,8 +330,9 @@
         """Ask each peer for a part that suffices if most have it, or for all of it."""
         part = need if everything else -(-2 * need // max(1, self.spares.peers_asked()))
         budget, received = grant.ledger.budget, dict(grant.ledger.received)
-        for giver, total in self.spares.gather(budget, min(need, part), 0, received):
-            self.receive(budget, giver, total)
+        for spare in self.spares.gather(budget, min(need, part), 0, received):
+            self.receive(budget, spare.giver, spare.total)
+            grant.covering_elsewhere[spare.giver] = spare.covering
 
     def _borrow(self, grant: Grant, tokens: int) -> None:
         """Ask a peer that reaches the books to draw from them for this instance."""
@@ -332,8 +341,8 @@
         ahead = int(grant.demand.rate(now) * self.options.loan_seconds)
         wish = max(ahead, grant.largest) + grant.waiting
         budget, received = grant.ledger.budget, dict(grant.ledger.received)
-        for giver, total in self.spares.borrow(budget, need, wish, received):
-            self.receive(budget, giver, total)
+        for spare in self.spares.borrow(budget, need, wish, received):
+            self.receive(budget, spare.giver, spare.total)
 
     # --- orders ------------------------------------------------------------------
 
@@ -405,4 +414,5 @@
 
 
 def _left_text(grant: Grant, tokens: int) -> str:
-    return f"the request needs cover for {tokens} tokens, the budget has {grant.last.left} left"
+    left = grant.unspent_at_most()
+    return f"the request needs cover for {tokens} tokens, the budget has {left} left"
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -34,10 +34,17 @@
 
 
 class SpareTotal(NamedTuple):
-    """A peer's cumulative total of tokens that it gave to this incarnation."""
+    """A peer's cumulative total of tokens that it gave to this incarnation.
+
+    Attributes
+    ----------
+    covering : int
+        Tokens that the peer holds, as the books see it, but that requests use up there.
+    """
 
     giver: str
     total: int
+    covering: int = 0
 
 
 class SpareSource:
@@ -237,8 +244,8 @@
         before = ledger.spendable
         wish = self._want(held)
         received = dict(ledger.received)
-        for giver, total in self.spares.gather(ledger.budget, need, wish, received):
-            ledger.receive(giver, total)
+        for spare in self.spares.gather(ledger.budget, need, wish, received):
+            ledger.receive(spare.giver, spare.total)
         if ledger.spendable < before + need:
             held.no_spare_until = now + _NO_SPARE_SECONDS
 
--- a/whinrack/budgets/_ledger.py
+++ b/whinrack/budgets/_ledger.py
@@ -111,6 +111,12 @@
         gone = self.billed + self.unproven + self.open_cover + sum(self.given.values())
         return gone - sum(self.received.values())
 
+    @property
+    def covering(self) -> int:
+        """Tokens that the books count as held here, but that requests use up."""
+        billed, unproven, *_ = self._reported or (0, 0)
+        return self.open_cover + self.billed - billed + self.unproven - unproven
+
     def next_order(
         self, need: int = 0, want: int = 0, final: bool = False, **statements
     ) -> DrawOrder:
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -105,7 +105,14 @@
             request.wish,
             request.draw,
         )
-        reply = TokenReply(request.question, request.budget, self.holder, request.receiver, total)
+        reply = TokenReply(
+            question=request.question,
+            budget=request.budget,
+            giver=self.holder,
+            receiver=request.receiver,
+            total=total,
+            covering=self.keeper.covering(request.budget),
+        )
         self.link.send(reply, address)
 
 
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -101,6 +101,8 @@
     ----------
     question : int
         The request that is answered; 0 if the giver says it unasked.
+    covering : int
+        Tokens of open requests at the giver, and of ended ones not in the books yet.
     """
 
     question: int
@@ -108,6 +110,7 @@
     giver: str
     receiver: str
     total: int
+    covering: int = 0
 
 
 class DrawRequest(msgspec.Struct, frozen=True, array_like=True, tag="draw"):
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -24,12 +24,12 @@
 
     def __init__(self, expected: int):
         self.expected = expected
-        self.replies: dict[str, int] = {}
+        self.replies: dict[str, SpareTotal] = {}
         self.done = Event()
 
     def add(self, reply: TokenReply) -> None:
         """Take in a reply; wakes the asker with the last one."""
-        self.replies[reply.giver] = reply.total
+        self.replies[reply.giver] = SpareTotal(reply.giver, reply.total, reply.covering)
         if len(self.replies) >= self.expected and not self.done.ready():
             self.done.send(None)
 
@@ -118,4 +118,4 @@
                 question.done.wait()
         finally:
             del self._open[request.question]
-        return [SpareTotal(giver, total) for giver, total in question.replies.items()]
+        return list(question.replies.values())
