Callers come back after 4 s while the books are away

Cause: while all machines are cut off from the store (8 s at a time), what a budget may use grows slowly, and callers were told to come back after 0.4 s: their only retry was refused too. They are told 4 s now, half of such an outage. Refused at once as before.

--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -39,6 +39,8 @@
         Seconds that a request waits for an order of its own.
     retry_after : float
         Seconds after which a caller should come back when tokens are held elsewhere.
+    away_retry_after : float
+        The same while the books are out of reach.
     loan_seconds : float
         Seconds of demand that a peer is asked to draw while the books are out of reach.
     """
@@ -52,6 +54,7 @@
     store_patience: float = 0.4
     draw_patience: float = 0.7
     retry_after: float = 0.4
+    away_retry_after: float = 4.0
     loan_seconds: float = 2.0
 
 
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -251,11 +251,16 @@
             return Failure(
                 BudgetContended(
                     f"{tokens} tokens are to be covered, {usable} are usable here",
-                    retry_after=self.options.retry_after,
+                    retry_after=self._retry_after(),
                 )
             )
         return grant.ledger.open(tokens)
 
+    def _retry_after(self) -> float:
+        """Seconds after which tokens may be had: soon, or when the books may be back."""
+        options = self.options
+        return options.retry_after if self.store_answers else options.away_retry_after
+
     def _wait_and_refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
         """Wait for requests that came before; what they brought may suffice for this one."""
         grant.waiting += tokens
--- a/whinrack/budgets/tests/test_grants.py
+++ b/whinrack/budgets/tests/test_grants.py
@@ -562,3 +562,15 @@
     assert row_of(fleet, machine) is None
     assert fleet.books().unproven == 500
     assert isinstance(machine.request(10), Failure)
+
+
+def test_callers_are_told_to_come_back_later_while_the_books_are_away():
+    fleet = Fleet(2, 1000)
+    options = GrantOptions()
+    fleet.machines[0].request(900)
+    machine = fleet.machines[1]
+    fleet.lose_peer_replies = 100
+    assert machine.request(200).failure().retry_after == options.retry_after
+    machine.cut_off = True
+    machine.keeper.renew()
+    assert machine.request(200).failure().retry_after == options.away_retry_after
