Peers pass on configuration and targets

Each instance now tells peers that ask, at the address of its datagrams, the stored objects as it met them. Whoever hears of a newer configuration asks that peer first, then the store; while the store is out of reach, a peer that reaches it is asked each second for targets. Versions only rise, the store's list replaces what peers said, and a target that the store said is gone is not taken up again from a peer that is behind.

--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -25,6 +25,7 @@
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._membership import Membership
 from whinrack.edge._options import EdgeOptions
+from whinrack.edge._sharing import KnowledgeServer
 from whinrack.edge._sources import ConfigurationReader, TargetReader
 from whinrack.edge._tokens import TokenExchange
 from whinrack.exceptions import PlatformFailure
@@ -98,7 +99,7 @@
             self.registry,
             lambda: self.dispatcher.in_progress,
             lambda: self.keeper.store_answers,
-            lambda: self.knowledge.suspect_configuration(),
+            lambda peer: self.knowledge.suspect_configuration(peer),
             lambda message, address: self.tokens.receive(message, address),
         )
         self.knowledge = StoreKnowledge(
@@ -109,6 +110,7 @@
             self.directory,
             self.registry,
             options.watch_seconds,
+            self.membership.peer_with_store,
         )
         self.tokens = TokenExchange(
             options,
@@ -168,6 +170,7 @@
         for address, handle in places:
             if address is not None:
                 HttpServer(address, handle, lambda refusal: (refusal.status, [], b"")).start()
+        KnowledgeServer(self.options.gossip, self.knowledge.shared).start()
 
     def _start_tasks(self) -> None:
         tasks = (
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -1,5 +1,6 @@
 """What this instance knows from the store: the configuration and the targets."""
 
+from collections import OrderedDict
 from collections.abc import Callable
 
 import eventlet
@@ -7,6 +8,8 @@
 
 from whinrack.dispatch import Directory, TargetRecord, TargetRegistry
 from whinrack.edge._contact import StoreContact
+from whinrack.edge._options import HostPort
+from whinrack.edge._sharing import SharedKnowledge, fetch_knowledge
 from whinrack.edge._sources import ConfigurationReader, KindFollower, TargetReader
 from whinrack.exceptions import InvalidObject
 from whinrack.observability import Event, log_event
@@ -15,6 +18,9 @@
 __all__ = ["StoreKnowledge"]
 
 _FAILED_READ_PAUSE = 0.5
+_PEER_PAUSE = 1.0
+# Names of targets that are gone, the last ones.
+_MOST_GONE = 2000
 
 
 class StoreKnowledge:
@@ -30,6 +36,10 @@
     registry : TargetRegistry
     watch_seconds : float
         How long one watch is held.
+    peer_with_store : callable
+        Returns the address of a peer that reaches the store, None if none does.
+    fetch : callable, optional
+        Asks the peer at an address what it knows.
     """
 
     def __init__(
@@ -41,65 +51,111 @@
         directory: Directory,
         registry: TargetRegistry,
         watch_seconds: float,
+        peer_with_store: Callable[[], HostPort | None],
+        fetch: Callable[[HostPort], SharedKnowledge | None] = fetch_knowledge,
     ):
         self.store = store
         self.configuration_reader = configuration_reader
         self.target_reader = target_reader
         self.directory = directory
         self.registry = registry
-        self._followers = (
-            KindFollower(
-                store,
-                configuration_reader.kind,
-                self._take_configuration,
-                self._take_configuration,
-                contact,
-                watch_seconds,
-                probes=True,
-            ),
-            KindFollower(
-                store,
-                target_reader.kind,
-                self._replace_targets,
-                self._change_targets,
-                contact,
-                watch_seconds,
-                probes=False,
-            ),
+        self.contact = contact
+        self.peer_with_store = peer_with_store
+        self.fetch = fetch
+        self._configuration: StoredObject | None = None
+        self._targets: dict[str, StoredObject] = {}
+        # Names that the store said are gone; a peer that still has them is behind.
+        self._gone: OrderedDict[str, None] = OrderedDict()
+        self._configurations = KindFollower(
+            store,
+            configuration_reader.kind,
+            self._take_configuration,
+            self._take_configuration,
+            contact,
+            watch_seconds,
+            probes=True,
+        )
+        self._target_list = KindFollower(
+            store,
+            target_reader.kind,
+            self._replace_targets,
+            self._change_targets,
+            contact,
+            watch_seconds,
+            probes=False,
         )
         self._reading = False
 
     def tasks(self) -> list[Callable[[], None]]:
         """Return the loops to run in the background."""
-        return [follower.run for follower in self._followers]
+        return [self._configurations.run, self._target_list.run, self._follow_peers]
+
+    def shared(self) -> SharedKnowledge:
+        """Return what peers may learn from here."""
+        return SharedKnowledge(self._configuration, tuple(self._targets.values()))
 
-    def suspect_configuration(self) -> None:
-        """Read the configuration now, in the background: a peer has a newer one."""
+    def suspect_configuration(self, peer: HostPort) -> None:
+        """Catch up in the background with a peer that has a newer configuration."""
         if not self._reading:
             self._reading = True
-            eventlet.spawn_n(self._read_configuration)
-
-    def _read_configuration(self) -> None:
-        reader = self.configuration_reader
+            eventlet.spawn_n(self._catch_up, peer)
+
+    def _follow_peers(self) -> None:
+        """Learn of targets from peers while the store is out of reach."""
+        while True:
+            eventlet.sleep(_PEER_PAUSE)
+            peer = None if self.contact.answers else self.peer_with_store()
+            known = self.fetch(peer) if peer is not None else None
+            if known is not None and not self.contact.answers:
+                self._learn(known)
+
+    def _catch_up(self, peer: HostPort) -> None:
         try:
-            stored = self.store.get(reader.kind, reader.name)
-            if isinstance(stored, Success):
-                self._take_configuration((stored.unwrap(),))
-            else:
-                eventlet.sleep(_FAILED_READ_PAUSE)
+            before = self.directory.version
+            known = self.fetch(peer)
+            if known is not None:
+                log_event(
+                    Event.KNOWLEDGE_FETCHED, peer=f"{peer[0]}:{peer[1]}", targets=len(known.targets)
+                )
+                self._learn(known)
+            if self.directory.version == before:
+                self._read_configuration()
         finally:
             self._reading = False
 
+    def _learn(self, known: SharedKnowledge) -> None:
+        if not self._target_list.listed_once or not self.contact.answers:
+            # The store's own word goes first, also an earlier one that a target is gone.
+            fresh = [stored for stored in known.targets if stored.name not in self._gone]
+            self._change_targets(tuple(fresh))
+        if known.configuration is not None:
+            self._take_configuration((known.configuration,))
+
+    def _read_configuration(self) -> None:
+        reader = self.configuration_reader
+        stored = self.store.get(reader.kind, reader.name)
+        if isinstance(stored, Success):
+            self._take_configuration((stored.unwrap(),))
+        else:
+            eventlet.sleep(_FAILED_READ_PAUSE)
+
     def _take_configuration(self, objects: tuple[StoredObject, ...]) -> None:
         for stored in objects:
             if stored.deleted or stored.name != self.configuration_reader.name:
                 continue
             try:
-                self.directory.take(self.configuration_reader.read(stored))
+                if self.directory.take(self.configuration_reader.read(stored)):
+                    self._configuration = stored
             except InvalidObject as error:
                 log_event(Event.CONFIG_INVALID, object=stored.name, error=error.message)
 
     def _replace_targets(self, objects: tuple[StoredObject, ...]) -> None:
+        listed = {stored.name: stored for stored in objects}
+        for name in self._targets.keys() - listed.keys():
+            self._note_gone(name)
+        for name in listed:
+            self._gone.pop(name, None)
+        self._targets = listed
         records = [record for record in map(self._read_target, objects) if record is not None]
         for incarnation in self.registry.replace_all(records):
             log_event(Event.TARGET_LEAVING, target=incarnation, source="list")
@@ -111,10 +167,19 @@
 
     def _turned_to_leaving(self, stored: StoredObject) -> bool:
         if stored.deleted:
+            self._targets.pop(stored.name, None)
+            self._note_gone(stored.name)
             return self.registry.remove(stored.name)
+        self._targets[stored.name] = stored
+        self._gone.pop(stored.name, None)
         record = self._read_target(stored)
         return record is not None and self.registry.put(record)
 
+    def _note_gone(self, name: str) -> None:
+        self._gone[name] = None
+        while len(self._gone) > _MOST_GONE:
+            self._gone.popitem(last=False)
+
     def _read_target(self, stored: StoredObject) -> TargetRecord | None:
         try:
             return self.target_reader.read(stored)
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -1,5 +1,6 @@
 """Heartbeats: who is there, who takes callers, which targets leave."""
 
+import random
 import time
 from collections.abc import Callable
 
@@ -7,7 +8,7 @@
 
 from whinrack.budgets import WallReading
 from whinrack.dispatch import Directory, TargetRegistry
-from whinrack.edge._options import EdgeOptions
+from whinrack.edge._options import EdgeOptions, HostPort
 from whinrack.gossip import ClockCheck, GossipLink, Heartbeat, Message, PeerAddress, PeerTable
 from whinrack.observability import Event, log_event
 
@@ -31,7 +32,8 @@
     store_answers : callable
         Tells whether the store can be reached from here.
     newer_configuration : callable
-        Called when a peer has a newer configuration than this instance.
+        Called with the address of a peer that has a newer configuration than this
+        instance.
     other_message : callable
         Called with every message that is no heartbeat, and its sender's address.
     """
@@ -44,7 +46,7 @@
         registry: TargetRegistry,
         load: Callable[[], int],
         store_answers: Callable[[], bool],
-        newer_configuration: Callable[[], None],
+        newer_configuration: Callable[[HostPort], None],
         other_message: Callable[[Message, tuple[str, int]], None],
     ):
         self.options = options
@@ -108,6 +110,14 @@
         """Return the number of instances that look alive."""
         return self.table.live_count(time.monotonic())
 
+    def peer_with_store(self) -> HostPort | None:
+        """Return the address of a peer that reaches the store, None if none does."""
+        reaching = self.table.with_store(time.monotonic())
+        if not reaching:
+            return None
+        sender = random.choice(reaching).beat.sender
+        return sender.host, sender.port
+
     def wall_clock(self) -> WallReading:
         """Return the time of day, checked by that of the peers."""
         seconds = time.time()
@@ -134,7 +144,7 @@
             if self.registry.leave(incarnation):
                 log_event(Event.TARGET_LEAVING, target=incarnation, source=beat.sender.name)
         if beat.configuration > self.directory.version:
-            self.newer_configuration()
+            self.newer_configuration((beat.sender.host, beat.sender.port))
 
     def _log_changes(self, now: float) -> None:
         live = {view.beat.sender.name for view in self.table.live(now)}
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -86,6 +86,7 @@
         self.watch_seconds = watch_seconds
         self.probes = probes
         self.revision: int | None = None
+        self.listed_once = False
         self._pause = _FIRST_PAUSE
 
     def run(self) -> None:
@@ -116,6 +117,7 @@
         snapshot = result.unwrap()
         self.listed(snapshot.objects)
         self.revision = snapshot.revision
+        self.listed_once = True
         return True
 
     def _watch(self) -> bool:
--- /dev/null
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -0,0 +1,136 @@
+"""What is learnt from peers, and what the store's word goes before."""
+
+import msgspec
+import pytest
+from returns.result import Failure
+
+from standins.memory_store import MemoryStore
+from whinrack.dispatch import CallerLimits, Configuration, Directory, TargetRecord, TargetRegistry
+from whinrack.edge._contact import StoreContact
+from whinrack.edge._knowledge import StoreKnowledge
+from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
+from whinrack.edge._sources import ConfigurationReader, TargetReader
+from whinrack.exceptions import PlatformUnavailable
+from whinrack.store import StoredObject
+
+PEER = ("peer", 1)
+
+
+class Configurations(ConfigurationReader):
+    kind, name = "config", "main"
+
+    def read(self, stored):
+        return Configuration(msgspec.json.decode(stored.value), (), (), (), CallerLimits())
+
+
+class Targets(TargetReader):
+    kind = "target"
+
+    def read(self, stored):
+        leaving = msgspec.json.decode(stored.value) == "leaving"
+        return TargetRecord(stored.name, "pool", "host", 1, leaving=leaving)
+
+
+class DownStore(MemoryStore):
+    def get(self, kind, name):
+        return Failure(PlatformUnavailable("down"))
+
+
+def stored(kind, name, value, version=1):
+    return StoredObject(kind, name, version, msgspec.Raw(msgspec.json.encode(value)))
+
+
+def told(version=None, *targets):
+    configuration = None if version is None else stored("config", "main", version)
+    return SharedKnowledge(configuration, tuple(stored("target", t, "ready") for t in targets))
+
+
+class World:
+    """One instance's knowledge, and what its peer answers."""
+
+    def __init__(self, store):
+        self.answer = None
+        self.directory = Directory(lambda configuration: None)
+        self.registry = TargetRegistry()
+        self.contact = StoreContact(lambda answers: None)
+        self.knowledge = StoreKnowledge(
+            store,
+            self.contact,
+            Configurations(),
+            Targets(),
+            self.directory,
+            self.registry,
+            watch_seconds=0.01,
+            peer_with_store=lambda: PEER,
+            fetch=lambda address: self.answer,
+        )
+
+    def hear(self, answer):
+        self.answer = answer
+        self.knowledge._catch_up(PEER)
+
+    def targets(self):
+        return {state.record.incarnation for state in self.registry.of_pool("pool")}
+
+
+@pytest.fixture
+def world(monkeypatch):
+    monkeypatch.setattr("whinrack.edge._knowledge._FAILED_READ_PAUSE", 0.0)
+    return World(DownStore())
+
+
+def test_an_instance_that_starts_without_the_store_learns_from_a_peer(world):
+    world.hear(told(7, "t1", "t2"))
+    assert world.directory.version == 7
+    assert world.targets() == {"t1", "t2"}
+
+
+def test_an_older_configuration_of_a_peer_changes_nothing(world):
+    world.hear(told(7))
+    world.hear(told(6))
+    assert world.directory.version == 7
+
+
+def test_without_an_answer_of_the_peer_the_store_is_read():
+    store = MemoryStore()
+    store.put("config", "main", b"9", 0)
+    world = World(store)
+    world.hear(None)
+    assert world.directory.version == 9
+
+
+def test_targets_of_a_peer_do_not_replace_what_the_store_lists():
+    store = MemoryStore()
+    store.put("target", "t1", b'"ready"', 0)
+    world = World(store)
+    world.knowledge._target_list.step()
+    world.hear(told(7, "t1", "t2"))
+    assert world.targets() == {"t1"}
+
+
+def test_while_the_store_is_away_new_targets_are_learnt_and_gone_ones_stay_gone():
+    store = MemoryStore()
+    for name in ("t1", "t2"):
+        store.put("target", name, b'"ready"', 0)
+    world = World(store)
+    world.knowledge._target_list.step()
+    world.knowledge._change_targets((StoredObject("target", "t2", 9, deleted=True),))
+    world.contact.report(False)
+    world.hear(told(7, "t1", "t2", "t3"))
+    assert world.targets() == {"t1", "t3"}
+
+
+def test_knowledge_is_passed_on_as_it_was_learnt(world):
+    world.hear(told(7, "t1"))
+    server = KnowledgeServer(("127.0.0.1", 0), world.knowledge.shared)
+    server.start()
+    fetched = fetch_knowledge(server.address)
+    assert fetched.configuration.value == msgspec.Raw(b"7")
+    assert [target.name for target in fetched.targets] == ["t1"]
+
+
+def test_a_peer_that_does_not_listen_tells_nothing():
+    server = KnowledgeServer(("127.0.0.1", 0), SharedKnowledge)
+    server.start()
+    server.stop()
+    assert fetch_knowledge(server.address) is None
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -32,6 +32,7 @@
     CONFIG_TAKEN = (3001, "INFO", "configuration changed")
     CONFIG_INVALID = (3002, "ERROR", "invalid object met, the last good version stays in force")
     FEED_CHANGED = (3003, "INFO", "configuration comes from another source")
+    KNOWLEDGE_FETCHED = (3004, "INFO", "a peer with a newer configuration told what it knows")
 
     MEMBER_JOINED = (4001, "INFO", "peer seen")
     MEMBER_LOST = (4002, "WARNING", "peer lost")
