--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -1,6 +1,7 @@
 """One budget's grant at one run: what it holds, may use, and knows of the books."""
 
-from contextlib import AbstractContextManager
+from collections.abc import Iterator
+from contextlib import AbstractContextManager, ExitStack, contextmanager
 
 import msgspec
 
@@ -77,6 +78,17 @@
         self.covering_elsewhere: dict[str, int] = {}
         self.stated_at = float("-inf")
 
+    @contextmanager
+    def turn(self, tokens: int) -> Iterator[None]:
+        """Hold the lock; while it is waited for, the tokens count as waiting."""
+        with ExitStack() as stack:
+            self.waiting += tokens
+            try:
+                stack.enter_context(self.lock)
+            finally:
+                self.waiting -= tokens
+            yield
+
     def learn(self, books: DrawResult, asked: float) -> None:
         """Take in the books as they were when they were asked."""
         if self.last is not None and books.limit_version == self.last.limit_version:
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -14,18 +14,18 @@
 
 from returns.result import Failure, Result, Success
 
-from whinrack.budgets._books import DrawOrder, DrawResult
+from whinrack.budgets._books import DrawResult
 from whinrack.budgets._drawer import AccountDrawer, BookSource
 from whinrack.budgets._grant import Grant, GrantOptions
 from whinrack.budgets._keeper import SpareSource
 from whinrack.budgets._ledger import BudgetLedger, Cover
+from whinrack.budgets._orders import BookOrders, call_here, unchecked_wall_clock
 from whinrack.budgets._release import ReleasedRow
 from whinrack.budgets._schedule import RestartMoment, WallReading
 from whinrack.exceptions import (
     BudgetContended,
     BudgetExhausted,
     PlatformFailure,
-    PlatformUnavailable,
     Refusal,
 )
 
@@ -37,14 +37,6 @@
 _BOOKS_TELL_SECONDS = 5.0
 
 
-def _unchecked_wall_clock() -> WallReading:
-    return WallReading(time.time())
-
-
-def _call(function: Callable, seconds: float | None) -> Result:
-    return function()
-
-
 class GivenTotal(NamedTuple):
     """Cumulative tokens of a budget that this run gave to another."""
 
@@ -87,38 +79,37 @@
         spares: SpareSource,
         options: GrantOptions,
         clock: Callable[[], float] = time.monotonic,
-        wall_clock: Callable[[], WallReading] = _unchecked_wall_clock,
+        wall_clock: Callable[[], WallReading] = unchecked_wall_clock,
         make_lock: Callable[[], AbstractContextManager] = nullcontext,
-        isolate: Callable[[Callable, float | None], Result | None] = _call,
+        isolate: Callable[[Callable, float | None], Result | None] = call_here,
     ):
         self.holder = holder
         self.account = account
         self.drawer = drawer
-        self.books = books
         self.spares = spares
         self.options = options
         self.clock = clock
-        self.wall_clock = wall_clock
         self.make_lock = make_lock
-        self.isolate = isolate
-        self.stopping = False
-        self.answered_at = clock()
-        self._lost = False
-        self._asked_at: float | None = None
-        self._limits: dict[str, int] = {}
-        self._limit_version = 0
         self._grants: dict[str, Grant] = {}
+        self._orders = BookOrders(self._grants, books, options, clock, wall_clock, isolate)
+
+    @property
+    def store_answers(self) -> bool:
+        """Whether the books can be reached, as far as is known."""
+        return self._orders.books_answer
+
+    @property
+    def answered_at(self) -> float:
+        """When the books answered last, by the steady clock."""
+        return self._orders.answered_at
 
     def declare(self, version: int, limits: dict[str, int]) -> None:
         """Take in the limits of a newer version of the configuration."""
-        if version <= self._limit_version:
-            return
-        self._limit_version = version
-        self._limits = dict(limits)
+        self._orders.declare(version, limits)
 
     def limited(self, budget: str) -> bool:
         """Whether the configuration states a limit for a budget."""
-        return budget in self._limits
+        return self._orders.limited(budget)
 
     def cover(self, budget: str, tokens: int) -> Result[Cover, Refusal]:
         """Set tokens aside for one request: from here, from the books, from peers."""
@@ -176,14 +167,14 @@
 
     def renew(self) -> Result[None, PlatformFailure]:
         """Report what was used, draw ahead and state new schedules, all in one write."""
-        due = [grant for grant in self._grants.values() if self._due(grant)]
+        due = [grant for grant in self._grants.values() if self._orders.due(grant)]
         if not due:
             return Success(None)
-        return self._send([self._order(grant) for grant in due])
+        return self._orders.send([self._orders.order(grant) for grant in due])
 
     def store_regained(self) -> None:
         """Learn from others' calls that the books can be reached again."""
-        self._lost = False
+        self._orders.regained()
 
     def drain(self, final: bool) -> Result[None, PlatformFailure]:
         """Give everything unused back for a planned stop.
@@ -193,7 +184,7 @@
         final : bool
             This run ends now: count open requests in full and close the rows.
         """
-        self.stopping = True
+        self._orders.stopping = True
         orders = []
         for grant in self._grants.values():
             ledger = grant.ledger
@@ -201,10 +192,10 @@
                 continue
             if final:
                 ledger.write_off_open()
-            orders.append(self._order(grant, final=final))
+            orders.append(self._orders.order(grant, final=final))
             # From here on nothing is used, given or drawn any more.
             ledger.closed = final
-        return self._send(orders) if orders else Success(None)
+        return self._orders.send(orders) if orders else Success(None)
 
     def release_earlier_runs(
         self, restart: RestartMoment
@@ -263,9 +254,7 @@
 
     def _wait_and_refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
         """Wait for requests that came before; what they brought may suffice for this one."""
-        grant.waiting += tokens
-        with grant.lock:
-            grant.waiting -= tokens
+        with grant.turn(tokens):
             cover = self._open(grant, tokens)
             if isinstance(cover, Success):
                 return cover
@@ -290,15 +279,6 @@
             return (self._gather,)
         return self._draw, self._gather
 
-    @property
-    def store_answers(self) -> bool:
-        """Whether the books can be reached, as far as is known."""
-        if self._lost:
-            return False
-        waiting_since = self._asked_at
-        waited = 0.0 if waiting_since is None else self.clock() - waiting_since
-        return waited < self.options.store_patience
-
     def _nothing_free(self, grant: Grant) -> bool:
         """Whether the books said a moment ago that nothing is free."""
         fresh = self.clock() - grant.learnt_at < _NOTHING_FREE_SECONDS
@@ -321,7 +301,8 @@
             return
         # A request doesn't wait for an order that a silent store holds up; peers may
         # have what it needs. The order's outcome is learnt whenever it comes.
-        self._send([self._order(grant, need=tokens)], self.options.draw_patience)
+        order = self._orders.order(grant, need=tokens)
+        self._orders.send([order], self.options.draw_patience)
 
     def _gather(self, grant: Grant, tokens: int) -> None:
         """Ask all peers for what they hold and may use."""
@@ -349,74 +330,6 @@
         for spare in self.spares.borrow(budget, need, wish, received):
             self.receive(budget, spare.giver, spare.total)
 
-    # --- orders ------------------------------------------------------------------
-
-    def _due(self, grant: Grant) -> bool:
-        if grant.ledger.closed:
-            return False
-        if self.stopping and grant.ledger.spendable > 0:
-            return True
-        if grant.ledger.unreported or not grant.ledger.sequence:
-            return True
-        if grant.last is None or self._limit_version > grant.last.limit_version:
-            return True
-        return grant.overdrawn() or grant.releases_idly(self.clock())
-
-    def _order(self, grant: Grant, need: int = 0, final: bool = False) -> DrawOrder:
-        ledger, now = grant.ledger, self.clock()
-        if self.stopping:
-            ledger.give_back(ledger.spendable - need)
-        elif grant.overdrawn():
-            ledger.give_back(min(ledger.spendable, -grant.last.free))
-        ahead = int(grant.demand.rate(now) * self.options.horizon)
-        want = ahead + grant.largest + grant.waiting
-        short = max(0, need - ledger.spendable)
-        wish = max(0, want - ledger.spendable - short)
-        schedule = grant.schedule(self.options, need + grant.waiting, now, self.wall_clock())
-        order = ledger.next_order(
-            need=short,
-            want=0 if self.stopping else wish,
-            final=final,
-            given=sum(ledger.given.values()) if final else None,
-            limit=self._limits.get(ledger.budget, 0),
-            limit_version=self._limit_version if ledger.budget in self._limits else 0,
-            schedule=schedule,
-        )
-        grant.guard.stated(order.sequence, schedule)
-        return order
-
-    def _send(
-        self, orders: list[DrawOrder], seconds: float | None = None
-    ) -> Result[None, PlatformFailure]:
-        result = self.isolate(lambda: self._send_now(orders), seconds)
-        if result is None:
-            return Failure(PlatformUnavailable("the books have not answered yet"))
-        return result
-
-    def _send_now(self, orders: list[DrawOrder]) -> Result[None, PlatformFailure]:
-        asked = self.clock()
-        self._asked_at = asked if self._asked_at is None else self._asked_at
-        result = self.books.draw_books(orders)
-        self._asked_at = None
-        self._lost = isinstance(result, Failure)
-        if self._lost:
-            return Failure(result.failure())
-        self.answered_at = self.clock()
-        self._learn(orders, result.unwrap(), asked)
-        return Success(None)
-
-    def _learn(self, orders: list[DrawOrder], books: dict[str, DrawResult], asked: float) -> None:
-        """Take in the books: the orders' results, and the state of all other budgets."""
-        for budget, grant in self._grants.items():
-            if asked >= grant.learnt_at and budget in books:
-                grant.learn(books[budget], asked)
-        for order in orders:
-            answer = books.get(order.budget, DrawResult())
-            grant = self._grants[order.budget]
-            grant.ledger.learn(order, answer)
-            if answer.sequence >= order.sequence:
-                grant.guard.applied(answer.sequence)
-
 
 def _left_text(grant: Grant, tokens: int) -> str:
     left = grant.unspent_at_most()
--- /dev/null
+++ b/whinrack/budgets/_orders.py
@@ -0,0 +1,163 @@
+"""A run's orders to the books of declared budgets, and what their replies tell."""
+
+import time
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from whinrack.budgets._books import DrawOrder, DrawResult
+from whinrack.budgets._drawer import BookSource
+from whinrack.budgets._grant import Grant, GrantOptions
+from whinrack.budgets._schedule import WallReading
+from whinrack.exceptions import PlatformFailure, PlatformUnavailable
+
+__all__ = ["BookOrders", "call_here", "unchecked_wall_clock"]
+
+
+def unchecked_wall_clock() -> WallReading:
+    """Read the time of day of a machine without peers that could check it."""
+    return WallReading(time.time())
+
+
+def call_here(function: Callable, seconds: float | None) -> Result:
+    """Call a function to its end, whatever time it takes."""
+    return function()
+
+
+class BookOrders:
+    """Writes and sends orders for the grants of one run.
+
+    Parameters
+    ----------
+    grants : dict of str to Grant
+        Those of the keeper, by budget.
+    books : BookSource
+    options : GrantOptions
+    clock, wall_clock, isolate : callable
+        See `GrantKeeper`.
+
+    Attributes
+    ----------
+    stopping : bool
+        Nothing is drawn ahead any more, and what isn't needed is given back.
+    answered_at : float
+        When the books answered last.
+    """
+
+    def __init__(
+        self,
+        grants: dict[str, Grant],
+        books: BookSource,
+        options: GrantOptions,
+        clock: Callable[[], float],
+        wall_clock: Callable[[], WallReading],
+        isolate: Callable[[Callable, float | None], Result | None],
+    ):
+        self.grants = grants
+        self.books = books
+        self.options = options
+        self.clock = clock
+        self.wall_clock = wall_clock
+        self.isolate = isolate
+        self.stopping = False
+        self.answered_at = clock()
+        self._lost = False
+        self._asked_at: float | None = None
+        self._limits: dict[str, int] = {}
+        self._limit_version = 0
+
+    def declare(self, version: int, limits: dict[str, int]) -> None:
+        """Take in the limits of a newer version of the configuration."""
+        if version <= self._limit_version:
+            return
+        self._limit_version = version
+        self._limits = dict(limits)
+
+    def limited(self, budget: str) -> bool:
+        """Whether the configuration states a limit for a budget."""
+        return budget in self._limits
+
+    @property
+    def books_answer(self) -> bool:
+        """Whether the books can be reached, as far as is known."""
+        if self._lost:
+            return False
+        waiting_since = self._asked_at
+        waited = 0.0 if waiting_since is None else self.clock() - waiting_since
+        return waited < self.options.store_patience
+
+    def regained(self) -> None:
+        """Learn from others' calls that the books can be reached again."""
+        self._lost = False
+
+    def due(self, grant: Grant) -> bool:
+        """Whether the books should hear of a grant now."""
+        if grant.ledger.closed:
+            return False
+        if self.stopping and grant.ledger.spendable > 0:
+            return True
+        if grant.ledger.unreported or not grant.ledger.sequence:
+            return True
+        if grant.last is None or self._limit_version > grant.last.limit_version:
+            return True
+        return grant.overdrawn() or grant.releases_idly(self.clock())
+
+    def order(self, grant: Grant, need: int = 0, final: bool = False) -> DrawOrder:
+        """Report what was used, ask for more and state a schedule, which binds from now on."""
+        ledger, now = grant.ledger, self.clock()
+        if self.stopping:
+            ledger.give_back(ledger.spendable - need)
+        elif grant.overdrawn():
+            ledger.give_back(min(ledger.spendable, -grant.last.free))
+        ahead = int(grant.demand.rate(now) * self.options.horizon)
+        want = ahead + grant.largest + grant.waiting
+        short = max(0, need - ledger.spendable)
+        wish = max(0, want - ledger.spendable - short)
+        schedule = grant.schedule(self.options, need + grant.waiting, now, self.wall_clock())
+        order = ledger.next_order(
+            need=short,
+            want=0 if self.stopping else wish,
+            final=final,
+            given=sum(ledger.given.values()) if final else None,
+            limit=self._limits.get(ledger.budget, 0),
+            limit_version=self._limit_version if ledger.budget in self._limits else 0,
+            schedule=schedule,
+        )
+        grant.guard.stated(order.sequence, schedule)
+        return order
+
+    def send(
+        self, orders: list[DrawOrder], seconds: float | None = None
+    ) -> Result[None, PlatformFailure]:
+        """Send orders and wait for the reply, for some seconds or for as long as it takes.
+
+        An order that is not waited for any longer runs to its end all the same.
+        """
+        result = self.isolate(lambda: self._send_now(orders), seconds)
+        if result is None:
+            return Failure(PlatformUnavailable("the books have not answered yet"))
+        return result
+
+    def _send_now(self, orders: list[DrawOrder]) -> Result[None, PlatformFailure]:
+        asked = self.clock()
+        self._asked_at = asked if self._asked_at is None else self._asked_at
+        result = self.books.draw_books(orders)
+        self._asked_at = None
+        self._lost = isinstance(result, Failure)
+        if self._lost:
+            return Failure(result.failure())
+        self.answered_at = self.clock()
+        self._learn(orders, result.unwrap(), asked)
+        return Success(None)
+
+    def _learn(self, orders: list[DrawOrder], books: dict[str, DrawResult], asked: float) -> None:
+        """Take in the books: the orders' results, and the state of all other budgets."""
+        for budget, grant in self.grants.items():
+            if asked >= grant.learnt_at and budget in books:
+                grant.learn(books[budget], asked)
+        for order in orders:
+            answer = books.get(order.budget, DrawResult())
+            grant = self.grants[order.budget]
+            grant.ledger.learn(order, answer)
+            if answer.sequence >= order.sequence:
+                grant.guard.applied(answer.sequence)
--- a/whinrack/budgets/tests/test_waiting.py
+++ b/whinrack/budgets/tests/test_waiting.py
@@ -83,3 +83,13 @@
     eventlet.sleep(0.3)
     assert keeper.spendable()[BUDGET] >= 5_000
     assert isinstance(keeper.cover(BUDGET, 5_000), Success)
+
+
+def test_a_request_that_is_given_up_while_it_waits_is_not_counted_any_more(keeper, books):
+    books.seconds = 0.2
+    first = eventlet.spawn(keeper.cover, BUDGET, 1_000)
+    second = eventlet.spawn(keeper.cover, BUDGET, 700_000)
+    eventlet.sleep(0.05)
+    second.kill()
+    assert isinstance(first.wait(), Success)
+    assert keeper._grants[BUDGET].waiting == 0
--- a/whinrack/dispatch/__init__.py
+++ b/whinrack/dispatch/__init__.py
@@ -7,7 +7,6 @@
 from whinrack.dispatch._retries import RetryAllowance
 from whinrack.dispatch._values import (
     Attempt,
-    CallerLimits,
     DeclaredCover,
     EngineShape,
     IncomingRequest,
@@ -22,7 +21,6 @@
 
 __all__ = [
     "Attempt",
-    "CallerLimits",
     "Configuration",
     "DeclaredCover",
     "Dialect",
--- a/whinrack/dispatch/_configuration.py
+++ b/whinrack/dispatch/_configuration.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Iterable
 
-from whinrack.dispatch._values import CallerLimits, PoolRecord, Route, WorkspaceRecord
+from whinrack.dispatch._values import PoolRecord, Route, WorkspaceRecord
 from whinrack.exceptions import NoRoute, Unauthorized
+from whinrack.http1 import ServerLimits
 
 __all__ = ["Configuration"]
 
@@ -16,7 +17,7 @@
     version : int
         Higher versions replace lower ones.
     routes, pools, workspaces : iterable
-    limits : CallerLimits
+    limits : ServerLimits
     checks_keys : bool
         Whether routes that aren't public need a key.
     """
@@ -27,7 +28,7 @@
         routes: Iterable[Route],
         pools: Iterable[PoolRecord],
         workspaces: Iterable[WorkspaceRecord],
-        limits: CallerLimits,
+        limits: ServerLimits,
         checks_keys: bool = True,
     ):
         self.version = version
--- a/whinrack/dispatch/_directory.py
+++ b/whinrack/dispatch/_directory.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from whinrack.dispatch._configuration import Configuration
-from whinrack.dispatch._values import CallerLimits
 from whinrack.exceptions import ConfigurationUnknown
+from whinrack.http1 import ServerLimits
 
 __all__ = ["Directory"]
 
@@ -30,9 +30,9 @@
         return 0 if self._current is None else self._current.version
 
     @property
-    def limits(self) -> CallerLimits:
+    def limits(self) -> ServerLimits:
         """The limits in force, or their defaults."""
-        return CallerLimits() if self._current is None else self._current.limits
+        return ServerLimits() if self._current is None else self._current.limits
 
     def current(self) -> Configuration:
         """Return the configuration in force.
--- a/whinrack/dispatch/_values.py
+++ b/whinrack/dispatch/_values.py
@@ -8,7 +8,6 @@
 
 __all__ = [
     "Attempt",
-    "CallerLimits",
     "DeclaredCover",
     "EngineShape",
     "IncomingRequest",
@@ -121,15 +120,6 @@
     limit: int | None = None
 
 
-class CallerLimits(msgspec.Struct, frozen=True):
-    """What callers may send; bytes and seconds."""
-
-    head_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    head_seconds: float = 3.0
-    idle_seconds: float = 15.0
-
-
 class TargetRecord(msgspec.Struct, frozen=True):
     """One run of a target.
 
--- a/whinrack/dispatch/tests/test_decisions.py
+++ b/whinrack/dispatch/tests/test_decisions.py
@@ -3,7 +3,6 @@
 import pytest
 
 from whinrack.dispatch import (
-    CallerLimits,
     Configuration,
     Directory,
     PoolRecord,
@@ -17,6 +16,7 @@
 )
 from whinrack.dispatch._events import event_blocks
 from whinrack.exceptions import AnswerCut, ConfigurationUnknown, NoRoute, Unauthorized
+from whinrack.http1 import ServerLimits
 
 
 def route(name, prefix, host="h", public=False):
@@ -38,7 +38,7 @@
         routes=routes,
         pools=[PoolRecord("p", 10)],
         workspaces=[WorkspaceRecord("w", ("k1", "k2"), limit=5)],
-        limits=CallerLimits(),
+        limits=ServerLimits(),
     )
 
 
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -29,7 +29,7 @@
 from whinrack.edge._sources import ConfigurationReader, TargetReader
 from whinrack.edge._tokens import TokenExchange
 from whinrack.exceptions import PlatformFailure
-from whinrack.http1 import ConnectionPool, HttpServer, ServerLimits
+from whinrack.http1 import ConnectionPool, HttpServer
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
 from whinrack.store import MeteredStore, ObjectStore
 
@@ -136,7 +136,7 @@
             options.callers,
             self.dispatcher.handle,
             lambda refusal: dialect.refusal(refusal, None),
-            self._limits,
+            lambda: self.directory.limits,
         )
         self._stopping = False
         self._stopped = False
@@ -274,15 +274,6 @@
 
     # --- upkeep ------------------------------------------------------------------
 
-    def _limits(self) -> ServerLimits:
-        limits = self.directory.limits
-        return ServerLimits(
-            head_bytes=limits.head_bytes,
-            body_bytes=limits.body_bytes,
-            head_seconds=limits.head_seconds,
-            idle_seconds=limits.idle_seconds,
-        )
-
     def _count_call(self, operation: str, result: str) -> None:
         self.metrics.platform_calls.labels(operation, result).inc()
 
--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -5,12 +5,13 @@
 from returns.result import Failure
 
 from standins.memory_store import MemoryStore
-from whinrack.dispatch import CallerLimits, Configuration, Directory, TargetRecord, TargetRegistry
+from whinrack.dispatch import Configuration, Directory, TargetRecord, TargetRegistry
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
 from whinrack.edge._sources import ConfigurationReader, TargetReader
 from whinrack.exceptions import PlatformUnavailable
+from whinrack.http1 import ServerLimits
 from whinrack.store import StoredObject
 
 PEER = ("peer", 1)
@@ -20,7 +21,7 @@
     kind, name = "config", "main"
 
     def read(self, stored):
-        return Configuration(msgspec.json.decode(stored.value), (), (), (), CallerLimits())
+        return Configuration(msgspec.json.decode(stored.value), (), (), (), ServerLimits())
 
 
 class Targets(TargetReader):
