--- a/whinrack/server/_ownership.py
+++ b/whinrack/server/_ownership.py
@@ -13,13 +13,11 @@
 """
 
 import time
-from typing import NamedTuple
 
 import eventlet
 import msgspec
 from returns.result import Failure
 
-from whinrack.base import rendezvous
 from whinrack.exceptions import (
     AnswerNotKept,
     ClaimUnavailable,
@@ -29,7 +27,6 @@
     RateExceeded,
 )
 from whinrack.membership import Member
-from whinrack.peers import ConsultQuery
 from whinrack.requests import (
     ClaimVerdict,
     Consultation,
@@ -37,9 +34,9 @@
     MemoryEntry,
     RunState,
     Ticket,
-    Verdict,
     judge_claim,
 )
+from whinrack.server._consulting import AskedRequest, PeerConsultant
 from whinrack.server._context import ServerContext
 
 __all__ = ["JoinHere", "JoinPeer", "Ownership", "RunHere"]
@@ -77,29 +74,6 @@
     member: Member
 
 
-class _Asked(msgspec.Struct, frozen=True):
-    """What is known about a request that is to be placed.
-
-    Attributes
-    ----------
-    known_owner : str
-        Another incarnation that is remembered as the owner, "" if there is none.
-    """
-
-    identity: Identity
-    digest: bytes
-    repeatable: bool
-    ticketed: bool
-    known_owner: str = ""
-
-
-class _HeirReply(NamedTuple):
-    """What the heir of a home says; `member` is None where this incarnation is the heir."""
-
-    member: Member | None
-    verdict: Verdict
-
-
 class Ownership:
     """Finds the owner of each keyed request.
 
@@ -111,6 +85,7 @@
 
     def __init__(self, context: ServerContext):
         self.context = context
+        self.consultant = PeerConsultant(context)
 
     def settle(
         self, identity: Identity, digest: bytes, ticket: Ticket | None, repeatable: bool
@@ -127,7 +102,7 @@
         if entry is not None and entry.digest != digest:
             raise KeyReused("the key was used with another body")
         known_owner = entry.owner if entry is not None and entry.owner != self._own else ""
-        asked = _Asked(identity, digest, repeatable, ticket is not None, known_owner)
+        asked = AskedRequest(identity, digest, repeatable, ticket is not None, known_owner)
         first = self._first_to_ask(asked, entry, ticket)
         if isinstance(first, JoinHere):
             return first
@@ -152,7 +127,7 @@
     def _own(self) -> str:
         return self.context.state.incarnation
 
-    def _take_back(self, asked: _Asked, before: MemoryEntry | None) -> None:
+    def _take_back(self, asked: AskedRequest, before: MemoryEntry | None) -> None:
         """Undo an own reservation that came to nothing."""
         entry = self._memory.find(asked.identity.name)
         if entry is None or entry.owner != self._own:
@@ -178,7 +153,7 @@
         own = self.context.own_member()
         return self.context.table.home(own, asked.identity.name, time.monotonic())
 
-    def _ask(self, asked: _Asked, home: str) -> RunHere | JoinPeer:
+    def _ask(self, asked: AskedRequest, home: str) -> RunHere | JoinPeer:
         """Ask the home, and go on to the owner that it names."""
         asking, lost = home, ""
         asked_before: set[str] = set()
@@ -189,13 +164,13 @@
                 eventlet.sleep(_SETTLING_PAUSE)
             asked_before.add(asking)
             member = self.context.table.find(asking)
-            reply = self._consult(member, asked, lost)
+            reply = self.consultant.ask(member, asked, lost)
             if reply is None:
                 if asking != home and not lost:
                     # The owner is lost: the home decides again, knowing that.
                     asking, lost = home, asking
                     continue
-                heir = self._ask_heir(asked, home)
+                heir = self.consultant.ask_heir(asked, home)
                 if heir is None:
                     return self._without(asked, asking)
                 member, reply = heir
@@ -215,45 +190,7 @@
                     raise OutcomeUnknown("an earlier try may have run", retry_after=_RETRY_AFTER)
         return self._without(asked, asking)
 
-    def _ask_heir(self, asked: _Asked, home: str) -> "_HeirReply | None":
-        """Ask who inherited the memory of a home that may have stopped as planned."""
-        now = time.monotonic()
-        heirs = [self._own, *self.context.table.heirs(now)]
-        name = rendezvous(asked.identity.name, heirs)[0]
-        if name == self._own:
-            if self._memory.answers_for(home, now):
-                return _HeirReply(None, Verdict(Consultation.CEDED, self._own))
-            return None
-        member = self.context.table.find(name)
-        reply = self._consult(member, asked, "", home)
-        if reply is None or reply.consultation is Consultation.NOT_HEIR:
-            return None
-        return _HeirReply(member, reply)
-
-    def _consult(
-        self, member: Member | None, asked: _Asked, lost: str, home: str = ""
-    ) -> Verdict | None:
-        """Ask one peer; None if it can't be reached."""
-        if member is None:
-            self.context.metrics.consultations.labels("unreachable").inc()
-            return None
-        query = ConsultQuery(
-            identity=asked.identity.name,
-            digest=asked.digest,
-            asker=self._own,
-            lost_owner=lost,
-            repeatable=asked.repeatable,
-            home=home,
-        )
-        reply = self.context.peers.consult(member.peer_address, query)
-        if isinstance(reply, Failure):
-            self.context.metrics.consultations.labels("unreachable").inc()
-            return None
-        verdict = reply.unwrap()
-        self.context.metrics.consultations.labels(str(verdict.consultation)).inc()
-        return verdict
-
-    def _without(self, asked: _Asked, lost: str) -> RunHere:
+    def _without(self, asked: AskedRequest, lost: str) -> RunHere:
         """Decide where an incarnation that may have run the request can't be asked."""
         if asked.repeatable:
             return RunHere(provisional_against=lost)
@@ -265,7 +202,7 @@
             retry_after=_RETRY_AFTER,
         )
 
-    def _confirm(self, asked: _Asked, decision: RunHere) -> RunHere | JoinHere | JoinPeer:
+    def _confirm(self, asked: AskedRequest, decision: RunHere) -> RunHere | JoinHere | JoinPeer:
         """Reserve the request for good, unless it was ceded while the home was asked."""
         now = time.monotonic()
         name = asked.identity.name
@@ -288,7 +225,7 @@
             raise OutcomeUnknown("another instance runs the request", retry_after=_RETRY_AFTER)
         return JoinPeer(member)
 
-    def _claim(self, asked: _Asked, decision: RunHere) -> RunHere | JoinPeer:
+    def _claim(self, asked: AskedRequest, decision: RunHere) -> RunHere | JoinPeer:
         """Ask the platform for the claim on a request that runs at most once."""
         result = self.context.claims.claim(asked.identity, asked.digest)
         verdict = judge_claim(result, self._own, asked.digest)
@@ -308,10 +245,10 @@
                 raise KeyReused("the key was used with another body")
         return self._join_holder(asked, result.unwrap().holder)
 
-    def _join_holder(self, asked: _Asked, holder: str) -> RunHere | JoinPeer:
+    def _join_holder(self, asked: AskedRequest, holder: str) -> RunHere | JoinPeer:
         """Join the answer of the claim's holder, which alone may run the request."""
         member = self.context.table.find(holder)
-        reply = self._consult(member, asked, "")
+        reply = self.consultant.ask(member, asked, "")
         if reply is not None and reply.consultation is Consultation.HERE:
             self._hand_over(asked, holder)
             return JoinPeer(member)
@@ -322,7 +259,7 @@
             "another instance holds the claim to run the request", retry_after=_RETRY_AFTER
         )
 
-    def _hand_over(self, asked: _Asked, owner: str) -> None:
+    def _hand_over(self, asked: AskedRequest, owner: str) -> None:
         """Remember that another incarnation owns the request."""
         entry = self._memory.find(asked.identity.name)
         if entry is not None:
