--- a/whinrack/budgets/_drawer.py
+++ b/whinrack/budgets/_drawer.py
@@ -18,6 +18,10 @@
 ACCOUNT_KIND = "BudgetAccount"
 
 
+def _no_pause() -> None:
+    """Write at once."""
+
+
 class _Batch:
     """Orders that share the next write of one account."""
 
@@ -43,6 +47,8 @@
         Where the account objects are.
     make_lock : callable
         Makes a lock that waiting green threads queue on, one for each account.
+    collect : callable, optional
+        Called before each write; orders that arrive while it pauses share the write.
 
     Notes
     -----
@@ -50,9 +56,16 @@
     write is conditional whoever makes it.
     """
 
-    def __init__(self, store: ObjectStore, make_lock: Callable, **editor_options):
+    def __init__(
+        self,
+        store: ObjectStore,
+        make_lock: Callable,
+        collect: Callable[[], None] = _no_pause,
+        **editor_options,
+    ):
         self.store = store
         self.make_lock = make_lock
+        self.collect = collect
         self._editor = ObjectEditor(store, ACCOUNT_KIND, BudgetAccount, **editor_options)
         self._locks: dict[str, object] = {}
         self._batches: dict[str, _Batch] = {}
@@ -80,6 +93,7 @@
         lock = self._locks.setdefault(account, self.make_lock())
         with lock:
             if batch.result is None:
+                self.collect()
                 self._batches.pop(account)
                 batch.result = self._write(account, batch.orders)
         return batch.result
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -208,7 +208,8 @@
         now = self.clock()
         return " ".join(
             f"{name}:{grant.ledger.spendable}/{max(0, grant.usable(now))}"
-            f"/{grant.last.free}/{grant.last.outstanding}@{now - grant.learnt_at:.1f}"
+            f"/{grant.last.free}/{grant.last.outstanding}/{grant.last.billed}"
+            f"@{now - grant.learnt_at:.1f}"
             for name, grant in self._grants.items()
             if grant.last is not None
         )
--- a/whinrack/budgets/tests/test_waiting.py
+++ b/whinrack/budgets/tests/test_waiting.py
@@ -6,7 +6,14 @@
 from returns.result import Failure, Success
 
 from standins.memory_store import MemoryStore
-from whinrack.budgets import AccountDrawer, BookSource, GrantKeeper, GrantOptions, SpareSource
+from whinrack.budgets import (
+    AccountDrawer,
+    BookSource,
+    DrawOrder,
+    GrantKeeper,
+    GrantOptions,
+    SpareSource,
+)
 
 BUDGET = "b"
 
@@ -93,3 +100,33 @@
     second.kill()
     assert isinstance(first.wait(), Success)
     assert keeper._grants[BUDGET].waiting == 0
+
+
+def test_orders_that_arrive_soon_after_one_another_share_a_write():
+    class Counting(MemoryStore):
+        writes = 0
+
+        def put(self, kind, name, value, version):
+            self.writes += 1
+            return super().put(kind, name, value, version)
+
+    store = Counting()
+    drawer = AccountDrawer(store, Semaphore, lambda: eventlet.sleep(0.05), sleep=eventlet.sleep)
+
+    def draw(number):
+        eventlet.sleep(0.005 * number)
+        order = DrawOrder(
+            account="a",
+            budget=BUDGET,
+            holder=f"m{number}.1",
+            sequence=1,
+            opening=True,
+            need=1,
+            limit=100,
+            limit_version=1,
+        )
+        return drawer.draw(order)
+
+    results = [thread.wait() for thread in [eventlet.spawn(draw, n) for n in range(5)]]
+    assert [result.unwrap().drawn for result in results] == [1] * 5
+    assert store.writes == 1
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -25,6 +25,8 @@
 __all__ = ["TokenExchange"]
 
 _ACCOUNT = "account-0000"
+# Orders that arrive within this time share one write, seconds.
+_COLLECT_SECONDS = 0.02
 
 
 class TokenExchange:
@@ -54,7 +56,7 @@
         self.holder = holder
         self.link = link
         self.peers = peers
-        drawer = AccountDrawer(store, Semaphore, sleep=eventlet.sleep)
+        drawer = AccountDrawer(store, Semaphore, _collect_orders, sleep=eventlet.sleep)
         self.fleet = FleetDrawer(options.name, drawer, link, peers, options.draw_seconds)
         self.spares = PeerSpares(holder, link, peers, options.gather_seconds)
         self.keeper = GrantKeeper(
@@ -116,6 +118,10 @@
         self.link.send(reply, address)
 
 
+def _collect_orders() -> None:
+    eventlet.sleep(_COLLECT_SECONDS)
+
+
 def _isolate(function: Callable, seconds: float | None):
     """Run to the end in a green thread of its own, whatever happens to the waiter."""
     with eventlet.Timeout(seconds, False):
