Changed settings come into force in a running process

SIGHUP, or a change noticed within 5 s, puts retry shares, seeds, the time of answers and stops and the bound on log lines in force; other changes are logged as needing a restart; an invalid file changes nothing and is logged (it ended a green thread with a traceback before).

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -117,6 +117,14 @@
         self.refusing = False
         self._allowances: dict[str, RetryAllowance] = {}
 
+    def use(self, options: DispatchOptions) -> None:
+        """Put changed options in force; what was sent again so far goes on counting."""
+        self.options = options
+        for allowance in self._allowances.values():
+            allowance.ratio = options.retry_ratio
+            allowance.slack = options.retry_slack
+            allowance.window = options.retry_window
+
     def handle(self, exchange: Exchange) -> None:
         """Answer one request; `CallerGone` passes through."""
         self.in_progress += 1
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -1,5 +1,6 @@
 """Wires the pipeline to sockets, store and peers, and runs until it is stopped."""
 
+import contextlib
 import os
 import signal
 import sys
@@ -24,11 +25,11 @@
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._membership import Membership
-from whinrack.edge._options import EdgeOptions
+from whinrack.edge._options import EdgeOptions, reload_options
 from whinrack.edge._sharing import KnowledgeServer
 from whinrack.edge._sources import ConfigurationReader, TargetReader
 from whinrack.edge._tokens import TokenExchange
-from whinrack.exceptions import PlatformFailure
+from whinrack.exceptions import InvalidSettings, PlatformFailure
 from whinrack.http1 import ConnectionPool, HttpServer
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
 from whinrack.store import MeteredStore, ObjectStore
@@ -46,6 +47,8 @@
 _EXIT_OK = 0
 _BOOKS_LOG_ROUNDS = 5
 _TASK_PAUSE_SECONDS = 0.5
+# How often the settings are read without a signal.
+_SETTINGS_SECONDS = 5.0
 # For so long the peers' clocks are waited for after a start.
 _CLOCK_CHECK_SECONDS = 1.0
 # A larger difference between the clocks' progress is a jump of the time of day.
@@ -66,8 +69,8 @@
         Answers callers' question where to go, and whether this instance is ready.
     restart : RestartMoment
         When this run started.
-    reload : callable, optional
-        Reads the settings again; returns what changed, as text for the log.
+    reload : callable
+        Reads the settings again and returns the `EdgeOptions`; raises `InvalidSettings`.
     """
 
     def __init__(
@@ -79,7 +82,7 @@
         target_reader: TargetReader,
         small_answers: SmallAnswers,
         restart: RestartMoment,
-        reload: Callable[[], str] = str,
+        reload: Callable[[], EdgeOptions],
     ):
         self.options = options
         self.dialect = dialect
@@ -128,7 +131,7 @@
             self.keeper,
             ConnectionPool(),
             self.metrics,
-            DispatchOptions(options.retry_ratio, options.retry_slack, options.retry_window),
+            _dispatch_options(options),
             self.membership.instances,
         )
         self.small_answers = small_answers
@@ -177,6 +180,7 @@
             *self.knowledge.tasks(),
             self._release_earlier_runs,
             self._renew_forever,
+            self._follow_settings,
             self.membership.beat_forever,
         )
         for task in tasks:
@@ -240,7 +244,34 @@
     # --- signals -----------------------------------------------------------------
 
     def _reload(self) -> None:
-        log_event(Event.SETTINGS_RELOADED, changed=self.reload() or "nothing")
+        """Put changed settings in force; invalid ones change nothing."""
+        try:
+            read = self.reload()
+        except InvalidSettings as error:
+            log_event(Event.SETTINGS_INVALID, error=error.message)
+            return
+        reloaded = reload_options(self.options, read)
+        self._use(reloaded.options)
+        log_event(
+            Event.SETTINGS_RELOADED,
+            changed=",".join(reloaded.changed) or "nothing",
+            after_restart=",".join(reloaded.after_restart) or "nothing",
+        )
+
+    def _follow_settings(self) -> None:
+        """Notice a change that no signal told."""
+        while True:
+            eventlet.sleep(_SETTINGS_SECONDS)
+            with contextlib.suppress(InvalidSettings):
+                if reload_options(self.options, self.reload()).changed:
+                    self._reload()
+
+    def _use(self, options: EdgeOptions) -> None:
+        self.options = options
+        self.small_answers.options = options
+        self.output.lines_per_second = options.log_lines_per_second
+        self.membership.add_seeds(options.seeds)
+        self.dispatcher.use(_dispatch_options(options))
 
     def _stop(self) -> None:
         """Finish what was taken, hand the tokens back and exit."""
@@ -286,6 +317,10 @@
             eventlet.sleep(_PUMP_SECONDS)
 
 
+def _dispatch_options(options: EdgeOptions) -> DispatchOptions:
+    return DispatchOptions(options.retry_ratio, options.retry_slack, options.retry_window)
+
+
 def _keep_running(task: Callable[[], None]) -> None:
     """Run a background task that should never end; one that fails begins anew."""
     while True:
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -73,7 +73,11 @@
     def start(self) -> None:
         """Listen for heartbeats."""
         self.link.start()
-        self.table.add_addresses(self.options.seeds, time.monotonic())
+        self.add_seeds(self.options.seeds)
+
+    def add_seeds(self, seeds: tuple[HostPort, ...]) -> None:
+        """Learn where peers may hear datagrams."""
+        self.table.add_addresses(seeds, time.monotonic())
 
     def beat(self) -> None:
         """Send a heartbeat to every address where a peer may be."""
--- a/whinrack/edge/_options.py
+++ b/whinrack/edge/_options.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["EdgeOptions", "HostPort"]
+__all__ = ["EdgeOptions", "HostPort", "ReloadedOptions", "reload_options"]
 
 HostPort = tuple[str, int]
 
@@ -63,3 +63,47 @@
     draw_seconds: float = 0.15
     wall_margin_seconds: float = 3.5
     log_lines_per_second: float = 150.0
+
+
+# Options that come into force in a running process; the others need a restart.
+_RELOADABLE = frozenset(
+    {
+        "answer_seconds",
+        "log_lines_per_second",
+        "retry_ratio",
+        "retry_slack",
+        "retry_window",
+        "seeds",
+        "stop_seconds",
+    }
+)
+
+
+class ReloadedOptions(msgspec.Struct, frozen=True):
+    """Options after the settings were read again.
+
+    Attributes
+    ----------
+    options : EdgeOptions
+        Those in force now.
+    changed : tuple of str
+        Names that came into force.
+    after_restart : tuple of str
+        Names that changed but need a restart.
+    """
+
+    options: EdgeOptions
+    changed: tuple[str, ...]
+    after_restart: tuple[str, ...]
+
+
+def reload_options(old: EdgeOptions, read: EdgeOptions) -> ReloadedOptions:
+    """Return the old options with what may change in a running process."""
+    before, after = msgspec.structs.asdict(old), msgspec.structs.asdict(read)
+    differing = sorted(name for name in before if before[name] != after[name])
+    changed = tuple(name for name in differing if name in _RELOADABLE)
+    return ReloadedOptions(
+        options=msgspec.structs.replace(old, **{name: after[name] for name in changed}),
+        changed=changed,
+        after_restart=tuple(name for name in differing if name not in _RELOADABLE),
+    )
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -25,6 +25,7 @@
 
     SETTINGS_RELOADED = (1007, "INFO", "settings file read again")
     LINES_DROPPED = (1008, "WARNING", "log lines left out to keep the volume bounded")
+    SETTINGS_INVALID = (1009, "ERROR", "settings file is invalid, the last good one stays in force")
 
     PLATFORM_LOST = (2001, "WARNING", "platform doesn't answer")
     PLATFORM_BACK = (2002, "INFO", "platform answers again")
