--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -15,6 +15,12 @@
 from whinrack.dispatch._registry import TargetRegistry, TargetState
 from whinrack.dispatch._retries import RetryAllowance
 from whinrack.dispatch._run import Run
+from whinrack.dispatch._run_log import (
+    log_attempt,
+    log_refusal,
+    log_run,
+    log_uncovered,
+)
 from whinrack.dispatch._values import Attempt, IncomingRequest, PoolRecord, Route, RouteKind
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
@@ -155,14 +161,14 @@
         try:
             self._attempt_all(run)
         except CallerGone:
-            self._log(Event.CALLER_LEFT, run)
+            log_run(Event.CALLER_LEFT, run)
             raise
         finally:
             # Whatever was not settled by a known end.
             if not run.may_have_run:
                 run.settle_not_run()
             elif run.settle_unknown():
-                self._log(
+                log_run(
                     Event.COVER_COUNTED,
                     run,
                     tokens=run.cover.tokens,
@@ -177,7 +183,7 @@
             return
         cover = self.keeper.cover(run.workspace.name, declared.total)
         if isinstance(cover, Failure):
-            self._log_uncovered(run, declared.total)
+            log_uncovered(run, declared.total, self.keeper)
             raise cover.failure()
         run.cover = cover.unwrap()
 
@@ -194,7 +200,7 @@
                 return
             except _AttemptFailed as failed:
                 unreached += not failed.counts
-                self._log_attempt(run, failed)
+                log_attempt(run, failed.refusal)
                 if not self._may_go_on(run, failed, unreached, allowance):
                     raise self._final(run, failed.refusal) from failed
 
@@ -347,7 +353,7 @@
             raise AnswerCut(f"the target answered {head.status} in the middle of a stream")
         run.settle_whole(pool)
         run.exchange.respond(head.status, _answer_headers(head), body)
-        self._log(Event.REQUEST_ANSWERED, run, status=head.status)
+        log_run(Event.REQUEST_ANSWERED, run, status=head.status)
         self.metrics.requests.labels(str(run.route.kind), str(head.status)).inc()
 
     def _run_again(self, run: Run, head: ResponseHead) -> None:
@@ -371,7 +377,7 @@
             exchange.start(head.status, _answer_headers(head))
         run.settle_whole(pool)
         exchange.finish()
-        self._log(Event.REQUEST_ANSWERED, run, status=head.status)
+        log_run(Event.REQUEST_ANSWERED, run, status=head.status)
         self.metrics.requests.labels(str(run.route.kind), str(head.status)).inc()
 
     def _pass_on(self, run: Run, block: EventBlock) -> None:
@@ -391,59 +397,13 @@
     ) -> None:
         label = request.request_id.decode("latin-1") if request is not None else ""
         self.metrics.refusals.labels(refusal.code).inc()
-        waited = round(time.monotonic() - exchange.arrived, 4)
-        fields = {"request": label, "code": refusal.code, "attempts": refusal.attempts}
+        log_refusal(exchange, label, refusal, self.directory.version)
         if exchange.started:
             # The exchange is left without an end: the connection is closed.
-            log_event(Event.ANSWER_BROKEN_OFF, waited=waited, why=refusal.message, **fields)
             return
-        log_event(
-            Event.REQUEST_REFUSED,
-            waited=waited,
-            why=refusal.message,
-            configuration=self.directory.version,
-            **fields,
-        )
         status, headers, body = self.dialect.refusal(refusal, request)
         exchange.respond(status, headers, body)
 
-    # --- logs --------------------------------------------------------------------
-
-    def _log(self, event: Event, run: Run, **fields) -> None:
-        log_event(
-            event,
-            request=run.label,
-            route=run.route.name,
-            workspace=run.workspace_name,
-            target=run.target,
-            attempts=run.attempts,
-            events=run.events,
-            waited=round(time.monotonic() - run.exchange.arrived, 4),
-            configuration=run.configuration.version,
-            **fields,
-        )
-
-    def _log_attempt(self, run: Run, failed: _AttemptFailed) -> None:
-        self._log(
-            Event.ATTEMPT_FAILED,
-            run,
-            code=failed.refusal.code,
-            outcome=failed.refusal.outcome,
-            why=failed.refusal.message,
-        )
-
-    def _log_uncovered(self, run: Run, tokens: int) -> None:
-        last = self.keeper.last_known(run.workspace_name)
-        log_event(
-            Event.COVER_REFUSED,
-            request=run.label,
-            workspace=run.workspace_name,
-            tokens=tokens,
-            free=last.free if last is not None else "unknown",
-            outstanding=last.outstanding if last is not None else "unknown",
-            store_silent=round(time.monotonic() - self.keeper.answered_at, 3),
-        )
-
 
 def _no_target() -> Refusal:
     return TargetUnavailable("no target takes work now", retry_after=_BUSY_RETRY_SECONDS)
--- /dev/null
+++ b/whinrack/dispatch/_run_log.py
@@ -0,0 +1,76 @@
+"""Log lines of requests: one for each decision that touches one."""
+
+import time
+
+from whinrack.budgets import GrantKeeper
+from whinrack.dispatch._run import Run
+from whinrack.exceptions import Refusal
+from whinrack.http1 import Exchange
+from whinrack.observability import Event, log_event
+
+__all__ = ["log_attempt", "log_counted", "log_refusal", "log_run", "log_uncovered"]
+
+
+def log_run(event: Event, run: Run, **fields) -> None:
+    """Write a line with what is known of a request on its way."""
+    log_event(
+        event,
+        request=run.label,
+        route=run.route.name,
+        workspace=run.workspace_name,
+        target=run.target,
+        attempts=run.attempts,
+        events=run.events,
+        waited=_waited(run.exchange),
+        configuration=run.configuration.version,
+        **fields,
+    )
+
+
+def log_attempt(run: Run, refusal: Refusal) -> None:
+    """Tell that an attempt gave no answer, and why."""
+    log_run(
+        Event.ATTEMPT_FAILED,
+        run,
+        code=refusal.code,
+        outcome=refusal.outcome,
+        why=refusal.message,
+    )
+
+
+def log_counted(run: Run) -> None:
+    """Tell that a cover counts in full."""
+    declared = run.request.cover
+    log_run(Event.COVER_COUNTED, run, tokens=declared.total, output=declared.output)
+
+
+def log_uncovered(run: Run, tokens: int, keeper: GrantKeeper) -> None:
+    """Tell that tokens could not be set aside, and what was known of the budget."""
+    last = keeper.last_known(run.workspace_name)
+    log_event(
+        Event.COVER_REFUSED,
+        request=run.label,
+        workspace=run.workspace_name,
+        tokens=tokens,
+        free=last.free if last is not None else "unknown",
+        outstanding=last.outstanding if last is not None else "unknown",
+        store_silent=round(time.monotonic() - keeper.answered_at, 3),
+    )
+
+
+def log_refusal(exchange: Exchange, label: str, refusal: Refusal, configuration: int) -> None:
+    """Tell how a request ended that got no target's answer, or only a part of one."""
+    event = Event.ANSWER_BROKEN_OFF if exchange.started else Event.REQUEST_REFUSED
+    log_event(
+        event,
+        request=label,
+        code=refusal.code,
+        attempts=refusal.attempts,
+        waited=_waited(exchange),
+        why=refusal.message,
+        configuration=configuration,
+    )
+
+
+def _waited(exchange: Exchange) -> float:
+    return round(time.monotonic() - exchange.arrived, 4)
