Wait 2 s for the peers' clocks after a start

Found by the instances that released within 1.03 s of their start and had heard nobody; ruled out: clocks that jumped (the log lines' times agree) and late heartbeats. The log line of a release says whether the clock was checked.

--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -50,7 +50,7 @@
 # How often the settings are read without a signal.
 _SETTINGS_SECONDS = 5.0
 # For so long the peers' clocks are waited for after a start.
-_CLOCK_CHECK_SECONDS = 1.0
+_CLOCK_CHECK_SECONDS = 2.0
 # A larger difference between the clocks' progress is a jump of the time of day.
 _CLOCK_JUMP_SECONDS = 0.25
 
@@ -221,7 +221,12 @@
         text = " ".join(
             f"{row.budget}:{row.written_off}/{row.freed}@{row.seconds:.1f}" for row in rows.unwrap()
         )
-        log_event(Event.EARLIER_RUNS_RELEASED, instance=self.options.name, rows=text)
+        log_event(
+            Event.EARLIER_RUNS_RELEASED,
+            instance=self.options.name,
+            clock="checked" if self._checked_restart().wall_checked else "not checked",
+            rows=text,
+        )
 
     def _clock_is_judged(self) -> bool:
         """Whether the peers have checked the time of day, or have had time enough to."""
