Probe a lost store by a short watch

The task that probes sent watches held for 2 s; where nothing changes, their answer comes 2 s after the cut has healed. Ruled out: the time-outs of calls (0.4 and 1.2 s) and the pauses between them (0.3 s).

While the store is lost a watch is held for 0.05 s. The test failed before.

--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -14,6 +14,7 @@
 
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 0.3
+_PROBE_SECONDS = 0.05
 # A task that doesn't probe tries by itself after so long.
 _LONGEST_WAIT = 2.0
 
@@ -121,7 +122,9 @@
         return True
 
     def _watch(self) -> bool:
-        result = self.store.watch([self.kind], self.revision, self.watch_seconds)
+        # A lost store is probed: the answer has to come at once, changes or not.
+        seconds = self.watch_seconds if self.contact.answers else _PROBE_SECONDS
+        result = self.store.watch([self.kind], self.revision, seconds)
         if isinstance(result, Failure):
             return False
         batch = result.unwrap()
--- a/whinrack/edge/tests/test_store_tasks.py
+++ b/whinrack/edge/tests/test_store_tasks.py
@@ -93,3 +93,24 @@
     for thread in threads:
         thread.kill()
     assert waiting.calls == 1
+
+
+def test_a_probe_of_a_lost_store_is_not_held_open():
+    """Nothing may change for long after an outage: a held watch would tell it late."""
+    waits = []
+
+    class Noting(MemoryStore):
+        def watch(self, kinds, since, wait):
+            waits.append(wait)
+            return super().watch(kinds, since, 0.0)
+
+    contact = StoreContact(lambda answers: None)
+    following = follower(Noting(), [], contact=contact)
+    following.step()
+    following.step()
+    contact.report(False)
+    following.step()
+    assert contact.answers
+    following.step()
+    assert waits[0] == waits[2] == 0.1
+    assert waits[1] <= 0.05
