Split the server's connections from its listener; drop what nothing read

http1/_server.py (411 lines) becomes _exchange.py, _connection.py and _server.py; Route.goal, Route.pause_goal and GossipLink.malformed were kept but never used.

--- a/whinrack/dispatch/_values.py
+++ b/whinrack/dispatch/_values.py
@@ -44,8 +44,6 @@
         Begins and ends with a slash.
     timeout : float
         Most seconds that a request is held.
-    goal : float
-        Seconds within which an answer, or its first event, is in time.
     priority : int
         0 is the most urgent.
     most_attempts : int
@@ -54,8 +52,6 @@
         No key is needed.
     resumable : bool
         A broken stream may go on at another target.
-    pause_goal : float
-        Most seconds between events of an answer in time.
     """
 
     name: str
@@ -63,13 +59,11 @@
     path_prefix: str
     kind: RouteKind
     timeout: float
-    goal: float
     shares: tuple[PoolShare, ...]
     priority: int = 0
     most_attempts: int = 1
     public: bool = False
     resumable: bool = False
-    pause_goal: float = 1.0
 
     @property
     def may_run_again(self) -> bool:
--- a/whinrack/dispatch/tests/test_decisions.py
+++ b/whinrack/dispatch/tests/test_decisions.py
@@ -26,7 +26,6 @@
         path_prefix=prefix,
         kind=RouteKind.REPEATABLE,
         timeout=1.0,
-        goal=0.5,
         shares=(PoolShare("p"),),
         public=public,
     )
--- a/whinrack/gossip/_link.py
+++ b/whinrack/gossip/_link.py
@@ -27,7 +27,6 @@
     def __init__(self, address: tuple[str, int], receive: Callable[[Message, tuple], None]):
         self.address = address
         self.receive = receive
-        self.malformed = 0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Message)
         self._socket = None
@@ -63,6 +62,6 @@
             try:
                 message = self._decoder.decode(data)
             except msgspec.MsgspecError:
-                self.malformed += 1
+                # Not a message of ours, or of another version.
                 continue
             self.receive(message, address)
--- a/whinrack/http1/__init__.py
+++ b/whinrack/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on green sockets; `h11` reads and writes the bytes."""
 
 from whinrack.http1._client import ConnectionPool, TargetConnection
+from whinrack.http1._exchange import Exchange, ServerLimits
 from whinrack.http1._messages import (
     Headers,
     RequestHead,
@@ -8,7 +9,7 @@
     end_to_end_headers,
     header_value,
 )
-from whinrack.http1._server import Exchange, HttpServer, ServerLimits
+from whinrack.http1._server import HttpServer
 
 __all__ = [
     "ConnectionPool",
--- /dev/null
+++ b/whinrack/http1/_connection.py
@@ -0,0 +1,297 @@
+"""One caller's connection: reads its requests in turn and sends the answers."""
+
+import contextlib
+import socket
+import struct
+import time
+from collections.abc import Callable
+
+import eventlet
+import h11
+from eventlet import hubs
+
+from whinrack.exceptions import (
+    BadRequest,
+    BodyTooLarge,
+    CallerGone,
+    HeadersTooLarge,
+    Refusal,
+    RequestTimeout,
+)
+from whinrack.http1._exchange import AnswerSink, Exchange, ServerLimits
+from whinrack.http1._messages import Headers, RequestHead
+
+__all__ = ["CallerConnection", "ConnectionHost"]
+
+_READ_BYTES = 65_536
+_EARLY_BYTES = 262_144
+_CLOSE_SECONDS = 0.5
+_TOO_LARGE_HEAD = 431
+# SO_LINGER on, with no seconds: a close resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class ConnectionHost:
+    """What all connections of a server have in common.
+
+    Attributes
+    ----------
+    handle, refuse, limits : callable
+        See `HttpServer`.
+    closing : bool
+        Answers say that their connection closes after them.
+    connections : set of CallerConnection
+        The open ones.
+    """
+
+    def __init__(
+        self,
+        handle: Callable[[Exchange], None],
+        refuse: Callable[[Refusal], tuple[int, Headers, bytes]],
+        limits: Callable[[], ServerLimits],
+    ):
+        self.handle = handle
+        self.refuse = refuse
+        self.limits = limits
+        self.closing = False
+        self.connections: set[CallerConnection] = set()
+
+
+class CallerConnection(AnswerSink):
+    """A kept connection of one caller."""
+
+    def __init__(self, server: ConnectionHost, sock):
+        self.server = server
+        self.sock = sock
+        head_bytes = server.limits().head_bytes
+        self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
+        self.idle = True
+        self._early = b""
+        self._handling: object | None = None
+        self._keep = True
+
+    def serve(self) -> None:
+        """Answer requests until one side closes."""
+        self.server.connections.add(self)
+        try:
+            while self._keep and self._serve_one():
+                self.protocol.start_next_cycle()
+        except (CallerGone, OSError, h11.ProtocolError):
+            self._break_off()
+        finally:
+            self.server.connections.discard(self)
+            self._close()
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no request has begun on it."""
+        if self.idle:
+            self._shutdown(socket.SHUT_RDWR)
+
+    # --- reading -----------------------------------------------------------------
+
+    def _serve_one(self) -> bool:
+        limits = self.server.limits()
+        try:
+            request = self._read_request(limits)
+        except Refusal as refusal:
+            self._refuse(refusal)
+            return False
+        if request is None:
+            return False
+        head, body = request
+        self._run(Exchange(self, head, body))
+        return self._keep
+
+    def _read_request(self, limits: ServerLimits) -> tuple[RequestHead, bytes] | None:
+        """Return the next request, None if the caller closed before one began."""
+        if not self._await_request(limits.idle_seconds):
+            return None
+        head = self._read_head(limits)
+        if head is None:
+            return None
+        return head, self._read_body(limits, time.monotonic() + limits.body_seconds)
+
+    def _await_request(self, seconds: float) -> bool:
+        """Wait for the first bytes of a request; False if none came."""
+        early, self._early = self._early, b""
+        if not early and not self.protocol.trailing_data[0]:
+            self.idle = True
+            self.sock.settimeout(seconds)
+            try:
+                early = self.sock.recv(_READ_BYTES)
+            except (TimeoutError, OSError):
+                return False
+            if not early:
+                return False
+        self.idle = False
+        if early:
+            self._receive(early)
+        return True
+
+    def _read_head(self, limits: ServerLimits) -> RequestHead | None:
+        event = self._next_event(time.monotonic() + limits.head_seconds)
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        if _head_size(event) > limits.head_bytes:
+            raise HeadersTooLarge(f"allowed are {limits.head_bytes} bytes")
+        self._keep = not _caller_closes(event)
+        return RequestHead(event.method, event.target, list(event.headers))
+
+    def _read_body(self, limits: ServerLimits, end: float) -> bytes:
+        if self.protocol.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+        parts, size = [], 0
+        while not isinstance(event := self._next_event(end), h11.EndOfMessage):
+            if not isinstance(event, h11.Data):
+                raise BadRequest("the body ended early")
+            size += len(event.data)
+            if size > limits.body_bytes:
+                raise BodyTooLarge(f"allowed are {limits.body_bytes} bytes")
+            parts.append(bytes(event.data))
+        return b"".join(parts)
+
+    def _next_event(self, end: float):
+        while True:
+            try:
+                event = self.protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise _malformed(error) from error
+            if event is not h11.NEED_DATA:
+                return event
+            left = end - time.monotonic()
+            if left <= 0:
+                raise RequestTimeout("the request took too long to arrive")
+            self.sock.settimeout(left)
+            try:
+                data = self.sock.recv(_READ_BYTES)
+            except TimeoutError as error:
+                raise RequestTimeout("the request took too long to arrive") from error
+            self._receive(data)
+
+    def _receive(self, data: bytes) -> None:
+        try:
+            self.protocol.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise _malformed(error) from error
+
+    # --- handling ----------------------------------------------------------------
+
+    def _run(self, exchange: Exchange) -> None:
+        token = self._handling = object()
+        worker = eventlet.getcurrent()
+        watcher = eventlet.spawn(self._watch, worker, token)
+        try:
+            self.server.handle(exchange)
+        finally:
+            self._handling = None
+            watcher.kill()
+        if not exchange.ended:
+            raise CallerGone("the answer was broken off")
+
+    def _watch(self, worker, token) -> None:
+        """Raise `CallerGone` in the handler when the caller closes the connection."""
+        while self._handling is token:
+            try:
+                hubs.trampoline(self.sock.fileno(), read=True)
+                data = self.sock.fd.recv(_READ_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError:
+                data = b""
+            if data and len(self._early) < _EARLY_BYTES:
+                self._early += data
+                continue
+            hubs.get_hub().schedule_call_global(0, self._throw, worker, token)
+            return
+
+    def _throw(self, worker, token) -> None:
+        if self._handling is token:
+            worker.throw(CallerGone("the caller left"))
+
+    def _refuse(self, refusal: Refusal) -> None:
+        """Answer a request that could not be read; what follows it is not read."""
+        self._keep = False
+        status, headers, body = self.server.refuse(refusal)
+        framed = [*headers, (b"content-length", str(len(body)).encode())]
+        self.send_response(status, framed, body)
+
+    # --- writing -----------------------------------------------------------------
+
+    def send_response(self, status: int, headers: Headers, body: bytes | None) -> None:
+        """Send an answer's head, and its whole body unless that comes in pieces."""
+        self._keep = self._keep and not self.server.closing
+        if self._keep:
+            idle = max(1, int(self.server.limits().idle_seconds))
+            connection = (b"keep-alive", b"timeout=%d" % idle)
+        else:
+            connection = (b"connection", b"close")
+        events = [h11.Response(status_code=status, headers=[*headers, connection])]
+        if body is not None:
+            events += [h11.Data(data=body), h11.EndOfMessage()]
+        self._send(*events)
+
+    def send_piece(self, data: bytes) -> None:
+        """Send a piece of an answer."""
+        self._send(h11.Data(data=data))
+
+    def end_pieces(self) -> None:
+        """End an answer that came in pieces."""
+        self._send(h11.EndOfMessage())
+
+    def _send(self, *events) -> None:
+        data = b"".join(self.protocol.send(event) for event in events)
+        self.sock.settimeout(self.server.limits().write_seconds)
+        try:
+            self.sock.sendall(data)
+        except OSError as error:
+            raise CallerGone("the caller doesn't read") from error
+
+    # --- closing -----------------------------------------------------------------
+
+    def _break_off(self) -> None:
+        """Make sure that an unfinished answer can't be taken for a whole one."""
+        self._keep = True
+        unframed = (self.protocol.their_http_version or b"") < b"1.1"
+        if self.protocol.our_state is h11.SEND_BODY and unframed:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+    def _close(self) -> None:
+        if not self._keep:
+            self._linger()
+        self.sock.close()
+
+    def _linger(self) -> None:
+        """Let the caller read the last answer: a close over unread bytes would reset it."""
+        self._shutdown(socket.SHUT_WR)
+        end = time.monotonic() + _CLOSE_SECONDS
+        try:
+            self.sock.settimeout(_CLOSE_SECONDS)
+            while self.sock.recv(_READ_BYTES) and time.monotonic() < end:
+                pass
+        except OSError:
+            pass
+
+    def _shutdown(self, how: int) -> None:
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(how)
+
+
+def _head_size(request: h11.Request) -> int:
+    """Return the bytes of a head: h11 bounds only heads that arrive in pieces."""
+    line = len(request.method) + len(request.target) + len(b"  HTTP/1.1\r\n")
+    fields = sum(len(name) + len(value) + len(b": \r\n") for name, value in request.headers)
+    return line + fields
+
+
+def _caller_closes(request: h11.Request) -> bool:
+    if request.http_version < b"1.1":
+        return True
+    return any(
+        name == b"connection" and b"close" in value.lower() for name, value in request.headers
+    )
+
+
+def _malformed(error: h11.RemoteProtocolError) -> Refusal:
+    if error.error_status_hint == _TOO_LARGE_HEAD:
+        return HeadersTooLarge("the head is larger than allowed")
+    return BadRequest("the request is malformed")
