--- a/benchmarks/bench_edge.py
+++ b/benchmarks/bench_edge.py
@@ -34,7 +34,9 @@
             opening=sequence == 1,
             limit=10**9,
             limit_version=1,
-            schedule=ReleaseSchedule(base=10**5, rate=1234.5, steady=1.5e5, wall=1.7e9),
+            schedule=ReleaseSchedule(
+                base=10**5, rate=1234.5, steady=1.5e5, wall=1.7e9, wall_checked=True, delay=1.5
+            ),
         )
         for budget in range(BUDGETS)
     ]
