--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -209,6 +209,7 @@
         return " ".join(
             f"{name}:{grant.ledger.spendable}/{max(0, grant.usable(now))}"
             f"/{grant.last.free}/{grant.last.outstanding}/{grant.last.billed}"
+            f"/{self._orders.limit(name)}"
             f"@{now - grant.learnt_at:.1f}"
             for name, grant in self._grants.items()
             if grant.last is not None
--- a/whinrack/budgets/_orders.py
+++ b/whinrack/budgets/_orders.py
@@ -77,6 +77,10 @@
         """Whether the configuration states a limit for a budget."""
         return budget in self._limits
 
+    def limit(self, budget: str) -> int:
+        """Return the limit that the configuration states for a budget, 0 for none."""
+        return self._limits.get(budget, 0)
+
     @property
     def books_answer(self) -> bool:
         """Whether the books can be reached, as far as is known."""
@@ -119,7 +123,7 @@
             want=0 if self.stopping else wish,
             final=final,
             given=sum(ledger.given.values()) if final else None,
-            limit=self._limits.get(ledger.budget, 0),
+            limit=self.limit(ledger.budget),
             limit_version=self._limit_version if ledger.budget in self._limits else 0,
             schedule=schedule,
         )
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -353,7 +353,7 @@
             raise AnswerCut(f"the target answered {head.status} in the middle of a stream")
         run.settle_whole(pool)
         run.exchange.respond(head.status, _answer_headers(head), body)
-        log_run(Event.REQUEST_ANSWERED, run, status=head.status)
+        log_run(Event.REQUEST_ANSWERED, run, status=head.status, billed=run.billed)
         self.metrics.requests.labels(str(run.route.kind), str(head.status)).inc()
 
     def _run_again(self, run: Run, head: ResponseHead) -> None:
@@ -377,7 +377,7 @@
             exchange.start(head.status, _answer_headers(head))
         run.settle_whole(pool)
         exchange.finish()
-        log_run(Event.REQUEST_ANSWERED, run, status=head.status)
+        log_run(Event.REQUEST_ANSWERED, run, status=head.status, billed=run.billed)
         self.metrics.requests.labels(str(run.route.kind), str(head.status)).inc()
 
     def _pass_on(self, run: Run, block: EventBlock) -> None:
--- a/whinrack/dispatch/_run.py
+++ b/whinrack/dispatch/_run.py
@@ -25,6 +25,8 @@
         Some target may have begun to work on it.
     events, last_id
         Events relayed so far, and the id of the last one.
+    billed : int
+        Tokens of an answer that is known to be whole.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         self.workspace = workspace
         self.end = exchange.arrived + min(request.deadline or route.timeout, route.timeout)
         self.cover: Cover | None = None
+        self.billed = 0
         self.attempts = 0
         self.tried: set[str] = set()
         self.may_have_run = False
@@ -91,7 +94,8 @@
         if self.attempts > 1 and self.may_have_run:
             # An earlier target may have handed out events that never came here.
             made += declared.output
-        self.cover.settle(min(declared.total, declared.prompt + made))
+        self.billed = min(declared.total, declared.prompt + made)
+        self.cover.settle(self.billed)
 
     def settle_unknown(self) -> bool:
         """Count the whole cover: nobody knows how much was handed out.
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -49,7 +49,11 @@
     BILL_UNCONFIRMED = (6002, "WARNING", "answer ended before its bill was kept")
     POLICY_FAILED = (6003, "WARNING", "routing program failed, the default applies")
     EARLIER_RUNS_RELEASED = (6004, "INFO", "earlier runs: written off/freed @seconds used at most")
-    BOOKS_KNOWN = (6005, "INFO", "budgets: spendable/usable here/free/held/billed by all @age")
+    BOOKS_KNOWN = (
+        6005,
+        "INFO",
+        "budgets: spendable/usable here/free/held/billed/limit @age",
+    )
 
     REQUEST_ANSWERED = (7001, "INFO", "a target's answer was passed on whole")
     REQUEST_REFUSED = (7002, "INFO", "request refused")
