Schedules stay as stated while the books are out of reach

Cause: in an outage every attempt to send an order stated a new schedule, and all stated ones bind, so each attempt took back what the last one had released since: the unused allowance of quiet seconds was lost, and the rate began anew after its delay. The test failed before (464 of 1,200 tokens usable after five quiet seconds).

--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -77,6 +77,7 @@
         # Tokens that peers said are used up by requests there, by giver.
         self.covering_elsewhere: dict[str, int] = {}
         self.stated_at = float("-inf")
+        self.stated: ReleaseSchedule | None = None
 
     @contextmanager
     def turn(self, tokens: int) -> Iterator[None]:
@@ -130,7 +131,7 @@
             pace = min(pace, share / options.release_horizon)
             ahead = min(ahead, share * options.release_part)
         self.stated_at = now
-        return ReleaseSchedule(
+        self.stated = ReleaseSchedule(
             base=self.ledger.used + max(need, int(ahead)),
             rate=max(0.0, pace),
             steady=now,
@@ -138,6 +139,7 @@
             wall_checked=wall.checked,
             delay=options.release_delay,
         )
+        return self.stated
 
     def releases_idly(self, now: float) -> bool:
         """Whether the schedule goes on releasing what nobody uses here."""
--- a/whinrack/budgets/_orders.py
+++ b/whinrack/budgets/_orders.py
@@ -8,7 +8,7 @@
 from whinrack.budgets._books import DrawOrder, DrawResult
 from whinrack.budgets._drawer import BookSource
 from whinrack.budgets._grant import Grant, GrantOptions
-from whinrack.budgets._schedule import WallReading
+from whinrack.budgets._schedule import ReleaseSchedule, WallReading
 from whinrack.exceptions import PlatformFailure, PlatformUnavailable
 
 __all__ = ["BookOrders", "call_here", "unchecked_wall_clock"]
@@ -117,7 +117,7 @@
         want = ahead + grant.largest + grant.waiting
         short = max(0, need - ledger.spendable)
         wish = max(0, want - ledger.spendable - short)
-        schedule = grant.schedule(self.options, need + grant.waiting, now, self.wall_clock())
+        schedule = self._schedule(grant, need + grant.waiting)
         order = ledger.next_order(
             need=short,
             want=0 if self.stopping else wish,
@@ -130,6 +130,16 @@
         grant.guard.stated(order.sequence, schedule)
         return order
 
+    def _schedule(self, grant: Grant, need: int) -> ReleaseSchedule:
+        """State anew what may be used; unchanged while the books are out of reach.
+
+        Every schedule that may reach the books binds: a new one would only take back
+        what the last one has released since.
+        """
+        if grant.stated is not None and not self.books_answer:
+            return grant.stated
+        return grant.schedule(self.options, need, self.clock(), self.wall_clock())
+
     def send(
         self, orders: list[DrawOrder], seconds: float | None = None
     ) -> Result[None, PlatformFailure]:
--- a/whinrack/budgets/tests/test_grants.py
+++ b/whinrack/budgets/tests/test_grants.py
@@ -574,3 +574,15 @@
     machine.cut_off = True
     fleet.now += 6.0
     assert machine.request(200).failure().retry_after == options.away_retry_after
+
+
+def test_orders_that_can_not_arrive_do_not_take_back_what_was_released():
+    """In an outage the allowance of quiet seconds is there for the busy ones."""
+    fleet = busy_fleet()
+    machine = fleet.machines[0]
+    machine.cut_off = True
+    fleet.lose_peer_replies = 100
+    for _ in range(5):
+        machine.keeper.renew()
+        fleet.now += 1.0
+    assert isinstance(machine.request(4 * 300), Success)
