--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -28,6 +28,9 @@
         Seconds of demand that a schedule releases at once, but at least one request.
     release_factor : float
         Rate of a schedule as a multiple of the demand.
+    plenty_seconds, release_most : float
+        Both grow where a budget lasts for more than some multiples of so many seconds:
+        to that multiple, and to `release_most` at most.
     release_delay : float
         Seconds after which a schedule releases more than that; one that is stated anew
         in time never gets there.
@@ -49,6 +52,8 @@
     horizon: float = 12.0
     release_seconds: float = 1.5
     release_factor: float = 1.4
+    plenty_seconds: float = 20.0
+    release_most: float = 2.5
     release_delay: float = 1.5
     release_part: float = 0.1
     release_horizon: float = 15.0
@@ -122,8 +127,9 @@
     ) -> ReleaseSchedule:
         """Return what this run may use from now on: what is needed, and some ahead."""
         rate = max(self.demand.rate(now), self.share_of_demand(now))
-        ahead = max(rate * options.release_seconds, self.largest)
-        pace = rate * options.release_factor
+        plenty = self._plenty(options, now)
+        ahead = max(rate * max(options.release_seconds, plenty), self.largest)
+        pace = rate * max(options.release_factor, plenty)
         if self.last is not None and self.last.holders:
             # What is released and not used is lost with this run: the less is left, the
             # less may be lost.
@@ -141,6 +147,14 @@
         )
         return self.stated
 
+    def _plenty(self, options: GrantOptions, now: float) -> float:
+        """Return how freely a budget that lasts for long may be released, 0 for not."""
+        total = self.spending.rate(now)
+        if self.last is None or total <= 0:
+            return 0.0
+        seconds_left = self.last.left / total
+        return min(options.release_most, seconds_left / options.plenty_seconds)
+
     def releases_idly(self, now: float) -> bool:
         """Whether the schedule goes on releasing what nobody uses here."""
         return self.ledger.spendable > 0 and now - self.stated_at >= _IDLE_SECONDS
--- a/whinrack/budgets/tests/test_grants.py
+++ b/whinrack/budgets/tests/test_grants.py
@@ -586,3 +586,12 @@
         machine.keeper.renew()
         fleet.now += 1.0
     assert isinstance(machine.request(4 * 300), Success)
+
+
+@pytest.mark.parametrize(("limit", "ahead"), [(1_000_000, 2.5), (40_000, 1.5)])
+def test_a_budget_that_lasts_for_long_is_released_more_freely(limit, ahead):
+    fleet = busy_fleet(limit=limit)
+    machine = fleet.machines[0]
+    machine.keeper.renew()
+    schedule = fleet.books().rows[machine.keeper.holder].schedule
+    assert schedule.base - 20 * 300 == pytest.approx(ahead * 300, rel=0.15)
