Bill runs that are given up by the target's own end

So that side is closed first, what still comes is counted for 0.3 s, and a run that its target ends is billed by the events that came, and one more for a part of one. A reset, or silence, leaves it unknown as before.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -3,7 +3,7 @@
 import random
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Failure
@@ -12,6 +12,7 @@
 from whinrack.budgets import GrantKeeper
 from whinrack.dispatch._directory import Directory
 from whinrack.dispatch._events import EventBlock, event_blocks
+from whinrack.dispatch._last_words import settle_by_last_words
 from whinrack.dispatch._registry import TargetRegistry, TargetState
 from whinrack.dispatch._retries import RetryAllowance
 from whinrack.dispatch._run import Run
@@ -307,11 +308,20 @@
             raise _AttemptFailed(failure, counts=True) from failure
         except AttemptTimeout as failure:
             self._suspect_silence(state, began, answered)
+            self._give_up(run, pool, connection, answered)
             raise _AttemptFailed(failure, counts=True) from failure
         except CallerGone:
             self._suspect_silence(state, began, answered)
+            self._give_up(run, pool, connection, answered)
             raise
 
+    def _give_up(
+        self, run: Run, pool: PoolRecord, connection: TargetConnection, answered: bool
+    ) -> None:
+        """End a run at its target, and learn what it handed out."""
+        if run.cover is not None and run.may_have_run:
+            settle_by_last_words(run, pool, connection, self.dialect, answered)
+
     def _suspect_silence(self, state: TargetState, began: float, answered: bool) -> None:
         """Count a target that was silent for long as failing; short waits tell nothing."""
         now = time.monotonic()
@@ -346,7 +356,7 @@
         self, run: Run, pool: PoolRecord, connection: TargetConnection, head: ResponseHead
     ) -> None:
         """Pass an answer on once all of it is here."""
-        body = b"".join(_chunks(connection, run.end))
+        body = b"".join(connection.pieces(run.end))
         if head.status >= _SERVER_ERROR and run.route.kind is RouteKind.REPEATABLE:
             self._run_again(run, head)
         if run.exchange.started:
@@ -368,7 +378,7 @@
     ) -> None:
         """Pass events on as they come; the head goes out with the first one."""
         exchange = run.exchange
-        for block in event_blocks(_chunks(connection, run.end), run.last_id):
+        for block in event_blocks(connection.pieces(run.end), run.last_id):
             if not exchange.started:
                 exchange.start(head.status, _answer_headers(head))
                 self._observe_first(run)
@@ -409,11 +419,6 @@
     return TargetUnavailable("no target takes work now", retry_after=_BUSY_RETRY_SECONDS)
 
 
-def _chunks(connection: TargetConnection, end: float) -> Iterator[bytes]:
-    while (data := connection.read_data(end)) is not None:
-        yield data
-
-
 def _answer_headers(head: ResponseHead) -> Headers:
     """Return an answer's headers without those that frame it: the edge frames anew."""
     return [field for field in end_to_end_headers(head.headers) if field[0] != b"content-length"]
--- /dev/null
+++ b/whinrack/dispatch/_last_words.py
@@ -0,0 +1,50 @@
+"""What a target handed out in a run that is given up, learnt from its own end.
+
+The sending side of its connection is closed; a target that notices stops and closes its
+side. All that it handed out has arrived by then, so the run is billed by that. Without such
+an end within a moment nothing is known, and the cover counts in full.
+"""
+
+import time
+
+from whinrack.dispatch._events import event_blocks
+from whinrack.dispatch._run import Run
+from whinrack.dispatch._values import PoolRecord
+from whinrack.dispatch.base import Dialect
+from whinrack.exceptions import AnswerCut, AttemptTimeout
+from whinrack.http1 import TargetConnection
+
+__all__ = ["settle_by_last_words"]
+
+# A target has to have noticed that its caller left within half a second.
+_LAST_WORDS_SECONDS = 0.3
+
+
+def settle_by_last_words(
+    run: Run, pool: PoolRecord, connection: TargetConnection, dialect: Dialect, answered: bool
+) -> None:
+    """Bill a run that is given up, if its target ends it; else leave it unsettled.
+
+    Parameters
+    ----------
+    answered : bool
+        The head of the answer has been read.
+    """
+    connection.finish_sending()
+    end = time.monotonic() + _LAST_WORDS_SECONDS
+    try:
+        if not answered:
+            head = connection.read_head(
+                end, lambda headers: dialect.is_answer_to(run.request, headers)
+            )
+            if dialect.did_not_run(head):
+                run.may_have_run = run.attempts > 1
+                return
+        for block in event_blocks(connection.pieces(end), run.last_id):
+            run.events += block.count
+    except AnswerCut:
+        if not connection.ended:
+            return
+    except AttemptTimeout:
+        return
+    run.settle_ended(pool)
--- a/whinrack/dispatch/_run.py
+++ b/whinrack/dispatch/_run.py
@@ -97,6 +97,14 @@
         self.billed = min(declared.total, declared.prompt + made)
         self.cover.settle(self.billed)
 
+    def settle_ended(self, pool: PoolRecord) -> None:
+        """Bill what came of a run that its target ended early, and one more event.
+
+        A part of an event may have come as well.
+        """
+        self.events += 1
+        self.settle_whole(pool)
+
     def settle_unknown(self) -> bool:
         """Count the whole cover: nobody knows how much was handed out.
 
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -3,7 +3,7 @@
 import contextlib
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import h11
 from eventlet.green import socket as green_socket
@@ -31,6 +31,8 @@
         self.sock = sock
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         self.released_at = 0.0
+        # The target has ended its side by its own will: nothing more comes, nothing is lost.
+        self.ended = False
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES)
         self._request: RequestHead | None = None
         self._closed = False
@@ -97,11 +99,22 @@
             return None
         raise AnswerCut("the answer ended early")
 
+    def pieces(self, end: float) -> Iterator[bytes]:
+        """Yield the body to its end; raises as `read_data` does."""
+        while (data := self.read_data(end)) is not None:
+            yield data
+
+    def finish_sending(self) -> None:
+        """Close the sending side: a target that notices ends its work, then its side."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
     def reusable(self) -> bool:
         """Whether the answer ended cleanly and nothing unread is left."""
         protocol = self._protocol
         done = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
-        return done and not self._closed and not protocol.trailing_data[0]
+        clean = not self._closed and not self.ended and not protocol.trailing_data[0]
+        return done and clean
 
     def prepare_next(self) -> bool:
         """Get ready for another request; False if the connection is of no more use."""
@@ -136,6 +149,7 @@
             raise AttemptTimeout("the target gave no answer in time") from error
         except OSError as error:
             raise AnswerCut("the connection broke") from error
+        self.ended = self.ended or not data
         try:
             self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
