--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -308,20 +308,14 @@
             raise _AttemptFailed(failure, counts=True) from failure
         except AttemptTimeout as failure:
             self._suspect_silence(state, began, answered)
-            self._give_up(run, pool, connection, answered)
             raise _AttemptFailed(failure, counts=True) from failure
         except CallerGone:
             self._suspect_silence(state, began, answered)
-            self._give_up(run, pool, connection, answered)
+            # Nobody waits for an answer here, so there is time to learn what was made.
+            if run.cover is not None and run.may_have_run:
+                settle_by_last_words(run, pool, connection, self.dialect, answered)
             raise
 
-    def _give_up(
-        self, run: Run, pool: PoolRecord, connection: TargetConnection, answered: bool
-    ) -> None:
-        """End a run at its target, and learn what it handed out."""
-        if run.cover is not None and run.may_have_run:
-            settle_by_last_words(run, pool, connection, self.dialect, answered)
-
     def _suspect_silence(self, state: TargetState, began: float, answered: bool) -> None:
         """Count a target that was silent for long as failing; short waits tell nothing."""
         now = time.monotonic()
--- a/whinrack/dispatch/_last_words.py
+++ b/whinrack/dispatch/_last_words.py
@@ -1,4 +1,4 @@
-"""What a target handed out in a run that is given up, learnt from its own end.
+"""What a target handed out in a run whose caller left, learnt from its own end.
 
 The sending side of its connection is closed; a target that notices stops and closes its
 side. All that it handed out has arrived by then, so the run is billed by that. Without such
@@ -23,7 +23,7 @@
 def settle_by_last_words(
     run: Run, pool: PoolRecord, connection: TargetConnection, dialect: Dialect, answered: bool
 ) -> None:
-    """Bill a run that is given up, if its target ends it; else leave it unsettled.
+    """Bill a run whose caller left, if its target ends it; else leave it unsettled.
 
     Parameters
     ----------
--- /dev/null
+++ b/whinrack/dispatch/tests/test_last_words.py
@@ -0,0 +1,103 @@
+"""What is billed for a stream whose caller has left."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from whinrack.dispatch import DeclaredCover, EngineShape, PoolRecord
+from whinrack.dispatch._last_words import settle_by_last_words
+from whinrack.dispatch._run import Run
+from whinrack.exceptions import AnswerCut, AttemptTimeout
+from whinrack.http1 import ResponseHead
+
+POOL = PoolRecord("p", 8, EngineShape(slots=8, memory=10_000, event_tokens=5))
+EVENTS = b"id: 4\ndata: x\n\nid: 5\ndata: y\n\n"
+
+
+class Cover:
+    tokens = 300
+
+    def __init__(self):
+        self.billed = None
+
+    def settle(self, billed, unproven=0):
+        self.billed = billed
+
+
+class Connection:
+    """A target's side after the half-close: what still comes, and how it ends."""
+
+    def __init__(self, head=None, data=b"", failure=None, ended=True):
+        self.head, self.data, self.failure, self.ended = head, data, failure, ended
+        self.finished_sending = False
+
+    def finish_sending(self):
+        self.finished_sending = True
+
+    def read_head(self, end, is_own):
+        if self.head is None:
+            raise self.failure
+        return self.head
+
+    def pieces(self, end):
+        yield self.data
+        if self.failure is not None:
+            raise self.failure
+
+
+class Dialect:
+    def is_answer_to(self, request, headers):
+        return True
+
+    def did_not_run(self, head):
+        return head.status == 503
+
+
+@pytest.fixture
+def run():
+    request = SimpleNamespace(
+        cover=DeclaredCover(prompt=100, output=200), deadline=1.0, resume_after=None
+    )
+    run = Run(SimpleNamespace(arrived=0.0), request, None, SimpleNamespace(timeout=1.0), None)
+    run.cover = Cover()
+    run.attempts, run.may_have_run, run.events, run.last_id = 1, True, 3, 3
+    return run
+
+
+def settle(run, connection, answered=True):
+    settle_by_last_words(run, POOL, connection, Dialect(), answered)
+    assert connection.finished_sending
+    return run.cover.billed
+
+
+def test_events_that_came_and_one_more_are_billed_where_the_target_ends(run):
+    cut = Connection(data=EVENTS, failure=AnswerCut("ended"), ended=True)
+    assert settle(run, cut) == 100 + 5 * (3 + 2 + 1)
+
+
+def test_a_stream_that_comes_to_its_own_end_is_billed_the_same_way(run):
+    assert settle(run, Connection(data=EVENTS)) == 100 + 5 * (3 + 2 + 1)
+
+
+def test_a_target_that_ends_before_its_head_is_billed_for_the_prompt(run):
+    run.events, run.last_id = 0, None
+    gone = Connection(failure=AnswerCut("ended"), ended=True)
+    assert settle(run, gone, answered=False) == 100 + 5
+
+
+@pytest.mark.parametrize(
+    ("failure", "ended"), [(AnswerCut("reset"), False), (AttemptTimeout("silent"), False)]
+)
+def test_a_reset_or_silence_tells_nothing(run, failure, ended):
+    assert settle(run, Connection(failure=failure, ended=ended)) is None
+
+
+def test_a_target_that_says_it_did_not_run_is_believed(run):
+    refused = Connection(head=ResponseHead(503, []))
+    assert settle(run, refused, answered=False) is None
+    assert not run.may_have_run
+
+
+def test_no_more_than_the_cover_is_billed(run):
+    run.events = 1000
+    assert settle(run, Connection(failure=AnswerCut("ended"), ended=True)) == 300
