Reuse a schedule only after a call to the books has failed

A slow store keeps an order waiting for more than the 0.4 s after which the books count as out of reach; a report sent in that moment restated an old schedule though it would arrive. Found in reading the diff. Also: lines on leaving targets say when a peer was the source.

--- a/whinrack/budgets/_orders.py
+++ b/whinrack/budgets/_orders.py
@@ -136,7 +136,7 @@
         Every schedule that may reach the books binds: a new one would only take back
         what the last one has released since.
         """
-        if grant.stated is not None and not self.books_answer:
+        if grant.stated is not None and self._lost:
             return grant.stated
         return grant.schedule(self.options, need, self.clock(), self.wall_clock())
 
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -124,14 +124,16 @@
             self._reading = False
 
     def _learn(self, known: SharedKnowledge) -> None:
+        """Take in what a peer knows, the targets before the routes that need them."""
         if not self._target_list.listed_once or not self.contact.answers:
             # The store's own word goes first, also an earlier one that a target is gone.
             fresh = [stored for stored in known.targets if stored.name not in self._gone]
-            self._change_targets(tuple(fresh))
+            self._change_targets(tuple(fresh), source="peer")
         if known.configuration is not None:
             self._take_configuration((known.configuration,))
 
     def _read_configuration(self) -> None:
+        """Read the configuration from the store."""
         reader = self.configuration_reader
         stored = self.store.get(reader.kind, reader.name)
         if isinstance(stored, Success):
@@ -160,10 +162,10 @@
         for incarnation in self.registry.replace_all(records):
             log_event(Event.TARGET_LEAVING, target=incarnation, source="list")
 
-    def _change_targets(self, objects: tuple[StoredObject, ...]) -> None:
+    def _change_targets(self, objects: tuple[StoredObject, ...], source: str = "watch") -> None:
         for stored in objects:
             if self._turned_to_leaving(stored):
-                log_event(Event.TARGET_LEAVING, target=stored.name, source="watch")
+                log_event(Event.TARGET_LEAVING, target=stored.name, source=source)
 
     def _turned_to_leaving(self, stored: StoredObject) -> bool:
         if stored.deleted:
@@ -176,6 +178,7 @@
         return record is not None and self.registry.put(record)
 
     def _note_gone(self, name: str) -> None:
+        """Remember that the store said a target is gone."""
         self._gone[name] = None
         while len(self._gone) > _MOST_GONE:
             self._gone.popitem(last=False)
