One piece of code where two stood

Framing of a whole answer (Exchange.respond and the connection's own refusals), bare refusals (two equal functions, now the server's default), reading a body (pieces() instead of three loops), the address of a peer (PeerAddress.address instead of seven pairs), closing a row that is released (by an operator's word, by the next run), the failure of a call whose reply is lost (two HTTP stores; only the text of the message differs). Behaviour stays as it is.

--- a/whinrack/budgets/_release.py
+++ b/whinrack/budgets/_release.py
@@ -48,10 +48,7 @@
     row = entry.rows.get(holder) if entry is not None else None
     if row is None or row.closed:
         return None
-    lost = row.outstanding if served is None else min(served, row.outstanding)
-    row.unproven += lost
-    row.returned += row.outstanding
-    row.closed = row.released = True
+    _close_row(row, row.outstanding if served is None else min(served, row.outstanding))
     return account
 
 
@@ -94,8 +91,14 @@
         seconds = restart.seconds_since(row.schedule)
         most = row.schedule.most_used(seconds) + sum(row.received.values())
         used = max(0, min(used, most - accounted))
-    row.unproven += used
+    freed = _close_row(row, used)
+    return ReleasedRow(budget=budget, written_off=used, freed=freed, seconds=seconds)
+
+
+def _close_row(row: AccountRow, lost: int) -> int:
+    """Write off what a holder may have used, free the rest and return that."""
+    row.unproven += lost
     freed = row.outstanding
     row.returned += freed
     row.closed = row.released = True
-    return ReleasedRow(budget=budget, written_off=used, freed=freed, seconds=seconds)
+    return freed
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -172,7 +172,7 @@
         )
         for address, handle in places:
             if address is not None:
-                HttpServer(address, handle, lambda refusal: (refusal.status, [], b"")).start()
+                HttpServer(address, handle).start()
         KnowledgeServer(self.options.gossip, self.knowledge.shared).start()
 
     def _start_tasks(self) -> None:
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -119,8 +119,7 @@
         reaching = self.table.with_store(time.monotonic())
         if not reaching:
             return None
-        sender = random.choice(reaching).beat.sender
-        return sender.host, sender.port
+        return random.choice(reaching).beat.sender.address
 
     def wall_clock(self) -> WallReading:
         """Return the time of day, checked by that of the peers."""
@@ -140,15 +139,16 @@
             self.other_message(message, address)
 
     def _heard(self, beat: Heartbeat) -> None:
-        self.clocks.heard(beat.sender.name, beat.wall, time.monotonic())
-        if self.table.heard(beat, time.monotonic()):
+        now = time.monotonic()
+        self.clocks.heard(beat.sender.name, beat.wall, now)
+        if self.table.heard(beat, now):
             # Answer at once, so that a peer that has just started knows this one.
             self.beat()
         for incarnation in beat.leaving:
             if self.registry.leave(incarnation):
                 log_event(Event.TARGET_LEAVING, target=incarnation, source=beat.sender.name)
         if beat.configuration > self.directory.version:
-            self.newer_configuration((beat.sender.host, beat.sender.port))
+            self.newer_configuration(beat.sender.address)
 
     def _log_changes(self, now: float) -> None:
         live = {view.beat.sender.name for view in self.table.live(now)}
--- a/whinrack/edge/_sharing.py
+++ b/whinrack/edge/_sharing.py
@@ -47,7 +47,7 @@
 
     def __init__(self, address: HostPort, known: Callable[[], SharedKnowledge]):
         self.known = known
-        self._server = HttpServer(address, self._answer, _refuse)
+        self._server = HttpServer(address, self._answer)
 
     @property
     def address(self) -> HostPort:
@@ -79,17 +79,11 @@
     try:
         connection.send(RequestHead(b"GET", _PATH, [(b"host", b"peer")]), b"", end)
         head = connection.read_head(end, lambda headers: True)
-        pieces = []
-        while (piece := connection.read_data(end)) is not None:
-            pieces.append(piece)
+        body = b"".join(connection.pieces(end))
         if head.status != _OK:
             return None
-        return msgspec.json.decode(b"".join(pieces), type=SharedKnowledge)
+        return msgspec.json.decode(body, type=SharedKnowledge)
     except (Refusal, msgspec.MsgspecError):
         return None
     finally:
         connection.close()
-
-
-def _refuse(refusal: Refusal) -> tuple[int, Headers, bytes]:
-    return refusal.status, [], b""
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -91,7 +91,7 @@
             view = by_run.get(given.receiver)
             if view is not None:
                 reply = TokenReply(0, given.budget, self.holder, given.receiver, given.total)
-                self.link.send(reply, (view.beat.sender.host, view.beat.sender.port))
+                self.link.send(reply, view.beat.sender.address)
 
     def _received(self, reply: TokenReply) -> None:
         if reply.receiver == self.holder:
--- a/whinrack/gossip/_drawers.py
+++ b/whinrack/gossip/_drawers.py
@@ -121,9 +121,8 @@
     def _ask(self, writer: PeerView, orders: list[DrawOrder]) -> dict[str, DrawResult] | None:
         number = next(self._numbers)
         question = self._open[number] = _Question()
-        sender = writer.beat.sender
         try:
-            self.link.send(DrawRequest(number, orders), (sender.host, sender.port))
+            self.link.send(DrawRequest(number, orders), writer.beat.sender.address)
             with Timeout(self.patience, False):
                 question.accepted.wait()
             if not question.accepted.ready():
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -23,6 +23,11 @@
     host: str
     port: int
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port, as sockets take them."""
+        return self.host, self.port
+
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
     """An instance's word on itself, sent to every peer it knows.
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -56,8 +56,8 @@
             return False
         is_new = not same_run or not self._is_live(known, now)
         self._views[beat.sender.name] = PeerView(beat, now)
-        self._addresses[beat.sender.host, beat.sender.port] = now
-        self.add_addresses(((peer.host, peer.port) for peer in beat.peers), now)
+        self._addresses[beat.sender.address] = now
+        self.add_addresses((peer.address for peer in beat.peers), now)
         return is_new
 
     def live(self, now: float) -> list[PeerView]:
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -113,7 +113,7 @@
                 addressed = msgspec.structs.replace(
                     request, giver=giver, already_received=received.get(giver, 0)
                 )
-                self.link.send(addressed, (view.beat.sender.host, view.beat.sender.port))
+                self.link.send(addressed, view.beat.sender.address)
             with Timeout(patience, False):
                 question.done.wait()
         finally:
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -157,7 +157,7 @@
 
     def _skip_foreign(self, end: float) -> None:
         """Read a late answer to another request to its end and wait for the own one."""
-        while self.read_data(end) is not None:
+        for _ in self.pieces(end):
             pass
         rest, closed = self._protocol.trailing_data
         if closed or self._protocol.their_state is not h11.DONE:
--- a/whinrack/http1/_connection.py
+++ b/whinrack/http1/_connection.py
@@ -211,21 +211,21 @@
     def _refuse(self, refusal: Refusal) -> None:
         """Answer a request that could not be read; what follows it is not read."""
         self._keep = False
-        status, headers, body = self.server.refuse(refusal)
-        framed = [*headers, (b"content-length", str(len(body)).encode())]
-        self.send_response(status, framed, body)
+        self.send_response(*self.server.refuse(refusal))
 
     # --- writing -----------------------------------------------------------------
 
     def send_response(self, status: int, headers: Headers, body: bytes | None) -> None:
         """Send an answer's head, and its whole body unless that comes in pieces."""
+        framing = [] if body is None else [(b"content-length", b"%d" % len(body))]
         self._keep = self._keep and not self.server.closing
         if self._keep:
             idle = max(1, int(self.server.limits().idle_seconds))
             connection = (b"keep-alive", b"timeout=%d" % idle)
         else:
             connection = (b"connection", b"close")
-        events = [h11.Response(status_code=status, headers=[*headers, connection])]
+        fields = [*headers, *framing, connection]
+        events = [h11.Response(status_code=status, headers=fields)]
         if body is not None:
             events += [h11.Data(data=body), h11.EndOfMessage()]
         self._send(*events)
--- a/whinrack/http1/_exchange.py
+++ b/whinrack/http1/_exchange.py
@@ -38,7 +38,7 @@
     """Where the parts of an answer go."""
 
     def send_response(self, status: int, headers: Headers, body: bytes | None) -> None:
-        """Send a head, and the whole body unless it is None."""
+        """Send a head, and the whole body with its length unless it is None."""
         raise NotImplementedError
 
     def send_piece(self, data: bytes) -> None:
@@ -81,8 +81,7 @@
         CallerGone
         """
         self.started = True
-        framed = [*headers, (b"content-length", str(len(body)).encode())]
-        self._connection.send_response(status, framed, body)
+        self._connection.send_response(status, headers, body)
         self.ended = True
 
     def start(self, status: int, headers: Headers) -> None:
--- a/whinrack/http1/_server.py
+++ b/whinrack/http1/_server.py
@@ -15,6 +15,10 @@
 _BACKLOG = 1024
 
 
+def _refuse_by_status(refusal: Refusal) -> tuple[int, Headers, bytes]:
+    return refusal.status, [], b""
+
+
 class HttpServer(ConnectionHost):
     """Listens, reads requests and calls a handler for each.
 
@@ -26,9 +30,10 @@
         Called with an `Exchange` in a green thread. An exchange that it leaves without
         an end is broken off by closing the connection. `CallerGone` is raised inside
         it as soon as the caller leaves.
-    refuse : callable
-        Turns a `Refusal` of a malformed request into status, headers and body.
-    limits : callable
+    refuse : callable, optional
+        Turns a `Refusal` of a malformed request into status, headers and body; without
+        it the status alone is told.
+    limits : callable, optional
         Returns the `ServerLimits` in force.
     """
 
@@ -36,7 +41,7 @@
         self,
         address: tuple[str, int],
         handle: Callable[[Exchange], None],
-        refuse: Callable[[Refusal], tuple[int, Headers, bytes]],
+        refuse: Callable[[Refusal], tuple[int, Headers, bytes]] = _refuse_by_status,
         limits: Callable[[], ServerLimits] = ServerLimits,
     ):
         super().__init__(handle, refuse, limits)
--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -44,10 +44,7 @@
     try:
         connection.send(REQUEST, b"", end)
         head = connection.read_head(end, is_own)
-        parts = []
-        while (data := connection.read_data(end)) is not None:
-            parts.append(data)
-        return head, b"".join(parts)
+        return head, b"".join(connection.pieces(end))
     finally:
         pool.give_back(connection)
 
--- a/whinrack/store/__init__.py
+++ b/whinrack/store/__init__.py
@@ -11,7 +11,7 @@
     StoredObject,
     WatchBatch,
 )
-from whinrack.store.base import ObjectStore
+from whinrack.store.base import ObjectStore, lost_reply
 
 __all__ = [
     "HttpObjectStore",
@@ -24,4 +24,5 @@
     "StoredObject",
     "TokenBucket",
     "WatchBatch",
+    "lost_reply",
 ]
--- a/whinrack/store/_http.py
+++ b/whinrack/store/_http.py
@@ -27,7 +27,7 @@
 )
 from whinrack.store._limiter import TokenBucket
 from whinrack.store._types import InstanceRecord, Snapshot, StoredObject, WatchBatch
-from whinrack.store.base import ObjectStore
+from whinrack.store.base import ObjectStore, lost_reply
 
 __all__ = ["HttpObjectStore"]
 
@@ -167,16 +167,10 @@
         except (urllib3.exceptions.ConnectTimeoutError, urllib3.exceptions.NewConnectionError):
             return Failure(PlatformUnavailable(f"{operation}: no connection"))
         except urllib3.exceptions.HTTPError as error:
-            return Failure(_lost(operation, method, str(error)))
+            return Failure(lost_reply(method, f"{operation}: {error}"))
         return _outcome(operation, method, reply)
 
 
-def _lost(operation: str, method: str, why: str) -> PlatformFailure:
-    if method == "GET":
-        return PlatformUnavailable(f"{operation}: {why}")
-    return WriteUnknown(f"{operation}: reply lost: {why}")
-
-
 def _outcome(operation: str, method: str, reply) -> Result[bytes, PlatformFailure]:
     match reply.status:
         case 200:
@@ -189,4 +183,4 @@
         case 429 | 503:
             return Failure(PlatformUnavailable(f"{operation}: status {reply.status}"))
         case _:
-            return Failure(_lost(operation, method, f"status {reply.status}"))
+            return Failure(lost_reply(method, f"{operation}: status {reply.status}"))
