--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -81,7 +81,6 @@
         self.waiting = 0
         # Tokens that peers said are used up by requests there, by giver.
         self.covering_elsewhere: dict[str, int] = {}
-        self.stated_at = float("-inf")
         self.stated: ReleaseSchedule | None = None
 
     @contextmanager
@@ -136,7 +135,6 @@
             share = self.last.left * self.part_of_demand(now)
             pace = min(pace, share / options.release_horizon)
             ahead = min(ahead, share * options.release_part)
-        self.stated_at = now
         self.stated = ReleaseSchedule(
             base=self.ledger.used + max(need, int(ahead)),
             rate=max(0.0, pace),
@@ -157,7 +155,9 @@
 
     def releases_idly(self, now: float) -> bool:
         """Whether the schedule goes on releasing what nobody uses here."""
-        return self.ledger.spendable > 0 and now - self.stated_at >= _IDLE_SECONDS
+        if self.stated is None or self.ledger.spendable <= 0:
+            return False
+        return now - self.stated.steady >= _IDLE_SECONDS
 
     def unspent_at_most(self) -> int:
         """Tokens that can be had from anywhere, as far as the books and the peers tell."""
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -216,7 +216,7 @@
         )
 
     def spendable(self) -> dict[str, int]:
-        """Return the unspent tokens by budget, for heartbeats and metrics."""
+        """Return the unspent tokens here, by budget."""
         return {name: grant.ledger.spendable for name, grant in self._grants.items()}
 
     def covering(self, budget: str) -> int:
--- a/whinrack/dispatch/_run.py
+++ b/whinrack/dispatch/_run.py
@@ -86,24 +86,14 @@
 
     def settle_whole(self, pool: PoolRecord) -> None:
         """Bill what the target handed out in an answer that is known to be whole."""
-        if self.cover is None:
-            return
-        declared = self.request.cover
-        event_tokens = pool.engine.event_tokens if pool.engine is not None else 1
-        made = self.events * event_tokens
-        if self.attempts > 1 and self.may_have_run:
-            # An earlier target may have handed out events that never came here.
-            made += declared.output
-        self.billed = min(declared.total, declared.prompt + made)
-        self.cover.settle(self.billed)
+        self._bill(pool, self.events)
 
     def settle_ended(self, pool: PoolRecord) -> None:
         """Bill what came of a run that its target ended early, and one more event.
 
         A part of an event may have come as well.
         """
-        self.events += 1
-        self.settle_whole(pool)
+        self._bill(pool, self.events + 1)
 
     def settle_unknown(self) -> bool:
         """Count the whole cover: nobody knows how much was handed out.
@@ -116,3 +106,15 @@
         if self.cover is None:
             return False
         return self.cover.settle(0, unproven=self.cover.tokens)
+
+    def _bill(self, pool: PoolRecord, events: int) -> None:
+        if self.cover is None:
+            return
+        declared = self.request.cover
+        event_tokens = pool.engine.event_tokens if pool.engine is not None else 1
+        made = events * event_tokens
+        if self.attempts > 1 and self.may_have_run:
+            # An earlier target may have handed out events that never came here.
+            made += declared.output
+        self.billed = min(declared.total, declared.prompt + made)
+        self.cover.settle(self.billed)
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -9,10 +9,10 @@
 
 import eventlet
 import msgspec
-from returns.result import Failure, Result
+from returns.result import Failure
 
 from whinrack.base import new_incarnation
-from whinrack.budgets import ReleasedRow, RestartMoment
+from whinrack.budgets import RestartMoment
 from whinrack.dispatch import (
     Configuration,
     Dialect,
@@ -25,11 +25,11 @@
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._membership import Membership
-from whinrack.edge._options import EdgeOptions, reload_options
+from whinrack.edge._options import EdgeOptions, ReloadedOptions, reload_options
 from whinrack.edge._sharing import KnowledgeServer
 from whinrack.edge._sources import ConfigurationReader, TargetReader
 from whinrack.edge._tokens import TokenExchange
-from whinrack.exceptions import InvalidSettings, PlatformFailure
+from whinrack.exceptions import InvalidSettings
 from whinrack.http1 import ConnectionPool, HttpServer
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
 from whinrack.store import MeteredStore, ObjectStore
@@ -215,16 +215,19 @@
         """Give back what earlier runs can't have used, once the clock is judged."""
         while not self._clock_is_judged():
             eventlet.sleep(_POLL_SECONDS)
-        while isinstance(rows := self._try_release(), Failure):
+        restart = self._checked_restart()
+        while isinstance(rows := self.keeper.release_earlier_runs(restart), Failure):
+            self.contact.report(False)
             eventlet.sleep(_POLL_SECONDS)
             self.contact.wait(self.options.renew_seconds)
+            restart = self._checked_restart()
         text = " ".join(
             f"{row.budget}:{row.written_off}/{row.freed}@{row.seconds:.1f}" for row in rows.unwrap()
         )
         log_event(
             Event.EARLIER_RUNS_RELEASED,
             instance=self.options.name,
-            clock="checked" if self._checked_restart().wall_checked else "not checked",
+            clock="checked" if restart.wall_checked else "not checked",
             rows=text,
         )
 
@@ -240,12 +243,6 @@
         checked = now.checked and abs(jumped) <= _CLOCK_JUMP_SECONDS
         return msgspec.structs.replace(self.restart, wall_checked=checked)
 
-    def _try_release(self) -> Result[list[ReleasedRow], PlatformFailure]:
-        result = self.keeper.release_earlier_runs(self._checked_restart())
-        if isinstance(result, Failure):
-            self.contact.report(False)
-        return result
-
     # --- signals -----------------------------------------------------------------
 
     def _reload(self) -> None:
@@ -255,7 +252,9 @@
         except InvalidSettings as error:
             log_event(Event.SETTINGS_INVALID, error=error.message)
             return
-        reloaded = reload_options(self.options, read)
+        self._take_settings(reload_options(self.options, read))
+
+    def _take_settings(self, reloaded: ReloadedOptions) -> None:
         self._use(reloaded.options)
         log_event(
             Event.SETTINGS_RELOADED,
@@ -268,8 +267,9 @@
         while True:
             eventlet.sleep(_SETTINGS_SECONDS)
             with contextlib.suppress(InvalidSettings):
-                if reload_options(self.options, self.reload()).changed:
-                    self._reload()
+                reloaded = reload_options(self.options, self.reload())
+                if reloaded.changed:
+                    self._take_settings(reloaded)
 
     def _use(self, options: EdgeOptions) -> None:
         self.options = options
--- a/whinrack/gossip/_link.py
+++ b/whinrack/gossip/_link.py
@@ -45,18 +45,12 @@
         except OSError:
             return
 
-    def close(self) -> None:
-        """Stop receiving."""
-        link, self._socket = self._socket, None
-        if link is not None:
-            link.close()
-
     def _receive_all(self) -> None:
-        while self._socket is not None:
+        while True:
             try:
                 data, address = self._socket.recvfrom(_MOST_BYTES)
             except OSError:
-                # A peer's dead port, reported back; or the link was closed.
+                # A peer's dead port, reported back.
                 eventlet.sleep(0.01)
                 continue
             try:
