Reserve the ports of started processes, below those that connections get

Cause: standins.fleet.free_port asked the system for a port, closed the socket and handed the number to a router that listens there some seconds later. Ruled out: a router of an earlier test that still listened (each test's processes are killed and waited for), two runs side by side (one ran). Now ports come from below that range, and a file lock reserves each until the process ends, also against other runs beside it.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -13,6 +12,8 @@
 
 import urllib3
 
+from standins.ports import free_port
+
 __all__ = ["FLEET_KEY", "LocalFleet", "Process", "wait_until"]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -33,13 +34,6 @@
         time.sleep(0.02)
 
 
-def free_port():
-    """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class Process:
     """One process of the fleet with an HTTP address."""
 
--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,57 @@
+"""Ports of started processes: neither connections nor other tests get them."""
+
+import pathlib
+import socket
+import subprocess
+import sys
+
+from standins import ports
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+_DEFAULT_FIRST = 32_768
+
+
+def first_port_of_connections():
+    """Return the first port that the system gives to outgoing connections."""
+    path = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+    return int(path.read_text().split()[0]) if path.exists() else _DEFAULT_FIRST
+
+
+def test_no_port_is_one_that_connections_get():
+    assert all(ports.free_port() < first_port_of_connections() for _ in range(50))
+
+
+def test_a_port_is_given_once():
+    given = [ports.free_port() for _ in range(200)]
+    assert len(set(given)) == len(given)
+
+
+def test_ports_in_a_row_are_all_reserved(monkeypatch):
+    first = ports.free_ports(5)
+    monkeypatch.setattr(ports.random, "randrange", _answers(first + 2, first + 4, first + 5))
+    assert ports.free_port() == first + 5
+
+
+def test_another_process_does_not_get_a_reserved_port():
+    port = ports.free_port()
+    script = f"from standins import ports; print(ports._reserve(range({port}, {port + 1})))"
+    result = subprocess.run(
+        [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    assert result.stdout.strip() == "False"
+
+
+def test_a_port_on_which_something_listens_is_passed_over(monkeypatch):
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        busy = listener.getsockname()[1]
+        free = ports.free_port()
+        ports._unlock([free])
+        monkeypatch.setattr(ports.random, "randrange", _answers(busy, free))
+        assert ports.free_port() == free
+
+
+def _answers(*values):
+    left = list(values)
+    return lambda *_: left.pop(0)
