--- a/benchmarks/bench_edge.py
+++ b/benchmarks/bench_edge.py
@@ -7,7 +7,7 @@
 from benchmarks.report import report, section
 from whinrack.budgets import BudgetAccount, DrawOrder, ReleaseSchedule, apply_draws, books_for
 from whinrack.dispatch import TargetRecord, TargetRegistry
-from whinrack.gossip import Heartbeat, PeerAddress, PeerTable
+from whinrack.gossip import Heartbeat, PeerAddress, PeerState, PeerTable
 
 BUDGETS = 24
 HOLDERS = (8, 30, 87, 300)
@@ -67,36 +67,51 @@
 
 
 def measure_heartbeats() -> None:
-    """Report bytes of a heartbeat and the time to take one in, by peers."""
+    """Report bytes and messages of heartbeats and the time to take one in, by peers."""
     for peers in HOLDERS:
-        known = [
-            PeerAddress(f"instance-{n}", f"10.0.{n // 250}.{n % 250}", 7340) for n in range(peers)
-        ]
-        beat = Heartbeat(
-            incarnation="instance-1.0123456789",
-            sequence=1,
-            sender=known[1],
-            callers="10.0.0.1:8000",
-            data_hall="a",
-            ready=True,
-            store_answers=True,
-            load=5,
-            configuration=7,
-            peers=known,
-        )
-        encoded = msgspec.msgpack.encode(beat)
+        sender, receiver = _table_of(peers), _table_of(peers)
+        message = _heartbeat(0, 2, sender)
+        encoded = msgspec.msgpack.encode(message)
         decode = msgspec.msgpack.Decoder(Heartbeat).decode
-        table_ = PeerTable("instance-0", 1.0, 60.0)
-        times = iter(range(10**9))
+        times = iter(range(3, 10**9))
 
-        def take(encoded=encoded, decode=decode, table_=table_, times=times):
+        def take(encoded=encoded, decode=decode, receiver=receiver, times=times):
             received = decode(encoded)
-            table_.heard(msgspec.structs.replace(received, sequence=next(times)), 0.0)
+            receiver.heard(msgspec.structs.replace(received, number=next(times)), 0.0)
 
         report("heartbeat", len(encoded), "B", peers=peers)
+        report(
+            "heartbeats_sent", len(sender.targets(0.0)) / sender.interval(0.25), "/s", peers=peers
+        )
         report("heartbeat_taken_in", _microseconds(take), "us", peers=peers)
 
 
+def _table_of(peers: int) -> PeerTable:
+    """Return the table of an instance that has heard all others."""
+    table = PeerTable("instance", 1.0, 60.0, seed=1)
+    for number in range(peers):
+        table.heard(_heartbeat(number, 1, PeerTable("", 1.0, 60.0)), 0.0)
+    return table
+
+
+def _heartbeat(number: int, sequence: int, sender: PeerTable) -> Heartbeat:
+    host = f"10.0.{number // 250}.{number % 250}"
+    state = PeerState(
+        incarnation=f"instance-{number}.0123456789",
+        sequence=sequence,
+        sender=PeerAddress(f"instance-{number}", host, 7340),
+        callers=f"{host}:8000",
+        data_hall="a",
+        ready=True,
+        store_answers=True,
+        load=5,
+        configuration=7,
+    )
+    return Heartbeat(
+        state=state, number=sequence, peers=sender.addresses(0.0), ages=sender.ages(0.0)
+    )
+
+
 def measure_choice() -> None:
     """Report the time to choose a target by prompt prefix, by targets."""
     for count in TARGETS:
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -121,6 +121,7 @@
         self.options = options
         self.instances = instances
         self.in_progress = 0
+        self.last_arrival = float("-inf")
         self.refusing = False
         self._allowances: dict[str, RetryAllowance] = {}
 
@@ -135,6 +136,7 @@
     def handle(self, exchange: Exchange) -> None:
         """Answer one request; `CallerGone` passes through."""
         self.in_progress += 1
+        self.last_arrival = time.monotonic()
         self.metrics.in_progress.set(self.in_progress)
         request = None
         try:
--- a/whinrack/edge/_answers.py
+++ b/whinrack/edge/_answers.py
@@ -2,7 +2,7 @@
 
 from whinrack.edge._membership import Membership
 from whinrack.edge._options import EdgeOptions
-from whinrack.http1 import Exchange, Headers
+from whinrack.http1 import Exchange, Headers, RequestHead
 from whinrack.observability import Metrics
 
 __all__ = ["SmallAnswers"]
@@ -16,7 +16,7 @@
 class SmallAnswers:
     """Answers where callers should go, whether to send them here, and figures.
 
-    A dialect's subclass says how the first two are put.
+    A dialect's subclass says how the first two are put, and read.
     """
 
     directory_path = b"/where"
@@ -32,12 +32,16 @@
         """Put the answer into words: addresses and how long they may be kept."""
         raise NotImplementedError
 
+    def hall_of_caller(self, head: RequestHead) -> str:
+        """Return the data hall that a caller says it is in, empty if it says none."""
+        raise NotImplementedError
+
     def where_to_go(self, exchange: Exchange) -> None:
         """Tell the instances that take callers."""
         if not _asks_for(exchange, self.directory_path):
             exchange.respond(_NOT_FOUND, [], b"")
             return
-        addresses = self.membership.caller_addresses()
+        addresses = self.membership.caller_addresses(self.hall_of_caller(exchange.head))
         headers, body = self.where_body(addresses, self.options.answer_seconds)
         exchange.respond(_OK, headers, body)
 
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -23,6 +23,7 @@
 )
 from whinrack.edge._answers import SmallAnswers
 from whinrack.edge._contact import StoreContact
+from whinrack.edge._feeding import FeedPlan
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._membership import Membership
 from whinrack.edge._options import EdgeOptions, ReloadedOptions, reload_options
@@ -47,6 +48,8 @@
 _EXIT_OK = 0
 _BOOKS_LOG_ROUNDS = 5
 _TASK_PAUSE_SECONDS = 0.5
+# An instance counts as serving for so long after its latest request.
+_SERVING_SECONDS = 3.0
 # How often the settings are read without a signal.
 _SETTINGS_SECONDS = 5.0
 # For so long the peers' clocks are waited for after a start.
@@ -101,7 +104,8 @@
             self.directory,
             self.registry,
             lambda: self.dispatcher.in_progress,
-            lambda: self.keeper.store_answers,
+            lambda now: now - self.dispatcher.last_arrival <= _SERVING_SECONDS,
+            lambda: self.contact.answers and self.keeper.store_answers,
             lambda peer: self.knowledge.suspect_configuration(peer),
             lambda message, address: self.tokens.receive(message, address),
         )
@@ -112,6 +116,7 @@
             target_reader,
             self.directory,
             self.registry,
+            FeedPlan(self.store, self.contact, self.membership.own_state, self.membership.table),
             options.watch_seconds,
             self.membership.peer_with_store,
         )
@@ -132,7 +137,7 @@
             ConnectionPool(),
             self.metrics,
             _dispatch_options(options),
-            self.membership.instances,
+            self.membership.sharing_instances,
         )
         self.small_answers = small_answers
         self.front = HttpServer(
@@ -173,7 +178,9 @@
         for address, handle in places:
             if address is not None:
                 HttpServer(address, handle).start()
-        KnowledgeServer(self.options.gossip, self.knowledge.shared).start()
+        KnowledgeServer(
+            self.options.gossip, self.knowledge.shared, self.knowledge.relay.answer
+        ).start()
 
     def _start_tasks(self) -> None:
         tasks = (
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -9,8 +9,14 @@
 from whinrack.dispatch import Directory, TargetRecord, TargetRegistry
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import HostPort
+from whinrack.edge._relay import WatchRelay
 from whinrack.edge._sharing import SharedKnowledge, fetch_knowledge
-from whinrack.edge._sources import ConfigurationReader, KindFollower, TargetReader
+from whinrack.edge._sources import (
+    ConfigurationReader,
+    KindFollower,
+    SourcePlan,
+    TargetReader,
+)
 from whinrack.exceptions import InvalidObject
 from whinrack.observability import Event, log_event
 from whinrack.store import ObjectStore, StoredObject
@@ -19,6 +25,8 @@
 
 _FAILED_READ_PAUSE = 0.5
 _PEER_PAUSE = 1.0
+# A fed instance that hears of a newer configuration waits so long for it to come by itself.
+_FEED_PAUSE = 0.25
 # Names of targets that are gone, the last ones.
 _MOST_GONE = 2000
 
@@ -34,6 +42,8 @@
     target_reader : TargetReader
     directory : Directory
     registry : TargetRegistry
+    plan : SourcePlan
+        Says whom to ask for lists and watches.
     watch_seconds : float
         How long one watch is held.
     peer_with_store : callable
@@ -50,6 +60,7 @@
         target_reader: TargetReader,
         directory: Directory,
         registry: TargetRegistry,
+        plan: SourcePlan,
         watch_seconds: float,
         peer_with_store: Callable[[], HostPort | None],
         fetch: Callable[[HostPort], SharedKnowledge | None] = fetch_knowledge,
@@ -66,23 +77,27 @@
         self._targets: dict[str, StoredObject] = {}
         # Names that the store said are gone; a peer that still has them is behind.
         self._gone: OrderedDict[str, None] = OrderedDict()
+        self.plan = plan
+        self.relay = WatchRelay((configuration_reader.kind, target_reader.kind))
         self._configurations = KindFollower(
-            store,
+            plan,
             configuration_reader.kind,
             self._take_configuration,
             self._take_configuration,
             contact,
             watch_seconds,
             probes=True,
+            relay=self.relay.kinds[configuration_reader.kind],
         )
         self._target_list = KindFollower(
-            store,
+            plan,
             target_reader.kind,
             self._replace_targets,
             self._change_targets,
             contact,
             watch_seconds,
             probes=False,
+            relay=self.relay.kinds[target_reader.kind],
         )
         self._reading = False
 
@@ -104,7 +119,9 @@
         """Learn of targets from peers while the store is out of reach."""
         while True:
             eventlet.sleep(_PEER_PAUSE)
-            peer = None if self.contact.answers else self.peer_with_store()
+            # A fed instance goes on being fed by a peer that reaches the store.
+            alone = not self.contact.answers and self.plan.source().address is None
+            peer = self.peer_with_store() if alone else None
             known = self.fetch(peer) if peer is not None else None
             if known is not None and not self.contact.answers:
                 self._learn(known)
@@ -112,6 +129,10 @@
     def _catch_up(self, peer: HostPort) -> None:
         try:
             before = self.directory.version
+            if self.plan.source().address is not None:
+                eventlet.sleep(_FEED_PAUSE)
+                if self.directory.version != before:
+                    return
             known = self.fetch(peer)
             if known is not None:
                 log_event(
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -5,16 +5,32 @@
 from collections.abc import Callable
 
 import eventlet
+import msgspec
 
 from whinrack.budgets import WallReading
 from whinrack.dispatch import Directory, TargetRegistry
+from whinrack.edge._entries import choose_entries
 from whinrack.edge._options import EdgeOptions, HostPort
-from whinrack.gossip import ClockCheck, GossipLink, Heartbeat, Message, PeerAddress, PeerTable
+from whinrack.gossip import (
+    ClockCheck,
+    GossipLink,
+    Heartbeat,
+    Message,
+    PeerAddress,
+    PeerState,
+    PeerTable,
+)
 from whinrack.observability import Event, log_event
 
 __all__ = ["Membership"]
 
 _MOST_LEAVING = 200
+# Shortest time between two heartbeats that pass news on.
+_SPREAD_SECONDS = 0.1
+# Shortest time between two questions for states that are lacking.
+_ASKING_SECONDS = 1.0
+# The load is told in steps, so that not every change of it is news to the whole fleet.
+_LOAD_STEP = 10
 
 
 class Membership:
@@ -29,6 +45,8 @@
     registry : TargetRegistry
     load : callable
         Returns the requests in progress here.
+    serving : callable
+        Tells whether callers' requests came here lately, by the steady clock.
     store_answers : callable
         Tells whether the store can be reached from here.
     newer_configuration : callable
@@ -45,6 +63,7 @@
         directory: Directory,
         registry: TargetRegistry,
         load: Callable[[], int],
+        serving: Callable[[float], bool],
         store_answers: Callable[[], bool],
         newer_configuration: Callable[[HostPort], None],
         other_message: Callable[[Message, tuple[str, int]], None],
@@ -54,6 +73,7 @@
         self.directory = directory
         self.registry = registry
         self.load = load
+        self.serving = serving
         self.store_answers = store_answers
         self.newer_configuration = newer_configuration
         self.other_message = other_message
@@ -64,6 +84,10 @@
         self._callers = f"{options.callers[0]}:{options.callers[1]}"
         self._sequence = 0
         self._known_live: set[str] = set()
+        self._spread_at = float("-inf")
+        self._asked_at = float("-inf")
+        self._number = 0
+        self._last_state: PeerState | None = None
 
     @property
     def ready(self) -> bool:
@@ -80,46 +104,76 @@
         self.table.add_addresses(seeds, time.monotonic())
 
     def beat(self) -> None:
-        """Send a heartbeat to every address where a peer may be."""
+        """Send a heartbeat to the peers whose turn it is."""
         now = time.monotonic()
-        self._sequence += 1
+        message = self._heartbeat(now, self.table.news(now))
+        for address in self.table.targets(now):
+            if address != self.options.gossip:
+                self.link.send(message, address)
+        self._log_changes(now)
+
+    def _heartbeat(self, now: float, passed_on: list[PeerState]) -> Heartbeat:
+        self._number += 1
+        return Heartbeat(
+            state=self.own_state(),
+            number=self._number,
+            wall=time.time(),
+            leaving=self.registry.leaving()[-_MOST_LEAVING:],
+            peers=self.table.addresses(now),
+            passed_on=passed_on,
+            ages=self.table.ages(now),
+            asks_for_states=self._asks_for_states(now),
+        )
+
+    def _asks_for_states(self, now: float) -> bool:
+        """Whether to ask for the states that are lacking, at most once a second."""
+        if now - self._asked_at < _ASKING_SECONDS or not self.table.take_lacking():
+            return False
+        self._asked_at = now
+        return True
+
+    def own_state(self) -> PeerState:
+        """Return what this instance says of itself now."""
+        state = self._describe()
+        if _is_news(self._last_state, state):
+            self._sequence += 1
+        self._last_state = msgspec.structs.replace(state, sequence=self._sequence)
+        return self._last_state
+
+    def _describe(self) -> PeerState:
         host, port = self.options.gossip
-        message = Heartbeat(
+        return PeerState(
             incarnation=self.holder,
-            sequence=self._sequence,
+            sequence=0,
             sender=PeerAddress(self.options.name, host, port),
             callers=self._callers,
             data_hall=self.options.data_hall,
             ready=self.ready,
             store_answers=self.store_answers(),
-            load=self.load(),
+            load=_in_steps(self.load()),
             configuration=self.directory.version,
-            wall=time.time(),
-            leaving=self.registry.leaving()[-_MOST_LEAVING:],
-            peers=self.table.addresses(now),
+            serving=self.serving(time.monotonic()),
+            bandwidth=self.options.bandwidth,
         )
-        for address in self.table.targets(now):
-            if address != self.options.gossip:
-                self.link.send(message, address)
-        self._log_changes(now)
 
-    def caller_addresses(self) -> list[str]:
-        """Return the addresses that callers may connect to."""
-        ready = [view.beat.callers for view in self.table.ready(time.monotonic())]
+    def caller_addresses(self, hall: str) -> list[str]:
+        """Return the addresses that a caller in a data hall may connect to."""
+        now = time.monotonic()
+        ready = [view.state for view in self.table.ready(now)]
         if self.ready or not ready:
-            ready.append(self._callers)
-        return ready
+            ready.append(self.own_state())
+        return [state.callers for state in choose_entries(ready, hall)]
 
-    def instances(self) -> int:
-        """Return the number of instances that look alive."""
-        return self.table.live_count(time.monotonic())
+    def sharing_instances(self) -> int:
+        """Return the number of instances that share the work."""
+        return self.table.sharing_count(time.monotonic())
 
     def peer_with_store(self) -> HostPort | None:
         """Return the address of a peer that reaches the store, None if none does."""
         reaching = self.table.with_store(time.monotonic())
         if not reaching:
             return None
-        return random.choice(reaching).beat.sender.address
+        return random.choice(reaching).state.sender.address
 
     def wall_clock(self) -> WallReading:
         """Return the time of day, checked by that of the peers."""
@@ -130,7 +184,7 @@
         """Send heartbeats until the process ends."""
         while True:
             self.beat()
-            eventlet.sleep(self.options.heartbeat_seconds)
+            eventlet.sleep(self.table.interval(self.options.heartbeat_seconds))
 
     def _receive(self, message, address: tuple[str, int]) -> None:
         if isinstance(message, Heartbeat):
@@ -140,20 +194,44 @@
 
     def _heard(self, beat: Heartbeat) -> None:
         now = time.monotonic()
-        self.clocks.heard(beat.sender.name, beat.wall, now)
-        if self.table.heard(beat, now):
-            # Answer at once, so that a peer that has just started knows this one.
+        sender = beat.state.sender
+        self.clocks.heard(sender.name, beat.wall, now)
+        is_new = self.table.heard(beat, now)
+        if is_new or beat.asks_for_states:
+            # At once, so that a peer that has just started knows this one and the others.
+            self.link.send(self._heartbeat(now, self.table.states(now)), sender.address)
+        newest = max((beat.state, *beat.passed_on), key=lambda state: state.configuration)
+        if newest.configuration > self.directory.version:
+            self.newer_configuration(newest.sender.address)
+        if self._learn_leaving(beat) and not self.table.is_mesh:
+            self._spread(now)
+
+    def _learn_leaving(self, beat: Heartbeat) -> bool:
+        """Take in which targets a peer knows to be leaving; True if that is news."""
+        news = [incarnation for incarnation in beat.leaving if self.registry.leave(incarnation)]
+        for incarnation in news:
+            log_event(Event.TARGET_LEAVING, target=incarnation, source=beat.state.sender.name)
+        return bool(news)
+
+    def _spread(self, now: float) -> None:
+        """Pass news on before the next heartbeat is due; seldom enough to end by itself."""
+        if now - self._spread_at >= _SPREAD_SECONDS:
+            self._spread_at = now
             self.beat()
-        for incarnation in beat.leaving:
-            if self.registry.leave(incarnation):
-                log_event(Event.TARGET_LEAVING, target=incarnation, source=beat.sender.name)
-        if beat.configuration > self.directory.version:
-            self.newer_configuration(beat.sender.address)
 
     def _log_changes(self, now: float) -> None:
-        live = {view.beat.sender.name for view in self.table.live(now)}
+        live = {view.state.sender.name for view in self.table.live(now)}
         for name in sorted(live - self._known_live):
             log_event(Event.MEMBER_JOINED, peer=name, live=len(live))
         for name in sorted(self._known_live - live):
             log_event(Event.MEMBER_LOST, peer=name, live=len(live))
         self._known_live = live
+
+
+def _is_news(before: PeerState | None, now: PeerState) -> bool:
+    """Whether a state differs from the one before in anything but its number."""
+    return before is None or msgspec.structs.replace(before, sequence=0) != now
+
+
+def _in_steps(load: int) -> int:
+    return round(load / _LOAD_STEP) * _LOAD_STEP
--- a/whinrack/edge/_options.py
+++ b/whinrack/edge/_options.py
@@ -37,6 +37,8 @@
         Patience with peers that are asked for tokens, and with the writer of the books.
     wall_margin_seconds : float
         How far the time of day may have jumped between two runs.
+    bandwidth : float
+        Of the network link, Mbit/s; 0 if it isn't known.
     log_lines_per_second : float
         Lines beyond this are left out and counted.
     """
@@ -62,6 +64,7 @@
     gather_seconds: float = 0.06
     draw_seconds: float = 0.15
     wall_margin_seconds: float = 3.5
+    bandwidth: float = 0.0
     log_lines_per_second: float = 150.0
 
 
--- /dev/null
+++ b/whinrack/edge/_relay.py
@@ -0,0 +1,195 @@
+"""Passes lists and watches of the store on to peers, so that few instances call the store.
+
+Whoever follows a kind of object keeps it here, with its latest changes. A peer asks by HTTP
+for the list or for the changes after a revision, as it would ask the store. Revisions are the
+store's own, so a peer may go on at another instance, or at the store, where it left off.
+"""
+
+import zlib
+from collections import deque
+from collections.abc import Sequence
+from urllib.parse import parse_qs, urlsplit
+
+import eventlet
+import msgspec
+from eventlet.event import Event
+from returns.result import Failure, Result, Success
+
+from whinrack.edge._options import HostPort
+from whinrack.edge._sharing import ask_peer
+from whinrack.exceptions import PlatformFailure, PlatformUnavailable
+from whinrack.http1 import ConnectionPool, Exchange, Headers
+from whinrack.store import ObjectStore, Snapshot, StoredObject, WatchBatch
+
+__all__ = ["KindRelay", "PeerFeed", "WatchRelay"]
+
+_LIST_PATH = "/v1/list/"
+_WATCH_PATH = "/v1/watch/"
+_OK = 200
+_NOT_FOUND = 404
+_LONGEST_WAIT = 10.0
+# Seconds beyond the wait for which an answer is waited for.
+_PATIENCE = 1.0
+# Changes that are kept for peers.
+_MOST_CHANGES = 2000
+# Longer answers are compressed.
+_COMPRESSED_FROM = 2048
+_COMPRESSION_LEVEL = 1
+_ENCODED_KEPT = 4
+_JSON: Headers = [(b"content-type", b"application/json")]
+_DEFLATED: Headers = [*_JSON, (b"content-encoding", b"deflate")]
+
+
+class KindRelay:
+    """The objects of one kind as far as they were followed."""
+
+    def __init__(self):
+        self.revision: int | None = None
+        self._objects: dict[str, StoredObject] = {}
+        self._changes: deque[tuple[int, StoredObject]] = deque()
+        self._complete_since = 0
+        self._news = Event()
+
+    def listed(self, revision: int, objects: Sequence[StoredObject]) -> None:
+        """Take in a whole list; changes before it are not known."""
+        self._objects = {stored.name: stored for stored in objects}
+        self._changes.clear()
+        self._complete_since = revision
+        self._advance(revision)
+
+    def changed(self, revision: int, objects: Sequence[StoredObject]) -> None:
+        """Take in the changes up to a revision."""
+        for stored in objects:
+            if stored.deleted:
+                self._objects.pop(stored.name, None)
+            else:
+                self._objects[stored.name] = stored
+            self._changes.append((revision, stored))
+        while len(self._changes) > _MOST_CHANGES:
+            self._complete_since, _ = self._changes.popleft()
+        self._advance(revision)
+
+    def snapshot(self) -> Snapshot | None:
+        """Return the list, None if nothing was followed yet."""
+        if self.revision is None:
+            return None
+        return Snapshot(self.revision, tuple(self._objects.values()))
+
+    def batch(self, since: int, wait: float) -> WatchBatch | None:
+        """Return the changes after a revision, waiting for some; None before a first list."""
+        if self.revision is None:
+            return None
+        if self.revision <= since:
+            with eventlet.Timeout(wait, False):
+                self._news.wait()
+        if self.revision <= since:
+            return WatchBatch(since)
+        if since < self._complete_since:
+            return WatchBatch(self.revision, gap=True)
+        newer = tuple(stored for revision, stored in self._changes if revision > since)
+        return WatchBatch(self.revision, newer)
+
+    def _advance(self, revision: int) -> None:
+        has_news = self.revision is None or revision > self.revision
+        self.revision = revision if self.revision is None else max(revision, self.revision)
+        if has_news:
+            news, self._news = self._news, Event()
+            news.send(None)
+
+
+class WatchRelay:
+    """Answers peers that ask for lists and changes.
+
+    Parameters
+    ----------
+    kinds : sequence of str
+        Those that are followed here.
+    """
+
+    def __init__(self, kinds: Sequence[str]):
+        self.kinds = {kind: KindRelay() for kind in kinds}
+        self._encoded: dict[tuple, tuple[Headers, bytes]] = {}
+
+    def answer(self, exchange: Exchange) -> bool:
+        """Answer a peer's question; False if it is none of this relay's."""
+        url = urlsplit(exchange.head.target.decode("latin-1"))
+        for path, reply in ((_LIST_PATH, self._list), (_WATCH_PATH, self._watch)):
+            kind = self.kinds.get(url.path.removeprefix(path))
+            if url.path.startswith(path) and kind is not None:
+                query = {name: values[0] for name, values in parse_qs(url.query).items()}
+                reply(exchange, kind, query)
+                return True
+        return False
+
+    def _list(self, exchange: Exchange, kind: KindRelay, query: dict[str, str]) -> None:
+        snapshot = kind.snapshot()
+        if snapshot is None:
+            exchange.respond(_NOT_FOUND, [], b"")
+            return
+        self._respond(exchange, (id(kind), snapshot.revision), snapshot)
+
+    def _watch(self, exchange: Exchange, kind: KindRelay, query: dict[str, str]) -> None:
+        since = int(query.get("since", "0"))
+        wait = min(_LONGEST_WAIT, float(query.get("wait", "0")))
+        batch = kind.batch(since, wait)
+        if batch is None:
+            exchange.respond(_NOT_FOUND, [], b"")
+            return
+        self._respond(exchange, (id(kind), since, batch.revision), batch)
+
+    def _respond(self, exchange: Exchange, key: tuple, value: Snapshot | WatchBatch) -> None:
+        """Send a value; what several peers ask for is encoded once."""
+        if key not in self._encoded:
+            while len(self._encoded) >= _ENCODED_KEPT:
+                self._encoded.pop(next(iter(self._encoded)))
+            self._encoded[key] = _encode(value)
+        headers, body = self._encoded[key]
+        exchange.respond(_OK, headers, body)
+
+
+class PeerFeed(ObjectStore):
+    """Lists and watches at a peer's relay; nothing else.
+
+    Parameters
+    ----------
+    address : HostPort
+    connections : ConnectionPool
+    """
+
+    def __init__(self, address: HostPort, connections: ConnectionPool):
+        self.address = address
+        self.connections = connections
+
+    def list(self, kinds: Sequence[str]) -> Result[Snapshot, PlatformFailure]:
+        """Read all objects of one kind."""
+        (kind,) = kinds
+        return self._ask(_LIST_PATH + kind, 0.0, Snapshot)
+
+    def watch(
+        self, kinds: Sequence[str], since: int, wait: float
+    ) -> Result[WatchBatch, PlatformFailure]:
+        """Wait at most `wait` seconds for changes after a revision."""
+        (kind,) = kinds
+        path = f"{_WATCH_PATH}{kind}?since={since}&wait={wait:.3f}"
+        return self._ask(path, wait, WatchBatch)
+
+    def _ask(self, path: str, wait: float, answer_type: type) -> Result:
+        reply = ask_peer(self.address, path.encode(), wait + _PATIENCE, self.connections)
+        if reply is None:
+            return Failure(PlatformUnavailable("the peer doesn't pass on what it follows"))
+        try:
+            return Success(msgspec.json.decode(_inflated(reply), type=answer_type))
+        except (msgspec.MsgspecError, zlib.error):
+            return Failure(PlatformUnavailable("the peer's answer can't be read"))
+
+
+def _encode(value: Snapshot | WatchBatch) -> tuple[Headers, bytes]:
+    body = msgspec.json.encode(value)
+    if len(body) < _COMPRESSED_FROM:
+        return _JSON, body
+    return _DEFLATED, zlib.compress(body, _COMPRESSION_LEVEL)
+
+
+def _inflated(body: bytes) -> bytes:
+    """Return a JSON text, which starts with a brace unless it is compressed."""
+    return body if body.startswith(b"{") else zlib.decompress(body)
--- a/whinrack/edge/_sharing.py
+++ b/whinrack/edge/_sharing.py
@@ -7,10 +7,10 @@
 
 from whinrack.edge._options import HostPort
 from whinrack.exceptions import Refusal
-from whinrack.http1 import Exchange, Headers, HttpServer, RequestHead, TargetConnection
+from whinrack.http1 import ConnectionPool, Exchange, Headers, HttpServer, RequestHead
 from whinrack.store import StoredObject
 
-__all__ = ["KnowledgeServer", "SharedKnowledge", "fetch_knowledge"]
+__all__ = ["KnowledgeServer", "SharedKnowledge", "ask_peer", "fetch_knowledge"]
 
 _PATH = b"/v1/knowledge"
 _OK = 200
@@ -34,6 +34,10 @@
     targets: tuple[StoredObject, ...] = ()
 
 
+def _know_nothing(exchange: Exchange) -> bool:
+    return False
+
+
 class KnowledgeServer:
     """Answers peers that ask what this instance knows.
 
@@ -43,10 +47,18 @@
         Where to listen; peers find it at the address of the datagrams.
     known : callable
         Returns the `SharedKnowledge`.
+    relay : callable, optional
+        Answers other questions; returns False for those that it doesn't know.
     """
 
-    def __init__(self, address: HostPort, known: Callable[[], SharedKnowledge]):
+    def __init__(
+        self,
+        address: HostPort,
+        known: Callable[[], SharedKnowledge],
+        relay: Callable[[Exchange], bool] = _know_nothing,
+    ):
         self.known = known
+        self.relay = relay
         self._server = HttpServer(address, self._answer)
 
     @property
@@ -63,27 +75,40 @@
         self._server.stop_listening()
 
     def _answer(self, exchange: Exchange) -> None:
-        if exchange.head.target != _PATH:
+        if exchange.head.target == _PATH:
+            exchange.respond(_OK, _JSON, msgspec.json.encode(self.known()))
+        elif not self.relay(exchange):
             exchange.respond(_NOT_FOUND, [], b"")
-            return
-        exchange.respond(_OK, _JSON, msgspec.json.encode(self.known()))
 
 
 def fetch_knowledge(address: HostPort) -> SharedKnowledge | None:
     """Ask a peer what it knows; None if it doesn't answer in time."""
-    end = time.monotonic() + _FETCH_SECONDS
+    connections = ConnectionPool()
     try:
-        connection = TargetConnection.open(address, _FETCH_SECONDS)
+        body = ask_peer(address, _PATH, _FETCH_SECONDS, connections)
+    finally:
+        connections.close()
+    try:
+        return None if body is None else msgspec.json.decode(body, type=SharedKnowledge)
+    except msgspec.MsgspecError:
+        return None
+
+
+def ask_peer(
+    address: HostPort, path: bytes, seconds: float, connections: ConnectionPool
+) -> bytes | None:
+    """Ask a peer by HTTP; returns the body, None without an answer in time."""
+    end = time.monotonic() + seconds
+    try:
+        connection = connections.take(address, end)
     except Refusal:
         return None
     try:
-        connection.send(RequestHead(b"GET", _PATH, [(b"host", b"peer")]), b"", end)
+        connection.send(RequestHead(b"GET", path, [(b"host", b"peer")]), b"", end)
         head = connection.read_head(end, lambda headers: True)
         body = b"".join(connection.pieces(end))
-        if head.status != _OK:
-            return None
-        return msgspec.json.decode(body, type=SharedKnowledge)
-    except (Refusal, msgspec.MsgspecError):
+    except Refusal:
         return None
     finally:
-        connection.close()
+        connections.give_back(connection)
+    return body if head.status == _OK else None
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -86,12 +86,12 @@
 
     def tell_given(self) -> None:
         """Tell the peers once more what they were given: a stop makes it final."""
-        by_run = {view.beat.incarnation: view for view in self.peers.live(time.monotonic())}
+        by_run = {view.state.incarnation: view for view in self.peers.live(time.monotonic())}
         for given in self.keeper.given():
             view = by_run.get(given.receiver)
             if view is not None:
                 reply = TokenReply(0, given.budget, self.holder, given.receiver, given.total)
-                self.link.send(reply, view.beat.sender.address)
+                self.link.send(reply, view.state.sender.address)
 
     def _received(self, reply: TokenReply) -> None:
         if reply.receiver == self.holder:
--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -9,7 +9,7 @@
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
-from whinrack.edge._sources import ConfigurationReader, TargetReader
+from whinrack.edge._sources import ConfigurationReader, SourcePlan, TargetReader
 from whinrack.exceptions import PlatformUnavailable
 from whinrack.http1 import ServerLimits
 from whinrack.store import StoredObject
@@ -61,6 +61,7 @@
             Targets(),
             self.directory,
             self.registry,
+            SourcePlan(store),
             watch_seconds=0.01,
             peer_with_store=lambda: PEER,
             fetch=lambda address: self.answer,
--- a/whinrack/edge/tests/test_store_tasks.py
+++ b/whinrack/edge/tests/test_store_tasks.py
@@ -5,20 +5,22 @@
 
 from standins.memory_store import MemoryStore
 from whinrack.edge._contact import StoreContact
-from whinrack.edge._sources import KindFollower
+from whinrack.edge._relay import KindRelay
+from whinrack.edge._sources import KindFollower, SourcePlan
 from whinrack.exceptions import PlatformUnavailable
 from whinrack.store import WatchBatch
 
 
 def follower(store, seen, probes=True, contact=None):
     return KindFollower(
-        store,
+        SourcePlan(store),
         "k",
         lambda objects: seen.append(("listed", sorted(item.name for item in objects))),
         lambda objects: seen.append(("changed", sorted(item.name for item in objects))),
         contact or StoreContact(lambda answers: None),
         watch_seconds=0.1,
         probes=probes,
+        relay=KindRelay(),
     )
 
 
--- a/whinrack/gossip/__init__.py
+++ b/whinrack/gossip/__init__.py
@@ -10,6 +10,7 @@
     Heartbeat,
     Message,
     PeerAddress,
+    PeerState,
     TokenReply,
     TokenRequest,
 )
@@ -27,6 +28,7 @@
     "Message",
     "PeerAddress",
     "PeerSpares",
+    "PeerState",
     "PeerTable",
     "PeerView",
     "TokenReply",
--- a/whinrack/gossip/_drawers.py
+++ b/whinrack/gossip/_drawers.py
@@ -80,7 +80,7 @@
             books = self._ask(writer, orders)
             if books is not None:
                 return Success(books)
-            self._avoided[writer.beat.sender.name] = time.monotonic() + _AVOID_SECONDS
+            self._avoided[writer.state.sender.name] = time.monotonic() + _AVOID_SECONDS
         return self.local.draw_books(orders)
 
     def requested(self, request: DrawRequest, address: tuple[str, int]) -> None:
@@ -107,9 +107,9 @@
         """Return the peer that writes an account, None if it is this instance."""
         now = time.monotonic()
         views = {
-            view.beat.sender.name: view
+            view.state.sender.name: view
             for view in self.peers.live(now)
-            if view.beat.store_answers and view.beat.ready
+            if view.state.store_answers and view.state.ready
         }
         for name in rendezvous(account, [*views, self.name]):
             if name == self.name:
@@ -122,7 +122,7 @@
         number = next(self._numbers)
         question = self._open[number] = _Question()
         try:
-            self.link.send(DrawRequest(number, orders), writer.beat.sender.address)
+            self.link.send(DrawRequest(number, orders), writer.state.sender.address)
             with Timeout(self.patience, False):
                 question.accepted.wait()
             if not question.accepted.ready():
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -1,6 +1,7 @@
 """Typed datagrams, encoded as MessagePack by `msgspec`."""
 
 import msgspec
+import xxhash
 
 from whinrack.budgets import DrawOrder, DrawResult
 
@@ -11,6 +12,7 @@
     "Heartbeat",
     "Message",
     "PeerAddress",
+    "PeerState",
     "TokenReply",
     "TokenRequest",
 ]
@@ -29,15 +31,15 @@
         return self.host, self.port
 
 
-class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
-    """An instance's word on itself, sent to every peer it knows.
+class PeerState(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """What an instance says of itself; peers pass it on.
 
     Attributes
     ----------
     incarnation : str
         This run of the instance.
     sequence : int
-        Grows by one with each heartbeat of the run.
+        Grows with each change of the state that others should know.
     sender : PeerAddress
     callers : str
         Where callers connect, "host:port".
@@ -50,12 +52,10 @@
         Requests in progress.
     configuration : int
         Version in force, 0 if none is known.
-    wall : float
-        The sender's time of day, seconds since the epoch.
-    leaving : list of str
-        Incarnations of targets that are known to be leaving.
-    peers : list of PeerAddress
-        Other instances that the sender heard lately.
+    serving : bool
+        Whether callers' requests came lately.
+    bandwidth : float
+        Of the instance's network link, Mbit/s; 0 if it isn't known.
     """
 
     incarnation: str
@@ -67,9 +67,45 @@
     store_answers: bool
     load: int
     configuration: int
+    serving: bool = False
+    bandwidth: float = 0.0
+
+    @property
+    def digest(self) -> int:
+        """A short name of the run."""
+        return xxhash.xxh32_intdigest(self.incarnation.encode())
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat", kw_only=True):
+    """An instance's word on itself and on what it has heard.
+
+    Attributes
+    ----------
+    state : PeerState
+    number : int
+        Grows by one with each heartbeat of the run.
+    wall : float
+        The sender's time of day, seconds since the epoch.
+    leaving : list of str
+        Incarnations of targets that are known to be leaving.
+    peers : list of PeerAddress
+        Other instances that the sender heard lately.
+    passed_on : list of PeerState
+        States of others that are news, in fleets too large for each to hear all.
+    ages : dict of int to int
+        How long ago others were heard, hundredths of a second, by `PeerState.digest`.
+    asks_for_states : bool
+        The sender lacks the states of some that it hears of.
+    """
+
+    state: PeerState
+    number: int = 0
     wall: float = 0.0
     leaving: list[str] = []
     peers: list[PeerAddress] = []
+    passed_on: list[PeerState] = []
+    ages: dict[int, int] = {}
+    asks_for_states: bool = False
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -1,24 +1,55 @@
-"""What this instance knows of its peers. Decisions only, no I/O."""
+"""What this instance knows of its peers. Decisions only, no I/O.
 
+A small fleet is a full mesh: each instance sends its heartbeat to all others, and a peer is
+live as long as it is heard. In a larger one each sends to a few in turn, and passes on what
+it has heard (an epidemic protocol), so that an instance's messages don't grow in number with
+the fleet: the states that are news, and how long ago every peer was heard.
+"""
+
+import random
 from collections.abc import Iterable
 
-from whinrack.gossip._messages import Heartbeat, PeerAddress
+from whinrack.gossip._messages import Heartbeat, PeerAddress, PeerState
 
 __all__ = ["PeerTable", "PeerView"]
 
+# Instances up to which all hear each other.
+_FULL_MESH = 12
+# Beyond that: peers that one heartbeat goes to, and addresses that nothing was heard from
+# which are tried beside.
+_FANOUT = 6
+_UNHEARD_TRIED = 2
+# Heartbeats that pass a new state on, and most states in one of them.
+_TIMES_PASSED_ON = 4
+_MOST_PASSED_ON = 24
+# In a larger fleet heartbeats are so many times rarer, and silence so many times longer.
+_SLOWER_BEATS = 2.0
+_LONGER_SILENCE = 4.0
+_AGE_UNITS = 100.0
+
 
 class PeerView:
-    """The latest heartbeat of one instance.
+    """The latest state of one instance.
 
     Attributes
     ----------
     heard_at : float
-        Steady clock here when it arrived.
+        Steady clock here when it was sent, or a little later.
+    number : int
+        Of the latest heartbeat that came from itself.
+    passed_on : int
+        Heartbeats that have passed the state on.
     """
 
-    def __init__(self, beat: Heartbeat, heard_at: float):
-        self.beat = beat
+    def __init__(self, state: PeerState, heard_at: float, number: int = -1):
+        self.state = state
         self.heard_at = heard_at
+        self.number = number
+        self.passed_on = 0
+
+    def is_run(self, state: PeerState) -> bool:
+        """Whether a state is of the same run of the instance."""
+        return self.state.incarnation == state.incarnation
 
 
 class PeerTable:
@@ -29,17 +60,34 @@
     name : str
         This instance, which is no peer of its own.
     silent_seconds : float
-        Silence after which a peer counts as gone.
+        Silence after which a peer counts as gone, in a full mesh.
     forget_seconds : float
         Silence after which its address is no longer tried.
+    seed : int, optional
+        Seeds the choice of peers in a large fleet.
     """
 
-    def __init__(self, name: str, silent_seconds: float, forget_seconds: float):
+    def __init__(
+        self, name: str, silent_seconds: float, forget_seconds: float, seed: int | None = None
+    ):
         self.name = name
         self.silent_seconds = silent_seconds
         self.forget_seconds = forget_seconds
         self._views: dict[str, PeerView] = {}
+        self._names: dict[int, str] = {}
         self._addresses: dict[tuple[str, int], float] = {}
+        self._random = random.Random(seed)
+        self._turns: list[tuple[str, int]] = []
+        self._lacks_states = False
+
+    @property
+    def is_mesh(self) -> bool:
+        """Whether the fleet is so small that all hear each other."""
+        return len(self._views) < _FULL_MESH
+
+    def interval(self, seconds: float) -> float:
+        """Return the time between heartbeats, given that of a full mesh."""
+        return seconds if self.is_mesh else seconds * _SLOWER_BEATS
 
     def add_addresses(self, addresses: Iterable[tuple[str, int]], now: float) -> None:
         """Learn where instances may be, from settings, a list or a peer."""
@@ -48,45 +96,161 @@
 
     def heard(self, beat: Heartbeat, now: float) -> bool:
         """Take in a heartbeat; True if the run wasn't known, or counted as gone."""
-        if beat.sender.name == self.name:
-            return False
-        known = self._views.get(beat.sender.name)
-        same_run = known is not None and known.beat.incarnation == beat.incarnation
-        if same_run and known.beat.sequence >= beat.sequence:
+        if beat.state.sender.name == self.name or self._is_old(beat):
             return False
-        is_new = not same_run or not self._is_live(known, now)
-        self._views[beat.sender.name] = PeerView(beat, now)
-        self._addresses[beat.sender.address] = now
+        is_new = self._learn(beat.state, now, now)
+        view = self._views.get(beat.state.sender.name)
+        if view is not None and view.is_run(beat.state):
+            view.number = beat.number
+            view.heard_at = now
         self.add_addresses((peer.address for peer in beat.peers), now)
+        if self.is_mesh:
+            addresses = (state.sender.address for state in beat.passed_on)
+            self.add_addresses(addresses, now)
+        else:
+            self._learn_of_others(beat, now)
         return is_new
 
+    def take_lacking(self) -> bool:
+        """Return whether states of live peers are lacking, once."""
+        lacks, self._lacks_states = self._lacks_states, False
+        return lacks
+
     def live(self, now: float) -> list[PeerView]:
         """Return the peers that were heard lately."""
-        return [view for view in self._views.values() if self._is_live(view, now)]
+        return [view for view in self._views.values() if self._is_live(view.heard_at, now)]
 
     def live_count(self, now: float) -> int:
         """Return the number of instances that look alive, this one included."""
         return 1 + len(self.live(now))
 
+    def sharing_count(self, now: float) -> int:
+        """Return the number of instances that share the work, this one included.
+
+        In a large fleet only some serve callers.
+        """
+        if self.is_mesh:
+            return self.live_count(now)
+        return 1 + sum(view.state.serving for view in self.live(now))
+
     def ready(self, now: float) -> list[PeerView]:
         """Return the live peers to which callers may be sent."""
-        return [view for view in self.live(now) if view.beat.ready]
+        return [view for view in self.live(now) if view.state.ready]
 
     def with_store(self, now: float) -> list[PeerView]:
         """Return the live peers that reach the store; stopping ones only if no others do."""
-        reaching = [view for view in self.live(now) if view.beat.store_answers]
-        return [view for view in reaching if view.beat.ready] or reaching
+        reaching = [view for view in self.live(now) if view.state.store_answers]
+        return [view for view in reaching if view.state.ready] or reaching
+
+    # --- sending -----------------------------------------------------------------
 
     def targets(self, now: float) -> list[tuple[str, int]]:
-        """Return the addresses to send heartbeats to."""
+        """Return the addresses to send the next heartbeat to."""
+        self._forget(now)
+        if self.is_mesh:
+            return list(self._addresses)
+        live = {view.state.sender.address for view in self.live(now)}
+        unheard = [address for address in self._addresses if address not in live]
+        tried = self._random.sample(unheard, min(_UNHEARD_TRIED, len(unheard)))
+        return [*self._next_in_turn(live), *tried]
+
+    def addresses(self, now: float) -> list[PeerAddress]:
+        """Return live peers' addresses, for peers that don't know them."""
+        if not self.is_mesh:
+            return []
+        return [view.state.sender for view in self.live(now)]
+
+    def states(self, now: float) -> list[PeerState]:
+        """Return the states of all live peers, for a peer that lacks some."""
+        return [] if self.is_mesh else [view.state for view in self.live(now)]
+
+    def news(self, now: float) -> list[PeerState]:
+        """Return states that are to be passed on, those told least often first."""
+        if self.is_mesh:
+            return []
+        fresh = [view for view in self.live(now) if view.passed_on < _TIMES_PASSED_ON]
+        chosen = sorted(fresh, key=lambda view: view.passed_on)[:_MOST_PASSED_ON]
+        for view in chosen:
+            view.passed_on += 1
+        return [view.state for view in chosen]
+
+    def ages(self, now: float) -> dict[int, int]:
+        """Return how long ago live peers were heard, see `Heartbeat`."""
+        if self.is_mesh:
+            return {}
+        return {
+            digest: round((now - view.heard_at) * _AGE_UNITS)
+            for digest, name in self._names.items()
+            if self._is_live((view := self._views[name]).heard_at, now)
+        }
+
+    # --- learning ----------------------------------------------------------------
+
+    def _is_old(self, beat: Heartbeat) -> bool:
+        """Whether a later heartbeat of the same run came before."""
+        known = self._views.get(beat.state.sender.name)
+        return known is not None and known.is_run(beat.state) and beat.number <= known.number
+
+    def _learn_of_others(self, beat: Heartbeat, now: float) -> None:
+        for state in beat.passed_on:
+            age = beat.ages.get(state.digest)
+            if age is not None:
+                self._learn(state, now - age / _AGE_UNITS, now)
+        for digest, age in beat.ages.items():
+            name = self._names.get(digest)
+            if name is not None:
+                view = self._views[name]
+                view.heard_at = max(view.heard_at, now - age / _AGE_UNITS)
+            elif self._is_live(now - age / _AGE_UNITS, now):
+                self._lacks_states = True
+
+    def _learn(self, state: PeerState, heard_at: float, now: float) -> bool:
+        """Take in a state if it is newer; True if its run wasn't live before."""
+        name = state.sender.name
+        known = self._views.get(name)
+        if name == self.name or not self._is_live(heard_at, now):
+            return False
+        if known is not None and not known.is_run(state) and heard_at < known.heard_at:
+            # An earlier run, told late.
+            return False
+        if known is not None and known.is_run(state):
+            was_live = self._is_live(known.heard_at, now)
+            known.heard_at = max(known.heard_at, heard_at)
+            if state.sequence > known.state.sequence:
+                known.state, known.passed_on = state, 0
+            return not was_live
+        if known is not None:
+            self._names.pop(known.state.digest, None)
+        self._views[name] = PeerView(state, heard_at)
+        self._names[state.digest] = name
+        self._addresses[state.sender.address] = now
+        return True
+
+    def _forget(self, now: float) -> None:
+        """Drop what nothing was heard of for long."""
+        for view in self.live(now):
+            self._addresses[view.state.sender.address] = now
         for address, seen in list(self._addresses.items()):
             if now - seen > self.forget_seconds:
                 del self._addresses[address]
-        return list(self._addresses)
+        for name, view in list(self._views.items()):
+            if now - view.heard_at > self.forget_seconds:
+                del self._views[name]
+                self._names.pop(view.state.digest, None)
 
-    def addresses(self, now: float) -> list[PeerAddress]:
-        """Return the live peers' addresses, for peers that don't know them."""
-        return [view.beat.sender for view in self.live(now)]
+    def _next_in_turn(self, live: set[tuple[str, int]]) -> list[tuple[str, int]]:
+        """Return some live peers' addresses; all have had a turn before one has its second."""
+        chosen: list[tuple[str, int]] = []
+        while len(chosen) < min(_FANOUT, len(live)):
+            if not self._turns:
+                self._turns = self._random.sample(sorted(live), len(live))
+            address = self._turns.pop()
+            if address in live and address not in chosen:
+                chosen.append(address)
+        return chosen
 
-    def _is_live(self, view: PeerView, now: float) -> bool:
-        return now - view.heard_at <= self.silent_seconds
+    def _is_live(self, heard_at: float, now: float) -> bool:
+        longest = self.silent_seconds
+        if not self.is_mesh:
+            longest *= _LONGER_SILENCE
+        return now - heard_at <= longest
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -72,7 +72,7 @@
     ) -> list[SpareTotal]:
         """Ask one peer that reaches the store to draw what is needed."""
         reaching = self.peers.with_store(time.monotonic())
-        views = {view.beat.sender.name: view for view in reaching}
+        views = {view.state.sender.name: view for view in reaching}
         if not views:
             return []
         lender = rendezvous(f"{self.holder}/{budget}", views)[0]
@@ -109,11 +109,11 @@
         question = self._open[request.question] = _Question(len(views))
         try:
             for view in views:
-                giver = view.beat.incarnation
+                giver = view.state.incarnation
                 addressed = msgspec.structs.replace(
                     request, giver=giver, already_received=received.get(giver, 0)
                 )
-                self.link.send(addressed, view.beat.sender.address)
+                self.link.send(addressed, view.state.sender.address)
             with Timeout(patience, False):
                 question.done.wait()
         finally:
--- a/whinrack/gossip/tests/test_drawers.py
+++ b/whinrack/gossip/tests/test_drawers.py
@@ -13,6 +13,7 @@
     FleetDrawer,
     Heartbeat,
     PeerAddress,
+    PeerState,
     PeerTable,
 )
 
@@ -44,7 +45,7 @@
 def beat(name, **changes):
     fields = {"incarnation": f"{name}.1", "sequence": 1, "sender": PeerAddress(name, name, 1)}
     fields |= {"callers": "", "data_hall": "", "ready": True, "store_answers": True}
-    return Heartbeat(**fields | {"load": 0, "configuration": 1} | changes)
+    return Heartbeat(state=PeerState(**fields | {"load": 0, "configuration": 1} | changes))
 
 
 @pytest.fixture
--- a/whinrack/gossip/tests/test_peers.py
+++ b/whinrack/gossip/tests/test_peers.py
@@ -1,10 +1,12 @@
 """What an instance concludes from heartbeats."""
 
-from whinrack.gossip import Heartbeat, PeerAddress, PeerTable
+import msgspec
 
+from whinrack.gossip import Heartbeat, PeerAddress, PeerState, PeerTable
 
-def beat(name="b", run="1", sequence=1, ready=True, port=9, peers=()):
-    return Heartbeat(
+
+def state(name="b", run="1", sequence=1, ready=True, port=9, serving=False):
+    return PeerState(
         incarnation=f"{name}.{run}",
         sequence=sequence,
         sender=PeerAddress(name, "127.0.0.1", port),
@@ -14,16 +16,32 @@
         store_answers=True,
         load=0,
         configuration=1,
+        serving=serving,
+    )
+
+
+def beat(peers=(), passed_on=(), ages=None, number=None, **fields):
+    told = state(**fields)
+    return Heartbeat(
+        state=told,
+        number=told.sequence if number is None else number,
         peers=list(peers),
+        passed_on=list(passed_on),
+        ages={} if ages is None else ages,
     )
 
 
+def of_age(age, *states):
+    """Return the fields of a heartbeat that passes states on."""
+    return {"passed_on": list(states), "ages": {each.digest: age for each in states}}
+
+
 def table():
     return PeerTable("a", silent_seconds=1.0, forget_seconds=10.0)
 
 
 def names(views):
-    return [view.beat.sender.name for view in views]
+    return [view.state.sender.name for view in views]
 
 
 def test_a_peer_is_live_until_it_is_silent():
@@ -50,7 +68,7 @@
     peers = table()
     peers.heard(beat(sequence=50), 0.0)
     assert peers.heard(beat(run="2", sequence=1), 0.1)
-    assert [view.beat.incarnation for view in peers.live(0.1)] == ["b.2"]
+    assert [view.state.incarnation for view in peers.live(0.1)] == ["b.2"]
 
 
 def test_only_ready_peers_are_named_to_callers():
@@ -71,3 +89,142 @@
     peers.add_addresses([("127.0.0.3", 9)], 0.0)
     assert peers.targets(9.0) == [("127.0.0.3", 9)]
     assert peers.targets(11.0) == []
+
+
+def large_table(seed=1, size=30):
+    """Return a table that has heard so many peers that the fleet is no full mesh."""
+    peers = PeerTable("a", silent_seconds=1.0, forget_seconds=10.0, seed=seed)
+    for number in range(size):
+        peers.heard(beat(name=f"p{number}", port=number), 0.0)
+    return peers
+
+
+def test_in_a_full_mesh_only_what_is_heard_directly_is_live():
+    peers = table()
+    peers.heard(beat(**of_age(10, state(name="c", port=10))), 0.0)
+    assert names(peers.live(0.0)) == ["b"]
+    assert ("127.0.0.1", 10) in peers.targets(0.0)
+    assert (peers.news(0.0), peers.ages(0.0)) == ([], {})
+
+
+def view_of(peers, name, now):
+    (view,) = [view for view in peers.live(now) if view.state.sender.name == name]
+    return view
+
+
+def test_in_a_large_fleet_each_hears_of_others():
+    peers = large_table()
+    peers.heard(beat(name="p0", port=0, sequence=2, **of_age(50, state(name="c", port=99))), 1.0)
+    assert view_of(peers, "c", 1.0).heard_at == 0.5
+
+
+def test_what_is_passed_on_grows_old_on_the_way():
+    peers = large_table()
+    peers.heard(beat(name="p0", port=0, sequence=2), 2.0)
+    ages = peers.ages(2.5)
+    assert ages.pop(state(name="p0").digest) == 50
+    assert set(ages.values()) == {250}
+
+
+def test_a_word_of_a_known_state_keeps_its_instance_alive():
+    peers = large_table()
+    known = {state(name="p3").digest: 10}
+    peers.heard(beat(name="p0", port=0, sequence=2, ages=known), 4.5)
+    assert sorted(names(peers.live(5.0))) == ["p0", "p3"]
+    assert not peers.take_lacking()
+
+
+def test_a_word_of_an_unknown_run_shows_that_its_state_is_lacking():
+    peers = large_table()
+    peers.heard(beat(name="p0", port=0, sequence=2, ages={1234: 10}), 0.5)
+    assert peers.take_lacking()
+    assert not peers.take_lacking()
+
+
+def test_a_silent_peer_is_not_kept_alive_by_what_others_pass_on():
+    """Two instances that tell each other of a third don't refresh it."""
+    one, other = large_table(seed=1), large_table(seed=2)
+    for turn in range(1, 40):
+        now = turn * 0.2
+        one.heard(beat(name="x", port=70, sequence=turn, ages=other.ages(now)), now)
+        other.heard(beat(name="y", port=71, sequence=turn, ages=one.ages(now)), now)
+    assert set(names(one.live(8.0))) <= {"x", "y"}
+
+
+def test_an_older_run_that_is_told_late_does_not_replace_a_newer_one():
+    peers = large_table()
+    peers.heard(beat(name="p0", port=0, run="2", sequence=1), 1.0)
+    late = state(name="p0", port=0, run="1", sequence=9)
+    peers.heard(beat(name="p1", port=1, sequence=2, **of_age(30, late)), 1.1)
+    assert view_of(peers, "p0", 1.1).state.incarnation == "p0.2"
+
+
+def test_a_state_is_passed_on_some_times_and_again_when_it_changes():
+    peers = large_table(size=20)
+    for _ in range(4):
+        assert len(peers.news(0.0)) == 20
+    assert peers.news(0.0) == []
+    peers.heard(beat(name="p7", port=7, sequence=2, ready=False), 0.1)
+    (news,) = peers.news(0.1)
+    assert (news.sender.name, news.ready) == ("p7", False)
+
+
+def test_in_a_large_fleet_heartbeats_go_to_all_in_turn():
+    peers = large_table()
+    rounds = [peers.targets(0.0) for _ in range(5)]
+    assert all(len(targets) <= 8 for targets in rounds)
+    assert len({address for targets in rounds for address in targets}) == 30
+
+
+def test_a_few_addresses_that_nothing_was_heard_from_are_tried_too():
+    peers = large_table()
+    unheard = [("127.0.0.9", port) for port in range(5)]
+    peers.add_addresses(unheard, 0.0)
+    tried = [address for address in peers.targets(0.0) if address in unheard]
+    assert len(tried) == 2
+
+
+def test_work_is_shared_by_those_that_serve_in_a_large_fleet_and_by_all_in_a_small_one():
+    small, large = table(), large_table()
+    small.heard(beat(), 0.0)
+    assert small.sharing_count(0.0) == 2
+    assert large.sharing_count(0.0) == 1
+    large.heard(beat(name="p0", port=0, sequence=2, serving=True), 0.1)
+    assert large.sharing_count(0.1) == 2
+
+
+def test_every_state_reaches_all_of_a_large_fleet_within_a_few_rounds():
+    """Eighty instances that send to a few each hear of all others, and go on doing so."""
+    size = 80
+    tables = [
+        PeerTable(f"p{number}", silent_seconds=0.9, forget_seconds=60.0, seed=number)
+        for number in range(size)
+    ]
+    by_address = {("127.0.0.1", number): table for number, table in enumerate(tables)}
+    for table_ in tables:
+        table_.add_addresses([("127.0.0.1", 0), ("127.0.0.1", 1)], 0.0)
+    fewest_live = []
+    for turn in range(1, 16):
+        now = turn * 0.5
+        for number, table_ in enumerate(tables):
+            message = _beat_of(table_, number, 2 * turn, now)
+            for address in table_.targets(now):
+                heard, other = by_address[address], address[1]
+                if heard.heard(message, now) or message.asks_for_states:
+                    # A newcomer is answered at once.
+                    table_.heard(_beat_of(heard, other, 2 * turn + 1, now, whole=True), now)
+        fewest_live.append(min(table_.live_count(now) for table_ in tables))
+    assert fewest_live[8] == size
+    assert min(fewest_live[8:]) == size
+
+
+def _beat_of(peers, number, turn, now, whole=False):
+    message = beat(
+        name=f"p{number}",
+        port=number,
+        number=turn,
+        peers=peers.addresses(now),
+        passed_on=peers.states(now) if whole else peers.news(now),
+        ages=peers.ages(now),
+    )
+    return msgspec.structs.replace(message, asks_for_states=peers.take_lacking())
--- a/whinrack/gossip/tests/test_spares.py
+++ b/whinrack/gossip/tests/test_spares.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from whinrack.gossip import Heartbeat, PeerAddress, PeerSpares, PeerTable
+from whinrack.gossip import Heartbeat, PeerAddress, PeerSpares, PeerState, PeerTable
 
 BUDGET = "b"
 
 
 def beat(name, ready=True, store_answers=True):
-    return Heartbeat(
+    state = PeerState(
         incarnation=f"{name}.1",
         sequence=1,
         sender=PeerAddress(name, name, 1),
@@ -19,6 +19,7 @@
         load=0,
         configuration=1,
     )
+    return Heartbeat(state=state)
 
 
 class Link:
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -215,6 +215,12 @@
         connection.released_at = time.monotonic()
         self._idle.setdefault(connection.address, []).append(connection)
 
+    def close(self) -> None:
+        """Close the idle connections."""
+        for idle in self._idle.values():
+            while idle:
+                idle.pop().close()
+
 
 def _connect(address: tuple[str, int], seconds: float):
     sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
