--- a/whinrack/budgets/_books.py
+++ b/whinrack/budgets/_books.py
@@ -14,7 +14,7 @@
 __all__ = ["AccountRow", "BudgetAccount", "BudgetEntry", "DrawOrder", "DrawResult"]
 
 
-class AccountRow(msgspec.Struct, kw_only=True):
+class AccountRow(msgspec.Struct, kw_only=True, array_like=True):
     """What one incarnation holds of one budget; all amounts cumulative tokens.
 
     Attributes
@@ -123,7 +123,7 @@
     budgets: dict[str, BudgetEntry] = {}
 
 
-class DrawOrder(msgspec.Struct, frozen=True, kw_only=True):
+class DrawOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A holder's report and its wish for more tokens.
 
     Attributes
@@ -168,7 +168,7 @@
     schedule: ReleaseSchedule | None = None
 
 
-class DrawResult(msgspec.Struct, frozen=True, kw_only=True):
+class DrawResult(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The books after a write, as far as they concern one holder.
 
     Attributes
--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -15,6 +15,9 @@
 _HALF_LIFE_SECONDS = 8.0
 # A schedule of an idle grant is stated anew after so long, so that it releases little.
 _IDLE_SECONDS = 2.0
+# Digits that schedules are written with, to keep the books small.
+_RATE_DIGITS = 1
+_CLOCK_DIGITS = 3
 
 
 class GrantOptions(msgspec.Struct, frozen=True):
@@ -137,9 +140,9 @@
             ahead = min(ahead, share * options.release_part)
         self.stated = ReleaseSchedule(
             base=self.ledger.used + max(need, int(ahead)),
-            rate=max(0.0, pace),
-            steady=now,
-            wall=wall.seconds,
+            rate=round(max(0.0, pace), _RATE_DIGITS),
+            steady=round(now, _CLOCK_DIGITS),
+            wall=round(wall.seconds, _CLOCK_DIGITS),
             wall_checked=wall.checked,
             delay=options.release_delay,
         )
--- a/whinrack/budgets/_schedule.py
+++ b/whinrack/budgets/_schedule.py
@@ -33,7 +33,7 @@
     checked: bool = False
 
 
-class ReleaseSchedule(msgspec.Struct, frozen=True):
+class ReleaseSchedule(msgspec.Struct, frozen=True, array_like=True):
     """A promise to use at most `base + rate * (time - steady - delay)` tokens by any time.
 
     Used are the tokens billed, unproven, covering open requests and given to peers,
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -127,6 +127,7 @@
             self.membership.link,
             self.membership.table,
             self.membership.wall_clock,
+            self.membership.own_state,
         )
         self.keeper = self.tokens.keeper
         self.dispatcher = Dispatcher(
@@ -215,7 +216,7 @@
                 log_event(
                     Event.BOOKS_KNOWN, books=self.keeper.summary(), calls=self.store.summary()
                 )
-            eventlet.sleep(self.options.renew_seconds)
+            eventlet.sleep(self.membership.table.interval(self.options.renew_seconds))
             self.contact.wait(self.options.renew_seconds)
 
     def _release_earlier_runs(self) -> None:
--- a/whinrack/edge/_entries.py
+++ b/whinrack/edge/_entries.py
@@ -1,12 +1,11 @@
 """Which instances callers are sent to. Decisions only, no I/O."""
 
 import math
-from collections.abc import Iterable
 
 from whinrack.base import rendezvous
 from whinrack.gossip import PeerState
 
-__all__ = ["choose_entries", "prefer_wide_links"]
+__all__ = ["choose_entries"]
 
 # Up to so many instances all take callers.
 _ALL_UP_TO = 12
@@ -14,8 +13,6 @@
 # of the hall for each.
 _LEAST_OF_A_HALL = 8
 _OPEN_FOR_EACH = 40
-# Links of at least this part of the widest count as wide.
-_WIDE_PART = 0.5
 
 
 def choose_entries(ready: list[PeerState], hall: str) -> list[PeerState]:
@@ -41,13 +38,6 @@
     return [state for name in halls for state in _of_hall(name, by_hall[name])]
 
 
-def prefer_wide_links(states: Iterable[PeerState]) -> list[PeerState]:
-    """Return the instances with wide links, for work that moves much."""
-    states = list(states)
-    widest = max((state.bandwidth for state in states), default=0.0)
-    return [state for state in states if state.bandwidth >= _WIDE_PART * widest]
-
-
 def _of_hall(hall: str, states: list[PeerState]) -> list[PeerState]:
     open_requests = sum(state.load for state in states)
     count = max(_LEAST_OF_A_HALL, math.ceil(open_requests / _OPEN_FOR_EACH))
--- a/whinrack/edge/_feeding.py
+++ b/whinrack/edge/_feeding.py
@@ -5,11 +5,10 @@
 
 from whinrack.base import rendezvous
 from whinrack.edge._contact import StoreContact
-from whinrack.edge._entries import prefer_wide_links
 from whinrack.edge._options import HostPort
 from whinrack.edge._relay import PeerFeed
 from whinrack.edge._sources import FollowedSource, SourcePlan
-from whinrack.gossip import PeerState, PeerTable
+from whinrack.gossip import PeerState, PeerTable, prefer_wide_links
 from whinrack.http1 import ConnectionPool
 from whinrack.store import ObjectStore
 
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -16,6 +16,7 @@
     GossipLink,
     Message,
     PeerSpares,
+    PeerState,
     PeerTable,
     TokenReply,
     TokenRequest,
@@ -27,6 +28,7 @@
 _ACCOUNT = "account-0000"
 # Orders that arrive within this time share one write, seconds.
 _COLLECT_SECONDS = 0.02
+_COLLECT_SECONDS_OF_MANY = 0.05
 
 
 class TokenExchange:
@@ -42,6 +44,8 @@
     peers : PeerTable
     wall_clock : callable
         Reads the time of day.
+    own_state : callable
+        Returns what this instance says of itself.
     """
 
     def __init__(
@@ -52,12 +56,13 @@
         link: GossipLink,
         peers: PeerTable,
         wall_clock: Callable[[], WallReading],
+        own_state: Callable[[], PeerState],
     ):
         self.holder = holder
         self.link = link
         self.peers = peers
-        drawer = AccountDrawer(store, Semaphore, _collect_orders, sleep=eventlet.sleep)
-        self.fleet = FleetDrawer(options.name, drawer, link, peers, options.draw_seconds)
+        drawer = AccountDrawer(store, Semaphore, self._collect_orders, sleep=eventlet.sleep)
+        self.fleet = FleetDrawer(options.name, own_state, drawer, link, peers, options.draw_seconds)
         self.spares = PeerSpares(holder, link, peers, options.gather_seconds)
         self.keeper = GrantKeeper(
             holder,
@@ -93,6 +98,10 @@
                 reply = TokenReply(0, given.budget, self.holder, given.receiver, given.total)
                 self.link.send(reply, view.state.sender.address)
 
+    def _collect_orders(self) -> None:
+        """Wait for others' orders before a write, a little longer in a large fleet."""
+        eventlet.sleep(_COLLECT_SECONDS if self.peers.is_mesh else _COLLECT_SECONDS_OF_MANY)
+
     def _received(self, reply: TokenReply) -> None:
         if reply.receiver == self.holder:
             self.keeper.receive(reply.budget, reply.giver, reply.total)
@@ -118,10 +127,6 @@
         self.link.send(reply, address)
 
 
-def _collect_orders() -> None:
-    eventlet.sleep(_COLLECT_SECONDS)
-
-
 def _isolate(function: Callable, seconds: float | None):
     """Run to the end in a green thread of its own, whatever happens to the waiter."""
     with eventlet.Timeout(seconds, False):
--- /dev/null
+++ b/whinrack/edge/tests/test_entries.py
@@ -0,0 +1,70 @@
+"""Which instances callers are sent to, and which follow the store."""
+
+from whinrack.edge._entries import choose_entries
+from whinrack.edge._feeding import choose_watchers
+from whinrack.gossip import PeerAddress, PeerState
+
+
+def state(name, hall="h", load=0, bandwidth=10.0, **changes):
+    fields = {"incarnation": f"{name}.1", "sequence": 1, "sender": PeerAddress(name, name, 1)}
+    fields |= {"callers": name, "data_hall": hall, "ready": True, "store_answers": True}
+    fields |= {"load": load, "configuration": 1, "bandwidth": bandwidth}
+    return PeerState(**fields | changes)
+
+
+def fleet(size, halls=("h", "k", "m"), **fields):
+    return [state(f"i{n}", hall=halls[n % len(halls)], **fields) for n in range(size)]
+
+
+def names(states):
+    return sorted(each.sender.name for each in states)
+
+
+def test_in_a_small_fleet_callers_may_go_anywhere():
+    assert choose_entries(fleet(12), "h") == fleet(12)
+
+
+def test_in_a_large_fleet_callers_share_some_instances_of_their_hall():
+    chosen = choose_entries(fleet(90), "k")
+    assert len(chosen) == 8
+    assert {each.data_hall for each in chosen} == {"k"}
+
+
+def test_all_instances_choose_the_same_ones():
+    backwards = list(reversed(fleet(90)))
+    assert names(choose_entries(fleet(90), "k")) == names(choose_entries(backwards, "k"))
+
+
+def test_the_busier_a_hall_the_more_instances_take_its_callers():
+    few = names(choose_entries(fleet(90), "k"))
+    more = names(choose_entries(fleet(90, load=20), "k"))
+    assert len(more) == 15
+    assert set(few) < set(more)
+
+
+def test_who_leaves_is_replaced_and_the_others_stay():
+    before = names(choose_entries(fleet(90), "k"))
+    left = [each for each in fleet(90) if each.sender.name != before[0]]
+    after = names(choose_entries(left, "k"))
+    assert len(set(before) & set(after)) == 7
+
+
+def test_callers_of_a_hall_without_instances_go_to_all_halls():
+    chosen = choose_entries(fleet(90), "elsewhere")
+    assert {each.data_hall for each in chosen} == {"h", "k", "m"}
+    assert len(chosen) == 24
+
+
+def test_two_instances_of_a_hall_follow_the_store_those_with_wide_links_first():
+    states = [*fleet(90), state("w1", bandwidth=100.0), state("w2", bandwidth=100.0)]
+    assert names(choose_watchers(states, "h")) == ["w1", "w2"]
+    assert len(choose_watchers(states, "k")) == 2
+
+
+def test_who_does_not_reach_the_store_does_not_follow_it_for_others():
+    states = [state("w1", bandwidth=100.0, store_answers=False), *fleet(90)]
+    assert "w1" not in names(choose_watchers(states, "h"))
+
+
+def test_where_nobody_reaches_the_store_the_same_instances_go_on_trying():
+    assert len(choose_watchers(fleet(90, store_answers=False), "h")) == 2
--- a/whinrack/edge/tests/test_store_tasks.py
+++ b/whinrack/edge/tests/test_store_tasks.py
@@ -6,9 +6,9 @@
 from standins.memory_store import MemoryStore
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._relay import KindRelay
-from whinrack.edge._sources import KindFollower, SourcePlan
+from whinrack.edge._sources import FollowedSource, KindFollower, SourcePlan
 from whinrack.exceptions import PlatformUnavailable
-from whinrack.store import WatchBatch
+from whinrack.store import StoredObject, WatchBatch
 
 
 def follower(store, seen, probes=True, contact=None):
@@ -116,3 +116,50 @@
     following.step()
     assert waits[0] == waits[2] == 0.1
     assert waits[1] <= 0.05
+
+
+class Fed(SourcePlan):
+    """A plan that sends the follower to a peer, until that fails."""
+
+    def __init__(self, store, feed):
+        super().__init__(store)
+        self.feed = feed
+        self.fails = 0
+
+    def source(self):
+        if self.fails:
+            return super().source()
+        return FollowedSource(self.feed, ("peer", 1))
+
+    def failed(self, source):
+        self.fails += 1
+
+
+def fed_follower(store, feed, seen, told):
+    plan = Fed(store, feed)
+    following = follower(store, seen, contact=StoreContact(told.append))
+    following.plan = plan
+    return following
+
+
+def test_a_peer_that_fails_says_nothing_of_the_store_and_is_left():
+    store, feed, seen, told = MemoryStore(), MemoryStore(), [], []
+    store.put("k", "a", b"1", 0)
+    feed.down = True
+    following = fed_follower(store, feed, seen, told)
+    assert not following.step()
+    assert following.step()
+    assert (seen, told) == ([("listed", ["a"])], [])
+
+
+def test_a_peer_that_is_behind_does_not_bring_old_lists_back():
+    store, feed, seen = MemoryStore(), MemoryStore(), []
+    for _ in range(3):
+        store.put("k", "a", b"1", store.objects.get(("k", "a"), StoredObject("k", "a", 0)).version)
+    feed.put("k", "old", b"1", 0)
+    following = fed_follower(store, feed, seen, [])
+    following.plan.fails = 1
+    assert following.step()
+    following.revision, following.plan.fails = None, 0
+    assert not following.step()
+    assert seen == [("listed", ["a"])]
--- a/whinrack/gossip/__init__.py
+++ b/whinrack/gossip/__init__.py
@@ -14,7 +14,7 @@
     TokenReply,
     TokenRequest,
 )
-from whinrack.gossip._peers import PeerTable, PeerView
+from whinrack.gossip._peers import PeerTable, PeerView, prefer_wide_links
 from whinrack.gossip._spares import PeerSpares
 
 __all__ = [
@@ -33,4 +33,5 @@
     "PeerView",
     "TokenReply",
     "TokenRequest",
+    "prefer_wide_links",
 ]
--- a/whinrack/gossip/_drawers.py
+++ b/whinrack/gossip/_drawers.py
@@ -2,6 +2,7 @@
 
 import itertools
 import time
+from collections.abc import Callable
 
 from eventlet.event import Event
 from eventlet.timeout import Timeout
@@ -11,8 +12,8 @@
 from whinrack.budgets import BookSource, DrawOrder, DrawResult
 from whinrack.exceptions import PlatformFailure
 from whinrack.gossip._link import GossipLink
-from whinrack.gossip._messages import DrawAccepted, DrawReply, DrawRequest
-from whinrack.gossip._peers import PeerTable, PeerView
+from whinrack.gossip._messages import DrawAccepted, DrawReply, DrawRequest, PeerState
+from whinrack.gossip._peers import PeerTable, PeerView, prefer_wide_links
 
 __all__ = ["FleetDrawer"]
 
@@ -53,6 +54,8 @@
     ----------
     name : str
         This instance.
+    own_state : callable
+        Returns what this instance says of itself.
     local : BookSource
         Writes to the store from here.
     link : GossipLink
@@ -62,9 +65,16 @@
     """
 
     def __init__(
-        self, name: str, local: BookSource, link: GossipLink, peers: PeerTable, patience: float
+        self,
+        name: str,
+        own_state: Callable[[], PeerState],
+        local: BookSource,
+        link: GossipLink,
+        peers: PeerTable,
+        patience: float,
     ):
         self.name = name
+        self.own_state = own_state
         self.local = local
         self.link = link
         self.peers = peers
@@ -111,13 +121,17 @@
             for view in self.peers.live(now)
             if view.state.store_answers and view.state.ready
         }
-        for name in rendezvous(account, [*views, self.name]):
+        wide = {state.sender.name for state in prefer_wide_links(self._candidates(views))}
+        for name in rendezvous(account, wide):
             if name == self.name:
                 return None
             if self._avoided.get(name, 0.0) <= now:
                 return views[name]
         return None
 
+    def _candidates(self, views: dict[str, PeerView]) -> list[PeerState]:
+        return [*(view.state for view in views.values()), self.own_state()]
+
     def _ask(self, writer: PeerView, orders: list[DrawOrder]) -> dict[str, DrawResult] | None:
         number = next(self._numbers)
         question = self._open[number] = _Question()
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -11,7 +11,7 @@
 
 from whinrack.gossip._messages import Heartbeat, PeerAddress, PeerState
 
-__all__ = ["PeerTable", "PeerView"]
+__all__ = ["PeerTable", "PeerView", "prefer_wide_links"]
 
 # Instances up to which all hear each other.
 _FULL_MESH = 12
@@ -26,6 +26,15 @@
 _SLOWER_BEATS = 2.0
 _LONGER_SILENCE = 4.0
 _AGE_UNITS = 100.0
+# Links of at least this part of the widest count as wide.
+_WIDE_PART = 0.5
+
+
+def prefer_wide_links(states: Iterable[PeerState]) -> list[PeerState]:
+    """Return the instances with wide links, for work that moves much."""
+    states = list(states)
+    widest = max((state.bandwidth for state in states), default=0.0)
+    return [state for state in states if state.bandwidth >= _WIDE_PART * widest]
 
 
 class PeerView:
@@ -129,9 +138,7 @@
 
         In a large fleet only some serve callers.
         """
-        if self.is_mesh:
-            return self.live_count(now)
-        return 1 + sum(view.state.serving for view in self.live(now))
+        return 1 + len(self.sharing(now))
 
     def ready(self, now: float) -> list[PeerView]:
         """Return the live peers to which callers may be sent."""
@@ -142,6 +149,11 @@
         reaching = [view for view in self.live(now) if view.state.store_answers]
         return [view for view in reaching if view.state.ready] or reaching
 
+    def sharing(self, now: float) -> list[PeerView]:
+        """Return the live peers that share the work: those may hold tokens."""
+        live = self.live(now)
+        return live if self.is_mesh else [view for view in live if view.state.serving]
+
     # --- sending -----------------------------------------------------------------
 
     def targets(self, now: float) -> list[tuple[str, int]]:
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -58,14 +58,14 @@
     def gather(
         self, budget: str, need: int, wish: int, received: dict[str, int]
     ) -> list[SpareTotal]:
-        """Ask every live peer for what is needed and return what each gave in all."""
-        views = self.peers.live(time.monotonic())
+        """Ask every peer that may hold some for what is needed; returns what each gave in all."""
+        views = self.peers.sharing(time.monotonic())
         request = self._request(budget, need, wish)
         return self._ask(views, request, received, self.patience)
 
     def peers_asked(self) -> int:
         """Return how many peers `gather` asks now."""
-        return len(self.peers.live(time.monotonic()))
+        return len(self.peers.sharing(time.monotonic()))
 
     def borrow(
         self, budget: str, need: int, wish: int, received: dict[str, int]
--- a/whinrack/gossip/tests/test_drawers.py
+++ b/whinrack/gossip/tests/test_drawers.py
@@ -42,9 +42,13 @@
             eventlet.spawn_n(self.deliver, message)
 
 
+WIDE, NARROW = 100.0, 5.0
+
+
 def beat(name, **changes):
     fields = {"incarnation": f"{name}.1", "sequence": 1, "sender": PeerAddress(name, name, 1)}
     fields |= {"callers": "", "data_hall": "", "ready": True, "store_answers": True}
+    fields |= {"bandwidth": WIDE}
     return Heartbeat(state=PeerState(**fields | {"load": 0, "configuration": 1} | changes))
 
 
@@ -54,7 +58,9 @@
     monkeypatch.setattr("whinrack.gossip._drawers.time.monotonic", lambda: 0.0)
     monkeypatch.setattr("whinrack.gossip._drawers.rendezvous", lambda key, names: sorted(names))
     peers, link, books = PeerTable("m1", 1.0, 10.0), Link(), Books()
-    return FleetDrawer("m1", books, link, peers, patience=0.05), peers, link, books
+    own_state = lambda: beat("m1", bandwidth=WIDE).state  # noqa: E731
+    drawer = FleetDrawer("m1", own_state, books, link, peers, patience=0.05)
+    return drawer, peers, link, books
 
 
 def test_the_writer_writes_for_the_others(world):
@@ -121,3 +127,10 @@
     books.draw_books = lambda orders: Failure(PlatformUnavailable("down"))
     drawer.requested(DrawRequest(3, ORDERS), ("m1", 1))
     assert link.sent == [DrawAccepted(3), DrawReply(3, None)]
+
+
+def test_an_instance_with_a_narrow_link_does_not_write_for_others(world):
+    drawer, peers, link, books = world
+    peers.heard(beat("m0", bandwidth=NARROW), 0.0)
+    drawer.draw_books(ORDERS)
+    assert (link.sent, books.written) == ([], [ORDERS])
--- a/whinrack/gossip/tests/test_spares.py
+++ b/whinrack/gossip/tests/test_spares.py
@@ -1,5 +1,7 @@
 """Which peers are asked for tokens."""
 
+import time
+
 import pytest
 
 from whinrack.gossip import Heartbeat, PeerAddress, PeerSpares, PeerState, PeerTable
@@ -7,7 +9,7 @@
 BUDGET = "b"
 
 
-def beat(name, ready=True, store_answers=True):
+def beat(name, ready=True, store_answers=True, serving=False):
     state = PeerState(
         incarnation=f"{name}.1",
         sequence=1,
@@ -18,6 +20,7 @@
         store_answers=store_answers,
         load=0,
         configuration=1,
+        serving=serving,
     )
     return Heartbeat(state=state)
 
@@ -58,3 +61,13 @@
 
 def test_nobody_is_asked_where_nobody_reaches_the_store(world):
     assert lend(world, beat("b", store_answers=False)) == []
+
+
+def test_in_a_large_fleet_only_those_that_serve_are_asked():
+    peers, link = PeerTable("me", 1.0, 10.0), Link()
+    for number in range(30):
+        peers.heard(beat(f"p{number}", serving=number < 3), time.monotonic())
+    spares = PeerSpares("me.1", link, peers, patience=0.0)
+    spares.gather(BUDGET, 1, 0, {})
+    assert sorted(link.asked) == ["p0", "p1", "p2"]
+    assert spares.peers_asked() == 3
