--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -50,6 +50,10 @@
         The same while the books are out of reach.
     loan_seconds : float
         Seconds of demand that a peer is asked to draw while the books are out of reach.
+    supply_seconds : float
+        Seconds of demand beyond a need that the supplier of a budget is asked for.
+    scarce_seconds : float
+        For so long the peers aren't asked for as much as they did not have.
     """
 
     horizon: float = 12.0
@@ -65,6 +69,8 @@
     retry_after: float = 0.4
     away_retry_after: float = 4.0
     loan_seconds: float = 2.0
+    supply_seconds: float = 0.5
+    scarce_seconds: float = 0.15
 
 
 class Grant:
@@ -85,6 +91,9 @@
         # Tokens that peers said are used up by requests there, by giver.
         self.covering_elsewhere: dict[str, int] = {}
         self.stated: ReleaseSchedule | None = None
+        # The least that peers were asked for in vain, and when.
+        self._scarce_tokens = 0
+        self._scarce_at = float("-inf")
 
     @contextmanager
     def turn(self, tokens: int) -> Iterator[None]:
@@ -119,6 +128,14 @@
             return 0.0
         return self.spending.rate(now) / self.last.holders
 
+    def note_scarcity(self, tokens: int, now: float) -> None:
+        """Learn that all peers together did not have so many tokens."""
+        self._scarce_tokens, self._scarce_at = tokens, now
+
+    def is_scarce(self, tokens: int, now: float, seconds: float) -> bool:
+        """Whether peers did not have so many tokens a moment ago."""
+        return tokens >= self._scarce_tokens and now - self._scarce_at < seconds
+
     def usable(self, now: float) -> int:
         """Tokens that may cover a request, or be given to a peer, now."""
         released = self.guard.most_used(now) - self.ledger.used
@@ -167,6 +184,11 @@
         covering = self.ledger.covering + sum(self.covering_elsewhere.values())
         return self.last.left - covering
 
+    def excess(self, seconds: float, now: float) -> int:
+        """Return the tokens beyond some seconds of demand, where a peer supplies the budget."""
+        kept = int(self.demand.rate(now) * seconds) + self.waiting
+        return max(0, self.ledger.spendable - kept)
+
     def overdrawn(self) -> bool:
         """Whether the limit was lowered below what all hold, and some is held here."""
         return self.last is not None and self.last.free < 0 and self.ledger.spendable > 0
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -91,7 +91,9 @@
         self.clock = clock
         self.make_lock = make_lock
         self._grants: dict[str, Grant] = {}
-        self._orders = BookOrders(self._grants, books, options, clock, wall_clock, isolate)
+        self._orders = BookOrders(
+            self._grants, books, options, clock, wall_clock, isolate, spares.supplies
+        )
 
     @property
     def store_answers(self) -> bool:
@@ -149,11 +151,24 @@
             if not draw or not self.limited(budget):
                 return 0
             grant = self._grant(budget)
-        if self.store_answers and self._short(grant, need + wish, draw):
-            with grant.lock:
-                self._draw(grant, need + wish)
+        before = grant.ledger.given.get(receiver, 0)
+        if before <= already_received:
+            self._make_usable(grant, need + wish, draw)
         usable = max(0, grant.usable(self.clock()))
-        return grant.ledger.give(receiver, already_received, need, wish, usable)
+        total = grant.ledger.give(receiver, already_received, need, wish, usable)
+        # What is used elsewhere is demand here: it is drawn ahead for all.
+        grant.demand.record(total - before, self.clock())
+        return total
+
+    def _make_usable(self, grant: Grant, tokens: int, draw: bool) -> None:
+        """State in the books what a peer is to get, together with others that wait."""
+        if not self.store_answers or not self._short(grant, tokens, draw):
+            return
+        if self._nothing_free(grant) and grant.ledger.spendable < tokens:
+            return
+        with grant.turn(tokens):
+            if self._short(grant, tokens, draw):
+                self._draw(grant, tokens)
 
     def receive(self, budget: str, giver: str, total: int) -> None:
         """Take in what a peer has given in all, also when nobody waits for it any more."""
@@ -219,6 +234,11 @@
         """Return the unspent tokens here, by budget."""
         return {name: grant.ledger.spendable for name, grant in self._grants.items()}
 
+    @property
+    def holds_tokens(self) -> bool:
+        """Whether a peer may have tokens from here."""
+        return any(grant.ledger.spendable > 0 for grant in self._grants.values())
+
     def covering(self, budget: str) -> int:
         """Return the tokens of a budget that requests use up here, unknown to the books."""
         grant = self._grants.get(budget)
@@ -264,6 +284,7 @@
 
     def _refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
         grant.covering_elsewhere.clear()
+        cover = self._open(grant, tokens)
         for ask in self._ways(grant, tokens):
             ask(grant, tokens)
             cover = self._open(grant, tokens)
@@ -275,16 +296,20 @@
 
     def _ways(self, grant: Grant, tokens: int) -> tuple[Callable[[Grant, int], None], ...]:
         """Return what to try for more tokens, in order."""
+        if grant.is_scarce(tokens, self.clock(), self.options.scarce_seconds):
+            return ()
+        supplied = not self.spares.supplies(grant.ledger.budget)
+        first = (self._ask_supplier,) if supplied else ()
         if not self.store_answers:
-            return self._gather, self._borrow
+            return *first, self._gather, self._borrow
         if self._nothing_free(grant) and grant.ledger.spendable < tokens:
-            return (self._gather,)
-        return self._draw, self._gather
+            return *first, self._gather
+        return *first, self._draw, self._gather
 
     def _nothing_free(self, grant: Grant) -> bool:
         """Whether the books said a moment ago that nothing is free."""
         fresh = self.clock() - grant.learnt_at < _NOTHING_FREE_SECONDS
-        return fresh and grant.last.free <= 0
+        return fresh and grant.last is not None and grant.last.free <= 0
 
     def _is_exhausted(self, grant: Grant, tokens: int) -> bool:
         """Whether the budget can't cover a request beside those that run now."""
@@ -306,21 +331,42 @@
         order = self._orders.order(grant, need=tokens)
         self._orders.send([order], self.options.draw_patience)
 
+    def _ask_supplier(self, grant: Grant, tokens: int) -> None:
+        """Ask the peer that draws this budget ahead for what is needed, and a little more."""
+        now = self.clock()
+        need = tokens - max(0, grant.usable(now))
+        wish = int(grant.demand.rate(now) * self.options.supply_seconds) + grant.waiting
+        budget, received = grant.ledger.budget, dict(grant.ledger.received)
+        for spare in self.spares.ask_supplier(budget, need, wish, received):
+            self.receive(budget, spare.giver, spare.total)
+
     def _gather(self, grant: Grant, tokens: int) -> None:
         """Ask all peers for what they hold and may use."""
+        all_replied = False
         for everything in (False, True):
             need = tokens - max(0, grant.usable(self.clock()))
             if need <= 0:
                 return
-            self._gather_round(grant, need, everything)
+            all_replied = self._gather_round(grant, need, everything)
+        if all_replied and grant.usable(self.clock()) < tokens:
+            grant.note_scarcity(tokens, self.clock())
+
+    def _gather_round(self, grant: Grant, need: int, everything: bool) -> bool:
+        """Ask each peer for a part that suffices if most have it, or for all of it.
 
-    def _gather_round(self, grant: Grant, need: int, everything: bool) -> None:
-        """Ask each peer for a part that suffices if most have it, or for all of it."""
-        part = need if everything else -(-2 * need // max(1, self.spares.peers_asked()))
+        Returns
+        -------
+        bool
+            Whether all replied.
+        """
+        asked = self.spares.peers_asked()
+        part = need if everything else -(-2 * need // max(1, asked))
         budget, received = grant.ledger.budget, dict(grant.ledger.received)
-        for spare in self.spares.gather(budget, min(need, part), 0, received):
+        replies = list(self.spares.gather(budget, min(need, part), 0, received))
+        for spare in replies:
             self.receive(budget, spare.giver, spare.total)
             grant.covering_elsewhere[spare.giver] = spare.covering
+        return len(replies) >= asked
 
     def _borrow(self, grant: Grant, tokens: int) -> None:
         """Ask a peer that reaches the books to draw from them for this instance."""
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -66,6 +66,16 @@
         """Ask a peer that reaches the books to draw for this run."""
         raise NotImplementedError
 
+    def supplies(self, budget: str) -> bool:
+        """Whether this run draws a budget ahead for its peers too; by default for itself."""
+        return True
+
+    def ask_supplier(
+        self, budget: str, need: int, wish: int, received: dict[str, int]
+    ) -> Iterable["SpareTotal"]:
+        """Ask the peer that draws a budget ahead for all."""
+        return ()
+
 
 class _Held:
     """One budget's state in the keeper."""
--- a/whinrack/budgets/_orders.py
+++ b/whinrack/budgets/_orders.py
@@ -35,6 +35,8 @@
     options : GrantOptions
     clock, wall_clock, isolate : callable
         See `GrantKeeper`.
+    supplies : callable
+        Tells whether this run draws a budget ahead.
 
     Attributes
     ----------
@@ -52,6 +54,7 @@
         clock: Callable[[], float],
         wall_clock: Callable[[], WallReading],
         isolate: Callable[[Callable, float | None], Result | None],
+        supplies: Callable[[str], bool],
     ):
         self.grants = grants
         self.books = books
@@ -59,6 +62,7 @@
         self.clock = clock
         self.wall_clock = wall_clock
         self.isolate = isolate
+        self.supplies = supplies
         self.stopping = False
         self.answered_at = clock()
         self._lost = False
@@ -104,17 +108,21 @@
             return True
         if grant.last is None or self._limit_version > grant.last.limit_version:
             return True
+        if self._excess(grant):
+            return True
         return grant.overdrawn() or grant.releases_idly(self.clock())
 
     def order(self, grant: Grant, need: int = 0, final: bool = False) -> DrawOrder:
         """Report what was used, ask for more and state a schedule, which binds from now on."""
-        ledger, now = grant.ledger, self.clock()
+        ledger = grant.ledger
+        supplies = self.supplies(ledger.budget)
         if self.stopping:
             ledger.give_back(ledger.spendable - need)
         elif grant.overdrawn():
             ledger.give_back(min(ledger.spendable, -grant.last.free))
-        ahead = int(grant.demand.rate(now) * self.options.horizon)
-        want = ahead + grant.largest + grant.waiting
+        else:
+            ledger.give_back(self._excess(grant) - need)
+        want = self._wanted(grant) if supplies else grant.waiting
         short = max(0, need - ledger.spendable)
         wish = max(0, want - ledger.spendable - short)
         schedule = self._schedule(grant, need + grant.waiting)
@@ -130,6 +138,17 @@
         grant.guard.stated(order.sequence, schedule)
         return order
 
+    def _excess(self, grant: Grant) -> int:
+        """Return the tokens that the supplier of the budget should have instead."""
+        if self.supplies(grant.ledger.budget):
+            return 0
+        return grant.excess(self.options.supply_seconds, self.clock())
+
+    def _wanted(self, grant: Grant) -> int:
+        """Return the tokens to hold: for some time, for one request more, and for who waits."""
+        ahead = int(grant.demand.rate(self.clock()) * self.options.horizon)
+        return ahead + grant.largest + grant.waiting
+
     def _schedule(self, grant: Grant, need: int) -> ReleaseSchedule:
         """State anew what may be used; unchanged while the books are out of reach.
 
--- a/whinrack/budgets/tests/test_grants.py
+++ b/whinrack/budgets/tests/test_grants.py
@@ -56,6 +56,8 @@
         self.runs = 0
         self.released = False
         self.covers = []
+        # Who draws the budget ahead for this machine; None is the machine itself.
+        self.supplier = None
         self.start()
 
     def steady(self):
@@ -135,6 +137,12 @@
         reach = [other for other in self.others() if other.keeper.store_answers]
         return self._ask(reach[:1], need, wish, received, draw=True)
 
+    def supplies(self, budget):
+        return self.machine.supplier in (None, self.machine)
+
+    def ask_supplier(self, budget, need, wish, received):
+        return self._ask([self.machine.supplier], need, wish, received, draw=True)
+
     def _ask(self, others, need, wish, received, draw):
         for other in others:
             giver = other.keeper.holder
@@ -279,6 +287,16 @@
     def lose_peer_replies(self, replies):
         self.fleet.lose_peer_replies = replies
 
+    @rule(index=st.integers(0, 2), supplier=st.sampled_from([None, 0, 1, 2]))
+    def choose_supplier(self, index, supplier):
+        """Machines may disagree on who supplies them."""
+        self.machine(index).supplier = None if supplier is None else self.machine(supplier)
+
+    @rule(supplier=st.integers(0, 2))
+    def agree_on_a_supplier(self, supplier):
+        for machine in self.fleet.machines:
+            machine.supplier = self.machine(supplier)
+
     @rule(more=st.integers(1, 500))
     def raise_limit(self, more):
         self.fleet.limit += more
@@ -595,3 +613,83 @@
     machine.keeper.renew()
     schedule = fleet.books().rows[machine.keeper.holder].schedule
     assert schedule.base - 20 * 300 == pytest.approx(ahead * 300, rel=0.15)
+
+
+def supplied_fleet(**options):
+    """Three machines, the first of which draws ahead for all."""
+    fleet = busy_fleet(**options)
+    for machine in fleet.machines:
+        machine.supplier = fleet.machines[0]
+    for _ in range(15):
+        work(fleet)
+    return fleet
+
+
+def test_only_the_supplier_holds_tokens_ahead():
+    fleet = supplied_fleet()
+    first, *others = (machine.keeper.spendable()[BUDGET] for machine in fleet.machines)
+    assert first >= 5 * 900
+    assert all(held <= 2 * 100 for held in others)
+
+
+def test_with_a_supplier_an_outage_refuses_nothing():
+    fleet = supplied_fleet()
+    for machine in fleet.machines:
+        machine.cut_off = True
+    assert sum(work(fleet) for _ in range(9)) == 9 * 9
+
+
+def test_a_request_of_a_supplied_machine_writes_no_books():
+    fleet = supplied_fleet()
+    calls = fleet.store.calls
+    for _ in range(5):
+        assert isinstance(fleet.machines[1].request(100), Success)
+    assert fleet.store.calls == calls
+
+
+def test_without_a_reply_of_the_supplier_a_machine_draws_by_itself():
+    fleet = supplied_fleet()
+    fleet.machines[1].keeper.spares.ask_supplier = lambda *question: []
+    assert isinstance(fleet.machines[1].request(500), Success)
+
+
+def test_where_requests_are_large_a_supplier_loses_less_by_a_kill_of_all():
+    """Each machine keeps one request released; with a supplier only that one does."""
+
+    def lost(supplied):
+        fleet = Fleet(3, 400_000)
+        for machine in fleet.machines:
+            machine.supplier = fleet.machines[0] if supplied else None
+        for second in range(36):
+            if second % 4 == 0:
+                fleet.machines[second % 3].request(5000)
+            for machine in fleet.machines:
+                if machine.covers:
+                    machine.settle(0.5)
+                machine.release()
+                machine.keeper.renew()
+            fleet.now += 1.0
+        used = fleet.used
+        for machine in fleet.machines:
+            machine.die()
+        fleet.now += 1.0
+        for machine in fleet.machines:
+            machine.release()
+        books = fleet.books()
+        return books.billed + books.unproven - used
+
+    assert 0 <= lost(supplied=True) < 0.6 * lost(supplied=False)
+
+
+def test_what_peers_did_not_have_is_not_asked_for_again_at_once():
+    fleet = busy_fleet(limit=20_000)
+    asked = []
+    peers = fleet.machines[0].keeper.spares
+    peers.gather = lambda *question: asked.append(question) or []
+    peers.peers_asked = lambda: 0
+    for _ in range(3):
+        assert isinstance(fleet.machines[0].request(50_000), Failure)
+    assert len(asked) == 2
+    fleet.now += 0.2
+    assert isinstance(fleet.machines[0].request(50_000), Failure)
+    assert len(asked) == 4
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -105,6 +105,7 @@
             self.registry,
             lambda: self.dispatcher.in_progress,
             lambda now: now - self.dispatcher.last_arrival <= _SERVING_SECONDS,
+            lambda: self.keeper.holds_tokens,
             lambda: self.contact.answers and self.keeper.store_answers,
             lambda peer: self.knowledge.suspect_configuration(peer),
             lambda message, address: self.tokens.receive(message, address),
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -31,6 +31,8 @@
 _ASKING_SECONDS = 1.0
 # The load is told in steps, so that not every change of it is news to the whole fleet.
 _LOAD_STEP = 10
+# Peers that one log line names.
+_MOST_LOGGED = 6
 
 
 class Membership:
@@ -47,6 +49,8 @@
         Returns the requests in progress here.
     serving : callable
         Tells whether callers' requests came here lately, by the steady clock.
+    holds_tokens : callable
+        Tells whether there are unspent tokens here.
     store_answers : callable
         Tells whether the store can be reached from here.
     newer_configuration : callable
@@ -64,6 +68,7 @@
         registry: TargetRegistry,
         load: Callable[[], int],
         serving: Callable[[float], bool],
+        holds_tokens: Callable[[], bool],
         store_answers: Callable[[], bool],
         newer_configuration: Callable[[HostPort], None],
         other_message: Callable[[Message, tuple[str, int]], None],
@@ -74,6 +79,7 @@
         self.registry = registry
         self.load = load
         self.serving = serving
+        self.holds_tokens = holds_tokens
         self.store_answers = store_answers
         self.newer_configuration = newer_configuration
         self.other_message = other_message
@@ -153,6 +159,7 @@
             load=_in_steps(self.load()),
             configuration=self.directory.version,
             serving=self.serving(time.monotonic()),
+            holds_tokens=self.holds_tokens(),
             bandwidth=self.options.bandwidth,
         )
 
@@ -221,10 +228,11 @@
 
     def _log_changes(self, now: float) -> None:
         live = {view.state.sender.name for view in self.table.live(now)}
-        for name in sorted(live - self._known_live):
-            log_event(Event.MEMBER_JOINED, peer=name, live=len(live))
-        for name in sorted(self._known_live - live):
-            log_event(Event.MEMBER_LOST, peer=name, live=len(live))
+        joined, lost = sorted(live - self._known_live), sorted(self._known_live - live)
+        if joined:
+            log_event(Event.MEMBER_JOINED, peer=_few(joined), live=len(live))
+        if lost:
+            log_event(Event.MEMBER_LOST, peer=_few(lost), live=len(live))
         self._known_live = live
 
 
@@ -235,3 +243,10 @@
 
 def _in_steps(load: int) -> int:
     return round(load / _LOAD_STEP) * _LOAD_STEP
+
+
+def _few(names: list[str]) -> str:
+    """Return names as text, those beyond a few as a number."""
+    more = len(names) - _MOST_LOGGED
+    shown = " ".join(names[:_MOST_LOGGED])
+    return f"{shown} and {more} more" if more > 0 else shown
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -54,6 +54,8 @@
         Version in force, 0 if none is known.
     serving : bool
         Whether callers' requests came lately.
+    holds_tokens : bool
+        Whether it has unspent tokens that a peer might get.
     bandwidth : float
         Of the instance's network link, Mbit/s; 0 if it isn't known.
     """
@@ -68,6 +70,7 @@
     load: int
     configuration: int
     serving: bool = False
+    holds_tokens: bool = False
     bandwidth: float = 0.0
 
     @property
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -138,7 +138,9 @@
 
         In a large fleet only some serve callers.
         """
-        return 1 + len(self.sharing(now))
+        if self.is_mesh:
+            return self.live_count(now)
+        return 1 + sum(view.state.serving for view in self.live(now))
 
     def ready(self, now: float) -> list[PeerView]:
         """Return the live peers to which callers may be sent."""
@@ -149,10 +151,10 @@
         reaching = [view for view in self.live(now) if view.state.store_answers]
         return [view for view in reaching if view.state.ready] or reaching
 
-    def sharing(self, now: float) -> list[PeerView]:
-        """Return the live peers that share the work: those may hold tokens."""
+    def holding(self, now: float) -> list[PeerView]:
+        """Return the live peers that may have unspent tokens."""
         live = self.live(now)
-        return live if self.is_mesh else [view for view in live if view.state.serving]
+        return live if self.is_mesh else [view for view in live if view.state.holds_tokens]
 
     # --- sending -----------------------------------------------------------------
 
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -2,12 +2,13 @@
 
 import itertools
 import time
+from collections.abc import Callable
 
 import msgspec
 from eventlet.event import Event
 from eventlet.timeout import Timeout
 
-from whinrack.base import rendezvous
+from whinrack.base import instance_of, rendezvous
 from whinrack.budgets import SpareSource, SpareTotal
 from whinrack.gossip._link import GossipLink
 from whinrack.gossip._messages import TokenReply, TokenRequest
@@ -17,6 +18,12 @@
 
 # A lender has to write to the store before it replies.
 _BORROW_FACTOR = 10
+# So does a supplier now and then; the question is put twice, since datagrams get lost.
+_SUPPLY_FACTORS = (1, 3)
+# For so long a supplier that didn't reply is passed over, seconds.
+_AVOID_SECONDS = 2.0
+# For so long the choice of a budget's supplier is kept, seconds.
+_CHOICE_SECONDS = 0.1
 
 
 class _Question:
@@ -45,27 +52,78 @@
     peers : PeerTable
     patience : float
         Seconds to wait for the replies.
+    is_ready : callable
+        Tells whether this instance takes callers, and so may supply peers.
     """
 
-    def __init__(self, holder: str, link: GossipLink, peers: PeerTable, patience: float):
+    def __init__(
+        self,
+        holder: str,
+        link: GossipLink,
+        peers: PeerTable,
+        patience: float,
+        is_ready: Callable[[], bool],
+    ):
         self.holder = holder
+        self.is_ready = is_ready
         self.link = link
         self.peers = peers
         self.patience = patience
         self._numbers = itertools.count(1)
         self._open: dict[int, _Question] = {}
+        self._avoided: dict[str, float] = {}
+        self._suppliers: dict[str, tuple[float, PeerView | None]] = {}
+
+    def supplies(self, budget: str) -> bool:
+        """Whether this run draws a budget ahead for its peers too."""
+        return self._supplier(budget) is None
+
+    def ask_supplier(
+        self, budget: str, need: int, wish: int, received: dict[str, int]
+    ) -> list[SpareTotal]:
+        """Ask the peer that draws a budget ahead; one that doesn't reply is passed over."""
+        supplier = self._supplier(budget)
+        if supplier is None:
+            return []
+        request = self._request(budget, need, wish, draw=True)
+        for factor in _SUPPLY_FACTORS:
+            replies = self._ask([supplier], request, received, factor * self.patience)
+            if replies:
+                return replies
+        self._avoided[supplier.state.incarnation] = time.monotonic() + _AVOID_SECONDS
+        self._suppliers.clear()
+        return []
+
+    def _supplier(self, budget: str) -> PeerView | None:
+        """Return the peer that supplies a budget, None if it is this run."""
+        now = time.monotonic()
+        chosen_at, view = self._suppliers.get(budget, (float("-inf"), None))
+        if now - chosen_at > _CHOICE_SECONDS:
+            view = self._choose_supplier(budget, now)
+            self._suppliers[budget] = now, view
+        return view
+
+    def _choose_supplier(self, budget: str, now: float) -> PeerView | None:
+        views = {
+            view.state.sender.name: view
+            for view in self.peers.ready(now)
+            if self._avoided.get(view.state.incarnation, 0.0) <= now
+        }
+        own = instance_of(self.holder)
+        candidates = [*views, own] if self.is_ready() or not views else list(views)
+        return views.get(rendezvous(f"supply/{budget}", candidates)[0])
 
     def gather(
         self, budget: str, need: int, wish: int, received: dict[str, int]
     ) -> list[SpareTotal]:
         """Ask every peer that may hold some for what is needed; returns what each gave in all."""
-        views = self.peers.sharing(time.monotonic())
+        views = self.peers.holding(time.monotonic())
         request = self._request(budget, need, wish)
         return self._ask(views, request, received, self.patience)
 
     def peers_asked(self) -> int:
         """Return how many peers `gather` asks now."""
-        return len(self.peers.sharing(time.monotonic()))
+        return len(self.peers.holding(time.monotonic()))
 
     def borrow(
         self, budget: str, need: int, wish: int, received: dict[str, int]
--- a/whinrack/gossip/tests/test_spares.py
+++ b/whinrack/gossip/tests/test_spares.py
@@ -4,12 +4,13 @@
 
 import pytest
 
+from whinrack.base import rendezvous
 from whinrack.gossip import Heartbeat, PeerAddress, PeerSpares, PeerState, PeerTable
 
 BUDGET = "b"
 
 
-def beat(name, ready=True, store_answers=True, serving=False):
+def beat(name, ready=True, store_answers=True, holds_tokens=False):
     state = PeerState(
         incarnation=f"{name}.1",
         sequence=1,
@@ -20,7 +21,7 @@
         store_answers=store_answers,
         load=0,
         configuration=1,
-        serving=serving,
+        holds_tokens=holds_tokens,
     )
     return Heartbeat(state=state)
 
@@ -39,7 +40,7 @@
 def world(monkeypatch):
     monkeypatch.setattr("whinrack.gossip._spares.time.monotonic", lambda: 0.0)
     peers, link = PeerTable("a", 1.0, 10.0), Link()
-    return PeerSpares("a.1", link, peers, patience=0.001), peers, link
+    return PeerSpares("a.1", link, peers, patience=0.001, is_ready=lambda: True), peers, link
 
 
 def lend(world, *beats):
@@ -63,11 +64,52 @@
     assert lend(world, beat("b", store_answers=False)) == []
 
 
-def test_in_a_large_fleet_only_those_that_serve_are_asked():
+def test_in_a_large_fleet_only_those_that_hold_tokens_are_asked():
     peers, link = PeerTable("me", 1.0, 10.0), Link()
     for number in range(30):
-        peers.heard(beat(f"p{number}", serving=number < 3), time.monotonic())
-    spares = PeerSpares("me.1", link, peers, patience=0.0)
+        peers.heard(beat(f"p{number}", holds_tokens=number < 3), time.monotonic())
+    spares = PeerSpares("me.1", link, peers, patience=0.0, is_ready=lambda: True)
     spares.gather(BUDGET, 1, 0, {})
     assert sorted(link.asked) == ["p0", "p1", "p2"]
     assert spares.peers_asked() == 3
+
+
+def supplier_asked(world, budget, *beats):
+    spares, peers, link = world
+    for heartbeat in beats:
+        peers.heard(heartbeat, 0.0)
+    spares.ask_supplier(budget, 10, 0, {})
+    return link.asked
+
+
+def budgets_of(name, candidates):
+    """Return budgets that one of the candidates supplies."""
+    names = [f"b{number}" for number in range(50)]
+    return [each for each in names if rendezvous(f"supply/{each}", candidates)[0] == name]
+
+
+def test_a_budget_has_one_supplier_which_is_asked_twice(world):
+    (budget, *_) = budgets_of("c", ["a", "b", "c"])
+    assert supplier_asked(world, budget, beat("b"), beat("c")) == ["c", "c"]
+
+
+def test_a_supplier_that_does_not_reply_is_passed_over(world):
+    (budget, *_) = budgets_of("c", ["a", "b", "c"])
+    supplier_asked(world, budget, beat("b"), beat("c"))
+    left = rendezvous(f"supply/{budget}", ["a", "b"])[0]
+    assert world[0].supplies(budget) == (left == "a")
+
+
+def test_the_supplier_itself_asks_nobody(world):
+    (budget, *_) = budgets_of("a", ["a", "b", "c"])
+    assert supplier_asked(world, budget, beat("b"), beat("c")) == []
+    assert world[0].supplies(budget)
+
+
+def test_a_stopping_instance_supplies_nobody(world):
+    (budget, *_) = budgets_of("c", ["a", "b", "c"])
+    (other, *_) = budgets_of("a", ["a", "b", "c"])
+    assert "c" not in supplier_asked(world, budget, beat("b"), beat("c", ready=False))
+    world[0].is_ready = lambda: False
+    world[0]._suppliers.clear()
+    assert not world[0].supplies(other)
