Instances tell each other their requests in flight; reports to the books wait for one another

Now entries tell each other their requests at each target four times a second, and the choice counts them for engines; a hall has an entry for 16 open requests (40 before); in a large fleet reports that nobody waits for share a write for 0.2 s.

--- a/whinrack/budgets/__init__.py
+++ b/whinrack/budgets/__init__.py
@@ -8,7 +8,7 @@
     DrawResult,
 )
 from whinrack.budgets._demand import DemandEstimate
-from whinrack.budgets._drawer import ACCOUNT_KIND, AccountDrawer, BookSource
+from whinrack.budgets._drawer import ACCOUNT_KIND, AccountDrawer, BookSource, OrderBatch
 from whinrack.budgets._draws import account_name, apply_draws, apply_topups
 from whinrack.budgets._grant import GrantOptions
 from whinrack.budgets._grants import GrantKeeper
@@ -38,6 +38,7 @@
     "DrawResult",
     "GrantKeeper",
     "GrantOptions",
+    "OrderBatch",
     "ReleaseGuard",
     "ReleaseSchedule",
     "ReleasedRow",
--- a/whinrack/budgets/_drawer.py
+++ b/whinrack/budgets/_drawer.py
@@ -13,22 +13,27 @@
 from whinrack.exceptions import PlatformFailure
 from whinrack.store import ObjectEditor, ObjectStore
 
-__all__ = ["ACCOUNT_KIND", "AccountDrawer", "BookSource"]
+__all__ = ["ACCOUNT_KIND", "AccountDrawer", "BookSource", "OrderBatch"]
 
 ACCOUNT_KIND = "BudgetAccount"
 
 
-def _no_pause() -> None:
-    """Write at once."""
-
-
-class _Batch:
+class OrderBatch:
     """Orders that share the next write of one account."""
 
     def __init__(self):
         self.orders: list[DrawOrder] = []
         self.result: Result[BudgetAccount, PlatformFailure] | None = None
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether a request waits for one of the orders, or its holder stops."""
+        return any(order.need or order.final for order in self.orders)
+
+
+def _no_pause(batch: OrderBatch) -> None:
+    """Write at once."""
+
 
 class BookSource:
     """Where a holder's orders for several budgets go: the books, or a peer that writes."""
@@ -48,7 +53,8 @@
     make_lock : callable
         Makes a lock that waiting green threads queue on, one for each account.
     collect : callable, optional
-        Called before each write; orders that arrive while it pauses share the write.
+        Called with the `OrderBatch` before each write; orders that arrive while it pauses
+        share the write.
 
     Notes
     -----
@@ -60,7 +66,7 @@
         self,
         store: ObjectStore,
         make_lock: Callable,
-        collect: Callable[[], None] = _no_pause,
+        collect: Callable[[OrderBatch], None] = _no_pause,
         **editor_options,
     ):
         self.store = store
@@ -68,7 +74,7 @@
         self.collect = collect
         self._editor = ObjectEditor(store, ACCOUNT_KIND, BudgetAccount, **editor_options)
         self._locks: dict[str, object] = {}
-        self._batches: dict[str, _Batch] = {}
+        self._batches: dict[str, OrderBatch] = {}
 
     def draw(self, order: DrawOrder) -> Result[DrawResult, PlatformFailure]:
         """Apply an order together with the others that wait for the same account."""
@@ -88,12 +94,12 @@
             All books of the account after the write.
         """
         account = orders[0].account
-        batch = self._batches.setdefault(account, _Batch())
+        batch = self._batches.setdefault(account, OrderBatch())
         batch.orders.extend(orders)
         lock = self._locks.setdefault(account, self.make_lock())
         with lock:
             if batch.result is None:
-                self.collect()
+                self.collect(batch)
                 self._batches.pop(account)
                 batch.result = self._write(account, batch.orders)
         return batch.result
--- a/whinrack/budgets/_draws.py
+++ b/whinrack/budgets/_draws.py
@@ -8,6 +8,8 @@
 
 # All holders together hold at most one part in so many of what is left.
 _SHARE_OF_LEFT = 2
+# The same part of what is left, as a percentage, for holders that keep to a schedule.
+_SCHEDULED_PERCENT = 75
 
 
 def account_name(budget: str, accounts: int) -> str:
@@ -110,7 +112,7 @@
         # What dies with a holder that keeps to a schedule comes back: one may hold the
         # part of those that hold little.
         held = sum(row.outstanding for row in live)
-        room = max(room, left // _SHARE_OF_LEFT - held)
+        room = max(room, left * _SCHEDULED_PERCENT // 100 - held)
     size = max(order.need, min(order.need + order.want, room))
     return max(0, min(size, entry.free))
 
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -255,7 +255,9 @@
         if pool is None:
             raise _AttemptFailed(_no_target(), counts=False)
         most = self._most_in_flight(pool)
-        state = self.registry.choose(pool_name, run.affinity, run.tried, now, most)
+        state = self.registry.choose(
+            pool_name, run.affinity, run.tried, now, most, shares_loads=pool.engine is not None
+        )
         if state is None:
             raise _AttemptFailed(_no_target(), counts=False)
         run.tried.add(state.record.incarnation)
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -3,9 +3,12 @@
 import math
 import random
 import sys
-from collections.abc import Collection
+from collections.abc import Callable, Collection
+
+import xxhash
 
 from whinrack.base import rendezvous
+from whinrack.dispatch._loads import LoadsElsewhere
 from whinrack.dispatch._values import TargetRecord
 from whinrack.ejection import EjectAlone
 
@@ -15,6 +18,10 @@
 _IMBALANCE = 1.25
 _IMBALANCE_SLACK = 2
 _BUSY_SECONDS = 0.25
+# Where others' loads count, the least loaded of one part in so many is chosen, of two at
+# least: their counts are a little old, and all would choose the same target.
+_SAMPLED_PART = 4
+_FEWEST_SAMPLED = 2
 
 
 class TargetState:
@@ -22,6 +29,7 @@
 
     def __init__(self, record: TargetRecord):
         self.record = record
+        self.digest = xxhash.xxh32_intdigest(record.incarnation.encode())
         self.in_flight = 0
         self.gone = False
         self.told_leaving = False
@@ -55,8 +63,15 @@
     def __init__(self, seed: int | None = None):
         self._targets: dict[str, TargetState] = {}
         self._pools: dict[str, dict[str, TargetState]] = {}
+        self.elsewhere = LoadsElsewhere()
         self._random = random.Random(seed)
 
+    def loads(self) -> dict[int, int]:
+        """Return the requests in flight from here, by the targets' digests."""
+        return {
+            state.digest: state.in_flight for state in self._targets.values() if state.in_flight
+        }
+
     def replace_all(self, records: Collection[TargetRecord]) -> list[str]:
         """Take in a whole list; returns the incarnations that are new to leaving."""
         listed = {record.incarnation for record in records}
@@ -116,6 +131,7 @@
         tried: Collection[str],
         now: float,
         most_in_flight: int = sys.maxsize,
+        shares_loads: bool = False,
     ) -> TargetState | None:
         """Return the target for a request, None if no target takes work.
 
@@ -131,6 +147,9 @@
             Incarnations that this request has been sent to.
         most_in_flight : int
             Requests that this instance may have at one target at once.
+        shares_loads : bool
+            Count what other instances have at the targets: for requests that last so
+            long that their counts are not old when they arrive.
         """
         open_ = [
             state
@@ -141,18 +160,30 @@
         if not states:
             return None
         rested = [state for state in states if state.busy_until <= now] or states
+        load = self._load_everywhere if shares_loads else self._load_here
         if affinity:
-            return self._by_affinity(rested, affinity)
-        return min(rested, key=lambda state: (state.in_flight, self._random.random()))
-
-    def _by_affinity(self, states: list[TargetState], affinity: str) -> TargetState:
-        mean = sum(state.in_flight for state in states) / len(states)
+            return self._by_affinity(rested, affinity, load)
+        if shares_loads:
+            count = max(_FEWEST_SAMPLED, len(rested) // _SAMPLED_PART)
+            rested = self._random.sample(rested, min(count, len(rested)))
+        return min(rested, key=lambda state: (load(state), self._random.random()))
+
+    def _by_affinity(
+        self, states: list[TargetState], affinity: str, load: Callable[[TargetState], int]
+    ) -> TargetState:
+        mean = sum(map(load, states)) / len(states)
         most = math.ceil(_IMBALANCE * mean) + _IMBALANCE_SLACK
         by_name = {state.record.incarnation: state for state in states}
         for name in rendezvous(affinity, by_name):
-            if by_name[name].in_flight < most:
+            if load(by_name[name]) < most:
                 return by_name[name]
-        return min(states, key=lambda state: state.in_flight)
+        return min(states, key=load)
+
+    def _load_here(self, state: TargetState) -> int:
+        return state.in_flight
+
+    def _load_everywhere(self, state: TargetState) -> int:
+        return state.in_flight + self.elsewhere.at(state.digest)
 
     def started(self, state: TargetState) -> None:
         """Count a request that is sent to a target."""
--- a/whinrack/dispatch/tests/test_decisions.py
+++ b/whinrack/dispatch/tests/test_decisions.py
@@ -113,6 +113,48 @@
     assert min(loads[-1].values()) > 0
 
 
+def loads_of(targets, **counts):
+    """Return what another instance says, by the names of the targets."""
+    by_name = {state.record.incarnation: state.digest for state in targets.of_pool("p")}
+    return {by_name[name]: count for name, count in counts.items()}
+
+
+def choose_shared(targets, affinity=""):
+    return targets.choose("p", affinity, (), 0.0, shares_loads=True).record.incarnation
+
+
+def test_requests_of_other_instances_count_where_loads_are_shared():
+    targets = registry("a", "b")
+    targets.elsewhere.heard("m2", loads_of(targets, a=5), 0.0)
+    assert {choose_shared(targets) for _ in range(20)} == {"b"}
+    assert {choose(targets) for _ in range(20)} == {"a", "b"}
+
+
+def test_a_prefix_gives_way_to_what_other_instances_have_there():
+    targets = registry("a", "b", "c")
+    home = choose_shared(targets, "prefix")
+    targets.elsewhere.heard("m2", loads_of(targets, **{home: 9}), 0.0)
+    assert choose_shared(targets, "prefix") != home
+
+
+def test_the_latest_word_of_an_instance_counts_until_it_is_silent():
+    targets = registry("a")
+    (state,) = targets.of_pool("p")
+    for count in (5, 3):
+        targets.elsewhere.heard("m2", {state.digest: count}, 0.0)
+    targets.elsewhere.heard("m3", {state.digest: 1}, 1.0)
+    assert targets.elsewhere.at(state.digest) == 4
+    targets.elsewhere.heard("m3", {}, 2.0)
+    assert targets.elsewhere.at(state.digest) == 0
+
+
+def test_an_instance_tells_its_requests_in_flight():
+    targets = registry("a", "b")
+    state = targets.choose("p", "", ("b",), 0.0)
+    targets.started(state)
+    assert targets.loads() == {state.digest: 1}
+
+
 def test_leaving_and_gone_targets_take_no_work():
     targets = registry("a", "b", "c", "d")
     assert targets.put(record("a", leaving=True))
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -191,6 +191,7 @@
             self._renew_forever,
             self._follow_settings,
             self.membership.beat_forever,
+            self.membership.share_loads_forever,
         )
         for task in tasks:
             eventlet.spawn_n(_keep_running, task)
--- a/whinrack/edge/_entries.py
+++ b/whinrack/edge/_entries.py
@@ -12,7 +12,7 @@
 # Beyond that: instances of a data hall that take its callers at least, and open requests
 # of the hall for each.
 _LEAST_OF_A_HALL = 8
-_OPEN_FOR_EACH = 40
+_OPEN_FOR_EACH = 16
 
 
 def choose_entries(ready: list[PeerState], hall: str) -> list[PeerState]:
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -19,6 +19,7 @@
     PeerAddress,
     PeerState,
     PeerTable,
+    TargetLoads,
 )
 from whinrack.observability import Event, log_event
 
@@ -31,6 +32,8 @@
 _ASKING_SECONDS = 1.0
 # The load is told in steps, so that not every change of it is news to the whole fleet.
 _LOAD_STEP = 10
+# Between two messages on the requests in flight.
+_LOADS_SECONDS = 0.25
 # Peers that one log line names.
 _MOST_LOGGED = 6
 
@@ -193,9 +196,26 @@
             self.beat()
             eventlet.sleep(self.table.interval(self.options.heartbeat_seconds))
 
+    def share_loads_forever(self) -> None:
+        """Tell the peers that serve callers how many requests are at each target from here."""
+        told = False
+        while True:
+            eventlet.sleep(_LOADS_SECONDS)
+            counts = self.registry.loads()
+            if counts or told:
+                self._share_loads(counts)
+            told = bool(counts)
+
+    def _share_loads(self, counts: dict[int, int]) -> None:
+        message = TargetLoads(self.options.name, counts)
+        for view in self.table.serving(time.monotonic()):
+            self.link.send(message, view.state.sender.address)
+
     def _receive(self, message, address: tuple[str, int]) -> None:
         if isinstance(message, Heartbeat):
             self._heard(message)
+        elif isinstance(message, TargetLoads):
+            self.registry.elsewhere.heard(message.sender, message.counts, time.monotonic())
         else:
             self.other_message(message, address)
 
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -6,7 +6,7 @@
 import eventlet
 from eventlet.semaphore import Semaphore
 
-from whinrack.budgets import AccountDrawer, GrantKeeper, GrantOptions, WallReading
+from whinrack.budgets import AccountDrawer, GrantKeeper, GrantOptions, OrderBatch, WallReading
 from whinrack.edge._options import EdgeOptions
 from whinrack.gossip import (
     DrawAccepted,
@@ -28,7 +28,8 @@
 _ACCOUNT = "account-0000"
 # Orders that arrive within this time share one write, seconds.
 _COLLECT_SECONDS = 0.02
-_COLLECT_SECONDS_OF_MANY = 0.05
+# Orders that nobody waits for are collected for so long in a large fleet.
+_REPORTS_SECONDS = 0.2
 
 
 class TokenExchange:
@@ -100,9 +101,14 @@
                 reply = TokenReply(0, given.budget, self.holder, given.receiver, given.total)
                 self.link.send(reply, view.state.sender.address)
 
-    def _collect_orders(self) -> None:
-        """Wait for others' orders before a write, a little longer in a large fleet."""
-        eventlet.sleep(_COLLECT_SECONDS if self.peers.is_mesh else _COLLECT_SECONDS_OF_MANY)
+    def _collect_orders(self, batch: OrderBatch) -> None:
+        """Wait for others' orders before a write; in a large fleet reports wait longer."""
+        eventlet.sleep(_COLLECT_SECONDS)
+        if self.peers.is_mesh:
+            return
+        end = time.monotonic() + _REPORTS_SECONDS
+        while not batch.is_urgent and time.monotonic() < end:
+            eventlet.sleep(_COLLECT_SECONDS)
 
     def _received(self, reply: TokenReply) -> None:
         if reply.receiver == self.holder:
--- a/whinrack/gossip/__init__.py
+++ b/whinrack/gossip/__init__.py
@@ -11,6 +11,7 @@
     Message,
     PeerAddress,
     PeerState,
+    TargetLoads,
     TokenReply,
     TokenRequest,
 )
@@ -31,6 +32,7 @@
     "PeerState",
     "PeerTable",
     "PeerView",
+    "TargetLoads",
     "TokenReply",
     "TokenRequest",
     "prefer_wide_links",
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -13,6 +13,7 @@
     "Message",
     "PeerAddress",
     "PeerState",
+    "TargetLoads",
     "TokenReply",
     "TokenRequest",
 ]
@@ -183,4 +184,21 @@
     books: dict[str, DrawResult] | None
 
 
-Message = Heartbeat | TokenRequest | TokenReply | DrawRequest | DrawAccepted | DrawReply
+class TargetLoads(msgspec.Struct, frozen=True, array_like=True, tag="loads"):
+    """An instance's requests in flight.
+
+    Attributes
+    ----------
+    sender : str
+        The instance.
+    counts : dict of int to int
+        Requests by the digests of their targets; others have none.
+    """
+
+    sender: str
+    counts: dict[int, int]
+
+
+Message = (
+    Heartbeat | TokenRequest | TokenReply | DrawRequest | DrawAccepted | DrawReply | TargetLoads
+)
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -140,7 +140,7 @@
         """
         if self.is_mesh:
             return self.live_count(now)
-        return 1 + sum(view.state.serving for view in self.live(now))
+        return 1 + len(self.serving(now))
 
     def ready(self, now: float) -> list[PeerView]:
         """Return the live peers to which callers may be sent."""
@@ -151,6 +151,10 @@
         reaching = [view for view in self.live(now) if view.state.store_answers]
         return [view for view in reaching if view.state.ready] or reaching
 
+    def serving(self, now: float) -> list[PeerView]:
+        """Return the live peers that serve callers."""
+        return [view for view in self.live(now) if view.state.serving]
+
     def holding(self, now: float) -> list[PeerView]:
         """Return the live peers that may have unspent tokens."""
         live = self.live(now)
