--- a/whinrack/budgets/tests/test_waiting.py
+++ b/whinrack/budgets/tests/test_waiting.py
@@ -12,6 +12,7 @@
     DrawOrder,
     GrantKeeper,
     GrantOptions,
+    OrderBatch,
     SpareSource,
 )
 
@@ -111,7 +112,9 @@
             return super().put(kind, name, value, version)
 
     store = Counting()
-    drawer = AccountDrawer(store, Semaphore, lambda: eventlet.sleep(0.05), sleep=eventlet.sleep)
+    drawer = AccountDrawer(
+        store, Semaphore, lambda batch: eventlet.sleep(0.05), sleep=eventlet.sleep
+    )
 
     def draw(number):
         eventlet.sleep(0.005 * number)
@@ -130,3 +133,17 @@
     results = [thread.wait() for thread in [eventlet.spawn(draw, n) for n in range(5)]]
     assert [result.unwrap().drawn for result in results] == [1] * 5
     assert store.writes == 1
+
+
+def test_an_order_that_a_request_waits_for_is_urgent():
+    def batch(**fields):
+        made = OrderBatch()
+        made.orders = [
+            DrawOrder(account="a", budget=BUDGET, holder="m.1", sequence=1),
+            DrawOrder(account="a", budget=BUDGET, holder="m.2", sequence=1, **fields),
+        ]
+        return made
+
+    assert batch(need=5).is_urgent
+    assert batch(final=True).is_urgent
+    assert not batch(want=5).is_urgent
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -17,6 +17,8 @@
 # How far above the mean a target's load may be before affinity gives way.
 _IMBALANCE = 1.25
 _IMBALANCE_SLACK = 2
+# Part of its slots up to which a target isn't so loaded that affinity gives way.
+_SLOTS_PART = 0.6
 _BUSY_SECONDS = 0.25
 # Where others' loads count, the least loaded of one part in so many is chosen, of two at
 # least: their counts are a little old, and all would choose the same target.
@@ -175,8 +177,9 @@
         most = math.ceil(_IMBALANCE * mean) + _IMBALANCE_SLACK
         by_name = {state.record.incarnation: state for state in states}
         for name in rendezvous(affinity, by_name):
-            if load(by_name[name]) < most:
-                return by_name[name]
+            state = by_name[name]
+            if load(state) < max(most, _SLOTS_PART * state.record.slots):
+                return state
         return min(states, key=load)
 
     def _load_here(self, state: TargetState) -> int:
--- a/whinrack/dispatch/tests/test_decisions.py
+++ b/whinrack/dispatch/tests/test_decisions.py
@@ -137,6 +137,16 @@
     assert choose_shared(targets, "prefix") != home
 
 
+def test_a_prefix_stays_while_its_target_has_slots_enough():
+    targets = TargetRegistry(seed=1)
+    targets.replace_all([TargetRecord(name, "p", "127.0.0.1", 1, slots=64) for name in "abc"])
+    home = choose_shared(targets, "prefix")
+    targets.elsewhere.heard("m2", loads_of(targets, **{home: 30}), 0.0)
+    assert choose_shared(targets, "prefix") == home
+    targets.elsewhere.heard("m2", loads_of(targets, **{home: 60}), 0.0)
+    assert choose_shared(targets, "prefix") != home
+
+
 def test_the_latest_word_of_an_instance_counts_until_it_is_silent():
     targets = registry("a")
     (state,) = targets.of_pool("p")
