Peers tell which targets' records are gone; fed instances notice a silent feed within 1.5 s

Cause: in a large fleet most instances hear of targets from a peer. If that peer is cut off or frozen, a target that ends without saying so (its record goes) would be used for up to 3 s more; the leaving ones were told by heartbeats already. Heartbeats now carry for 4 s what is gone, with the version that the record had last, so that a record that is back isn't taken for gone. Answers between peers are compressed.

--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -107,6 +107,8 @@
             lambda now: now - self.dispatcher.last_arrival <= _SERVING_SECONDS,
             lambda: self.keeper.holds_tokens,
             lambda: self.contact.answers and self.keeper.store_answers,
+            lambda: self.knowledge.gone_lately(),
+            lambda gone: self.knowledge.learn_gone(gone),
             lambda peer: self.knowledge.suspect_configuration(peer),
             lambda message, address: self.tokens.receive(message, address),
         )
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -1,7 +1,9 @@
 """What this instance knows from the store: the configuration and the targets."""
 
+import time
 from collections import OrderedDict
 from collections.abc import Callable
+from typing import NamedTuple
 
 import eventlet
 from returns.result import Success
@@ -18,6 +20,7 @@
     TargetReader,
 )
 from whinrack.exceptions import InvalidObject
+from whinrack.gossip import GoneTarget
 from whinrack.observability import Event, log_event
 from whinrack.store import ObjectStore, StoredObject
 
@@ -29,6 +32,15 @@
 _FEED_PAUSE = 0.25
 # Names of targets that are gone, the last ones.
 _MOST_GONE = 2000
+# For so long peers are told that a target's record is gone.
+_GONE_TOLD_SECONDS = 4.0
+
+
+class _GoneRecord(NamedTuple):
+    """The version that a target's record had last, and when its end was learnt."""
+
+    version: int
+    at: float
 
 
 class StoreKnowledge:
@@ -75,8 +87,8 @@
         self.fetch = fetch
         self._configuration: StoredObject | None = None
         self._targets: dict[str, StoredObject] = {}
-        # Names that the store said are gone; a peer that still has them is behind.
-        self._gone: OrderedDict[str, None] = OrderedDict()
+        # What the store said is gone, and when; a peer that still has it is behind.
+        self._gone: OrderedDict[str, _GoneRecord] = OrderedDict()
         self.plan = plan
         self.relay = WatchRelay((configuration_reader.kind, target_reader.kind))
         self._configurations = KindFollower(
@@ -115,6 +127,24 @@
             self._reading = True
             eventlet.spawn_n(self._catch_up, peer)
 
+    def gone_lately(self) -> list[GoneTarget]:
+        """Return the targets whose records have gone lately, for the peers."""
+        since = time.monotonic() - _GONE_TOLD_SECONDS
+        late: list[GoneTarget] = []
+        for name, gone in reversed(self._gone.items()):
+            if gone.at < since:
+                break
+            late.append(GoneTarget(name, gone.version))
+        return late
+
+    def learn_gone(self, gone: list[GoneTarget]) -> None:
+        """Take in what a peer knows to be gone, unless a later record is known here."""
+        for target in gone:
+            known = self._targets.get(target.incarnation)
+            if known is not None and known.version <= target.version:
+                ended = StoredObject(known.kind, known.name, target.version, deleted=True)
+                self._change_targets((ended,), source="peer")
+
     def _follow_peers(self) -> None:
         """Learn of targets from peers while the store is out of reach."""
         while True:
@@ -175,7 +205,7 @@
     def _replace_targets(self, objects: tuple[StoredObject, ...]) -> None:
         listed = {stored.name: stored for stored in objects}
         for name in self._targets.keys() - listed.keys():
-            self._note_gone(name)
+            self._note_gone(self._targets[name])
         for name in listed:
             self._gone.pop(name, None)
         self._targets = listed
@@ -191,16 +221,17 @@
     def _turned_to_leaving(self, stored: StoredObject) -> bool:
         if stored.deleted:
             self._targets.pop(stored.name, None)
-            self._note_gone(stored.name)
+            self._note_gone(stored)
             return self.registry.remove(stored.name)
         self._targets[stored.name] = stored
         self._gone.pop(stored.name, None)
         record = self._read_target(stored)
         return record is not None and self.registry.put(record)
 
-    def _note_gone(self, name: str) -> None:
+    def _note_gone(self, stored: StoredObject) -> None:
         """Remember that the store said a target is gone."""
-        self._gone[name] = None
+        self._gone.pop(stored.name, None)
+        self._gone[stored.name] = _GoneRecord(stored.version, time.monotonic())
         while len(self._gone) > _MOST_GONE:
             self._gone.popitem(last=False)
 
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -13,6 +13,7 @@
 from whinrack.edge._options import EdgeOptions, HostPort
 from whinrack.gossip import (
     ClockCheck,
+    GoneTarget,
     GossipLink,
     Heartbeat,
     Message,
@@ -56,6 +57,10 @@
         Tells whether there are unspent tokens here.
     store_answers : callable
         Tells whether the store can be reached from here.
+    gone : callable
+        Returns the targets whose records have gone lately.
+    learn_gone : callable
+        Called with the targets that a peer knows to be gone.
     newer_configuration : callable
         Called with the address of a peer that has a newer configuration than this
         instance.
@@ -73,6 +78,8 @@
         serving: Callable[[float], bool],
         holds_tokens: Callable[[], bool],
         store_answers: Callable[[], bool],
+        gone: Callable[[], list[GoneTarget]],
+        learn_gone: Callable[[list[GoneTarget]], None],
         newer_configuration: Callable[[HostPort], None],
         other_message: Callable[[Message, tuple[str, int]], None],
     ):
@@ -84,6 +91,8 @@
         self.serving = serving
         self.holds_tokens = holds_tokens
         self.store_answers = store_answers
+        self.gone = gone
+        self.learn_gone = learn_gone
         self.newer_configuration = newer_configuration
         self.other_message = other_message
         self.stopping = False
@@ -128,6 +137,7 @@
             number=self._number,
             wall=time.time(),
             leaving=self.registry.leaving()[-_MOST_LEAVING:],
+            gone=self.gone()[:_MOST_LEAVING],
             peers=self.table.addresses(now),
             passed_on=passed_on,
             ages=self.table.ages(now),
@@ -230,6 +240,7 @@
         newest = max((beat.state, *beat.passed_on), key=lambda state: state.configuration)
         if newest.configuration > self.directory.version:
             self.newer_configuration(newest.sender.address)
+        self.learn_gone(beat.gone)
         if self._learn_leaving(beat) and not self.table.is_mesh:
             self._spread(now)
 
--- a/whinrack/edge/_relay.py
+++ b/whinrack/edge/_relay.py
@@ -5,18 +5,16 @@
 store's own, so a peer may go on at another instance, or at the store, where it left off.
 """
 
-import zlib
 from collections import deque
 from collections.abc import Sequence
 from urllib.parse import parse_qs, urlsplit
 
 import eventlet
-import msgspec
 from eventlet.event import Event
 from returns.result import Failure, Result, Success
 
 from whinrack.edge._options import HostPort
-from whinrack.edge._sharing import ask_peer
+from whinrack.edge._sharing import ask_peer, encode_answer
 from whinrack.exceptions import PlatformFailure, PlatformUnavailable
 from whinrack.http1 import ConnectionPool, Exchange, Headers
 from whinrack.store import ObjectStore, Snapshot, StoredObject, WatchBatch
@@ -29,15 +27,10 @@
 _NOT_FOUND = 404
 _LONGEST_WAIT = 10.0
 # Seconds beyond the wait for which an answer is waited for.
-_PATIENCE = 1.0
+_PATIENCE = 0.5
 # Changes that are kept for peers.
 _MOST_CHANGES = 2000
-# Longer answers are compressed.
-_COMPRESSED_FROM = 2048
-_COMPRESSION_LEVEL = 1
 _ENCODED_KEPT = 4
-_JSON: Headers = [(b"content-type", b"application/json")]
-_DEFLATED: Headers = [*_JSON, (b"content-encoding", b"deflate")]
 
 
 class KindRelay:
@@ -142,7 +135,7 @@
         if key not in self._encoded:
             while len(self._encoded) >= _ENCODED_KEPT:
                 self._encoded.pop(next(iter(self._encoded)))
-            self._encoded[key] = _encode(value)
+            self._encoded[key] = encode_answer(value)
         headers, body = self._encoded[key]
         exchange.respond(_OK, headers, body)
 
@@ -174,22 +167,8 @@
         return self._ask(path, wait, WatchBatch)
 
     def _ask(self, path: str, wait: float, answer_type: type) -> Result:
-        reply = ask_peer(self.address, path.encode(), wait + _PATIENCE, self.connections)
-        if reply is None:
+        seconds = wait + _PATIENCE
+        answer = ask_peer(self.address, path.encode(), seconds, self.connections, answer_type)
+        if answer is None:
             return Failure(PlatformUnavailable("the peer doesn't pass on what it follows"))
-        try:
-            return Success(msgspec.json.decode(_inflated(reply), type=answer_type))
-        except (msgspec.MsgspecError, zlib.error):
-            return Failure(PlatformUnavailable("the peer's answer can't be read"))
-
-
-def _encode(value: Snapshot | WatchBatch) -> tuple[Headers, bytes]:
-    body = msgspec.json.encode(value)
-    if len(body) < _COMPRESSED_FROM:
-        return _JSON, body
-    return _DEFLATED, zlib.compress(body, _COMPRESSION_LEVEL)
-
-
-def _inflated(body: bytes) -> bytes:
-    """Return a JSON text, which starts with a brace unless it is compressed."""
-    return body if body.startswith(b"{") else zlib.decompress(body)
+        return Success(answer)
--- a/whinrack/edge/_sharing.py
+++ b/whinrack/edge/_sharing.py
@@ -1,6 +1,7 @@
 """Passes on what the store said, so that peers learn it while they can't ask the store."""
 
 import time
+import zlib
 from collections.abc import Callable
 
 import msgspec
@@ -10,12 +11,16 @@
 from whinrack.http1 import ConnectionPool, Exchange, Headers, HttpServer, RequestHead
 from whinrack.store import StoredObject
 
-__all__ = ["KnowledgeServer", "SharedKnowledge", "ask_peer", "fetch_knowledge"]
+__all__ = ["KnowledgeServer", "SharedKnowledge", "ask_peer", "encode_answer", "fetch_knowledge"]
 
 _PATH = b"/v1/knowledge"
 _OK = 200
 _NOT_FOUND = 404
 _JSON: Headers = [(b"content-type", b"application/json")]
+_DEFLATED: Headers = [*_JSON, (b"content-encoding", b"deflate")]
+# Longer answers are compressed.
+_COMPRESSED_FROM = 2048
+_COMPRESSION_LEVEL = 1
 _FETCH_SECONDS = 1.0
 
 
@@ -76,28 +81,39 @@
 
     def _answer(self, exchange: Exchange) -> None:
         if exchange.head.target == _PATH:
-            exchange.respond(_OK, _JSON, msgspec.json.encode(self.known()))
+            headers, body = encode_answer(self.known())
+            exchange.respond(_OK, headers, body)
         elif not self.relay(exchange):
             exchange.respond(_NOT_FOUND, [], b"")
 
 
+def encode_answer(value: msgspec.Struct) -> tuple[Headers, bytes]:
+    """Return headers and body of an answer to a peer, compressed where that is worth it."""
+    body = msgspec.json.encode(value)
+    if len(body) < _COMPRESSED_FROM:
+        return _JSON, body
+    return _DEFLATED, zlib.compress(body, _COMPRESSION_LEVEL)
+
+
 def fetch_knowledge(address: HostPort) -> SharedKnowledge | None:
     """Ask a peer what it knows; None if it doesn't answer in time."""
     connections = ConnectionPool()
     try:
-        body = ask_peer(address, _PATH, _FETCH_SECONDS, connections)
+        return ask_peer(address, _PATH, _FETCH_SECONDS, connections, SharedKnowledge)
     finally:
         connections.close()
-    try:
-        return None if body is None else msgspec.json.decode(body, type=SharedKnowledge)
-    except msgspec.MsgspecError:
-        return None
 
 
 def ask_peer(
-    address: HostPort, path: bytes, seconds: float, connections: ConnectionPool
-) -> bytes | None:
-    """Ask a peer by HTTP; returns the body, None without an answer in time."""
+    address: HostPort, path: bytes, seconds: float, connections: ConnectionPool, answer_type: type
+):
+    """Ask a peer by HTTP.
+
+    Returns
+    -------
+    answer_type or None
+        None without an answer in time that can be read.
+    """
     end = time.monotonic() + seconds
     try:
         connection = connections.take(address, end)
@@ -111,4 +127,13 @@
         return None
     finally:
         connections.give_back(connection)
-    return body if head.status == _OK else None
+    return _decode(body, answer_type) if head.status == _OK else None
+
+
+def _decode(body: bytes, answer_type: type):
+    """Return the answer; a JSON text starts with a brace unless it is compressed."""
+    try:
+        text = body if body.startswith(b"{") else zlib.decompress(body)
+        return msgspec.json.decode(text, type=answer_type)
+    except (msgspec.MsgspecError, zlib.error):
+        return None
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -24,6 +24,8 @@
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 0.3
 _PROBE_SECONDS = 0.05
+# A watch at a peer: short, since the peer may fall silent.
+_FED_WATCH_SECONDS = 1.0
 # A task that doesn't probe tries by itself after so long.
 _LONGEST_WAIT = 2.0
 
@@ -177,8 +179,10 @@
 
     def _watch(self, source: FollowedSource) -> bool:
         # A lost store is probed: the answer has to come at once, changes or not.
-        probed = source.address is None and not self.contact.answers
-        seconds = _PROBE_SECONDS if probed else self.watch_seconds
+        if source.address is not None:
+            seconds = min(_FED_WATCH_SECONDS, self.watch_seconds)
+        else:
+            seconds = self.watch_seconds if self.contact.answers else _PROBE_SECONDS
         result = source.store.watch([self.kind], self.revision, seconds)
         if isinstance(result, Failure):
             return False
--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -11,6 +11,7 @@
 from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
 from whinrack.edge._sources import ConfigurationReader, SourcePlan, TargetReader
 from whinrack.exceptions import PlatformUnavailable
+from whinrack.gossip import GoneTarget
 from whinrack.http1 import ServerLimits
 from whinrack.store import StoredObject
 
@@ -136,3 +137,34 @@
     server.start()
     server.stop()
     assert fetch_knowledge(server.address) is None
+
+
+def known_world(*names):
+    """An instance that has listed some targets, at versions 1, 2 and so on."""
+    store = MemoryStore()
+    for name in names:
+        store.put("target", name, b'"ready"', 0)
+    world = World(store)
+    world.knowledge._target_list.step()
+    return world
+
+
+def test_what_a_peer_knows_to_be_gone_takes_no_work_here():
+    world = known_world("t1", "t2")
+    world.knowledge.learn_gone([GoneTarget("t2", 2), GoneTarget("unknown", 9)])
+    assert world.targets() == {"t1"}
+
+
+def test_a_target_whose_record_is_back_is_not_gone():
+    world = known_world("t1")
+    world.knowledge.learn_gone([GoneTarget("t1", 0)])
+    assert world.targets() == {"t1"}
+
+
+def test_peers_are_told_for_a_while_what_has_gone(monkeypatch):
+    world, now = known_world("t1", "t2"), [100.0]
+    monkeypatch.setattr("whinrack.edge._knowledge.time.monotonic", lambda: now[0])
+    world.knowledge._change_targets((StoredObject("target", "t2", 7, deleted=True),))
+    assert world.knowledge.gone_lately() == [GoneTarget("t2", 7)]
+    now[0] += 5.0
+    assert world.knowledge.gone_lately() == []
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -9,6 +9,7 @@
     "DrawAccepted",
     "DrawReply",
     "DrawRequest",
+    "GoneTarget",
     "Heartbeat",
     "Message",
     "PeerAddress",
@@ -80,6 +81,13 @@
         return xxhash.xxh32_intdigest(self.incarnation.encode())
 
 
+class GoneTarget(msgspec.Struct, frozen=True, array_like=True):
+    """A target whose record is gone, and the version that the record had last."""
+
+    incarnation: str
+    version: int
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat", kw_only=True):
     """An instance's word on itself and on what it has heard.
 
@@ -92,6 +100,8 @@
         The sender's time of day, seconds since the epoch.
     leaving : list of str
         Incarnations of targets that are known to be leaving.
+    gone : list of GoneTarget
+        Targets whose records have gone lately.
     peers : list of PeerAddress
         Other instances that the sender heard lately.
     passed_on : list of PeerState
@@ -106,6 +116,7 @@
     number: int = 0
     wall: float = 0.0
     leaving: list[str] = []
+    gone: list[GoneTarget] = []
     peers: list[PeerAddress] = []
     passed_on: list[PeerState] = []
     ages: dict[int, int] = {}
