--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -52,6 +52,10 @@
         Seconds of demand that a peer is asked to draw while the books are out of reach.
     supply_seconds : float
         Seconds of demand beyond a need that the supplier of a budget is asked for.
+    report_seconds : float
+        Seconds after which a run that another one supplies reports its use.
+    opening_part : float
+        Part of the limit that is released before any demand is known.
     scarce_seconds : float
         For so long the peers aren't asked for as much as they did not have.
     """
@@ -70,6 +74,8 @@
     away_retry_after: float = 4.0
     loan_seconds: float = 2.0
     supply_seconds: float = 0.5
+    report_seconds: float = 1.0
+    opening_part: float = 0.02
     scarce_seconds: float = 0.15
 
 
@@ -85,6 +91,7 @@
         self.spending = DemandEstimate(_HALF_LIFE_SECONDS)
         self.last: DrawResult | None = None
         self.learnt_at = float("-inf")
+        self.ordered_at = float("-inf")
         self.largest = 0
         # Tokens of requests that wait for others to be covered.
         self.waiting = 0
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -90,6 +90,8 @@
         self.options = options
         self.clock = clock
         self.make_lock = make_lock
+        # Set once the peers are known, so that not every instance draws everything ahead.
+        self.draws_ahead = False
         self._grants: dict[str, Grant] = {}
         self._orders = BookOrders(
             self._grants, books, options, clock, wall_clock, isolate, spares.supplies
@@ -151,15 +153,46 @@
             if not draw or not self.limited(budget):
                 return 0
             grant = self._grant(budget)
-        before = grant.ledger.given.get(receiver, 0)
-        if before <= already_received:
+        if grant.ledger.given.get(receiver, 0) <= already_received:
             self._make_usable(grant, need + wish, draw)
         usable = max(0, grant.usable(self.clock()))
+        return grant.ledger.give(receiver, already_received, need, wish, usable)
+
+    def supply(
+        self, budget: str, receiver: str, already_received: int, need: int, wish: int
+    ) -> int:
+        """Hand tokens to a peer that this run draws a budget ahead for; never blocks.
+
+        Returns
+        -------
+        int
+            The cumulative total; unchanged where what may be used at once doesn't suffice.
+        """
+        if not self.limited(budget):
+            return 0
+        grant, now = self._grant(budget), self.clock()
+        grant.largest = max(grant.largest, need)
+        usable = grant.usable(now)
+        before = grant.ledger.given.get(receiver, 0)
+        if usable < need and before <= already_received:
+            return before
         total = grant.ledger.give(receiver, already_received, need, wish, usable)
         # What is used elsewhere is demand here: it is drawn ahead for all.
-        grant.demand.record(total - before, self.clock())
+        grant.demand.record(total - before, now)
         return total
 
+    def restock(self, budget: str, need: int) -> None:
+        """Draw at once where a peer's need would not be met from here; may block."""
+        grant = self._grants.get(budget)
+        if grant is not None:
+            self._make_usable(grant, need, draw=True)
+
+    def open_ahead(self) -> None:
+        """Draw the budgets that this run supplies before anybody asks for them."""
+        for budget in self._orders.limited_budgets():
+            if self.spares.supplies(budget):
+                self._grant(budget)
+
     def _make_usable(self, grant: Grant, tokens: int, draw: bool) -> None:
         """State in the books what a peer is to get, together with others that wait."""
         if not self.store_answers or not self._short(grant, tokens, draw):
@@ -182,6 +215,8 @@
 
     def renew(self) -> Result[None, PlatformFailure]:
         """Report what was used, draw ahead and state new schedules, all in one write."""
+        if self.draws_ahead:
+            self.open_ahead()
         due = [grant for grant in self._grants.values() if self._orders.due(grant)]
         if not due:
             return Success(None)
--- a/whinrack/budgets/_orders.py
+++ b/whinrack/budgets/_orders.py
@@ -81,6 +81,10 @@
         """Whether the configuration states a limit for a budget."""
         return budget in self._limits
 
+    def limited_budgets(self) -> list[str]:
+        """Return the budgets that the configuration states a limit for."""
+        return list(self._limits)
+
     def limit(self, budget: str) -> int:
         """Return the limit that the configuration states for a budget, 0 for none."""
         return self._limits.get(budget, 0)
@@ -104,7 +108,9 @@
             return False
         if self.stopping and grant.ledger.spendable > 0:
             return True
-        if grant.ledger.unreported or not grant.ledger.sequence:
+        if not grant.ledger.sequence:
+            return True
+        if grant.ledger.unreported and self._report_is_due(grant):
             return True
         if grant.last is None or self._limit_version > grant.last.limit_version:
             return True
@@ -112,9 +118,16 @@
             return True
         return grant.overdrawn() or grant.releases_idly(self.clock())
 
+    def _report_is_due(self, grant: Grant) -> bool:
+        """Whether use has to be told now; a run that another one supplies tells it later."""
+        if self.stopping or self.supplies(grant.ledger.budget):
+            return True
+        return self.clock() - grant.ordered_at >= self.options.report_seconds
+
     def order(self, grant: Grant, need: int = 0, final: bool = False) -> DrawOrder:
         """Report what was used, ask for more and state a schedule, which binds from now on."""
         ledger = grant.ledger
+        grant.ordered_at = self.clock()
         supplies = self.supplies(ledger.budget)
         if self.stopping:
             ledger.give_back(ledger.spendable - need)
@@ -147,7 +160,13 @@
     def _wanted(self, grant: Grant) -> int:
         """Return the tokens to hold: for some time, for one request more, and for who waits."""
         ahead = int(grant.demand.rate(self.clock()) * self.options.horizon)
-        return ahead + grant.largest + grant.waiting
+        return max(ahead + grant.largest, 2 * self._opening(grant)) + grant.waiting
+
+    def _opening(self, grant: Grant) -> int:
+        """Return the tokens to release at first, before any demand is known."""
+        if grant.demand.rate(self.clock()) > 0 or not self.supplies(grant.ledger.budget):
+            return 0
+        return int(self.limit(grant.ledger.budget) * self.options.opening_part)
 
     def _schedule(self, grant: Grant, need: int) -> ReleaseSchedule:
         """State anew what may be used; unchanged while the books are out of reach.
@@ -157,6 +176,7 @@
         """
         if grant.stated is not None and self._lost:
             return grant.stated
+        need = max(need, self._opening(grant))
         return grant.schedule(self.options, need, self.clock(), self.wall_clock())
 
     def send(
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -54,6 +54,8 @@
 _SETTINGS_SECONDS = 5.0
 # For so long the peers' clocks are waited for after a start.
 _CLOCK_CHECK_SECONDS = 2.0
+# After the clock is judged, until budgets are drawn ahead.
+_PEERS_KNOWN_SECONDS = 1.0
 # A larger difference between the clocks' progress is a jump of the time of day.
 _CLOCK_JUMP_SECONDS = 0.25
 
@@ -242,6 +244,9 @@
             clock="checked" if restart.wall_checked else "not checked",
             rows=text,
         )
+        # By now the peers are known: who draws ahead for all is agreed.
+        eventlet.sleep(_PEERS_KNOWN_SECONDS)
+        self.keeper.draws_ahead = True
 
     def _clock_is_judged(self) -> bool:
         """Whether the peers have checked the time of day, or have had time enough to."""
--- a/whinrack/edge/_entries.py
+++ b/whinrack/edge/_entries.py
@@ -3,7 +3,7 @@
 import math
 
 from whinrack.base import rendezvous
-from whinrack.gossip import PeerState
+from whinrack.gossip import PeerState, prefer_wide_links
 
 __all__ = ["choose_entries"]
 
@@ -12,7 +12,7 @@
 # Beyond that: instances of a data hall that take its callers at least, and open requests
 # of the hall for each.
 _LEAST_OF_A_HALL = 8
-_OPEN_FOR_EACH = 16
+_OPEN_FOR_EACH = 24
 
 
 def choose_entries(ready: list[PeerState], hall: str) -> list[PeerState]:
@@ -42,5 +42,9 @@
     open_requests = sum(state.load for state in states)
     count = max(_LEAST_OF_A_HALL, math.ceil(open_requests / _OPEN_FOR_EACH))
     by_name = {state.sender.name: state for state in states}
-    # The same order at all instances, so that callers and their connections stay.
-    return [by_name[name] for name in rendezvous(f"entries/{hall}", by_name)[:count]]
+    # The same order at all instances, so that callers and their connections stay; those
+    # with wide links are the strong ones.
+    order = rendezvous(f"entries/{hall}", by_name)
+    wide = {state.sender.name for state in prefer_wide_links(states)}
+    strong_first = sorted(order, key=lambda name: name not in wide)
+    return [by_name[name] for name in strong_first[:count]]
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -210,7 +210,7 @@
         """Tell the peers that serve callers how many requests are at each target from here."""
         told = False
         while True:
-            eventlet.sleep(_LOADS_SECONDS)
+            eventlet.sleep(self.table.interval(_LOADS_SECONDS))
             counts = self.registry.loads()
             if counts or told:
                 self._share_loads(counts)
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -116,14 +116,11 @@
             self.spares.replied(reply)
 
     def _give(self, request: TokenRequest, address: tuple[str, int]) -> None:
-        total = self.keeper.give(
-            request.budget,
-            request.receiver,
-            request.already_received,
-            request.need,
-            request.wish,
-            request.draw,
-        )
+        asked = (request.budget, request.receiver, request.already_received)
+        if request.supply:
+            total = self.keeper.supply(*asked, request.need, request.wish)
+        else:
+            total = self.keeper.give(*asked, request.need, request.wish, request.draw)
         reply = TokenReply(
             question=request.question,
             budget=request.budget,
@@ -133,6 +130,8 @@
             covering=self.keeper.covering(request.budget),
         )
         self.link.send(reply, address)
+        if request.supply:
+            self.keeper.restock(request.budget, request.need)
 
 
 def _isolate(function: Callable, seconds: float | None):
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -138,6 +138,8 @@
         The run that is asked; another run doesn't answer.
     draw : bool
         The peer should draw from the books what it doesn't hold.
+    supply : bool
+        The peer draws this budget ahead and should reply at once with what it has.
     """
 
     question: int
@@ -148,6 +150,7 @@
     need: int
     wish: int
     draw: bool = False
+    supply: bool = False
 
 
 class TokenReply(msgspec.Struct, frozen=True, array_like=True, tag="give"):
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -156,9 +156,12 @@
         return [view for view in self.live(now) if view.state.serving]
 
     def holding(self, now: float) -> list[PeerView]:
-        """Return the live peers that may have unspent tokens."""
+        """Return the live peers that may have unspent tokens, in a large fleet shuffled."""
         live = self.live(now)
-        return live if self.is_mesh else [view for view in live if view.state.holds_tokens]
+        if self.is_mesh:
+            return live
+        holding = [view for view in live if view.state.holds_tokens]
+        return self._random.sample(holding, len(holding))
 
     # --- sending -----------------------------------------------------------------
 
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -18,8 +18,10 @@
 
 # A lender has to write to the store before it replies.
 _BORROW_FACTOR = 10
-# So does a supplier now and then; the question is put twice, since datagrams get lost.
-_SUPPLY_FACTORS = (1, 3)
+# A supplier is asked twice, since datagrams get lost.
+_SUPPLY_FACTORS = (1, 1)
+# Peers that are asked for their spare tokens; in a large fleet the suppliers have most.
+_MOST_ASKED = 12
 # For so long a supplier that didn't reply is passed over, seconds.
 _AVOID_SECONDS = 2.0
 # For so long the choice of a budget's supplier is kept, seconds.
@@ -85,7 +87,7 @@
         supplier = self._supplier(budget)
         if supplier is None:
             return []
-        request = self._request(budget, need, wish, draw=True)
+        request = self._request(budget, need, wish, supply=True)
         for factor in _SUPPLY_FACTORS:
             replies = self._ask([supplier], request, received, factor * self.patience)
             if replies:
@@ -117,13 +119,13 @@
         self, budget: str, need: int, wish: int, received: dict[str, int]
     ) -> list[SpareTotal]:
         """Ask every peer that may hold some for what is needed; returns what each gave in all."""
-        views = self.peers.holding(time.monotonic())
+        views = self.peers.holding(time.monotonic())[:_MOST_ASKED]
         request = self._request(budget, need, wish)
         return self._ask(views, request, received, self.patience)
 
     def peers_asked(self) -> int:
         """Return how many peers `gather` asks now."""
-        return len(self.peers.holding(time.monotonic()))
+        return min(_MOST_ASKED, len(self.peers.holding(time.monotonic())))
 
     def borrow(
         self, budget: str, need: int, wish: int, received: dict[str, int]
@@ -143,7 +145,7 @@
         if question is not None:
             question.add(reply)
 
-    def _request(self, budget: str, need: int, wish: int, draw: bool = False) -> TokenRequest:
+    def _request(self, budget: str, need: int, wish: int, **flags: bool) -> TokenRequest:
         return TokenRequest(
             question=next(self._numbers),
             budget=budget,
@@ -152,7 +154,7 @@
             already_received=0,
             need=need,
             wish=wish,
-            draw=draw,
+            **flags,
         )
 
     def _ask(
