--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test bench generate format clean
+.PHONY: demo test bench soak generate format clean
 
 $(STAMP): requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
@@ -23,6 +23,10 @@
 bench: $(STAMP)
 	$(PY) -m benchmarks
 
+# Some fresh seeds, and those that once failed; `make soak ARGS="--seed 7"` for others.
+soak: $(STAMP)
+	PYTHONPATH=platform:platform/tests:. $(PY) -m soak $(or $(ARGS),--seeds 10 --kept)
+
 generate: $(STAMP)
 	$(PY) tools/generate.py
 
