Crowded instances let callers go elsewhere; idle instances supply budgets in large fleets

Ruled out: a view of the fleet that names only itself (86 peers known at -13 s). Now an instance with more than 1.5 times the open requests of its serving peers, and 8 more, answers that connections close until that is over; suppliers are instances that don't serve callers where there are some; serving means one request a second, not one in 3 s.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from whinrack.base import Outcome
-from whinrack.budgets import GrantKeeper
+from whinrack.budgets import DemandEstimate, GrantKeeper
 from whinrack.dispatch._directory import Directory
 from whinrack.dispatch._events import EventBlock, event_blocks
 from whinrack.dispatch._last_words import settle_by_last_words
@@ -53,6 +53,8 @@
 _BUSY_RETRY_SECONDS = 0.25
 # A target that says nothing for so long is suspected to hang.
 _SILENT_SECONDS = 1.5
+# Of the rate of arriving requests, seconds.
+_ARRIVALS_HALF_LIFE = 2.0
 # Part of the connections that a target accepts which all instances together use.
 _CONNECTION_PART = 0.9
 _LEAST_IN_FLIGHT = 2
@@ -121,7 +123,7 @@
         self.options = options
         self.instances = instances
         self.in_progress = 0
-        self.last_arrival = float("-inf")
+        self.arrivals = DemandEstimate(half_life=_ARRIVALS_HALF_LIFE)
         self.refusing = False
         self._allowances: dict[str, RetryAllowance] = {}
 
@@ -136,7 +138,7 @@
     def handle(self, exchange: Exchange) -> None:
         """Answer one request; `CallerGone` passes through."""
         self.in_progress += 1
-        self.last_arrival = time.monotonic()
+        self.arrivals.record(1, time.monotonic())
         self.metrics.in_progress.set(self.in_progress)
         request = None
         try:
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -48,8 +48,10 @@
 _EXIT_OK = 0
 _BOOKS_LOG_ROUNDS = 5
 _TASK_PAUSE_SECONDS = 0.5
-# An instance counts as serving for so long after its latest request.
-_SERVING_SECONDS = 3.0
+# An instance counts as serving from so many requests a second on; probes are fewer.
+_SERVING_RATE = 1.0
+# How often it is looked whether callers had better connect elsewhere.
+_CROWDED_SECONDS = 0.25
 # How often the settings are read without a signal.
 _SETTINGS_SECONDS = 5.0
 # For so long the peers' clocks are waited for after a start.
@@ -106,7 +108,7 @@
             self.directory,
             self.registry,
             lambda: self.dispatcher.in_progress,
-            lambda now: now - self.dispatcher.last_arrival <= _SERVING_SECONDS,
+            lambda now: self.dispatcher.arrivals.rate(now) >= _SERVING_RATE,
             lambda: self.keeper.holds_tokens,
             lambda: self.contact.answers and self.keeper.store_answers,
             lambda: self.knowledge.gone_lately(),
@@ -194,6 +196,7 @@
             self._release_earlier_runs,
             self._renew_forever,
             self._follow_settings,
+            self._watch_crowding,
             self.membership.beat_forever,
             self.membership.share_loads_forever,
         )
@@ -260,6 +263,15 @@
         checked = now.checked and abs(jumped) <= _CLOCK_JUMP_SECONDS
         return msgspec.structs.replace(self.restart, wall_checked=checked)
 
+    def _watch_crowding(self) -> None:
+        """Let callers go elsewhere while far more requests are open here than at the peers."""
+        while True:
+            eventlet.sleep(_CROWDED_SECONDS)
+            crowded = self.membership.is_crowded()
+            if crowded != self.front.crowded:
+                self.front.crowded = crowded
+                log_event(Event.CROWDED, crowded=crowded, open=self.dispatcher.in_progress)
+
     # --- signals -----------------------------------------------------------------
 
     def _reload(self) -> None:
--- a/whinrack/edge/_entries.py
+++ b/whinrack/edge/_entries.py
@@ -3,9 +3,9 @@
 import math
 
 from whinrack.base import rendezvous
-from whinrack.gossip import PeerState, prefer_wide_links
+from whinrack.gossip import PeerState
 
-__all__ = ["choose_entries"]
+__all__ = ["choose_entries", "is_crowded"]
 
 # Up to so many instances all take callers.
 _ALL_UP_TO = 12
@@ -13,6 +13,11 @@
 # of the hall for each.
 _LEAST_OF_A_HALL = 8
 _OPEN_FOR_EACH = 24
+# An instance is crowded with so many times as many open requests as its peers have, and some
+# more; fewer peers tell nothing.
+_CROWDED = 1.5
+_CROWDED_SLACK = 8
+_FEWEST_COMPARED = 3
 
 
 def choose_entries(ready: list[PeerState], hall: str) -> list[PeerState]:
@@ -42,9 +47,21 @@
     open_requests = sum(state.load for state in states)
     count = max(_LEAST_OF_A_HALL, math.ceil(open_requests / _OPEN_FOR_EACH))
     by_name = {state.sender.name: state for state in states}
-    # The same order at all instances, so that callers and their connections stay; those
-    # with wide links are the strong ones.
-    order = rendezvous(f"entries/{hall}", by_name)
-    wide = {state.sender.name for state in prefer_wide_links(states)}
-    strong_first = sorted(order, key=lambda name: name not in wide)
-    return [by_name[name] for name in strong_first[:count]]
+    # The same order at all instances, so that callers and their connections stay.
+    return [by_name[name] for name in rendezvous(f"entries/{hall}", by_name)[:count]]
+
+
+def is_crowded(open_requests: int, serving: list[PeerState]) -> bool:
+    """Whether far more requests are open at an instance than at those that serve beside it.
+
+    Callers keep their connections, and some send much more than others.
+
+    Parameters
+    ----------
+    serving : list of PeerState
+        The other instances that serve callers.
+    """
+    if len(serving) < _FEWEST_COMPARED:
+        return False
+    mean = sum(state.load for state in serving) / len(serving)
+    return open_requests > _CROWDED * mean + _CROWDED_SLACK
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -9,7 +9,7 @@
 
 from whinrack.budgets import WallReading
 from whinrack.dispatch import Directory, TargetRegistry
-from whinrack.edge._entries import choose_entries
+from whinrack.edge._entries import choose_entries, is_crowded
 from whinrack.edge._options import EdgeOptions, HostPort
 from whinrack.gossip import (
     ClockCheck,
@@ -184,6 +184,11 @@
             ready.append(self.own_state())
         return [state.callers for state in choose_entries(ready, hall)]
 
+    def is_crowded(self) -> bool:
+        """Whether callers had better connect to other instances."""
+        serving = [view.state for view in self.table.serving(time.monotonic())]
+        return is_crowded(self.load(), serving)
+
     def sharing_instances(self) -> int:
         """Return the number of instances that share the work."""
         return self.table.sharing_count(time.monotonic())
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -64,9 +64,7 @@
         self.peers = peers
         drawer = AccountDrawer(store, Semaphore, self._collect_orders, sleep=eventlet.sleep)
         self.fleet = FleetDrawer(options.name, own_state, drawer, link, peers, options.draw_seconds)
-        self.spares = PeerSpares(
-            holder, link, peers, options.gather_seconds, lambda: own_state().ready
-        )
+        self.spares = PeerSpares(holder, link, peers, options.gather_seconds, own_state)
         self.keeper = GrantKeeper(
             holder,
             _ACCOUNT,
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -8,10 +8,10 @@
 from eventlet.event import Event
 from eventlet.timeout import Timeout
 
-from whinrack.base import instance_of, rendezvous
+from whinrack.base import rendezvous
 from whinrack.budgets import SpareSource, SpareTotal
 from whinrack.gossip._link import GossipLink
-from whinrack.gossip._messages import TokenReply, TokenRequest
+from whinrack.gossip._messages import PeerState, TokenReply, TokenRequest
 from whinrack.gossip._peers import PeerTable, PeerView
 
 __all__ = ["PeerSpares"]
@@ -54,8 +54,8 @@
     peers : PeerTable
     patience : float
         Seconds to wait for the replies.
-    is_ready : callable
-        Tells whether this instance takes callers, and so may supply peers.
+    own_state : callable
+        Returns what this instance says of itself.
     """
 
     def __init__(
@@ -64,10 +64,10 @@
         link: GossipLink,
         peers: PeerTable,
         patience: float,
-        is_ready: Callable[[], bool],
+        own_state: Callable[[], PeerState],
     ):
         self.holder = holder
-        self.is_ready = is_ready
+        self.own_state = own_state
         self.link = link
         self.peers = peers
         self.patience = patience
@@ -111,8 +111,14 @@
             for view in self.peers.ready(now)
             if self._avoided.get(view.state.incarnation, 0.0) <= now
         }
-        own = instance_of(self.holder)
-        candidates = [*views, own] if self.is_ready() or not views else list(views)
+        candidates = {name: view.state for name, view in views.items()}
+        own = self.own_state()
+        if own.ready or not views:
+            candidates[own.sender.name] = own
+        if not self.peers.is_mesh:
+            # Those that serve callers have enough to do.
+            idle = {name: state for name, state in candidates.items() if not state.serving}
+            candidates = idle or candidates
         return views.get(rendezvous(f"supply/{budget}", candidates)[0])
 
     def gather(
--- a/whinrack/http1/_connection.py
+++ b/whinrack/http1/_connection.py
@@ -38,8 +38,9 @@
     ----------
     handle, refuse, limits : callable
         See `HttpServer`.
-    closing : bool
-        Answers say that their connection closes after them.
+    closing, crowded : bool
+        Answers say that their connection closes after them: for good, or so that callers
+        connect elsewhere.
     connections : set of CallerConnection
         The open ones.
     """
@@ -54,6 +55,7 @@
         self.refuse = refuse
         self.limits = limits
         self.closing = False
+        self.crowded = False
         self.connections: set[CallerConnection] = set()
 
 
@@ -218,7 +220,7 @@
     def send_response(self, status: int, headers: Headers, body: bytes | None) -> None:
         """Send an answer's head, and its whole body unless that comes in pieces."""
         framing = [] if body is None else [(b"content-length", b"%d" % len(body))]
-        self._keep = self._keep and not self.server.closing
+        self._keep = self._keep and not (self.server.closing or self.server.crowded)
         if self._keep:
             idle = max(1, int(self.server.limits().idle_seconds))
             connection = (b"keep-alive", b"timeout=%d" % idle)
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -37,6 +37,7 @@
 
     MEMBER_JOINED = (4001, "INFO", "peer seen")
     MEMBER_LOST = (4002, "WARNING", "peer lost")
+    CROWDED = (4006, "INFO", "far more requests are open here than at the peers, or no longer")
     PEER_REFUSED = (4003, "WARNING", "call without the fleet's key refused")
 
     TARGET_LEAVING = (5001, "INFO", "target is leaving")
