What peers said a moment ago still tells exhausted from contended; split two classes

A request that came again within 0.15 s after all peers had too little was told 429 instead of 402, since what they cover was forgotten before it was clear that they aren't asked again. Found by reading; the test fails before. Tokens of peers are asked for in a module of their own; the daemon is the membership's host instead of eight callables.

--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -20,6 +20,7 @@
 from whinrack.budgets._keeper import SpareSource
 from whinrack.budgets._ledger import BudgetLedger, Cover
 from whinrack.budgets._orders import BookOrders, call_here, unchecked_wall_clock
+from whinrack.budgets._peer_tokens import PeerTokens
 from whinrack.budgets._release import ReleasedRow
 from whinrack.budgets._schedule import RestartMoment, WallReading
 from whinrack.exceptions import (
@@ -90,6 +91,7 @@
         self.options = options
         self.clock = clock
         self.make_lock = make_lock
+        self._peers = PeerTokens(spares, options, clock)
         # Set once the peers are known, so that not every instance draws everything ahead.
         self.draws_ahead = False
         self._grants: dict[str, Grant] = {}
@@ -318,9 +320,11 @@
             return self._refill(grant, tokens)
 
     def _refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
-        grant.covering_elsewhere.clear()
         cover = self._open(grant, tokens)
-        for ask in self._ways(grant, tokens):
+        ways = self._ways(grant, tokens)
+        if ways:
+            grant.covering_elsewhere.clear()
+        for ask in ways:
             ask(grant, tokens)
             cover = self._open(grant, tokens)
             if isinstance(cover, Success):
@@ -334,12 +338,13 @@
         if grant.is_scarce(tokens, self.clock(), self.options.scarce_seconds):
             return ()
         supplied = not self.spares.supplies(grant.ledger.budget)
-        first = (self._ask_supplier,) if supplied else ()
+        peers = self._peers
+        first = (peers.ask_supplier,) if supplied else ()
         if not self.store_answers:
-            return *first, self._gather, self._borrow
+            return *first, peers.gather, peers.borrow
         if self._nothing_free(grant) and grant.ledger.spendable < tokens:
-            return *first, self._gather
-        return *first, self._draw, self._gather
+            return *first, peers.gather
+        return *first, self._draw, peers.gather
 
     def _nothing_free(self, grant: Grant) -> bool:
         """Whether the books said a moment ago that nothing is free."""
@@ -366,53 +371,6 @@
         order = self._orders.order(grant, need=tokens)
         self._orders.send([order], self.options.draw_patience)
 
-    def _ask_supplier(self, grant: Grant, tokens: int) -> None:
-        """Ask the peer that draws this budget ahead for what is needed, and a little more."""
-        now = self.clock()
-        need = tokens - max(0, grant.usable(now))
-        wish = int(grant.demand.rate(now) * self.options.supply_seconds) + grant.waiting
-        budget, received = grant.ledger.budget, dict(grant.ledger.received)
-        for spare in self.spares.ask_supplier(budget, need, wish, received):
-            self.receive(budget, spare.giver, spare.total)
-
-    def _gather(self, grant: Grant, tokens: int) -> None:
-        """Ask all peers for what they hold and may use."""
-        all_replied = False
-        for everything in (False, True):
-            need = tokens - max(0, grant.usable(self.clock()))
-            if need <= 0:
-                return
-            all_replied = self._gather_round(grant, need, everything)
-        if all_replied and grant.usable(self.clock()) < tokens:
-            grant.note_scarcity(tokens, self.clock())
-
-    def _gather_round(self, grant: Grant, need: int, everything: bool) -> bool:
-        """Ask each peer for a part that suffices if most have it, or for all of it.
-
-        Returns
-        -------
-        bool
-            Whether all replied.
-        """
-        asked = self.spares.peers_asked()
-        part = need if everything else -(-2 * need // max(1, asked))
-        budget, received = grant.ledger.budget, dict(grant.ledger.received)
-        replies = list(self.spares.gather(budget, min(need, part), 0, received))
-        for spare in replies:
-            self.receive(budget, spare.giver, spare.total)
-            grant.covering_elsewhere[spare.giver] = spare.covering
-        return len(replies) >= asked
-
-    def _borrow(self, grant: Grant, tokens: int) -> None:
-        """Ask a peer that reaches the books to draw from them for this instance."""
-        now = self.clock()
-        need = tokens - max(0, grant.usable(now))
-        ahead = int(grant.demand.rate(now) * self.options.loan_seconds)
-        wish = max(ahead, grant.largest) + grant.waiting
-        budget, received = grant.ledger.budget, dict(grant.ledger.received)
-        for spare in self.spares.borrow(budget, need, wish, received):
-            self.receive(budget, spare.giver, spare.total)
-
 
 def _left_text(grant: Grant, tokens: int) -> str:
     left = grant.unspent_at_most()
--- /dev/null
+++ b/whinrack/budgets/_peer_tokens.py
@@ -0,0 +1,75 @@
+"""Tokens that peers have: the supplier's, their spare ones, and loans from the books."""
+
+from collections.abc import Callable
+
+from whinrack.budgets._grant import Grant, GrantOptions
+from whinrack.budgets._keeper import SpareSource
+
+__all__ = ["PeerTokens"]
+
+
+class PeerTokens:
+    """Asks peers for tokens and takes in what they give.
+
+    Parameters
+    ----------
+    spares : SpareSource
+    options : GrantOptions
+    clock : callable
+        Reads the steady clock, seconds.
+    """
+
+    def __init__(self, spares: SpareSource, options: GrantOptions, clock: Callable[[], float]):
+        self.spares = spares
+        self.options = options
+        self.clock = clock
+
+    def ask_supplier(self, grant: Grant, tokens: int) -> None:
+        """Ask the peer that draws this budget ahead for what is needed, and a little more."""
+        wish = self._demand_of(grant, self.options.supply_seconds) + grant.waiting
+        budget, received = grant.ledger.budget, dict(grant.ledger.received)
+        need = self._missing(grant, tokens)
+        for spare in self.spares.ask_supplier(budget, need, wish, received):
+            grant.ledger.receive(spare.giver, spare.total)
+
+    def gather(self, grant: Grant, tokens: int) -> None:
+        """Ask all peers for what they hold and may use."""
+        all_replied = False
+        for everything in (False, True):
+            need = self._missing(grant, tokens)
+            if need <= 0:
+                return
+            all_replied = self._gather_round(grant, need, everything)
+        if all_replied and self._missing(grant, tokens) > 0:
+            grant.note_scarcity(tokens, self.clock())
+
+    def borrow(self, grant: Grant, tokens: int) -> None:
+        """Ask a peer that reaches the books to draw from them for this instance."""
+        ahead = self._demand_of(grant, self.options.loan_seconds)
+        wish = max(ahead, grant.largest) + grant.waiting
+        budget, received = grant.ledger.budget, dict(grant.ledger.received)
+        for spare in self.spares.borrow(budget, self._missing(grant, tokens), wish, received):
+            grant.ledger.receive(spare.giver, spare.total)
+
+    def _gather_round(self, grant: Grant, need: int, everything: bool) -> bool:
+        """Ask each peer for a part that suffices if most have it, or for all of it.
+
+        Returns
+        -------
+        bool
+            Whether all replied.
+        """
+        asked = self.spares.peers_asked()
+        part = need if everything else -(-2 * need // max(1, asked))
+        budget, received = grant.ledger.budget, dict(grant.ledger.received)
+        replies = list(self.spares.gather(budget, min(need, part), 0, received))
+        for spare in replies:
+            grant.ledger.receive(spare.giver, spare.total)
+            grant.covering_elsewhere[spare.giver] = spare.covering
+        return len(replies) >= asked
+
+    def _missing(self, grant: Grant, tokens: int) -> int:
+        return tokens - max(0, grant.usable(self.clock()))
+
+    def _demand_of(self, grant: Grant, seconds: float) -> int:
+        return int(grant.demand.rate(self.clock()) * seconds)
--- a/whinrack/budgets/tests/test_grants.py
+++ b/whinrack/budgets/tests/test_grants.py
@@ -712,6 +712,15 @@
     assert 0 <= lost(supplied=True) < 0.6 * lost(supplied=False)
 
 
+def test_a_request_that_comes_at_once_again_gets_the_same_answer():
+    """What the peers said a moment ago still tells exhausted from contended."""
+    fleet = Fleet(2, 1000)
+    fleet.machines[0].request(900)
+    fleet.machines[1].keeper.renew()
+    for _ in range(2):
+        assert isinstance(fleet.machines[1].request(200).failure(), BudgetExhausted)
+
+
 def test_what_peers_did_not_have_is_not_asked_for_again_at_once():
     fleet = busy_fleet(limit=20_000)
     asked = []
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -25,12 +25,13 @@
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._feeding import FeedPlan
 from whinrack.edge._knowledge import StoreKnowledge
-from whinrack.edge._membership import Membership
-from whinrack.edge._options import EdgeOptions, ReloadedOptions, reload_options
+from whinrack.edge._membership import Membership, MembershipHost
+from whinrack.edge._options import EdgeOptions, HostPort, ReloadedOptions, reload_options
 from whinrack.edge._sharing import KnowledgeServer
 from whinrack.edge._sources import ConfigurationReader, TargetReader
 from whinrack.edge._tokens import TokenExchange
 from whinrack.exceptions import InvalidSettings
+from whinrack.gossip import GoneTarget, Message
 from whinrack.http1 import ConnectionPool, HttpServer
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
 from whinrack.store import MeteredStore, ObjectStore
@@ -62,7 +63,7 @@
 _CLOCK_JUMP_SECONDS = 0.25
 
 
-class EdgeDaemon:
+class EdgeDaemon(MembershipHost):
     """One instance that serves declared routes.
 
     Parameters
@@ -107,14 +108,7 @@
             self.holder,
             self.directory,
             self.registry,
-            lambda: self.dispatcher.in_progress,
-            lambda now: self.dispatcher.arrivals.rate(now) >= _SERVING_RATE,
-            lambda: self.keeper.holds_tokens,
-            lambda: self.contact.answers and self.keeper.store_answers,
-            lambda: self.knowledge.gone_lately(),
-            lambda gone: self.knowledge.learn_gone(gone),
-            lambda peer: self.knowledge.suspect_configuration(peer),
-            lambda message, address: self.tokens.receive(message, address),
+            self,
         )
         self.knowledge = StoreKnowledge(
             self.store,
@@ -172,6 +166,40 @@
         while True:
             eventlet.sleep(3600)
 
+    # --- what the peers are told, and tell -----------------------------------------
+
+    def open_requests(self) -> int:
+        """Return the requests in progress here."""
+        return self.dispatcher.in_progress
+
+    def serves_callers(self, now: float) -> bool:
+        """Whether callers' requests come here; the platform's probes are fewer."""
+        return self.dispatcher.arrivals.rate(now) >= _SERVING_RATE
+
+    def holds_tokens(self) -> bool:
+        """Whether there are unspent tokens here."""
+        return self.keeper.holds_tokens
+
+    def reaches_store(self) -> bool:
+        """Whether the store can be reached from here."""
+        return self.contact.answers and self.keeper.store_answers
+
+    def gone_targets(self) -> list[GoneTarget]:
+        """Return the targets whose records have gone lately."""
+        return self.knowledge.gone_lately()
+
+    def learn_gone_targets(self, gone: list[GoneTarget]) -> None:
+        """Take in the targets that a peer knows to be gone."""
+        self.knowledge.learn_gone(gone)
+
+    def hear_of_configuration(self, peer: HostPort) -> None:
+        """Catch up with a peer that has a newer configuration."""
+        self.knowledge.suspect_configuration(peer)
+
+    def receive(self, message: Message, address: HostPort) -> None:
+        """Take in a peer's message about tokens."""
+        self.tokens.receive(message, address)
+
     # --- start -------------------------------------------------------------------
 
     def _start_servers(self) -> None:
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -2,7 +2,6 @@
 
 import random
 import time
-from collections.abc import Callable
 
 import eventlet
 import msgspec
@@ -24,7 +23,7 @@
 )
 from whinrack.observability import Event, log_event
 
-__all__ = ["Membership"]
+__all__ = ["Membership", "MembershipHost"]
 
 _MOST_LEAVING = 200
 # Shortest time between two heartbeats that pass news on.
@@ -39,6 +38,42 @@
 _MOST_LOGGED = 6
 
 
+class MembershipHost:
+    """What the membership asks of the instance that it speaks for, and tells it."""
+
+    def open_requests(self) -> int:
+        """Return the requests in progress here."""
+        raise NotImplementedError
+
+    def serves_callers(self, now: float) -> bool:
+        """Whether callers' requests come here, by the steady clock."""
+        raise NotImplementedError
+
+    def holds_tokens(self) -> bool:
+        """Whether there are unspent tokens here."""
+        raise NotImplementedError
+
+    def reaches_store(self) -> bool:
+        """Whether the store can be reached from here."""
+        raise NotImplementedError
+
+    def gone_targets(self) -> list[GoneTarget]:
+        """Return the targets whose records have gone lately."""
+        raise NotImplementedError
+
+    def learn_gone_targets(self, gone: list[GoneTarget]) -> None:
+        """Take in the targets that a peer knows to be gone."""
+        raise NotImplementedError
+
+    def hear_of_configuration(self, peer: HostPort) -> None:
+        """Learn that a peer has a newer configuration."""
+        raise NotImplementedError
+
+    def receive(self, message: Message, address: HostPort) -> None:
+        """Take in a message that is not about who is there."""
+        raise NotImplementedError
+
+
 class Membership:
     """Sends heartbeats and takes in those of the peers.
 
@@ -49,23 +84,7 @@
         This run.
     directory : Directory
     registry : TargetRegistry
-    load : callable
-        Returns the requests in progress here.
-    serving : callable
-        Tells whether callers' requests came here lately, by the steady clock.
-    holds_tokens : callable
-        Tells whether there are unspent tokens here.
-    store_answers : callable
-        Tells whether the store can be reached from here.
-    gone : callable
-        Returns the targets whose records have gone lately.
-    learn_gone : callable
-        Called with the targets that a peer knows to be gone.
-    newer_configuration : callable
-        Called with the address of a peer that has a newer configuration than this
-        instance.
-    other_message : callable
-        Called with every message that is no heartbeat, and its sender's address.
+    host : MembershipHost
     """
 
     def __init__(
@@ -74,27 +93,13 @@
         holder: str,
         directory: Directory,
         registry: TargetRegistry,
-        load: Callable[[], int],
-        serving: Callable[[float], bool],
-        holds_tokens: Callable[[], bool],
-        store_answers: Callable[[], bool],
-        gone: Callable[[], list[GoneTarget]],
-        learn_gone: Callable[[list[GoneTarget]], None],
-        newer_configuration: Callable[[HostPort], None],
-        other_message: Callable[[Message, tuple[str, int]], None],
+        host: MembershipHost,
     ):
         self.options = options
         self.holder = holder
         self.directory = directory
         self.registry = registry
-        self.load = load
-        self.serving = serving
-        self.holds_tokens = holds_tokens
-        self.store_answers = store_answers
-        self.gone = gone
-        self.learn_gone = learn_gone
-        self.newer_configuration = newer_configuration
-        self.other_message = other_message
+        self.host = host
         self.stopping = False
         self.table = PeerTable(options.name, options.silent_seconds, options.forget_seconds)
         self.clocks = ClockCheck()
@@ -137,7 +142,7 @@
             number=self._number,
             wall=time.time(),
             leaving=self.registry.leaving()[-_MOST_LEAVING:],
-            gone=self.gone()[:_MOST_LEAVING],
+            gone=self.host.gone_targets()[:_MOST_LEAVING],
             peers=self.table.addresses(now),
             passed_on=passed_on,
             ages=self.table.ages(now),
@@ -168,11 +173,11 @@
             callers=self._callers,
             data_hall=self.options.data_hall,
             ready=self.ready,
-            store_answers=self.store_answers(),
-            load=_in_steps(self.load()),
+            store_answers=self.host.reaches_store(),
+            load=_in_steps(self.host.open_requests()),
             configuration=self.directory.version,
-            serving=self.serving(time.monotonic()),
-            holds_tokens=self.holds_tokens(),
+            serving=self.host.serves_callers(time.monotonic()),
+            holds_tokens=self.host.holds_tokens(),
             bandwidth=self.options.bandwidth,
         )
 
@@ -187,7 +192,7 @@
     def is_crowded(self) -> bool:
         """Whether callers had better connect to other instances."""
         serving = [view.state for view in self.table.serving(time.monotonic())]
-        return is_crowded(self.load(), serving)
+        return is_crowded(self.host.open_requests(), serving)
 
     def sharing_instances(self) -> int:
         """Return the number of instances that share the work."""
@@ -232,7 +237,7 @@
         elif isinstance(message, TargetLoads):
             self.registry.elsewhere.heard(message.sender, message.counts, time.monotonic())
         else:
-            self.other_message(message, address)
+            self.host.receive(message, address)
 
     def _heard(self, beat: Heartbeat) -> None:
         now = time.monotonic()
@@ -244,8 +249,8 @@
             self.link.send(self._heartbeat(now, self.table.states(now)), sender.address)
         newest = max((beat.state, *beat.passed_on), key=lambda state: state.configuration)
         if newest.configuration > self.directory.version:
-            self.newer_configuration(newest.sender.address)
-        self.learn_gone(beat.gone)
+            self.host.hear_of_configuration(newest.sender.address)
+        self.host.learn_gone_targets(beat.gone)
         if self._learn_leaving(beat) and not self.table.is_mesh:
             self._spread(now)
 
