--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -286,6 +286,10 @@
         grant = self._grants.get(budget)
         return grant.last if grant is not None else None
 
+    def supplier(self, budget: str) -> str:
+        """Return the instance that draws a budget ahead, empty for this one; for logs."""
+        return self.spares.supplier(budget)
+
     # --- covering ----------------------------------------------------------------
 
     def _grant(self, budget: str) -> Grant:
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -70,6 +70,10 @@
         """Whether this run draws a budget ahead for its peers too; by default for itself."""
         return True
 
+    def supplier(self, budget: str) -> str:
+        """Return the instance that draws a budget ahead, empty for this one; for logs."""
+        return ""
+
     def ask_supplier(
         self, budget: str, need: int, wish: int, received: dict[str, int]
     ) -> Iterable["SpareTotal"]:
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -54,6 +54,7 @@
         tokens=tokens,
         free=last.free if last is not None else "unknown",
         outstanding=last.outstanding if last is not None else "unknown",
+        supplier=keeper.supplier(run.workspace_name) or "here",
         store_silent=round(time.monotonic() - keeper.answered_at, 3),
     )
 
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -80,6 +80,11 @@
         """Whether this run draws a budget ahead for its peers too."""
         return self._supplier(budget) is None
 
+    def supplier(self, budget: str) -> str:
+        """Return the instance that draws a budget ahead, empty for this one; for logs."""
+        view = self._supplier(budget)
+        return "" if view is None else view.state.sender.name
+
     def ask_supplier(
         self, budget: str, need: int, wish: int, received: dict[str, int]
     ) -> list[SpareTotal]:
--- a/whinrack/gossip/tests/test_spares.py
+++ b/whinrack/gossip/tests/test_spares.py
@@ -128,3 +128,10 @@
     spares = PeerSpares("me.1", Link(), peers, patience=0.0, own_state=own_state)
     suppliers = {spares._supplier(f"b{number}").state.sender.name for number in range(20)}
     assert suppliers == {"p28", "p29"}
+
+
+def test_the_supplier_is_told_to_the_log(world):
+    (own, *_) = budgets_of("a", ["a", "c"])
+    (other, *_) = budgets_of("c", ["a", "c"])
+    world[1].heard(beat("c"), 0.0)
+    assert (world[0].supplier(own), world[0].supplier(other)) == ("", "c")
