Suppliers are the instances with wide links, not those that serve nobody

Who serves changes when traffic begins and with each pause of it, so that budgets moved between suppliers while the tokens stayed behind. The width of a link doesn't change. In fleets of equal machines all are candidates, as before.

--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -12,7 +12,7 @@
 from whinrack.budgets import SpareSource, SpareTotal
 from whinrack.gossip._link import GossipLink
 from whinrack.gossip._messages import PeerState, TokenReply, TokenRequest
-from whinrack.gossip._peers import PeerTable, PeerView
+from whinrack.gossip._peers import PeerTable, PeerView, prefer_wide_links
 
 __all__ = ["PeerSpares"]
 
@@ -116,15 +116,13 @@
             for view in self.peers.ready(now)
             if self._avoided.get(view.state.incarnation, 0.0) <= now
         }
-        candidates = {name: view.state for name, view in views.items()}
+        states = [view.state for view in views.values()]
         own = self.own_state()
-        if own.ready or not views:
-            candidates[own.sender.name] = own
-        if not self.peers.is_mesh:
-            # Those that serve callers have enough to do.
-            idle = {name: state for name, state in candidates.items() if not state.serving}
-            candidates = idle or candidates
-        return views.get(rendezvous(f"supply/{budget}", candidates)[0])
+        if own.ready or not states:
+            states.append(own)
+        # Wide links are those of the strong instances; whom callers use changes too often.
+        names = [state.sender.name for state in prefer_wide_links(states)]
+        return views.get(rendezvous(f"supply/{budget}", names)[0])
 
     def gather(
         self, budget: str, need: int, wish: int, received: dict[str, int]
--- a/whinrack/gossip/tests/test_spares.py
+++ b/whinrack/gossip/tests/test_spares.py
@@ -10,7 +10,7 @@
 BUDGET = "b"
 
 
-def beat(name, ready=True, store_answers=True, holds_tokens=False, serving=False):
+def beat(name, ready=True, store_answers=True, holds_tokens=False, bandwidth=0.0):
     state = PeerState(
         incarnation=f"{name}.1",
         sequence=1,
@@ -22,7 +22,7 @@
         load=0,
         configuration=1,
         holds_tokens=holds_tokens,
-        serving=serving,
+        bandwidth=bandwidth,
     )
     return Heartbeat(state=state)
 
@@ -120,14 +120,12 @@
     assert not world[0].supplies(other)
 
 
-def test_in_a_large_fleet_those_that_serve_callers_supply_nothing():
-    peers = PeerTable("me", 1.0, 10.0)
-    for number in range(30):
-        peers.heard(beat(f"p{number}", serving=number < 28), time.monotonic())
-    own_state = lambda: beat("me", serving=True).state  # noqa: E731
-    spares = PeerSpares("me.1", Link(), peers, patience=0.0, own_state=own_state)
-    suppliers = {spares._supplier(f"b{number}").state.sender.name for number in range(20)}
-    assert suppliers == {"p28", "p29"}
+def test_instances_with_narrow_links_supply_nothing(world):
+    spares, peers, _ = world
+    for name, bandwidth in (("b", 5.0), ("c", 100.0), ("d", 100.0)):
+        peers.heard(beat(name, bandwidth=bandwidth), 0.0)
+    spares.own_state = lambda: beat("a", bandwidth=5.0).state
+    assert {spares.supplier(f"b{number}") for number in range(20)} == {"c", "d"}
 
 
 def test_the_supplier_is_told_to_the_log(world):
