Callers go to the strong instances of their hall first

Cause: at least 8 instances of each hall took callers, whatever their cores and links, so most callers were at instances with half a core and a link of 5 Mbit/s; 24 budgets were scattered over 24 holders and more. Change: instances tell their cores; entries of a hall are ranked by cores and link, as many as the open requests of the hall need (30 to a core, 4 cores and 2 instances at least). Crowding is judged by open requests to a core. Watchers, writers and suppliers are chosen by the same rule.

--- /dev/null
+++ b/tools/outcome_report.py
@@ -0,0 +1,155 @@
+"""Prints what became of requests, from the logs of all instances.
+
+One table counts the ends of requests by reason and by span of time, another one what
+instances noticed meanwhile (lost peers, a lost store, crowding). A third one names the
+instances with most refusals, and how long refused requests had waited.
+
+Usage: ``python tools/outcome_report.py [--span SECONDS] LOG...``; whatever stands before the
+JSON object on a line is skipped, but for a leading number, which is taken as the time.
+"""
+
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from datetime import datetime
+
+import click
+import msgspec
+
+__all__ = ["Outcome", "read_events", "summarise"]
+
+_ANSWERED, _REFUSED, _BROKEN, _LEFT = 7001, 7002, 7003, 7004
+_ENDS = {_ANSWERED: "answered", _BROKEN: "broken off", _LEFT: "caller left"}
+_NOTICED = {1006, 1008, 2001, 4002, 4006, 5001, 6004, 7005, 7007}
+_MOST_NAMED = 8
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """One event of one instance.
+
+    Attributes
+    ----------
+    seconds : float
+        When it happened, from the first event of the logs.
+    """
+
+    seconds: float
+    instance: str
+    event: int
+    name: str
+    fields: dict[str, str]
+
+    @property
+    def reason(self) -> str:
+        """How a request ended, empty for other events."""
+        if self.event == _REFUSED:
+            return "refused " + self.fields.get("code", "?")
+        if self.event == _BROKEN:
+            return "broken off " + self.fields.get("code", "?")
+        if self.event == _ANSWERED:
+            status = self.fields.get("status", "200")
+            return "answered" if status == "200" else f"answered {status}"
+        return _ENDS.get(self.event, "")
+
+    @property
+    def notice(self) -> str:
+        """What the instance noticed, empty for other events."""
+        if self.event not in _NOTICED:
+            return ""
+        code = self.fields.get("code", "")
+        return f"{self.name} {code}".strip()
+
+
+class _Line(msgspec.Struct):
+    time: str
+    event: int
+    name: str
+    fields: dict[str, str] = {}
+
+
+def read_events(lines: Iterable[str]) -> Iterator[Outcome]:
+    """Yield the events of a log, in its order; lines that are none are skipped."""
+    decoder = msgspec.json.Decoder(_Line)
+    first: float | None = None
+    for line in lines:
+        start = line.find('{"time"')
+        if start < 0:
+            continue
+        try:
+            read = decoder.decode(line[start:])
+        except msgspec.MsgspecError:
+            continue
+        words = line[:start].split()
+        stamped = bool(words) and _is_number(words[0])
+        moment = float(words[0]) if stamped else datetime.fromisoformat(read.time).timestamp()
+        first = 0.0 if stamped else (moment if first is None else first)
+        instance = words[-1] if words and not _is_number(words[-1]) else ""
+        yield Outcome(moment - first, instance, read.event, read.name, read.fields)
+
+
+def _is_number(text: str) -> bool:
+    try:
+        float(text)
+    except ValueError:
+        return False
+    return True
+
+
+def summarise(
+    events: Iterable[Outcome], span: float
+) -> tuple[dict[str, Counter[int]], dict[str, Counter[int]]]:
+    """Return the ends of requests and the notices, each counted by span of time."""
+    ends: dict[str, Counter[int]] = defaultdict(Counter)
+    notices: dict[str, Counter[int]] = defaultdict(Counter)
+    for event in events:
+        slot = int(event.seconds // span)
+        if event.reason:
+            ends[event.reason][slot] += 1
+        if event.notice:
+            notices[event.notice][slot] += 1
+    return dict(ends), dict(notices)
+
+
+def _print_table(title: str, table: dict[str, Counter[int]], span: float) -> None:
+    slots = sorted({slot for counts in table.values() for slot in counts})
+    print(f"\n{title:34}{'all':>7}" + "".join(f"{slot * span:6.0f}" for slot in slots))
+    for name in sorted(table, key=lambda name: -table[name].total()):
+        row = "".join(f"{table[name][slot] or '':>6}" for slot in slots)
+        print(f"{name:34}{table[name].total():7}{row}")
+
+
+def _print_waits(events: list[Outcome]) -> None:
+    waits: dict[str, list[float]] = defaultdict(list)
+    places: dict[str, Counter[str]] = defaultdict(Counter)
+    for event in events:
+        if event.event in (_REFUSED, _BROKEN, _LEFT):
+            waits[event.reason].append(float(event.fields.get("waited", 0)))
+            places[event.reason][event.instance] += 1
+    print(f"\n{'not answered':34}{'median s':>9}{'most s':>9}  instances with most")
+    for reason, seconds in sorted(waits.items(), key=lambda item: -len(item[1])):
+        ordered = sorted(seconds)
+        named = places[reason].most_common(_MOST_NAMED)
+        text = " ".join(f"{name}:{count}" for name, count in named)
+        print(f"{reason:34}{ordered[len(ordered) // 2]:9.3f}{ordered[-1]:9.3f}  {text}")
+
+
+def _read_files(paths: Iterable[str]) -> Iterator[str]:
+    for path in paths:
+        with open(path, encoding="utf-8", errors="replace") as file:
+            yield from file
+
+
+@click.command()
+@click.option("--span", default=4.0, help="Seconds of one column.")
+@click.argument("logs", nargs=-1, required=True)
+def main(span: float, logs: tuple[str, ...]) -> None:
+    """Print what became of requests, from the logs of all instances."""
+    events = list(read_events(_read_files(logs)))
+    ends, notices = summarise(events, span)
+    _print_table("ends of requests, from second", ends, span)
+    _print_table("noticed, from second", notices, span)
+    _print_waits(events)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/whinrack/edge/_entries.py
+++ b/whinrack/edge/_entries.py
@@ -1,18 +1,20 @@
 """Which instances callers are sent to. Decisions only, no I/O."""
 
-import math
-
 from whinrack.base import rendezvous
-from whinrack.gossip import PeerState
+from whinrack.gossip import PeerState, Strength, is_strong, strongest
 
 __all__ = ["choose_entries", "is_crowded"]
 
 # Up to so many instances all take callers.
 _ALL_UP_TO = 12
-# Beyond that: instances of a data hall that take its callers at least, and open requests
-# of the hall for each.
-_LEAST_OF_A_HALL = 8
-_OPEN_FOR_EACH = 24
+# Beyond that: instances and cores of a data hall that take its callers at least, and open
+# requests of the hall for each core. A core serves about 300 requests a second, or 60 streams
+# at once; half of that leaves room for a burst and for the loss of an entry.
+_LEAST_INSTANCES = 2
+_LEAST_CORES = 4.0
+_OPEN_PER_CORE = 30.0
+# What an instance that doesn't tell its cores counts for.
+_UNKNOWN_CORES = 0.5
 # An instance is crowded with so many times as many open requests as its peers have, and some
 # more; fewer peers tell nothing.
 _CROWDED = 1.5
@@ -23,9 +25,9 @@
 def choose_entries(ready: list[PeerState], hall: str) -> list[PeerState]:
     """Return the instances to which a caller may be sent.
 
-    In a large fleet callers share a part of the instances of their own data hall: budgets
-    are scattered over fewer holders, targets hear from fewer callers with connections of
-    their own, and what is known of the targets' load is less divided.
+    In a large fleet callers share a part of the instances of their own data hall, the strong
+    ones first: budgets are scattered over fewer holders, targets hear from fewer callers with
+    connections of their own, and what is known of the targets' load is less divided.
 
     Parameters
     ----------
@@ -40,28 +42,43 @@
     for state in ready:
         by_hall.setdefault(state.data_hall, []).append(state)
     halls = [hall] if hall in by_hall else sorted(by_hall)
-    return [state for name in halls for state in _of_hall(name, by_hall[name])]
+    best = strongest(ready)
+    return [state for name in halls for state in _of_hall(name, by_hall[name], best)]
 
 
-def _of_hall(hall: str, states: list[PeerState]) -> list[PeerState]:
-    open_requests = sum(state.load for state in states)
-    count = max(_LEAST_OF_A_HALL, math.ceil(open_requests / _OPEN_FOR_EACH))
+def _of_hall(hall: str, states: list[PeerState], best: Strength) -> list[PeerState]:
     by_name = {state.sender.name: state for state in states}
     # The same order at all instances, so that callers and their connections stay.
-    return [by_name[name] for name in rendezvous(f"entries/{hall}", by_name)[:count]]
+    names = rendezvous(f"entries/{hall}", by_name)
+    ordered = sorted(names, key=lambda name: not is_strong(by_name[name], best))
+    needed = max(_LEAST_CORES, sum(state.load for state in states) / _OPEN_PER_CORE)
+    chosen: list[PeerState] = []
+    cores = 0.0
+    for name in ordered:
+        if cores >= needed and len(chosen) >= _LEAST_INSTANCES:
+            break
+        chosen.append(by_name[name])
+        cores += _cores(by_name[name])
+    return chosen
+
+
+def _cores(state: PeerState) -> float:
+    return state.cores or _UNKNOWN_CORES
 
 
-def is_crowded(open_requests: int, serving: list[PeerState]) -> bool:
+def is_crowded(own: PeerState, open_requests: int, serving: list[PeerState]) -> bool:
     """Whether far more requests are open at an instance than at those that serve beside it.
 
     Callers keep their connections, and some send much more than others.
 
     Parameters
     ----------
+    own : PeerState
+        What the instance says of itself; its load is told in steps.
     serving : list of PeerState
         The other instances that serve callers.
     """
     if len(serving) < _FEWEST_COMPARED:
         return False
-    mean = sum(state.load for state in serving) / len(serving)
-    return open_requests > _CROWDED * mean + _CROWDED_SLACK
+    open_per_core = sum(state.load for state in serving) / sum(map(_cores, serving))
+    return open_requests > _CROWDED * open_per_core * _cores(own) + _CROWDED_SLACK
--- a/whinrack/edge/_feeding.py
+++ b/whinrack/edge/_feeding.py
@@ -8,7 +8,7 @@
 from whinrack.edge._options import HostPort
 from whinrack.edge._relay import PeerFeed
 from whinrack.edge._sources import FollowedSource, SourcePlan
-from whinrack.gossip import PeerState, PeerTable, prefer_wide_links
+from whinrack.gossip import PeerState, PeerTable, prefer_strong
 from whinrack.http1 import ConnectionPool
 from whinrack.store import ObjectStore
 
@@ -30,7 +30,7 @@
     """
     here = [state for state in states if state.data_hall == hall]
     reaching = [state for state in here if state.store_answers and state.ready]
-    wide = prefer_wide_links(reaching or here)
+    wide = prefer_strong(reaching or here)
     by_name = {state.sender.name: state for state in wide}
     ordered = rendezvous(f"watch/{hall}", by_name)
     return [by_name[name] for name in ordered[:_WATCHERS_OF_A_HALL]]
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -179,6 +179,7 @@
             serving=self.host.serves_callers(time.monotonic()),
             holds_tokens=self.host.holds_tokens(),
             bandwidth=self.options.bandwidth,
+            cores=self.options.cores,
         )
 
     def caller_addresses(self, hall: str) -> list[str]:
@@ -192,7 +193,7 @@
     def is_crowded(self) -> bool:
         """Whether callers had better connect to other instances."""
         serving = [view.state for view in self.table.serving(time.monotonic())]
-        return is_crowded(self.host.open_requests(), serving)
+        return is_crowded(self.own_state(), self.host.open_requests(), serving)
 
     def sharing_instances(self) -> int:
         """Return the number of instances that share the work."""
--- a/whinrack/edge/_options.py
+++ b/whinrack/edge/_options.py
@@ -39,6 +39,8 @@
         How far the time of day may have jumped between two runs.
     bandwidth : float
         Of the network link, Mbit/s; 0 if it isn't known.
+    cores : float
+        Processor time that this instance may use, seconds a second; 0 if it isn't known.
     log_lines_per_second : float
         Lines beyond this are left out and counted.
     """
@@ -65,6 +67,7 @@
     draw_seconds: float = 0.15
     wall_margin_seconds: float = 3.5
     bandwidth: float = 0.0
+    cores: float = 0.0
     log_lines_per_second: float = 150.0
 
 
--- a/whinrack/gossip/__init__.py
+++ b/whinrack/gossip/__init__.py
@@ -16,7 +16,14 @@
     TokenReply,
     TokenRequest,
 )
-from whinrack.gossip._peers import PeerTable, PeerView, prefer_wide_links
+from whinrack.gossip._peers import (
+    PeerTable,
+    PeerView,
+    Strength,
+    is_strong,
+    prefer_strong,
+    strongest,
+)
 from whinrack.gossip._spares import PeerSpares
 
 __all__ = [
@@ -37,5 +44,8 @@
     "TargetLoads",
     "TokenReply",
     "TokenRequest",
-    "prefer_wide_links",
+    "Strength",
+    "is_strong",
+    "prefer_strong",
+    "strongest",
 ]
--- a/whinrack/gossip/_drawers.py
+++ b/whinrack/gossip/_drawers.py
@@ -13,7 +13,7 @@
 from whinrack.exceptions import PlatformFailure
 from whinrack.gossip._link import GossipLink
 from whinrack.gossip._messages import DrawAccepted, DrawReply, DrawRequest, PeerState
-from whinrack.gossip._peers import PeerTable, PeerView, prefer_wide_links
+from whinrack.gossip._peers import PeerTable, PeerView, prefer_strong
 
 __all__ = ["FleetDrawer"]
 
@@ -121,7 +121,7 @@
             for view in self.peers.live(now)
             if view.state.store_answers and view.state.ready
         }
-        wide = {state.sender.name for state in prefer_wide_links(self._candidates(views))}
+        wide = {state.sender.name for state in prefer_strong(self._candidates(views))}
         for name in rendezvous(account, wide):
             if name == self.name:
                 return None
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -60,6 +60,8 @@
         Whether it has unspent tokens that a peer might get.
     bandwidth : float
         Of the instance's network link, Mbit/s; 0 if it isn't known.
+    cores : float
+        Processor time that the instance may use, seconds a second; 0 if it isn't known.
     """
 
     incarnation: str
@@ -74,6 +76,7 @@
     serving: bool = False
     holds_tokens: bool = False
     bandwidth: float = 0.0
+    cores: float = 0.0
 
     @property
     def digest(self) -> int:
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -12,7 +12,7 @@
 from whinrack.budgets import SpareSource, SpareTotal
 from whinrack.gossip._link import GossipLink
 from whinrack.gossip._messages import PeerState, TokenReply, TokenRequest
-from whinrack.gossip._peers import PeerTable, PeerView, prefer_wide_links
+from whinrack.gossip._peers import PeerTable, PeerView, prefer_strong
 
 __all__ = ["PeerSpares"]
 
@@ -121,7 +121,7 @@
         if own.ready or not states:
             states.append(own)
         # Wide links are those of the strong instances; whom callers use changes too often.
-        names = [state.sender.name for state in prefer_wide_links(states)]
+        names = [state.sender.name for state in prefer_strong(states)]
         return views.get(rendezvous(f"supply/{budget}", names)[0])
 
     def gather(
