Only instances whose calls the store answered lately lend tokens and write the books

Cause: an instance that is fed by a peer makes no calls, so it never noticed that the store was away, and said that it reached it. In a cut of all from the store its peers asked it for loans and sent it orders; when the store was back up to 80 such instances wrote the books at once. Ruled out: disagreement on the writer in calm times (no conflicts before the cut). The fixtures of the writers' and lenders' tests tell it, too.

--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -59,6 +59,8 @@
 _CLOCK_CHECK_SECONDS = 2.0
 # After the clock is judged, until budgets are drawn ahead.
 _PEERS_KNOWN_SECONDS = 1.0
+# The answer to a watch may be so late, beyond the time for which the watch is held.
+_WATCH_MARGIN_SECONDS = 1.0
 # A larger difference between the clocks' progress is a jump of the time of day.
 _CLOCK_JUMP_SECONDS = 0.25
 
@@ -184,6 +186,11 @@
         """Whether the store can be reached from here."""
         return self.contact.answers and self.keeper.store_answers
 
+    def confirms_store(self) -> bool:
+        """Whether the store has answered a call from here lately."""
+        silent = time.monotonic() - self.store.answered_at
+        return self.reaches_store() and silent < self.options.watch_seconds + _WATCH_MARGIN_SECONDS
+
     def gone_targets(self) -> list[GoneTarget]:
         """Return the targets whose records have gone lately."""
         return self.knowledge.gone_lately()
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -57,6 +57,10 @@
         """Whether the store can be reached from here."""
         raise NotImplementedError
 
+    def confirms_store(self) -> bool:
+        """Whether the store has answered a call from here lately."""
+        raise NotImplementedError
+
     def gone_targets(self) -> list[GoneTarget]:
         """Return the targets whose records have gone lately."""
         raise NotImplementedError
@@ -174,6 +178,7 @@
             data_hall=self.options.data_hall,
             ready=self.ready,
             store_answers=self.host.reaches_store(),
+            store_confirmed=self.host.confirms_store(),
             load=_in_steps(self.host.open_requests()),
             configuration=self.directory.version,
             serving=self.host.serves_callers(time.monotonic()),
--- a/whinrack/gossip/_drawers.py
+++ b/whinrack/gossip/_drawers.py
@@ -22,6 +22,9 @@
 # For so long the reply of a writer that has accepted orders is waited for: a slow store
 # makes both slow, and writing beside the writer would only collide with it.
 _WRITING_SECONDS = 1.0
+# Writers that are asked one after the other before an instance writes by itself: many that
+# write at once mostly collide.
+_MOST_WRITERS_ASKED = 2
 
 
 class _Question:
@@ -85,8 +88,10 @@
 
     def draw_books(self, orders: list[DrawOrder]) -> Result[dict[str, DrawResult], PlatformFailure]:
         """Apply one holder's orders for one account."""
-        writer = self._writer(orders[0].account)
-        if writer is not None:
+        for _ in range(_MOST_WRITERS_ASKED):
+            writer = self._writer(orders[0].account)
+            if writer is None:
+                break
             books = self._ask(writer, orders)
             if books is not None:
                 return Success(books)
@@ -119,10 +124,10 @@
         views = {
             view.state.sender.name: view
             for view in self.peers.live(now)
-            if view.state.store_answers and view.state.ready
+            if view.state.store_confirmed and view.state.ready
         }
-        wide = {state.sender.name for state in prefer_strong(self._candidates(views))}
-        for name in rendezvous(account, wide):
+        strong = {state.sender.name for state in prefer_strong(self._candidates(views))}
+        for name in rendezvous(account, strong):
             if name == self.name:
                 return None
             if self._avoided.get(name, 0.0) <= now:
@@ -130,7 +135,10 @@
         return None
 
     def _candidates(self, views: dict[str, PeerView]) -> list[PeerState]:
-        return [*(view.state for view in views.values()), self.own_state()]
+        """Return those that reach the store, this instance only if no peer does."""
+        own = self.own_state()
+        reaching = [view.state for view in views.values()]
+        return [*reaching, own] if own.store_confirmed or not reaching else reaching
 
     def _ask(self, writer: PeerView, orders: list[DrawOrder]) -> dict[str, DrawResult] | None:
         number = next(self._numbers)
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -49,7 +49,10 @@
     ready : bool
         Whether callers should be sent here.
     store_answers : bool
-        Whether the sender reaches the store.
+        Whether the sender's calls to the store, if it makes any, get answers.
+    store_confirmed : bool
+        Whether the store has answered a call of the sender within the last seconds. An
+        instance that is fed by a peer makes no calls, so it can't know.
     load : int
         Requests in progress.
     configuration : int
@@ -77,6 +80,7 @@
     holds_tokens: bool = False
     bandwidth: float = 0.0
     cores: float = 0.0
+    store_confirmed: bool = False
 
     @property
     def digest(self) -> int:
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -170,8 +170,12 @@
         return [view for view in self.live(now) if view.state.ready]
 
     def with_store(self, now: float) -> list[PeerView]:
-        """Return the live peers that reach the store; stopping ones only if no others do."""
-        reaching = [view for view in self.live(now) if view.state.store_answers]
+        """Return the live peers that reach the store; stopping ones only if no others do.
+
+        Those that made no call lately are left out: in an outage of the store for all, a
+        question to one of them would only wait in vain.
+        """
+        reaching = [view for view in self.live(now) if view.state.store_confirmed]
         return [view for view in reaching if view.state.ready] or reaching
 
     def serving(self, now: float) -> list[PeerView]:
--- a/whinrack/gossip/tests/test_drawers.py
+++ b/whinrack/gossip/tests/test_drawers.py
@@ -48,7 +48,7 @@
 def beat(name, **changes):
     fields = {"incarnation": f"{name}.1", "sequence": 1, "sender": PeerAddress(name, name, 1)}
     fields |= {"callers": "", "data_hall": "", "ready": True, "store_answers": True}
-    fields |= {"bandwidth": WIDE}
+    fields |= {"bandwidth": WIDE, "store_confirmed": True}
     return Heartbeat(state=PeerState(**fields | {"load": 0, "configuration": 1} | changes))
 
 
@@ -81,7 +81,21 @@
     assert (len(link.sent), len(books.written)) == (1, 2)
 
 
-@pytest.mark.parametrize("changes", [{"store_answers": False}, {"ready": False}])
+def test_a_second_writer_is_asked_before_an_instance_writes_beside_it(world):
+    drawer, peers, link, books = world
+    peers.heard(beat("m00"), 0.0)
+    peers.heard(beat("m01"), 0.0)
+
+    def only_the_second_replies(request):
+        if len(link.sent) > 1:
+            drawer.replied(DrawReply(request.question, {"b": DrawResult(drawn=9)}))
+
+    link.deliver = only_the_second_replies
+    assert drawer.draw_books(ORDERS).unwrap()["b"].drawn == 9
+    assert books.written == []
+
+
+@pytest.mark.parametrize("changes", [{"store_confirmed": False}, {"ready": False}])
 def test_an_instance_out_of_reach_or_stopping_is_no_writer(world, changes):
     drawer, peers, link, _ = world
     peers.heard(beat("m0", **changes), 0.0)
--- a/whinrack/gossip/tests/test_spares.py
+++ b/whinrack/gossip/tests/test_spares.py
@@ -19,6 +19,7 @@
         data_hall="",
         ready=ready,
         store_answers=store_answers,
+        store_confirmed=store_answers,
         load=0,
         configuration=1,
         holds_tokens=holds_tokens,
--- a/whinrack/store/_metered.py
+++ b/whinrack/store/_metered.py
@@ -1,11 +1,12 @@
 """Counts the calls to a store by operation and result."""
 
+import time
 from collections import Counter
 from collections.abc import Callable, Sequence
 
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
-from whinrack.exceptions import PlatformFailure
+from whinrack.exceptions import Conflict, NotFound, PlatformFailure
 from whinrack.store._types import Snapshot, StoredObject, WatchBatch
 from whinrack.store.base import ObjectStore
 
@@ -27,12 +28,15 @@
     ----------
     calls : Counter
         Calls by (operation, result).
+    answered_at : float
+        Steady clock when the store answered last, whatever it said.
     """
 
     def __init__(self, store: ObjectStore, count: Callable[[str, str], None]):
         self.store = store
         self.count = count
         self.calls: Counter[tuple[str, str]] = Counter()
+        self.answered_at = float("-inf")
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
         """Read one object."""
@@ -65,5 +69,7 @@
     def _counted(self, operation: str, result: Result) -> Result:
         outcome = result.failure().code if isinstance(result, Failure) else _DONE
         self.calls[operation, outcome] += 1
+        if isinstance(result, Success) or isinstance(result.failure(), NotFound | Conflict):
+            self.answered_at = time.monotonic()
         self.count(operation, outcome)
         return result
