What was left before an outage tells an exhausted budget in it; first event and pause in logs

Change: what was left is an upper bound until the limit changes, so there is no time limit on it; the supplier's covers count beside those of other peers.

--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -34,8 +34,6 @@
 
 # For so long the books that had nothing free aren't asked again.
 _NOTHING_FREE_SECONDS = 1.3
-# For so long the books tell how much is left at most, unless the limit is raised.
-_BOOKS_TELL_SECONDS = 5.0
 
 
 class GivenTotal(NamedTuple):
@@ -356,10 +354,12 @@
         return fresh and grant.last is not None and grant.last.free <= 0
 
     def _is_exhausted(self, grant: Grant, tokens: int) -> bool:
-        """Whether the budget can't cover a request beside those that run now."""
-        if self.clock() - grant.learnt_at >= _BOOKS_TELL_SECONDS:
-            return False
-        return tokens > grant.unspent_at_most()
+        """Whether the budget can't cover a request beside those that run now.
+
+        What was left when the books answered last is an upper bound until the limit is
+        raised, however long ago that was.
+        """
+        return self._orders.books_know_limit(grant) and tokens > grant.unspent_at_most()
 
     def _short(self, grant: Grant, tokens: int, draw: bool) -> bool:
         """Whether a peer can't get tokens before the books know of it."""
--- a/whinrack/budgets/_orders.py
+++ b/whinrack/budgets/_orders.py
@@ -69,12 +69,16 @@
         self._asked_at: float | None = None
         self._limits: dict[str, int] = {}
         self._limit_version = 0
+        self._limit_changed_in: dict[str, int] = {}
 
     def declare(self, version: int, limits: dict[str, int]) -> None:
         """Take in the limits of a newer version of the configuration."""
         if version <= self._limit_version:
             return
         self._limit_version = version
+        for budget, limit in limits.items():
+            if self._limits.get(budget) != limit:
+                self._limit_changed_in[budget] = version
         self._limits = dict(limits)
 
     def limited(self, budget: str) -> bool:
@@ -102,6 +106,11 @@
         """Learn from others' calls that the books can be reached again."""
         self._lost = False
 
+    def books_know_limit(self, grant: Grant) -> bool:
+        """Whether the books, when they answered last, had the limit that is in force here."""
+        changed_in = self._limit_changed_in.get(grant.ledger.budget, 0)
+        return grant.last is not None and grant.last.limit_version >= changed_in
+
     def due(self, grant: Grant) -> bool:
         """Whether the books should hear of a grant now."""
         if grant.ledger.closed:
--- a/whinrack/budgets/_peer_tokens.py
+++ b/whinrack/budgets/_peer_tokens.py
@@ -31,6 +31,7 @@
         need = self._missing(grant, tokens)
         for spare in self.spares.ask_supplier(budget, need, wish, received):
             grant.ledger.receive(spare.giver, spare.total)
+            grant.covering_elsewhere[spare.giver] = spare.covering
 
     def gather(self, grant: Grant, tokens: int) -> None:
         """Ask all peers for what they hold and may use."""
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -392,9 +392,7 @@
 
     def _pass_on(self, run: Run, block: EventBlock) -> None:
         run.exchange.write(block.data)
-        run.events += block.count
-        if block.last_id is not None:
-            run.last_id = block.last_id
+        run.note_passed_on(block.count, block.last_id)
 
     def _observe_first(self, run: Run) -> None:
         seconds = time.monotonic() - run.exchange.arrived
--- a/whinrack/dispatch/_run.py
+++ b/whinrack/dispatch/_run.py
@@ -25,6 +25,10 @@
         Some target may have begun to work on it.
     events, last_id
         Events relayed so far, and the id of the last one.
+    first_after : float
+        Seconds until the first event, 0 before it.
+    longest_pause : float
+        Longest time between two events that were passed on, seconds.
     billed : int
         Tokens of an answer that is known to be whole.
     """
@@ -49,6 +53,9 @@
         self.tried: set[str] = set()
         self.may_have_run = False
         self.events = 0
+        self.first_after = 0.0
+        self.longest_pause = 0.0
+        self._passed_on_at = 0.0
         self.last_id = request.resume_after
         self.target = ""
 
@@ -79,6 +86,18 @@
         """Time until the caller or the route gives up."""
         return self.end - time.monotonic()
 
+    def note_passed_on(self, count: int, last_id: int | None) -> None:
+        """Count events that were passed on, and the pause before them."""
+        now = time.monotonic()
+        if self.events:
+            self.longest_pause = max(self.longest_pause, now - self._passed_on_at)
+        else:
+            self.first_after = now - self.exchange.arrived
+        self._passed_on_at = now
+        self.events += count
+        if last_id is not None:
+            self.last_id = last_id
+
     def settle_not_run(self) -> None:
         """Give the whole cover back: no target worked on the request."""
         if self.cover is not None:
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -21,6 +21,8 @@
         target=run.target,
         attempts=run.attempts,
         events=run.events,
+        first=round(run.first_after, 4),
+        pause=round(run.longest_pause, 4),
         waited=_waited(run.exchange),
         configuration=run.configuration.version,
         **fields,
