--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -3,7 +3,7 @@
 import random
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 from returns.result import Failure
@@ -13,6 +13,8 @@
 from whinrack.dispatch._directory import Directory
 from whinrack.dispatch._events import EventBlock, event_blocks
 from whinrack.dispatch._last_words import settle_by_last_words
+from whinrack.dispatch._pacing import StreamPacing
+from whinrack.dispatch._patience import AnswerTimes
 from whinrack.dispatch._registry import TargetRegistry, TargetState
 from whinrack.dispatch._retries import RetryAllowance
 from whinrack.dispatch._run import Run
@@ -51,8 +53,9 @@
 _SERVER_ERROR = 500
 _UNREACHED_TRIES = 4
 _BUSY_RETRY_SECONDS = 0.25
-# A target that says nothing for so long is suspected to hang.
-_SILENT_SECONDS = 1.5
+# A stream without an event for so long is taken up at another target, where that is allowed:
+# callers give up after two seconds or more.
+_STALLED_SECONDS = 1.5
 # Of the rate of arriving requests, seconds.
 _ARRIVALS_HALF_LIFE = 2.0
 # Part of the connections that a target accepts which all instances together use.
@@ -63,11 +66,21 @@
 
 
 class DispatchOptions(msgspec.Struct, frozen=True):
-    """Retries that all instances share; see `RetryAllowance`."""
+    """Limits of the pipeline.
+
+    Attributes
+    ----------
+    retry_ratio, retry_slack, retry_window : float
+        Retries that all instances share; see `RetryAllowance`.
+    cores, event_delay : float
+        See `StreamPacing`.
+    """
 
     retry_ratio: float
     retry_slack: float
     retry_window: float
+    cores: float = 0.0
+    event_delay: float = 0.0
 
 
 class _AttemptFailed(Exception):
@@ -125,6 +138,8 @@
         self.in_progress = 0
         self.arrivals = DemandEstimate(half_life=_ARRIVALS_HALF_LIFE)
         self.refusing = False
+        self.answer_times = AnswerTimes()
+        self.pacing = StreamPacing(options.cores, options.event_delay)
         self._allowances: dict[str, RetryAllowance] = {}
 
     def use(self, options: DispatchOptions) -> None:
@@ -285,7 +300,7 @@
         try:
             return self.connections.take(state.address, run.end)
         except TargetUnavailable as failure:
-            state.ejection.failed(time.monotonic())
+            state.ejection.unreachable(time.monotonic())
             raise _AttemptFailed(_no_target(), counts=False) from failure
 
     def _exchange(
@@ -295,37 +310,52 @@
         may_have_run_before = run.may_have_run
         run.may_have_run = True
         began, answered = time.monotonic(), False
+        patience = self.answer_times.suspicious_after(pool)
+        has_another = self._has_another(run, pool, began)
+        head_end = min(run.end, began + patience) if has_another else run.end
         try:
             self._send(run, state, connection)
             head = connection.read_head(
-                run.end, lambda headers: self.dialect.is_answer_to(run.request, headers)
+                head_end, lambda headers: self.dialect.is_answer_to(run.request, headers)
             )
+            self.answer_times.observe(pool.name, time.monotonic() - began)
             if self.dialect.did_not_run(head):
                 run.may_have_run = may_have_run_before
                 self._refused_by_target(state, head)
             answered = True
             state.ejection.succeeded(time.monotonic())
             if run.route.kind is RouteKind.STREAM and head.status == _OK:
-                self._relay_stream(run, pool, connection, head)
+                silence = _STALLED_SECONDS if has_another else None
+                self._relay_stream(run, pool, connection.pieces(run.end, silence), head)
             else:
                 self._relay_whole(run, pool, connection, head)
         except AnswerCut as failure:
             state.ejection.failed(time.monotonic())
             raise _AttemptFailed(failure, counts=True) from failure
         except AttemptTimeout as failure:
-            self._suspect_silence(state, began, answered)
+            self._suspect_silence(state, began, answered, patience)
             raise _AttemptFailed(failure, counts=True) from failure
         except CallerGone:
-            self._suspect_silence(state, began, answered)
+            self._suspect_silence(state, began, answered, patience)
             # Nobody waits for an answer here, so there is time to learn what was made.
             if run.cover is not None and run.may_have_run:
                 settle_by_last_words(run, pool, connection, self.dialect, answered)
             raise
 
-    def _suspect_silence(self, state: TargetState, began: float, answered: bool) -> None:
+    def _has_another(self, run: Run, pool: PoolRecord, now: float) -> bool:
+        """Whether the request may still go to another target if this one is silent."""
+        if not run.route.may_run_again or run.attempts >= run.route.most_attempts:
+            return False
+        if not self._allowance(pool.name).has_permit(now, self.instances()):
+            return False
+        return self.registry.has_other(pool.name, run.tried, now)
+
+    def _suspect_silence(
+        self, state: TargetState, began: float, answered: bool, patience: float
+    ) -> None:
         """Count a target that was silent for long as failing; short waits tell nothing."""
         now = time.monotonic()
-        if not answered and now - began >= _SILENT_SECONDS:
+        if not answered and now - began >= patience:
             state.ejection.failed(now)
 
     def _send(self, run: Run, state: TargetState, connection: TargetConnection) -> None:
@@ -374,11 +404,11 @@
             raise AnswerCut(f"the target answered {head.status}")
 
     def _relay_stream(
-        self, run: Run, pool: PoolRecord, connection: TargetConnection, head: ResponseHead
+        self, run: Run, pool: PoolRecord, pieces: Iterator[bytes], head: ResponseHead
     ) -> None:
         """Pass events on as they come; the head goes out with the first one."""
         exchange = run.exchange
-        for block in event_blocks(connection.pieces(run.end), run.last_id):
+        for block in event_blocks(self.pacing.space(pieces), run.last_id):
             if not exchange.started:
                 exchange.start(head.status, _answer_headers(head))
                 self._observe_first(run)
--- /dev/null
+++ b/whinrack/dispatch/_pacing.py
@@ -0,0 +1,51 @@
+"""How long events of streams are collected before they are passed on together."""
+
+from collections.abc import Iterable, Iterator
+
+import eventlet
+
+__all__ = ["StreamPacing"]
+
+# Processor time to read and pass on one piece of a stream, seconds (benchmarks/bench_edge).
+_PIECE_SECONDS = 0.0002
+# Part of the processor that all streams together should take at most.
+_PART_OF_CORES = 0.25
+# Shorter pauses save nothing.
+_SHORTEST_SECONDS = 0.01
+
+
+class StreamPacing:
+    """Spaces the pieces of streams so that many of them don't use up the processor.
+
+    A piece costs the same with one event in it as with five. The more streams are open for
+    each core, the longer the pause after a piece, in which further events arrive.
+
+    Parameters
+    ----------
+    cores : float
+        Processor time that this instance may use, seconds a second; 0 if it isn't known.
+    longest : float
+        Most seconds that an event may be held; 0 for none.
+    """
+
+    def __init__(self, cores: float, longest: float):
+        self.cores = cores or 1.0
+        self.longest = longest
+        self.open_streams = 0
+
+    def pause(self) -> float:
+        """Return the seconds to wait after a piece, 0 for none."""
+        wanted = self.open_streams * _PIECE_SECONDS / (_PART_OF_CORES * self.cores)
+        return 0.0 if wanted < _SHORTEST_SECONDS else min(self.longest, wanted)
+
+    def space(self, pieces: Iterable[bytes]) -> Iterator[bytes]:
+        """Yield the pieces of one stream with pauses between them."""
+        self.open_streams += 1
+        try:
+            for piece in pieces:
+                yield piece
+                seconds = self.pause()
+                if seconds:
+                    eventlet.sleep(seconds)
+        finally:
+            self.open_streams -= 1
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -126,6 +126,13 @@
         """Return every known target of a pool."""
         return list(self._pools.get(pool, {}).values())
 
+    def has_other(self, pool: str, tried: Collection[str], now: float) -> bool:
+        """Whether a target of the pool that was not tried takes work."""
+        return any(
+            name not in tried and state.takes_work(now)
+            for name, state in self._pools.get(pool, {}).items()
+        )
+
     def choose(
         self,
         pool: str,
--- a/whinrack/dispatch/_retries.py
+++ b/whinrack/dispatch/_retries.py
@@ -41,11 +41,15 @@
         self._requests.append(now)
         self._forget(now)
 
-    def try_take(self, now: float, instances: int) -> bool:
-        """Take a permit for one further attempt, if there is one."""
+    def has_permit(self, now: float, instances: int) -> bool:
+        """Whether a further attempt would be permitted now."""
         self._forget(now)
         allowed = self.ratio * len(self._requests) + self.slack / max(1, instances)
-        if len(self._retries) + 1 > max(1.0, allowed * _SAFETY):
+        return len(self._retries) + 1 <= max(1.0, allowed * _SAFETY)
+
+    def try_take(self, now: float, instances: int) -> bool:
+        """Take a permit for one further attempt, if there is one."""
+        if not self.has_permit(now, instances):
             return False
         self._retries.append(now)
         return True
--- a/whinrack/dispatch/tests/test_decisions.py
+++ b/whinrack/dispatch/tests/test_decisions.py
@@ -186,6 +186,15 @@
     assert {choose(targets, now=1.5) for _ in range(40)} == {"a", "b"}
 
 
+def test_a_target_that_can_not_be_reached_is_set_aside_at_once():
+    targets = registry("a", "b")
+    (gone,) = [s for s in targets.of_pool("p") if s.record.incarnation == "a"]
+    gone.ejection.unreachable(0.0)
+    assert {choose(targets, now=0.1) for _ in range(9)} == {"b"}
+    assert not targets.has_other("p", {"b"}, 0.1)
+    assert targets.has_other("p", {"a"}, 0.1)
+
+
 def test_a_target_that_is_set_aside_is_better_than_none():
     targets = registry("a")
     for _ in range(3):
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -387,7 +387,13 @@
 
 
 def _dispatch_options(options: EdgeOptions) -> DispatchOptions:
-    return DispatchOptions(options.retry_ratio, options.retry_slack, options.retry_window)
+    return DispatchOptions(
+        options.retry_ratio,
+        options.retry_slack,
+        options.retry_window,
+        options.cores,
+        options.event_delay,
+    )
 
 
 def _keep_running(task: Callable[[], None]) -> None:
--- a/whinrack/edge/_options.py
+++ b/whinrack/edge/_options.py
@@ -39,6 +39,9 @@
         How far the time of day may have jumped between two runs.
     bandwidth : float
         Of the network link, Mbit/s; 0 if it isn't known.
+    event_delay : float
+        Most seconds that an event of a stream may be held here, so that several are passed
+        on together; 0 for none.
     cores : float
         Processor time that this instance may use, seconds a second; 0 if it isn't known.
     log_lines_per_second : float
@@ -68,6 +71,7 @@
     wall_margin_seconds: float = 3.5
     bandwidth: float = 0.0
     cores: float = 0.0
+    event_delay: float = 0.0
     log_lines_per_second: float = 150.0
 
 
--- a/whinrack/ejection/_policies.py
+++ b/whinrack/ejection/_policies.py
@@ -18,6 +18,10 @@
         """Learn of a failed or broken connection."""
         raise NotImplementedError
 
+    def unreachable(self, now: float) -> None:
+        """Learn that no connection could be made; by default a failure like others."""
+        self.failed(now)
+
     def succeeded(self, now: float) -> None:
         """Learn of an answer."""
         raise NotImplementedError
@@ -59,8 +63,17 @@
         """Learn of a failed or broken connection."""
         self._in_row += 1
         if self._in_row >= self.failures and not self.ejected(now):
-            self._until = now + self._period
-            self._period = min(self.longest, self._period * 2)
+            self._set_aside(now)
+
+    def unreachable(self, now: float) -> None:
+        """Set the target aside at once: each further try would cost its caller a wait."""
+        self._in_row = max(self._in_row + 1, self.failures)
+        if not self.ejected(now):
+            self._set_aside(now)
+
+    def _set_aside(self, now: float) -> None:
+        self._until = now + self._period
+        self._period = min(self.longest, self._period * 2)
 
     def succeeded(self, now: float) -> None:
         """Learn of an answer."""
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -16,7 +16,8 @@
 
 _READ_BYTES = 65_536
 _HEAD_BYTES = 65_536
-_CONNECT_SECONDS = 1.0
+# Targets are a few milliseconds away; a lost opening packet is sent again after a second only.
+_CONNECT_SECONDS = 0.3
 _DEFAULT_IDLE_SECONDS = 4.0
 # Part of a target's stated idle time for which a connection is used again.
 _IDLE_PART = 0.5
@@ -36,6 +37,8 @@
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES)
         self._request: RequestHead | None = None
         self._closed = False
+        # Was met behind data that had arrived with it; the next one to be returned.
+        self._waiting_event = None
 
     @classmethod
     def open(cls, address: tuple[str, int], seconds: float) -> "TargetConnection":
@@ -86,7 +89,7 @@
         raise AnswerCut("the target answers other requests only")
 
     def read_data(self, end: float) -> bytes | None:
-        """Return the next bytes of the body, None at its end.
+        """Return the next bytes of the body, all that have arrived; None at its end.
 
         Raises
         ------
@@ -94,14 +97,37 @@
         """
         event = self._next_event(end)
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return bytes(event.data) + self._rest_of_data()
         if isinstance(event, h11.EndOfMessage):
             return None
         raise AnswerCut("the answer ended early")
 
-    def pieces(self, end: float) -> Iterator[bytes]:
-        """Yield the body to its end; raises as `read_data` does."""
-        while (data := self.read_data(end)) is not None:
+    def _rest_of_data(self) -> bytes:
+        """Return what more of the body has been received, without waiting."""
+        parts = []
+        while self._waiting_event is None:
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError:
+                # Raised again when the data before it has been passed on.
+                break
+            if event is h11.NEED_DATA:
+                break
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            else:
+                self._waiting_event = event
+        return b"".join(parts)
+
+    def pieces(self, end: float, silence: float | None = None) -> Iterator[bytes]:
+        """Yield the body to its end; raises as `read_data` does.
+
+        Parameters
+        ----------
+        silence : float, optional
+            Seconds between two pieces after which the target counts as silent.
+        """
+        while (data := self.read_data(_earlier(end, silence))) is not None:
             yield data
 
     def finish_sending(self) -> None:
@@ -133,6 +159,9 @@
             self.sock.close()
 
     def _next_event(self, end: float):
+        if self._waiting_event is not None:
+            event, self._waiting_event = self._waiting_event, None
+            return event
         while True:
             try:
                 event = self._protocol.next_event()
@@ -222,6 +251,11 @@
                 idle.pop().close()
 
 
+def _earlier(end: float, seconds: float | None) -> float:
+    """Return the end, or the moment some seconds from now if that comes before it."""
+    return end if seconds is None else min(end, time.monotonic() + seconds)
+
+
 def _connect(address: tuple[str, int], seconds: float):
     sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.settimeout(seconds)
--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -195,3 +195,55 @@
         address = free.getsockname()
     with pytest.raises(TargetUnavailable):
         ConnectionPool().take(address, soon())
+
+
+def test_pieces_that_arrived_together_are_read_together(serve):
+    def script(sock):
+        read_request(sock)
+        head = b"HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        sock.sendall(head + b"1\r\na\r\n1\r\nb\r\n1\r\nc\r\n0\r\n\r\n")
+        read_request(sock)
+        sock.sendall(WHOLE)
+
+    server, pool, end = serve(script), ConnectionPool(), soon()
+    connection = pool.take(server.address, end)
+    connection.send(REQUEST, b"", end)
+    connection.read_head(end, is_own)
+    eventlet.sleep(0.05)
+    assert list(connection.pieces(end)) == [b"abc"]
+    pool.give_back(connection)
+    assert ask(pool, server)[1] == b"ok"
+
+
+def test_what_came_before_broken_bytes_is_read_first(serve):
+    def script(sock):
+        read_request(sock)
+        head = b"HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        sock.sendall(head + b"1\r\na\r\nnonsense\r\n")
+
+    server, pool, end = serve(script), ConnectionPool(), soon()
+    connection = pool.take(server.address, end)
+    connection.send(REQUEST, b"", end)
+    connection.read_head(end, is_own)
+    eventlet.sleep(0.05)
+    pieces = connection.pieces(end)
+    assert next(pieces) == b"a"
+    with pytest.raises(AnswerCut):
+        next(pieces)
+
+
+def test_a_target_that_stops_in_the_middle_is_silent_after_the_given_time(serve):
+    def script(sock):
+        read_request(sock)
+        head = b"HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        sock.sendall(head + b"1\r\na\r\n")
+        time.sleep(2.0)
+
+    server, pool, end = serve(script), ConnectionPool(), soon()
+    connection = pool.take(server.address, end)
+    connection.send(REQUEST, b"", end)
+    connection.read_head(end, is_own)
+    began = time.monotonic()
+    with pytest.raises(AttemptTimeout):
+        list(connection.pieces(end, silence=0.1))
+    assert time.monotonic() - began < 1.0
