Requests that wait together for a budget in vain are refused together

Cause: requests for one budget queue for their turn, and each made a full round of questions (supplier, books, peers: up to a second) before it was refused. Change: a round for as much that began after a request came and failed answers it too.

--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -101,6 +101,9 @@
         # The least that peers were asked for in vain, and when.
         self._scarce_tokens = 0
         self._scarce_at = float("-inf")
+        # The least that a round of questions failed to bring, and when that round began.
+        self._failed_tokens = 0
+        self._failed_round_began = float("-inf")
 
     @contextmanager
     def turn(self, tokens: int) -> Iterator[None]:
@@ -143,6 +146,14 @@
         """Whether peers did not have so many tokens a moment ago."""
         return tokens >= self._scarce_tokens and now - self._scarce_at < seconds
 
+    def note_failed_round(self, tokens: int, began: float) -> None:
+        """Learn that a round of questions did not bring so many tokens."""
+        self._failed_tokens, self._failed_round_began = tokens, began
+
+    def round_failed_since(self, moment: float, tokens: int) -> bool:
+        """Whether a round that began after a moment did not bring as much or less."""
+        return self._failed_round_began > moment and tokens >= self._failed_tokens
+
     def usable(self, now: float) -> int:
         """Tokens that may cover a request, or be given to a peer, now."""
         released = self.guard.most_used(now) - self.ledger.used
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -311,12 +311,24 @@
         return options.retry_after if self.store_answers else options.away_retry_after
 
     def _wait_and_refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
-        """Wait for requests that came before; what they brought may suffice for this one."""
+        """Wait for requests that came before; what they brought may suffice for this one.
+
+        A round of questions for as much that began after this request came, and failed, was
+        made for it too. Without that, 70 requests a second for one short budget queued for up
+        to 5 seconds before they were refused one by one.
+        """
+        arrived = self.clock()
         with grant.turn(tokens):
             cover = self._open(grant, tokens)
             if isinstance(cover, Success):
                 return cover
-            return self._refill(grant, tokens)
+            if grant.round_failed_since(arrived, tokens):
+                return self._refused(grant, tokens, cover)
+            began = self.clock()
+            cover = self._refill(grant, tokens)
+            if isinstance(cover, Failure):
+                grant.note_failed_round(tokens, began)
+            return cover
 
     def _refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
         cover = self._open(grant, tokens)
@@ -328,9 +340,15 @@
             cover = self._open(grant, tokens)
             if isinstance(cover, Success):
                 return cover
+        return self._refused(grant, tokens, cover)
+
+    def _refused(
+        self, grant: Grant, tokens: int, contended: Result[Cover, Refusal]
+    ) -> Result[Cover, Refusal]:
+        """Tell whether the budget is exhausted, or its tokens are held elsewhere."""
         if self._is_exhausted(grant, tokens):
             return Failure(BudgetExhausted(_left_text(grant, tokens)))
-        return cover
+        return contended
 
     def _ways(self, grant: Grant, tokens: int) -> tuple[Callable[[Grant, int], None], ...]:
         """Return what to try for more tokens, in order."""
--- a/whinrack/budgets/tests/test_waiting.py
+++ b/whinrack/budgets/tests/test_waiting.py
@@ -1,5 +1,7 @@
 """Requests that wait for the same budget at the same time."""
 
+import time
+
 import eventlet
 import pytest
 from eventlet.semaphore import Semaphore
@@ -145,3 +147,24 @@
     assert batch(need=5).is_urgent
     assert batch(final=True).is_urgent
     assert not batch(want=5).is_urgent
+
+
+class SilentPeers(NoPeers):
+    """One peer that never replies."""
+
+    def gather(self, budget, need, wish, received):
+        eventlet.sleep(0.05)
+        return []
+
+    def peers_asked(self):
+        return 1
+
+
+def test_requests_that_wait_together_in_vain_are_refused_together(books):
+    """Each round takes a while; one after the other they would outlast their callers."""
+    keeper = GrantKeeper("m.1", "a", books, SilentPeers(), GrantOptions(), make_lock=Semaphore)
+    keeper.declare(1, {BUDGET: 1_000})
+    began = time.monotonic()
+    waiters = [eventlet.spawn(keeper.cover, BUDGET, 5_000) for _ in range(30)]
+    assert all(isinstance(waiter.wait(), Failure) for waiter in waiters)
+    assert time.monotonic() - began < 1.0
