--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -16,8 +16,14 @@
 
 _READ_BYTES = 65_536
 _HEAD_BYTES = 65_536
-# Targets are a few milliseconds away; a lost opening packet is sent again after a second only.
-_CONNECT_SECONDS = 0.3
+# Patience with a new connection: so many times as long as they usually take from here, in
+# seconds at least and at most. Targets are a few milliseconds away, and a lost opening packet
+# is sent again after a second; but an instance whose own link or processor is full must not
+# take that for a fault of its targets.
+_CONNECT_FACTOR = 8.0
+_CONNECT_BOUNDS = (0.3, 1.0)
+# Weight of the latest connection in the usual time.
+_CONNECT_WEIGHT = 0.1
 _DEFAULT_IDLE_SECONDS = 4.0
 # Part of a target's stated idle time for which a connection is used again.
 _IDLE_PART = 0.5
@@ -208,18 +214,18 @@
 
 
 class ConnectionPool:
-    """Idle connections by target, the one used last first.
+    """Idle connections by target, the one used last first."""
 
-    Parameters
-    ----------
-    connect_seconds : float
-        Patience with a new connection.
-    """
-
-    def __init__(self, connect_seconds: float = _CONNECT_SECONDS):
-        self.connect_seconds = connect_seconds
+    def __init__(self):
+        self._usual_seconds = 0.0
         self._idle: dict[tuple[str, int], list[TargetConnection]] = {}
 
+    @property
+    def connect_seconds(self) -> float:
+        """Patience with a new connection."""
+        least, most = _CONNECT_BOUNDS
+        return min(most, max(least, _CONNECT_FACTOR * self._usual_seconds))
+
     def take(self, address: tuple[str, int], end: float) -> TargetConnection:
         """Return a kept connection, or a new one.
 
@@ -233,8 +239,13 @@
             if connection.prepare_next():
                 return connection
             connection.close()
-        left = min(self.connect_seconds, end - time.monotonic())
-        return TargetConnection.open(address, max(0.01, left))
+        began = time.monotonic()
+        try:
+            return TargetConnection.open(address, max(0.01, min(self.connect_seconds, end - began)))
+        finally:
+            # Failed ones too: where all fail after the same time, the link is to blame.
+            took = time.monotonic() - began
+            self._usual_seconds += _CONNECT_WEIGHT * (took - self._usual_seconds)
 
     def give_back(self, connection: TargetConnection) -> None:
         """Keep a connection whose answer ended cleanly; close any other."""
--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -247,3 +247,14 @@
     with pytest.raises(AttemptTimeout):
         list(connection.pieces(end, silence=0.1))
     assert time.monotonic() - began < 1.0
+
+
+def test_patience_with_new_connections_follows_what_they_usually_take(serve, monkeypatch):
+    pool = ConnectionPool()
+    assert pool.connect_seconds == 0.3
+    clock = iter(range(1000))
+    monkeypatch.setattr("whinrack.http1._client.time.monotonic", lambda: next(clock) / 10)
+    server = serve(lambda sock: sock.recv(1))
+    for _ in range(30):
+        pool.take(server.address, 1e9).close()
+    assert 0.7 < pool.connect_seconds < 0.9
