--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -53,9 +53,6 @@
 _SERVER_ERROR = 500
 _UNREACHED_TRIES = 4
 _BUSY_RETRY_SECONDS = 0.25
-# A stream without an event for so long is taken up at another target, where that is allowed:
-# callers give up after two seconds or more.
-_STALLED_SECONDS = 1.5
 # Of the rate of arriving requests, seconds.
 _ARRIVALS_HALF_LIFE = 2.0
 # Part of the connections that a target accepts which all instances together use.
@@ -325,8 +322,7 @@
             answered = True
             state.ejection.succeeded(time.monotonic())
             if run.route.kind is RouteKind.STREAM and head.status == _OK:
-                silence = _STALLED_SECONDS if has_another else None
-                self._relay_stream(run, pool, connection.pieces(run.end, silence), head)
+                self._relay_stream(run, pool, connection.pieces(run.end), head)
             else:
                 self._relay_whole(run, pool, connection, head)
         except AnswerCut as failure:
@@ -343,8 +339,15 @@
             raise
 
     def _has_another(self, run: Run, pool: PoolRecord, now: float) -> bool:
-        """Whether the request may still go to another target if this one is silent."""
-        if not run.route.may_run_again or run.attempts >= run.route.most_attempts:
+        """Whether the request may still go to another target if this one is silent.
+
+        Not where engines run it: a run that is given up may have handed out tokens, which
+        are billed, and a busy engine only gets more to do. With it, 14 in 100 requests were
+        refused for their budgets on a day with silent engines, and 4 in 100 without.
+        """
+        if pool.engine is not None or run.attempts >= run.route.most_attempts:
+            return False
+        if not run.route.may_run_again:
             return False
         if not self._allowance(pool.name).has_permit(now, self.instances()):
             return False
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -125,15 +125,9 @@
                 self._waiting_event = event
         return b"".join(parts)
 
-    def pieces(self, end: float, silence: float | None = None) -> Iterator[bytes]:
-        """Yield the body to its end; raises as `read_data` does.
-
-        Parameters
-        ----------
-        silence : float, optional
-            Seconds between two pieces after which the target counts as silent.
-        """
-        while (data := self.read_data(_earlier(end, silence))) is not None:
+    def pieces(self, end: float) -> Iterator[bytes]:
+        """Yield the body to its end; raises as `read_data` does."""
+        while (data := self.read_data(end)) is not None:
             yield data
 
     def finish_sending(self) -> None:
@@ -262,11 +256,6 @@
                 idle.pop().close()
 
 
-def _earlier(end: float, seconds: float | None) -> float:
-    """Return the end, or the moment some seconds from now if that comes before it."""
-    return end if seconds is None else min(end, time.monotonic() + seconds)
-
-
 def _connect(address: tuple[str, int], seconds: float):
     sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.settimeout(seconds)
