--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -3,15 +3,15 @@
 import random
 import sys
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Failure
 
 from whinrack.base import Outcome
 from whinrack.budgets import DemandEstimate, GrantKeeper
+from whinrack.dispatch._answers import AnswerRelay
 from whinrack.dispatch._directory import Directory
-from whinrack.dispatch._events import EventBlock, event_blocks
 from whinrack.dispatch._last_words import settle_by_last_words
 from whinrack.dispatch._pacing import StreamPacing
 from whinrack.dispatch._patience import AnswerTimes
@@ -39,11 +39,9 @@
 from whinrack.http1 import (
     ConnectionPool,
     Exchange,
-    Headers,
     RequestHead,
     ResponseHead,
     TargetConnection,
-    end_to_end_headers,
 )
 from whinrack.observability import Event, Metrics, log_event
 
@@ -136,7 +134,7 @@
         self.arrivals = DemandEstimate(half_life=_ARRIVALS_HALF_LIFE)
         self.refusing = False
         self.answer_times = AnswerTimes()
-        self.pacing = StreamPacing(options.cores, options.event_delay)
+        self.answers = AnswerRelay(metrics, StreamPacing(options.cores, options.event_delay))
         self._allowances: dict[str, RetryAllowance] = {}
 
     def use(self, options: DispatchOptions) -> None:
@@ -321,10 +319,7 @@
                 self._refused_by_target(state, head)
             answered = True
             state.ejection.succeeded(time.monotonic())
-            if run.route.kind is RouteKind.STREAM and head.status == _OK:
-                self._relay_stream(run, pool, connection.pieces(run.end), head)
-            else:
-                self._relay_whole(run, pool, connection, head)
+            self._pass_on(run, pool, connection, head)
         except AnswerCut as failure:
             state.ejection.failed(time.monotonic())
             raise _AttemptFailed(failure, counts=True) from failure
@@ -385,19 +380,18 @@
 
     # --- answers -----------------------------------------------------------------
 
-    def _relay_whole(
+    def _pass_on(
         self, run: Run, pool: PoolRecord, connection: TargetConnection, head: ResponseHead
     ) -> None:
-        """Pass an answer on once all of it is here."""
-        body = b"".join(connection.pieces(run.end))
+        """Pass a target's answer on: streams as they come, others once all of it is here."""
+        pieces = connection.pieces(run.end)
+        if run.route.kind is RouteKind.STREAM and head.status == _OK:
+            self.answers.pass_stream(run, pool, head, pieces)
+            return
+        body = b"".join(pieces)
         if head.status >= _SERVER_ERROR and run.route.kind is RouteKind.REPEATABLE:
             self._run_again(run, head)
-        if run.exchange.started:
-            raise AnswerCut(f"the target answered {head.status} in the middle of a stream")
-        run.settle_whole(pool)
-        run.exchange.respond(head.status, _answer_headers(head), body)
-        log_run(Event.REQUEST_ANSWERED, run, status=head.status, billed=run.billed)
-        self.metrics.requests.labels(str(run.route.kind), str(head.status)).inc()
+        self.answers.pass_whole(run, pool, head, body)
 
     def _run_again(self, run: Run, head: ResponseHead) -> None:
         """Try another target after a target's own failure, where that is allowed."""
@@ -406,31 +400,6 @@
         if run.attempts < run.route.most_attempts and others is not None:
             raise AnswerCut(f"the target answered {head.status}")
 
-    def _relay_stream(
-        self, run: Run, pool: PoolRecord, pieces: Iterator[bytes], head: ResponseHead
-    ) -> None:
-        """Pass events on as they come; the head goes out with the first one."""
-        exchange = run.exchange
-        for block in event_blocks(self.pacing.space(pieces), run.last_id):
-            if not exchange.started:
-                exchange.start(head.status, _answer_headers(head))
-                self._observe_first(run)
-            self._pass_on(run, block)
-        if not exchange.started:
-            exchange.start(head.status, _answer_headers(head))
-        run.settle_whole(pool)
-        exchange.finish()
-        log_run(Event.REQUEST_ANSWERED, run, status=head.status, billed=run.billed)
-        self.metrics.requests.labels(str(run.route.kind), str(head.status)).inc()
-
-    def _pass_on(self, run: Run, block: EventBlock) -> None:
-        run.exchange.write(block.data)
-        run.note_passed_on(block.count, block.last_id)
-
-    def _observe_first(self, run: Run) -> None:
-        seconds = time.monotonic() - run.exchange.arrived
-        self.metrics.first_byte.labels(str(run.route.kind)).observe(seconds)
-
     # --- refusals ----------------------------------------------------------------
 
     def _refuse(
@@ -448,8 +417,3 @@
 
 def _no_target() -> Refusal:
     return TargetUnavailable("no target takes work now", retry_after=_BUSY_RETRY_SECONDS)
-
-
-def _answer_headers(head: ResponseHead) -> Headers:
-    """Return an answer's headers without those that frame it: the edge frames anew."""
-    return [field for field in end_to_end_headers(head.headers) if field[0] != b"content-length"]
