A release that is carried out late names the runs that it closes

A slow writer could carry it out after a third run had started, and free tokens that run was spending. Change: the asking run reads which runs of its instance have open rows; those have ended, and the request names them. Instances without such rows ask nobody. The new test fails with the rows chosen when the release is carried out.

--- a/whinrack/budgets/__init__.py
+++ b/whinrack/budgets/__init__.py
@@ -15,7 +15,13 @@
 from whinrack.budgets._keeper import BudgetKeeper, SpareSource, SpareTotal, TokenSource
 from whinrack.budgets._ledger import BudgetLedger, Cover
 from whinrack.budgets._reading import books_for, draw_result, read_books
-from whinrack.budgets._release import ReleasedRow, RunRelease, release_earlier_runs, release_holder
+from whinrack.budgets._release import (
+    ReleasedRow,
+    RunRelease,
+    earlier_runs,
+    release_earlier_runs,
+    release_holder,
+)
 from whinrack.budgets._schedule import (
     ReleaseGuard,
     ReleaseSchedule,
@@ -54,6 +60,7 @@
     "books_for",
     "draw_result",
     "read_books",
+    "earlier_runs",
     "release_earlier_runs",
     "release_holder",
 ]
--- a/whinrack/budgets/_drawer.py
+++ b/whinrack/budgets/_drawer.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable
 
-from returns.result import Result
+from returns.result import Failure, Result, Success
 
 from whinrack.budgets._books import BudgetAccount, DrawOrder, DrawResult
 from whinrack.budgets._draws import apply_draws
 from whinrack.budgets._keeper import TokenSource
 from whinrack.budgets._reading import books_for, draw_result
-from whinrack.budgets._release import ReleasedRow, RunRelease, release_earlier_runs
-from whinrack.exceptions import PlatformFailure
+from whinrack.budgets._release import ReleasedRow, RunRelease, earlier_runs, release_earlier_runs
+from whinrack.exceptions import NotFound, PlatformFailure
 from whinrack.store import ObjectEditor, ObjectStore
 
 __all__ = ["ACCOUNT_KIND", "AccountDrawer", "BookSource", "OrderBatch"]
@@ -36,8 +36,7 @@
         """Change the books; None where nothing is left to do."""
         # Anew with newer books after a conflict.
         self.released = {
-            release.holder: release_earlier_runs(account, release.holder, release.restart)
-            for release in self.releases
+            release.holder: release_earlier_runs(account, release) for release in self.releases
         }
         drawn = apply_draws(account, self.orders)
         return account if drawn is None and any(self.released.values()) else drawn
@@ -59,6 +58,10 @@
         """Apply one holder's orders for one account; returns the state of all budgets."""
         raise NotImplementedError
 
+    def earlier_runs(self, account: str, holder: str) -> Result[list[str], PlatformFailure]:
+        """Read which earlier runs of the holder's instance have open rows."""
+        raise NotImplementedError
+
     def release(
         self, account: str, release: RunRelease
     ) -> Result[list[ReleasedRow], PlatformFailure]:
@@ -121,6 +124,13 @@
         batch.orders.extend(orders)
         return self._written(account, batch)
 
+    def earlier_runs(self, account: str, holder: str) -> Result[list[str], PlatformFailure]:
+        """Read which earlier runs of the holder's instance have open rows."""
+        books = self._editor.read(account)
+        if isinstance(books, Failure) and isinstance(books.failure(), NotFound):
+            return Success([])
+        return books.map(lambda value: earlier_runs(value, holder))
+
     def release(
         self, account: str, release: RunRelease
     ) -> Result[list[ReleasedRow], PlatformFailure]:
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -248,7 +248,12 @@
         self, restart: RestartMoment
     ) -> Result[list[ReleasedRow], PlatformFailure]:
         """Give back what earlier runs of this instance held and can't have used."""
-        return self.books.release(self.account, RunRelease(self.holder, restart))
+        ended = self.books.earlier_runs(self.account, self.holder)
+        if isinstance(ended, Failure):
+            return ended
+        if not ended.unwrap():
+            return Success([])
+        return self.books.release(self.account, RunRelease(self.holder, restart, ended.unwrap()))
 
     def summary(self) -> str:
         """Return what is known of every budget, for the log."""
--- a/whinrack/budgets/_release.py
+++ b/whinrack/budgets/_release.py
@@ -6,7 +6,13 @@
 from whinrack.budgets._books import AccountRow, BudgetAccount
 from whinrack.budgets._schedule import RestartMoment
 
-__all__ = ["ReleasedRow", "RunRelease", "release_earlier_runs", "release_holder"]
+__all__ = [
+    "ReleasedRow",
+    "RunRelease",
+    "earlier_runs",
+    "release_earlier_runs",
+    "release_holder",
+]
 
 
 class ReleasedRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -37,10 +43,14 @@
         The present run, whose start proves that earlier ones have ended.
     restart : RestartMoment
         When the present run started.
+    ended : list of str
+        Those earlier runs, by name: a request that is carried out late must not touch a run
+        that has started since.
     """
 
     holder: str
     restart: RestartMoment
+    ended: list[str]
 
 
 def release_holder(
@@ -67,17 +77,25 @@
     return account
 
 
-def release_earlier_runs(
-    account: BudgetAccount | None, holder: str, restart: RestartMoment
-) -> list[ReleasedRow]:
-    """Close the rows of earlier runs of the holder's instance; their unused tokens are free.
+def earlier_runs(account: BudgetAccount | None, holder: str) -> list[str]:
+    """Return the runs of the holder's instance, but itself, that have open rows.
 
-    Parameters
-    ----------
-    holder : str
-        The present run, whose start proves that earlier ones have ended.
-    restart : RestartMoment
-        When the present run started.
+    For the holder itself to ask: as long as it runs, all others have ended.
+    """
+    if account is None:
+        return []
+    return sorted(
+        {
+            name
+            for entry in account.budgets.values()
+            for name, row in entry.rows.items()
+            if not row.closed and name != holder and instance_of(name) == instance_of(holder)
+        }
+    )
+
+
+def release_earlier_runs(account: BudgetAccount | None, release: RunRelease) -> list[ReleasedRow]:
+    """Close the rows of runs that have ended; their unused tokens are free.
 
     Returns
     -------
@@ -92,10 +110,10 @@
     if account is None:
         return []
     return [
-        _release_row(budget, row, restart)
+        _release_row(budget, entry.rows[name], release.restart)
         for budget, entry in account.budgets.items()
-        for name, row in entry.rows.items()
-        if not row.closed and name != holder and instance_of(name) == instance_of(holder)
+        for name in release.ended
+        if name in entry.rows and not entry.rows[name].closed
     ]
 
 
--- a/whinrack/budgets/tests/test_schedule.py
+++ b/whinrack/budgets/tests/test_schedule.py
@@ -8,7 +8,9 @@
     ReleaseGuard,
     ReleaseSchedule,
     RestartMoment,
+    RunRelease,
     apply_draws,
+    earlier_runs,
     release_earlier_runs,
 )
 
@@ -17,6 +19,12 @@
     return ReleaseSchedule(base=base, rate=rate, steady=steady, wall=wall)
 
 
+def released(account, holder):
+    """Release what earlier runs of the holder's instance held."""
+    restart = RestartMoment(102.0, 1002.0, 3.5)
+    return release_earlier_runs(account, RunRelease(holder, restart, earlier_runs(account, holder)))
+
+
 def test_nothing_may_be_used_before_a_schedule_is_stated():
     assert ReleaseGuard().most_used(0.0) == 0
 
@@ -71,7 +79,7 @@
 
 def test_the_next_run_gives_back_what_the_schedule_did_not_release():
     account = books(billed=40, schedule=schedule(100, rate=10.0))
-    rows = release_earlier_runs(account, "m.2", RestartMoment(102.0, 1002.0, 3.5))
+    rows = released(account, "m.2")
     entry = account.budgets["b"]
     # Of 300, at most 100 + 20 were used; 40 of these are billed.
     assert (entry.free, entry.unproven, entry.billed) == (880, 80, 40)
@@ -80,19 +88,31 @@
 
 def test_without_a_schedule_nothing_of_a_dead_run_comes_back():
     account = books(billed=40)
-    release_earlier_runs(account, "m.2", RestartMoment(102.0, 1002.0, 3.5))
+    released(account, "m.2")
     entry = account.budgets["b"]
     assert (entry.free, entry.unproven) == (700, 260)
 
 
 def test_only_runs_of_the_same_instance_are_released():
     account = books(schedule=schedule(0))
-    assert release_earlier_runs(account, "n.1", RestartMoment(102.0, 1002.0, 3.5)) == []
+    assert released(account, "n.1") == []
+
+
+def test_a_release_that_is_carried_out_late_does_not_touch_a_run_that_started_since():
+    """A writer may be slow; by then a third run of the instance may spend its own grant."""
+    account = books(schedule=schedule(0))
+    asked = RunRelease("m.2", RestartMoment(102.0, 1002.0, 3.5), earlier_runs(account, "m.2"))
+    newest = DrawOrder(account="a", budget="b", holder="m.3", sequence=1, need=200, opening=True)
+    apply_draws(account, [newest])
+    release_earlier_runs(account, asked)
+    rows = account.budgets["b"].rows
+    assert (rows["m.1"].closed, rows["m.3"].closed) == (True, False)
+    assert rows["m.3"].outstanding == 200
 
 
 def test_an_order_that_comes_after_the_release_changes_nothing():
     account = books(schedule=schedule(0))
-    release_earlier_runs(account, "m.2", RestartMoment(102.0, 1002.0, 3.5))
+    released(account, "m.2")
     late = DrawOrder(**_SECOND | {"sequence": 3, "need": 100})
     assert apply_draws(account, [late]) is None
 
--- a/whinrack/gossip/_drawers.py
+++ b/whinrack/gossip/_drawers.py
@@ -111,6 +111,10 @@
             lambda: self.local.draw_books(orders),
         )
 
+    def earlier_runs(self, account: str, holder: str) -> Result[list[str], PlatformFailure]:
+        """Read which earlier runs of the holder's instance have open rows."""
+        return self.local.earlier_runs(account, holder)
+
     def release(
         self, account: str, release: RunRelease
     ) -> Result[list[ReleasedRow], PlatformFailure]:
--- a/whinrack/gossip/tests/test_drawers.py
+++ b/whinrack/gossip/tests/test_drawers.py
@@ -29,7 +29,7 @@
 ORDERS = [DrawOrder(account="a", budget="b", holder="m1.1", sequence=1, need=5)]
 
 
-RELEASE = RunRelease("m1.2", RestartMoment(1.0, 2.0, 3.5))
+RELEASE = RunRelease("m1.2", RestartMoment(1.0, 2.0, 3.5), ["m1.1"])
 ROW = ReleasedRow(budget="b", written_off=1, freed=2, seconds=0.5)
 
 
