Sight: each send and each turn to leaving tells how old the list of targets was

An incident (requests at targets that had said they leave) leaves hypotheses that the logs can't tell apart: a silent connection to the store, a feeder that is behind, a pause between choice and send, a leaving target that comes back. No decision changes with this commit.

- The relay's answers to fed peers carry the seconds since the store confirmed what they hold.
- Lines on requests carry revision, age and source of the list that the choice stood on; lines on turns to leaving carry the record's version and the same; platform_lost says which call failed and how long the store was silent; feed_changed tells through whom a kind is followed.
- whinrack_targets_age_seconds.

Removed: log_counted, which nothing called.

--- a/whinrack/dispatch/__init__.py
+++ b/whinrack/dispatch/__init__.py
@@ -15,6 +15,7 @@
     Route,
     RouteKind,
     TargetRecord,
+    TargetsView,
     WorkspaceRecord,
 )
 from whinrack.dispatch.base import Dialect
@@ -35,6 +36,7 @@
     "Route",
     "RouteKind",
     "TargetRecord",
+    "TargetsView",
     "TargetRegistry",
     "TargetState",
     "WorkspaceRecord",
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -24,7 +24,14 @@
     log_run,
     log_uncovered,
 )
-from whinrack.dispatch._values import Attempt, IncomingRequest, PoolRecord, Route, RouteKind
+from whinrack.dispatch._values import (
+    Attempt,
+    IncomingRequest,
+    PoolRecord,
+    Route,
+    RouteKind,
+    TargetsView,
+)
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
     AnswerCut,
@@ -109,6 +116,8 @@
     options : DispatchOptions
     instances : callable
         Returns the number of instances that share the retries.
+    targets_view : callable
+        Returns how up to date the registry is, for the log.
     """
 
     def __init__(
@@ -121,6 +130,7 @@
         metrics: Metrics,
         options: DispatchOptions,
         instances: Callable[[], int],
+        targets_view: Callable[[], TargetsView],
     ):
         self.dialect = dialect
         self.directory = directory
@@ -130,6 +140,7 @@
         self.metrics = metrics
         self.options = options
         self.instances = instances
+        self.targets_view = targets_view
         self.in_progress = 0
         self.arrivals = DemandEstimate(half_life=_ARRIVALS_HALF_LIFE)
         self.refusing = False
@@ -274,6 +285,8 @@
             raise _AttemptFailed(_no_target(), counts=False)
         run.tried.add(state.record.incarnation)
         run.target = state.record.incarnation
+        run.targets_view = self.targets_view()
+        self.metrics.targets_age.set(run.targets_view.age)
         self.registry.started(state)
         connection = None
         try:
--- a/whinrack/dispatch/_run.py
+++ b/whinrack/dispatch/_run.py
@@ -4,7 +4,13 @@
 
 from whinrack.budgets import Cover
 from whinrack.dispatch._configuration import Configuration
-from whinrack.dispatch._values import IncomingRequest, PoolRecord, Route, WorkspaceRecord
+from whinrack.dispatch._values import (
+    IncomingRequest,
+    PoolRecord,
+    Route,
+    TargetsView,
+    WorkspaceRecord,
+)
 from whinrack.http1 import Exchange
 
 __all__ = ["Run"]
@@ -29,6 +35,8 @@
         Seconds until the first event, 0 before it.
     longest_pause : float
         Longest time between two events that were passed on, seconds.
+    targets_view : TargetsView
+        What the latest choice of a target stood on.
     billed : int
         Tokens of an answer that is known to be whole.
     """
@@ -58,6 +66,7 @@
         self._passed_on_at = 0.0
         self.last_id = request.resume_after
         self.target = ""
+        self.targets_view = TargetsView()
 
     @property
     def label(self) -> str:
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -8,7 +8,7 @@
 from whinrack.http1 import Exchange
 from whinrack.observability import Event, log_event
 
-__all__ = ["log_attempt", "log_counted", "log_refusal", "log_run", "log_uncovered"]
+__all__ = ["log_attempt", "log_refusal", "log_run", "log_uncovered"]
 
 
 def log_run(event: Event, run: Run, **fields) -> None:
@@ -19,6 +19,7 @@
         route=run.route.name,
         workspace=run.workspace_name,
         target=run.target,
+        targets=run.targets_view,
         attempts=run.attempts,
         events=run.events,
         first=round(run.first_after, 4),
@@ -40,12 +41,6 @@
     )
 
 
-def log_counted(run: Run) -> None:
-    """Tell that a cover counts in full."""
-    declared = run.request.cover
-    log_run(Event.COVER_COUNTED, run, tokens=declared.total, output=declared.output)
-
-
 def log_uncovered(run: Run, tokens: int, keeper: GrantKeeper) -> None:
     """Tell that tokens could not be set aside, and what was known of the budget."""
     last = keeper.last_known(run.workspace_name)
--- a/whinrack/dispatch/_values.py
+++ b/whinrack/dispatch/_values.py
@@ -16,6 +16,7 @@
     "Route",
     "RouteKind",
     "TargetRecord",
+    "TargetsView",
     "WorkspaceRecord",
 ]
 
@@ -134,6 +135,27 @@
     leaving: bool = False
 
 
+class TargetsView(msgspec.Struct, frozen=True):
+    """How up to date the list of targets is that a choice stands on.
+
+    Attributes
+    ----------
+    revision : int
+        The store's revision that the list is at.
+    age : float
+        Seconds since the store itself confirmed that.
+    source : str
+        Who told it last, the store or a peer.
+    """
+
+    revision: int = 0
+    age: float = 0.0
+    source: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.revision}@{self.age:.1f} {self.source}"
+
+
 class DeclaredCover(msgspec.Struct, frozen=True):
     """The most tokens that a request can use, as its caller declares it."""
 
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -142,6 +142,7 @@
             self.metrics,
             _dispatch_options(options),
             self.membership.sharing_instances,
+            self.knowledge.targets_view,
         )
         self.small_answers = small_answers
         self.front = HttpServer(
@@ -244,7 +245,9 @@
         log_event(Event.CONFIG_TAKEN, version=configuration.version)
 
     def _contact_changed(self, answers: bool) -> None:
-        log_event(Event.PLATFORM_BACK if answers else Event.PLATFORM_LOST)
+        silent = round(time.monotonic() - self.store.answered_at, 3)
+        event = Event.PLATFORM_BACK if answers else Event.PLATFORM_LOST
+        log_event(event, silent=silent, why=self.store.last_failure)
         if answers:
             self.keeper.store_regained()
 
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -8,7 +8,7 @@
 import eventlet
 from returns.result import Success
 
-from whinrack.dispatch import Directory, TargetRecord, TargetRegistry
+from whinrack.dispatch import Directory, TargetRecord, TargetRegistry, TargetsView
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import HostPort
 from whinrack.edge._relay import WatchRelay
@@ -121,6 +121,11 @@
         """Return what peers may learn from here."""
         return SharedKnowledge(self._configuration, tuple(self._targets.values()))
 
+    def targets_view(self) -> TargetsView:
+        """Return how up to date the targets are here."""
+        relay = self._target_list.relay
+        return TargetsView(relay.revision or 0, relay.age(), self._target_list.source)
+
     def suspect_configuration(self, peer: HostPort) -> None:
         """Catch up in the background with a peer that has a newer configuration."""
         if not self._reading:
@@ -211,12 +216,22 @@
         self._targets = listed
         records = [record for record in map(self._read_target, objects) if record is not None]
         for incarnation in self.registry.replace_all(records):
-            log_event(Event.TARGET_LEAVING, target=incarnation, source="list")
+            self._log_leaving(incarnation, "list")
 
     def _change_targets(self, objects: tuple[StoredObject, ...], source: str = "watch") -> None:
         for stored in objects:
             if self._turned_to_leaving(stored):
-                log_event(Event.TARGET_LEAVING, target=stored.name, source=source)
+                self._log_leaving(stored.name, source, stored.version)
+
+    def _log_leaving(self, incarnation: str, how: str, version: int = 0) -> None:
+        """Tell that a target takes no new work, who said so and how old that word is."""
+        log_event(
+            Event.TARGET_LEAVING,
+            target=incarnation,
+            source=how,
+            version=version,
+            targets=self.targets_view(),
+        )
 
     def _turned_to_leaving(self, stored: StoredObject) -> bool:
         if stored.deleted:
--- a/whinrack/edge/_relay.py
+++ b/whinrack/edge/_relay.py
@@ -5,6 +5,7 @@
 store's own, so a peer may go on at another instance, or at the store, where it left off.
 """
 
+import time
 from collections import deque
 from collections.abc import Sequence
 from urllib.parse import parse_qs, urlsplit
@@ -31,13 +32,22 @@
 # Changes that are kept for peers.
 _MOST_CHANGES = 2000
 _ENCODED_KEPT = 4
+# Ages are told in tenths of a second, so that peers that ask together get the same bytes.
+_AGE_DIGITS = 1
 
 
 class KindRelay:
-    """The objects of one kind as far as they were followed."""
+    """The objects of one kind as far as they were followed.
+
+    Attributes
+    ----------
+    confirmed_at : float
+        Steady clock when the store said last that this is up to date; 0 if it never did.
+    """
 
     def __init__(self):
         self.revision: int | None = None
+        self.confirmed_at = 0.0
         self._objects: dict[str, StoredObject] = {}
         self._changes: deque[tuple[int, StoredObject]] = deque()
         self._complete_since = 0
@@ -62,11 +72,19 @@
             self._complete_since, _ = self._changes.popleft()
         self._advance(revision)
 
+    def confirmed(self, age: float) -> None:
+        """Learn that the store confirmed what is known here some seconds ago."""
+        self.confirmed_at = max(self.confirmed_at, time.monotonic() - age)
+
+    def age(self) -> float:
+        """Return the seconds since the store confirmed this, in steps that peers can share."""
+        return round(time.monotonic() - self.confirmed_at, _AGE_DIGITS)
+
     def snapshot(self) -> Snapshot | None:
         """Return the list, None if nothing was followed yet."""
         if self.revision is None:
             return None
-        return Snapshot(self.revision, tuple(self._objects.values()))
+        return Snapshot(self.revision, tuple(self._objects.values()), self.age())
 
     def batch(self, since: int, wait: float) -> WatchBatch | None:
         """Return the changes after a revision, waiting for some; None before a first list."""
@@ -75,12 +93,13 @@
         if self.revision <= since:
             with eventlet.Timeout(wait, False):
                 self._news.wait()
+        age = self.age()
         if self.revision <= since:
-            return WatchBatch(since)
+            return WatchBatch(since, age=age)
         if since < self._complete_since:
-            return WatchBatch(self.revision, gap=True)
+            return WatchBatch(self.revision, gap=True, age=age)
         newer = tuple(stored for revision, stored in self._changes if revision > since)
-        return WatchBatch(self.revision, newer)
+        return WatchBatch(self.revision, newer, age=age)
 
     def _advance(self, revision: int) -> None:
         has_news = self.revision is None or revision > self.revision
@@ -119,7 +138,7 @@
         if snapshot is None:
             exchange.respond(_NOT_FOUND, [], b"")
             return
-        self._respond(exchange, (id(kind), snapshot.revision), snapshot)
+        self._respond(exchange, (id(kind), snapshot.revision, snapshot.age), snapshot)
 
     def _watch(self, exchange: Exchange, kind: KindRelay, query: dict[str, str]) -> None:
         since = int(query.get("since", "0"))
@@ -128,7 +147,7 @@
         if batch is None:
             exchange.respond(_NOT_FOUND, [], b"")
             return
-        self._respond(exchange, (id(kind), since, batch.revision), batch)
+        self._respond(exchange, (id(kind), since, batch.revision, batch.age), batch)
 
     def _respond(self, exchange: Exchange, key: tuple, value: Snapshot | WatchBatch) -> None:
         """Send a value; what several peers ask for is encoded once."""
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -11,6 +11,7 @@
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import HostPort
 from whinrack.edge._relay import KindRelay
+from whinrack.observability import Event, log_event
 from whinrack.store import ObjectStore, StoredObject
 
 __all__ = [
@@ -74,6 +75,11 @@
     store: ObjectStore
     address: HostPort | None = None
 
+    @property
+    def name(self) -> str:
+        """Who answers, for logs."""
+        return "store" if self.address is None else "{}:{}".format(*self.address)
+
 
 class SourcePlan:
     """Says whom to ask for lists and watches; this one always says the store.
@@ -136,6 +142,7 @@
         self.relay = relay
         self.revision: int | None = None
         self.listed_once = False
+        self.source = "nobody"
         self._pause = _FIRST_PAUSE
 
     def run(self) -> None:
@@ -161,8 +168,15 @@
             self.contact.report(answered)
         elif not answered:
             self.plan.failed(source)
+        if answered:
+            self._note_source(source)
         return answered
 
+    def _note_source(self, source: FollowedSource) -> None:
+        if source.name != self.source:
+            log_event(Event.FEED_CHANGED, kind=self.kind, before=self.source, now=source.name)
+            self.source = source.name
+
     def _list(self, store: ObjectStore) -> bool:
         result = store.list([self.kind])
         if isinstance(result, Failure):
@@ -171,6 +185,7 @@
         if self.relay.revision is not None and snapshot.revision < self.relay.revision:
             # A peer that is behind what was followed here.
             return False
+        self.relay.confirmed(snapshot.age)
         self.listed(snapshot.objects)
         self.relay.listed(snapshot.revision, snapshot.objects)
         self.revision = snapshot.revision
@@ -187,6 +202,7 @@
         if isinstance(result, Failure):
             return False
         batch = result.unwrap()
+        self.relay.confirmed(batch.age)
         if batch.gap:
             self.revision = None
             return True
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -40,6 +40,9 @@
         self.first_byte = self._histogram("first_byte_seconds", "Time to the first byte", "kind")
         self.queue_wait = self._histogram("queue_wait_seconds", "Time in the queue", "class_")
         self.revision = self._gauge("config_revision", "Configuration revision in force")
+        self.targets_age = self._gauge(
+            "targets_age_seconds", "Time since the store confirmed the list of targets"
+        )
         self.members = self._gauge("members", "Peers that look alive")
         self.in_progress = self._gauge("requests_in_progress", "Requests in progress")
         self.spendable = self._gauge("spendable_tokens", "Unspent tokens held here")
--- a/whinrack/store/_metered.py
+++ b/whinrack/store/_metered.py
@@ -30,6 +30,8 @@
         Calls by (operation, result).
     answered_at : float
         Steady clock when the store answered last, whatever it said.
+    last_failure : str
+        The operation that failed last, and why.
     """
 
     def __init__(self, store: ObjectStore, count: Callable[[str, str], None]):
@@ -37,6 +39,7 @@
         self.count = count
         self.calls: Counter[tuple[str, str]] = Counter()
         self.answered_at = float("-inf")
+        self.last_failure = ""
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
         """Read one object."""
@@ -71,5 +74,7 @@
         self.calls[operation, outcome] += 1
         if isinstance(result, Success) or isinstance(result.failure(), NotFound | Conflict):
             self.answered_at = time.monotonic()
+        else:
+            self.last_failure = f"{operation}: {result.failure().message}"
         self.count(operation, outcome)
         return result
--- a/whinrack/store/_types.py
+++ b/whinrack/store/_types.py
@@ -34,21 +34,30 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """All objects of some kinds at one revision."""
+    """All objects of some kinds at one revision.
+
+    Attributes
+    ----------
+    age : float
+        Seconds since the store confirmed it; 0 from the store itself.
+    """
 
     revision: int
     objects: tuple[StoredObject, ...] = ()
+    age: float = 0.0
 
 
 class WatchBatch(msgspec.Struct, frozen=True):
     """Changes after a revision, up to and including `revision`.
 
-    `gap` says that changes before the batch are missing: list again.
+    `gap` says that changes before the batch are missing: list again. `age` is the time in
+    seconds since the store confirmed the revision; 0 from the store itself.
     """
 
     revision: int
     objects: tuple[StoredObject, ...] = ()
     gap: bool = False
+    age: float = 0.0
 
 
 class InstanceState(StrEnum):
