--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -1,5 +1,6 @@
 """What is learnt from peers, and what the store's word goes before."""
 
+import eventlet
 import msgspec
 import pytest
 from returns.result import Failure
@@ -9,7 +10,12 @@
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
-from whinrack.edge._sources import ConfigurationReader, SourcePlan, TargetReader
+from whinrack.edge._sources import (
+    ConfigurationReader,
+    FollowedSource,
+    SourcePlan,
+    TargetReader,
+)
 from whinrack.exceptions import PlatformUnavailable
 from whinrack.gossip import GoneTarget
 from whinrack.http1 import ServerLimits
@@ -168,3 +174,30 @@
     assert world.knowledge.gone_lately() == [GoneTarget("t2", 7)]
     now[0] += 5.0
     assert world.knowledge.gone_lately() == []
+
+
+class Peer(MemoryStore):
+    """A peer that has no news."""
+
+    def watch(self, kinds, since, wait):
+        eventlet.sleep(wait)
+        return super().watch(kinds, since, wait)
+
+
+class FedPlan(SourcePlan):
+    """A plan that always sends to a peer."""
+
+    def source(self):
+        return FollowedSource(Peer(), PEER)
+
+
+def test_an_instance_that_lost_the_store_asks_it_again_though_peers_feed_it():
+    """Otherwise it counts it as lost for good, and nobody is left that asks it."""
+    world = World(MemoryStore())
+    world.knowledge.plan = FedPlan(world.knowledge.store)
+    world.contact.report(False)
+    tasks = [eventlet.spawn(task) for task in world.knowledge.tasks()]
+    world.contact.wait(3.0)
+    for task in tasks:
+        task.kill()
+    assert world.contact.answers
--- a/whinrack/edge/tests/test_store_tasks.py
+++ b/whinrack/edge/tests/test_store_tasks.py
@@ -134,6 +134,20 @@
     def failed(self, source):
         self.fails += 1
 
+    def behind(self, source):
+        self.fails += 1
+
+
+class Aged(MemoryStore):
+    """A peer that knows nothing newer, and heard the store some seconds ago."""
+
+    def __init__(self, age):
+        super().__init__()
+        self.age = age
+
+    def watch(self, kinds, since, wait):
+        return Success(WatchBatch(since, age=self.age))
+
 
 def fed_follower(store, feed, seen, told):
     plan = Fed(store, feed)
@@ -163,3 +177,15 @@
     following.revision, following.plan.fails = None, 0
     assert not following.step()
     assert seen == [("listed", ["a"])]
+
+
+def test_a_peer_that_lost_the_store_is_left_though_it_answers():
+    """What a feeder passes on may be old: its answer says how old, and that counts."""
+    store, feed, seen = MemoryStore(), Aged(60.0), []
+    following = fed_follower(store, feed, seen, [])
+    for _ in range(2):
+        following.step()
+    store.put("k", "a", b"1", 0)
+    following.step()
+    assert following.plan.fails
+    assert ("changed", ["a"]) in seen or ("listed", ["a"]) in seen
