--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -56,7 +56,7 @@
 class World:
     """One instance's knowledge, and what its peer answers."""
 
-    def __init__(self, store):
+    def __init__(self, store, plan=None):
         self.answer = None
         self.directory = Directory(lambda configuration: None)
         self.registry = TargetRegistry()
@@ -68,7 +68,7 @@
             Targets(),
             self.directory,
             self.registry,
-            SourcePlan(store),
+            plan or SourcePlan(store),
             watch_seconds=0.01,
             peer_with_store=lambda: PEER,
             fetch=lambda address: self.answer,
@@ -193,8 +193,8 @@
 
 def test_an_instance_that_lost_the_store_asks_it_again_though_peers_feed_it():
     """Otherwise it counts it as lost for good, and nobody is left that asks it."""
-    world = World(MemoryStore())
-    world.knowledge.plan = FedPlan(world.knowledge.store)
+    store = MemoryStore()
+    world = World(store, FedPlan(store))
     world.contact.report(False)
     tasks = [eventlet.spawn(task) for task in world.knowledge.tasks()]
     world.contact.wait(3.0)
