A lost call isn't a lost store, and what peers pass on has an age that counts

Ruled out: that each call meets another dead connection of the pool (a test shows one lost call, then a new connection); that the relay or the registry bring an old record back (no line of it).

The same class elsewhere: between the choice of a target and the first byte nobody looked again whether it leaves; a target's word that it leaves was forgotten with its record.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -291,6 +291,9 @@
         connection = None
         try:
             connection = self._connect(run, state)
+            if state.leaving:
+                # It said so while the connection was waited for, and nothing was sent yet.
+                raise _AttemptFailed(_no_target(), counts=False)
             self._exchange(run, pool, state, connection)
         finally:
             self.registry.finished(state)
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -3,6 +3,7 @@
 import math
 import random
 import sys
+from collections import OrderedDict
 from collections.abc import Callable, Collection
 
 import xxhash
@@ -24,6 +25,9 @@
 # least: their counts are a little old, and all would choose the same target.
 _SAMPLED_PART = 4
 _FEWEST_SAMPLED = 2
+# Names of targets that said that they leave, the last ones; chosen as the names of those that
+# are gone are, for a release of the largest fleet aimed at.
+_MOST_LEFT = 2000
 
 
 class TargetState:
@@ -65,6 +69,9 @@
     def __init__(self, seed: int | None = None):
         self._targets: dict[str, TargetState] = {}
         self._pools: dict[str, dict[str, TargetState]] = {}
+        # Those that said that they leave, also after their records have gone: an old record,
+        # told late, doesn't bring them back.
+        self._left: OrderedDict[str, None] = OrderedDict()
         self.elsewhere = LoadsElsewhere()
         self._random = random.Random(seed)
 
@@ -82,11 +89,14 @@
 
     def put(self, record: TargetRecord) -> bool:
         """Take in one record; True if the target turned to leaving by it."""
+        if record.leaving:
+            self._note_left(record.incarnation)
         state = self._targets.get(record.incarnation)
         if state is None:
             state = self._targets[record.incarnation] = TargetState(record)
+            state.told_leaving = record.incarnation in self._left
             self._pools.setdefault(record.pool, {})[record.incarnation] = state
-            return record.leaving
+            return state.leaving
         was_leaving = state.leaving
         if state.record.leaving and not record.leaving:
             # A run that is leaving doesn't come back; the record is an old one.
@@ -108,6 +118,7 @@
 
     def leave(self, incarnation: str) -> bool:
         """Learn from a peer that a target is leaving; True if that is news."""
+        self._note_left(incarnation)
         state = self._targets.get(incarnation)
         if state is None or state.leaving:
             return False
@@ -209,6 +220,11 @@
         """Learn from a target's word that it is full."""
         state.busy_until = now + _BUSY_SECONDS
 
+    def _note_left(self, incarnation: str) -> None:
+        self._left[incarnation] = None
+        while len(self._left) > _MOST_LEFT:
+            self._left.popitem(last=False)
+
     def _drop(self, state: TargetState) -> None:
         name = state.record.incarnation
         self._targets.pop(name, None)
--- a/whinrack/edge/_feeding.py
+++ b/whinrack/edge/_feeding.py
@@ -79,6 +79,18 @@
         """Learn that a peer didn't answer."""
         self._avoided[source.address] = time.monotonic() + _AVOID_SECONDS
 
+    def behind(self, source: FollowedSource) -> None:
+        """Leave a peer that passes on old knowledge though it says that it reaches the store.
+
+        One that says that it lost the store is kept: others are chosen as watchers by that
+        word already, and in an outage for all there is nobody better.
+        """
+        live = self.peers.live(time.monotonic())
+        states = {view.state.sender.address: view.state for view in live}
+        state = states.get(source.address)
+        if state is None or state.store_answers:
+            self.failed(source)
+
     def _feeder(self, now: float) -> PeerState | None:
         """Return the peer that feeds this instance, None if it follows the store."""
         own = self.own_state()
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -1,5 +1,6 @@
 """What this instance knows from the store: the configuration and the targets."""
 
+import random
 import time
 from collections import OrderedDict
 from collections.abc import Callable
@@ -28,6 +29,9 @@
 
 _FAILED_READ_PAUSE = 0.5
 _PEER_PAUSE = 1.0
+# A fed instance that lost the store asks it again after so long, and half as much by chance.
+_PROBE_PAUSE = 1.0
+_PROBE_SECONDS = 0.05
 # A fed instance that hears of a newer configuration waits so long for it to come by itself.
 _FEED_PAUSE = 0.25
 # Names of targets that are gone, the last ones.
@@ -115,7 +119,12 @@
 
     def tasks(self) -> list[Callable[[], None]]:
         """Return the loops to run in the background."""
-        return [self._configurations.run, self._target_list.run, self._follow_peers]
+        return [
+            self._configurations.run,
+            self._target_list.run,
+            self._follow_peers,
+            self._probe_store,
+        ]
 
     def shared(self) -> SharedKnowledge:
         """Return what peers may learn from here."""
@@ -161,6 +170,24 @@
             if known is not None and not self.contact.answers:
                 self._learn(known)
 
+    def _probe_store(self) -> None:
+        """Ask a lost store again while peers feed this instance.
+
+        A fed instance makes no calls of its own, so it would count the store as lost for good
+        and never watch it again for others: 57 of 87 instances did so after one silence.
+        """
+        while True:
+            eventlet.sleep(_PROBE_PAUSE * (1.0 + random.random() / 2))
+            if not self.contact.answers and self.plan.source().address is not None:
+                self.contact.report(self._store_answers())
+
+    def _store_answers(self) -> bool:
+        relay = self._configurations.relay
+        result = self.store.watch(
+            [self.configuration_reader.kind], relay.revision or 0, _PROBE_SECONDS
+        )
+        return isinstance(result, Success)
+
     def _catch_up(self, peer: HostPort) -> None:
         try:
             before = self.directory.version
--- a/whinrack/edge/_options.py
+++ b/whinrack/edge/_options.py
@@ -30,7 +30,8 @@
         Between heartbeats; silence after which a peer counts as gone; silence after
         which its address is no longer tried.
     watch_seconds : float
-        How long one watch of the store is held.
+        How long one watch of the store is held; a connection that fell silent is noticed
+        after that.
     renew_seconds : float
         Between reports of what was used and new schedules.
     gather_seconds, draw_seconds : float
@@ -64,7 +65,7 @@
     heartbeat_seconds: float = 0.25
     silent_seconds: float = 0.9
     forget_seconds: float = 60.0
-    watch_seconds: float = 2.0
+    watch_seconds: float = 1.0
     renew_seconds: float = 0.5
     gather_seconds: float = 0.06
     draw_seconds: float = 0.15
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -5,14 +5,15 @@
 
 import eventlet
 import msgspec
-from returns.result import Failure
+from returns.result import Failure, Result, Success
 
 from whinrack.dispatch import Configuration, TargetRecord
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import HostPort
 from whinrack.edge._relay import KindRelay
+from whinrack.exceptions import PlatformFailure, PlatformUnavailable, ReplyLost
 from whinrack.observability import Event, log_event
-from whinrack.store import ObjectStore, StoredObject
+from whinrack.store import ObjectStore, Snapshot, StoredObject, WatchBatch
 
 __all__ = [
     "ConfigurationReader",
@@ -27,6 +28,9 @@
 _PROBE_SECONDS = 0.05
 # A watch at a peer: short, since the peer may fall silent.
 _FED_WATCH_SECONDS = 1.0
+# What a peer passes on is at most as old as the hold of its own watch, and this much for its
+# answer and its processor; what is older was not heard from the store.
+_AGE_MARGIN_SECONDS = 1.0
 # A task that doesn't probe tries by itself after so long.
 _LONGEST_WAIT = 2.0
 
@@ -99,6 +103,9 @@
     def failed(self, source: FollowedSource) -> None:
         """Learn that a peer didn't answer."""
 
+    def behind(self, source: FollowedSource) -> None:
+        """Learn that what a peer passes on was confirmed by the store long ago."""
+
 
 class KindFollower:
     """Keeps up with a kind of object, through outages and lost history.
@@ -163,51 +170,61 @@
     def step(self) -> bool:
         """Make one call to the store, or to a peer that passes it on; False if it failed."""
         source = self.plan.source()
-        answered = self._list(source.store) if self.revision is None else self._watch(source)
+        outcome = self._ask(source, self._patience(source))
         if source.address is None:
-            self.contact.report(answered)
-        elif not answered:
+            if _is_lost_reply(outcome):
+                # Only the connection may be gone, and the next call opens a new one. Without
+                # it one silent connection at each watcher made 87 instances blind for 10 s.
+                outcome = self._ask(source, _PROBE_SECONDS)
+            self.contact.report(isinstance(outcome, Success))
+        elif isinstance(outcome, Failure):
             self.plan.failed(source)
-        if answered:
-            self._note_source(source)
-        return answered
+        if isinstance(outcome, Failure):
+            return False
+        self._note_source(source)
+        return True
+
+    def _ask(self, source: FollowedSource, patience: float) -> Result:
+        """List, or watch for some seconds."""
+        if self.revision is None:
+            return source.store.list([self.kind]).bind(self._take_list)
+        result = source.store.watch([self.kind], self.revision, patience)
+        return result.map(lambda batch: self._take_batch(source, batch))
+
+    def _patience(self, source: FollowedSource) -> float:
+        """Return the seconds for which a watch is held."""
+        if source.address is not None:
+            return min(_FED_WATCH_SECONDS, self.watch_seconds)
+        # A lost store is probed: the answer has to come at once, changes or not.
+        return self.watch_seconds if self.contact.answers else _PROBE_SECONDS
 
     def _note_source(self, source: FollowedSource) -> None:
         if source.name != self.source:
             log_event(Event.FEED_CHANGED, kind=self.kind, before=self.source, now=source.name)
             self.source = source.name
 
-    def _list(self, store: ObjectStore) -> bool:
-        result = store.list([self.kind])
-        if isinstance(result, Failure):
-            return False
-        snapshot = result.unwrap()
+    def _take_list(self, snapshot: Snapshot) -> Result[None, PlatformFailure]:
         if self.relay.revision is not None and snapshot.revision < self.relay.revision:
-            # A peer that is behind what was followed here.
-            return False
+            return Failure(PlatformUnavailable("the peer is behind what was followed here"))
         self.relay.confirmed(snapshot.age)
         self.listed(snapshot.objects)
         self.relay.listed(snapshot.revision, snapshot.objects)
         self.revision = snapshot.revision
         self.listed_once = True
-        return True
+        return Success(None)
 
-    def _watch(self, source: FollowedSource) -> bool:
-        # A lost store is probed: the answer has to come at once, changes or not.
-        if source.address is not None:
-            seconds = min(_FED_WATCH_SECONDS, self.watch_seconds)
-        else:
-            seconds = self.watch_seconds if self.contact.answers else _PROBE_SECONDS
-        result = source.store.watch([self.kind], self.revision, seconds)
-        if isinstance(result, Failure):
-            return False
-        batch = result.unwrap()
+    def _take_batch(self, source: FollowedSource, batch: WatchBatch) -> None:
+        if batch.age > self.watch_seconds + _AGE_MARGIN_SECONDS:
+            self.plan.behind(source)
         self.relay.confirmed(batch.age)
         if batch.gap:
             self.revision = None
-            return True
+            return
         if batch.objects:
             self.changed(batch.objects)
         self.revision = max(self.revision, batch.revision)
         self.relay.changed(self.revision, batch.objects)
-        return True
+
+
+def _is_lost_reply(outcome: Result) -> bool:
+    return isinstance(outcome, Failure) and isinstance(outcome.failure(), ReplyLost)
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -36,6 +36,7 @@
     "PolicyFailure",
     "QueueFull",
     "RateExceeded",
+    "ReplyLost",
     "NoRoute",
     "Refusal",
     "RouterStopping",
@@ -105,6 +106,12 @@
     code = "platform_unavailable"
 
 
+class ReplyLost(PlatformUnavailable):
+    """A read was sent and no reply came: the connection may be dead and the platform well."""
+
+    code = "reply_lost"
+
+
 class WriteUnknown(PlatformFailure):
     """A write was sent and its reply lost: it may have taken effect."""
 
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -11,6 +11,7 @@
 from whinrack.exceptions import AnswerCut, AttemptTimeout, TargetUnavailable
 from whinrack.http1._messages import Headers, RequestHead, ResponseHead, header_value
 from whinrack.http1._sockets import receive
+from whinrack.keepalive import KEEPALIVE_OPTIONS
 
 __all__ = ["ConnectionPool", "TargetConnection"]
 
@@ -265,6 +266,8 @@
         sock.close()
         raise
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    for option in KEEPALIVE_OPTIONS:
+        sock.setsockopt(*option)
     return sock
 
 
--- a/whinrack/http1/_sockets.py
+++ b/whinrack/http1/_sockets.py
@@ -23,6 +23,9 @@
     while True:
         try:
             return plain.recv(size)
+        except TimeoutError as error:
+            # The kernel's probes went unanswered: the connection is gone, not merely slow.
+            raise ConnectionAbortedError(*error.args) from error
         except BlockingIOError:
             left = end - time.monotonic()
             if left <= 0:
--- a/whinrack/store/__init__.py
+++ b/whinrack/store/__init__.py
@@ -1,5 +1,6 @@
 """The one way to the object API: versioned objects, watches and the list of instances."""
 
+from whinrack.store._connections import StoreConnections
 from whinrack.store._http import HttpObjectStore
 from whinrack.store._limiter import TokenBucket
 from whinrack.store._metered import MeteredStore
@@ -21,6 +22,7 @@
     "ObjectEditor",
     "ObjectStore",
     "Snapshot",
+    "StoreConnections",
     "StoredObject",
     "TokenBucket",
     "WatchBatch",
--- /dev/null
+++ b/whinrack/store/_connections.py
@@ -0,0 +1,70 @@
+"""Kept connections to one store, given up together when one of them is found dead."""
+
+import urllib3
+from returns.result import Failure, Result, Success
+
+from whinrack.exceptions import PlatformFailure, PlatformUnavailable
+from whinrack.keepalive import KEEPALIVE_OPTIONS
+from whinrack.store.base import lost_reply
+
+__all__ = ["StoreConnections"]
+
+
+class StoreConnections:
+    """Makes single calls by HTTP, without retries.
+
+    A reply that doesn't come leaves open whether the store or only the connection is gone.
+    Connections that were open by then may have gone the same way, so the next call opens a
+    new one.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    most_kept : int
+        Connections that are kept open when no call needs them.
+    """
+
+    def __init__(self, address: str, most_kept: int):
+        self.address = address
+        self.most_kept = most_kept
+        self._pool = self._new_pool()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        timeout: urllib3.Timeout,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Result[urllib3.BaseHTTPResponse, PlatformFailure]:
+        """Return the reply, whatever its status; a failure if there is none."""
+        pool = self._pool
+        try:
+            reply = pool.urlopen(
+                method, path, body=body, headers=headers or {}, timeout=timeout, retries=False
+            )
+        except (urllib3.exceptions.ConnectTimeoutError, urllib3.exceptions.NewConnectionError):
+            return Failure(PlatformUnavailable("no connection to the store"))
+        except urllib3.exceptions.HTTPError as error:
+            self._give_up(pool)
+            return Failure(lost_reply(method, type(error).__name__))
+        return Success(reply)
+
+    def _give_up(self, pool: urllib3.HTTPConnectionPool) -> None:
+        """Close what is idle; calls in progress end by themselves."""
+        if pool is self._pool:
+            self._pool = self._new_pool()
+            pool.close()
+
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        host, _, port = self.address.rpartition(":")
+        return urllib3.HTTPConnectionPool(
+            host,
+            int(port),
+            maxsize=self.most_kept,
+            block=False,
+            retries=False,
+            socket_options=[*urllib3.connection.HTTPConnection.default_socket_options]
+            + KEEPALIVE_OPTIONS,
+        )
--- a/whinrack/store/_http.py
+++ b/whinrack/store/_http.py
@@ -25,6 +25,7 @@
     RateExceeded,
     WriteUnknown,
 )
+from whinrack.store._connections import StoreConnections
 from whinrack.store._limiter import TokenBucket
 from whinrack.store._types import InstanceRecord, Snapshot, StoredObject, WatchBatch
 from whinrack.store.base import ObjectStore, lost_reply
@@ -35,6 +36,7 @@
 _WATCH_SLACK = 5.0
 _FIRST_PAUSE = 0.05
 _LONGEST_PAUSE = 1.0
+_MOST_CONNECTIONS = 16
 _JSON = "application/json"
 _SNAPSHOT = msgspec.json.Decoder(Snapshot)
 _OBJECT = msgspec.json.Decoder(StoredObject)
@@ -85,7 +87,7 @@
         self._bucket = TokenBucket(rate, burst=rate)
         self._away_until = float("-inf")
         self._pause = 0.0
-        self._pool = urllib3.PoolManager(maxsize=16, retries=False)
+        self._connections = StoreConnections(address, _MOST_CONNECTIONS)
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
         """Read one object."""
@@ -161,14 +163,8 @@
         if version is not None:
             headers["If-Match"] = str(version)
         limit = urllib3.Timeout(connect=_CONNECT_TIMEOUT, read=timeout or self.timeout)
-        url = f"http://{self.address}{path}"
-        try:
-            reply = self._pool.request(method, url, body=body, headers=headers, timeout=limit)
-        except (urllib3.exceptions.ConnectTimeoutError, urllib3.exceptions.NewConnectionError):
-            return Failure(PlatformUnavailable(f"{operation}: no connection"))
-        except urllib3.exceptions.HTTPError as error:
-            return Failure(lost_reply(method, f"{operation}: {error}"))
-        return _outcome(operation, method, reply)
+        reply = self._connections.call(method, path, limit, body, headers)
+        return reply.bind(lambda answer: _outcome(operation, method, answer))
 
 
 def _outcome(operation: str, method: str, reply) -> Result[bytes, PlatformFailure]:
--- a/whinrack/store/base.py
+++ b/whinrack/store/base.py
@@ -4,7 +4,7 @@
 
 from returns.result import Result
 
-from whinrack.exceptions import PlatformFailure, PlatformUnavailable, WriteUnknown
+from whinrack.exceptions import PlatformFailure, ReplyLost, WriteUnknown
 from whinrack.store._types import InstanceRecord, Snapshot, StoredObject, WatchBatch
 
 __all__ = ["ObjectStore", "lost_reply"]
@@ -13,7 +13,7 @@
 def lost_reply(method: str, why: str) -> PlatformFailure:
     """Return the failure of an HTTP call whose reply is lost: a write may be done."""
     if method == "GET":
-        return PlatformUnavailable(why)
+        return ReplyLost(why)
     return WriteUnknown(f"reply lost: {why}")
 
 
