--- /dev/null
+++ b/whinrack/dispatch/tests/test_choice_and_send.py
@@ -0,0 +1,103 @@
+"""What happens between the choice of a target and the first byte that is sent to it."""
+
+import time
+import types
+
+import pytest
+
+from whinrack.dispatch import (
+    Configuration,
+    Dialect,
+    Dispatcher,
+    DispatchOptions,
+    IncomingRequest,
+    PoolRecord,
+    PoolShare,
+    Route,
+    RouteKind,
+    TargetRecord,
+    TargetRegistry,
+    TargetsView,
+)
+from whinrack.dispatch._run import Run
+from whinrack.exceptions import TargetUnavailable
+from whinrack.http1 import Exchange, RequestHead, ServerLimits
+from whinrack.observability import Metrics
+
+
+class Connection:
+    """Notes what is sent; the answer never comes."""
+
+    def __init__(self, address, sent):
+        self.address, self.sent = address, sent
+
+    def send(self, head, body, end):
+        self.sent.append(self.address)
+
+    def read_head(self, end, is_own):
+        raise TargetUnavailable("nothing was to be sent here")
+
+
+class SlowConnections:
+    """Connections that take so long that something happens meanwhile."""
+
+    def __init__(self, meanwhile):
+        self.meanwhile = meanwhile
+        self.taken, self.sent = [], []
+
+    def take(self, address, end):
+        self.taken.append(address)
+        self.meanwhile(address)
+        return Connection(address, self.sent)
+
+    def give_back(self, connection):
+        """Nothing is kept."""
+
+
+class Headers(Dialect):
+    def attempt_headers(self, attempt):
+        return []
+
+
+@pytest.fixture
+def run():
+    request = IncomingRequest(
+        request_id=b"1", method=b"GET", target=b"/x", host="h", path="/x", headers=[], body=b""
+    )
+    shares = (PoolShare("p"),)
+    route = Route(
+        name="r", host="h", path_prefix="/", kind=RouteKind.AT_MOST_ONCE, timeout=5.0, shares=shares
+    )
+    configuration = Configuration(1, [route], [PoolRecord("p", 0)], [], ServerLimits())
+    exchange = Exchange(None, RequestHead(b"GET", b"/x", []), b"")
+    return Run(exchange, request, configuration, route, None)
+
+
+def test_a_target_that_leaves_while_its_connection_is_waited_for_gets_nothing(run):
+    registry = TargetRegistry(seed=1)
+    for number in (1, 2):
+        registry.put(TargetRecord(f"t{number}", "p", "h", number))
+
+    def all_leave(address):
+        registry.leave(f"t{address[1]}")
+
+    connections = SlowConnections(all_leave)
+    dispatcher = Dispatcher(
+        Headers(),
+        types.SimpleNamespace(version=1),
+        registry,
+        None,
+        connections,
+        Metrics(),
+        DispatchOptions(0.2, 10.0, 10.0),
+        lambda: 1,
+        TargetsView,
+    )
+    began = time.monotonic()
+    with pytest.raises(TargetUnavailable) as refused:
+        dispatcher._attempt_all(run)
+    assert refused.value.outcome == "not_run"
+    assert sorted(connections.taken) == [("h", 1), ("h", 2)]
+    assert connections.sent == []
+    assert (run.attempts, run.may_have_run) == (0, False)
+    assert time.monotonic() - began < 1.0
--- a/whinrack/dispatch/tests/test_decisions.py
+++ b/whinrack/dispatch/tests/test_decisions.py
@@ -247,3 +247,19 @@
     assert next(blocks).last_id == 1
     with pytest.raises(AnswerCut):
         next(blocks)
+
+
+def test_a_target_that_said_it_leaves_does_not_come_back_after_its_record_went():
+    targets = registry("a", "b")
+    leaving = TargetRecord("a", "p", "h", 1, leaving=True)
+    assert targets.put(leaving)
+    targets.remove("a")
+    assert targets.put(TargetRecord("a", "p", "h", 1))
+    assert targets.choose("p", "", (), 0.0).record.incarnation == "b"
+
+
+def test_a_peers_word_that_a_target_leaves_holds_for_a_record_that_comes_later():
+    targets = registry("b")
+    assert not targets.leave("a")
+    assert targets.put(TargetRecord("a", "p", "h", 1))
+    assert targets.choose("p", "", (), 0.0).record.incarnation == "b"
--- /dev/null
+++ b/whinrack/edge/tests/test_feeding.py
@@ -0,0 +1,82 @@
+"""Who is asked for lists and watches in a large fleet."""
+
+import pytest
+
+from standins.memory_store import MemoryStore
+from whinrack.edge._contact import StoreContact
+from whinrack.edge._feeding import FeedPlan
+from whinrack.gossip import PeerAddress, PeerState
+from whinrack.gossip._peers import PeerView
+
+HALL = "north"
+
+
+def state(name, **changes):
+    fields = {
+        "incarnation": f"{name}.1",
+        "sequence": 0,
+        "sender": PeerAddress(name, name, 1),
+        "callers": f"{name}:2",
+        "data_hall": HALL,
+        "ready": True,
+        "store_answers": True,
+        "load": 0,
+        "configuration": 1,
+    }
+    return PeerState(**(fields | changes))
+
+
+class Peers:
+    """The peers of a large fleet."""
+
+    is_mesh = False
+
+    def __init__(self, *states):
+        self.states = list(states)
+
+    def live(self, now):
+        return [PeerView(each, now) for each in self.states]
+
+
+@pytest.fixture
+def peers():
+    """Two strong instances, which watch for the others."""
+    return Peers(state("a", bandwidth=100.0, cores=2.0), state("b", bandwidth=100.0, cores=2.0))
+
+
+def plan(peers):
+    own = state("own", bandwidth=5.0, cores=0.5)
+    return FeedPlan(MemoryStore(), StoreContact(lambda answers: None), lambda: own, peers)
+
+
+def lose_store(peers):
+    for number, each in enumerate(peers.states):
+        fields = {name: getattr(each, name) for name in each.__struct_fields__}
+        peers.states[number] = PeerState(**(fields | {"store_answers": False}))
+
+
+def test_a_watcher_feeds_the_others(peers):
+    assert plan(peers).source().name in ("a:1", "b:1")
+
+
+def test_a_feeder_that_is_behind_is_left_for_the_other_one(peers):
+    feeding = plan(peers)
+    first = feeding.source()
+    feeding.behind(first)
+    assert {first.name, feeding.source().name} == {"a:1", "b:1"}
+
+
+def test_with_all_feeders_behind_the_store_itself_is_asked(peers):
+    feeding = plan(peers)
+    for _ in range(2):
+        feeding.behind(feeding.source())
+    assert feeding.source().name == "store"
+
+
+def test_a_feeder_that_says_that_it_lost_the_store_is_not_behind(peers):
+    peers.states = [state("a", bandwidth=100.0, cores=2.0, store_answers=False)]
+    own_lost = state("own", store_answers=False)
+    feeding = FeedPlan(MemoryStore(), StoreContact(lambda answers: None), lambda: own_lost, peers)
+    source = feeding.source()
+    feeding.behind(source)
+    assert feeding.source().name == source.name == "a:1"
--- a/whinrack/edge/tests/test_store_tasks.py
+++ b/whinrack/edge/tests/test_store_tasks.py
@@ -8,7 +8,7 @@
 from whinrack.edge._relay import KindRelay
 from whinrack.edge._sources import FollowedSource, KindFollower, SourcePlan
 from whinrack.exceptions import PlatformUnavailable
-from whinrack.store import StoredObject, WatchBatch
+from whinrack.store import StoredObject, WatchBatch, lost_reply
 
 
 def follower(store, seen, probes=True, contact=None):
@@ -118,6 +118,49 @@
     assert waits[1] <= 0.05
 
 
+class Losing(MemoryStore):
+    """A store whose next answers are lost on the way, or refused."""
+
+    def __init__(self, *failures):
+        super().__init__()
+        self.failures = list(failures)
+        self.watches = 0
+
+    def watch(self, kinds, since, wait):
+        self.watches += 1
+        if self.failures:
+            return Failure(self.failures.pop(0))
+        return super().watch(kinds, since, wait)
+
+
+def lost():
+    return lost_reply("GET", "no answer")
+
+
+def test_a_lost_answer_is_asked_for_again_before_the_store_counts_as_lost():
+    store, told = Losing(lost()), []
+    following = follower(store, [], contact=StoreContact(told.append))
+    assert following.step()
+    assert following.step()
+    assert (store.watches, told) == (2, [])
+
+
+def test_a_store_that_does_not_answer_twice_is_lost():
+    store, told = Losing(lost(), lost()), []
+    following = follower(store, [], contact=StoreContact(told.append))
+    assert following.step()
+    assert not following.step()
+    assert (store.watches, told) == (2, [False])
+
+
+def test_a_store_that_refuses_is_not_asked_again_at_once():
+    store, told = Losing(PlatformUnavailable("busy")), []
+    following = follower(store, [], contact=StoreContact(told.append))
+    assert following.step()
+    assert not following.step()
+    assert (store.watches, told) == (1, [False])
+
+
 class Fed(SourcePlan):
     """A plan that sends the follower to a peer, until that fails."""
 
--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -1,15 +1,19 @@
 """What the side towards targets takes for an answer, and when it uses a connection again."""
 
+import errno
 import socket
 import threading
 import time
+import types
 
 import eventlet
 import pytest
 
 from whinrack.exceptions import AnswerCut, AttemptTimeout, TargetUnavailable
 from whinrack.http1 import ConnectionPool, RequestHead, header_value
+from whinrack.http1._sockets import receive
 from whinrack.http1.tests._scripts import ScriptedServer, read_request, reset
+from whinrack.keepalive import KEEPALIVE_OPTIONS
 
 REQUEST = RequestHead(b"GET", b"/x", [(b"host", b"h"), (b"id", b"1")])
 WHOLE = b"HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -241,3 +245,23 @@
     for _ in range(30):
         pool.take(server.address, 1e9).close()
     assert 0.7 < pool.connect_seconds < 0.9
+
+
+def test_connections_to_targets_are_probed_by_the_kernel(serve):
+    server = serve(lambda sock: None)
+    connection = ConnectionPool().take(server.address, soon())
+    for level, option, value in KEEPALIVE_OPTIONS:
+        assert connection.sock.getsockopt(level, option) == value
+
+
+class _Dead:
+    """A socket whose probes went unanswered."""
+
+    def recv(self, size):
+        raise TimeoutError(errno.ETIMEDOUT, "Connection timed out")
+
+
+def test_a_connection_that_the_kernel_gave_up_is_cut_and_not_slow():
+    """A silent connection would else look like a target that takes its time."""
+    with pytest.raises(ConnectionAbortedError):
+        receive(types.SimpleNamespace(fd=_Dead()), 1, soon())
--- /dev/null
+++ b/whinrack/store/tests/test_connections.py
@@ -0,0 +1,103 @@
+"""Kept connections to a store, and what one lost reply says of the others."""
+
+import socket
+import threading
+
+import pytest
+import urllib3
+from returns.result import Failure, Success
+
+from whinrack.exceptions import ReplyLost, WriteUnknown
+from whinrack.keepalive import KEEPALIVE_OPTIONS
+from whinrack.store import StoreConnections
+
+_TIMEOUT = urllib3.Timeout(connect=1.0, read=0.2)
+_REPLY = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+_KEPT = 4
+
+
+class Server:
+    """Answers every request; connections that are open can be told to fall silent."""
+
+    def __init__(self):
+        self.sockets, self.silent = [], set()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self):
+        return "{}:{}".format(*self.listener.getsockname())
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            self.sockets.append(sock)
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        while sock.recv(65_536):
+            if sock not in self.silent:
+                sock.sendall(_REPLY)
+
+    def silence_open(self):
+        self.silent = set(self.sockets)
+
+
+@pytest.fixture
+def server():
+    server = Server()
+    yield server
+    server.listener.close()
+
+
+@pytest.fixture
+def connections(server):
+    """Connections of which several are open and idle."""
+    kept = StoreConnections(server.address, _KEPT)
+    pool = kept._pool
+    taken = [pool._get_conn() for _ in range(_KEPT)]
+    for connection in taken:
+        connection.connect()
+        pool._put_conn(connection)
+    return kept
+
+
+def test_one_lost_reply_makes_the_next_call_open_a_new_connection(server, connections):
+    assert isinstance(connections.call("GET", "/", _TIMEOUT), Success)
+    server.silence_open()
+    lost = connections.call("GET", "/", _TIMEOUT)
+    assert isinstance(lost, Failure)
+    assert isinstance(lost.failure(), ReplyLost)
+    assert isinstance(connections.call("GET", "/", _TIMEOUT), Success)
+
+
+def test_calls_at_the_same_time_after_a_lost_reply_are_all_answered(server, connections):
+    server.silence_open()
+    connections.call("GET", "/", _TIMEOUT)
+    found = []
+    threads = [threading.Thread(target=_note, args=(connections, found)) for _ in range(_KEPT)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert [type(result) for result in found] == [Success] * _KEPT
+
+
+def test_a_lost_write_may_have_been_done(server, connections):
+    connections.call("GET", "/", _TIMEOUT)
+    server.silence_open()
+    failure = connections.call("PUT", "/", _TIMEOUT, b"{}").failure()
+    assert isinstance(failure, WriteUnknown)
+
+
+def test_connections_are_probed_by_the_kernel(server, connections):
+    connection = connections._pool._get_conn()
+    for level, option, value in KEEPALIVE_OPTIONS:
+        assert connection.sock.getsockopt(level, option) == value
+
+
+def _note(connections, found):
+    found.append(connections.call("GET", "/", _TIMEOUT))
