--- a/whinrack/store/tests/test_connections.py
+++ b/whinrack/store/tests/test_connections.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 
 import pytest
 import urllib3
@@ -62,6 +63,8 @@
     for connection in taken:
         connection.connect()
         pool._put_conn(connection)
+    while len(server.sockets) < _KEPT:
+        time.sleep(0.01)
     return kept
 
 
