A request whose caller left before it was read goes to no target

The watcher of a caller's connection runs at the handler's first wait; over kept connections the request was sent by then. The test failed before (the handler was called).

--- a/whinrack/http1/_connection.py
+++ b/whinrack/http1/_connection.py
@@ -179,6 +179,8 @@
     # --- handling ----------------------------------------------------------------
 
     def _run(self, exchange: Exchange) -> None:
+        if self._has_left():
+            raise CallerGone("the caller left before its request was read")
         token = self._handling = object()
         worker = eventlet.getcurrent()
         watcher = eventlet.spawn(self._watch, worker, token)
@@ -190,6 +192,19 @@
         if not exchange.ended:
             raise CallerGone("the answer was broken off")
 
+    def _has_left(self) -> bool:
+        """Whether the caller closed while its request waited unread.
+
+        The watcher would tell only after the handler's first wait, and over a kept
+        connection the request would be at a target by then.
+        """
+        try:
+            return not self.sock.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def _watch(self, worker, token) -> None:
         """Raise `CallerGone` in the handler when the caller closes the connection."""
         while self._handling is token:
--- a/whinrack/http1/tests/test_server.py
+++ b/whinrack/http1/tests/test_server.py
@@ -3,10 +3,13 @@
 import socket
 import threading
 
+import eventlet
 import pytest
+from eventlet.green import socket as green_socket
 
 from whinrack.exceptions import CallerGone
 from whinrack.http1 import HttpServer, ServerLimits
+from whinrack.http1._connection import CallerConnection
 from whinrack.http1.tests._green import run_green
 
 GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -183,3 +186,23 @@
         return caller.read_all()
 
     assert b"connection: close" in serve(echo, talk, closing=True).lower()
+
+
+def test_a_request_whose_caller_left_before_it_was_read_is_not_handled():
+    """A caller gives up a request that waits unread; work on it would be in vain."""
+    handled = []
+
+    def main():
+        server = HttpServer(("127.0.0.1", 0), handled.append, limits=lambda: LIMITS)
+        here, there = green_socket.socketpair()
+
+        def talk():
+            there.fd.sendall(GET)
+            there.fd.close()
+            eventlet.spawn(CallerConnection(server, here).serve).wait()
+
+        eventlet.spawn(talk).wait()
+        return lambda: None
+
+    run_green(main)
+    assert handled == []
