--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -265,6 +265,10 @@
             self._targets.pop(stored.name, None)
             self._note_gone(stored)
             return self.registry.remove(stored.name)
+        known = self._targets.get(stored.name)
+        if known is not None and known.version > stored.version:
+            # A peer that is behind; passed on, its record would make others blind too.
+            return False
         self._targets[stored.name] = stored
         self._gone.pop(stored.name, None)
         record = self._read_target(stored)
--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -201,3 +201,12 @@
     for task in tasks:
         task.kill()
     assert world.contact.answers
+
+
+def test_an_older_record_of_a_peer_is_neither_taken_nor_passed_on():
+    world = known_world("t1")
+    world.knowledge._change_targets((stored("target", "t1", "leaving", version=5),))
+    world.contact.report(False)
+    world.hear(told(7, "t1"))
+    (passed_on,) = world.knowledge.shared().targets
+    assert (passed_on.version, bytes(passed_on.value)) == (5, b'"leaving"')
