Lost history confirms nothing; a feeder is behind only after it had time to notice by itself

A watch that is answered by a gap set the age of the list to 0 (the test failed before). With a limit of 2 s fed instances would leave their feeders in an outage for all before these know of it (1.8 s for the watch, 0.85 s for the probe, a heartbeat), and all would call the store; worked out, not measured.

--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -28,9 +28,10 @@
 _PROBE_SECONDS = 0.05
 # A watch at a peer: short, since the peer may fall silent.
 _FED_WATCH_SECONDS = 1.0
-# What a peer passes on is at most as old as the hold of its own watch, and this much for its
-# answer and its processor; what is older was not heard from the store.
-_AGE_MARGIN_SECONDS = 1.0
+# What a peer passes on is at most as old as the hold of its own watch, and this much: 1.7 s
+# until it knows by itself that the store doesn't answer, and the heartbeat that tells so. What is
+# older was not heard from the store, and the peer doesn't know.
+_AGE_MARGIN_SECONDS = 2.0
 # A task that doesn't probe tries by itself after so long.
 _LONGEST_WAIT = 2.0
 
@@ -216,10 +217,10 @@
     def _take_batch(self, source: FollowedSource, batch: WatchBatch) -> None:
         if batch.age > self.watch_seconds + _AGE_MARGIN_SECONDS:
             self.plan.behind(source)
-        self.relay.confirmed(batch.age)
         if batch.gap:
             self.revision = None
             return
+        self.relay.confirmed(batch.age)
         if batch.objects:
             self.changed(batch.objects)
         self.revision = max(self.revision, batch.revision)
--- a/whinrack/edge/tests/test_store_tasks.py
+++ b/whinrack/edge/tests/test_store_tasks.py
@@ -1,5 +1,7 @@
 """Following the store, and waiting for it while it is away."""
 
+import time
+
 import eventlet
 from returns.result import Failure, Success
 
@@ -232,3 +234,14 @@
     following.step()
     assert following.plan.fails
     assert ("changed", ["a"]) in seen or ("listed", ["a"]) in seen
+
+
+def test_lost_history_confirms_nothing():
+    """The changes in the gap are missing: what is known has not become fresher by it."""
+    feed = Aged(0.0)
+    following = follower(feed, [])
+    following.step()
+    following.relay.confirmed_at = before = time.monotonic() - 5.0
+    feed.watch = lambda kinds, since, wait: Success(WatchBatch(since, gap=True))
+    following.step()
+    assert following.relay.confirmed_at == before
