--- a/whinrack/budgets/tests/test_grants.py
+++ b/whinrack/budgets/tests/test_grants.py
@@ -493,25 +493,26 @@
     assert isinstance(fleet.machines[1].request(200).failure(), BudgetExhausted)
 
 
-def test_what_was_left_before_an_outage_bounds_what_can_be_had_in_it():
-    """A caller of an exhausted budget isn't told to come again, however long the outage."""
+def nearly_used_fleet_cut_off():
+    """Return two machines without the store that know of 50 tokens left of 1,000."""
     fleet = Fleet(2, 1000)
     fleet.machines[0].request(900)
     assert isinstance(fleet.machines[1].request(50), Success)
     for machine in fleet.machines:
         machine.cut_off = True
         machine.keeper.renew()
+    return fleet
+
+
+def test_what_was_left_before_an_outage_bounds_what_can_be_had_in_it():
+    """A caller of an exhausted budget isn't told to come again, however long the outage."""
+    fleet = nearly_used_fleet_cut_off()
     fleet.now += 9.0
     assert isinstance(fleet.machines[1].request(200).failure(), BudgetExhausted)
 
 
 def test_a_raised_limit_that_the_books_do_not_know_yet_is_no_exhausted_budget():
-    fleet = Fleet(2, 1000)
-    fleet.machines[0].request(900)
-    assert isinstance(fleet.machines[1].request(50), Success)
-    for machine in fleet.machines:
-        machine.cut_off = True
-        machine.keeper.renew()
+    fleet = nearly_used_fleet_cut_off()
     fleet.machines[1].keeper.declare(2, {BUDGET: 5000})
     assert isinstance(fleet.machines[1].request(200).failure(), BudgetContended)
 
