The hold of a probe of a lost store stands once

The follower and the probe of fed instances each had the constant, with the same value. No change of behaviour.

--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -15,6 +15,7 @@
 from whinrack.edge._relay import WatchRelay
 from whinrack.edge._sharing import SharedKnowledge, fetch_knowledge
 from whinrack.edge._sources import (
+    PROBE_SECONDS,
     ConfigurationReader,
     KindFollower,
     SourcePlan,
@@ -31,7 +32,6 @@
 _PEER_PAUSE = 1.0
 # A fed instance that lost the store asks it again after so long, and half as much by chance.
 _PROBE_PAUSE = 1.0
-_PROBE_SECONDS = 0.05
 # A fed instance that hears of a newer configuration waits so long for it to come by itself.
 _FEED_PAUSE = 0.25
 # Names of targets that are gone, the last ones.
@@ -184,7 +184,7 @@
     def _store_answers(self) -> bool:
         relay = self._configurations.relay
         result = self.store.watch(
-            [self.configuration_reader.kind], relay.revision or 0, _PROBE_SECONDS
+            [self.configuration_reader.kind], relay.revision or 0, PROBE_SECONDS
         )
         return isinstance(result, Success)
 
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -16,6 +16,7 @@
 from whinrack.store import ObjectStore, Snapshot, StoredObject, WatchBatch
 
 __all__ = [
+    "PROBE_SECONDS",
     "ConfigurationReader",
     "FollowedSource",
     "KindFollower",
@@ -25,7 +26,8 @@
 
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 0.3
-_PROBE_SECONDS = 0.05
+# A lost store is asked by watches that are held for so long.
+PROBE_SECONDS = 0.05
 # A watch at a peer: short, since the peer may fall silent.
 _FED_WATCH_SECONDS = 1.0
 # What a peer passes on is at most as old as the hold of its own watch, and this much: 1.7 s
@@ -176,7 +178,7 @@
             if _is_lost_reply(outcome):
                 # Only the connection may be gone, and the next call opens a new one. Without
                 # it one silent connection at each watcher made 87 instances blind for 10 s.
-                outcome = self._ask(source, _PROBE_SECONDS)
+                outcome = self._ask(source, PROBE_SECONDS)
             self.contact.report(isinstance(outcome, Success))
         elif isinstance(outcome, Failure):
             self.plan.failed(source)
@@ -197,7 +199,7 @@
         if source.address is not None:
             return min(_FED_WATCH_SECONDS, self.watch_seconds)
         # A lost store is probed: the answer has to come at once, changes or not.
-        return self.watch_seconds if self.contact.answers else _PROBE_SECONDS
+        return self.watch_seconds if self.contact.answers else PROBE_SECONDS
 
     def _note_source(self, source: FollowedSource) -> None:
         if source.name != self.source:
