Failing tests: a word of this instance itself counts as a lacking state

Peers' heartbeats tell how long ago they heard this instance. It isn't in its own table, so its digest looks like that of an unknown run, and all states are asked for once a second for ever.

--- a/whinrack/gossip/tests/test_peers.py
+++ b/whinrack/gossip/tests/test_peers.py
@@ -141,6 +141,35 @@
     assert not peers.take_lacking()
 
 
+def test_once_all_states_were_told_a_word_of_this_instance_itself_lacks_nothing():
+    """Peers tell how long ago they heard this instance, and its earlier run."""
+    peers = large_table()
+    own = [state(name="a", run=run, port=90) for run in ("1", "2")]
+    ages = {each.digest: 10 for each in own}
+    peers.heard(beat(name="p0", port=0, sequence=2, passed_on=own, ages=ages), 0.5)
+    peers.take_lacking()
+    peers.heard(beat(name="p0", port=0, sequence=3, ages=ages), 1.0)
+    assert not peers.take_lacking()
+
+
+def test_two_instances_that_know_everybody_ask_for_all_states_once_at_most():
+    one, other = (PeerTable(name, 1.0, 10.0, seed=1) for name in ("p0", "p1"))
+    for table_ in (one, other):
+        for number in range(30):
+            table_.heard(beat(name=f"p{number}", port=number), 0.0)
+    asked = 0
+    for turn in range(1, 10):
+        now = turn * 0.1
+        for asker, answerer, number in ((one, other, 1), (other, one, 0)):
+            message = _beat_of(answerer, number, 2 * turn, now)
+            asker.heard(message, now)
+            if asker.take_lacking():
+                asked += 1
+                asker.heard(_beat_of(answerer, number, 2 * turn + 1, now, whole=True), now)
+                asker.take_lacking()
+    assert asked <= 2
+
+
 def test_a_silent_peer_is_not_kept_alive_by_what_others_pass_on():
     """Two instances that tell each other of a third don't refresh it."""
     one, other = large_table(seed=1), large_table(seed=2)
