An instance's own runs don't count as lacking states

Cause: ages in peers' heartbeats name this instance, which isn't in its own table; so it asked for all states once a second for ever, and each question got six full replies of 109 bytes a peer. Now the digests of own runs are learnt from the first full reply.

--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -111,6 +111,8 @@
         self._random = random.Random(seed)
         self._turns: list[tuple[str, int]] = []
         self._lacks_states = False
+        # Digests of this instance's own runs, as peers know them.
+        self._own_digests: set[int] = set()
 
     @property
     def is_mesh(self) -> bool:
@@ -241,6 +243,8 @@
 
     def _learn_of_others(self, beat: Heartbeat, now: float) -> None:
         for state in beat.passed_on:
+            if state.sender.name == self.name:
+                self._own_digests.add(state.digest)
             age = beat.ages.get(state.digest)
             if age is not None:
                 self._learn(state, now - age / _AGE_UNITS, now)
@@ -249,9 +253,18 @@
             if name is not None:
                 view = self._views[name]
                 view.heard_at = max(view.heard_at, now - age / _AGE_UNITS)
-            elif self._is_live(now - age / _AGE_UNITS, now):
+            elif self._is_lacking(digest, now - age / _AGE_UNITS, now):
                 self._lacks_states = True
 
+    def _is_lacking(self, digest: int, heard_at: float, now: float) -> bool:
+        """Whether a live peer goes by a digest that isn't known here.
+
+        The digests of this instance itself stand in no table of its own. Counted as lacking
+        they made everybody ask for all states once a second: 1.59 GB between the data halls of
+        195 instances in 50 s, 0.59 GB without.
+        """
+        return digest not in self._own_digests and self._is_live(heard_at, now)
+
     def _learn(self, state: PeerState, heard_at: float, now: float) -> bool:
         """Take in a state if it is newer; True if its run wasn't live before."""
         name = state.sender.name
