--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -27,9 +27,10 @@
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._membership import Membership, MembershipHost
 from whinrack.edge._options import EdgeOptions, HostPort, ReloadedOptions, reload_options
-from whinrack.edge._sharing import KnowledgeServer
+from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
 from whinrack.edge._sources import ConfigurationReader, TargetReader
 from whinrack.edge._tokens import TokenExchange
+from whinrack.edge._traffic import Place
 from whinrack.exceptions import InvalidSettings
 from whinrack.gossip import GoneTarget, Message
 from whinrack.http1 import ConnectionPool, HttpServer
@@ -48,6 +49,7 @@
 _STALE_ANSWERS = 3
 _EXIT_OK = 0
 _BOOKS_LOG_ROUNDS = 5
+_TRAFFIC_LOG_SECONDS = 20.0
 _TASK_PAUSE_SECONDS = 0.5
 # An instance counts as serving from so many requests a second on; probes are fewer.
 _SERVING_RATE = 1.0
@@ -111,6 +113,7 @@
             self.directory,
             self.registry,
             self,
+            self._count_bytes,
         )
         self.knowledge = StoreKnowledge(
             self.store,
@@ -119,9 +122,16 @@
             target_reader,
             self.directory,
             self.registry,
-            FeedPlan(self.store, self.contact, self.membership.own_state, self.membership.table),
+            FeedPlan(
+                self.store,
+                self.contact,
+                self.membership.own_state,
+                self.membership.table,
+                self.membership.traffic.moved,
+            ),
             options.watch_seconds,
             self.membership.peer_with_store,
+            self._fetch_knowledge,
         )
         self.tokens = TokenExchange(
             options,
@@ -200,6 +210,9 @@
         """Take in the targets that a peer knows to be gone."""
         self.knowledge.learn_gone(gone)
 
+    def _fetch_knowledge(self, peer: HostPort) -> SharedKnowledge | None:
+        return fetch_knowledge(peer, self.membership.traffic.moved)
+
     def hear_of_configuration(self, peer: HostPort) -> None:
         """Catch up with a peer that has a newer configuration."""
         self.knowledge.suspect_configuration(peer)
@@ -223,7 +236,9 @@
             if address is not None:
                 HttpServer(address, handle).start()
         KnowledgeServer(
-            self.options.gossip, self.knowledge.shared, self.knowledge.relay.answer
+            self.options.gossip,
+            self.knowledge.shared,
+            self.knowledge.relay.answer,
         ).start()
 
     def _start_tasks(self) -> None:
@@ -233,6 +248,7 @@
             self._renew_forever,
             self._follow_settings,
             self._watch_crowding,
+            self._log_traffic_forever,
             self.membership.beat_forever,
             self.membership.share_loads_forever,
         )
@@ -260,9 +276,7 @@
                 self.contact.report(False)
             rounds += 1
             if rounds % _BOOKS_LOG_ROUNDS == 0:
-                log_event(
-                    Event.BOOKS_KNOWN, books=self.keeper.summary(), calls=self.store.summary()
-                )
+                log_event(Event.BOOKS_KNOWN, books=self.keeper.summary())
             eventlet.sleep(self.membership.table.interval(self.options.renew_seconds))
             self.contact.wait(self.options.renew_seconds)
 
@@ -370,6 +384,7 @@
         self.tokens.tell_given()
         with eventlet.Timeout(max(0.1, kill_at - time.monotonic()), False):
             self.keeper.drain(True)
+        self._log_traffic()
         log_event(Event.ROUTER_STOPPED, in_progress=self.dispatcher.in_progress)
         self.output.pump()
         sys.stdout.flush()
@@ -377,6 +392,22 @@
 
     # --- upkeep ------------------------------------------------------------------
 
+    def _log_traffic_forever(self) -> None:
+        while True:
+            eventlet.sleep(_TRAFFIC_LOG_SECONDS)
+            self._log_traffic()
+
+    def _log_traffic(self) -> None:
+        log_event(
+            Event.TRAFFIC,
+            sent=self.membership.traffic.summary(),
+            calls=self.store.summary(),
+            malformed=self.membership.link.malformed,
+        )
+
+    def _count_bytes(self, message: str, place: Place, size: int) -> None:
+        self.metrics.peer_bytes.labels(message, place.value).inc(size)
+
     def _count_call(self, operation: str, result: str) -> None:
         self.metrics.platform_calls.labels(operation, result).inc()
 
--- a/whinrack/edge/_feeding.py
+++ b/whinrack/edge/_feeding.py
@@ -49,6 +49,8 @@
     own_state : callable
         Returns what this instance says of itself.
     peers : PeerTable
+    moved : callable, optional
+        See `ask_peer`.
     """
 
     def __init__(
@@ -57,11 +59,13 @@
         contact: StoreContact,
         own_state: Callable[[], PeerState],
         peers: PeerTable,
+        moved: Callable[[str, HostPort, int], None] | None = None,
     ):
         super().__init__(store)
         self.contact = contact
         self.own_state = own_state
         self.peers = peers
+        self.moved = moved
         self._connections = ConnectionPool()
         self._avoided: dict[HostPort, float] = {}
 
@@ -73,7 +77,7 @@
         if feeder is None:
             return FollowedSource(self.store)
         address = feeder.sender.address
-        return FollowedSource(PeerFeed(address, self._connections), address)
+        return FollowedSource(PeerFeed(address, self._connections, self.moved), address)
 
     def failed(self, source: FollowedSource) -> None:
         """Learn that a peer didn't answer."""
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 
 import eventlet
 import msgspec
@@ -10,6 +11,7 @@
 from whinrack.dispatch import Directory, TargetRegistry
 from whinrack.edge._entries import choose_entries, is_crowded
 from whinrack.edge._options import EdgeOptions, HostPort
+from whinrack.edge._traffic import Place, TrafficMeter
 from whinrack.gossip import (
     ClockCheck,
     GoneTarget,
@@ -89,6 +91,8 @@
     directory : Directory
     registry : TargetRegistry
     host : MembershipHost
+    count_bytes : callable
+        See `TrafficMeter`.
     """
 
     def __init__(
@@ -98,6 +102,7 @@
         directory: Directory,
         registry: TargetRegistry,
         host: MembershipHost,
+        count_bytes: Callable[[str, Place, int], None],
     ):
         self.options = options
         self.holder = holder
@@ -107,7 +112,8 @@
         self.stopping = False
         self.table = PeerTable(options.name, options.silent_seconds, options.forget_seconds)
         self.clocks = ClockCheck()
-        self.link = GossipLink(options.gossip, self._receive)
+        self.traffic = TrafficMeter(options.data_hall, self.table.hall_of, count_bytes)
+        self.link = GossipLink(options.gossip, self._receive, self.traffic.moved)
         self._callers = f"{options.callers[0]}:{options.callers[1]}"
         self._sequence = 0
         self._known_live: set[str] = set()
--- a/whinrack/edge/_relay.py
+++ b/whinrack/edge/_relay.py
@@ -7,7 +7,7 @@
 
 import time
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from urllib.parse import parse_qs, urlsplit
 
 import eventlet
@@ -166,11 +166,19 @@
     ----------
     address : HostPort
     connections : ConnectionPool
+    moved : callable, optional
+        See `ask_peer`.
     """
 
-    def __init__(self, address: HostPort, connections: ConnectionPool):
+    def __init__(
+        self,
+        address: HostPort,
+        connections: ConnectionPool,
+        moved: Callable[[str, HostPort, int], None] | None = None,
+    ):
         self.address = address
         self.connections = connections
+        self.moved = moved
 
     def list(self, kinds: Sequence[str]) -> Result[Snapshot, PlatformFailure]:
         """Read all objects of one kind."""
@@ -187,7 +195,9 @@
 
     def _ask(self, path: str, wait: float, answer_type: type) -> Result:
         seconds = wait + _PATIENCE
-        answer = ask_peer(self.address, path.encode(), seconds, self.connections, answer_type)
+        answer = ask_peer(
+            self.address, path.encode(), seconds, self.connections, answer_type, self.moved
+        )
         if answer is None:
             return Failure(PlatformUnavailable("the peer doesn't pass on what it follows"))
         return Success(answer)
--- a/whinrack/edge/_sharing.py
+++ b/whinrack/edge/_sharing.py
@@ -95,20 +95,32 @@
     return _DEFLATED, zlib.compress(body, _COMPRESSION_LEVEL)
 
 
-def fetch_knowledge(address: HostPort) -> SharedKnowledge | None:
+def fetch_knowledge(
+    address: HostPort, moved: Callable[[str, HostPort, int], None] | None = None
+) -> SharedKnowledge | None:
     """Ask a peer what it knows; None if it doesn't answer in time."""
     connections = ConnectionPool()
     try:
-        return ask_peer(address, _PATH, _FETCH_SECONDS, connections, SharedKnowledge)
+        return ask_peer(address, _PATH, _FETCH_SECONDS, connections, SharedKnowledge, moved)
     finally:
         connections.close()
 
 
 def ask_peer(
-    address: HostPort, path: bytes, seconds: float, connections: ConnectionPool, answer_type: type
+    address: HostPort,
+    path: bytes,
+    seconds: float,
+    connections: ConnectionPool,
+    answer_type: type,
+    moved: Callable[[str, HostPort, int], None] | None = None,
 ):
     """Ask a peer by HTTP.
 
+    Parameters
+    ----------
+    moved : callable, optional
+        Called with the kind of question, the address and the bytes of the answer's body.
+
     Returns
     -------
     answer_type or None
@@ -127,6 +139,8 @@
         return None
     finally:
         connections.give_back(connection)
+    if moved is not None:
+        moved(answer_type.__name__.lower(), address, len(body))
     return _decode(body, answer_type) if head.status == _OK else None
 
 
--- a/whinrack/gossip/_link.py
+++ b/whinrack/gossip/_link.py
@@ -6,7 +6,7 @@
 import msgspec
 from eventlet.green import socket
 
-from whinrack.gossip._messages import Message
+from whinrack.gossip._messages import Message, message_name
 
 __all__ = ["GossipLink"]
 
@@ -22,11 +22,25 @@
         Where to listen.
     receive : callable
         Called with each message and the address that it came from.
+    sent : callable, optional
+        Called with the name, the receiver's address and the bytes of each message sent.
+
+    Attributes
+    ----------
+    malformed : int
+        Datagrams that were none of ours, or of another version, and were dropped.
     """
 
-    def __init__(self, address: tuple[str, int], receive: Callable[[Message, tuple], None]):
+    def __init__(
+        self,
+        address: tuple[str, int],
+        receive: Callable[[Message, tuple], None],
+        sent: Callable[[str, tuple, int], None] | None = None,
+    ):
         self.address = address
         self.receive = receive
+        self.sent = sent
+        self.malformed = 0
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Message)
         self._socket = None
@@ -40,10 +54,13 @@
 
     def send(self, message: Message, address: tuple[str, int]) -> None:
         """Send once; a datagram that can't be sent counts as lost."""
+        data = self._encoder.encode(message)
         try:
-            self._socket.sendto(self._encoder.encode(message), address)
+            self._socket.sendto(data, address)
         except OSError:
             return
+        if self.sent is not None:
+            self.sent(message_name(message), address, len(data))
 
     def _receive_all(self) -> None:
         while True:
@@ -56,6 +73,6 @@
             try:
                 message = self._decoder.decode(data)
             except msgspec.MsgspecError:
-                # Not a message of ours, or of another version.
+                self.malformed += 1
                 continue
             self.receive(message, address)
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -19,6 +19,7 @@
     "TargetLoads",
     "TokenReply",
     "TokenRequest",
+    "message_name",
 ]
 
 
@@ -254,3 +255,17 @@
     | ReleaseReply
     | TargetLoads
 )
+
+
+_WITH_STATES = "+states"
+
+
+def message_name(message: Message) -> str:
+    """Return the name by which messages of a kind are counted.
+
+    Heartbeats that pass states on are many times as long as others, and counted apart.
+    """
+    name = message.__struct_config__.tag
+    if isinstance(message, Heartbeat) and message.passed_on:
+        return name + _WITH_STATES
+    return name
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -113,6 +113,7 @@
         self._lacks_states = False
         # Digests of this instance's own runs, as peers know them.
         self._own_digests: set[int] = set()
+        self._halls: dict[str, str] = {}
 
     @property
     def is_mesh(self) -> bool:
@@ -145,6 +146,10 @@
             self._learn_of_others(beat, now)
         return is_new
 
+    def hall_of(self, host: str) -> str | None:
+        """Return the data hall of the instance at an IP address, None if it isn't known."""
+        return self._halls.get(host)
+
     def take_lacking(self) -> bool:
         """Return whether states of live peers are lacking, once."""
         lacks, self._lacks_states = self._lacks_states, False
@@ -285,6 +290,7 @@
         self._views[name] = PeerView(state, heard_at)
         self._names[state.digest] = name
         self._addresses[state.sender.address] = now
+        self._halls[state.sender.host] = state.data_hall
         return True
 
     def _forget(self, now: float) -> None:
@@ -298,6 +304,7 @@
             if now - view.heard_at > self.forget_seconds:
                 del self._views[name]
                 self._names.pop(view.state.digest, None)
+                self._halls.pop(view.state.sender.host, None)
 
     def _next_in_turn(self, live: set[tuple[str, int]]) -> list[tuple[str, int]]:
         """Return some live peers' addresses; all have had a turn before one has its second."""
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -55,6 +55,7 @@
         "INFO",
         "budgets: spendable/usable here/free/held/billed/limit @age",
     )
+    TRAFFIC = (8001, "INFO", "messages:bytes moved between instances, and calls to the store")
 
     REQUEST_ANSWERED = (7001, "INFO", "a target's answer was passed on whole")
     REQUEST_REFUSED = (7002, "INFO", "request refused")
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -28,6 +28,9 @@
         self.platform_calls = self._counter(
             "platform_calls", "Calls to the platform", "operation", "result"
         )
+        self.peer_bytes = self._counter(
+            "peer_bytes", "Bytes moved between instances", "message", "place"
+        )
         self.peer_calls = self._counter("peer_calls", "Calls to peers", "call", "result")
         self.peer_refused = self._counter("peer_refused", "Peer calls refused, by reason", "reason")
         self.draws = self._counter(
--- a/whinrack/store/_metered.py
+++ b/whinrack/store/_metered.py
@@ -27,7 +27,7 @@
     Attributes
     ----------
     calls : Counter
-        Calls by (operation, result).
+        Calls by (operation, result); operations name the kinds of objects, "get books".
     answered_at : float
         Steady clock when the store answered last, whatever it said.
     last_failure : str
@@ -43,31 +43,31 @@
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
         """Read one object."""
-        return self._counted("get", self.store.get(kind, name))
+        return self._counted(f"get {kind}", self.store.get(kind, name))
 
     def list(self, kinds: Sequence[str]) -> Result[Snapshot, PlatformFailure]:
         """Read all objects of some kinds at one revision."""
-        return self._counted("list", self.store.list(kinds))
+        return self._counted(_about("list", kinds), self.store.list(kinds))
 
     def put(
         self, kind: str, name: str, value: bytes, version: int
     ) -> Result[StoredObject, PlatformFailure]:
         """Write an object that is at `version`."""
-        return self._counted("put", self.store.put(kind, name, value, version))
+        return self._counted(f"put {kind}", self.store.put(kind, name, value, version))
 
     def delete(self, kind: str, name: str, version: int) -> Result[None, PlatformFailure]:
         """Delete an object that is at `version`."""
-        return self._counted("delete", self.store.delete(kind, name, version))
+        return self._counted(f"delete {kind}", self.store.delete(kind, name, version))
 
     def watch(
         self, kinds: Sequence[str], since: int, wait: float
     ) -> Result[WatchBatch, PlatformFailure]:
         """Wait for changes after a revision."""
-        return self._counted("watch", self.store.watch(kinds, since, wait))
+        return self._counted(_about("watch", kinds), self.store.watch(kinds, since, wait))
 
     def summary(self) -> str:
         """Return the counts as text, for the log."""
-        return " ".join(f"{name}/{result}:{n}" for (name, result), n in self.calls.items())
+        return ", ".join(f"{name}/{result}:{n}" for (name, result), n in self.calls.items())
 
     def _counted(self, operation: str, result: Result) -> Result:
         outcome = result.failure().code if isinstance(result, Failure) else _DONE
@@ -78,3 +78,7 @@
             self.last_failure = f"{operation}: {result.failure().message}"
         self.count(operation, outcome)
         return result
+
+
+def _about(operation: str, kinds: Sequence[str]) -> str:
+    return f"{operation} {'+'.join(kinds)}"
