Heartbeats of a large fleet mostly stay in the data hall; one peer is asked for states; a version is no news

Four in five went to other halls, each with the ages of all and the news of all; a question for states got six answers of 109 bytes an instance; each change of the configuration made the state of every instance news. Now one in six goes to another hall and tells of the sender's own hall only.

--- a/benchmarks/bench_edge.py
+++ b/benchmarks/bench_edge.py
@@ -80,12 +80,15 @@
             receiver.heard(msgspec.structs.replace(received, number=next(times)), 0.0)
 
         report("heartbeat", len(encoded), "B", peers=peers)
-        report(
-            "heartbeats_sent", len(sender.targets(0.0)) / sender.interval(0.25), "/s", peers=peers
-        )
+        report("heartbeats_sent", _receivers(sender) / sender.interval(0.25), "/s", peers=peers)
         report("heartbeat_taken_in", _microseconds(take), "us", peers=peers)
 
 
+def _receivers(table: PeerTable) -> int:
+    chosen = table.receivers(0.0)
+    return len(chosen.near) + len(chosen.far)
+
+
 def _table_of(peers: int) -> PeerTable:
     """Return the table of an instance that has heard all others."""
     table = PeerTable("instance", 1.0, 60.0, seed=1)
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -110,7 +110,12 @@
         self.registry = registry
         self.host = host
         self.stopping = False
-        self.table = PeerTable(options.name, options.silent_seconds, options.forget_seconds)
+        self.table = PeerTable(
+            options.name,
+            options.silent_seconds,
+            options.forget_seconds,
+            data_hall=options.data_hall,
+        )
         self.clocks = ClockCheck()
         self.traffic = TrafficMeter(options.data_hall, self.table.hall_of, count_bytes)
         self.link = GossipLink(options.gossip, self._receive, self.traffic.moved)
@@ -140,11 +145,29 @@
         """Send a heartbeat to the peers whose turn it is."""
         now = time.monotonic()
         message = self._heartbeat(now, self.table.news(now))
-        for address in self.table.targets(now):
-            if address != self.options.gossip:
-                self.link.send(message, address)
+        receivers = self.table.receivers(now)
+        # One peer that answers with all states is enough: 109 bytes for each instance.
+        asked = next(iter([*receivers.near, *receivers.far]), None)
+        asks = self._asks_for_states(now)
+        for address in receivers.near:
+            self._send(_asking(message, asks and address == asked), address)
+        brief = self._brief(message, now)
+        for address in receivers.far:
+            self._send(_asking(brief, asks and address == asked), address)
         self._log_changes(now)
 
+    def _send(self, message: Heartbeat, address: HostPort) -> None:
+        if address != self.options.gossip:
+            self.link.send(message, address)
+
+    def _brief(self, message: Heartbeat, now: float) -> Heartbeat:
+        """Return a heartbeat for another data hall, which tells of the own hall only."""
+        return msgspec.structs.replace(
+            message,
+            passed_on=self.table.near_only(message.passed_on),
+            ages=self.table.ages(now, near_only=True),
+        )
+
     def _heartbeat(self, now: float, passed_on: list[PeerState]) -> Heartbeat:
         self._number += 1
         return Heartbeat(
@@ -156,7 +179,6 @@
             peers=self.table.addresses(now),
             passed_on=passed_on,
             ages=self.table.ages(now),
-            asks_for_states=self._asks_for_states(now),
         )
 
     def _asks_for_states(self, now: float) -> bool:
@@ -258,7 +280,7 @@
         is_new = self.table.heard(beat, now)
         if is_new or beat.asks_for_states:
             # At once, so that a peer that has just started knows this one and the others.
-            self.link.send(self._heartbeat(now, self.table.states(now)), sender.address)
+            self._introduce(beat, now)
         newest = max((beat.state, *beat.passed_on), key=lambda state: state.configuration)
         if newest.configuration > self.directory.version:
             self.host.hear_of_configuration(newest.sender.address)
@@ -266,6 +288,17 @@
         if self._learn_leaving(beat) and not self.table.is_mesh:
             self._spread(now)
 
+    def _introduce(self, beat: Heartbeat, now: float) -> None:
+        """Answer a peer that was not known, or that lacks states.
+
+        One that tells of others knows many already, and needs no states.
+        """
+        knows_few = beat.asks_for_states or not beat.ages
+        message = self._heartbeat(now, self.table.states(now) if knows_few else [])
+        if not knows_few and not self.table.is_near(beat.state):
+            message = self._brief(message, now)
+        self.link.send(message, beat.state.sender.address)
+
     def _learn_leaving(self, beat: Heartbeat) -> bool:
         """Take in which targets a peer knows to be leaving; True if that is news."""
         news = [incarnation for incarnation in beat.leaving if self.registry.leave(incarnation)]
@@ -289,9 +322,20 @@
         self._known_live = live
 
 
+def _asking(message: Heartbeat, asks: bool) -> Heartbeat:
+    """Return a heartbeat that asks for all states, or the heartbeat as it is."""
+    return msgspec.structs.replace(message, asks_for_states=True) if asks else message
+
+
 def _is_news(before: PeerState | None, now: PeerState) -> bool:
-    """Whether a state differs from the one before in anything but its number."""
-    return before is None or msgspec.structs.replace(before, sequence=0) != now
+    """Whether a state differs from the one before in more than others hear at once anyway.
+
+    Each instance tells its version of the configuration by its own heartbeats. Passed on as
+    news, one change of the configuration made the states of all instances news at once.
+    """
+    if before is None:
+        return True
+    return msgspec.structs.replace(before, sequence=0, configuration=now.configuration) != now
 
 
 def _in_steps(load: int) -> int:
--- /dev/null
+++ b/whinrack/edge/tests/test_membership.py
@@ -0,0 +1,144 @@
+"""What an instance of a large fleet tells its peers, and whom it asks."""
+
+import pytest
+
+from whinrack.dispatch import Directory, TargetRegistry
+from whinrack.edge import EdgeOptions
+from whinrack.edge._membership import Membership, MembershipHost
+from whinrack.gossip import Heartbeat, PeerAddress, PeerState
+
+OPTIONS = EdgeOptions(
+    name="a",
+    data_hall="h0",
+    callers=("10.0.0.1", 80),
+    directory=None,
+    ready=None,
+    gossip=("10.0.0.1", 7340),
+)
+
+
+class Host(MembershipHost):
+    """An instance at rest."""
+
+    def __init__(self):
+        self.newer = []
+
+    def open_requests(self):
+        return 0
+
+    def serves_callers(self, now):
+        return False
+
+    def holds_tokens(self):
+        return False
+
+    def reaches_store(self):
+        return True
+
+    def confirms_store(self):
+        return False
+
+    def gone_targets(self):
+        return []
+
+    def learn_gone_targets(self, gone):
+        pass
+
+    def hear_of_configuration(self, peer):
+        self.newer.append(peer)
+
+
+class Link:
+    """Keeps what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message, address):
+        self.sent.append((message, address))
+
+
+class Versioned:
+    """A directory in which only the version matters."""
+
+    def __init__(self, version):
+        self.version = version
+
+
+@pytest.fixture
+def membership():
+    """An instance that knows thirty others in three halls."""
+    registry = TargetRegistry()
+    member = Membership(
+        OPTIONS, "a.1", Directory(lambda configuration: None), registry, Host(), lambda *_: None
+    )
+    member.link = Link()
+    for number in range(30):
+        member._receive(beat(number), None)
+    member.link.sent.clear()
+    return member
+
+
+def beat(peer, run=1, hall=None, **fields):
+    state = PeerState(
+        incarnation=f"p{peer}.{run}",
+        sequence=1,
+        sender=PeerAddress(f"p{peer}", f"10.0.1.{peer}", 7340),
+        callers=f"p{peer}:80",
+        data_hall=hall or f"h{peer % 3}",
+        ready=True,
+        store_answers=True,
+        load=0,
+        configuration=0,
+    )
+    return Heartbeat(**({"state": state, "number": 1} | fields))
+
+
+def halls_told_of(member, message):
+    digests = {view.state.digest: view.state.data_hall for view in member.table.live(0.0)}
+    return {digests[digest] for digest in message.ages}
+
+
+def test_other_halls_are_told_of_the_own_hall_only(membership):
+    membership.beat()
+    near = [message for message, address in membership.link.sent if len(message.ages) == 30]
+    far = [message for message, address in membership.link.sent if len(message.ages) == 10]
+    assert (len(near), len(far)) == (5, 1)
+    assert {state.data_hall for state in far[0].passed_on} == {"h0"}
+
+
+def test_one_peer_is_asked_for_the_states_that_are_lacking(membership):
+    membership._receive(beat(0, number=2, ages={1234: 10}), None)
+    membership.beat()
+    asked = [address for message, address in membership.link.sent if message.asks_for_states]
+    assert len(asked) == 1
+
+
+def test_a_newcomer_that_knows_nobody_is_told_all_states(membership):
+    membership._receive(beat(40, hall="h1"), None)
+    ((answer, address),) = membership.link.sent
+    assert address == ("10.0.1.40", 7340)
+    assert len(answer.passed_on) == 31
+
+
+def test_a_newcomer_that_knows_others_is_told_no_states(membership):
+    membership._receive(beat(40, hall="h1", ages={1234: 10}), None)
+    ((answer, _),) = membership.link.sent
+    assert answer.passed_on == []
+    assert len(answer.ages) == 10
+
+
+def test_a_newer_version_of_the_configuration_is_no_news(membership):
+    """Each tells its own; as news, one change would pass on the states of all instances."""
+    membership.directory = Versioned(1)
+    before = membership.own_state()
+    membership.directory.version = 2
+    state = membership.own_state()
+    assert (state.configuration, state.sequence) == (2, before.sequence)
+
+
+def test_whether_callers_may_come_is_news(membership):
+    membership.directory = Versioned(1)
+    before = membership.own_state()
+    membership.stopping = True
+    assert membership.own_state().sequence == before.sequence + 1
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -4,6 +4,10 @@
 live as long as it is heard. In a larger one each sends to a few in turn, and passes on what
 it has heard (an epidemic protocol), so that an instance's messages don't grow in number with
 the fleet: the states that are news, and how long ago every peer was heard.
+
+Most heartbeats of a large fleet stay in the sender's data hall and tell of all instances.
+Those to other halls tell of the sender's own hall only: links between halls are few and shared,
+and each hall hears of another one from its own instances.
 """
 
 import random
@@ -16,9 +20,10 @@
 
 # Instances up to which all hear each other.
 _FULL_MESH = 12
-# Beyond that: peers that one heartbeat goes to, and addresses that nothing was heard from
-# which are tried beside.
+# Beyond that: peers that one heartbeat goes to, those of them in the own data hall, and
+# addresses that nothing was heard from which are tried beside.
 _FANOUT = 6
+_FANOUT_IN_HALL = 5
 _UNHEARD_TRIED = 2
 # Heartbeats that pass a new state on, and most states in one of them.
 _TIMES_PASSED_ON = 4
@@ -84,6 +89,21 @@
         return self.state.incarnation == state.incarnation
 
 
+class Receivers(NamedTuple):
+    """Addresses that the next heartbeat goes to.
+
+    Attributes
+    ----------
+    near : list of tuple of str and int
+        In the own data hall; these hear of all instances.
+    far : list of tuple of str and int
+        In other halls, or where nothing was heard from; these hear of the own hall only.
+    """
+
+    near: list[tuple[str, int]]
+    far: list[tuple[str, int]]
+
+
 class PeerTable:
     """Peers by name, and the addresses that heartbeats go to.
 
@@ -97,19 +117,28 @@
         Silence after which its address is no longer tried.
     seed : int, optional
         Seeds the choice of peers in a large fleet.
+    data_hall : str, optional
+        Where this instance is; None takes all peers as near.
     """
 
     def __init__(
-        self, name: str, silent_seconds: float, forget_seconds: float, seed: int | None = None
+        self,
+        name: str,
+        silent_seconds: float,
+        forget_seconds: float,
+        seed: int | None = None,
+        data_hall: str | None = None,
     ):
         self.name = name
+        self.data_hall = data_hall
         self.silent_seconds = silent_seconds
         self.forget_seconds = forget_seconds
         self._views: dict[str, PeerView] = {}
         self._names: dict[int, str] = {}
         self._addresses: dict[tuple[str, int], float] = {}
         self._random = random.Random(seed)
-        self._turns: list[tuple[str, int]] = []
+        self._near_turns: list[tuple[str, int]] = []
+        self._far_turns: list[tuple[str, int]] = []
         self._lacks_states = False
         # Digests of this instance's own runs, as peers know them.
         self._own_digests: set[int] = set()
@@ -199,15 +228,28 @@
 
     # --- sending -----------------------------------------------------------------
 
-    def targets(self, now: float) -> list[tuple[str, int]]:
+    def receivers(self, now: float) -> Receivers:
         """Return the addresses to send the next heartbeat to."""
         self._forget(now)
         if self.is_mesh:
-            return list(self._addresses)
-        live = {view.state.sender.address for view in self.live(now)}
-        unheard = [address for address in self._addresses if address not in live]
+            return Receivers(near=list(self._addresses), far=[])
+        live = self.live(now)
+        near = {view.state.sender.address for view in live if self.is_near(view.state)}
+        far = {view.state.sender.address for view in live} - near
+        unheard = [address for address in self._addresses if address not in near | far]
         tried = self._random.sample(unheard, min(_UNHEARD_TRIED, len(unheard)))
-        return [*self._next_in_turn(live), *tried]
+        in_hall = max(_FANOUT_IN_HALL, _FANOUT - len(far))
+        chosen = self._next_in_turn(self._near_turns, near, in_hall)
+        others = self._next_in_turn(self._far_turns, far, _FANOUT - len(chosen))
+        return Receivers(near=chosen, far=[*others, *tried])
+
+    def is_near(self, state: PeerState) -> bool:
+        """Whether an instance is in the own data hall."""
+        return self.data_hall is None or state.data_hall == self.data_hall
+
+    def near_only(self, states: Iterable[PeerState]) -> list[PeerState]:
+        """Return those of some instances that are in the own data hall."""
+        return [state for state in states if self.is_near(state)]
 
     def addresses(self, now: float) -> list[PeerAddress]:
         """Return live peers' addresses, for peers that don't know them."""
@@ -229,14 +271,21 @@
             view.passed_on += 1
         return [view.state for view in chosen]
 
-    def ages(self, now: float) -> dict[int, int]:
-        """Return how long ago live peers were heard, see `Heartbeat`."""
+    def ages(self, now: float, near_only: bool = False) -> dict[int, int]:
+        """Return how long ago live peers were heard, see `Heartbeat`.
+
+        Parameters
+        ----------
+        near_only : bool
+            Tell of the own data hall only.
+        """
         if self.is_mesh:
             return {}
         return {
             digest: round((now - view.heard_at) * _AGE_UNITS)
             for digest, name in self._names.items()
             if self._is_live((view := self._views[name]).heard_at, now)
+            and (not near_only or self.is_near(view.state))
         }
 
     # --- learning ----------------------------------------------------------------
@@ -306,13 +355,15 @@
                 self._names.pop(view.state.digest, None)
                 self._halls.pop(view.state.sender.host, None)
 
-    def _next_in_turn(self, live: set[tuple[str, int]]) -> list[tuple[str, int]]:
+    def _next_in_turn(
+        self, turns: list[tuple[str, int]], live: set[tuple[str, int]], count: int
+    ) -> list[tuple[str, int]]:
         """Return some live peers' addresses; all have had a turn before one has its second."""
         chosen: list[tuple[str, int]] = []
-        while len(chosen) < min(_FANOUT, len(live)):
-            if not self._turns:
-                self._turns = self._random.sample(sorted(live), len(live))
-            address = self._turns.pop()
+        while len(chosen) < min(count, len(live)):
+            if not turns:
+                turns.extend(self._random.sample(sorted(live), len(live)))
+            address = turns.pop()
             if address in live and address not in chosen:
                 chosen.append(address)
         return chosen
--- a/whinrack/gossip/tests/test_peers.py
+++ b/whinrack/gossip/tests/test_peers.py
@@ -1,17 +1,19 @@
 """What an instance concludes from heartbeats."""
 
+import random
+
 import msgspec
 
 from whinrack.gossip import Heartbeat, PeerAddress, PeerState, PeerTable
 
 
-def state(name="b", run="1", sequence=1, ready=True, port=9, serving=False):
+def state(name="b", run="1", sequence=1, ready=True, port=9, serving=False, data_hall="h"):
     return PeerState(
         incarnation=f"{name}.{run}",
         sequence=sequence,
         sender=PeerAddress(name, "127.0.0.1", port),
         callers=f"{name}:80",
-        data_hall="h",
+        data_hall=data_hall,
         ready=ready,
         store_answers=True,
         load=0,
@@ -40,6 +42,12 @@
     return PeerTable("a", silent_seconds=1.0, forget_seconds=10.0)
 
 
+def addresses_of(peers, now):
+    """Return all addresses that the next heartbeat goes to."""
+    receivers = peers.receivers(now)
+    return [*receivers.near, *receivers.far]
+
+
 def names(views):
     return [view.state.sender.name for view in views]
 
@@ -81,14 +89,14 @@
 def test_peers_of_peers_get_heartbeats_too():
     peers = table()
     peers.heard(beat(peers=[PeerAddress("c", "127.0.0.2", 9)]), 0.0)
-    assert set(peers.targets(0.0)) == {("127.0.0.1", 9), ("127.0.0.2", 9)}
+    assert set(addresses_of(peers, 0.0)) == {("127.0.0.1", 9), ("127.0.0.2", 9)}
 
 
 def test_addresses_from_which_nothing_is_heard_are_forgotten():
     peers = table()
     peers.add_addresses([("127.0.0.3", 9)], 0.0)
-    assert peers.targets(9.0) == [("127.0.0.3", 9)]
-    assert peers.targets(11.0) == []
+    assert addresses_of(peers, 9.0) == [("127.0.0.3", 9)]
+    assert addresses_of(peers, 11.0) == []
 
 
 def large_table(seed=1, size=30):
@@ -103,7 +111,7 @@
     peers = table()
     peers.heard(beat(**of_age(10, state(name="c", port=10))), 0.0)
     assert names(peers.live(0.0)) == ["b"]
-    assert ("127.0.0.1", 10) in peers.targets(0.0)
+    assert ("127.0.0.1", 10) in addresses_of(peers, 0.0)
     assert (peers.news(0.0), peers.ages(0.0)) == ([], {})
 
 
@@ -200,7 +208,7 @@
 
 def test_in_a_large_fleet_heartbeats_go_to_all_in_turn():
     peers = large_table()
-    rounds = [peers.targets(0.0) for _ in range(5)]
+    rounds = [addresses_of(peers, 0.0) for _ in range(5)]
     assert all(len(targets) <= 8 for targets in rounds)
     assert len({address for targets in rounds for address in targets}) == 30
 
@@ -209,7 +217,7 @@
     peers = large_table()
     unheard = [("127.0.0.9", port) for port in range(5)]
     peers.add_addresses(unheard, 0.0)
-    tried = [address for address in peers.targets(0.0) if address in unheard]
+    tried = [address for address in addresses_of(peers, 0.0) if address in unheard]
     assert len(tried) == 2
 
 
@@ -222,6 +230,58 @@
     assert large.sharing_count(0.1) == 2
 
 
+def halls_of(peers, addresses, now):
+    halls = {view.state.sender.address: view.state.data_hall for view in peers.live(now)}
+    return [halls[address] for address in addresses]
+
+
+def fleet_in_halls(halls=5, of_each=20):
+    """Return an instance's table that has heard all of a fleet in several data halls."""
+    peers = PeerTable("a", 1.0, 10.0, seed=1, data_hall="h0")
+    for number in range(halls * of_each):
+        peers.heard(beat(name=f"p{number}", port=number, data_hall=f"h{number % halls}"), 0.0)
+    return peers
+
+
+def test_most_heartbeats_of_a_large_fleet_stay_in_the_data_hall():
+    peers = fleet_in_halls()
+    for _ in range(40):
+        receivers = peers.receivers(0.0)
+        assert halls_of(peers, receivers.near, 0.0) == ["h0"] * 5
+        assert len(receivers.far) == 1
+        assert "h0" not in halls_of(peers, receivers.far, 0.0)
+
+
+def test_all_other_halls_get_heartbeats_in_turn():
+    peers = fleet_in_halls(of_each=10)
+    far = [address for _ in range(40) for address in peers.receivers(0.0).far]
+    assert len(set(far)) == 40
+
+
+def test_an_instance_alone_in_its_hall_sends_all_heartbeats_to_others():
+    peers = PeerTable("a", 1.0, 10.0, seed=1, data_hall="h0")
+    for number in range(30):
+        peers.heard(beat(name=f"p{number}", port=number, data_hall="h1"), 0.0)
+    receivers = peers.receivers(0.0)
+    assert (len(receivers.near), len(receivers.far)) == (0, 6)
+
+
+def test_a_hall_without_others_gets_all_heartbeats():
+    peers = PeerTable("a", 1.0, 10.0, seed=1, data_hall="h")
+    for number in range(30):
+        peers.heard(beat(name=f"p{number}", port=number), 0.0)
+    receivers = peers.receivers(0.0)
+    assert (len(receivers.near), len(receivers.far)) == (6, 0)
+
+
+def test_another_hall_is_told_of_the_own_hall_only():
+    peers = fleet_in_halls()
+    assert len(peers.ages(0.0)) == 100
+    assert len(peers.ages(0.0, near_only=True)) == 20
+    told = peers.near_only(peers.states(0.0))
+    assert {state.data_hall for state in told} == {"h0"}
+
+
 def test_every_state_reaches_all_of_a_large_fleet_within_a_few_rounds():
     """Eighty instances that send to a few each hear of all others, and go on doing so."""
     size = 80
@@ -237,7 +297,7 @@
         now = turn * 0.5
         for number, table_ in enumerate(tables):
             message = _beat_of(table_, number, 2 * turn, now)
-            for address in table_.targets(now):
+            for address in addresses_of(table_, now):
                 heard, other = by_address[address], address[1]
                 if heard.heard(message, now) or message.asks_for_states:
                     # A newcomer is answered at once.
@@ -265,7 +325,7 @@
             ready = number != 0
             told = msgspec.structs.replace(message.state, sequence=1 if ready else 2, ready=ready)
             message = msgspec.structs.replace(message, state=told)
-            for address in table_.targets(now):
+            for address in addresses_of(table_, now):
                 by_address[address].heard(message, now)
     behind = [n for n in range(1, size) if view_of(tables[n], "p0", 5.0).state.ready]
     assert behind == []
@@ -276,8 +336,45 @@
         name=f"p{number}",
         port=number,
         number=turn,
+        data_hall=peers.data_hall or "h",
         peers=peers.addresses(now),
         passed_on=peers.states(now) if whole else peers.news(now),
         ages=peers.ages(now),
     )
     return msgspec.structs.replace(message, asks_for_states=peers.take_lacking())
+
+
+def test_in_halls_all_hear_of_all_though_other_halls_are_told_of_the_own_hall_only():
+    """A hundred instances in five halls, one datagram in twenty lost: nobody looks lost."""
+    size, halls = 100, 5
+    lost = random.Random(1)
+    tables = [PeerTable(f"p{n}", 0.9, 60.0, seed=n, data_hall=f"h{n % halls}") for n in range(size)]
+    for table_ in tables:
+        table_.add_addresses([("127.0.0.1", 0), ("127.0.0.1", 1), ("127.0.0.1", 2)], 0.0)
+    fewest_live = []
+    for turn in range(1, 31):
+        now = turn * 0.5
+        for number in range(size):
+            for address, message in _messages(tables[number], number, 2 * turn, now):
+                if lost.random() < 0.05 or address[1] == number:
+                    continue
+                hearer = tables[address[1]]
+                if hearer.heard(message, now) or message.asks_for_states:
+                    whole = _beat_of(hearer, address[1], 2 * turn + 1, now, whole=True)
+                    tables[number].heard(whole, now)
+        fewest_live.append(min(table_.live_count(now) for table_ in tables))
+    assert fewest_live[7] == size
+    assert min(fewest_live[7:]) == size
+
+
+def _messages(peers, number, turn, now):
+    """Return what an instance sends in one turn, with the addresses."""
+    message = _beat_of(peers, number, turn, now)
+    brief = msgspec.structs.replace(
+        message,
+        passed_on=peers.near_only(message.passed_on),
+        ages=peers.ages(now, near_only=True),
+    )
+    receivers = peers.receivers(now)
+    near = [(address, message) for address in receivers.near]
+    return near + [(address, brief) for address in receivers.far]
