One instance of a hall follows the store, outages are probed by few, changes share a watch

Now: at the first start peers are waited for before the store is asked; the choice of feeders doesn't depend on who noticed an outage of all; the second feeder of a hall is fed by the first; fed instances ask a lost store only once a peer hears from it; changes within 0.1 s share a watch. Ruled out: longer watches. A test of feeders was narrowed: who lost the store is replaced only while others hear from it; the other case, nobody hears from it, has a test of its own.

--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -128,6 +128,7 @@
                 self.membership.own_state,
                 self.membership.table,
                 self.membership.traffic.moved,
+                options.settle_seconds,
             ),
             options.watch_seconds,
             self.membership.peer_with_store,
@@ -244,7 +245,7 @@
     def _start_tasks(self) -> None:
         tasks = (
             *self.knowledge.tasks(),
-            self._release_earlier_runs,
+            self._start_drawing,
             self._renew_forever,
             self._follow_settings,
             self._watch_crowding,
@@ -280,10 +281,18 @@
             eventlet.sleep(self.membership.table.interval(self.options.renew_seconds))
             self.contact.wait(self.options.renew_seconds)
 
-    def _release_earlier_runs(self) -> None:
-        """Give back what earlier runs can't have used, once the clock is judged."""
+    def _start_drawing(self) -> None:
+        """Draw budgets ahead, once what earlier runs held is given back."""
         while not self._clock_is_judged():
             eventlet.sleep(_POLL_SECONDS)
+        if not self.options.first_start:
+            self._release_earlier_runs()
+        # By now the peers are known: who draws ahead for all is agreed.
+        eventlet.sleep(_PEERS_KNOWN_SECONDS)
+        self.keeper.draws_ahead = True
+
+    def _release_earlier_runs(self) -> None:
+        """Give back what earlier runs can't have used."""
         restart = self._checked_restart()
         while isinstance(rows := self.keeper.release_earlier_runs(restart), Failure):
             self.contact.report(False)
@@ -299,9 +308,6 @@
             clock="checked" if restart.wall_checked else "not checked",
             rows=text,
         )
-        # By now the peers are known: who draws ahead for all is agreed.
-        eventlet.sleep(_PEERS_KNOWN_SECONDS)
-        self.keeper.draws_ahead = True
 
     def _clock_is_judged(self) -> bool:
         """Whether the peers have checked the time of day, or have had time enough to."""
@@ -402,6 +408,7 @@
             Event.TRAFFIC,
             sent=self.membership.traffic.summary(),
             calls=self.store.summary(),
+            values=self.store.bytes_summary(),
             malformed=self.membership.link.malformed,
         )
 
--- a/whinrack/edge/_feeding.py
+++ b/whinrack/edge/_feeding.py
@@ -3,6 +3,8 @@
 import time
 from collections.abc import Callable
 
+import eventlet
+
 from whinrack.base import rendezvous
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import HostPort
@@ -12,16 +14,23 @@
 from whinrack.http1 import ConnectionPool
 from whinrack.store import ObjectStore
 
-__all__ = ["FeedPlan", "choose_watchers"]
+__all__ = ["FeedPlan", "choose_feeders"]
 
-# Instances of each data hall that follow the store for the others.
-_WATCHERS_OF_A_HALL = 2
+# Instances of each data hall that feed the others. The first of them follows the store; the
+# second is fed by it, and follows the store as soon as the first one doesn't answer.
+_FEEDERS_OF_A_HALL = 2
 # For so long a peer that didn't answer isn't asked again, seconds.
 _AVOID_SECONDS = 3.0
+# Between two looks at whether peers are known.
+_POLL_SECONDS = 0.02
+
 
+def choose_feeders(states: list[PeerState], hall: str) -> list[PeerState]:
+    """Return the instances of a data hall that feed the others there, in order.
 
-def choose_watchers(states: list[PeerState], hall: str) -> list[PeerState]:
-    """Return the instances of a data hall that follow the store for the others there.
+    While the store answers nobody, the choice doesn't depend on who has noticed that: else one
+    instance after the other takes over, asks the store in vain and counts it as lost, 6,700
+    changes of source and 2,000 calls in two outages of 8 s for 195 instances.
 
     Parameters
     ----------
@@ -29,15 +38,16 @@
         All instances that look alive.
     """
     here = [state for state in states if state.data_hall == hall]
-    reaching = [state for state in here if state.store_answers and state.ready]
-    wide = prefer_strong(reaching or here)
-    by_name = {state.sender.name: state for state in wide}
+    ready = [state for state in here if state.ready] or here
+    if any(state.store_confirmed for state in states):
+        ready = [state for state in ready if state.store_answers] or ready
+    by_name = {state.sender.name: state for state in prefer_strong(ready)}
     ordered = rendezvous(f"watch/{hall}", by_name)
-    return [by_name[name] for name in ordered[:_WATCHERS_OF_A_HALL]]
+    return [by_name[name] for name in ordered[:_FEEDERS_OF_A_HALL]]
 
 
 class FeedPlan(SourcePlan):
-    """In a large fleet some instances follow the store, and feed the others.
+    """In a large fleet one instance of each data hall follows the store, and feeds the others.
 
     An instance without a peer that would feed it follows the store itself, and so does
     each while the fleet is small.
@@ -51,6 +61,9 @@
     peers : PeerTable
     moved : callable, optional
         See `ask_peer`.
+    settle_seconds : float, optional
+        Time after the start in which peers may make themselves known; until then the store
+        isn't asked.
     """
 
     def __init__(
@@ -60,15 +73,31 @@
         own_state: Callable[[], PeerState],
         peers: PeerTable,
         moved: Callable[[str, HostPort, int], None] | None = None,
+        settle_seconds: float = 0.0,
     ):
         super().__init__(store)
         self.contact = contact
         self.own_state = own_state
         self.peers = peers
         self.moved = moved
+        self.settle_seconds = settle_seconds
         self._connections = ConnectionPool()
         self._avoided: dict[HostPort, float] = {}
 
+    def settle(self) -> None:
+        """Wait until the peers are known, or so much time has passed that there may be none.
+
+        Without it each instance of a large fleet follows the store itself at first: 2,900 of
+        6,500 calls of a day for 195 instances were made in the seconds after the start.
+        """
+        end = time.monotonic() + self.settle_seconds
+        while self.peers.is_mesh and time.monotonic() < end:
+            eventlet.sleep(_POLL_SECONDS)
+
+    def store_may_answer(self) -> bool:
+        """Whether a peer has heard from the store lately."""
+        return bool(self.peers.with_store(time.monotonic()))
+
     def source(self) -> FollowedSource:
         """Return whom to ask next."""
         if self.peers.is_mesh:
@@ -99,14 +128,13 @@
         """Return the peer that feeds this instance, None if it follows the store."""
         own = self.own_state()
         states = [view.state for view in self.peers.live(now)]
-        watchers = choose_watchers([*states, own], own.data_hall)
-        if own in watchers:
-            return None
-        usable = {
-            state.sender.name: state
-            for state in watchers
-            if self._avoided.get(state.sender.address, 0.0) <= now
+        usable = [state for state in states if self._avoided.get(state.sender.address, 0.0) <= now]
+        feeders = {
+            state.sender.name: state for state in choose_feeders([*usable, own], own.data_hall)
         }
-        if not usable:
+        first = next(iter(feeders.values()))
+        if first is own:
             return None
-        return usable[rendezvous(own.sender.name, usable)[0]]
+        if own.sender.name in feeders:
+            return first
+        return feeders[rendezvous(own.sender.name, feeders)[0]]
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -174,11 +174,13 @@
         """Ask a lost store again while peers feed this instance.
 
         A fed instance makes no calls of its own, so it would count the store as lost for good
-        and never watch it again for others: 57 of 87 instances did so after one silence.
+        and never watch it again for others: 57 of 87 instances did so after one silence. Until a
+        peer hears from the store, the calls of those who follow it are enough.
         """
         while True:
             eventlet.sleep(_PROBE_PAUSE * (1.0 + random.random() / 2))
-            if not self.contact.answers and self.plan.source().address is not None:
+            is_fed = self.plan.source().address is not None
+            if not self.contact.answers and is_fed and self.plan.store_may_answer():
                 self.contact.report(self._store_answers())
 
     def _store_answers(self) -> bool:
--- a/whinrack/edge/_options.py
+++ b/whinrack/edge/_options.py
@@ -32,6 +32,12 @@
     watch_seconds : float
         How long one watch of the store is held; a connection that fell silent is noticed
         after that.
+    first_start : bool
+        The whole system starts for the first time: no earlier run of this instance held
+        anything, and no peer is up yet.
+    settle_seconds : float
+        Time after the start in which peers may make themselves known before the store is
+        asked.
     renew_seconds : float
         Between reports of what was used and new schedules.
     gather_seconds, draw_seconds : float
@@ -66,6 +72,8 @@
     silent_seconds: float = 0.9
     forget_seconds: float = 60.0
     watch_seconds: float = 1.0
+    first_start: bool = False
+    settle_seconds: float = 0.0
     renew_seconds: float = 0.5
     gather_seconds: float = 0.06
     draw_seconds: float = 0.15
--- a/whinrack/edge/_relay.py
+++ b/whinrack/edge/_relay.py
@@ -27,6 +27,8 @@
 _OK = 200
 _NOT_FOUND = 404
 _LONGEST_WAIT = 10.0
+# A peer that knows no list yet is waited for so long: at the start it asks the store first.
+_LIST_WAIT = 0.5
 # Seconds beyond the wait for which an answer is waited for.
 _PATIENCE = 0.5
 # Changes that are kept for peers.
@@ -80,8 +82,11 @@
         """Return the seconds since the store confirmed this, in steps that peers can share."""
         return round(time.monotonic() - self.confirmed_at, _AGE_DIGITS)
 
-    def snapshot(self) -> Snapshot | None:
-        """Return the list, None if nothing was followed yet."""
+    def snapshot(self, wait: float = 0.0) -> Snapshot | None:
+        """Return the list, waiting for a first one; None if nothing was followed yet."""
+        if self.revision is None:
+            with eventlet.Timeout(wait, False):
+                self._news.wait()
         if self.revision is None:
             return None
         return Snapshot(self.revision, tuple(self._objects.values()), self.age())
@@ -134,7 +139,7 @@
         return False
 
     def _list(self, exchange: Exchange, kind: KindRelay, query: dict[str, str]) -> None:
-        snapshot = kind.snapshot()
+        snapshot = kind.snapshot(_wait_of(query))
         if snapshot is None:
             exchange.respond(_NOT_FOUND, [], b"")
             return
@@ -142,8 +147,7 @@
 
     def _watch(self, exchange: Exchange, kind: KindRelay, query: dict[str, str]) -> None:
         since = int(query.get("since", "0"))
-        wait = min(_LONGEST_WAIT, float(query.get("wait", "0")))
-        batch = kind.batch(since, wait)
+        batch = kind.batch(since, _wait_of(query))
         if batch is None:
             exchange.respond(_NOT_FOUND, [], b"")
             return
@@ -159,6 +163,10 @@
         exchange.respond(_OK, headers, body)
 
 
+def _wait_of(query: dict[str, str]) -> float:
+    return min(_LONGEST_WAIT, float(query.get("wait", "0")))
+
+
 class PeerFeed(ObjectStore):
     """Lists and watches at a peer's relay; nothing else.
 
@@ -183,7 +191,8 @@
     def list(self, kinds: Sequence[str]) -> Result[Snapshot, PlatformFailure]:
         """Read all objects of one kind."""
         (kind,) = kinds
-        return self._ask(_LIST_PATH + kind, 0.0, Snapshot)
+        path = f"{_LIST_PATH}{kind}?wait={_LIST_WAIT:.3f}"
+        return self._ask(path, _LIST_WAIT, Snapshot)
 
     def watch(
         self, kinds: Sequence[str], since: int, wait: float
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -1,6 +1,7 @@
 """Follows one kind of object in the store: a list, then watches, then lists again."""
 
 import random
+import time
 from collections.abc import Callable
 
 import eventlet
@@ -24,6 +25,8 @@
     "TargetReader",
 ]
 
+# The store, where logs name who answered.
+STORE_NAME = "store"
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 0.3
 # A lost store is asked by watches that are held for so long.
@@ -34,6 +37,9 @@
 # until it knows by itself that the store doesn't answer, and the heartbeat that tells so. What is
 # older was not heard from the store, and the peer doesn't know.
 _AGE_MARGIN_SECONDS = 2.0
+# Shortest time between the starts of two watches of the store: changes that come in quick
+# succession share a call.
+_SHORTEST_INTERVAL = 0.1
 # A task that doesn't probe tries by itself after so long.
 _LONGEST_WAIT = 2.0
 
@@ -85,7 +91,7 @@
     @property
     def name(self) -> str:
         """Who answers, for logs."""
-        return "store" if self.address is None else "{}:{}".format(*self.address)
+        return STORE_NAME if self.address is None else "{}:{}".format(*self.address)
 
 
 class SourcePlan:
@@ -99,6 +105,13 @@
     def __init__(self, store: ObjectStore):
         self.store = store
 
+    def settle(self) -> None:
+        """Wait at the start until it is known whom to ask."""
+
+    def store_may_answer(self) -> bool:
+        """Whether a store that is lost from here is worth a call."""
+        return True
+
     def source(self) -> FollowedSource:
         """Return whom to ask next."""
         return FollowedSource(self.store)
@@ -157,12 +170,21 @@
 
     def run(self) -> None:
         """Follow for ever."""
+        self.plan.settle()
         while True:
+            began = time.monotonic()
             if self.step():
                 self._pause = _FIRST_PAUSE
+                self._space_calls(began)
             else:
                 self._rest()
 
+    def _space_calls(self, began: float) -> None:
+        """Let changes gather before the store is asked again, 0.1 s at most."""
+        rest = began + _SHORTEST_INTERVAL - time.monotonic()
+        if rest > 0.0 and self.source == STORE_NAME and self.contact.answers:
+            eventlet.sleep(rest)
+
     def _rest(self) -> None:
         """Wait before the next call after a failure."""
         eventlet.sleep(self._pause * (0.5 + random.random()))
--- a/whinrack/edge/tests/test_entries.py
+++ b/whinrack/edge/tests/test_entries.py
@@ -1,7 +1,7 @@
 """Which instances callers are sent to, and which follow the store."""
 
 from whinrack.edge._entries import choose_entries, is_crowded
-from whinrack.edge._feeding import choose_watchers
+from whinrack.edge._feeding import choose_feeders
 from whinrack.gossip import PeerAddress, PeerState
 
 
@@ -84,19 +84,28 @@
     assert len(chosen) == 24
 
 
-def test_two_instances_of_a_hall_follow_the_store_those_with_wide_links_first():
+def test_two_instances_of_a_hall_feed_the_others_those_with_wide_links_first():
     states = [*fleet(90), state("w1", bandwidth=100.0), state("w2", bandwidth=100.0)]
-    assert names(choose_watchers(states, "h")) == ["w1", "w2"]
-    assert len(choose_watchers(states, "k")) == 2
+    assert names(choose_feeders(states, "h")) == ["w1", "w2"]
+    assert len(choose_feeders(states, "k")) == 2
 
 
 def test_who_does_not_reach_the_store_does_not_follow_it_for_others():
     states = [state("w1", bandwidth=100.0, store_answers=False), *fleet(90)]
-    assert "w1" not in names(choose_watchers(states, "h"))
+    states.append(state("elsewhere", hall="k", store_confirmed=True))
+    assert "w1" not in names(choose_feeders(states, "h"))
 
 
 def test_where_nobody_reaches_the_store_the_same_instances_go_on_trying():
-    assert len(choose_watchers(fleet(90, store_answers=False), "h")) == 2
+    """Whoever tries and fails is not replaced by the next, who would fail as well."""
+    before = names(choose_feeders(fleet(90), "h"))
+    assert len(before) == 2
+    lost = [
+        state(each.sender.name, each.data_hall, store_answers=each.sender.name not in before)
+        for each in fleet(90)
+    ]
+    assert names(choose_feeders(lost, "h")) == before
+    assert names(choose_feeders(fleet(90, store_answers=False), "h")) == before
 
 
 def test_an_instance_with_far_more_open_requests_than_its_peers_is_crowded():
--- a/whinrack/edge/tests/test_feeding.py
+++ b/whinrack/edge/tests/test_feeding.py
@@ -1,5 +1,7 @@
 """Who is asked for lists and watches in a large fleet."""
 
+import time
+
 import pytest
 
 from standins.memory_store import MemoryStore
@@ -80,3 +82,46 @@
     source = feeding.source()
     feeding.behind(source)
     assert feeding.source().name == source.name == "a:1"
+
+
+def plan_of(own, others, **options):
+    peers = Peers(*others)
+    return FeedPlan(
+        MemoryStore(), StoreContact(lambda answers: None), lambda: own, peers, **options
+    )
+
+
+def wide(name):
+    return state(name, bandwidth=100.0, cores=2.0)
+
+
+def test_of_two_feeders_one_follows_the_store_and_feeds_the_other():
+    own_is_a = plan_of(wide("a"), [wide("b"), state("c")])
+    own_is_b = plan_of(wide("b"), [wide("a"), state("c")])
+    assert sorted([own_is_a.source().name, own_is_b.source().name])[1] == "store"
+    assert {own_is_a.source().name, own_is_b.source().name} <= {"store", "a:1", "b:1"}
+
+
+def test_the_second_feeder_follows_the_store_when_the_first_does_not_answer():
+    plans = [plan_of(wide("a"), [wide("b")]), plan_of(wide("b"), [wide("a")])]
+    (second,) = [each for each in plans if each.source().name != "store"]
+    second.failed(second.source())
+    assert second.source().name == "store"
+
+
+def test_the_next_ones_feed_when_both_feeders_do_not_answer():
+    feeding = plan_of(state("own"), [wide("a"), wide("b"), wide("c"), wide("d")])
+    for _ in range(2):
+        feeding.failed(feeding.source())
+    assert feeding.source().name in ("a:1", "b:1", "c:1", "d:1")
+
+
+def test_at_the_start_peers_are_waited_for_and_no_longer_than_allowed():
+    feeding = plan_of(state("own"), [wide("a")], settle_seconds=5.0)
+    began = time.monotonic()
+    feeding.settle()
+    assert time.monotonic() - began < 1.0
+    feeding.peers.is_mesh = True
+    feeding.settle_seconds = 0.1
+    feeding.settle()
+    assert 0.1 <= time.monotonic() - began < 2.0
--- a/whinrack/edge/tests/test_relay.py
+++ b/whinrack/edge/tests/test_relay.py
@@ -34,6 +34,12 @@
     assert isinstance(feed.watch([KIND], 0, 0.0), Failure)
 
 
+def test_a_first_list_that_comes_soon_is_waited_for(relay):
+    kind, feed = relay
+    eventlet.spawn_after(0.05, kind.listed, 5, (stored("a", 3),))
+    assert feed.list([KIND]).unwrap().revision == 5
+
+
 def test_a_peer_gets_the_list_and_then_the_changes(relay):
     kind, feed = relay
     kind.listed(5, (stored("a", 3),))
--- a/whinrack/edge/tests/test_store_tasks.py
+++ b/whinrack/edge/tests/test_store_tasks.py
@@ -245,3 +245,21 @@
     feed.watch = lambda kinds, since, wait: Success(WatchBatch(since, gap=True))
     following.step()
     assert following.relay.confirmed_at == before
+
+
+def test_changes_that_come_in_quick_succession_share_a_watch():
+    """Twenty changes within 0.4 s cost a few calls."""
+    store, seen = MemoryStore(), []
+    store.calls = 0
+    following = follower(store, seen)
+    thread = eventlet.spawn(following.run)
+    eventlet.sleep(0.05)
+    before = store.calls
+    for number in range(20):
+        store.put("k", f"n{number}", b"1", 0)
+        eventlet.sleep(0.02)
+    eventlet.sleep(0.3)
+    thread.kill()
+    changed = [name for what, names in seen if what == "changed" for name in names]
+    assert sorted(changed) == sorted(f"n{number}" for number in range(20))
+    assert store.calls - before - 20 <= 9
--- a/whinrack/store/_metered.py
+++ b/whinrack/store/_metered.py
@@ -28,6 +28,8 @@
     ----------
     calls : Counter
         Calls by (operation, result); operations name the kinds of objects, "get books".
+    bytes : Counter
+        Bytes of the objects' values that were sent or came back, by operation.
     answered_at : float
         Steady clock when the store answered last, whatever it said.
     last_failure : str
@@ -38,6 +40,7 @@
         self.store = store
         self.count = count
         self.calls: Counter[tuple[str, str]] = Counter()
+        self.bytes: Counter[str] = Counter()
         self.answered_at = float("-inf")
         self.last_failure = ""
 
@@ -53,6 +56,7 @@
         self, kind: str, name: str, value: bytes, version: int
     ) -> Result[StoredObject, PlatformFailure]:
         """Write an object that is at `version`."""
+        self.bytes[f"put {kind}"] += len(value)
         return self._counted(f"put {kind}", self.store.put(kind, name, value, version))
 
     def delete(self, kind: str, name: str, version: int) -> Result[None, PlatformFailure]:
@@ -69,9 +73,14 @@
         """Return the counts as text, for the log."""
         return ", ".join(f"{name}/{result}:{n}" for (name, result), n in self.calls.items())
 
+    def bytes_summary(self) -> str:
+        """Return the bytes of values as text, for the log."""
+        return ", ".join(f"{name}:{size}" for name, size in self.bytes.items())
+
     def _counted(self, operation: str, result: Result) -> Result:
         outcome = result.failure().code if isinstance(result, Failure) else _DONE
         self.calls[operation, outcome] += 1
+        self.bytes[operation] += _size(result)
         if isinstance(result, Success) or isinstance(result.failure(), NotFound | Conflict):
             self.answered_at = time.monotonic()
         else:
@@ -82,3 +91,14 @@
 
 def _about(operation: str, kinds: Sequence[str]) -> str:
     return f"{operation} {'+'.join(kinds)}"
+
+
+def _size(result: Result) -> int:
+    """Return the bytes of the values that an answer brought; a conflict brings the object."""
+    if isinstance(result, Failure):
+        current = result.failure().current if isinstance(result.failure(), Conflict) else None
+        return len(current.value) if current is not None else 0
+    answer = result.unwrap()
+    if isinstance(answer, Snapshot | WatchBatch):
+        return sum(len(stored.value) for stored in answer.objects)
+    return 0 if answer is None else len(answer.value)
