Budgets that last for long are held and released for requests that come by chance

Hypothesis: what outages refuse is mostly budgets that are seldom used. A hold for an outage of 8.5 s at its mean and two standard deviations, and two large requests in place of one in the base of the schedule, where the budget lasts for more than 30 s. Test: three machines, a large request every two seconds by chance, outage of 8 s: 114 of 119 served (94 before). The bounds on what dies with all machines hold unchanged. Ruled out: two deviations over the whole horizon of 12 s (9,901 tokens lost with unchecked clocks against 9,524 allowed).

--- a/whinrack/budgets/_demand.py
+++ b/whinrack/budgets/_demand.py
@@ -6,6 +6,10 @@
 
 # A rate is worked out from so many seconds at least: the first requests alone tell little.
 _LEAST_SEEN = 2.0
+# Standard deviations beyond the mean for which tokens are held. With the mean alone a budget that
+# is seldom used held three requests' tokens when an outage of 8 s began, while the books had
+# twenty times as much free.
+_DEVIATIONS = 2.0
 
 
 class DemandEstimate:
@@ -39,6 +43,20 @@
         seen = 1.0 - 0.5 ** (max(_LEAST_SEEN, now - self._since) / self.half_life)
         return self._sum * math.log(2) / self.half_life / seen
 
+    def most(self, now: float, horizon: float, largest: int) -> int:
+        """Return tokens that suffice for a time in nearly all cases, not just on average.
+
+        Requests come by chance: where a few are expected, twice as many may come. Their sum is
+        spread by the square root of its mean times the tokens of a large request.
+
+        Parameters
+        ----------
+        largest : int
+            Tokens of the largest request so far.
+        """
+        mean = self.rate(now) * horizon
+        return int(mean + _DEVIATIONS * math.sqrt(mean * largest))
+
     def want(self, now: float, horizon: float) -> int:
         """Return the tokens that last for `horizon` seconds at the present rate."""
         return int(self.rate(now) * horizon)
--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -15,6 +15,10 @@
 _HALF_LIFE_SECONDS = 8.0
 # A schedule of an idle grant is stated anew after so long, so that it releases little.
 _IDLE_SECONDS = 2.0
+# Requests of the largest size that a budget which lasts for long releases at once: they come in
+# pairs by chance. With one, 25 of 119 requests of a seldom used budget were refused in outages
+# of 8 s though its supplier held ten times as much.
+_REQUESTS_OF_PLENTY = 2
 # Digits that schedules are written with, to keep the books small.
 _RATE_DIGITS = 1
 _CLOCK_DIGITS = 3
@@ -28,7 +32,8 @@
     horizon : float
         Seconds of demand that a grant lasts for.
     release_seconds : float
-        Seconds of demand that a schedule releases at once, but at least one request.
+        Seconds of demand that a schedule releases at once, but at least one request, and two
+        of a budget that lasts for long.
     release_factor : float
         Rate of a schedule as a multiple of the demand.
     plenty_seconds, release_most : float
@@ -40,6 +45,9 @@
     release_part, release_horizon : float
         Bounds of both by what is left of the budget: the part of an equal share that is
         released at once, and the seconds in which all of it would be.
+    outage_seconds, scarce_horizon : float
+        A budget that lasts for longer than `scarce_horizon` is held for an outage of so many
+        seconds in nearly all cases, also where a few large requests are expected in it.
     store_patience : float
         Seconds without a reply after which the books count as out of reach.
     draw_patience : float
@@ -68,6 +76,8 @@
     release_delay: float = 1.5
     release_part: float = 0.1
     release_horizon: float = 15.0
+    outage_seconds: float = 8.5
+    scarce_horizon: float = 30.0
     store_patience: float = 0.4
     draw_patience: float = 0.7
     retry_after: float = 0.4
@@ -165,7 +175,8 @@
         """Return what this run may use from now on: what is needed, and some ahead."""
         rate = max(self.demand.rate(now), self.share_of_demand(now))
         plenty = self._plenty(options, now)
-        ahead = max(rate * max(options.release_seconds, plenty), self.largest)
+        requests = _REQUESTS_OF_PLENTY if self.lasts_for(now) > options.scarce_horizon else 1
+        ahead = max(rate * max(options.release_seconds, plenty), requests * self.largest)
         pace = rate * max(options.release_factor, plenty)
         if self.last is not None and self.last.holders:
             # What is released and not used is lost with this run: the less is left, the
@@ -185,11 +196,15 @@
 
     def _plenty(self, options: GrantOptions, now: float) -> float:
         """Return how freely a budget that lasts for long may be released, 0 for not."""
+        seconds_left = self.lasts_for(now)
+        return min(options.release_most, seconds_left / options.plenty_seconds)
+
+    def lasts_for(self, now: float) -> float:
+        """Return the seconds until the budget is used up, 0 as long as that isn't known."""
         total = self.spending.rate(now)
         if self.last is None or total <= 0:
             return 0.0
-        seconds_left = self.last.left / total
-        return min(options.release_most, seconds_left / options.plenty_seconds)
+        return self.last.left / total
 
     def releases_idly(self, now: float) -> bool:
         """Whether the schedule goes on releasing what nobody uses here."""
--- a/whinrack/budgets/_orders.py
+++ b/whinrack/budgets/_orders.py
@@ -168,7 +168,11 @@
 
     def _wanted(self, grant: Grant) -> int:
         """Return the tokens to hold: for some time, for one request more, and for who waits."""
-        ahead = int(grant.demand.rate(self.clock()) * self.options.horizon)
+        now, options = self.clock(), self.options
+        ahead = int(grant.demand.rate(now) * options.horizon)
+        if grant.lasts_for(now) > options.scarce_horizon:
+            most = grant.demand.most(now, options.outage_seconds, grant.largest)
+            ahead = max(ahead, most)
         return max(ahead + grant.largest, 2 * self._opening(grant)) + grant.waiting
 
     def _opening(self, grant: Grant) -> int:
--- a/whinrack/budgets/tests/test_grants.py
+++ b/whinrack/budgets/tests/test_grants.py
@@ -1,5 +1,7 @@
 """Keepers of short grants together: no overspend, whatever dies, is cut off or comes late."""
 
+import random
+
 import hypothesis.strategies as st
 import msgspec
 import pytest
@@ -359,6 +361,43 @@
     assert sum(work(fleet) for _ in range(9)) == 9 * 9
 
 
+def seldom_used_fleet(limit, seed):
+    """A supplier and two machines that send a large request every two seconds by chance."""
+    fleet, chance = Fleet(3, limit), random.Random(seed)
+    for machine in fleet.machines:
+        machine.supplier = fleet.machines[0]
+
+    def second():
+        served = asked = 0
+        for machine in fleet.machines:
+            if chance.random() < 1 / 6:
+                asked += 1
+                served += isinstance(machine.request(chance.randint(2_000, 16_000)), Success)
+            while machine.covers:
+                machine.settle(1.0)
+            machine.release()
+            machine.keeper.renew()
+        fleet.now += 1.0
+        return served, asked
+
+    return fleet, second
+
+
+def test_an_outage_refuses_little_of_a_budget_that_is_seldom_used():
+    """Four requests are expected in it, and twice as many may come."""
+    served = asked = 0
+    for seed in range(30):
+        fleet, second = seldom_used_fleet(3_000_000, seed)
+        for _ in range(20):
+            second()
+        for machine in fleet.machines:
+            machine.cut_off = True
+        for _ in range(8):
+            in_time, came = second()
+            served, asked = served + in_time, asked + came
+    assert served >= 0.95 * asked
+
+
 def test_a_machine_cut_off_alone_is_served_by_way_of_its_peers():
     fleet = busy_fleet()
     lonely = fleet.machines[0]
