--- a/whinrack/edge/tests/test_membership.py
+++ b/whinrack/edge/tests/test_membership.py
@@ -121,6 +121,16 @@
     assert len(answer.passed_on) == 31
 
 
+def test_a_peer_that_knows_nobody_is_told_all_states_again_though_its_run_is_known(membership):
+    """The first answer may be lost; without another one a whole data hall stayed alone."""
+    membership._receive(beat(3, number=2), None)
+    ((answer, address),) = membership.link.sent
+    assert address == ("10.0.1.3", 7340)
+    assert len(answer.passed_on) == 30
+    membership._receive(beat(3, number=3), None)
+    assert len(membership.link.sent) == 1
+
+
 def test_a_newcomer_that_knows_others_is_told_no_states(membership):
     membership._receive(beat(40, hall="h1", ages={1234: 10}), None)
     ((answer, _),) = membership.link.sent
--- a/whinrack/gossip/tests/test_peers.py
+++ b/whinrack/gossip/tests/test_peers.py
@@ -126,6 +126,14 @@
     assert view_of(peers, "c", 1.0).heard_at == 0.5
 
 
+def test_one_answer_of_a_peer_that_knows_a_large_fleet_is_enough_to_know_it():
+    peers = table()
+    others = [state(name=f"p{number}", port=number) for number in range(20)]
+    peers.heard(beat(**of_age(10, *others)), 0.0)
+    assert len(peers.live(0.0)) == 21
+    assert not peers.is_mesh
+
+
 def test_what_is_passed_on_grows_old_on_the_way():
     peers = large_table()
     peers.heard(beat(name="p0", port=0, sequence=2), 2.0)
