A peer that knows few of a large fleet is told the others, whether its run is known or not

Cause: an answer goes to runs that are new. At a start of all the first beat or its answer gets lost (the seed isn't up yet), and by the next beat the seed knows the run by hearsay. Now who tells of nobody is answered with all states, once a second at most, and learns a large fleet from one answer.

--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -124,6 +124,8 @@
         self._known_live: set[str] = set()
         self._spread_at = float("-inf")
         self._asked_at = float("-inf")
+        # When peers that know few were told the others last.
+        self._introduced_at: dict[str, float] = {}
         self._number = 0
         self._last_state: PeerState | None = None
 
@@ -279,7 +281,7 @@
         sender = beat.state.sender
         self.clocks.heard(sender.name, beat.wall, now)
         is_new = self.table.heard(beat, now)
-        if is_new or beat.asks_for_states:
+        if is_new or beat.asks_for_states or self._is_alone(beat, now):
             # At once, so that a peer that has just started knows this one and the others.
             self._introduce(beat, now)
         newest = max((beat.state, *beat.passed_on), key=lambda state: state.configuration)
@@ -289,6 +291,20 @@
         if self._learn_leaving(beat) and not self.table.is_mesh:
             self._spread(now)
 
+    def _is_alone(self, beat: Heartbeat, now: float) -> bool:
+        """Whether a peer knows few of a large fleet; noticed once a second for each peer.
+
+        Its run may be known by hearsay while no answer has reached it: two data halls of 39
+        instances stayed alone, each of which followed the store and wrote the books itself.
+        """
+        if beat.ages or self.table.is_mesh:
+            return False
+        name = beat.state.sender.name
+        if now - self._introduced_at.get(name, float("-inf")) < _ASKING_SECONDS:
+            return False
+        self._introduced_at[name] = now
+        return True
+
     def _introduce(self, beat: Heartbeat, now: float) -> None:
         """Answer a peer that was not known, or that lacks states.
 
@@ -320,6 +336,8 @@
             log_event(Event.MEMBER_JOINED, peer=_few(joined), live=len(live))
         if lost:
             log_event(Event.MEMBER_LOST, peer=_few(lost), live=len(live))
+        for name in lost:
+            self._introduced_at.pop(name, None)
         self._known_live = live
 
 
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -168,10 +168,11 @@
             view.number = beat.number
             view.heard_at = now
         self.add_addresses((peer.address for peer in beat.peers), now)
-        if self.is_mesh:
+        if self.is_mesh and len(beat.ages) < _FULL_MESH:
             addresses = (state.sender.address for state in beat.passed_on)
             self.add_addresses(addresses, now)
         else:
+            # A sender that hears so many others is in a large fleet, and so is this instance.
             self._learn_of_others(beat, now)
         return is_new
 
