Instances count as serving callers from 3 requests a second on, until they fall below 1.5

Cause: probes of what is in force come about once a second to every instance, and the threshold was 1 a second: the states of all 195 were news again and again (heartbeats with the most news that they hold, 24 states, from start to end), and loads went to all that seemed to serve.

--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -23,6 +23,7 @@
 )
 from whinrack.edge._answers import SmallAnswers
 from whinrack.edge._contact import StoreContact
+from whinrack.edge._entries import serves_callers
 from whinrack.edge._feeding import FeedPlan
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._membership import Membership, MembershipHost
@@ -51,8 +52,6 @@
 _BOOKS_LOG_ROUNDS = 5
 _TRAFFIC_LOG_SECONDS = 20.0
 _TASK_PAUSE_SECONDS = 0.5
-# An instance counts as serving from so many requests a second on; probes are fewer.
-_SERVING_RATE = 1.0
 # How often it is looked whether callers had better connect elsewhere.
 _CROWDED_SECONDS = 0.25
 # How often the settings are read without a signal.
@@ -162,6 +161,7 @@
             lambda refusal: dialect.refusal(refusal, None),
             lambda: self.directory.limits,
         )
+        self._serves = False
         self._stopping = False
         self._stopped = False
         self._reported_drops = 0
@@ -188,7 +188,8 @@
 
     def serves_callers(self, now: float) -> bool:
         """Whether callers' requests come here; the platform's probes are fewer."""
-        return self.dispatcher.arrivals.rate(now) >= _SERVING_RATE
+        self._serves = serves_callers(self.dispatcher.arrivals.rate(now), self._serves)
+        return self._serves
 
     def holds_tokens(self) -> bool:
         """Whether there are unspent tokens here."""
--- a/whinrack/edge/_entries.py
+++ b/whinrack/edge/_entries.py
@@ -3,7 +3,7 @@
 from whinrack.base import rendezvous
 from whinrack.gossip import PeerState, Strength, is_strong, strongest
 
-__all__ = ["choose_entries", "is_crowded"]
+__all__ = ["choose_entries", "is_crowded", "serves_callers"]
 
 # Up to so many instances all take callers.
 _ALL_UP_TO = 12
@@ -20,6 +20,11 @@
 _CROWDED = 1.5
 _CROWDED_SLACK = 8
 _FEWEST_COMPARED = 3
+# Requests a second from which on an instance counts as serving callers, and below which it no
+# longer does. Probes of what is in force come about once a second to every instance: with one
+# threshold of 1 a second all 195 states were news again and again, 2.7 kB in each heartbeat.
+_SERVES_FROM = 3.0
+_SERVES_UNTIL = 1.5
 
 
 def choose_entries(ready: list[PeerState], hall: str) -> list[PeerState]:
@@ -66,6 +71,19 @@
     return state.cores or _UNKNOWN_CORES
 
 
+def serves_callers(rate: float, served: bool) -> bool:
+    """Whether an instance counts as one that serves callers.
+
+    Parameters
+    ----------
+    rate : float
+        Requests a second that arrive there.
+    served : bool
+        Whether it counted so a moment ago.
+    """
+    return rate >= (_SERVES_UNTIL if served else _SERVES_FROM)
+
+
 def is_crowded(own: PeerState, open_requests: int, serving: list[PeerState]) -> bool:
     """Whether far more requests are open at an instance than at those that serve beside it.
 
--- a/whinrack/edge/tests/test_entries.py
+++ b/whinrack/edge/tests/test_entries.py
@@ -1,6 +1,9 @@
 """Which instances callers are sent to, and which follow the store."""
 
-from whinrack.edge._entries import choose_entries, is_crowded
+import random
+
+from whinrack.budgets import DemandEstimate
+from whinrack.edge._entries import choose_entries, is_crowded, serves_callers
 from whinrack.edge._feeding import choose_feeders
 from whinrack.gossip import PeerAddress, PeerState
 
@@ -122,3 +125,22 @@
 
 def test_a_few_peers_do_not_tell_whether_an_instance_is_crowded():
     assert not is_crowded(state("own"), 100, [state("i1"), state("i2")])
+
+
+def test_probes_alone_never_make_an_instance_serve_callers():
+    """One probe a second, by chance: its estimated rate swings about one."""
+    chance, arrivals = random.Random(3), DemandEstimate(half_life=2.0)
+    now, turns, served = 0.0, 0, False
+    while now < 120.0:
+        now += chance.expovariate(1.0)
+        arrivals.record(1, now)
+        before, served = served, serves_callers(arrivals.rate(now), served)
+        turns += before != served
+    assert turns <= 2
+
+
+def test_an_instance_goes_on_serving_while_requests_come_more_rarely():
+    assert serves_callers(3.0, served=False)
+    assert serves_callers(1.6, served=True)
+    assert not serves_callers(1.6, served=False)
+    assert not serves_callers(1.4, served=True)
