--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 
 import eventlet
-import msgspec
 from returns.result import Failure
 
 from whinrack.base import new_incarnation
@@ -23,6 +22,7 @@
 )
 from whinrack.edge._answers import SmallAnswers
 from whinrack.edge._contact import StoreContact
+from whinrack.edge._earlier_runs import EarlierRuns
 from whinrack.edge._entries import serves_callers
 from whinrack.edge._feeding import FeedPlan
 from whinrack.edge._knowledge import StoreKnowledge
@@ -56,14 +56,8 @@
 _CROWDED_SECONDS = 0.25
 # How often the settings are read without a signal.
 _SETTINGS_SECONDS = 5.0
-# For so long the peers' clocks are waited for after a start.
-_CLOCK_CHECK_SECONDS = 2.0
-# After the clock is judged, until budgets are drawn ahead.
-_PEERS_KNOWN_SECONDS = 1.0
 # The answer to a watch may be so late, beyond the time for which the watch is held.
 _WATCH_MARGIN_SECONDS = 1.0
-# A larger difference between the clocks' progress is a jump of the time of day.
-_CLOCK_JUMP_SECONDS = 0.25
 
 
 class EdgeDaemon(MembershipHost):
@@ -97,7 +91,6 @@
     ):
         self.options = options
         self.dialect = dialect
-        self.restart = restart
         self.reload = reload
         self.holder = new_incarnation(options.name)
         self.metrics = Metrics()
@@ -143,6 +136,9 @@
             self.membership.own_state,
         )
         self.keeper = self.tokens.keeper
+        self.earlier_runs = EarlierRuns(
+            options, restart, self.keeper, self.contact, self.membership.wall_clock
+        )
         self.dispatcher = Dispatcher(
             dialect,
             self.directory,
@@ -246,7 +242,7 @@
     def _start_tasks(self) -> None:
         tasks = (
             *self.knowledge.tasks(),
-            self._start_drawing,
+            self.earlier_runs.release_and_draw,
             self._renew_forever,
             self._follow_settings,
             self._watch_crowding,
@@ -282,46 +278,6 @@
             eventlet.sleep(self.membership.table.interval(self.options.renew_seconds))
             self.contact.wait(self.options.renew_seconds)
 
-    def _start_drawing(self) -> None:
-        """Draw budgets ahead, once what earlier runs held is given back."""
-        while not self._clock_is_judged():
-            eventlet.sleep(_POLL_SECONDS)
-        if not self.options.first_start:
-            self._release_earlier_runs()
-        # By now the peers are known: who draws ahead for all is agreed.
-        eventlet.sleep(_PEERS_KNOWN_SECONDS)
-        self.keeper.draws_ahead = True
-
-    def _release_earlier_runs(self) -> None:
-        """Give back what earlier runs can't have used."""
-        restart = self._checked_restart()
-        while isinstance(rows := self.keeper.release_earlier_runs(restart), Failure):
-            self.contact.report(False)
-            eventlet.sleep(_POLL_SECONDS)
-            self.contact.wait(self.options.renew_seconds)
-            restart = self._checked_restart()
-        text = " ".join(
-            f"{row.budget}:{row.written_off}/{row.freed}@{row.seconds:.1f}" for row in rows.unwrap()
-        )
-        log_event(
-            Event.EARLIER_RUNS_RELEASED,
-            instance=self.options.name,
-            clock="checked" if restart.wall_checked else "not checked",
-            rows=text,
-        )
-
-    def _clock_is_judged(self) -> bool:
-        """Whether the peers have checked the time of day, or have had time enough to."""
-        waited = time.monotonic() - self.restart.steady
-        return waited >= _CLOCK_CHECK_SECONDS or self.membership.wall_clock().checked
-
-    def _checked_restart(self) -> RestartMoment:
-        """Return the moment of the restart, with what the peers say of its clock."""
-        now = self.membership.wall_clock()
-        jumped = (now.seconds - self.restart.wall) - (time.monotonic() - self.restart.steady)
-        checked = now.checked and abs(jumped) <= _CLOCK_JUMP_SECONDS
-        return msgspec.structs.replace(self.restart, wall_checked=checked)
-
     def _watch_crowding(self) -> None:
         """Let callers go elsewhere while far more requests are open here than at the peers."""
         while True:
--- /dev/null
+++ b/whinrack/edge/_earlier_runs.py
@@ -0,0 +1,91 @@
+"""What a restarted instance does before it draws budgets ahead."""
+
+import time
+from collections.abc import Callable
+
+import eventlet
+import msgspec
+from returns.result import Failure
+
+from whinrack.budgets import GrantKeeper, RestartMoment, WallReading
+from whinrack.edge._contact import StoreContact
+from whinrack.edge._options import EdgeOptions
+from whinrack.observability import Event, log_event
+
+__all__ = ["EarlierRuns"]
+
+_POLL_SECONDS = 0.05
+# For so long the peers' clocks are waited for after a start.
+_CLOCK_CHECK_SECONDS = 2.0
+# After the clock is judged, until budgets are drawn ahead.
+_PEERS_KNOWN_SECONDS = 1.0
+# A larger difference between the clocks' progress is a jump of the time of day.
+_CLOCK_JUMP_SECONDS = 0.25
+
+
+class EarlierRuns:
+    """Gives back what earlier runs of an instance held and can't have used.
+
+    Parameters
+    ----------
+    options : EdgeOptions
+    restart : RestartMoment
+        When this run started.
+    keeper : GrantKeeper
+    contact : StoreContact
+    wall_clock : callable
+        Reads the time of day, and tells whether the peers agree with it.
+    """
+
+    def __init__(
+        self,
+        options: EdgeOptions,
+        restart: RestartMoment,
+        keeper: GrantKeeper,
+        contact: StoreContact,
+        wall_clock: Callable[[], WallReading],
+    ):
+        self.options = options
+        self.restart = restart
+        self.keeper = keeper
+        self.contact = contact
+        self.wall_clock = wall_clock
+
+    def release_and_draw(self) -> None:
+        """Let budgets be drawn ahead, once what earlier runs held is given back."""
+        while not self._clock_is_judged():
+            eventlet.sleep(_POLL_SECONDS)
+        if not self.options.first_start:
+            self._release()
+        # By now the peers are known: who draws ahead for all is agreed.
+        eventlet.sleep(_PEERS_KNOWN_SECONDS)
+        self.keeper.draws_ahead = True
+
+    def _release(self) -> None:
+        restart = self._checked_restart()
+        while isinstance(rows := self.keeper.release_earlier_runs(restart), Failure):
+            self.contact.report(False)
+            eventlet.sleep(_POLL_SECONDS)
+            self.contact.wait(self.options.renew_seconds)
+            restart = self._checked_restart()
+        text = " ".join(
+            f"{row.budget}:{row.written_off}/{row.freed}@{row.seconds:.1f}" for row in rows.unwrap()
+        )
+        log_event(
+            Event.EARLIER_RUNS_RELEASED,
+            instance=self.options.name,
+            clock="checked" if restart.wall_checked else "not checked",
+            rows=text,
+        )
+
+    def _clock_is_judged(self) -> bool:
+        """Whether the peers have checked the time of day, or have had time enough to."""
+        waited = time.monotonic() - self.restart.steady
+        return waited >= _CLOCK_CHECK_SECONDS or self.wall_clock().checked
+
+    def _checked_restart(self) -> RestartMoment:
+        """Return the moment of the restart, with what the peers say of its clock."""
+        now = self.wall_clock()
+        jumped = (now.seconds - self.restart.wall) - (time.monotonic() - self.restart.steady)
+        checked = now.checked and abs(jumped) <= _CLOCK_JUMP_SECONDS
+        return msgspec.structs.replace(self.restart, wall_checked=checked)
