--- a/whinrack/gossip/__init__.py
+++ b/whinrack/gossip/__init__.py
@@ -18,15 +18,9 @@
     TokenReply,
     TokenRequest,
 )
-from whinrack.gossip._peers import (
-    PeerTable,
-    PeerView,
-    Strength,
-    is_strong,
-    prefer_strong,
-    strongest,
-)
+from whinrack.gossip._peers import PeerTable, PeerView
 from whinrack.gossip._spares import PeerSpares
+from whinrack.gossip._strength import Strength, is_strong, prefer_strong, strongest
 
 __all__ = [
     "ClockCheck",
--- a/whinrack/gossip/_drawers.py
+++ b/whinrack/gossip/_drawers.py
@@ -20,7 +20,8 @@
     ReleaseReply,
     ReleaseRequest,
 )
-from whinrack.gossip._peers import PeerTable, PeerView, prefer_strong
+from whinrack.gossip._peers import PeerTable, PeerView
+from whinrack.gossip._strength import prefer_strong
 
 __all__ = ["FleetDrawer"]
 
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -16,7 +16,7 @@
 
 from whinrack.gossip._messages import Heartbeat, PeerAddress, PeerState
 
-__all__ = ["PeerTable", "PeerView", "Strength", "is_strong", "prefer_strong", "strongest"]
+__all__ = ["PeerTable", "PeerView", "Receivers"]
 
 # Instances up to which all hear each other.
 _FULL_MESH = 12
@@ -32,37 +32,6 @@
 _SLOWER_BEATS = 2.0
 _LONGER_SILENCE = 4.0
 _AGE_UNITS = 100.0
-# An instance with at least this part of the widest link and of the most cores is strong.
-_STRONG_PART = 0.5
-
-
-class Strength(NamedTuple):
-    """Bandwidth of a link, Mbit/s, and cores."""
-
-    bandwidth: float
-    cores: float
-
-
-def strongest(states: Iterable[PeerState]) -> Strength:
-    """Return the widest link and the most cores that any of the instances has."""
-    states = list(states)
-    return Strength(
-        bandwidth=max((state.bandwidth for state in states), default=0.0),
-        cores=max((state.cores for state in states), default=0.0),
-    )
-
-
-def is_strong(state: PeerState, best: Strength) -> bool:
-    """Whether an instance has a wide link and many cores, compared with the best."""
-    wide = state.bandwidth >= _STRONG_PART * best.bandwidth
-    return wide and state.cores >= _STRONG_PART * best.cores
-
-
-def prefer_strong(states: Iterable[PeerState]) -> list[PeerState]:
-    """Return the strong instances, for work that moves much; all if none is strong in both."""
-    states = list(states)
-    best = strongest(states)
-    return [state for state in states if is_strong(state, best)] or states
 
 
 class PeerView:
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -12,7 +12,8 @@
 from whinrack.budgets import SpareSource, SpareTotal
 from whinrack.gossip._link import GossipLink
 from whinrack.gossip._messages import PeerState, TokenReply, TokenRequest
-from whinrack.gossip._peers import PeerTable, PeerView, prefer_strong
+from whinrack.gossip._peers import PeerTable, PeerView
+from whinrack.gossip._strength import prefer_strong
 
 __all__ = ["PeerSpares"]
 
--- /dev/null
+++ b/whinrack/gossip/_strength.py
@@ -0,0 +1,40 @@
+"""Which instances have wide links and many cores, for work that moves much."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from whinrack.gossip._messages import PeerState
+
+__all__ = ["Strength", "is_strong", "prefer_strong", "strongest"]
+
+# An instance with at least this part of the widest link and of the most cores is strong.
+_STRONG_PART = 0.5
+
+
+class Strength(NamedTuple):
+    """Bandwidth of a link, Mbit/s, and cores."""
+
+    bandwidth: float
+    cores: float
+
+
+def strongest(states: Iterable[PeerState]) -> Strength:
+    """Return the widest link and the most cores that any of the instances has."""
+    states = list(states)
+    return Strength(
+        bandwidth=max((state.bandwidth for state in states), default=0.0),
+        cores=max((state.cores for state in states), default=0.0),
+    )
+
+
+def is_strong(state: PeerState, best: Strength) -> bool:
+    """Whether an instance has a wide link and many cores, compared with the best."""
+    wide = state.bandwidth >= _STRONG_PART * best.bandwidth
+    return wide and state.cores >= _STRONG_PART * best.cores
+
+
+def prefer_strong(states: Iterable[PeerState]) -> list[PeerState]:
+    """Return the strong instances, for work that moves much; all if none is strong in both."""
+    states = list(states)
+    best = strongest(states)
+    return [state for state in states if is_strong(state, best)] or states
