--- a/whinrack/gossip/_link.py
+++ b/whinrack/gossip/_link.py
@@ -44,13 +44,19 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Message)
         self._socket = None
+        self._receiver = None
 
     def start(self) -> None:
         """Bind and receive in the background."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(self.address)
         self.address = self._socket.getsockname()
-        eventlet.spawn_n(self._receive_all)
+        self._receiver = eventlet.spawn(self._receive_all)
+
+    def stop(self) -> None:
+        """Receive no more."""
+        eventlet.kill(self._receiver)
+        self._socket.close()
 
     def send(self, message: Message, address: tuple[str, int]) -> None:
         """Send once; a datagram that can't be sent counts as lost."""
--- /dev/null
+++ b/whinrack/gossip/tests/test_link.py
@@ -0,0 +1,70 @@
+"""Datagrams of other versions, torn ones and those of nobody's."""
+
+import eventlet
+import msgspec
+import pytest
+from eventlet.green import socket
+
+from whinrack.gossip import GossipLink, Heartbeat, PeerAddress, PeerState, TargetLoads
+
+HERE = ("127.0.0.1", 0)
+
+
+@pytest.fixture
+def link():
+    """A link that keeps what it takes in and counts what it sends."""
+    heard, sent = [], []
+    link = GossipLink(
+        HERE,
+        lambda message, address: heard.append(message),
+        lambda name, address, size: sent.append((name, size)),
+    )
+    link.start()
+    link.heard, link.sent_sizes = heard, sent
+    yield link
+    link.stop()
+
+
+def heartbeat(**fields):
+    state = PeerState(
+        incarnation="b.1",
+        sequence=1,
+        sender=PeerAddress("b", "127.0.0.1", 1),
+        callers="b:80",
+        data_hall="h",
+        ready=True,
+        store_answers=True,
+        load=0,
+        configuration=1,
+    )
+    return Heartbeat(state=state, number=1, **fields)
+
+
+def hear(link, *datagrams):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for data in datagrams:
+            sender.sendto(data, link.address)
+    eventlet.sleep(0.05)
+
+
+def test_what_is_no_message_is_dropped_and_counted(link):
+    whole = msgspec.msgpack.encode(heartbeat())
+    hear(link, b"", b"\xff\xfe", whole[:-3], whole + b"x", b"\x91\xa5other", whole)
+    assert len(link.heard) == 1
+    assert link.malformed == 5
+
+
+def test_messages_of_an_older_and_of_a_newer_version_are_understood(link):
+    older = msgspec.msgpack.encode(["loads", "b", {7: 2}])
+    newer = msgspec.msgpack.encode(["loads", "b", {7: 2}, {7: 300}, "more"])
+    hear(link, older, newer)
+    assert link.heard == [TargetLoads("b", {7: 2}), TargetLoads("b", {7: 2}, {7: 300})]
+    assert link.malformed == 0
+
+
+def test_heartbeats_with_states_are_counted_apart(link):
+    beat = heartbeat()
+    link.send(beat, link.address)
+    link.send(heartbeat(passed_on=[beat.state]), link.address)
+    assert [name for name, _ in link.sent_sizes] == ["beat", "beat+states"]
+    assert link.sent_sizes[0][1] == len(msgspec.msgpack.encode(beat))
--- a/whinrack/store/tests/test_store.py
+++ b/whinrack/store/tests/test_store.py
@@ -5,7 +5,7 @@
 
 from standins.memory_store import MemoryStore
 from whinrack.exceptions import PlatformUnavailable, RateExceeded, WriteUnknown
-from whinrack.store import HttpObjectStore, ObjectEditor, TokenBucket
+from whinrack.store import HttpObjectStore, MeteredStore, ObjectEditor, TokenBucket
 
 
 class Marks(msgspec.Struct):
@@ -14,6 +14,19 @@
     marks: dict[str, int] = {}
 
 
+def test_calls_and_bytes_are_counted_by_what_they_are_about():
+    counted = []
+    store = MeteredStore(MemoryStore(), lambda *call: counted.append(call))
+    store.put("k", "a", b'"12345"', 0)
+    store.put("k", "a", b'"1"', 9)
+    store.get("k", "a")
+    store.list(["k", "m"])
+    assert counted == [("put k", "ok"), ("put k", "conflict"), ("get k", "ok"), ("list k+m", "ok")]
+    # Both values that were sent, what the first write returned and what the conflict brought.
+    assert store.bytes["put k"] == 7 + 3 + 7 + 7
+    assert (store.bytes["get k"], store.bytes["list k+m"]) == (7, 7)
+
+
 def editor(store):
     return ObjectEditor(store, "Marks", Marks, seed=1, sleep=lambda seconds: None)
 
