--- a/benchmarks/bench_edge.py
+++ b/benchmarks/bench_edge.py
@@ -10,6 +10,7 @@
 from whinrack.gossip import Heartbeat, PeerAddress, PeerState, PeerTable
 
 BUDGETS = 24
+HALLS = 5
 HOLDERS = (8, 30, 87, 300)
 TARGETS = (9, 70, 300, 1200)
 ROUNDS = 200
@@ -80,6 +81,8 @@
             receiver.heard(msgspec.structs.replace(received, number=next(times)), 0.0)
 
         report("heartbeat", len(encoded), "B", peers=peers)
+        brief = msgspec.structs.replace(message, ages=sender.ages(0.0, near_only=True))
+        report("brief_heartbeat", len(msgspec.msgpack.encode(brief)), "B", peers=peers)
         report("heartbeats_sent", _receivers(sender) / sender.interval(0.25), "/s", peers=peers)
         report("heartbeat_taken_in", _microseconds(take), "us", peers=peers)
 
@@ -91,7 +94,7 @@
 
 def _table_of(peers: int) -> PeerTable:
     """Return the table of an instance that has heard all others."""
-    table = PeerTable("instance", 1.0, 60.0, seed=1)
+    table = PeerTable("instance", 1.0, 60.0, seed=1, data_hall="hall-0")
     for number in range(peers):
         table.heard(_heartbeat(number, 1, PeerTable("", 1.0, 60.0)), 0.0)
     return table
@@ -104,7 +107,7 @@
         sequence=sequence,
         sender=PeerAddress(f"instance-{number}", host, 7340),
         callers=f"{host}:8000",
-        data_hall="a",
+        data_hall=f"hall-{number % HALLS}",
         ready=True,
         store_answers=True,
         load=5,
