--- a/whinrack/store/_answer_times.py
+++ b/whinrack/store/_answer_times.py
@@ -29,8 +29,7 @@
     @property
     def patience(self) -> float:
         """Seconds to wait for the next answer."""
-        expected = (self._mean or 0.0) + _DEVIATIONS * self._deviation
-        return min(_HIGHEST_SECONDS, self._backoff * max(_LOWEST_SECONDS, expected))
+        return min(_HIGHEST_SECONDS, self._backoff * self._expected())
 
     def answered(self, seconds: float) -> None:
         """Take in the seconds that an answer took."""
@@ -42,6 +41,15 @@
         self._deviation += _DEVIATION_SHARE * (off - self._deviation)
         self._mean += _MEAN_SHARE * (seconds - self._mean)
 
+    def answered_within(self, seconds: float) -> None:
+        """Take in that an answer took at most so many seconds; how many isn't known."""
+        if seconds < self._expected():
+            self._backoff = 1
+
     def lost(self) -> None:
         """Wait longer for the next answer: the store may only be slow."""
         self._backoff *= _BACKOFF
+
+    def _expected(self) -> float:
+        mean = self._mean or 0.0
+        return max(_LOWEST_SECONDS, mean + _DEVIATIONS * self._deviation)
--- a/whinrack/store/tests/test_answer_times.py
+++ b/whinrack/store/tests/test_answer_times.py
@@ -45,3 +45,13 @@
     assert times.patience == 1.2
     times.answered(_QUICK)
     assert times.patience == pytest.approx(0.5)
+
+
+def test_an_answer_that_was_held_for_an_unknown_time_ends_the_longer_wait_only():
+    times = taught(_SLOWER)
+    usual = times.patience
+    times.lost()
+    times.answered_within(2 * _SLOWER)
+    assert times.patience > usual
+    times.answered_within(_QUICK)
+    assert times.patience == usual
