The wait is capped at 0.8 s and named after what it is

Read again: doubling without a cap would have overflowed after a thousand lost answers, and 1.2 s would have made the return of a silent store show 0.4 s later than before.

--- a/whinrack/store/__init__.py
+++ b/whinrack/store/__init__.py
@@ -1,6 +1,6 @@
 """The one way to the object API: versioned objects, watches and the list of instances."""
 
-from whinrack.store._answer_times import AnswerTimes
+from whinrack.store._adaptive_timeout import AdaptiveTimeout
 from whinrack.store._connections import StoreConnections
 from whinrack.store._http import HttpObjectStore
 from whinrack.store._limiter import TokenBucket
@@ -16,7 +16,7 @@
 from whinrack.store.base import ObjectStore, lost_reply
 
 __all__ = [
-    "AnswerTimes",
+    "AdaptiveTimeout",
     "HttpObjectStore",
     "InstanceRecord",
     "InstanceState",
--- a/whinrack/store/_answer_times.py
+++ b/whinrack/store/_adaptive_timeout.py
@@ -1,20 +1,22 @@
 """How late a store's answer may come before it counts as lost."""
 
-__all__ = ["AnswerTimes"]
+__all__ = ["AdaptiveTimeout"]
 
 # The slowest store that is known of answers in 0.39 s when it suddenly turns slow; with watches
 # held for 1 s and begun 0.1 s apart, a connection that fell silent shows within 1.6 s.
 _LOWEST_SECONDS = 0.5
-# Other calls are given up after as long.
-_HIGHEST_SECONDS = 1.2
+# A store that was away is asked again after as long: what is waited here comes on top of the time
+# until its return is noticed.
+_HIGHEST_SECONDS = 0.8
 # Weights of a new sample and the number of deviations, of TCP's retransmission timer (RFC 6298).
 _MEAN_SHARE = 1 / 8
 _DEVIATION_SHARE = 1 / 4
 _DEVIATIONS = 4
+# After a lost answer.
 _BACKOFF = 2
 
 
-class AnswerTimes:
+class AdaptiveTimeout:
     """Estimates how long to wait for an answer, as TCP does for its retransmissions.
 
     A fixed wait is either long, so that a silent connection shows late (0.8 s let news of
@@ -27,8 +29,8 @@
         self._backoff = 1
 
     @property
-    def patience(self) -> float:
-        """Seconds to wait for the next answer."""
+    def seconds(self) -> float:
+        """How long to wait for the next answer."""
         return min(_HIGHEST_SECONDS, self._backoff * self._expected())
 
     def answered(self, seconds: float) -> None:
@@ -48,7 +50,7 @@
 
     def lost(self) -> None:
         """Wait longer for the next answer: the store may only be slow."""
-        self._backoff *= _BACKOFF
+        self._backoff = _BACKOFF
 
     def _expected(self) -> float:
         mean = self._mean or 0.0
