Failing tests: the return of the store is told by heartbeats only

A fed instance asks the store again each 1.0 to 1.5 s, and hears that others reach it by heartbeats each 0.5 s to a few peers.

--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -203,6 +203,19 @@
     assert world.contact.answers
 
 
+def test_a_lost_store_is_asked_at_once_when_peers_hear_from_it_again():
+    store = MemoryStore()
+    world = World(store, FedPlan(store))
+    world.contact.report(False)
+    tasks = [eventlet.spawn(task) for task in world.knowledge.tasks()]
+    eventlet.sleep(0.05)
+    world.knowledge.hear_of_store()
+    world.contact.wait(0.4)
+    for task in tasks:
+        task.kill()
+    assert world.contact.answers
+
+
 def test_an_older_record_of_a_peer_is_neither_taken_nor_passed_on():
     world = known_world("t1")
     world.knowledge._change_targets((stored("target", "t1", "leaving", version=5),))
--- a/whinrack/edge/tests/test_membership.py
+++ b/whinrack/edge/tests/test_membership.py
@@ -1,5 +1,8 @@
 """What an instance of a large fleet tells its peers, and whom it asks."""
 
+import time
+
+import msgspec
 import pytest
 
 from whinrack.dispatch import Directory, TargetRegistry
@@ -22,6 +25,8 @@
 
     def __init__(self):
         self.newer = []
+        self.answers = True
+        self.store_heard = 0
 
     def open_requests(self):
         return 0
@@ -33,7 +38,7 @@
         return False
 
     def reaches_store(self):
-        return True
+        return self.answers
 
     def confirms_store(self):
         return False
@@ -47,6 +52,9 @@
     def hear_of_configuration(self, peer):
         self.newer.append(peer)
 
+    def hear_of_store(self):
+        self.store_heard += 1
+
 
 class Link:
     """Keeps what is sent."""
@@ -79,7 +87,7 @@
     return member
 
 
-def beat(peer, run=1, hall=None, **fields):
+def beat(peer, run=1, hall=None, store_confirmed=False, **fields):
     state = PeerState(
         incarnation=f"p{peer}.{run}",
         sequence=1,
@@ -90,6 +98,7 @@
         store_answers=True,
         load=0,
         configuration=0,
+        store_confirmed=store_confirmed,
     )
     return Heartbeat(**({"state": state, "number": 1} | fields))
 
@@ -152,3 +161,28 @@
     before = membership.own_state()
     membership.stopping = True
     assert membership.own_state().sequence == before.sequence + 1
+
+
+def test_the_first_peer_that_hears_from_a_lost_store_again_is_news_at_once(membership):
+    """Told by the heartbeats alone, its return reached the last of 24 instances after 1.7 s."""
+    membership.host.answers = False
+    returned = msgspec.structs.replace(beat(3).state, store_confirmed=True, sequence=2)
+    membership._receive(beat(2, number=2), None)
+    assert membership.host.store_heard == 0
+    membership._receive(beat(2, number=3, ages={returned.digest: 1}, passed_on=[returned]), None)
+    assert membership.host.store_heard == 1
+
+
+def test_peers_that_reach_the_store_all_along_are_no_news_to_one_that_is_turned_away(membership):
+    membership._receive(beat(3, run=2, store_confirmed=True), None)
+    membership.host.answers = False
+    membership._receive(beat(4, run=2, store_confirmed=True), None)
+    assert len(membership.table.with_store(time.monotonic())) == 2
+    assert membership.host.store_heard == 0
+
+
+def test_an_instance_that_the_store_answers_again_tells_its_peers_at_once(membership):
+    membership.spread()
+    assert len(membership.link.sent) == 6
+    membership.spread()
+    assert len(membership.link.sent) == 6
