The return of the store is told at once

Cause: after an outage for all the instances that probe hear from the store within 0.15 s; the fed ones ask it only each 1.0 to 1.5 s and learn by heartbeats that others reach it, and an order that still waits on a dead connection keeps the prober from saying so for 1.2 s more. Now whoever hears from the store again sends a heartbeat at once, and a fed instance asks at once when the first peer hears from it. An instance that is turned away alone is not woken: its peers reach the store all along.

--- a/whinrack/budgets/_orders.py
+++ b/whinrack/budgets/_orders.py
@@ -103,8 +103,12 @@
         return waited < self.options.store_patience
 
     def regained(self) -> None:
-        """Learn from others' calls that the books can be reached again."""
+        """Learn from others' calls that the books can be reached again.
+
+        An order that still waits was sent before, maybe on a connection that is dead.
+        """
         self._lost = False
+        self._asked_at = None
 
     def books_know_limit(self, grant: Grant) -> bool:
         """Whether the books, when they answered last, had the limit that is in force here."""
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -215,6 +215,10 @@
         """Catch up with a peer that has a newer configuration."""
         self.knowledge.suspect_configuration(peer)
 
+    def hear_of_store(self) -> None:
+        """Ask a lost store again, since a peer hears from it."""
+        self.knowledge.hear_of_store()
+
     def receive(self, message: Message, address: HostPort) -> None:
         """Take in a peer's message about tokens."""
         self.tokens.receive(message, address)
@@ -264,6 +268,7 @@
         log_event(event, silent=silent, why=self.store.last_failure)
         if answers:
             self.keeper.store_regained()
+            self.membership.spread()
 
     # --- tokens ------------------------------------------------------------------
 
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 import eventlet
+from eventlet.event import Event as Signal
 from returns.result import Success
 
 from whinrack.dispatch import Directory, TargetRecord, TargetRegistry, TargetsView
@@ -116,6 +117,7 @@
             relay=self.relay.kinds[target_reader.kind],
         )
         self._reading = False
+        self._store_heard = Signal()
 
     def tasks(self) -> list[Callable[[], None]]:
         """Return the loops to run in the background."""
@@ -159,6 +161,11 @@
                 ended = StoredObject(known.kind, known.name, target.version, deleted=True)
                 self._change_targets((ended,), source="peer")
 
+    def hear_of_store(self) -> None:
+        """Ask a lost store again now: a peer hears from it, after none did."""
+        heard, self._store_heard = self._store_heard, Signal()
+        heard.send(None)
+
     def _follow_peers(self) -> None:
         """Learn of targets from peers while the store is out of reach."""
         while True:
@@ -178,7 +185,8 @@
         peer hears from the store, the calls of those who follow it are enough.
         """
         while True:
-            eventlet.sleep(_PROBE_PAUSE * (1.0 + random.random() / 2))
+            with eventlet.Timeout(_PROBE_PAUSE * (1.0 + random.random() / 2), False):
+                self._store_heard.wait()
             is_fed = self.plan.source().address is not None
             if not self.contact.answers and is_fed and self.plan.store_may_answer():
                 self.contact.report(self._store_answers())
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -75,6 +75,10 @@
         """Learn that a peer has a newer configuration."""
         raise NotImplementedError
 
+    def hear_of_store(self) -> None:
+        """Learn that a peer reaches the store, after none did."""
+        raise NotImplementedError
+
     def receive(self, message: Message, address: HostPort) -> None:
         """Take in a message that is not about who is there."""
         raise NotImplementedError
@@ -280,7 +284,10 @@
         now = time.monotonic()
         sender = beat.state.sender
         self.clocks.heard(sender.name, beat.wall, now)
+        without_store = self._is_without_store(now)
         is_new = self.table.heard(beat, now)
+        if without_store and self.table.with_store(now):
+            self.host.hear_of_store()
         if is_new or beat.asks_for_states or self._is_alone(beat, now):
             # At once, so that a peer that has just started knows this one and the others.
             self._introduce(beat, now)
@@ -289,7 +296,11 @@
             self.host.hear_of_configuration(newest.sender.address)
         self.host.learn_gone_targets(beat.gone)
         if self._learn_leaving(beat) and not self.table.is_mesh:
-            self._spread(now)
+            self.spread()
+
+    def _is_without_store(self, now: float) -> bool:
+        """Whether neither this instance nor a peer that it hears reaches the store."""
+        return not self.host.reaches_store() and not self.table.with_store(now)
 
     def _is_alone(self, beat: Heartbeat, now: float) -> bool:
         """Whether a peer knows few of a large fleet; noticed once a second for each peer.
@@ -323,8 +334,9 @@
             log_event(Event.TARGET_LEAVING, target=incarnation, source=beat.state.sender.name)
         return bool(news)
 
-    def _spread(self, now: float) -> None:
+    def spread(self) -> None:
         """Pass news on before the next heartbeat is due; seldom enough to end by itself."""
+        now = time.monotonic()
         if now - self._spread_at >= _SPREAD_SECONDS:
             self._spread_at = now
             self.beat()
