--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -184,9 +184,12 @@
         and never watch it again for others: 57 of 87 instances did so after one silence. Until a
         peer hears from the store, the calls of those who follow it are enough.
         """
+        heard = self._store_heard
         while True:
             with eventlet.Timeout(_PROBE_PAUSE * (1.0 + random.random() / 2), False):
-                self._store_heard.wait()
+                heard.wait()
+            # Word that comes while the store is asked in vain lets it be asked once more.
+            heard = self._store_heard
             is_fed = self.plan.source().address is not None
             if not self.contact.answers and is_fed and self.plan.store_may_answer():
                 self.contact.report(self._store_answers())
--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -216,6 +216,36 @@
     assert world.contact.answers
 
 
+class OnceSilentStore(MemoryStore):
+    """Doesn't answer the first question."""
+
+    def __init__(self):
+        super().__init__()
+        self.asked = 0
+
+    def watch(self, kinds, since, wait):
+        self.asked += 1
+        if self.asked > 1:
+            return super().watch(kinds, since, wait)
+        eventlet.sleep(0.2)
+        return Failure(PlatformUnavailable("silent"))
+
+
+def test_word_of_the_store_that_comes_while_it_is_asked_in_vain_is_not_lost():
+    store = OnceSilentStore()
+    world = World(store, FedPlan(store))
+    world.contact.report(False)
+    tasks = [eventlet.spawn(task) for task in world.knowledge.tasks()]
+    eventlet.sleep(0.02)
+    for _ in range(2):
+        world.knowledge.hear_of_store()
+        eventlet.sleep(0.05)
+    world.contact.wait(0.5)
+    for task in tasks:
+        task.kill()
+    assert world.contact.answers
+
+
 def test_an_older_record_of_a_peer_is_neither_taken_nor_passed_on():
     world = known_world("t1")
     world.knowledge._change_targets((stored("target", "t1", "leaving", version=5),))
