--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -65,6 +65,9 @@
 _LEAST_IN_FLIGHT = 2
 # A target is told a little less time than is left, so that its own word can arrive.
 _TIMEOUT_MARGIN = 0.05
+# What moves between this instance and targets, as the traffic is counted.
+_REQUESTS = "request"
+_ANSWERS = "answer"
 
 
 class DispatchOptions(msgspec.Struct, frozen=True):
@@ -118,6 +121,8 @@
         Returns the number of instances that share the retries.
     targets_view : callable
         Returns how up to date the registry is, for the log.
+    moved : callable
+        Told what moved to and from a target: what it is, the target's data hall, its bytes.
     """
 
     def __init__(
@@ -131,6 +136,7 @@
         options: DispatchOptions,
         instances: Callable[[], int],
         targets_view: Callable[[], TargetsView],
+        moved: Callable[[str, str, int], None],
     ):
         self.dialect = dialect
         self.directory = directory
@@ -141,6 +147,7 @@
         self.options = options
         self.instances = instances
         self.targets_view = targets_view
+        self.moved = moved
         self.in_progress = 0
         self.arrivals = DemandEstimate(half_life=_ARRIVALS_HALF_LIFE)
         self.refusing = False
@@ -352,6 +359,9 @@
             if run.cover is not None and run.may_have_run:
                 settle_by_last_words(run, pool, connection, self.dialect, answered)
             raise
+        finally:
+            self.moved(_REQUESTS, state.record.data_hall, connection.sent_bytes)
+            self.moved(_ANSWERS, state.record.data_hall, connection.received_bytes)
 
     def _has_another(self, run: Run, pool: PoolRecord, now: float) -> bool:
         """Whether the request may still go to another target if this one is silent.
--- a/whinrack/dispatch/tests/test_choice_and_send.py
+++ b/whinrack/dispatch/tests/test_choice_and_send.py
@@ -92,6 +92,7 @@
         DispatchOptions(0.2, 10.0, 10.0),
         lambda: 1,
         TargetsView,
+        lambda *moved: None,
     )
     began = time.monotonic()
     with pytest.raises(TargetUnavailable) as refused:
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -149,6 +149,7 @@
             _dispatch_options(options),
             self.membership.sharing_instances,
             self.knowledge.targets_view,
+            self.membership.traffic.moved_to_hall,
         )
         self.small_answers = small_answers
         self.front = HttpServer(
--- a/whinrack/edge/_traffic.py
+++ b/whinrack/edge/_traffic.py
@@ -1,4 +1,4 @@
-"""How many bytes move between instances, by message and by data hall."""
+"""How many bytes move between instances and to targets, by message and by data hall."""
 
 from collections import Counter
 from collections.abc import Callable
@@ -18,7 +18,7 @@
 
 
 class TrafficMeter:
-    """Counts messages and bytes that move between this instance and others.
+    """Counts messages and bytes that move between this instance and others, and targets.
 
     Datagrams are counted by who sends them, answers to questions by who asked: summed over
     all instances each byte is counted once.
@@ -47,7 +47,11 @@
 
     def moved(self, name: str, address: HostPort, size: int) -> None:
         """Count a message to the instance at an address, or an answer from it."""
-        place = self._place(address)
+        self.moved_to_hall(name, self.hall_of(address[0]), size)
+
+    def moved_to_hall(self, name: str, hall: str | None, size: int) -> None:
+        """Count a message to a data hall, or one from there; None if it isn't known."""
+        place = self._place(hall)
         self.messages[name, place] += 1
         self.bytes[name, place] += size
         self.count(name, place, size)
@@ -59,8 +63,7 @@
             for (name, place), size in sorted(self.bytes.items(), key=_by_name)
         )
 
-    def _place(self, address: HostPort) -> Place:
-        hall = self.hall_of(address[0])
+    def _place(self, hall: str | None) -> Place:
         if hall is None:
             return Place.UNKNOWN
         return Place.OWN_HALL if hall == self.own_hall else Place.OTHER_HALL
--- a/whinrack/edge/tests/test_traffic.py
+++ b/whinrack/edge/tests/test_traffic.py
@@ -25,3 +25,11 @@
     traffic.moved("loads", ("10.0.0.2", 1), 7)
     traffic.moved("beat", ("10.0.0.1", 1), 5)
     assert traffic.summary() == "beat/own_hall:1:5 loads/other_hall:1:7"
+
+
+def test_what_moves_to_targets_is_counted_by_their_hall():
+    counted = []
+    traffic = meter(counted)
+    traffic.moved_to_hall("request", "there", 30)
+    traffic.moved_to_hall("answer", "here", 40)
+    assert counted == [("request", Place.OTHER_HALL, 30), ("answer", Place.OWN_HALL, 40)]
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -37,6 +37,9 @@
     def __init__(self, address: tuple[str, int], sock):
         self.address = address
         self.sock = sock
+        # Of the latest request and its answer, heads included.
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         self.released_at = 0.0
         # The target has ended its side by its own will: nothing more comes, nothing is lost.
@@ -72,6 +75,7 @@
             events.append(h11.Data(data=body))
         events.append(h11.EndOfMessage())
         data = b"".join(self._protocol.send(event) for event in events)
+        self.sent_bytes, self.received_bytes = len(data), 0
         self.sock.settimeout(max(0.001, end - time.monotonic()))
         with contextlib.suppress(OSError):
             self.sock.sendall(data)
@@ -180,6 +184,7 @@
         except OSError as error:
             raise AnswerCut("the connection broke") from error
         self.ended = self.ended or not data
+        self.received_bytes += len(data)
         try:
             self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -65,6 +65,19 @@
     assert server.accepted == 1
 
 
+def test_bytes_of_the_latest_request_and_its_answer_are_counted(serve):
+    def script(sock):
+        while True:
+            read_request(sock)
+            sock.sendall(WHOLE)
+
+    pool, server = ConnectionPool(), serve(script)
+    for _ in range(2):
+        ask(pool, server)
+    connection = pool.take(server.address, soon())
+    assert (connection.sent_bytes, connection.received_bytes) == (35, len(WHOLE))
+
+
 def test_an_unframed_answer_ends_with_its_connection(serve):
     def script(sock):
         read_request(sock)
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -29,7 +29,7 @@
             "platform_calls", "Calls to the platform", "operation", "result"
         )
         self.peer_bytes = self._counter(
-            "peer_bytes", "Bytes moved between instances", "message", "place"
+            "peer_bytes", "Bytes moved between instances and to targets", "message", "place"
         )
         self.peer_calls = self._counter("peer_calls", "Calls to peers", "call", "result")
         self.peer_refused = self._counter("peer_refused", "Peer calls refused, by reason", "reason")
