--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -1,6 +1,5 @@
 """Wires the pipeline to sockets, store and peers, and runs until it is stopped."""
 
-import contextlib
 import os
 import signal
 import sys
@@ -27,12 +26,12 @@
 from whinrack.edge._feeding import FeedPlan
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._membership import Membership, MembershipHost
-from whinrack.edge._options import EdgeOptions, HostPort, ReloadedOptions, reload_options
+from whinrack.edge._options import EdgeOptions, HostPort
+from whinrack.edge._reloading import SettingsFollower
 from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
 from whinrack.edge._sources import ConfigurationReader, TargetReader
 from whinrack.edge._tokens import TokenExchange
 from whinrack.edge._traffic import Place
-from whinrack.exceptions import InvalidSettings
 from whinrack.gossip import GoneTarget, Message
 from whinrack.http1 import ConnectionPool, HttpServer
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
@@ -54,8 +53,6 @@
 _TASK_PAUSE_SECONDS = 0.5
 # How often it is looked whether callers had better connect elsewhere.
 _CROWDED_SECONDS = 0.25
-# How often the settings are read without a signal.
-_SETTINGS_SECONDS = 5.0
 # The answer to a watch may be so late, beyond the time for which the watch is held.
 _WATCH_MARGIN_SECONDS = 1.0
 
@@ -91,7 +88,7 @@
     ):
         self.options = options
         self.dialect = dialect
-        self.reload = reload
+        self.settings = SettingsFollower(options, reload, self._use)
         self.holder = new_incarnation(options.name)
         self.metrics = Metrics()
         self.store = MeteredStore(store, self._count_call)
@@ -170,7 +167,7 @@
         log_event(Event.ROUTER_STARTED, instance=self.options.name, run=self.holder)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: eventlet.spawn_n(self._stop))
-        signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(self._reload))
+        signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(self.settings.reload))
         self.membership.start()
         self._start_servers()
         self._start_tasks()
@@ -249,7 +246,7 @@
             *self.knowledge.tasks(),
             self.earlier_runs.release_and_draw,
             self._renew_forever,
-            self._follow_settings,
+            self.settings.follow,
             self._watch_crowding,
             self._log_traffic_forever,
             self.membership.beat_forever,
@@ -295,33 +292,8 @@
 
     # --- signals -----------------------------------------------------------------
 
-    def _reload(self) -> None:
-        """Put changed settings in force; invalid ones change nothing."""
-        try:
-            read = self.reload()
-        except InvalidSettings as error:
-            log_event(Event.SETTINGS_INVALID, error=error.message)
-            return
-        self._take_settings(reload_options(self.options, read))
-
-    def _take_settings(self, reloaded: ReloadedOptions) -> None:
-        self._use(reloaded.options)
-        log_event(
-            Event.SETTINGS_RELOADED,
-            changed=",".join(reloaded.changed) or "nothing",
-            after_restart=",".join(reloaded.after_restart) or "nothing",
-        )
-
-    def _follow_settings(self) -> None:
-        """Notice a change that no signal told."""
-        while True:
-            eventlet.sleep(_SETTINGS_SECONDS)
-            with contextlib.suppress(InvalidSettings):
-                reloaded = reload_options(self.options, self.reload())
-                if reloaded.changed:
-                    self._take_settings(reloaded)
-
     def _use(self, options: EdgeOptions) -> None:
+        """Put changed settings in force."""
         self.options = options
         self.small_answers.options = options
         self.output.lines_per_second = options.log_lines_per_second
