--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -15,26 +15,21 @@
 from returns.result import Failure, Result, Success
 
 from whinrack.budgets._books import DrawResult
+from whinrack.budgets._covers import GrantCovers
 from whinrack.budgets._drawer import BookSource
 from whinrack.budgets._grant import Grant, GrantOptions
 from whinrack.budgets._keeper import SpareSource
 from whinrack.budgets._ledger import BudgetLedger, Cover
 from whinrack.budgets._orders import BookOrders, call_here, unchecked_wall_clock
-from whinrack.budgets._peer_tokens import PeerTokens
 from whinrack.budgets._release import ReleasedRow, RunRelease
 from whinrack.budgets._schedule import RestartMoment, WallReading
 from whinrack.exceptions import (
-    BudgetContended,
-    BudgetExhausted,
     PlatformFailure,
     Refusal,
 )
 
 __all__ = ["GrantKeeper"]
 
-# For so long the books that had nothing free aren't asked again.
-_NOTHING_FREE_SECONDS = 1.3
-
 
 class GivenTotal(NamedTuple):
     """Cumulative tokens of a budget that this run gave to another."""
@@ -86,13 +81,13 @@
         self.options = options
         self.clock = clock
         self.make_lock = make_lock
-        self._peers = PeerTokens(spares, options, clock)
         # Set once the peers are known, so that not every instance draws everything ahead.
         self.draws_ahead = False
         self._grants: dict[str, Grant] = {}
         self._orders = BookOrders(
             self._grants, books, options, clock, wall_clock, isolate, spares.supplies
         )
+        self._covers = GrantCovers(self._orders, spares, options, clock)
 
     @property
     def store_answers(self) -> bool:
@@ -114,15 +109,7 @@
 
     def cover(self, budget: str, tokens: int) -> Result[Cover, Refusal]:
         """Set tokens aside for one request: from here, from the books, from peers."""
-        grant = self._grant(budget)
-        grant.largest = max(grant.largest, tokens)
-        cover = self._open(grant, tokens)
-        if isinstance(cover, Failure):
-            cover = self._wait_and_refill(grant, tokens)
-        if isinstance(cover, Success):
-            # Refused requests come again, so they would count more than once.
-            grant.demand.record(tokens, self.clock())
-        return cover
+        return self._covers.cover(self._grant(budget), tokens)
 
     def give(
         self,
@@ -151,7 +138,7 @@
                 return 0
             grant = self._grant(budget)
         if grant.ledger.given.get(receiver, 0) <= already_received:
-            self._make_usable(grant, need + wish, draw)
+            self._covers.make_usable(grant, need + wish, draw)
         usable = max(0, grant.usable(self.clock()))
         return grant.ledger.give(receiver, already_received, need, wish, usable)
 
@@ -182,7 +169,7 @@
         """Draw at once where a peer's need would not be met from here; may block."""
         grant = self._grants.get(budget)
         if grant is not None:
-            self._make_usable(grant, need, draw=True)
+            self._covers.make_usable(grant, need, draw=True)
 
     def open_ahead(self) -> None:
         """Draw the budgets that this run supplies before anybody asks for them."""
@@ -190,16 +177,6 @@
             if self.spares.supplies(budget):
                 self._grant(budget)
 
-    def _make_usable(self, grant: Grant, tokens: int, draw: bool) -> None:
-        """State in the books what a peer is to get, together with others that wait."""
-        if not self.store_answers or not self._short(grant, tokens, draw):
-            return
-        if self._nothing_free(grant) and grant.ledger.spendable < tokens:
-            return
-        with grant.turn(tokens):
-            if self._short(grant, tokens, draw):
-                self._draw(grant, tokens)
-
     def receive(self, budget: str, giver: str, total: int) -> None:
         """Take in what a peer has given in all, also when nobody waits for it any more."""
         self._grant(budget).ledger.receive(giver, total)
@@ -290,112 +267,9 @@
         """Return the instance that draws a budget ahead, empty for this one; for logs."""
         return self.spares.supplier(budget)
 
-    # --- covering ----------------------------------------------------------------
-
     def _grant(self, budget: str) -> Grant:
         grant = self._grants.get(budget)
         if grant is None:
             ledger = BudgetLedger(self.account, budget, self.holder)
             grant = self._grants[budget] = Grant(ledger, self.make_lock())
         return grant
-
-    def _open(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
-        usable = grant.usable(self.clock())
-        if tokens > usable:
-            return Failure(
-                BudgetContended(
-                    f"{tokens} tokens are to be covered, {usable} are usable here",
-                    retry_after=self._retry_after(),
-                )
-            )
-        return grant.ledger.open(tokens)
-
-    def _retry_after(self) -> float:
-        """Seconds after which tokens may be had: soon, or when the books may be back."""
-        options = self.options
-        return options.retry_after if self.store_answers else options.away_retry_after
-
-    def _wait_and_refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
-        """Wait for requests that came before; what they brought may suffice for this one.
-
-        A round of questions for as much that began after this request came, and failed, was
-        made for it too. Without that, 70 requests a second for one short budget queued for up
-        to 5 seconds before they were refused one by one.
-        """
-        arrived = self.clock()
-        with grant.turn(tokens):
-            cover = self._open(grant, tokens)
-            if isinstance(cover, Success):
-                return cover
-            if grant.round_failed_since(arrived, tokens):
-                return self._refused(grant, tokens, cover)
-            began = self.clock()
-            cover = self._refill(grant, tokens)
-            if isinstance(cover, Failure):
-                grant.note_failed_round(tokens, began)
-            return cover
-
-    def _refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
-        cover = self._open(grant, tokens)
-        ways = self._ways(grant, tokens)
-        if ways:
-            grant.covering_elsewhere.clear()
-        for ask in ways:
-            ask(grant, tokens)
-            cover = self._open(grant, tokens)
-            if isinstance(cover, Success):
-                return cover
-        return self._refused(grant, tokens, cover)
-
-    def _refused(
-        self, grant: Grant, tokens: int, contended: Result[Cover, Refusal]
-    ) -> Result[Cover, Refusal]:
-        """Tell whether the budget is exhausted, or its tokens are held elsewhere."""
-        if self._is_exhausted(grant, tokens):
-            return Failure(BudgetExhausted(_left_text(grant, tokens)))
-        return contended
-
-    def _ways(self, grant: Grant, tokens: int) -> tuple[Callable[[Grant, int], None], ...]:
-        """Return what to try for more tokens, in order."""
-        if grant.is_scarce(tokens, self.clock(), self.options.scarce_seconds):
-            return ()
-        supplied = not self.spares.supplies(grant.ledger.budget)
-        peers = self._peers
-        first = (peers.ask_supplier,) if supplied else ()
-        if not self.store_answers:
-            return *first, peers.gather, peers.borrow
-        if self._nothing_free(grant) and grant.ledger.spendable < tokens:
-            return *first, peers.gather
-        return *first, self._draw, peers.gather
-
-    def _nothing_free(self, grant: Grant) -> bool:
-        """Whether the books said a moment ago that nothing is free."""
-        fresh = self.clock() - grant.learnt_at < _NOTHING_FREE_SECONDS
-        return fresh and grant.last is not None and grant.last.free <= 0
-
-    def _is_exhausted(self, grant: Grant, tokens: int) -> bool:
-        """Whether the budget can't cover a request beside those that run now.
-
-        What was left when the books answered last is an upper bound until the limit is
-        raised, however long ago that was.
-        """
-        return self._orders.books_know_limit(grant) and tokens > grant.unspent_at_most()
-
-    def _short(self, grant: Grant, tokens: int, draw: bool) -> bool:
-        """Whether a peer can't get tokens before the books know of it."""
-        if grant.usable(self.clock()) >= tokens:
-            return False
-        return draw or grant.ledger.spendable >= tokens
-
-    def _draw(self, grant: Grant, tokens: int) -> None:
-        if grant.ledger.closed:
-            return
-        # A request doesn't wait for an order that a silent store holds up; peers may
-        # have what it needs. The order's outcome is learnt whenever it comes.
-        order = self._orders.order(grant, need=tokens)
-        self._orders.send([order], self.options.draw_patience)
-
-
-def _left_text(grant: Grant, tokens: int) -> str:
-    left = grant.unspent_at_most()
-    return f"the request needs cover for {tokens} tokens, the budget has {left} left"
