--- a/whinrack/edge/_feeding.py
+++ b/whinrack/edge/_feeding.py
@@ -17,12 +17,11 @@
 
 __all__ = ["FeedPlan", "choose_feeders", "choose_following_halls"]
 
-# Instances of each data hall that feed the others. The first of them follows the store; the
-# second is fed by it, and follows the store as soon as the first one doesn't answer.
+# Instances of each data hall that feed the others. The first of them follows the store, or another
+# hall's; the second is fed by it, and takes its place as soon as the first one doesn't answer.
 _FEEDERS_OF_A_HALL = 2
 # For so many instances one data hall follows the store; the other halls are fed by it. With each
-# hall following, 24 instances in five halls made 523 watches in 68 s; at 195 the bytes between
-# halls would cost more than the watches.
+# hall following, 24 instances in five halls made 1,304 calls in a day of 68 s, and 718 with two.
 _INSTANCES_OF_A_FOLLOWER = 40
 # At least, since only instances that the store answered lately write the books.
 _FEWEST_FOLLOWING_HALLS = 2
--- a/whinrack/edge/tests/test_feeding.py
+++ b/whinrack/edge/tests/test_feeding.py
@@ -149,7 +149,7 @@
 def test_in_fleets_of_some_tens_few_halls_follow_the_store_and_feed_the_others(
     instances, following
 ):
-    """Five halls of 24 instances made 523 watches in 68 s, a tenth of what the day was worth."""
+    """Five following halls of 24 instances made 1,304 calls in 68 s, two of them 718."""
     asked = sources(fleet(instances))
     followers = [name for name, source in asked.items() if source == "store"]
     assert len(followers) == following
--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -1,5 +1,7 @@
 """What is learnt from peers, and what the store's word goes before."""
 
+import contextlib
+
 import eventlet
 import msgspec
 import pytest
@@ -184,6 +186,15 @@
         return super().watch(kinds, since, wait)
 
 
+@contextlib.contextmanager
+def running(world):
+    """Run the loops of an instance meanwhile."""
+    tasks = [eventlet.spawn(task) for task in world.knowledge.tasks()]
+    yield
+    for task in tasks:
+        task.kill()
+
+
 class FedPlan(SourcePlan):
     """A plan that always sends to a peer."""
 
@@ -196,10 +207,8 @@
     store = MemoryStore()
     world = World(store, FedPlan(store))
     world.contact.report(False)
-    tasks = [eventlet.spawn(task) for task in world.knowledge.tasks()]
-    world.contact.wait(3.0)
-    for task in tasks:
-        task.kill()
+    with running(world):
+        world.contact.wait(3.0)
     assert world.contact.answers
 
 
@@ -207,12 +216,10 @@
     store = MemoryStore()
     world = World(store, FedPlan(store))
     world.contact.report(False)
-    tasks = [eventlet.spawn(task) for task in world.knowledge.tasks()]
-    eventlet.sleep(0.05)
-    world.knowledge.hear_of_store()
-    world.contact.wait(0.4)
-    for task in tasks:
-        task.kill()
+    with running(world):
+        eventlet.sleep(0.05)
+        world.knowledge.hear_of_store()
+        world.contact.wait(0.4)
     assert world.contact.answers
 
 
@@ -235,14 +242,12 @@
     store = OnceSilentStore()
     world = World(store, FedPlan(store))
     world.contact.report(False)
-    tasks = [eventlet.spawn(task) for task in world.knowledge.tasks()]
-    eventlet.sleep(0.02)
-    for _ in range(2):
-        world.knowledge.hear_of_store()
-        eventlet.sleep(0.05)
-    world.contact.wait(0.5)
-    for task in tasks:
-        task.kill()
+    with running(world):
+        eventlet.sleep(0.02)
+        for _ in range(2):
+            world.knowledge.hear_of_store()
+            eventlet.sleep(0.05)
+        world.contact.wait(0.5)
     assert world.contact.answers
 
 
