An instance that hears from the store follows it when its feeders hear nothing

Replayed with logs: front-keldur-21 restarts at 23.02 s, 0.02 s after all others were cut off from the store; it hears from the store until 24.7 s, then follows peers of its own hall that still say that the store answers and hear nothing, one after the other until the end of the cut. An instance that is fed makes no calls, so 2 s later it no longer counted as one that the store confirms, and no one else followed the store. Ruled out: the feeding from other halls, all its feeders are of its own hall. Tests were written first and failed.

--- a/whinrack/edge/_feeding.py
+++ b/whinrack/edge/_feeding.py
@@ -106,6 +106,7 @@
         self._connections = ConnectionPool()
         self._avoided: dict[HostPort, float] = {}
         self._avoided_halls: dict[str, float] = {}
+        self._store_until = float("-inf")
 
     def settle(self) -> None:
         """Wait until the peers are known, or so much time has passed that there may be none.
@@ -123,9 +124,10 @@
 
     def source(self) -> FollowedSource:
         """Return whom to ask next."""
-        if self.peers.is_mesh:
+        now = time.monotonic()
+        if self.peers.is_mesh or (self.contact.answers and now < self._store_until):
             return FollowedSource(self.store)
-        feeder = self._feeder(time.monotonic())
+        feeder = self._feeder(now)
         if feeder is None:
             return FollowedSource(self.store)
         address = feeder.sender.address
@@ -151,6 +153,10 @@
         if state is None or state.store_answers:
             self.failed(source)
 
+    def follow_store(self) -> None:
+        """Follow the store for a while; others that can't reach it are fed from here then."""
+        self._store_until = time.monotonic() + _AVOID_SECONDS
+
     def _feeder(self, now: float) -> PeerState | None:
         """Return the peer that feeds this instance, None if it follows the store."""
         own = self.own_state()
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -37,6 +37,9 @@
 # until it knows by itself that the store doesn't answer, and the heartbeat that tells so. What is
 # older was not heard from the store, and the peer doesn't know.
 _AGE_MARGIN_SECONDS = 2.0
+# What a sound feeder passes on is at most so old: the holds of its own watch and of one more
+# between it and the store, and 0.6 s for late answers. What is older tells that it hears nothing.
+_SOUND_FEED_SECONDS = 2.6
 # Seconds between the starts of two watches of the store at least: changes that come in quick
 # succession share a call.
 _SHORTEST_INTERVAL = 0.1
@@ -122,6 +125,9 @@
     def behind(self, source: FollowedSource) -> None:
         """Learn that what a peer passes on was confirmed by the store long ago."""
 
+    def follow_store(self) -> None:
+        """Learn that the store told this instance more lately than its feeder."""
+
 
 class KindFollower:
     """Keeps up with a kind of object, through outages and lost history.
@@ -167,6 +173,7 @@
         self.listed_once = False
         self.source = "nobody"
         self._pause = _FIRST_PAUSE
+        self._store_heard_at = float("-inf")
 
     def run(self) -> None:
         """Follow for ever."""
@@ -202,6 +209,8 @@
                 # it one silent connection at each watcher made 87 instances blind for 10 s.
                 outcome = self._ask(source, PROBE_SECONDS)
             self.contact.report(isinstance(outcome, Success))
+            if isinstance(outcome, Success):
+                self._store_heard_at = time.monotonic()
         elif isinstance(outcome, Failure):
             self.plan.failed(source)
         if isinstance(outcome, Failure):
@@ -239,6 +248,8 @@
         return Success(None)
 
     def _take_batch(self, source: FollowedSource, batch: WatchBatch) -> None:
+        if self._knows_better(batch.age):
+            self.plan.follow_store()
         if batch.age > self.watch_seconds + _AGE_MARGIN_SECONDS:
             self.plan.behind(source)
         if batch.gap:
@@ -250,6 +261,16 @@
         self.revision = max(self.revision, batch.revision)
         self.relay.changed(self.revision, batch.objects)
 
+    def _knows_better(self, age: float) -> bool:
+        """Whether the store, in reach as far as is known, was heard here after the feeder heard it.
+
+        Without it one that restarted while all others were cut off followed these, and
+        answered by an old configuration for 5 s though the store was in its reach.
+        """
+        if age <= _SOUND_FEED_SECONDS or not self.contact.answers:
+            return False
+        return time.monotonic() - age < self._store_heard_at
+
 
 def _is_lost_reply(outcome: Result) -> bool:
     return isinstance(outcome, Failure) and isinstance(outcome.failure(), ReplyLost)
--- a/whinrack/edge/tests/test_feeding.py
+++ b/whinrack/edge/tests/test_feeding.py
@@ -194,3 +194,11 @@
     ]
     _, feeder = outsider(states)
     assert all(each.data_hall != hall for each in states if each.sender.name == feeder)
+
+
+def test_an_instance_that_its_feeders_are_blinder_than_follows_the_store_for_a_while(peers):
+    feeding = plan(peers)
+    feeding.follow_store()
+    assert feeding.source().name == "store"
+    feeding.contact.answers = False
+    assert feeding.source().name != "store"
--- a/whinrack/edge/tests/test_store_tasks.py
+++ b/whinrack/edge/tests/test_store_tasks.py
@@ -263,3 +263,55 @@
     changed = [name for what, names in seen if what == "changed" for name in names]
     assert sorted(changed) == sorted(f"n{number}" for number in range(20))
     assert store.calls - before - 20 <= 9
+
+
+class BlindPeer(MemoryStore):
+    """A peer that has not heard from the store for some seconds, and has no news."""
+
+    def __init__(self, age):
+        super().__init__()
+        self.age = age
+
+    def watch(self, kinds, since, wait):
+        return Success(WatchBatch(since, age=self.age))
+
+
+class Plan(SourcePlan):
+    """Follows the store until a peer is known, and again when it is told to."""
+
+    peer = None
+    prefers_store = False
+
+    def source(self):
+        if self.peer is None or self.prefers_store:
+            return super().source()
+        return FollowedSource(self.peer, ("peer", 1))
+
+    def follow_store(self):
+        self.prefers_store = True
+
+
+def fed_by(peer, answers=True):
+    """Return the plan of an instance that heard from the store and then is fed by a peer."""
+    plan, contact = Plan(MemoryStore()), StoreContact(lambda answers: None)
+    following = follower(plan.store, [], contact=contact)
+    following.plan = plan
+    assert following.step()
+    plan.peer, contact.answers = peer, answers
+    eventlet.sleep(0.05)
+    assert following.step()
+    return plan
+
+
+def test_a_peer_that_is_blinder_than_this_instance_is_left_for_the_store():
+    """An instance that restarted while all others were cut off followed these, and answered
+    by an old configuration for 5 s though the store was in its reach."""
+    assert fed_by(BlindPeer(2.9)).prefers_store
+
+
+def test_a_peer_whose_watch_and_its_feeders_are_only_held_is_not_left():
+    assert not fed_by(BlindPeer(2.2)).prefers_store
+
+
+def test_a_blind_peer_is_kept_where_the_store_is_lost_here_too():
+    assert not fed_by(BlindPeer(2.9), answers=False).prefers_store
