Sight: a request's fingerprint, its time at a target, and whether a target that cut is still there

No decision changes. Lines on requests carry a name that all with the same path, caller and body share; a failed attempt tells how long the target had the request and how many others from here; after a cut the target's address is tried once (target_cut: here, ended, unknown). A target's record holds its start.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -10,6 +10,7 @@
 from whinrack.dispatch._registry import Reading, TargetRegistry, TargetState
 from whinrack.dispatch._retries import RetryAllowances
 from whinrack.dispatch._run import Run
+from whinrack.dispatch._target_ends import TargetEnds
 from whinrack.dispatch._values import Attempt, PoolRecord, RouteKind, TargetsView
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
@@ -96,6 +97,7 @@
         self.targets_view = targets_view
         self.moved = moved
         self.answer_times = AnswerTimes()
+        self.target_ends = TargetEnds()
 
     def attempt(self, run: Run, pool_name: str) -> None:
         """Send the request to one target and relay its answer.
@@ -157,6 +159,7 @@
         may_have_run_before = run.may_have_run
         run.may_have_run = True
         began, answered = time.monotonic(), False
+        run.sent_at, run.beside = began, state.in_flight - 1
         patience = self.answer_times.suspicious_after(pool)
         has_another = self._has_another(run, pool, began)
         head_end = min(run.end, began + patience) if has_another else run.end
@@ -174,6 +177,7 @@
             self._pass_on(run, pool, connection, head)
         except AnswerCut as failure:
             state.ejection.failed(time.monotonic())
+            self.target_ends.cut(state)
             raise AttemptFailed(failure, counts=True) from failure
         except AttemptTimeout as failure:
             self._suspect_silence(state, began, answered, patience)
--- a/whinrack/dispatch/_run.py
+++ b/whinrack/dispatch/_run.py
@@ -14,6 +14,7 @@
     WorkspaceRecord,
 )
 from whinrack.http1 import Exchange
+from whinrack.quarantine import fingerprint
 
 __all__ = ["Run"]
 
@@ -43,6 +44,10 @@
         What the latest choice of a target stood on.
     billed : int
         Tokens of an answer that is known to be whole.
+    sent_at : float
+        Steady clock when the latest target was sent the request.
+    beside : int
+        Other requests from here that the latest target had then.
     """
 
     def __init__(
@@ -72,12 +77,25 @@
         self.target = ""
         self.reading: Reading | None = None
         self.targets_view = TargetsView()
+        self.sent_at = 0.0
+        self.beside = 0
+        self._fingerprint = ""
 
     @property
     def label(self) -> str:
         """The request's id, for logs."""
         return self.request.request_id.decode("latin-1")
 
+    @property
+    def fingerprint(self) -> str:
+        """The name that all requests with this path, caller and body share."""
+        if not self._fingerprint:
+            request = self.request
+            self._fingerprint = fingerprint(
+                request.host, request.target, self.workspace_name, request.body
+            )
+        return self._fingerprint
+
     @property
     def workspace_name(self) -> str:
         """The workspace, empty on public routes."""
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -16,6 +16,7 @@
     log_event(
         event,
         request=run.label,
+        fingerprint=run.fingerprint,
         route=run.route.name,
         workspace=run.workspace_name,
         target=run.target,
@@ -38,6 +39,8 @@
         code=refusal.code,
         outcome=refusal.outcome,
         why=refusal.message,
+        at_target=round(time.monotonic() - run.sent_at, 4) if run.sent_at else 0.0,
+        beside=run.beside,
     )
 
 
--- a/whinrack/dispatch/_values.py
+++ b/whinrack/dispatch/_values.py
@@ -125,6 +125,8 @@
         Names this run; another run at the same address has another one.
     leaving : bool
         It takes no new work.
+    started : int
+        Unix time of its start, milliseconds; 0 if it isn't known.
     """
 
     incarnation: str
@@ -134,6 +136,7 @@
     data_hall: str = ""
     slots: int = 1
     leaving: bool = False
+    started: int = 0
 
 
 class TargetsView(msgspec.Struct, frozen=True):
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -46,6 +46,8 @@
     ANSWER_FOREIGN = (5004, "ERROR", "target answered with another request's id")
     COVER_EXCEEDED = (5005, "ERROR", "target went past the cover and was cancelled")
 
+    TARGET_CUT = (5006, "INFO", "target cut answers; whether it is still there")
+
     GRANT_CLOSED = (6001, "ERROR", "this incarnation's grant was released by an operator")
     BILL_UNCONFIRMED = (6002, "WARNING", "answer ended before its bill was kept")
     POLICY_FAILED = (6003, "WARNING", "routing program failed, the default applies")
