--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -22,6 +22,7 @@
 )
 from whinrack.http1 import ConnectionPool, RequestHead, ResponseHead, TargetConnection
 from whinrack.observability import Metrics
+from whinrack.quarantine import AdmitAll, RunGuard
 
 __all__ = ["BUSY_RETRY_SECONDS", "TIMEOUT_MARGIN", "AttemptFailed", "AttemptRunner"]
 
@@ -73,6 +74,8 @@
         Returns how up to date the registry is, for the log.
     moved : callable
         Told what moved to and from a target: what it is, the target's data hall, its bytes.
+    guard : RunGuard, optional
+        Told how runs end.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         instances: Callable[[], int],
         targets_view: Callable[[], TargetsView],
         moved: Callable[[str, str, int], None],
+        guard: RunGuard | None = None,
     ):
         self.dialect = dialect
         self.registry = registry
@@ -97,7 +101,8 @@
         self.targets_view = targets_view
         self.moved = moved
         self.answer_times = AnswerTimes()
-        self.target_ends = TargetEnds()
+        self.guard = guard or AdmitAll()
+        self.target_ends = TargetEnds(registry, self.guard)
 
     def attempt(self, run: Run, pool_name: str) -> None:
         """Send the request to one target and relay its answer.
@@ -175,9 +180,11 @@
             answered = True
             state.ejection.succeeded(time.monotonic())
             self._pass_on(run, pool, connection, head)
+            if head.status < _SERVER_ERROR:
+                self.guard.ended_well(run.name)
         except AnswerCut as failure:
             state.ejection.failed(time.monotonic())
-            self.target_ends.cut(state)
+            self.target_ends.cut(state, run.name)
             raise AttemptFailed(failure, counts=True) from failure
         except AttemptTimeout as failure:
             self._suspect_silence(state, began, answered, patience)
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -38,6 +38,7 @@
 )
 from whinrack.http1 import ConnectionPool, Exchange
 from whinrack.observability import Event, Metrics, log_event
+from whinrack.quarantine import RunGuard
 
 __all__ = ["DispatchOptions", "Dispatcher"]
 
@@ -82,6 +83,8 @@
         Returns how up to date the registry is, for the log.
     moved : callable
         Told what moved to and from a target: what it is, the target's data hall, its bytes.
+    guard : RunGuard, optional
+        Keeps requests from targets, and is told how runs end.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         instances: Callable[[], int],
         targets_view: Callable[[], TargetsView],
         moved: Callable[[str, str, int], None],
+        guard: RunGuard | None = None,
     ):
         self.dialect = dialect
         self.directory = directory
@@ -118,6 +122,7 @@
             instances,
             targets_view,
             moved,
+            guard,
         )
 
     def use(self, options: DispatchOptions) -> None:
@@ -151,6 +156,7 @@
         route = configuration.route(request.host, request.path)
         workspace = configuration.identify(route, request.key)
         run = Run(exchange, request, configuration, route, workspace)
+        self.attempts.guard.admit(run.name)
         self._cover(run)
         try:
             self._attempt_all(run)
@@ -197,6 +203,14 @@
                 log_attempt(run, failed.refusal)
                 if not self._may_go_on(run, failed, unreached, allowance):
                     raise self._final(run, failed.refusal) from failed
+                self._admit_again(run)
+
+    def _admit_again(self, run: Run) -> None:
+        """Look again whether the request is kept out: its own attempts count against it."""
+        try:
+            self.attempts.guard.admit(run.name)
+        except Refusal as refusal:
+            raise self._final(run, refusal) from refusal
 
     def _choose_pool(self, route: Route) -> str:
         shares = route.shares
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -154,6 +154,13 @@
             if state.record.leaving or state.told_leaving
         ]
 
+    def has_successor(self, state: TargetState) -> bool:
+        """Whether another target has the address of one by now, or a later start its name."""
+        return any(
+            other is not state and other.address == state.address
+            for other in self._targets.values()
+        )
+
     def of_pool(self, pool: str) -> list[TargetState]:
         """Return every known target of a pool."""
         return list(self._pools.get(pool, {}).values())
--- a/whinrack/dispatch/_run.py
+++ b/whinrack/dispatch/_run.py
@@ -14,7 +14,7 @@
     WorkspaceRecord,
 )
 from whinrack.http1 import Exchange
-from whinrack.quarantine import fingerprint
+from whinrack.quarantine import RequestName, fingerprint
 
 __all__ = ["Run"]
 
@@ -96,6 +96,11 @@
             )
         return self._fingerprint
 
+    @property
+    def name(self) -> RequestName:
+        """What the quarantine knows the request by."""
+        return RequestName(self.fingerprint, self.workspace_name, self.route.name)
+
     @property
     def workspace_name(self) -> str:
         """The workspace, empty on public routes."""
--- a/whinrack/dispatch/_target_ends.py
+++ b/whinrack/dispatch/_target_ends.py
@@ -1,4 +1,4 @@
-"""Whether a target that cut a request's answer has ended, or lives on after it."""
+"""Whether a target that cut requests' answers has ended by itself, or lives on after it."""
 
 import time
 from collections.abc import Callable
@@ -7,8 +7,9 @@
 import eventlet
 from eventlet.green import socket
 
-from whinrack.dispatch._registry import TargetState
+from whinrack.dispatch._registry import TargetRegistry, TargetState
 from whinrack.observability import Event, log_event
+from whinrack.quarantine import RequestName, RunGuard, TargetEnd
 
 __all__ = ["Presence", "TargetEnds", "knock"]
 
@@ -17,6 +18,10 @@
 _KNOCK_AFTER_SECONDS = 0.05
 # Patience with that one connection.
 _KNOCK_SECONDS = 0.3
+# A target whose address told nothing is looked after for so long, so often: its record lapses after
+# three heartbeats of 1.2 s, and a new start writes one of its own.
+_DOUBT_SECONDS = 6.0
+_DOUBT_PAUSE_SECONDS = 0.25
 
 
 class Presence(StrEnum):
@@ -43,35 +48,69 @@
 
 
 class TargetEnds:
-    """Looks after each cut whether the target is still there.
+    """Tells the quarantine of targets that ended by themselves while they had requests.
+
+    Not counted are spoilt answers and resets of targets that live on, links that are cut, and
+    targets that had said that they leave: these tell nothing of the requests.
 
     Parameters
     ----------
+    registry : TargetRegistry
+    guard : RunGuard
     knock : callable, optional
         Tells the presence at an address.
     """
 
-    def __init__(self, knock: Callable[[tuple[str, int]], Presence] = knock):
+    def __init__(
+        self,
+        registry: TargetRegistry,
+        guard: RunGuard,
+        knock: Callable[[tuple[str, int]], Presence] = knock,
+    ):
+        self.registry = registry
+        self.guard = guard
         self.knock = knock
-        self._under_way: dict[TargetState, int] = {}
+        # Requests that were cut, for one question at each target.
+        self._cut: dict[TargetState, list[RequestName]] = {}
 
-    def cut(self, state: TargetState) -> None:
-        """Learn that a target cut an answer; one question is asked for all cuts at once."""
-        if state in self._under_way:
-            self._under_way[state] += 1
+    def cut(self, state: TargetState, request: RequestName) -> None:
+        """Learn that a target cut the answer to a request."""
+        if state.leaving:
+            return
+        if state in self._cut:
+            self._cut[state].append(request)
             return
-        self._under_way[state] = 1
+        self._cut[state] = [request]
         eventlet.spawn_n(self._look, state, time.monotonic())
 
     def _look(self, state: TargetState, cut_at: float) -> None:
         eventlet.sleep(_KNOCK_AFTER_SECONDS)
+        requests = self._cut.pop(state)
         presence = self.knock(state.address)
+        if presence is not Presence.ENDED and self._ended_after_all(state, presence, cut_at):
+            presence = Presence.ENDED
+        record = state.record
         log_event(
             Event.TARGET_CUT,
-            target=state.record.incarnation,
-            started=state.record.started,
+            target=record.incarnation,
+            started=record.started,
             presence=presence,
-            leaving=state.leaving,
-            cut=self._under_way.pop(state),
+            cut=len(requests),
             after=round(time.monotonic() - cut_at, 3),
         )
+        if presence is Presence.ENDED:
+            self.guard.target_ended(TargetEnd(record.incarnation, record.started), requests)
+
+    def _ended_after_all(self, state: TargetState, presence: Presence, cut_at: float) -> bool:
+        """Look for later signs of an end; an instance that was asleep sees only these.
+
+        A new start may listen by the time that the address is tried, or a link may be cut
+        right after the target's end.
+        """
+        while time.monotonic() - cut_at < _DOUBT_SECONDS:
+            if self.registry.has_successor(state):
+                return True
+            if presence is Presence.UNKNOWN and state.gone:
+                return True
+            eventlet.sleep(_DOUBT_PAUSE_SECONDS)
+        return False
--- a/whinrack/dispatch/tests/test_target_ends.py
+++ b/whinrack/dispatch/tests/test_target_ends.py
@@ -1,13 +1,56 @@
-"""A target that cut an answer is asked once whether it is still there."""
+"""Which cuts of answers are ends of targets, and speak against the requests that ran there."""
 
 import socket
 
 import eventlet
 import pytest
 
-from whinrack.dispatch import TargetRecord
-from whinrack.dispatch._registry import TargetState
+from whinrack.dispatch import TargetRecord, TargetRegistry
 from whinrack.dispatch._target_ends import Presence, TargetEnds, knock
+from whinrack.quarantine import RequestName, RunGuard, TargetEnd
+
+REQUESTS = [RequestName(f"f{number}", "w", "r") for number in range(3)]
+RECORD = TargetRecord("t", "p", "h", 1, started=7)
+
+
+class Guard(RunGuard):
+    """Notes the ends."""
+
+    def __init__(self):
+        self.ends = []
+
+    def target_ended(self, end, runs):
+        self.ends.append((end, runs))
+
+
+class World:
+    """One target, what its address says, and what the quarantine is told."""
+
+    def __init__(self):
+        self.presence = Presence.ENDED
+        self.asked = []
+        self.guard = Guard()
+        self.registry = TargetRegistry()
+        self.ends = TargetEnds(self.registry, self.guard, self.knock)
+        self.registry.put(RECORD)
+        (self.state,) = self.registry.of_pool("p")
+
+    def knock(self, address):
+        self.asked.append(address)
+        return self.presence
+
+    def cut(self, meanwhile=lambda: None, seconds=0.5):
+        for request in REQUESTS:
+            self.ends.cut(self.state, request)
+        eventlet.sleep(0.1)
+        meanwhile()
+        eventlet.sleep(seconds)
+        return self.guard.ends
+
+
+@pytest.fixture
+def world():
+    return World()
 
 
 @pytest.fixture
@@ -27,17 +70,39 @@
     assert knock(address) is Presence.ENDED
 
 
-def test_many_cuts_at_once_are_one_question():
-    asked = []
+def test_many_cuts_at_once_are_one_question_and_one_end(world):
+    assert world.cut() == [(TargetEnd("t", 7), REQUESTS)]
+    assert len(world.asked) == 1
+
+
+def test_a_target_that_lives_on_has_not_ended(world):
+    world.presence = Presence.HERE
+    assert world.cut() == []
+
+
+def test_a_link_that_is_cut_tells_nothing(world):
+    world.presence = Presence.UNKNOWN
+    assert world.cut() == []
+
+
+def test_a_target_that_said_that_it_leaves_ends_as_planned(world):
+    world.registry.leave("t")
+    assert world.cut() == []
+
+
+def test_another_target_at_the_address_tells_that_the_first_ended(world):
+    world.presence = Presence.HERE
+    successor = TargetRecord("u", "p", "h", 1, started=9)
+    assert len(world.cut(lambda: world.registry.put(successor))) == 1
+
+
+def test_a_silent_address_whose_record_lapses_tells_it_too(world):
+    world.presence = Presence.UNKNOWN
+    world.registry.started(world.state)
+    assert len(world.cut(lambda: world.registry.remove("t"))) == 1
 
-    def answer(address):
-        asked.append(address)
-        return Presence.ENDED
 
-    ends = TargetEnds(answer)
-    states = [TargetState(TargetRecord(name, "p", "h", 1)) for name in ("t1", "t2")]
-    for _ in range(3):
-        for state in states:
-            ends.cut(state)
-    eventlet.sleep(0.1)
-    assert len(asked) == 2
+def test_a_target_that_is_there_and_whose_record_goes_leaves_as_planned(world):
+    world.presence = Presence.HERE
+    world.registry.started(world.state)
+    assert world.cut(lambda: world.registry.remove("t")) == []
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -30,9 +30,10 @@
 from whinrack.edge._reloading import SettingsFollower
 from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
 from whinrack.edge._sources import ConfigurationReader, TargetReader
+from whinrack.edge._suspects import SuspectExchange
 from whinrack.edge._tokens import TokenExchange
 from whinrack.edge._traffic import Place
-from whinrack.gossip import GoneTarget, Message
+from whinrack.gossip import GoneTarget, Message, SuspectCases
 from whinrack.http1 import ConnectionPool, HttpServer
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
 from whinrack.store import MeteredStore, ObjectStore
@@ -133,6 +134,16 @@
             self.membership.own_state,
         )
         self.keeper = self.tokens.keeper
+        self.suspects = SuspectExchange(
+            options.name,
+            self.store,
+            self.contact,
+            self.membership.link,
+            self.membership.table,
+            lambda: self.membership.wall_clock().seconds,
+            self.metrics,
+            self.knowledge.follows_store,
+        )
         self.earlier_runs = EarlierRuns(
             options, restart, self.keeper, self.contact, self.membership.wall_clock
         )
@@ -147,6 +158,7 @@
             self.membership.sharing_instances,
             self.knowledge.targets_view,
             self.membership.traffic.moved_to_hall,
+            self.suspects.quarantine,
         )
         self.small_answers = small_answers
         self.front = HttpServer(
@@ -218,8 +230,19 @@
         self.knowledge.hear_of_store()
 
     def receive(self, message: Message, address: HostPort) -> None:
-        """Take in a peer's message about tokens."""
-        self.tokens.receive(message, address)
+        """Take in a peer's message about suspected requests, or about tokens."""
+        if isinstance(message, SuspectCases):
+            self.suspects.receive(message, address)
+        else:
+            self.tokens.receive(message, address)
+
+    def suspects_checksum(self) -> int:
+        """Return the checksum of the requests that are suspected of ending targets."""
+        return self.suspects.checksum()
+
+    def compare_suspects(self, checksum: int, peer: HostPort) -> None:
+        """Catch up with a peer that suspects other requests."""
+        self.suspects.compare(checksum, peer)
 
     # --- start -------------------------------------------------------------------
 
@@ -244,6 +267,7 @@
     def _start_tasks(self) -> None:
         tasks = (
             *self.knowledge.tasks(),
+            *self.suspects.tasks(),
             self.earlier_runs.release_and_draw,
             self._renew_forever,
             self.settings.follow,
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -137,6 +137,10 @@
         relay = self._target_list.relay
         return TargetsView(relay.revision or 0, relay.age(), self._target_list.source)
 
+    def follows_store(self) -> bool:
+        """Whether this instance asks the store itself, not a peer that follows it."""
+        return self.plan.source().address is None
+
     def suspect_configuration(self, peer: HostPort) -> None:
         """Catch up in the background with a peer that has a newer configuration."""
         if not self._reading:
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -79,6 +79,14 @@
         """Learn that a peer reaches the store, after none did."""
         raise NotImplementedError
 
+    def suspects_checksum(self) -> int:
+        """Return the checksum of the requests that are suspected of ending targets."""
+        raise NotImplementedError
+
+    def compare_suspects(self, checksum: int, peer: HostPort) -> None:
+        """Take in a peer's checksum of the requests that it suspects."""
+        raise NotImplementedError
+
     def receive(self, message: Message, address: HostPort) -> None:
         """Take in a message that is not about who is there."""
         raise NotImplementedError
@@ -185,6 +193,7 @@
             peers=self.table.addresses(now),
             passed_on=passed_on,
             ages=self.table.ages(now),
+            suspects=self.host.suspects_checksum(),
         )
 
     def _asks_for_states(self, now: float) -> bool:
@@ -295,6 +304,7 @@
         if newest.configuration > self.directory.version:
             self.host.hear_of_configuration(newest.sender.address)
         self.host.learn_gone_targets(beat.gone)
+        self.host.compare_suspects(beat.suspects, sender.address)
         if self._learn_leaving(beat) and not self.table.is_mesh:
             self.spread()
 
--- a/whinrack/edge/tests/test_membership.py
+++ b/whinrack/edge/tests/test_membership.py
@@ -25,6 +25,8 @@
 
     def __init__(self):
         self.newer = []
+        self.checksum = 0
+        self.compared = []
         self.answers = True
         self.store_heard = 0
 
@@ -49,6 +51,12 @@
     def learn_gone_targets(self, gone):
         pass
 
+    def suspects_checksum(self):
+        return self.checksum
+
+    def compare_suspects(self, checksum, peer):
+        self.compared.append((checksum, peer))
+
     def hear_of_configuration(self, peer):
         self.newer.append(peer)
 
--- /dev/null
+++ b/whinrack/edge/tests/test_suspects.py
@@ -0,0 +1,174 @@
+"""What instances tell each other of suspected requests, and what is kept in the store."""
+
+import time
+
+import eventlet
+import pytest
+
+from standins.memory_store import MemoryStore
+from whinrack.base import rendezvous
+from whinrack.edge._contact import StoreContact
+from whinrack.edge._suspects import SuspectExchange
+from whinrack.gossip import Heartbeat, PeerAddress, PeerState, PeerTable
+from whinrack.observability import Metrics
+from whinrack.quarantine import RequestName, TargetEnd
+from whinrack.quarantine._table import CaseTable
+
+NAMES = [f"m{number}" for number in range(6)]
+REQUEST = RequestName("deadly", "w", "r")
+
+
+class Network:
+    """Hands datagrams on at once, or drops those to some."""
+
+    def __init__(self):
+        self.exchanges = {}
+        self.cut_off = set()
+        self.sent = []
+
+    def link(self, name):
+        return Link(self, name)
+
+
+class Link:
+    def __init__(self, network, name):
+        self.network, self.name = network, name
+
+    def send(self, message, address):
+        self.network.sent.append((self.name, address[0], message))
+        if address[0] not in self.network.cut_off:
+            self.network.exchanges[address[0]].receive(message, (self.name, 1))
+
+
+def peer_table(name):
+    table = PeerTable(name, silent_seconds=60.0, forget_seconds=90.0)
+    for other in NAMES:
+        state = PeerState(
+            incarnation=f"{other}.1",
+            sequence=1,
+            sender=PeerAddress(other, other, 1),
+            callers=f"{other}:80",
+            data_hall="h",
+            ready=True,
+            store_answers=True,
+            load=0,
+            configuration=1,
+        )
+        table.heard(Heartbeat(state=state, number=1), time.monotonic())
+    return table
+
+
+@pytest.fixture
+def store():
+    return MemoryStore()
+
+
+@pytest.fixture
+def network(store):
+    network = Network()
+    for name in NAMES:
+        network.exchanges[name] = SuspectExchange(
+            name,
+            store,
+            StoreContact(lambda answers: None),
+            network.link(name),
+            peer_table(name),
+            lambda: 1_000_000.0,
+            Metrics(),
+            lambda: True,
+        )
+    return network
+
+
+def end(network, name, target, request=REQUEST):
+    network.exchanges[name].quarantine.target_ended(TargetEnd(target), [request])
+
+
+def kept_out(network):
+    return [name for name in NAMES if network.exchanges[name].quarantine.kept_out()]
+
+
+def test_a_single_end_goes_to_the_three_owners_only(network):
+    end(network, "m0", "a")
+    owners = set(rendezvous("deadly", NAMES)[:3])
+    assert {to for _, to, _ in network.sent} == owners - {"m0"}
+
+
+def test_ends_at_three_instances_come_together_at_all(network):
+    for name, target in zip(NAMES, "abc", strict=False):
+        end(network, name, target)
+    assert kept_out(network) == NAMES
+
+
+def test_many_requests_at_one_end_cost_few_messages(network):
+    for number in range(64):
+        end(network, "m0", "a", RequestName(f"f{number}", "w", "r"))
+    assert len(network.sent) <= 64 * 3
+
+
+def test_one_that_missed_it_is_told_by_the_checksum(network):
+    network.cut_off = {"m5"}
+    for target in "abc":
+        end(network, "m0", target)
+    network.cut_off = set()
+    assert "m5" not in kept_out(network)
+    checksum = network.exchanges["m5"].checksum()
+    network.exchanges["m1"].compare(checksum, ("m5", 1))
+    assert kept_out(network) == NAMES
+
+
+def test_equal_checksums_cost_nothing(network):
+    for target in "abc":
+        end(network, "m0", target)
+    sent = len(network.sent)
+    network.exchanges["m1"].compare(network.exchanges["m2"].checksum(), ("m2", 1))
+    assert len(network.sent) == sent
+
+
+def test_many_suspects_are_told_in_several_datagrams(network):
+    network.cut_off = set(NAMES)
+    for number in range(200):
+        for target in ("a", "b"):
+            end(network, "m0", target, RequestName(f"f{number}", "w", "r"))
+    network.cut_off, network.sent[:] = set(), []
+    network.exchanges["m0"].compare(0, ("m1", 1))
+    told = network.exchanges["m1"].quarantine.table.suspects()
+    assert len(told) == 200
+
+
+@pytest.fixture
+def tasks(network):
+    threads = [
+        eventlet.spawn(task) for exchange in network.exchanges.values() for task in exchange.tasks()
+    ]
+    eventlet.sleep(0.05)
+    yield
+    for thread in threads:
+        eventlet.kill(thread)
+
+
+def test_suspects_are_written_and_an_instance_that_starts_reads_them(network, store, tasks):
+    end(network, "m0", "a")
+    end(network, "m1", "b")
+    eventlet.sleep(0.3)
+    network.exchanges["m2"].quarantine.table = CaseTable()
+    assert network.exchanges["m2"]._read()
+    assert len(network.exchanges["m2"].quarantine.table.suspects()) == 1
+
+
+def test_single_ends_cost_no_call_to_the_store(network, store, tasks):
+    calls = store.calls
+    for number in range(64):
+        end(network, "m0", "a", RequestName(f"f{number}", "w", "r"))
+    eventlet.sleep(0.3)
+    assert store.calls == calls
+
+
+def test_a_write_that_fails_is_made_again(network, store, tasks):
+    store.down = True
+    end(network, "m0", "a")
+    end(network, "m0", "b")
+    eventlet.sleep(0.2)
+    store.down = False
+    eventlet.sleep(1.0)
+    assert ("Quarantine", "main") in store.objects
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -40,6 +40,7 @@
     "NoRoute",
     "Refusal",
     "RouterStopping",
+    "RequestQuarantined",
     "RequestTimeout",
     "TargetFailed",
     "TargetUnavailable",
@@ -297,6 +298,12 @@
     code, status, kind = "target_unavailable", 503, "overloaded_error"
 
 
+class RequestQuarantined(Refusal):
+    """Targets ended under each run of this request; it goes to no more."""
+
+    code, status, kind = "request_quarantined", 503, "api_error"
+
+
 class ClaimUnavailable(Refusal):
     """A request that must run at most once couldn't be claimed."""
 
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -4,6 +4,7 @@
 import xxhash
 
 from whinrack.budgets import DrawOrder, DrawResult, ReleasedRow, RunRelease
+from whinrack.quarantine import Case
 
 __all__ = [
     "DrawAccepted",
@@ -16,6 +17,7 @@
     "PeerState",
     "ReleaseReply",
     "ReleaseRequest",
+    "SuspectCases",
     "TargetLoads",
     "TokenReply",
     "TokenRequest",
@@ -120,6 +122,8 @@
         How long ago others were heard, hundredths of a second, by `PeerState.digest`.
     asks_for_states : bool
         The sender lacks the states of some that it hears of.
+    suspects : int
+        Checksum of the requests that the sender suspects of ending targets; 0 for none.
     """
 
     state: PeerState
@@ -131,6 +135,7 @@
     passed_on: list[PeerState] = []
     ages: dict[int, int] = {}
     asks_for_states: bool = False
+    suspects: int = 0
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
@@ -247,6 +252,13 @@
     unread: dict[int, int] = {}
 
 
+class SuspectCases(msgspec.Struct, frozen=True, array_like=True, tag="suspects"):
+    """What the sender knows of requests under which targets ended."""
+
+    sender: str
+    cases: list[Case]
+
+
 Message = (
     Heartbeat
     | TokenRequest
@@ -256,6 +268,7 @@
     | DrawReply
     | ReleaseRequest
     | ReleaseReply
+    | SuspectCases
     | TargetLoads
 )
 
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -158,6 +158,10 @@
         """Return the peers that were heard lately."""
         return [view for view in self._views.values() if self._is_live(view.heard_at, now)]
 
+    def missing(self, now: float) -> list[PeerView]:
+        """Return the peers that fell silent and are not forgotten yet."""
+        return [view for view in self._views.values() if not self._is_live(view.heard_at, now)]
+
     def live_count(self, now: float) -> int:
         """Return the number of instances that look alive, this one included."""
         return 1 + len(self.live(now))
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -46,6 +46,14 @@
     ANSWER_FOREIGN = (5004, "ERROR", "target answered with another request's id")
     COVER_EXCEEDED = (5005, "ERROR", "target went past the cover and was cancelled")
 
+    REQUEST_SUSPECTED = (9001, "INFO", "several targets ended with one request")
+    REQUEST_QUARANTINED = (9002, "WARNING", "request ends targets and goes to no more")
+    QUARANTINE_ENDED = (9003, "INFO", "request is no longer kept out")
+    QUARANTINE_TRIAL = (9004, "INFO", "one run of a request that is kept out is let through")
+    QUARANTINE_READ = (9005, "INFO", "requests to keep out were read from the store")
+    QUARANTINE_NOT_KEPT = (9006, "WARNING", "requests to keep out could not be written or read")
+    QUARANTINE_UNREADABLE = (9007, "ERROR", "stored requests to keep out can't be read")
+
     TARGET_CUT = (5006, "INFO", "target cut answers; whether it is still there")
 
     GRANT_CLOSED = (6001, "ERROR", "this incarnation's grant was released by an operator")
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -46,6 +46,10 @@
         self.targets_age = self._gauge(
             "targets_age_seconds", "Time since the store confirmed the list of targets"
         )
+        self.suspected = self._gauge(
+            "suspected_requests", "Requests with which several targets ended, cleared ones included"
+        )
+        self.quarantined = self._gauge("quarantined_requests", "Requests that go to no target")
         self.members = self._gauge("members", "Peers that look alive")
         self.in_progress = self._gauge("requests_in_progress", "Requests in progress")
         self.spendable = self._gauge("spendable_tokens", "Unspent tokens held here")
--- a/whinrack/quarantine/__init__.py
+++ b/whinrack/quarantine/__init__.py
@@ -1,5 +1,19 @@
-"""Requests under which targets end: what they are called."""
+"""Requests that end the targets which run them, and how they are kept away from further ones."""
 
+from whinrack.quarantine._archive import CaseArchive
+from whinrack.quarantine._cases import Case, TargetEnd
 from whinrack.quarantine._fingerprint import fingerprint
+from whinrack.quarantine._quarantine import Quarantine, QuarantineHost
+from whinrack.quarantine.base import AdmitAll, RequestName, RunGuard
 
-__all__ = ["fingerprint"]
+__all__ = [
+    "AdmitAll",
+    "Case",
+    "CaseArchive",
+    "Quarantine",
+    "QuarantineHost",
+    "RequestName",
+    "RunGuard",
+    "TargetEnd",
+    "fingerprint",
+]
--- /dev/null
+++ b/whinrack/quarantine/_archive.py
@@ -0,0 +1,100 @@
+"""Keeps the suspects in the platform's store, so that they outlast a kill of all instances."""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from whinrack.exceptions import NotFound, PlatformFailure
+from whinrack.observability import Event, log_event
+from whinrack.quarantine._cases import Case, merged
+from whinrack.quarantine._table import KEPT_SECONDS, MOST_SUSPECTS
+from whinrack.quarantine._trials import seconds_until_trial
+from whinrack.store import ObjectEditor, ObjectStore
+
+__all__ = ["CaseArchive"]
+
+_KIND = "Quarantine"
+_NAME = "main"
+# Tries of one write; what fails is tried again with the next change.
+_WRITES = 4
+
+
+class StoredCases(msgspec.Struct, frozen=True):
+    """The object's value: suspects, those with most ends first."""
+
+    cases: tuple[Case, ...] = ()
+
+
+class CaseArchive:
+    """One object with all suspects; it is written only when a second target ends, or a later one.
+
+    Parameters
+    ----------
+    store : ObjectStore
+    wall : callable
+        Returns the Unix time, seconds.
+    """
+
+    def __init__(self, store: ObjectStore, wall: Callable[[], float]):
+        self.wall = wall
+        self._editor = ObjectEditor(store, _KIND, msgspec.Raw, attempts=_WRITES)
+
+    def read(self) -> Result[tuple[Case, ...], PlatformFailure]:
+        """Read the stored cases."""
+        result = self._editor.read(_NAME).map(_cases)
+        if isinstance(result, Failure) and isinstance(result.failure(), NotFound):
+            return Success(())
+        return result
+
+    def write(self, cases: Iterable[Case]) -> Result[tuple[Case, ...], PlatformFailure]:
+        """Merge cases into the stored ones; returns what is stored then."""
+        told = tuple(cases)
+        result = self._editor.apply(_NAME, lambda old: self._joined(old, told))
+        return result.map(_cases)
+
+    def claim_trial(self, case: Case) -> Result[bool, PlatformFailure]:
+        """Take the next trial of a request for this instance; False if it isn't due.
+
+        Only one instance gets it: the write is conditional on what was read. A trial whose write
+        has no answer counts as taken.
+        """
+        claimed = False
+
+        def take(old: msgspec.Raw | None) -> msgspec.Raw | None:
+            nonlocal claimed
+            known = _by_fingerprint(old).get(case.fingerprint)
+            present = case if known is None else merged(known, case)
+            now = self.wall()
+            claimed = seconds_until_trial(present, now) == 0.0
+            return self._joined(old, (present.with_trial(now),)) if claimed else None
+
+        return self._editor.apply(_NAME, take).map(lambda _: claimed)
+
+    def _joined(self, old: msgspec.Raw | None, cases: tuple[Case, ...]) -> msgspec.Raw | None:
+        """Return the stored cases with others, None if these change nothing."""
+        joined = _by_fingerprint(old)
+        for case in cases:
+            known = joined.get(case.fingerprint)
+            joined[case.fingerprint] = case if known is None else merged(known, case)
+        if joined == _by_fingerprint(old):
+            return None
+        since = self.wall() - KEPT_SECONDS
+        kept = [case for case in joined.values() if case.ended_at >= since]
+        kept.sort(key=lambda case: (len(case.ends), case.ended_at), reverse=True)
+        return msgspec.Raw(msgspec.json.encode(StoredCases(tuple(kept[:MOST_SUSPECTS]))))
+
+
+def _cases(stored: msgspec.Raw | None) -> tuple[Case, ...]:
+    """Read an object's value; one that others spoilt counts as empty, and is written anew."""
+    if stored is None:
+        return ()
+    try:
+        return msgspec.json.decode(stored, type=StoredCases).cases
+    except msgspec.MsgspecError as error:
+        log_event(Event.QUARANTINE_UNREADABLE, error=error)
+        return ()
+
+
+def _by_fingerprint(stored: msgspec.Raw | None) -> dict[str, Case]:
+    return {case.fingerprint: case for case in _cases(stored)}
--- /dev/null
+++ b/whinrack/quarantine/_judgement.py
@@ -0,0 +1,36 @@
+"""Which requests are to blame for the ends of targets. Decisions only, no I/O.
+
+All requests that a target runs when it ends are cut, and only one of them is to blame. As few
+requests as can explain the ends are blamed: the one that was there at most ends, then the one at
+most of those that are left. Neighbours of a blamed request, whose ends it explains, go free.
+"""
+
+from collections.abc import Iterable
+
+from whinrack.quarantine._cases import Case, TargetEnd
+
+__all__ = ["MOST_ENDS_BORNE", "blamed"]
+
+# Ends under one request from which on it is kept out: the users' bound counts from the third.
+MOST_ENDS_BORNE = 3
+
+
+def blamed(cases: Iterable[Case]) -> frozenset[str]:
+    """Return the fingerprints of the requests that are to blame.
+
+    Those that were at the same number of ends are equally suspicious and blamed together: a
+    wrong blame ends with the next run that is let through, a target's end harms all on it.
+    """
+    unexplained = {case.fingerprint: set(case.ends) for case in cases}
+    found: set[str] = set()
+    while unexplained:
+        most = max(len(ends) for ends in unexplained.values())
+        if most < MOST_ENDS_BORNE:
+            break
+        culprits = {name for name, ends in unexplained.items() if len(ends) == most}
+        explained: set[TargetEnd] = set().union(*(unexplained[name] for name in culprits))
+        found |= culprits
+        unexplained = {
+            name: ends - explained for name, ends in unexplained.items() if name not in culprits
+        }
+    return frozenset(found)
--- /dev/null
+++ b/whinrack/quarantine/_quarantine.py
@@ -0,0 +1,222 @@
+"""Keeps requests that end targets away from them, in the whole fleet.
+
+Each end of a target is told to the three instances that a request's fingerprint falls to; from
+the second end on to all. Heartbeats carry a checksum of what all should know, so that an instance
+that was away, asleep or cut off is told within one of them. What all know is kept in the store.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+
+from returns.result import Success
+
+from whinrack.exceptions import RequestQuarantined
+from whinrack.observability import Event, log_event
+from whinrack.quarantine._archive import CaseArchive
+from whinrack.quarantine._cases import Case, TargetEnd
+from whinrack.quarantine._table import SUSPICIOUS, CaseTable
+from whinrack.quarantine._trials import seconds_until_trial
+from whinrack.quarantine.base import RequestName, RunGuard
+
+__all__ = ["Quarantine", "QuarantineHost"]
+
+_HERE = "here"
+_STORE = "store"
+# Told to callers whose request gets no trial any more: an operator has to lift it, seconds.
+_NO_TRIAL_RETRY_SECONDS = 3600.0
+# Least time that a caller is told to stay away, seconds.
+_LEAST_RETRY_SECONDS = 1.0
+
+
+class QuarantineHost:
+    """How the quarantine reaches the peers."""
+
+    def tell_owners(self, case: Case) -> None:
+        """Tell the instances that a fingerprint falls to."""
+        raise NotImplementedError
+
+    def tell_all(self, cases: list[Case]) -> None:
+        """Tell all instances."""
+        raise NotImplementedError
+
+    def keep(self) -> None:
+        """Have the suspects written to the store soon."""
+        raise NotImplementedError
+
+
+class Quarantine(RunGuard):
+    """What this instance knows of requests under which targets ended, and what follows from it.
+
+    Parameters
+    ----------
+    archive : CaseArchive
+    host : QuarantineHost
+    wall : callable
+        Returns the Unix time, seconds.
+    steady : callable, optional
+        Returns the steady clock, seconds.
+    """
+
+    def __init__(
+        self,
+        archive: CaseArchive,
+        host: QuarantineHost,
+        wall: Callable[[], float],
+        steady: Callable[[], float] = time.monotonic,
+    ):
+        self.archive = archive
+        self.host = host
+        self.wall = wall
+        self.steady = steady
+        self.table = CaseTable()
+        self._kept_out: frozenset[str] = frozenset()
+
+    # --- what the pipeline asks and tells -------------------------------------------
+
+    def admit(self, request: RequestName) -> None:
+        """Let a request go to a target, or refuse it at once."""
+        if request.fingerprint not in self.table.blamed():
+            return
+        case = self.table.get(request.fingerprint)
+        wait = seconds_until_trial(case, self.wall())
+        if wait == 0.0 and self._takes_trial(case):
+            return
+        raise RequestQuarantined(
+            f"{len(case.ends)} targets ended under requests with fingerprint {case.fingerprint}",
+            retry_after=_NO_TRIAL_RETRY_SECONDS if wait is None else wait + _LEAST_RETRY_SECONDS,
+        )
+
+    def _takes_trial(self, case: Case) -> bool:
+        """Whether this instance may let one run through; all others learn that it did."""
+        claimed = self.archive.claim_trial(case)
+        taken = isinstance(claimed, Success) and claimed.unwrap()
+        # A write without an answer may have been done: here it counts as such.
+        self.table.merge(case.with_trial(self.wall()))
+        self.host.tell_all([self.table.get(case.fingerprint)])
+        log_event(
+            Event.QUARANTINE_TRIAL,
+            fingerprint=case.fingerprint,
+            trial=case.trials + 1,
+            taken=taken,
+        )
+        return taken
+
+    def ended_well(self, request: RequestName) -> None:
+        """Clear a request: it doesn't end each target that runs it."""
+        self.table.note_success(request.fingerprint, self.steady())
+        self._clear(request.fingerprint, request.workspace, "ended well")
+
+    def target_ended(self, end: TargetEnd, runs: list[RequestName]) -> None:
+        """Take in a target's end as evidence against those that it cut."""
+        now = self.wall()
+        for request in runs:
+            if self.table.succeeded_lately(request.fingerprint, self.steady()):
+                continue
+            empty = Case(
+                fingerprint=request.fingerprint,
+                workspace=request.workspace,
+                route=request.route,
+            )
+            case = self.table.record_end(empty, end, now)
+            if len(case.ends) < SUSPICIOUS:
+                self.host.tell_owners(case)
+            else:
+                self._announce(case, _HERE)
+        self._log_changes()
+
+    # --- what operators ask -----------------------------------------------------------
+
+    def kept_out(self) -> list[Case]:
+        """Return the cases of requests that go to no target."""
+        return [case for case in self.table.suspects() if case.fingerprint in self.table.blamed()]
+
+    def lift(self, fingerprint: str) -> bool:
+        """Clear a request by an operator's word; False if nothing is known of it."""
+        return self._clear(fingerprint, "", "operator")
+
+    # --- what peers and the store tell ------------------------------------------------
+
+    def learn(self, cases: Iterable[Case], source: str) -> list[Case]:
+        """Take in what a peer or the store knows; returns what it lacks."""
+        lacking = []
+        for told in cases:
+            before = self.table.get(told.fingerprint, told.workspace)
+            known = self.table.merge(told)
+            if len(known.ends) >= SUSPICIOUS and self._is_innocent(known):
+                self._clear(known.fingerprint, known.workspace, "ended well lately")
+                continue
+            if len(known.ends) < SUSPICIOUS and not known.epoch:
+                continue
+            if known not in (told, before):
+                # Neither side knew all of it.
+                self._announce(known, source)
+            elif known != told:
+                lacking.append(known)
+        self._log_changes()
+        return lacking
+
+    def learn_stored(self, cases: Iterable[Case]) -> None:
+        """Take in what the store holds; peers that lack some ask by their checksums."""
+        told = list(cases)
+        self.learn(told, _STORE)
+        log_event(Event.QUARANTINE_READ, cases=len(told), kept_out=len(self.table.blamed()))
+
+    def forget(self) -> None:
+        """Drop what is too old to count."""
+        self.table.forget(self.wall())
+        self._log_changes()
+
+    # --- consequences -----------------------------------------------------------------
+
+    def _is_innocent(self, case: Case) -> bool:
+        return self.table.succeeded_lately(case.fingerprint, self.steady())
+
+    def _clear(self, fingerprint: str, workspace: str, why: str) -> bool:
+        before = self.table.get(fingerprint, workspace)
+        case = self.table.clear(fingerprint, workspace)
+        if case is None:
+            return False
+        log_event(Event.QUARANTINE_ENDED, fingerprint=fingerprint, why=why, ends=len(before.ends))
+        if len(before.ends) < SUSPICIOUS:
+            self.host.tell_owners(case)
+        else:
+            self.host.tell_all([case])
+            self.host.keep()
+        self._kept_out -= {fingerprint}
+        return True
+
+    def _announce(self, case: Case, source: str) -> None:
+        log_event(
+            Event.REQUEST_SUSPECTED,
+            fingerprint=case.fingerprint,
+            workspace=case.workspace,
+            route=case.route,
+            targets=_names(case),
+            source=source,
+        )
+        self.host.tell_all([case])
+        self.host.keep()
+
+    def _log_changes(self) -> None:
+        """Tell which requests are kept out from now on, and which no longer are."""
+        now = self.table.blamed()
+        for fingerprint in now - self._kept_out:
+            case = self.table.get(fingerprint)
+            log_event(
+                Event.REQUEST_QUARANTINED,
+                fingerprint=fingerprint,
+                workspace=case.workspace,
+                route=case.route,
+                targets=_names(case),
+            )
+        for fingerprint in self._kept_out - now:
+            log_event(
+                Event.QUARANTINE_ENDED,
+                fingerprint=fingerprint,
+                why="cleared or explained by others",
+            )
+        self._kept_out = now
+
+
+def _names(case: Case) -> str:
+    return " ".join(f"{end.target}@{end.started}" for end in case.ends)
--- /dev/null
+++ b/whinrack/quarantine/_table.py
@@ -0,0 +1,166 @@
+"""All cases that this instance knows, within bounds. Decisions only, no I/O."""
+
+from collections import OrderedDict
+
+import msgspec
+import xxhash
+
+from whinrack.quarantine._cases import Case, TargetEnd, merged
+from whinrack.quarantine._judgement import blamed
+
+__all__ = ["KEPT_SECONDS", "MOST_SUSPECTS", "SUSPICIOUS", "CaseTable"]
+
+# Ends from which on all instances are told of a request.
+SUSPICIOUS = 2
+# Cases with a single end: those that ran on a target that ended, 64 at most an end; about
+# 1 KB each. One caller that varies its requests can take a quarter of the places.
+_MOST_CASES = 4096
+_MOST_OF_A_WORKSPACE = _MOST_CASES // 4
+# Cases that all instances know; some 300 bytes each, so they fit into one object of the store.
+MOST_SUSPECTS = 512
+# A single end is forgotten after so long: a chance one must not wait for the next.
+_SINGLE_SECONDS = 600.0
+# A request that ended no target for so long is forgotten, as the store's room is bounded.
+KEPT_SECONDS = 7 * 86_400.0
+# A success is remembered for so long, and so many of them.
+_SUCCESS_SECONDS = 60.0
+_MOST_SUCCESSES = 4096
+
+
+class CaseTable:
+    """Cases by fingerprint, and requests that ended well lately."""
+
+    def __init__(self):
+        # With one end: by workspace, so that a caller's many cases displace its own.
+        self._single: dict[str, OrderedDict[str, Case]] = {}
+        self._single_count = 0
+        self._suspects: dict[str, Case] = {}
+        self._successes: OrderedDict[str, float] = OrderedDict()
+        self._blamed: frozenset[str] | None = frozenset()
+        self._checksum = 0
+
+    # --- reading -----------------------------------------------------------------
+
+    def get(self, fingerprint: str, workspace: str = "") -> Case | None:
+        """Return what is known of a request."""
+        known = self._suspects.get(fingerprint)
+        if known is None:
+            known = self._single.get(workspace, {}).get(fingerprint)
+        return known
+
+    def suspects(self) -> list[Case]:
+        """Return the cases that all instances are told of, cleared ones included."""
+        return list(self._suspects.values())
+
+    def blamed(self) -> frozenset[str]:
+        """Return the fingerprints of requests that are to be kept out."""
+        if self._blamed is None:
+            self._blamed = blamed(self._suspects.values())
+        return self._blamed
+
+    def checksum(self) -> int:
+        """Return a number that two instances with the same suspects share; 0 for none."""
+        if not self._checksum and self._suspects:
+            states = sorted(msgspec.msgpack.encode(case) for case in self._suspects.values())
+            self._checksum = xxhash.xxh32_intdigest(b"".join(states))
+        return self._checksum
+
+    # --- learning ----------------------------------------------------------------
+
+    def record_end(self, case: Case, end: TargetEnd, at: float) -> Case:
+        """Take in that a target ended with a request; returns what is known of it now.
+
+        Parameters
+        ----------
+        case : Case
+            Names the request; its evidence isn't looked at.
+        at : float
+            Unix time, seconds.
+        """
+        known = self.get(case.fingerprint, case.workspace) or case
+        return self.put(known.with_end(end, at))
+
+    def merge(self, case: Case) -> Case:
+        """Take in what a peer or the store knows; returns what is known now."""
+        known = self.get(case.fingerprint, case.workspace)
+        return self.put(case if known is None else merged(known, case))
+
+    def put(self, case: Case) -> Case:
+        """Set what is known of a request."""
+        if case == self.get(case.fingerprint, case.workspace):
+            return case
+        if len(case.ends) >= SUSPICIOUS or case.fingerprint in self._suspects:
+            self._put_suspect(case)
+        elif case.ends:
+            self._put_single(case)
+        else:
+            self._drop_single(case)
+        return case
+
+    def clear(self, fingerprint: str, workspace: str = "") -> Case | None:
+        """Drop the evidence against a request; returns its case, None if there was none."""
+        known = self.get(fingerprint, workspace)
+        if known is None or not known.ends:
+            return None
+        return self.put(known.cleared())
+
+    def note_success(self, fingerprint: str, now: float) -> None:
+        """Remember by the steady clock that a request ended well."""
+        self._successes[fingerprint] = now
+        self._successes.move_to_end(fingerprint)
+        while len(self._successes) > _MOST_SUCCESSES:
+            self._successes.popitem(last=False)
+
+    def succeeded_lately(self, fingerprint: str, now: float) -> bool:
+        """Whether a request ended well within the last minute."""
+        return now - self._successes.get(fingerprint, float("-inf")) <= _SUCCESS_SECONDS
+
+    def forget(self, now: float) -> None:
+        """Drop what is too old to count, by the Unix time in seconds."""
+        for workspace, own in list(self._single.items()):
+            while own and now - next(iter(own.values())).ended_at > _SINGLE_SECONDS:
+                own.popitem(last=False)
+                self._single_count -= 1
+            if not own:
+                del self._single[workspace]
+        old = [name for name, case in self._suspects.items() if now - case.ended_at > KEPT_SECONDS]
+        for name in old:
+            del self._suspects[name]
+        if old:
+            self._changed()
+
+    # --- bounds ------------------------------------------------------------------
+
+    def _put_suspect(self, case: Case) -> None:
+        self._drop_single(case)
+        self._suspects[case.fingerprint] = case
+        while len(self._suspects) > MOST_SUSPECTS:
+            # The one with the fewest ends, and of these the one that is quiet for longest.
+            least = min(self._suspects.values(), key=lambda one: (len(one.ends), one.ended_at))
+            del self._suspects[least.fingerprint]
+        self._changed()
+
+    def _put_single(self, case: Case) -> None:
+        own = self._single.setdefault(case.workspace, OrderedDict())
+        self._single_count += case.fingerprint not in own
+        own[case.fingerprint] = case
+        if len(own) > _MOST_OF_A_WORKSPACE:
+            self._drop_oldest(case.workspace)
+        elif self._single_count > _MOST_CASES:
+            self._drop_oldest(max(self._single, key=lambda name: len(self._single[name])))
+
+    def _drop_oldest(self, workspace: str) -> None:
+        own = self._single[workspace]
+        own.popitem(last=False)
+        self._single_count -= 1
+        if not own:
+            del self._single[workspace]
+
+    def _drop_single(self, case: Case) -> None:
+        own = self._single.get(case.workspace, {})
+        if own.pop(case.fingerprint, None) is not None:
+            self._single_count -= 1
+
+    def _changed(self) -> None:
+        self._blamed = None
+        self._checksum = 0
--- /dev/null
+++ b/whinrack/quarantine/tests/test_judgement.py
@@ -0,0 +1,49 @@
+"""Of all that a target ran when it ended, the one that was there each time is to blame."""
+
+import random
+
+from whinrack.quarantine import Case, TargetEnd
+from whinrack.quarantine._judgement import blamed
+
+
+def case(fingerprint, ends):
+    return Case(fingerprint=fingerprint, ends=tuple(TargetEnd(end) for end in ends))
+
+
+def test_three_ends_are_too_many_two_are_not():
+    assert blamed([case("f", "abc"), case("g", "de")]) == {"f"}
+
+
+def test_neighbours_of_a_blamed_request_go_free():
+    culprit = case("culprit", "abcd")
+    assert blamed([culprit, case("neighbour", "abc"), case("other", "bcd")]) == {"culprit"}
+
+
+def test_two_culprits_are_both_found():
+    assert blamed([case("one", "abcd"), case("two", "defg")]) == {"one", "two"}
+
+
+def test_a_neighbour_of_two_culprits_goes_free_once_both_are_known():
+    one, two, neighbour = case("one", "abcd"), case("two", "efgh"), case("neighbour", "aef")
+    assert blamed([one, two, neighbour]) == {"one", "two"}
+
+
+def test_equal_evidence_blames_both():
+    assert blamed([case("one", "abc"), case("two", "abc")]) == {"one", "two"}
+
+
+def storm(seed, targets=6, callers=40, ends=8):
+    """Return the cases after a culprit ended some targets; others come again after a cut."""
+    chance = random.Random(seed)
+    met = {f"innocent-{number}": set() for number in range(callers)} | {"culprit": set()}
+    for end in range(ends):
+        place = chance.randrange(targets)
+        for name, seen in met.items():
+            if name == "culprit" or (len(seen) < 4 and chance.randrange(targets) == place):
+                seen.add(str(end))
+    return [case(name, sorted(seen)) for name, seen in met.items()]
+
+
+def test_in_storms_nobody_else_is_blamed():
+    wrong = [seed for seed in range(200) if blamed(storm(seed)) != {"culprit"}]
+    assert wrong == []
--- /dev/null
+++ b/whinrack/quarantine/tests/test_quarantine.py
@@ -0,0 +1,199 @@
+"""A fleet keeps a request out that ends its targets, and nobody else's."""
+
+import pytest
+
+from standins.memory_store import MemoryStore
+from whinrack.exceptions import RequestQuarantined
+from whinrack.quarantine import CaseArchive, Quarantine, QuarantineHost, RequestName, TargetEnd
+
+DEADLY = RequestName("deadly", "w", "r")
+NEIGHBOUR = RequestName("neighbour", "v", "r")
+POPULAR = RequestName("popular", "v", "r")
+
+
+class Instance(QuarantineHost):
+    """One instance; it reaches the peers in `hears`."""
+
+    def __init__(self, name, store, clock):
+        self.name = name
+        self.hears = []
+        self.archive = CaseArchive(store, lambda: clock[0])
+        self.quarantine = Quarantine(self.archive, self, lambda: clock[0], lambda: clock[0])
+
+    def tell_owners(self, case):
+        self.tell_all([case])
+
+    def tell_all(self, cases):
+        for peer in self.hears:
+            lacking = peer.quarantine.learn(cases, self.name)
+            if lacking:
+                self.quarantine.learn(lacking, peer.name)
+
+    def keep(self):
+        self.archive.write(self.quarantine.table.suspects())
+
+    def compare(self, peer):
+        """Do what heartbeats with different checksums do."""
+        if self.quarantine.table.checksum() != peer.quarantine.table.checksum():
+            peer.quarantine.learn(self.quarantine.table.suspects(), self.name)
+            self.quarantine.learn(peer.quarantine.table.suspects(), peer.name)
+
+    def admits(self, request):
+        try:
+            self.quarantine.admit(request)
+        except RequestQuarantined:
+            return False
+        return True
+
+
+class Fleet:
+    def __init__(self, count=4):
+        self.store = MemoryStore()
+        self.clock = [1_000_000.0]
+        self.start(count)
+
+    def start(self, count):
+        self.all = [Instance(f"m{number}", self.store, self.clock) for number in range(count)]
+        self.connect(self.all)
+
+    def connect(self, *groups):
+        for group in groups:
+            for instance in group:
+                instance.hears = [peer for peer in group if peer is not instance]
+
+    def end(self, number, target, *requests):
+        self.all[number].quarantine.target_ended(TargetEnd(target), list(requests))
+
+    def admits(self, request=DEADLY):
+        return [instance.admits(request) for instance in self.all]
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+def test_three_ends_at_three_instances_are_three(fleet):
+    for number, target in enumerate("abc"):
+        assert fleet.admits() == [True] * 4
+        fleet.end(number, target, DEADLY)
+    assert fleet.admits() == [False] * 4
+
+
+def test_one_end_that_all_see_is_one(fleet):
+    for number in range(4):
+        fleet.end(number, "a", DEADLY)
+        fleet.end(number, "b", DEADLY)
+    assert fleet.admits() == [True] * 4
+
+
+def test_the_caller_is_told_when_the_next_run_is_let_through(fleet):
+    for target in "abc":
+        fleet.end(0, target, DEADLY)
+    with pytest.raises(RequestQuarantined) as refused:
+        fleet.all[1].quarantine.admit(DEADLY)
+    assert 30.0 <= refused.value.retry_after <= 32.0
+
+
+def test_a_run_that_ended_well_clears_the_request_everywhere(fleet):
+    for target in "abc":
+        fleet.end(0, target, POPULAR)
+    fleet.all[2].quarantine.ended_well(POPULAR)
+    assert fleet.admits(POPULAR) == [True] * 4
+
+
+def test_a_request_that_ends_well_beside_is_never_blamed(fleet):
+    for number, target in enumerate("abcdef"):
+        fleet.clock[0] += 5.0
+        fleet.all[3].quarantine.ended_well(POPULAR)
+        fleet.end(number % 3, target, POPULAR, DEADLY)
+        assert fleet.admits(POPULAR) == [True] * 4
+    assert fleet.admits() == [False] * 4
+
+
+def test_neighbours_go_free_once_the_culprit_is_known(fleet):
+    for target in "abc":
+        fleet.end(0, target, DEADLY, NEIGHBOUR)
+    assert fleet.admits(NEIGHBOUR) == [False] * 4
+    # One more end, that of a run that was under way, tells the two apart.
+    fleet.end(1, "d", DEADLY)
+    assert fleet.admits(NEIGHBOUR) == [True] * 4
+    assert fleet.admits() == [False] * 4
+
+
+def test_two_halves_that_were_cut_apart_put_their_ends_together(fleet):
+    fleet.connect(fleet.all[:2], fleet.all[2:])
+    fleet.end(0, "a", DEADLY)
+    fleet.end(0, "b", DEADLY)
+    fleet.end(2, "c", DEADLY)
+    fleet.connect(fleet.all)
+    fleet.all[0].compare(fleet.all[2])
+    assert fleet.admits() == [False] * 4
+
+
+def test_halves_that_stay_apart_learn_of_each_other_through_the_store(fleet):
+    fleet.connect(fleet.all[:2], fleet.all[2:])
+    fleet.end(0, "a", DEADLY)
+    fleet.end(0, "b", DEADLY)
+    fleet.end(2, "c", DEADLY)
+    for instance in fleet.all:
+        instance.quarantine.learn_stored(instance.archive.read().unwrap())
+    assert fleet.admits()[2:] == [False, False]
+
+
+def test_an_instance_that_was_away_learns_by_the_checksums(fleet):
+    asleep = fleet.all[3]
+    fleet.connect(fleet.all[:3])
+    asleep.hears = []
+    for target in "abc":
+        fleet.end(0, target, DEADLY)
+    assert asleep.admits(DEADLY)
+    fleet.all[1].compare(asleep)
+    assert not asleep.admits(DEADLY)
+
+
+def test_it_outlasts_a_kill_of_all(fleet):
+    for target in "abc":
+        fleet.end(0, target, DEADLY)
+    fleet.start(4)
+    for instance in fleet.all:
+        instance.quarantine.learn_stored(instance.archive.read().unwrap())
+    assert fleet.admits() == [False] * 4
+
+
+def test_in_a_day_one_run_of_it_is_let_through_at_most_three_times(fleet):
+    for target in "abc":
+        fleet.end(0, target, DEADLY)
+    let_through = 0
+    for second in range(86_400):
+        fleet.clock[0] += 1.0
+        if fleet.all[second % 4].admits(DEADLY):
+            let_through += 1
+            fleet.end(second % 4, f"later-{second}", DEADLY)
+    assert let_through == 3
+
+
+def test_a_wrong_blame_ends_with_the_first_trial(fleet):
+    for target in "abc":
+        fleet.end(0, target, POPULAR)
+    fleet.clock[0] += 60.0
+    assert sum(fleet.admits(POPULAR)) == 1
+    fleet.all[1].quarantine.ended_well(POPULAR)
+    assert fleet.admits(POPULAR) == [True] * 4
+
+
+def test_without_the_store_no_run_is_let_through(fleet):
+    for target in "abc":
+        fleet.end(0, target, DEADLY)
+    fleet.store.down = True
+    fleet.clock[0] += 60.0
+    assert fleet.admits() == [False] * 4
+
+
+def test_an_operator_lifts_it_everywhere(fleet):
+    for target in "abc":
+        fleet.end(0, target, DEADLY)
+    assert [case.fingerprint for case in fleet.all[1].quarantine.kept_out()] == ["deadly"]
+    assert fleet.all[1].quarantine.lift("deadly")
+    assert not fleet.all[1].quarantine.lift("deadly")
+    assert fleet.admits() == [True] * 4
