--- a/whinrack/cli/_main.py
+++ b/whinrack/cli/_main.py
@@ -7,6 +7,7 @@
 from whinrack.cli._declarations import apply, delete, diff, get
 from whinrack.cli._fleet import instance, status
 from whinrack.cli._local import policy, router, settings
+from whinrack.cli._quarantine import quarantine
 
 __all__ = ["main"]
 
@@ -26,5 +27,6 @@
     *(status, instance),
     *(budget, bill, key),
     *(policy, settings, router),
+    quarantine,
 ):
     main.add_command(command)
--- /dev/null
+++ b/whinrack/cli/_quarantine.py
@@ -0,0 +1,63 @@
+"""Commands on requests that are kept from targets."""
+
+import click
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+
+from whinrack.cli._options import OUTPUT
+from whinrack.cli._output import show, unwrap
+from whinrack.exceptions import NotFound, PeerUnavailable, WhinrackError
+from whinrack.quarantine import QuarantinedRequest
+
+__all__ = ["quarantine"]
+
+_SECONDS = 5.0
+_OK = 200
+
+_METRICS = click.option(
+    "--metrics",
+    envvar="WHINRACK_METRICS",
+    required=True,
+    metavar="HOST:PORT",
+    help="The metrics address of any instance; or set WHINRACK_METRICS.",
+)
+
+
+@click.group()
+def quarantine() -> None:
+    """Requests under which targets ended, and which therefore go to no more."""
+
+
+@quarantine.command("list")
+@_METRICS
+@OUTPUT
+def quarantine_list(metrics: str, output: str) -> None:
+    """Show each request that is kept out: whose it is, its route, the targets that ended."""
+    data = unwrap(_ask("GET", metrics, "/quarantine"))
+    rows = msgspec.json.decode(data, type=list[QuarantinedRequest])
+    lines = [
+        f"{row.fingerprint} workspace={row.workspace or '-'} route={row.route} "
+        f"trials={row.trials} ended={','.join(row.targets)}"
+        for row in rows
+    ]
+    show(rows, output, "\n".join(lines) or "none")
+
+
+@quarantine.command("lift")
+@click.argument("fingerprint")
+@_METRICS
+def quarantine_lift(fingerprint: str, metrics: str) -> None:
+    """Let requests with FINGERPRINT go to targets again, in the whole fleet."""
+    unwrap(_ask("DELETE", metrics, f"/quarantine/{fingerprint}"))
+    click.echo("lifted")
+
+
+def _ask(method: str, address: str, path: str) -> Result[bytes, WhinrackError]:
+    try:
+        reply = urllib3.request(method, f"http://{address}{path}", timeout=_SECONDS, retries=False)
+    except urllib3.exceptions.HTTPError as error:
+        return Failure(PeerUnavailable(f"{address} doesn't answer: {error}"))
+    if reply.status != _OK:
+        return Failure(NotFound("nothing is known of this request"))
+    return Success(reply.data)
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -26,6 +26,7 @@
 from whinrack.edge._feeding import FeedPlan
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._membership import Membership, MembershipHost
+from whinrack.edge._operator_answers import OperatorAnswers
 from whinrack.edge._options import EdgeOptions, HostPort
 from whinrack.edge._reloading import SettingsFollower
 from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
@@ -253,7 +254,7 @@
         places = (
             (self.options.directory, answers.where_to_go),
             (self.options.ready, answers.is_ready),
-            (self.options.metrics, answers.figures),
+            (self.options.metrics, OperatorAnswers(answers, self.suspects.quarantine).answer),
         )
         for address, handle in places:
             if address is not None:
--- /dev/null
+++ b/whinrack/edge/_operator_answers.py
@@ -0,0 +1,43 @@
+"""What operators ask an instance at its metrics address: figures, and what is kept out."""
+
+import msgspec
+
+from whinrack.edge._answers import SmallAnswers
+from whinrack.http1 import Exchange, Headers
+from whinrack.quarantine import Quarantine, listed
+
+__all__ = ["OperatorAnswers"]
+
+_OK = 200
+_NOT_FOUND = 404
+_QUARANTINE_PATH = b"/quarantine"
+_JSON: Headers = [(b"content-type", b"application/json")]
+
+
+class OperatorAnswers:
+    """Answers at the metrics address.
+
+    ``GET /quarantine`` lists, ``DELETE /quarantine/FINGERPRINT`` lets a request through again in
+    the whole fleet; every other path shows the metrics.
+
+    Parameters
+    ----------
+    figures : SmallAnswers
+    quarantine : Quarantine
+    """
+
+    def __init__(self, figures: SmallAnswers, quarantine: Quarantine):
+        self.figures = figures
+        self.quarantine = quarantine
+
+    def answer(self, exchange: Exchange) -> None:
+        """Answer one question."""
+        path, _, fingerprint = exchange.head.target.partition(_QUARANTINE_PATH)
+        if path or not exchange.head.target.startswith(_QUARANTINE_PATH):
+            self.figures.figures(exchange)
+        elif exchange.head.method == b"DELETE":
+            lifted = self.quarantine.lift(fingerprint.strip(b"/").decode("latin-1"))
+            exchange.respond(_OK if lifted else _NOT_FOUND, [], b"")
+        else:
+            rows = [listed(case) for case in self.quarantine.kept_out()]
+            exchange.respond(_OK, _JSON, msgspec.json.encode(rows))
--- a/whinrack/quarantine/__init__.py
+++ b/whinrack/quarantine/__init__.py
@@ -3,6 +3,7 @@
 from whinrack.quarantine._archive import CaseArchive
 from whinrack.quarantine._cases import Case, TargetEnd
 from whinrack.quarantine._fingerprint import fingerprint
+from whinrack.quarantine._listing import QuarantinedRequest, listed
 from whinrack.quarantine._quarantine import Quarantine, QuarantineHost
 from whinrack.quarantine.base import AdmitAll, RequestName, RunGuard
 
@@ -12,8 +13,10 @@
     "CaseArchive",
     "Quarantine",
     "QuarantineHost",
+    "QuarantinedRequest",
     "RequestName",
     "RunGuard",
     "TargetEnd",
     "fingerprint",
+    "listed",
 ]
--- a/whinrack/quarantine/_cases.py
+++ b/whinrack/quarantine/_cases.py
@@ -53,6 +53,10 @@
     trials: int = 0
     tried_at: float = 0.0
 
+    def target_names(self) -> tuple[str, ...]:
+        """Return the targets that ended, as name@start."""
+        return tuple(f"{end.target}@{end.started}" for end in self.ends)
+
     def with_end(self, end: TargetEnd, at: float) -> "Case":
         """Return the case with one more end; the same end once more changes nothing."""
         if end in self.ends:
--- a/whinrack/quarantine/_quarantine.py
+++ b/whinrack/quarantine/_quarantine.py
@@ -191,7 +191,7 @@
             fingerprint=case.fingerprint,
             workspace=case.workspace,
             route=case.route,
-            targets=_names(case),
+            targets=" ".join(case.target_names()),
             source=source,
         )
         self.host.tell_all([case])
@@ -207,7 +207,7 @@
                 fingerprint=fingerprint,
                 workspace=case.workspace,
                 route=case.route,
-                targets=_names(case),
+                targets=" ".join(case.target_names()),
             )
         for fingerprint in self._kept_out - now:
             log_event(
@@ -216,7 +216,3 @@
                 why="cleared or explained by others",
             )
         self._kept_out = now
-
-
-def _names(case: Case) -> str:
-    return " ".join(f"{end.target}@{end.started}" for end in case.ends)
