--- /dev/null
+++ b/whinrack/dispatch/tests/test_starts.py
@@ -0,0 +1,134 @@
+"""A target is its name and its start: what an earlier start said or did is not the later one's."""
+
+import pytest
+
+from whinrack.dispatch import TargetRecord, TargetRegistry
+
+NOW = 10.0
+
+
+def record(started, leaving=False, port=1, name="t"):
+    return TargetRecord(name, "p", "h", port, started=started, leaving=leaving)
+
+
+@pytest.fixture
+def registry():
+    return TargetRegistry(seed=1)
+
+
+def chosen(registry, tried=()):
+    state = registry.choose("p", "", tried, NOW)
+    return None if state is None else state.record.started
+
+
+def test_a_later_start_is_not_leaving_because_the_earlier_one_was(registry):
+    registry.put(record(5))
+    registry.put(record(5, leaving=True))
+    assert chosen(registry) is None
+    registry.put(record(6))
+    assert chosen(registry) == 6
+
+
+def test_nor_because_a_peer_says_so_of_the_earlier_one(registry):
+    registry.put(record(6))
+    assert not registry.leave("t", 5)
+    assert chosen(registry) == 6
+    assert registry.leave("t", 6)
+    assert chosen(registry) is None
+
+
+def test_a_peer_that_tells_no_start_means_the_one_that_is_known(registry):
+    registry.put(record(5))
+    assert registry.leave("t")
+    registry.put(record(6))
+    assert chosen(registry) == 6
+
+
+def test_a_word_on_a_later_start_that_comes_before_its_record_counts_for_it(registry):
+    registry.put(record(5))
+    registry.leave("t", 6)
+    registry.put(record(6))
+    assert chosen(registry) is None
+
+
+def test_an_earlier_start_never_displaces_a_later_one(registry):
+    registry.put(record(6))
+    assert not registry.put(record(5, leaving=True))
+    registry.put(record(5))
+    assert chosen(registry) == 6
+    registry.replace_all([record(5)])
+    assert chosen(registry) == 6
+
+
+def test_it_is_not_set_aside_for_what_the_earlier_one_did(registry):
+    registry.put(record(5))
+    registry.put(record(5, name="other", port=2))
+    (state, _) = registry.of_pool("p")
+    state.ejection.unreachable(NOW)
+    assert chosen(registry, tried=["other@5"]) == 5
+    registry.put(record(6))
+    (current,) = [one for one in registry.of_pool("p") if one.record.incarnation == "t"]
+    assert current.takes_work(NOW)
+
+
+def test_it_is_not_among_the_tried(registry):
+    registry.put(record(5))
+    (state,) = registry.of_pool("p")
+    tried = {state.record.identity}
+    assert chosen(registry, tried) is None
+    registry.put(record(6))
+    assert chosen(registry, tried) == 6
+
+
+def test_loads_that_peers_told_of_the_earlier_one_are_not_its(registry):
+    registry.put(record(5))
+    (before,) = registry.of_pool("p")
+    registry.put(record(6))
+    (after,) = registry.of_pool("p")
+    assert before.digest != after.digest
+
+
+def test_requests_at_the_earlier_one_do_not_count_at_it(registry):
+    registry.put(record(5))
+    (before,) = registry.of_pool("p")
+    registry.started(before)
+    registry.put(record(6))
+    (after,) = registry.of_pool("p")
+    assert after.in_flight == 0
+    registry.finished(before)
+    assert chosen(registry) == 6
+
+
+def test_the_end_of_the_earlier_one_is_told(registry):
+    ended = []
+    registry.ended.append(ended.append)
+    registry.put(record(5))
+    (before,) = registry.of_pool("p")
+    registry.put(record(6))
+    assert ended == [before]
+    assert before.leaving
+
+
+def test_a_later_start_of_another_target_at_its_address_ends_it_too(registry):
+    ended = []
+    registry.ended.append(ended.append)
+    registry.put(record(5))
+    (before,) = registry.of_pool("p")
+    registry.put(record(6, name="u"))
+    assert ended == [before]
+    registry.put(record(5))
+    assert [state.record.incarnation for state in registry.of_pool("p")] == ["u"]
+
+
+def test_an_entry_without_a_start_works_as_it_did(registry):
+    registry.put(record(0))
+    assert chosen(registry) == 0
+    assert registry.put(record(0, leaving=True))
+    registry.put(record(0))
+    assert chosen(registry) is None
+
+
+def test_an_entry_that_lost_its_start_is_the_same_target(registry):
+    registry.put(record(5))
+    registry.put(record(0, leaving=True))
+    assert chosen(registry) is None
