A target is its name and its start

Cause: what is known of a target was kept by its name, so a later start under it counted as leaving for good, and kept failures, told loads and its place among the tried.

Now the registry keeps it by start; which of two starts of a name is the later one is told by the store's revisions, by the starts where these aren't known. Heartbeats tell the starts of leaving targets in a field of their own, which older instances pass over. What is under way at an earlier start is cut as soon as the later one is known, also behind a cut link, and idle connections to it are closed. A record that names another pool moves its target there; it stayed in the old one.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -101,6 +101,8 @@
         self.targets_view = targets_view
         self.moved = moved
         self.answer_times = AnswerTimes()
+        self._under_way: dict[TargetState, set[TargetConnection]] = {}
+        registry.ended.append(self._target_started_anew)
         self.guard = guard or AdmitAll()
         self.target_ends = TargetEnds(registry, self.guard)
 
@@ -124,7 +126,7 @@
         )
         if state is None:
             raise AttemptFailed(_no_target(), counts=False)
-        run.tried.add(state.record.incarnation)
+        run.tried.add(state.record.identity)
         run.target = state.record.incarnation
         run.targets_view = self.targets_view()
         self.metrics.targets_age.set(run.targets_view.age)
@@ -136,13 +138,30 @@
             if state.leaving:
                 # It said so while the connection was waited for, and nothing was sent yet.
                 raise AttemptFailed(_no_target(), counts=False)
+            self._under_way.setdefault(state, set()).add(connection)
             self._exchange(run, pool, state, connection)
         finally:
+            self._ended(state, connection)
             run.reading.end()
             self.registry.finished(state)
             if connection is not None:
                 self.connections.give_back(connection)
 
+    def _ended(self, state: TargetState, connection: TargetConnection | None) -> None:
+        connections = self._under_way.get(state, set())
+        connections.discard(connection)
+        if not connections:
+            self._under_way.pop(state, None)
+
+    def _target_started_anew(self, state: TargetState) -> None:
+        """End what is under way at an earlier start: its answers never come.
+
+        Behind a cut link no reset tells so, and callers would wait for their deadlines.
+        """
+        for connection in list(self._under_way.get(state, ())):
+            connection.abort()
+        self.connections.forget(state.address)
+
     def _most_in_flight(self, pool: PoolRecord) -> int:
         """Return this instance's share of the connections that one target accepts."""
         if not pool.most_connections:
@@ -237,7 +256,7 @@
 
     def _refused_by_target(self, state: TargetState, head: ResponseHead) -> None:
         if self.dialect.is_other_target(head):
-            self.registry.remove(state.record.incarnation)
+            self.registry.not_at_its_address(state)
         else:
             self.registry.busy(state, time.monotonic())
         raise AttemptFailed(
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Collection
 
+import msgspec
 import xxhash
 
 from whinrack.base import rendezvous
@@ -36,19 +37,21 @@
 
     def __init__(self, record: TargetRecord):
         self.record = record
-        self.digest = xxhash.xxh32_intdigest(record.incarnation.encode())
+        self.digest = xxhash.xxh32_intdigest(record.identity.encode())
         self.in_flight = 0
         # Prompt tokens of requests from here that have brought no event yet.
         self.unread = 0
         self.gone = False
         self.told_leaving = False
+        # A later start took its place before it had said that it leaves.
+        self.replaced = False
         self.busy_until = float("-inf")
         self.ejection = EjectAlone(failures=3, first=1.0, longest=4.0)
 
     @property
     def address(self) -> tuple[str, int]:
         """Where it listens."""
-        return self.record.host, self.record.port
+        return self.record.address
 
     @property
     def leaving(self) -> bool:
@@ -86,9 +89,11 @@
     def __init__(self, seed: int | None = None):
         self._targets: dict[str, TargetState] = {}
         self._pools: dict[str, dict[str, TargetState]] = {}
-        # Those that said that they leave, also after their records have gone: an old record,
-        # told late, doesn't bring them back.
-        self._left: OrderedDict[str, None] = OrderedDict()
+        # Starts that said that they leave, also after their records have gone: an old record,
+        # told late, doesn't bring them back. A later start under the same name is no part of it.
+        self._left: OrderedDict[tuple[str, int], None] = OrderedDict()
+        # Called with each target of which a later start took the place.
+        self.ended: list[Callable[[TargetState], None]] = []
         self.elsewhere = LoadsElsewhere()
         self._random = random.Random(seed)
 
@@ -111,17 +116,27 @@
     def put(self, record: TargetRecord) -> bool:
         """Take in one record; True if the target turned to leaving by it."""
         if record.leaving:
-            self._note_left(record.incarnation)
+            self._note_left(record.incarnation, record.started)
         state = self._targets.get(record.incarnation)
+        if state is not None and record.is_other_start(state.record):
+            if record.is_older_than(state.record):
+                return False
+            self._end_earlier(state)
+            state = None
         if state is None:
             state = self._targets[record.incarnation] = TargetState(record)
-            state.told_leaving = record.incarnation in self._left
+            state.told_leaving = (record.incarnation, record.started) in self._left
             self._pools.setdefault(record.pool, {})[record.incarnation] = state
             return state.leaving
+        if not record.started:
+            # Without its start the record tells of the one that is known.
+            record = msgspec.structs.replace(record, started=state.record.started)
         was_leaving = state.leaving
         if state.record.leaving and not record.leaving:
             # A run that is leaving doesn't come back; the record is an old one.
             return False
+        if record.pool != state.record.pool:
+            self._move(state, record)
         state.record = record
         state.gone = False
         return state.leaving and not was_leaving
@@ -137,29 +152,49 @@
             self._drop(state)
         return not was_leaving
 
-    def leave(self, incarnation: str) -> bool:
-        """Learn from a peer that a target is leaving; True if that is news."""
-        self._note_left(incarnation)
+    def _end_earlier(self, state: TargetState) -> None:
+        """Learn from another start's record that one has ended."""
+        state.replaced = not state.leaving
+        state.gone = True
+        self._drop(state)
+        for ended in self.ended:
+            ended(state)
+
+    def not_at_its_address(self, state: TargetState) -> None:
+        """Learn that another target answers at the address of one."""
+        if self._targets.get(state.record.incarnation) is state:
+            self.remove(state.record.incarnation)
+
+    def leave(self, incarnation: str, started: int = 0) -> bool:
+        """Learn from a peer that a target is leaving; True if that is news.
+
+        Parameters
+        ----------
+        started : int
+            Of the start that says it; 0 means the one that is known here.
+        """
         state = self._targets.get(incarnation)
-        if state is None or state.leaving:
+        if state is not None and not started:
+            started = state.record.started
+        self._note_left(incarnation, started)
+        if state is None or state.leaving or started != state.record.started:
             return False
         state.told_leaving = True
         return True
 
-    def leaving(self) -> list[str]:
-        """Return the incarnations that said that they are leaving, for the peers."""
+    def leaving(self) -> list[TargetRecord]:
+        """Return the records of targets that said that they are leaving, for the peers."""
         return [
-            name
-            for name, state in self._targets.items()
+            state.record
+            for state in self._targets.values()
             if state.record.leaving or state.told_leaving
         ]
 
-    def has_successor(self, state: TargetState) -> bool:
-        """Whether another target has the address of one by now, or a later start its name."""
-        return any(
-            other is not state and other.address == state.address
-            for other in self._targets.values()
-        )
+    def at_address(self, address: tuple[str, int]) -> set[str]:
+        """Return the identities of the targets that are said to listen at an address."""
+        return {
+            state.record.identity for state in self._targets.values() if state.address == address
+        }
 
     def of_pool(self, pool: str) -> list[TargetState]:
         """Return every known target of a pool."""
@@ -168,8 +203,8 @@
     def has_other(self, pool: str, tried: Collection[str], now: float) -> bool:
         """Whether a target of the pool that was not tried takes work."""
         return any(
-            name not in tried and state.takes_work(now)
-            for name, state in self._pools.get(pool, {}).items()
+            state.record.identity not in tried and state.takes_work(now)
+            for state in self._pools.get(pool, {}).values()
         )
 
     def choose(
@@ -193,7 +228,7 @@
             Requests with the same text go to the same target while its load allows
             it; empty for none.
         tried : collection of str
-            Incarnations that this request has been sent to.
+            Identities of the starts that this request has been sent to.
         most_in_flight : int
             Requests that this instance may have at one target at once.
         shares_loads : bool
@@ -204,8 +239,10 @@
         """
         open_ = [
             state
-            for name, state in self._pools.get(pool, {}).items()
-            if name not in tried and not state.leaving and state.in_flight < most_in_flight
+            for state in self._pools.get(pool, {}).values()
+            if state.record.identity not in tried
+            and not state.leaving
+            and state.in_flight < most_in_flight
         ]
         states = [state for state in open_ if state.takes_work(now)] or open_
         if not states:
@@ -274,12 +311,18 @@
         """Learn from a target's word that it is full."""
         state.busy_until = now + _BUSY_SECONDS
 
-    def _note_left(self, incarnation: str) -> None:
-        self._left[incarnation] = None
+    def _note_left(self, incarnation: str, started: int) -> None:
+        self._left[incarnation, started] = None
         while len(self._left) > _MOST_LEFT:
             self._left.popitem(last=False)
 
+    def _move(self, state: TargetState, record: TargetRecord) -> None:
+        """Let a target serve another pool."""
+        self._pools.get(state.record.pool, {}).pop(record.incarnation, None)
+        self._pools.setdefault(record.pool, {})[record.incarnation] = state
+
     def _drop(self, state: TargetState) -> None:
         name = state.record.incarnation
-        self._targets.pop(name, None)
-        self._pools.get(state.record.pool, {}).pop(name, None)
+        if self._targets.get(name) is state:
+            del self._targets[name]
+            self._pools.get(state.record.pool, {}).pop(name, None)
--- a/whinrack/dispatch/_run.py
+++ b/whinrack/dispatch/_run.py
@@ -29,7 +29,7 @@
     attempts : int
         Targets that the request was sent to.
     tried : set of str
-        Their incarnations.
+        Their identities.
     may_have_run : bool
         Some target may have begun to work on it.
     events, last_id
--- a/whinrack/dispatch/_target_ends.py
+++ b/whinrack/dispatch/_target_ends.py
@@ -75,19 +75,20 @@
 
     def cut(self, state: TargetState, request: RequestName) -> None:
         """Learn that a target cut the answer to a request."""
-        if state.leaving:
+        if state.leaving and not state.replaced:
             return
         if state in self._cut:
             self._cut[state].append(request)
             return
         self._cut[state] = [request]
-        eventlet.spawn_n(self._look, state, time.monotonic())
+        known = self.registry.at_address(state.address) | {state.record.identity}
+        eventlet.spawn_n(self._look, state, known, time.monotonic())
 
-    def _look(self, state: TargetState, cut_at: float) -> None:
+    def _look(self, state: TargetState, known: set[str], cut_at: float) -> None:
         eventlet.sleep(_KNOCK_AFTER_SECONDS)
         requests = self._cut.pop(state)
         presence = self.knock(state.address)
-        if presence is not Presence.ENDED and self._ended_after_all(state, presence, cut_at):
+        if presence is not Presence.ENDED and self._has_ended(state, presence, known, cut_at):
             presence = Presence.ENDED
         record = state.record
         log_event(
@@ -101,14 +102,16 @@
         if presence is Presence.ENDED:
             self.guard.target_ended(TargetEnd(record.incarnation, record.started), requests)
 
-    def _ended_after_all(self, state: TargetState, presence: Presence, cut_at: float) -> bool:
+    def _has_ended(
+        self, state: TargetState, presence: Presence, known: set[str], cut_at: float
+    ) -> bool:
         """Look for later signs of an end; an instance that was asleep sees only these.
 
         A new start may listen by the time that the address is tried, or a link may be cut
         right after the target's end.
         """
         while time.monotonic() - cut_at < _DOUBT_SECONDS:
-            if self.registry.has_successor(state):
+            if state.replaced or self.registry.at_address(state.address) - known:
                 return True
             if presence is Presence.UNKNOWN and state.gone:
                 return True
--- a/whinrack/dispatch/_values.py
+++ b/whinrack/dispatch/_values.py
@@ -117,16 +117,18 @@
 
 
 class TargetRecord(msgspec.Struct, frozen=True):
-    """One run of a target.
+    """One start of a target.
 
     Attributes
     ----------
     incarnation : str
-        Names this run; another run at the same address has another one.
+        The target's name. It may start again under it; name and start together are one start.
     leaving : bool
         It takes no new work.
     started : int
         Unix time of its start, milliseconds; 0 if it isn't known.
+    version : int
+        The store's revision of the record; 0 if it isn't known.
     """
 
     incarnation: str
@@ -137,6 +139,31 @@
     slots: int = 1
     leaving: bool = False
     started: int = 0
+    version: int = 0
+
+    @property
+    def identity(self) -> str:
+        """Name of this one start, the target's own where its start isn't known."""
+        return f"{self.incarnation}@{self.started}" if self.started else self.incarnation
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        return self.host, self.port
+
+    def is_other_start(self, other: "TargetRecord") -> bool:
+        """Whether two records of one name are known to be of two starts."""
+        return 0 not in (self.started, other.started) and self.started != other.started
+
+    def is_older_than(self, other: "TargetRecord") -> bool:
+        """Whether another record of the name came later.
+
+        The store's revisions decide: a start that lies in the future, written by somebody else,
+        must not keep a good record out.
+        """
+        if 0 not in (self.version, other.version):
+            return self.version < other.version
+        return self.started < other.started
 
 
 class TargetsView(msgspec.Struct, frozen=True):
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -1,5 +1,6 @@
 """Heartbeats: who is there, who takes callers, which targets leave."""
 
+import itertools
 import random
 import time
 from collections.abc import Callable
@@ -184,11 +185,13 @@
 
     def _heartbeat(self, now: float, passed_on: list[PeerState]) -> Heartbeat:
         self._number += 1
+        leaving = self.registry.leaving()[-_MOST_LEAVING:]
         return Heartbeat(
             state=self.own_state(),
             number=self._number,
             wall=time.time(),
-            leaving=self.registry.leaving()[-_MOST_LEAVING:],
+            leaving=[record.incarnation for record in leaving],
+            leaving_started=[record.started for record in leaving],
             gone=self.host.gone_targets()[:_MOST_LEAVING],
             peers=self.table.addresses(now),
             passed_on=passed_on,
@@ -339,7 +342,8 @@
 
     def _learn_leaving(self, beat: Heartbeat) -> bool:
         """Take in which targets a peer knows to be leaving; True if that is news."""
-        news = [incarnation for incarnation in beat.leaving if self.registry.leave(incarnation)]
+        told = itertools.zip_longest(beat.leaving, beat.leaving_started[: len(beat.leaving)])
+        news = [name for name, started in told if self.registry.leave(name, started or 0)]
         for incarnation in news:
             log_event(Event.TARGET_LEAVING, target=incarnation, source=beat.state.sender.name)
         return bool(news)
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -124,6 +124,8 @@
         The sender lacks the states of some that it hears of.
     suspects : int
         Checksum of the requests that the sender suspects of ending targets; 0 for none.
+    leaving_started : list of int
+        The starts of those in `leaving`, in the same order; older senders tell none.
     """
 
     state: PeerState
@@ -136,6 +138,7 @@
     ages: dict[int, int] = {}
     asks_for_states: bool = False
     suspects: int = 0
+    leaving_started: list[int] = []
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -47,6 +47,7 @@
         self._protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES)
         self._request: RequestHead | None = None
         self._closed = False
+        self._aborted = False
         # Was met behind data that had arrived with it; the next one to be returned.
         self._waiting_event = None
 
@@ -157,6 +158,12 @@
         self._protocol.start_next_cycle()
         return True
 
+    def abort(self) -> None:
+        """End whatever waits for the answer: the target that it came from is no more."""
+        self._aborted = True
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close; a target that still works for it notices."""
         if not self._closed:
@@ -183,6 +190,9 @@
             raise AttemptTimeout("the target gave no answer in time") from error
         except OSError as error:
             raise AnswerCut("the connection broke") from error
+        if self._aborted:
+            # Without this an answer that its connection's end frames would look whole.
+            raise AnswerCut("the target has started anew")
         self.ended = self.ended or not data
         self.received_bytes += len(data)
         try:
@@ -255,6 +265,11 @@
         connection.released_at = time.monotonic()
         self._idle.setdefault(connection.address, []).append(connection)
 
+    def forget(self, address: tuple[str, int]) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, []):
+            connection.close()
+
     def close(self) -> None:
         """Close the idle connections."""
         for idle in self._idle.values():
--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -278,3 +278,34 @@
     """A silent connection would else look like a target that takes its time."""
     with pytest.raises(ConnectionAbortedError):
         receive(types.SimpleNamespace(fd=_Dead()), 1, soon())
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: 20", b"Connection: close"])
+def test_an_answer_whose_target_started_anew_is_cut_at_once(serve, framing):
+    def script(sock):
+        read_request(sock)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nid: 1\r\n" + framing + b"\r\n\r\npart")
+        time.sleep(3.0)
+
+    server, pool = serve(script), ConnectionPool()
+    end = soon()
+    connection = pool.take(server.address, end)
+    connection.send(REQUEST, b"", end)
+    connection.read_head(end, is_own)
+    eventlet.spawn_after(0.2, connection.abort)
+    began = time.monotonic()
+    with pytest.raises(AnswerCut):
+        b"".join(connection.pieces(end))
+    assert time.monotonic() - began < 1.0
+
+
+def test_idle_connections_to_an_address_are_forgotten(serve):
+    def script(sock):
+        while read_request(sock):
+            sock.sendall(WHOLE)
+
+    server, pool = serve(script), ConnectionPool()
+    ask(pool, server)
+    pool.forget(server.address)
+    ask(pool, server)
+    assert server.accepted == 2
