--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -124,6 +124,7 @@
             options.watch_seconds,
             self.membership.peer_with_store,
             self._fetch_knowledge,
+            lambda kind: self.metrics.invalid_objects.labels(kind).inc(),
         )
         self.tokens = TokenExchange(
             options,
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -35,6 +35,8 @@
 _PROBE_PAUSE = 1.0
 # A fed instance that hears of a newer configuration waits so long for it to come by itself.
 _FEED_PAUSE = 0.25
+# Letters of other writers' text that a log line shows.
+_MOST_SHOWN = 200
 # Names of targets that are gone, the last ones.
 _MOST_GONE = 2000
 # For so long peers are told that a target's record is gone.
@@ -67,6 +69,8 @@
         Returns the address of a peer that reaches the store, None if none does.
     fetch : callable, optional
         Asks the peer at an address what it knows.
+    count_invalid : callable, optional
+        Told the kind of each object that can't be used.
     """
 
     def __init__(
@@ -81,6 +85,7 @@
         watch_seconds: float,
         peer_with_store: Callable[[], HostPort | None],
         fetch: Callable[[HostPort], SharedKnowledge | None] = fetch_knowledge,
+        count_invalid: Callable[[str], None] = lambda kind: None,
     ):
         self.store = store
         self.configuration_reader = configuration_reader
@@ -90,6 +95,7 @@
         self.contact = contact
         self.peer_with_store = peer_with_store
         self.fetch = fetch
+        self.count_invalid = count_invalid
         self._configuration: StoredObject | None = None
         self._targets: dict[str, StoredObject] = {}
         # What the store said is gone, and when; a peer that still has it is behind.
@@ -249,7 +255,8 @@
                 if self.directory.take(self.configuration_reader.read(stored)):
                     self._configuration = stored
             except InvalidObject as error:
-                log_event(Event.CONFIG_INVALID, object=stored.name, error=error.message)
+                self.count_invalid(stored.kind)
+                log_event(Event.CONFIG_INVALID, object=stored.name, error=_shown(error.message))
 
     def _replace_targets(self, objects: tuple[StoredObject, ...]) -> None:
         listed = {stored.name: stored for stored in objects}
@@ -289,7 +296,10 @@
         self._targets[stored.name] = stored
         self._gone.pop(stored.name, None)
         record = self._read_target(stored)
-        return record is not None and self.registry.put(record)
+        if record is None:
+            # An entry that turned bad names no target any more.
+            return self.registry.remove(stored.name)
+        return self.registry.put(record)
 
     def _note_gone(self, stored: StoredObject) -> None:
         """Remember that the store said a target is gone."""
@@ -302,5 +312,11 @@
         try:
             return self.target_reader.read(stored)
         except InvalidObject as error:
-            log_event(Event.CONFIG_INVALID, object=stored.name, error=error.message)
+            self.count_invalid(stored.kind)
+            log_event(Event.CONFIG_INVALID, object=_shown(stored.name), error=_shown(error.message))
             return None
+
+
+def _shown(text: str) -> str:
+    """Return the beginning of a text that others wrote, for a log line."""
+    return text[:_MOST_SHOWN]
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -39,6 +39,9 @@
         self.policy_failures = self._counter("policy_failures", "Programs that failed", "policy")
         self.bills = self._counter("bills", "Bill records, by state when the answer ended", "state")
         self.config_taken = self._counter("config_objects", "Objects taken in, by source", "source")
+        self.invalid_objects = self._counter(
+            "invalid_objects", "Stored objects that can't be used", "kind"
+        )
         self.ejections = self._counter("ejections", "Targets set aside")
         self.first_byte = self._histogram("first_byte_seconds", "Time to the first byte", "kind")
         self.queue_wait = self._histogram("queue_wait_seconds", "Time in the queue", "class_")
