--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -7,7 +7,6 @@
 comes back with the next run.
 """
 
-import time
 from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, nullcontext
 from typing import NamedTuple
@@ -23,6 +22,7 @@
 from whinrack.budgets._orders import BookOrders, call_here, unchecked_wall_clock
 from whinrack.budgets._release import ReleasedRow, RunRelease
 from whinrack.budgets._schedule import RestartMoment, WallReading
+from whinrack.clock import steady
 from whinrack.exceptions import (
     PlatformFailure,
     Refusal,
@@ -69,7 +69,7 @@
         books: BookSource,
         spares: SpareSource,
         options: GrantOptions,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = steady,
         wall_clock: Callable[[], WallReading] = unchecked_wall_clock,
         make_lock: Callable[[], AbstractContextManager] = nullcontext,
         isolate: Callable[[Callable, float | None], Result | None] = call_here,
--- a/whinrack/budgets/_keeper.py
+++ b/whinrack/budgets/_keeper.py
@@ -10,6 +10,7 @@
 from whinrack.budgets._books import DrawOrder, DrawResult
 from whinrack.budgets._demand import DemandEstimate
 from whinrack.budgets._ledger import BudgetLedger, Cover
+from whinrack.clock import steady
 from whinrack.exceptions import BudgetContended, BudgetExhausted, Refusal, WhinrackError
 from whinrack.objects import Weighting
 
@@ -130,7 +131,7 @@
         report_after: float = 10.0,
         horizon: float = 600.0,
         gather_wait: float = _GATHER_WAIT,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = steady,
         sleep: Callable[[float], None] = time.sleep,
         make_lock: Callable[[], AbstractContextManager] = nullcontext,
     ):
--- a/whinrack/budgets/tests/test_waiting.py
+++ b/whinrack/budgets/tests/test_waiting.py
@@ -1,7 +1,5 @@
 """Requests that wait for the same budget at the same time."""
 
-import time
-
 import eventlet
 import pytest
 from eventlet.semaphore import Semaphore
@@ -17,6 +15,7 @@
     OrderBatch,
     SpareSource,
 )
+from whinrack.clock import steady
 
 BUDGET = "b"
 
@@ -164,7 +163,7 @@
     """Each round takes a while; one after the other they would outlast their callers."""
     keeper = GrantKeeper("m.1", "a", books, SilentPeers(), GrantOptions(), make_lock=Semaphore)
     keeper.declare(1, {BUDGET: 1_000})
-    began = time.monotonic()
+    began = steady()
     waiters = [eventlet.spawn(keeper.cover, BUDGET, 5_000) for _ in range(30)]
     assert all(isinstance(waiter.wait(), Failure) for waiter in waiters)
-    assert time.monotonic() - began < 1.0
+    assert steady() - began < 1.0
--- a/whinrack/dispatch/_answers.py
+++ b/whinrack/dispatch/_answers.py
@@ -1,8 +1,8 @@
 """Passes targets' answers on to callers, and bills what was handed out."""
 
-import time
 from collections.abc import Iterable
 
+from whinrack.clock import steady
 from whinrack.dispatch._events import event_blocks
 from whinrack.dispatch._pacing import StreamPacing
 from whinrack.dispatch._run import Run
@@ -67,7 +67,7 @@
         self._note_answered(run, head)
 
     def _observe_first(self, run: Run) -> None:
-        seconds = time.monotonic() - run.exchange.arrived
+        seconds = steady() - run.exchange.arrived
         self.metrics.first_byte.labels(str(run.route.kind)).observe(seconds)
 
     def _note_answered(self, run: Run, head: ResponseHead) -> None:
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -1,9 +1,9 @@
 """One attempt of a request at one target, and what it tells of the target."""
 
 import sys
-import time
 from collections.abc import Callable
 
+from whinrack.clock import steady
 from whinrack.dispatch._answers import AnswerRelay
 from whinrack.dispatch._last_words import settle_by_last_words
 from whinrack.dispatch._patience import AnswerTimes
@@ -115,7 +115,7 @@
             The caller has got no answer yet.
         """
         pool = run.configuration.pools.get(pool_name)
-        now = time.monotonic()
+        now = steady()
         if pool is None:
             raise AttemptFailed(_no_target(), counts=False)
         most = self._most_in_flight(pool)
@@ -173,7 +173,7 @@
         try:
             return self.connections.take(state.address, run.end)
         except TargetUnavailable as failure:
-            state.ejection.unreachable(time.monotonic())
+            state.ejection.unreachable(steady())
             raise AttemptFailed(_no_target(), counts=False) from failure
 
     def _exchange(
@@ -182,7 +182,7 @@
         run.attempts += 1
         may_have_run_before = run.may_have_run
         run.may_have_run = True
-        began, answered = time.monotonic(), False
+        began, answered = steady(), False
         run.sent_at, run.beside = began, state.in_flight - 1
         patience = self.answer_times.suspicious_after(pool)
         has_another = self._has_another(run, pool, began)
@@ -192,17 +192,17 @@
             head = connection.read_head(
                 head_end, lambda headers: self.dialect.is_answer_to(run.request, headers)
             )
-            self.answer_times.observe(pool.name, time.monotonic() - began)
+            self.answer_times.observe(pool.name, steady() - began)
             if self.dialect.did_not_run(head):
                 run.may_have_run = may_have_run_before
                 self._refused_by_target(state, head)
             answered = True
-            state.ejection.succeeded(time.monotonic())
+            state.ejection.succeeded(steady())
             self._pass_on(run, pool, connection, head)
             if head.status < _SERVER_ERROR:
                 self.guard.ended_well(run.name)
         except AnswerCut as failure:
-            state.ejection.failed(time.monotonic())
+            state.ejection.failed(steady())
             self.target_ends.cut(state, run.name)
             raise AttemptFailed(failure, counts=True) from failure
         except AttemptTimeout as failure:
@@ -237,7 +237,7 @@
         self, state: TargetState, began: float, answered: bool, patience: float
     ) -> None:
         """Count a target that was silent for long as failing; short waits tell nothing."""
-        now = time.monotonic()
+        now = steady()
         if not answered and now - began >= patience:
             state.ejection.failed(now)
 
@@ -258,7 +258,7 @@
         if self.dialect.is_other_target(head):
             self.registry.not_at_its_address(state)
         else:
-            self.registry.busy(state, time.monotonic())
+            self.registry.busy(state, steady())
         raise AttemptFailed(
             TargetUnavailable("the target is full", retry_after=BUSY_RETRY_SECONDS), counts=True
         )
@@ -279,7 +279,7 @@
     def _run_again(self, run: Run, head: ResponseHead) -> None:
         """Try another target after a target's own failure, where that is allowed."""
         pool = run.route.shares[0].pool
-        others = self.registry.choose(pool, "", run.tried, time.monotonic())
+        others = self.registry.choose(pool, "", run.tried, steady())
         if run.attempts < run.route.most_attempts and others is not None:
             raise AnswerCut(f"the target answered {head.status}")
 
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -1,7 +1,6 @@
 """The pipeline: identify, route, cover, choose, attempt, relay, settle."""
 
 import random
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -9,6 +8,7 @@
 
 from whinrack.base import Outcome
 from whinrack.budgets import DemandEstimate, GrantKeeper
+from whinrack.clock import steady
 from whinrack.dispatch._answers import AnswerRelay
 from whinrack.dispatch._attempts import (
     BUSY_RETRY_SECONDS,
@@ -132,7 +132,7 @@
     def handle(self, exchange: Exchange) -> None:
         """Answer one request; `CallerGone` passes through."""
         self.in_progress += 1
-        self.arrivals.record(1, time.monotonic())
+        self.arrivals.record(1, steady())
         self.metrics.in_progress.set(self.in_progress)
         request = None
         try:
@@ -192,7 +192,7 @@
     def _attempt_all(self, run: Run) -> None:
         pool = self._choose_pool(run.route)
         allowance = self.allowances.of(pool)
-        allowance.record_request(time.monotonic())
+        allowance.record_request(steady())
         unreached = 0
         while True:
             try:
@@ -231,7 +231,7 @@
         if run.attempts >= run.route.most_attempts:
             self.metrics.retries_denied.labels("attempts").inc()
             return False
-        if not allowance.try_take(time.monotonic(), self.instances()):
+        if not allowance.try_take(steady(), self.instances()):
             self.metrics.retries_denied.labels("budget").inc()
             return False
         self.metrics.retries.labels(failed.refusal.code).inc()
--- a/whinrack/dispatch/_last_words.py
+++ b/whinrack/dispatch/_last_words.py
@@ -5,8 +5,7 @@
 an end within a moment nothing is known, and the cover counts in full.
 """
 
-import time
-
+from whinrack.clock import steady
 from whinrack.dispatch._events import event_blocks
 from whinrack.dispatch._run import Run
 from whinrack.dispatch._values import PoolRecord
@@ -31,7 +30,7 @@
         The head of the answer has been read.
     """
     connection.finish_sending()
-    end = time.monotonic() + _LAST_WORDS_SECONDS
+    end = steady() + _LAST_WORDS_SECONDS
     try:
         if not answered:
             head = connection.read_head(
--- a/whinrack/dispatch/_run.py
+++ b/whinrack/dispatch/_run.py
@@ -1,8 +1,7 @@
 """One request on its way through the pipeline."""
 
-import time
-
 from whinrack.budgets import Cover
+from whinrack.clock import steady
 from whinrack.dispatch._configuration import Configuration
 from whinrack.dispatch._placement import PromptNeed
 from whinrack.dispatch._registry import Reading
@@ -129,11 +128,11 @@
 
     def seconds_left(self) -> float:
         """Time until the caller or the route gives up."""
-        return self.end - time.monotonic()
+        return self.end - steady()
 
     def note_passed_on(self, count: int, last_id: int | None) -> None:
         """Count events that were passed on, and the pause before them."""
-        now = time.monotonic()
+        now = steady()
         if self.events:
             self.longest_pause = max(self.longest_pause, now - self._passed_on_at)
         else:
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -1,8 +1,7 @@
 """Log lines of requests: one for each decision that touches one."""
 
-import time
-
 from whinrack.budgets import GrantKeeper
+from whinrack.clock import steady
 from whinrack.dispatch._run import Run
 from whinrack.exceptions import Refusal
 from whinrack.http1 import Exchange
@@ -39,7 +38,7 @@
         code=refusal.code,
         outcome=refusal.outcome,
         why=refusal.message,
-        at_target=round(time.monotonic() - run.sent_at, 4) if run.sent_at else 0.0,
+        at_target=round(steady() - run.sent_at, 4) if run.sent_at else 0.0,
         beside=run.beside,
     )
 
@@ -55,7 +54,7 @@
         free=last.free if last is not None else "unknown",
         outstanding=last.outstanding if last is not None else "unknown",
         supplier=keeper.supplier(run.workspace_name) or "here",
-        store_silent=round(time.monotonic() - keeper.answered_at, 3),
+        store_silent=round(steady() - keeper.answered_at, 3),
     )
 
 
@@ -74,4 +73,4 @@
 
 
 def _waited(exchange: Exchange) -> float:
-    return round(time.monotonic() - exchange.arrived, 4)
+    return round(steady() - exchange.arrived, 4)
--- a/whinrack/dispatch/_target_ends.py
+++ b/whinrack/dispatch/_target_ends.py
@@ -1,12 +1,12 @@
 """Whether a target that cut requests' answers has ended by itself, or lives on after it."""
 
-import time
 from collections.abc import Callable
 from enum import StrEnum
 
 import eventlet
 from eventlet.green import socket
 
+from whinrack.clock import steady
 from whinrack.dispatch._registry import TargetRegistry, TargetState
 from whinrack.observability import Event, log_event
 from whinrack.quarantine import RequestName, RunGuard, TargetEnd
@@ -82,14 +82,15 @@
             return
         self._cut[state] = [request]
         known = self.registry.at_address(state.address) | {state.record.identity}
-        eventlet.spawn_n(self._look, state, known, time.monotonic())
+        eventlet.spawn_n(self._look, state, known, steady())
 
     def _look(self, state: TargetState, known: set[str], cut_at: float) -> None:
         eventlet.sleep(_KNOCK_AFTER_SECONDS)
         requests = self._cut.pop(state)
-        presence = self.knock(state.address)
-        if presence is not Presence.ENDED and self._has_ended(state, presence, known, cut_at):
-            presence = Presence.ENDED
+        presence = self._presence(state)
+        while presence is not Presence.ENDED and steady() - cut_at < _DOUBT_SECONDS:
+            eventlet.sleep(_DOUBT_PAUSE_SECONDS)
+            presence = self._after_all(state, presence, known)
         record = state.record
         log_event(
             Event.TARGET_CUT,
@@ -97,23 +98,30 @@
             started=record.started,
             presence=presence,
             cut=len(requests),
-            after=round(time.monotonic() - cut_at, 3),
+            after=round(steady() - cut_at, 3),
         )
         if presence is Presence.ENDED:
+            # Nobody else need find out by a connection that fails.
+            state.ejection.unreachable(steady())
             self.guard.target_ended(TargetEnd(record.incarnation, record.started), requests)
 
-    def _has_ended(
-        self, state: TargetState, presence: Presence, known: set[str], cut_at: float
-    ) -> bool:
+    def _presence(self, state: TargetState) -> Presence:
+        presence = self.knock(state.address)
+        if presence is Presence.ENDED and state.in_flight:
+            # A target that has too many connections refuses more, and goes on with its work.
+            return Presence.UNKNOWN
+        return presence
+
+    def _after_all(self, state: TargetState, before: Presence, known: set[str]) -> Presence:
         """Look for later signs of an end; an instance that was asleep sees only these.
 
         A new start may listen by the time that the address is tried, or a link may be cut
         right after the target's end.
         """
-        while time.monotonic() - cut_at < _DOUBT_SECONDS:
-            if state.replaced or self.registry.at_address(state.address) - known:
-                return True
-            if presence is Presence.UNKNOWN and state.gone:
-                return True
-            eventlet.sleep(_DOUBT_PAUSE_SECONDS)
-        return False
+        if state.replaced or self.registry.at_address(state.address) - known:
+            return Presence.ENDED
+        if before is Presence.HERE:
+            return before
+        if state.gone:
+            return Presence.ENDED
+        return self._presence(state)
--- a/whinrack/dispatch/tests/test_choice_and_send.py
+++ b/whinrack/dispatch/tests/test_choice_and_send.py
@@ -1,10 +1,10 @@
 """What happens between the choice of a target and the first byte that is sent to it."""
 
-import time
 import types
 
 import pytest
 
+from whinrack.clock import steady
 from whinrack.dispatch import (
     Configuration,
     Dialect,
@@ -94,11 +94,11 @@
         TargetsView,
         lambda *moved: None,
     )
-    began = time.monotonic()
+    began = steady()
     with pytest.raises(TargetUnavailable) as refused:
         dispatcher._attempt_all(run)
     assert refused.value.outcome == "not_run"
     assert sorted(connections.taken) == [("h", 1), ("h", 2)]
     assert connections.sent == []
     assert (run.attempts, run.may_have_run) == (0, False)
-    assert time.monotonic() - began < 1.0
+    assert steady() - began < 1.0
--- a/whinrack/dispatch/tests/test_target_ends.py
+++ b/whinrack/dispatch/tests/test_target_ends.py
@@ -5,6 +5,7 @@
 import eventlet
 import pytest
 
+from whinrack.clock import steady
 from whinrack.dispatch import TargetRecord, TargetRegistry
 from whinrack.dispatch._target_ends import Presence, TargetEnds, knock
 from whinrack.quarantine import RequestName, RunGuard, TargetEnd
@@ -85,6 +86,19 @@
     assert world.cut() == []
 
 
+def test_a_target_that_refuses_connections_and_goes_on_with_others_has_not_ended(world):
+    world.registry.started(world.state)
+    assert world.cut() == []
+    world.registry.finished(world.state)
+    eventlet.sleep(0.5)
+    assert len(world.guard.ends) == 1
+
+
+def test_a_target_that_ended_gets_no_more_for_a_while(world):
+    world.cut()
+    assert not world.state.takes_work(steady())
+
+
 def test_a_target_that_said_that_it_leaves_ends_as_planned(world):
     world.registry.leave("t")
     assert world.cut() == []
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -3,7 +3,6 @@
 import os
 import signal
 import sys
-import time
 from collections.abc import Callable
 
 import eventlet
@@ -11,6 +10,7 @@
 
 from whinrack.base import new_incarnation
 from whinrack.budgets import RestartMoment
+from whinrack.clock import SleepWatch, steady
 from whinrack.dispatch import (
     Configuration,
     Dialect,
@@ -209,7 +209,7 @@
 
     def confirms_store(self) -> bool:
         """Whether the store has answered a call from here lately."""
-        silent = time.monotonic() - self.store.answered_at
+        silent = steady() - self.store.answered_at
         return self.reaches_store() and silent < self.options.watch_seconds + _WATCH_MARGIN_SECONDS
 
     def gone_targets(self) -> list[GoneTarget]:
@@ -287,7 +287,7 @@
         log_event(Event.CONFIG_TAKEN, version=configuration.version)
 
     def _contact_changed(self, answers: bool) -> None:
-        silent = round(time.monotonic() - self.store.answered_at, 3)
+        silent = round(steady() - self.store.answered_at, 3)
         event = Event.PLATFORM_BACK if answers else Event.PLATFORM_LOST
         log_event(event, silent=silent, why=self.store.last_failure)
         if answers:
@@ -333,7 +333,7 @@
         if self._stopping:
             return
         self._stopping = True
-        signalled = time.monotonic()
+        signalled = steady()
         log_event(Event.ROUTER_STOPPING, in_progress=self.dispatcher.in_progress)
         self.membership.stopping = True
         self.membership.beat()
@@ -346,12 +346,12 @@
         _sleep_until(known_until)
         self.dispatcher.refusing = True
         self.front.close_idle()
-        while self.dispatcher.in_progress and time.monotonic() < end:
+        while self.dispatcher.in_progress and steady() < end:
             eventlet.sleep(_POLL_SECONDS)
         self._stopped = True
         self.front.stop_listening()
         self.tokens.tell_given()
-        with eventlet.Timeout(max(0.1, kill_at - time.monotonic()), False):
+        with eventlet.Timeout(max(0.1, kill_at - steady()), False):
             self.keeper.drain(True)
         self._log_traffic()
         log_event(Event.ROUTER_STOPPED, in_progress=self.dispatcher.in_progress)
@@ -382,7 +382,11 @@
         self.metrics.platform_calls.labels(operation, result).inc()
 
     def _pump_forever(self) -> None:
+        sleep_watch = SleepWatch()
         while True:
+            slept = sleep_watch.slept()
+            if slept:
+                log_event(Event.MACHINE_SUSPENDED, seconds=round(slept, 3))
             self.output.pump()
             if self.output.dropped > self._reported_drops:
                 log_event(Event.LINES_DROPPED, count=self.output.dropped - self._reported_drops)
@@ -412,4 +416,4 @@
 
 
 def _sleep_until(moment: float) -> None:
-    eventlet.sleep(max(0.0, moment - time.monotonic()))
+    eventlet.sleep(max(0.0, moment - steady()))
--- a/whinrack/edge/_earlier_runs.py
+++ b/whinrack/edge/_earlier_runs.py
@@ -1,6 +1,5 @@
 """What a restarted instance does before it draws budgets ahead."""
 
-import time
 from collections.abc import Callable
 
 import eventlet
@@ -8,6 +7,7 @@
 from returns.result import Failure
 
 from whinrack.budgets import GrantKeeper, RestartMoment, WallReading
+from whinrack.clock import steady
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import EdgeOptions
 from whinrack.observability import Event, log_event
@@ -80,12 +80,12 @@
 
     def _clock_is_judged(self) -> bool:
         """Whether the peers have checked the time of day, or have had time enough to."""
-        waited = time.monotonic() - self.restart.steady
+        waited = steady() - self.restart.steady
         return waited >= _CLOCK_CHECK_SECONDS or self.wall_clock().checked
 
     def _checked_restart(self) -> RestartMoment:
         """Return the moment of the restart, with what the peers say of its clock."""
         now = self.wall_clock()
-        jumped = (now.seconds - self.restart.wall) - (time.monotonic() - self.restart.steady)
+        jumped = (now.seconds - self.restart.wall) - (steady() - self.restart.steady)
         checked = now.checked and abs(jumped) <= _CLOCK_JUMP_SECONDS
         return msgspec.structs.replace(self.restart, wall_checked=checked)
--- a/whinrack/edge/_feeding.py
+++ b/whinrack/edge/_feeding.py
@@ -1,12 +1,12 @@
 """Who follows the store itself, and who is fed by a peer that does."""
 
 import math
-import time
 from collections.abc import Callable
 
 import eventlet
 
 from whinrack.base import rendezvous
+from whinrack.clock import steady
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import HostPort
 from whinrack.edge._relay import PeerFeed
@@ -114,17 +114,17 @@
         Without it each instance of a large fleet follows the store itself at first: 3,670 of
         6,503 calls of a day for 195 instances were watches and lists of its first 20 s.
         """
-        end = time.monotonic() + self.settle_seconds
-        while self.peers.is_mesh and time.monotonic() < end:
+        end = steady() + self.settle_seconds
+        while self.peers.is_mesh and steady() < end:
             eventlet.sleep(_POLL_SECONDS)
 
     def store_may_answer(self) -> bool:
         """Whether a peer has heard from the store lately."""
-        return bool(self.peers.with_store(time.monotonic()))
+        return bool(self.peers.with_store(steady()))
 
     def source(self) -> FollowedSource:
         """Return whom to ask next."""
-        now = time.monotonic()
+        now = steady()
         if self.peers.is_mesh or (self.contact.answers and now < self._store_until):
             return FollowedSource(self.store)
         feeder = self._feeder(now)
@@ -135,7 +135,7 @@
 
     def failed(self, source: FollowedSource) -> None:
         """Learn that a peer didn't answer; another hall's may be cut off with all of that hall."""
-        now = time.monotonic()
+        now = steady()
         self._avoided[source.address] = now + _AVOID_SECONDS
         hall = self._hall_of(source.address, now)
         if hall is not None and hall != self.own_state().data_hall:
@@ -147,7 +147,7 @@
         One that says that it lost the store is kept: others are chosen as watchers by that
         word already, and in an outage for all there is nobody better.
         """
-        live = self.peers.live(time.monotonic())
+        live = self.peers.live(steady())
         states = {view.state.sender.address: view.state for view in live}
         state = states.get(source.address)
         if state is None or state.store_answers:
@@ -155,7 +155,7 @@
 
     def follow_store(self) -> None:
         """Follow the store for a while; others that can't reach it are fed from here then."""
-        self._store_until = time.monotonic() + _AVOID_SECONDS
+        self._store_until = steady() + _AVOID_SECONDS
 
     def _feeder(self, now: float) -> PeerState | None:
         """Return the peer that feeds this instance, None if it follows the store."""
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -1,7 +1,6 @@
 """What this instance knows from the store: the configuration and the targets."""
 
 import random
-import time
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import NamedTuple
@@ -10,6 +9,7 @@
 from eventlet.event import Event as Signal
 from returns.result import Success
 
+from whinrack.clock import steady
 from whinrack.dispatch import Directory, TargetRecord, TargetRegistry, TargetsView
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import HostPort
@@ -155,7 +155,7 @@
 
     def gone_lately(self) -> list[GoneTarget]:
         """Return the targets whose records have gone lately, for the peers."""
-        since = time.monotonic() - _GONE_TOLD_SECONDS
+        since = steady() - _GONE_TOLD_SECONDS
         late: list[GoneTarget] = []
         for name, gone in reversed(self._gone.items()):
             if gone.at < since:
@@ -304,7 +304,7 @@
     def _note_gone(self, stored: StoredObject) -> None:
         """Remember that the store said a target is gone."""
         self._gone.pop(stored.name, None)
-        self._gone[stored.name] = _GoneRecord(stored.version, time.monotonic())
+        self._gone[stored.name] = _GoneRecord(stored.version, steady())
         while len(self._gone) > _MOST_GONE:
             self._gone.popitem(last=False)
 
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from whinrack.budgets import WallReading
+from whinrack.clock import steady
 from whinrack.dispatch import Directory, TargetRegistry
 from whinrack.edge._entries import choose_entries, is_crowded
 from whinrack.edge._options import EdgeOptions, HostPort
@@ -154,11 +155,11 @@
 
     def add_seeds(self, seeds: tuple[HostPort, ...]) -> None:
         """Learn where peers may hear datagrams."""
-        self.table.add_addresses(seeds, time.monotonic())
+        self.table.add_addresses(seeds, steady())
 
     def beat(self) -> None:
         """Send a heartbeat to the peers whose turn it is."""
-        now = time.monotonic()
+        now = steady()
         message = self._heartbeat(now, self.table.news(now))
         receivers = self.table.receivers(now)
         # One peer that answers with all states is enough: 109 bytes for each instance.
@@ -227,7 +228,7 @@
             store_confirmed=self.host.confirms_store(),
             load=_in_steps(self.host.open_requests()),
             configuration=self.directory.version,
-            serving=self.host.serves_callers(time.monotonic()),
+            serving=self.host.serves_callers(steady()),
             holds_tokens=self.host.holds_tokens(),
             bandwidth=self.options.bandwidth,
             cores=self.options.cores,
@@ -235,7 +236,7 @@
 
     def caller_addresses(self, hall: str) -> list[str]:
         """Return the addresses that a caller in a data hall may connect to."""
-        now = time.monotonic()
+        now = steady()
         ready = [view.state for view in self.table.ready(now)]
         if self.ready or not ready:
             ready.append(self.own_state())
@@ -243,16 +244,16 @@
 
     def is_crowded(self) -> bool:
         """Whether callers had better connect to other instances."""
-        serving = [view.state for view in self.table.serving(time.monotonic())]
+        serving = [view.state for view in self.table.serving(steady())]
         return is_crowded(self.own_state(), self.host.open_requests(), serving)
 
     def sharing_instances(self) -> int:
         """Return the number of instances that share the work."""
-        return self.table.sharing_count(time.monotonic())
+        return self.table.sharing_count(steady())
 
     def peer_with_store(self) -> HostPort | None:
         """Return the address of a peer that reaches the store, None if none does."""
-        reaching = self.table.with_store(time.monotonic())
+        reaching = self.table.with_store(steady())
         if not reaching:
             return None
         return random.choice(reaching).state.sender.address
@@ -260,7 +261,7 @@
     def wall_clock(self) -> WallReading:
         """Return the time of day, checked by that of the peers."""
         seconds = time.time()
-        return WallReading(seconds, self.clocks.agrees(seconds, time.monotonic()))
+        return WallReading(seconds, self.clocks.agrees(seconds, steady()))
 
     def beat_forever(self) -> None:
         """Send heartbeats until the process ends."""
@@ -279,21 +280,19 @@
             told = bool(counts)
 
     def _share_loads(self, message: TargetLoads) -> None:
-        for view in self.table.serving(time.monotonic()):
+        for view in self.table.serving(steady()):
             self.link.send(message, view.state.sender.address)
 
     def _receive(self, message, address: tuple[str, int]) -> None:
         if isinstance(message, Heartbeat):
             self._heard(message)
         elif isinstance(message, TargetLoads):
-            self.registry.elsewhere.heard(
-                message.sender, message.counts, time.monotonic(), message.unread
-            )
+            self.registry.elsewhere.heard(message.sender, message.counts, steady(), message.unread)
         else:
             self.host.receive(message, address)
 
     def _heard(self, beat: Heartbeat) -> None:
-        now = time.monotonic()
+        now = steady()
         sender = beat.state.sender
         self.clocks.heard(sender.name, beat.wall, now)
         without_store = self._is_without_store(now)
@@ -350,7 +349,7 @@
 
     def spread(self) -> None:
         """Pass news on before the next heartbeat is due; seldom enough to end by itself."""
-        now = time.monotonic()
+        now = steady()
         if now - self._spread_at >= _SPREAD_SECONDS:
             self._spread_at = now
             self.beat()
--- a/whinrack/edge/_relay.py
+++ b/whinrack/edge/_relay.py
@@ -5,7 +5,6 @@
 store's own, so a peer may go on at another instance, or at the store, where it left off.
 """
 
-import time
 from collections import deque
 from collections.abc import Callable, Sequence
 from urllib.parse import parse_qs, urlsplit
@@ -14,6 +13,7 @@
 from eventlet.event import Event
 from returns.result import Failure, Result, Success
 
+from whinrack.clock import steady
 from whinrack.edge._options import HostPort
 from whinrack.edge._sharing import ask_peer, encode_answer
 from whinrack.exceptions import PlatformFailure, PlatformUnavailable
@@ -76,11 +76,11 @@
 
     def confirmed(self, age: float) -> None:
         """Learn that the store confirmed what is known here some seconds ago."""
-        self.confirmed_at = max(self.confirmed_at, time.monotonic() - age)
+        self.confirmed_at = max(self.confirmed_at, steady() - age)
 
     def age(self) -> float:
         """Return the seconds since the store confirmed this, in steps that peers can share."""
-        return round(time.monotonic() - self.confirmed_at, _AGE_DIGITS)
+        return round(steady() - self.confirmed_at, _AGE_DIGITS)
 
     def snapshot(self, wait: float = 0.0) -> Snapshot | None:
         """Return the list, waiting for a first one; None if nothing was followed yet."""
--- a/whinrack/edge/_sharing.py
+++ b/whinrack/edge/_sharing.py
@@ -1,11 +1,11 @@
 """Passes on what the store said, so that peers learn it while they can't ask the store."""
 
-import time
 import zlib
 from collections.abc import Callable
 
 import msgspec
 
+from whinrack.clock import steady
 from whinrack.edge._options import HostPort
 from whinrack.exceptions import Refusal
 from whinrack.http1 import ConnectionPool, Exchange, Headers, HttpServer, RequestHead
@@ -126,7 +126,7 @@
     answer_type or None
         None without an answer in time that can be read.
     """
-    end = time.monotonic() + seconds
+    end = steady() + seconds
     try:
         connection = connections.take(address, end)
     except Refusal:
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -1,13 +1,13 @@
 """Follows one kind of object in the store: a list, then watches, then lists again."""
 
 import random
-import time
 from collections.abc import Callable
 
 import eventlet
 import msgspec
 from returns.result import Failure, Result, Success
 
+from whinrack.clock import steady
 from whinrack.dispatch import Configuration, TargetRecord
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import HostPort
@@ -179,7 +179,7 @@
         """Follow for ever."""
         self.plan.settle()
         while True:
-            began = time.monotonic()
+            began = steady()
             if self.step():
                 self._pause = _FIRST_PAUSE
                 self._space_calls(began)
@@ -188,7 +188,7 @@
 
     def _space_calls(self, began: float) -> None:
         """Let changes gather before the store is asked again, 0.1 s at most."""
-        rest = began + _SHORTEST_INTERVAL - time.monotonic()
+        rest = began + _SHORTEST_INTERVAL - steady()
         if rest > 0.0 and self.source == _STORE_NAME and self.contact.answers:
             eventlet.sleep(rest)
 
@@ -210,7 +210,7 @@
                 outcome = self._ask(source, PROBE_SECONDS)
             self.contact.report(isinstance(outcome, Success))
             if isinstance(outcome, Success):
-                self._store_heard_at = time.monotonic()
+                self._store_heard_at = steady()
         elif isinstance(outcome, Failure):
             self.plan.failed(source)
         if isinstance(outcome, Failure):
@@ -269,7 +269,7 @@
         """
         if age <= _SOUND_FEED_SECONDS or not self.contact.answers:
             return False
-        return time.monotonic() - age < self._store_heard_at
+        return steady() - age < self._store_heard_at
 
 
 def _is_lost_reply(outcome: Result) -> bool:
--- a/whinrack/edge/_suspects.py
+++ b/whinrack/edge/_suspects.py
@@ -1,6 +1,5 @@
 """Carries the quarantine's knowledge between instances, and to and from the store."""
 
-import time
 from collections.abc import Callable
 
 import eventlet
@@ -8,6 +7,7 @@
 from returns.result import Failure
 
 from whinrack.base import rendezvous
+from whinrack.clock import steady
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import HostPort
 from whinrack.gossip import GossipLink, PeerTable, SuspectCases
@@ -85,8 +85,7 @@
     def tell_owners(self, case: Case) -> None:
         """Tell the instances that a fingerprint falls to."""
         peers = {
-            view.state.sender.name: view.state.sender.address
-            for view in self.table.live(time.monotonic())
+            view.state.sender.name: view.state.sender.address for view in self.table.live(steady())
         }
         for name in rendezvous(case.fingerprint, [self.name, *peers])[:_OWNERS]:
             if name != self.name:
@@ -94,7 +93,7 @@
 
     def tell_all(self, cases: list[Case]) -> None:
         """Tell all instances; one that misses it learns by the checksums."""
-        for view in self.table.live(time.monotonic()):
+        for view in self.table.live(steady()):
             self._send(cases, view.state.sender.address)
 
     def _send(self, cases: list[Case], address: HostPort) -> None:
@@ -119,7 +118,7 @@
         """Tell a peer with another checksum all suspects; it does the same."""
         if checksum == self.checksum():
             return
-        now = time.monotonic()
+        now = steady()
         if now - self._told_at.get(peer, float("-inf")) < _TELL_AGAIN_SECONDS:
             return
         self._told_at[peer] = now
@@ -157,7 +156,7 @@
         """Read at the start, and while a peer is missed."""
         missed_since = None
         while True:
-            now = time.monotonic()
+            now = steady()
             missing = bool(self.table.missing(now)) and self.follows_store()
             missed_since = (missed_since or now) if missing else None
             if not self._read_once or missing:
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -1,12 +1,12 @@
 """The daemon's part in moving tokens: its keeper, its peers, and who writes the books."""
 
-import time
 from collections.abc import Callable
 
 import eventlet
 from eventlet.semaphore import Semaphore
 
 from whinrack.budgets import AccountDrawer, GrantKeeper, GrantOptions, OrderBatch, WallReading
+from whinrack.clock import steady
 from whinrack.edge._options import EdgeOptions
 from whinrack.gossip import (
     DrawAccepted,
@@ -95,7 +95,7 @@
 
     def tell_given(self) -> None:
         """Tell the peers once more what they were given: a stop makes it final."""
-        by_run = {view.state.incarnation: view for view in self.peers.live(time.monotonic())}
+        by_run = {view.state.incarnation: view for view in self.peers.live(steady())}
         for given in self.keeper.given():
             view = by_run.get(given.receiver)
             if view is not None:
@@ -107,8 +107,8 @@
         eventlet.sleep(_COLLECT_SECONDS)
         if self.peers.is_mesh:
             return
-        end = time.monotonic() + _REPORTS_SECONDS
-        while not batch.is_urgent and time.monotonic() < end:
+        end = steady() + _REPORTS_SECONDS
+        while not batch.is_urgent and steady() < end:
             eventlet.sleep(_COLLECT_SECONDS)
 
     def _received(self, reply: TokenReply) -> None:
--- a/whinrack/edge/tests/test_feeding.py
+++ b/whinrack/edge/tests/test_feeding.py
@@ -1,11 +1,10 @@
 """Who is asked for lists and watches in a large fleet."""
 
-import time
-
 import msgspec
 import pytest
 
 from standins.memory_store import MemoryStore
+from whinrack.clock import steady
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._feeding import FeedPlan
 from whinrack.gossip import PeerAddress, PeerState
@@ -119,13 +118,13 @@
 
 def test_at_the_start_peers_are_waited_for_and_no_longer_than_allowed():
     feeding = plan_of(state("own"), [wide("a")], settle_seconds=5.0)
-    began = time.monotonic()
+    began = steady()
     feeding.settle()
-    assert time.monotonic() - began < 1.0
+    assert steady() - began < 1.0
     feeding.peers.is_mesh = True
     feeding.settle_seconds = 0.1
     feeding.settle()
-    assert 0.1 <= time.monotonic() - began < 2.0
+    assert 0.1 <= steady() - began < 2.0
 
 
 def fleet(instances, halls=5, **changes):
--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -171,7 +171,7 @@
 
 def test_peers_are_told_for_a_while_what_has_gone(monkeypatch):
     world, now = known_world("t1", "t2"), [100.0]
-    monkeypatch.setattr("whinrack.edge._knowledge.time.monotonic", lambda: now[0])
+    monkeypatch.setattr("whinrack.edge._knowledge.steady", lambda: now[0])
     world.knowledge._change_targets((StoredObject("target", "t2", 7, deleted=True),))
     assert world.knowledge.gone_lately() == [GoneTarget("t2", 7)]
     now[0] += 5.0
--- a/whinrack/edge/tests/test_membership.py
+++ b/whinrack/edge/tests/test_membership.py
@@ -1,10 +1,9 @@
 """What an instance of a large fleet tells its peers, and whom it asks."""
 
-import time
-
 import msgspec
 import pytest
 
+from whinrack.clock import steady
 from whinrack.dispatch import Directory, TargetRegistry
 from whinrack.edge import EdgeOptions
 from whinrack.edge._membership import Membership, MembershipHost
@@ -185,7 +184,7 @@
     membership._receive(beat(3, run=2, store_confirmed=True), None)
     membership.host.answers = False
     membership._receive(beat(4, run=2, store_confirmed=True), None)
-    assert len(membership.table.with_store(time.monotonic())) == 2
+    assert len(membership.table.with_store(steady())) == 2
     assert membership.host.store_heard == 0
 
 
--- a/whinrack/edge/tests/test_store_tasks.py
+++ b/whinrack/edge/tests/test_store_tasks.py
@@ -1,11 +1,10 @@
 """Following the store, and waiting for it while it is away."""
 
-import time
-
 import eventlet
 from returns.result import Failure, Success
 
 from standins.memory_store import MemoryStore
+from whinrack.clock import steady
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._relay import KindRelay
 from whinrack.edge._sources import FollowedSource, KindFollower, SourcePlan
@@ -241,7 +240,7 @@
     feed = Aged(0.0)
     following = follower(feed, [])
     following.step()
-    following.relay.confirmed_at = before = time.monotonic() - 5.0
+    following.relay.confirmed_at = before = steady() - 5.0
     feed.watch = lambda kinds, since, wait: Success(WatchBatch(since, gap=True))
     following.step()
     assert following.relay.confirmed_at == before
--- a/whinrack/edge/tests/test_suspects.py
+++ b/whinrack/edge/tests/test_suspects.py
@@ -1,12 +1,11 @@
 """What instances tell each other of suspected requests, and what is kept in the store."""
 
-import time
-
 import eventlet
 import pytest
 
 from standins.memory_store import MemoryStore
 from whinrack.base import rendezvous
+from whinrack.clock import steady
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._suspects import SuspectExchange
 from whinrack.gossip import Heartbeat, PeerAddress, PeerState, PeerTable
@@ -54,7 +53,7 @@
             load=0,
             configuration=1,
         )
-        table.heard(Heartbeat(state=state, number=1), time.monotonic())
+        table.heard(Heartbeat(state=state, number=1), steady())
     return table
 
 
--- a/whinrack/gossip/_drawers.py
+++ b/whinrack/gossip/_drawers.py
@@ -1,7 +1,6 @@
 """One instance writes the books for all that reach it, so that writes don't collide."""
 
 import itertools
-import time
 from collections.abc import Callable
 
 from eventlet.event import Event
@@ -10,6 +9,7 @@
 
 from whinrack.base import rendezvous
 from whinrack.budgets import BookSource, DrawOrder, DrawResult, ReleasedRow, RunRelease
+from whinrack.clock import steady
 from whinrack.exceptions import PlatformFailure, PlatformUnavailable
 from whinrack.gossip._link import GossipLink
 from whinrack.gossip._messages import (
@@ -151,7 +151,7 @@
                 return Success(outcome)
             if question.is_under_way:
                 return Failure(PlatformUnavailable("the writer has not finished yet"))
-            self._avoided[writer.state.sender.name] = time.monotonic() + _AVOID_SECONDS
+            self._avoided[writer.state.sender.name] = steady() + _AVOID_SECONDS
         return write_here()
 
     def requested(self, request: DrawRequest, address: tuple[str, int]) -> None:
@@ -182,7 +182,7 @@
 
     def _writer(self, account: str) -> PeerView | None:
         """Return the peer that writes an account, None if it is this instance."""
-        now = time.monotonic()
+        now = steady()
         views = {
             view.state.sender.name: view
             for view in self.peers.live(now)
--- a/whinrack/gossip/_spares.py
+++ b/whinrack/gossip/_spares.py
@@ -1,7 +1,6 @@
 """Asks live peers for unspent tokens, all at once."""
 
 import itertools
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -10,6 +9,7 @@
 
 from whinrack.base import rendezvous
 from whinrack.budgets import SpareSource, SpareTotal
+from whinrack.clock import steady
 from whinrack.gossip._link import GossipLink
 from whinrack.gossip._messages import PeerState, TokenReply, TokenRequest
 from whinrack.gossip._peers import PeerTable, PeerView
@@ -98,13 +98,13 @@
             replies = self._ask([supplier], request, received, factor * self.patience)
             if replies:
                 return replies
-        self._avoided[supplier.state.incarnation] = time.monotonic() + _AVOID_SECONDS
+        self._avoided[supplier.state.incarnation] = steady() + _AVOID_SECONDS
         self._suppliers.clear()
         return []
 
     def _supplier(self, budget: str) -> PeerView | None:
         """Return the peer that supplies a budget, None if it is this run."""
-        now = time.monotonic()
+        now = steady()
         chosen_at, view = self._suppliers.get(budget, (float("-inf"), None))
         if now - chosen_at > _CHOICE_SECONDS:
             view = self._choose_supplier(budget, now)
@@ -129,19 +129,19 @@
         self, budget: str, need: int, wish: int, received: dict[str, int]
     ) -> list[SpareTotal]:
         """Ask every peer that may hold some for what is needed; returns what each gave in all."""
-        views = self.peers.holding(time.monotonic())[:_MOST_ASKED]
+        views = self.peers.holding(steady())[:_MOST_ASKED]
         request = self._request(budget, need, wish)
         return self._ask(views, request, received, self.patience)
 
     def peers_asked(self) -> int:
         """Return how many peers `gather` asks now."""
-        return min(_MOST_ASKED, len(self.peers.holding(time.monotonic())))
+        return min(_MOST_ASKED, len(self.peers.holding(steady())))
 
     def borrow(
         self, budget: str, need: int, wish: int, received: dict[str, int]
     ) -> list[SpareTotal]:
         """Ask one peer that reaches the store to draw what is needed."""
-        reaching = self.peers.with_store(time.monotonic())
+        reaching = self.peers.with_store(steady())
         views = {view.state.sender.name: view for view in reaching}
         if not views:
             return []
--- a/whinrack/gossip/tests/test_drawers.py
+++ b/whinrack/gossip/tests/test_drawers.py
@@ -72,7 +72,7 @@
 @pytest.fixture
 def world(monkeypatch):
     """Two instances; the account's writer is the other one."""
-    monkeypatch.setattr("whinrack.gossip._drawers.time.monotonic", lambda: 0.0)
+    monkeypatch.setattr("whinrack.gossip._drawers.steady", lambda: 0.0)
     monkeypatch.setattr("whinrack.gossip._drawers.rendezvous", lambda key, names: sorted(names))
     peers, link, books = PeerTable("m1", 1.0, 10.0), Link(), Books()
     own_state = lambda: beat("m1", bandwidth=WIDE).state  # noqa: E731
--- a/whinrack/gossip/tests/test_spares.py
+++ b/whinrack/gossip/tests/test_spares.py
@@ -1,10 +1,9 @@
 """Which peers are asked for tokens."""
 
-import time
-
 import pytest
 
 from whinrack.base import rendezvous
+from whinrack.clock import steady
 from whinrack.gossip import Heartbeat, PeerAddress, PeerSpares, PeerState, PeerTable
 
 BUDGET = "b"
@@ -40,7 +39,7 @@
 
 @pytest.fixture
 def world(monkeypatch):
-    monkeypatch.setattr("whinrack.gossip._spares.time.monotonic", lambda: 0.0)
+    monkeypatch.setattr("whinrack.gossip._spares.steady", lambda: 0.0)
     peers, link = PeerTable("a", 1.0, 10.0), Link()
     return (
         PeerSpares("a.1", link, peers, patience=0.001, own_state=lambda: beat("a").state),
@@ -73,7 +72,7 @@
 def test_in_a_large_fleet_only_those_that_hold_tokens_are_asked():
     peers, link = PeerTable("me", 1.0, 10.0), Link()
     for number in range(30):
-        peers.heard(beat(f"p{number}", holds_tokens=number < 3), time.monotonic())
+        peers.heard(beat(f"p{number}", holds_tokens=number < 3), steady())
     spares = PeerSpares("me.1", link, peers, patience=0.0, own_state=lambda: beat("me").state)
     spares.gather(BUDGET, 1, 0, {})
     assert sorted(link.asked) == ["p0", "p1", "p2"]
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -2,12 +2,12 @@
 
 import contextlib
 import socket
-import time
 from collections.abc import Callable, Iterator
 
 import h11
 from eventlet.green import socket as green_socket
 
+from whinrack.clock import steady
 from whinrack.exceptions import AnswerCut, AttemptTimeout, TargetUnavailable
 from whinrack.http1._messages import Headers, RequestHead, ResponseHead, header_value
 from whinrack.http1._sockets import receive
@@ -77,7 +77,7 @@
         events.append(h11.EndOfMessage())
         data = b"".join(self._protocol.send(event) for event in events)
         self.sent_bytes, self.received_bytes = len(data), 0
-        self.sock.settimeout(max(0.001, end - time.monotonic()))
+        self.sock.settimeout(max(0.001, end - steady()))
         with contextlib.suppress(OSError):
             self.sock.sendall(data)
 
@@ -150,7 +150,7 @@
 
     def prepare_next(self) -> bool:
         """Get ready for another request; False if the connection is of no more use."""
-        if time.monotonic() - self.released_at > self.idle_seconds * _IDLE_PART:
+        if steady() - self.released_at > self.idle_seconds * _IDLE_PART:
             return False
         if _readable(self.sock):
             # Closed by the target, or an answer that nobody asked for.
@@ -249,12 +249,12 @@
             if connection.prepare_next():
                 return connection
             connection.close()
-        began = time.monotonic()
+        began = steady()
         try:
             return TargetConnection.open(address, max(0.01, min(self.connect_seconds, end - began)))
         finally:
             # Failed ones too: where all fail after the same time, the link is to blame.
-            took = time.monotonic() - began
+            took = steady() - began
             self._usual_seconds += _CONNECT_WEIGHT * (took - self._usual_seconds)
 
     def give_back(self, connection: TargetConnection) -> None:
@@ -262,7 +262,7 @@
         if not connection.reusable():
             connection.close()
             return
-        connection.released_at = time.monotonic()
+        connection.released_at = steady()
         self._idle.setdefault(connection.address, []).append(connection)
 
     def forget(self, address: tuple[str, int]) -> None:
--- a/whinrack/http1/_connection.py
+++ b/whinrack/http1/_connection.py
@@ -3,13 +3,13 @@
 import contextlib
 import socket
 import struct
-import time
 from collections.abc import Callable
 
 import eventlet
 import h11
 from eventlet import hubs
 
+from whinrack.clock import steady
 from whinrack.exceptions import (
     BadRequest,
     BodyTooLarge,
@@ -111,7 +111,7 @@
         head = self._read_head(limits)
         if head is None:
             return None
-        return head, self._read_body(limits, time.monotonic() + limits.body_seconds)
+        return head, self._read_body(limits, steady() + limits.body_seconds)
 
     def _await_request(self, seconds: float) -> bool:
         """Wait for the first bytes of a request; False if none came."""
@@ -131,7 +131,7 @@
         return True
 
     def _read_head(self, limits: ServerLimits) -> RequestHead | None:
-        event = self._next_event(time.monotonic() + limits.head_seconds)
+        event = self._next_event(steady() + limits.head_seconds)
         if isinstance(event, h11.ConnectionClosed):
             return None
         if _head_size(event) > limits.head_bytes:
@@ -160,7 +160,7 @@
                 raise _malformed(error) from error
             if event is not h11.NEED_DATA:
                 return event
-            left = end - time.monotonic()
+            left = end - steady()
             if left <= 0:
                 raise RequestTimeout("the request took too long to arrive")
             self.sock.settimeout(left)
@@ -280,10 +280,10 @@
     def _linger(self) -> None:
         """Let the caller read the last answer: a close over unread bytes would reset it."""
         self._shutdown(socket.SHUT_WR)
-        end = time.monotonic() + _CLOSE_SECONDS
+        end = steady() + _CLOSE_SECONDS
         try:
             self.sock.settimeout(_CLOSE_SECONDS)
-            while self.sock.recv(_READ_BYTES) and time.monotonic() < end:
+            while self.sock.recv(_READ_BYTES) and steady() < end:
                 pass
         except OSError:
             pass
--- a/whinrack/http1/_exchange.py
+++ b/whinrack/http1/_exchange.py
@@ -1,9 +1,8 @@
 """One request and its answer, and what callers may send."""
 
-import time
-
 import msgspec
 
+from whinrack.clock import steady
 from whinrack.http1._messages import Headers, RequestHead
 
 __all__ = ["AnswerSink", "Exchange", "ServerLimits"]
@@ -69,7 +68,7 @@
         self._connection = connection
         self.head = head
         self.body = body
-        self.arrived = time.monotonic()
+        self.arrived = steady()
         self.started = False
         self.ended = False
 
--- a/whinrack/http1/_sockets.py
+++ b/whinrack/http1/_sockets.py
@@ -1,9 +1,9 @@
 """Reads that tell a reset from an end."""
 
-import time
-
 from eventlet import hubs
 
+from whinrack.clock import steady
+
 __all__ = ["receive"]
 
 
@@ -27,7 +27,7 @@
             # The kernel's probes went unanswered: the connection is gone, not merely slow.
             raise ConnectionAbortedError(*error.args) from error
         except BlockingIOError:
-            left = end - time.monotonic()
+            left = end - steady()
             if left <= 0:
                 raise TimeoutError("nothing to read in time") from None
             hubs.trampoline(plain, read=True, timeout=left, timeout_exc=TimeoutError)
--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -9,6 +9,7 @@
 import eventlet
 import pytest
 
+from whinrack.clock import steady
 from whinrack.exceptions import AnswerCut, AttemptTimeout, TargetUnavailable
 from whinrack.http1 import ConnectionPool, RequestHead, header_value
 from whinrack.http1._sockets import receive
@@ -25,7 +26,7 @@
 
 
 def soon():
-    return time.monotonic() + 5.0
+    return steady() + 5.0
 
 
 @pytest.fixture
@@ -190,7 +191,7 @@
     ask(pool, server)
     connection = pool.take(server.address, soon())
     assert server.accepted == 1
-    connection.released_at = time.monotonic() - 0.6
+    connection.released_at = steady() - 0.6
     assert not connection.prepare_next()
 
 
@@ -202,7 +203,7 @@
         release.wait(5)
 
     with pytest.raises(AttemptTimeout):
-        ask(ConnectionPool(), serve(script), time.monotonic() + 0.1)
+        ask(ConnectionPool(), serve(script), steady() + 0.1)
     release.set()
 
 
@@ -253,7 +254,7 @@
     pool = ConnectionPool()
     assert pool.connect_seconds == 0.3
     clock = iter(range(1000))
-    monkeypatch.setattr("whinrack.http1._client.time.monotonic", lambda: next(clock) / 10)
+    monkeypatch.setattr("whinrack.http1._client.steady", lambda: next(clock) / 10)
     server = serve(lambda sock: sock.recv(1))
     for _ in range(30):
         pool.take(server.address, 1e9).close()
@@ -293,10 +294,10 @@
     connection.send(REQUEST, b"", end)
     connection.read_head(end, is_own)
     eventlet.spawn_after(0.2, connection.abort)
-    began = time.monotonic()
+    began = steady()
     with pytest.raises(AnswerCut):
         b"".join(connection.pieces(end))
-    assert time.monotonic() - began < 1.0
+    assert steady() - began < 1.0
 
 
 def test_idle_connections_to_an_address_are_forgotten(serve):
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -23,6 +23,8 @@
     TASK_FAILED = (1005, "ERROR", "a background task failed and is tried again")
     REQUEST_FAILED = (1006, "ERROR", "a request failed inside whinrack")
 
+    MACHINE_SUSPENDED = (1010, "WARNING", "the machine was suspended and is awake again")
+
     SETTINGS_RELOADED = (1007, "INFO", "settings file read again")
     LINES_DROPPED = (1008, "WARNING", "log lines left out to keep the volume bounded")
     SETTINGS_INVALID = (1009, "ERROR", "settings file is invalid, the last good one stays in force")
--- a/whinrack/observability/_output.py
+++ b/whinrack/observability/_output.py
@@ -1,9 +1,10 @@
 """Log lines on a pipe that may be read slowly, or not at all."""
 
 import os
-import time
 from collections import deque
 
+from whinrack.clock import steady
+
 __all__ = ["BoundedOutput"]
 
 _MOST_WAITING = 2000
@@ -32,7 +33,7 @@
         self._lines: deque[bytes] = deque()
         self._rest = b""
         self._saved = lines_per_second
-        self._at = time.monotonic()
+        self._at = steady()
         os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> None:
@@ -58,7 +59,7 @@
         """Nothing is held back on purpose."""
 
     def _permit(self) -> bool:
-        now = time.monotonic()
+        now = steady()
         earned = (now - self._at) * self.lines_per_second
         self._saved = min(self.lines_per_second, self._saved + earned)
         self._at = now
--- a/whinrack/quarantine/_quarantine.py
+++ b/whinrack/quarantine/_quarantine.py
@@ -5,11 +5,11 @@
 that was away, asleep or cut off is told within one of them. What all know is kept in the store.
 """
 
-import time
 from collections.abc import Callable, Iterable
 
 from returns.result import Success
 
+from whinrack.clock import steady
 from whinrack.exceptions import RequestQuarantined
 from whinrack.observability import Event, log_event
 from whinrack.quarantine._archive import CaseArchive
@@ -62,7 +62,7 @@
         archive: CaseArchive,
         host: QuarantineHost,
         wall: Callable[[], float],
-        steady: Callable[[], float] = time.monotonic,
+        steady: Callable[[], float] = steady,
     ):
         self.archive = archive
         self.host = host
--- a/whinrack/server/_admission.py
+++ b/whinrack/server/_admission.py
@@ -1,10 +1,9 @@
 """Puts requests on targets: the pools' decisions driven by green threads."""
 
-import time
-
 from eventlet.semaphore import Semaphore
 from returns.result import Failure, Result, Success
 
+from whinrack.clock import steady
 from whinrack.exceptions import DeadlineUnreachable, Refusal, TargetUnavailable
 from whinrack.feed import ConfigStore
 from whinrack.objects import Protocol, Target, TargetPool
@@ -31,7 +30,7 @@
         self.directory = directory
         self.pool = pool
         self.target = target
-        self.started = time.monotonic()
+        self.started = steady()
         self.released = False
 
     def release(self) -> None:
@@ -40,7 +39,7 @@
             return
         self.released = True
         self.target.finished()
-        self.pool.queue.record_service(time.monotonic() - self.started)
+        self.pool.queue.record_service(steady() - self.started)
         self.directory.wake(self.pool)
 
 
@@ -105,7 +104,7 @@
     ) -> Result[Slot, Refusal]:
         """Find a place, waiting for one in the first pool that is alive."""
         pools = [self._pools[name] for name in decision.pools if name in self._pools]
-        now = time.monotonic()
+        now = steady()
         for pool in pools:
             if not self._others_first(pool, query, now):
                 target = pool.pick(query, now)
@@ -123,12 +122,12 @@
 
     def report(self, target: TargetView, running: int, waiting: int) -> None:
         """Take in a load report."""
-        now = time.monotonic()
+        now = steady()
         target.report = LoadReport(running, waiting, now, target.in_flight)
 
     def failed(self, target: TargetView) -> None:
         """Take in a connection that failed or broke."""
-        now = time.monotonic()
+        now = steady()
         before = target.ejection.ejected(now)
         target.failed(now)
         if target.ejection.ejected(now) and not before:
@@ -137,7 +136,7 @@
 
     def wake(self, pool: PoolState) -> None:
         """Let the first waiter of a pool try."""
-        waiter = pool.queue.first(time.monotonic())
+        waiter = pool.queue.first(steady())
         if waiter is not None:
             waiter.wake()
 
@@ -156,11 +155,11 @@
             return self._wait_turn(pool, query, waiter, semaphore)
         finally:
             pool.queue.leave(waiter)
-            self.metrics.queue_wait.labels(str(query.request_class)).observe(time.monotonic() - now)
+            self.metrics.queue_wait.labels(str(query.request_class)).observe(steady() - now)
 
     def _wait_turn(self, pool, query, waiter, semaphore) -> Result[Slot, Refusal]:
         while True:
-            now = time.monotonic()
+            now = steady()
             left = waiter.deadline - now
             if waiter.refusal is not None:
                 return Failure(waiter.refusal)
@@ -173,7 +172,7 @@
                 continue
             if waiter.refusal is not None:
                 return Failure(waiter.refusal)
-            target = pool.pick(query, time.monotonic())
+            target = pool.pick(query, steady())
             if target is not None:
                 pool.queue.leave(waiter)
                 self.wake(pool)
--- a/whinrack/server/_bills.py
+++ b/whinrack/server/_bills.py
@@ -1,10 +1,9 @@
 """Commits bills in groups and tells waiting answers when theirs is kept."""
 
-import time
-
 import eventlet
 from eventlet.event import Event
 
+from whinrack.clock import steady
 from whinrack.journal import BillRecord, JournalWriter
 from whinrack.store import TokenBucket
 
@@ -45,9 +44,9 @@
 
         While commits fail, nobody is kept waiting for them.
         """
-        end = time.monotonic() + seconds
+        end = steady() + seconds
         while self.writer.committed < mark:
-            left = end - time.monotonic()
+            left = end - steady()
             if left <= 0 or self._failing:
                 return False
             with eventlet.Timeout(left, False):
@@ -59,7 +58,7 @@
         while True:
             self._wanted.wait()
             self._wanted = Event()
-            eventlet.sleep(self._pace.delay(time.monotonic()))
+            eventlet.sleep(self._pace.delay(steady()))
             if not self.flush():
                 eventlet.sleep(_RETRY_PAUSE)
                 self._want_commit()
--- a/whinrack/server/_call.py
+++ b/whinrack/server/_call.py
@@ -1,7 +1,6 @@
 """One request on its way through a router, whatever its protocol."""
 
-import time
-
+from whinrack.clock import steady
 from whinrack.exceptions import BadRequest
 from whinrack.objects import RequestClass, TargetPool
 from whinrack.requests import Identity, Ticket, body_digest, read_ticket
@@ -97,4 +96,4 @@
 
     def time_left(self) -> float:
         """Return the seconds until the deadline, never quite nothing."""
-        return max(0.001, self.deadline - time.monotonic())
+        return max(0.001, self.deadline - steady())
--- a/whinrack/server/_calls.py
+++ b/whinrack/server/_calls.py
@@ -1,12 +1,12 @@
 """What chat and service calls share: ownership, routing, attempts, joining, ending."""
 
-import time
 from collections.abc import Iterator
 
 import eventlet
 from returns.result import Failure, Result
 
 from whinrack.base import Outcome, rendezvous
+from whinrack.clock import steady
 from whinrack.exceptions import OutcomeUnknown, PeerUnavailable, Refusal, TargetFailed
 from whinrack.requests import RunState
 from whinrack.routing import PickQuery, TargetView
@@ -138,7 +138,7 @@
             return self._deny("not_repeatable")
         if call.attempts >= call.decision.attempts:
             return self._deny("attempts")
-        if time.monotonic() >= call.deadline:
+        if steady() >= call.deadline:
             return self._deny("deadline")
         if not call.slot.pool.retries.try_retry():
             return self._deny("retry_budget")
@@ -160,7 +160,7 @@
                 return None
             if entry.answer is not None and entry.answer.status:
                 break
-            if time.monotonic() >= call.deadline:
+            if steady() >= call.deadline:
                 raise OutcomeUnknown("another try of this request is running", retry_after=1.0)
             eventlet.sleep(_JOIN_POLL)
         self.context.metrics.joins.labels("here").inc()
@@ -229,4 +229,4 @@
 
     def _remember(self, call: Call, state: RunState) -> None:
         if call.identity.keyed:
-            self.context.memory.set_state(call.identity.name, state, time.monotonic(), call.answer)
+            self.context.memory.set_state(call.identity.name, state, steady(), call.answer)
--- a/whinrack/server/_chat.py
+++ b/whinrack/server/_chat.py
@@ -1,6 +1,5 @@
 """``POST /v1/chat/completions``: checks, routes, covers, relays, settles and bills."""
 
-import time
 from collections.abc import Iterator
 
 import eventlet
@@ -8,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from whinrack.base import Outcome
+from whinrack.clock import steady
 from whinrack.engines import (
     ChatStream,
     Usage,
@@ -248,9 +248,7 @@
             response.close()
             self._count_dropped(call, failure)
             return Failure(failure)
-        self.context.metrics.first_byte.labels(self.kind).observe(
-            time.monotonic() - call.request.arrived
-        )
+        self.context.metrics.first_byte.labels(self.kind).observe(steady() - call.request.arrived)
         headers = [("Content-Type", _SSE), ("Cache-Control", "no-cache")]
         headers += answer_headers(call.identity.request_id, call.attempts, Outcome.RAN)
         call.answer.start(200, headers)
@@ -342,7 +340,7 @@
         return self.context.targets.cancel(address, call.identity.request_id)
 
     def _succeeded(self, call: ChatCall) -> None:
-        call.slot.target.succeeded(time.monotonic())
+        call.slot.target.succeeded(steady())
 
     # --- resuming ----------------------------------------------------------------
 
--- a/whinrack/server/_consulting.py
+++ b/whinrack/server/_consulting.py
@@ -1,12 +1,12 @@
 """Asks peers whether a request may run here, and who owns it."""
 
-import time
 from typing import NamedTuple
 
 import msgspec
 from returns.result import Failure
 
 from whinrack.base import rendezvous
+from whinrack.clock import steady
 from whinrack.membership import Member
 from whinrack.peers import ConsultQuery
 from whinrack.requests import Consultation, Identity, Verdict
@@ -52,7 +52,7 @@
 
     def ask_heir(self, asked: AskedRequest, home: str) -> HeirReply | None:
         """Ask who inherited the memory of a home that may have stopped as planned."""
-        now = time.monotonic()
+        now = steady()
         own = self.context.state.incarnation
         heirs = [own, *self.context.table.heirs(now)]
         name = rendezvous(asked.identity.name, heirs)[0]
--- a/whinrack/server/_daemon.py
+++ b/whinrack/server/_daemon.py
@@ -2,7 +2,6 @@
 
 import signal
 import socket
-import time
 
 import eventlet
 import eventlet.wsgi
@@ -10,6 +9,7 @@
 
 from whinrack.base import new_incarnation, rendezvous
 from whinrack.budgets import AccountDrawer, BudgetKeeper
+from whinrack.clock import steady
 from whinrack.engines import TargetClient
 from whinrack.exceptions import InvalidObject
 from whinrack.feed import ConfigStore
@@ -184,9 +184,9 @@
         state.leaving = True
         CallerProtocol.leaving = True
         log_event(Event.ROUTER_STOPPING, in_progress=state.in_progress)
-        began = time.monotonic()
+        began = steady()
         self.tasks.beat(everyone=True)
-        while self._must_serve_on(time.monotonic() - began):
+        while self._must_serve_on(steady() - began):
             eventlet.sleep(_STOP_PAUSE)
         sock.close()
         server.kill()
@@ -207,7 +207,7 @@
 
     def _hand_over_memory(self) -> None:
         """Tell each peer what callers will ask it instead of this instance."""
-        context, now = self.context, time.monotonic()
+        context, now = self.context, steady()
         home = context.state.incarnation
         shares = {heir: [] for heir in context.table.heirs(now)}
         for entry in context.memory.hand_over():
@@ -220,8 +220,8 @@
                 context.peers.hand_over(address, earlier, ())
 
     def _give_back(self) -> bool:
-        end = time.monotonic() + _DRAIN_LONGEST
-        while time.monotonic() < end:
+        end = steady() + _DRAIN_LONGEST
+        while steady() < end:
             kept = self.context.bills.flush()
             if kept and self.context.keeper.drain():
                 return True
--- a/whinrack/server/_follower.py
+++ b/whinrack/server/_follower.py
@@ -1,10 +1,9 @@
 """Keeps the configuration up to date, from the platform or from peers."""
 
-import time
-
 import eventlet
 from returns.result import Failure, Success
 
+from whinrack.clock import steady
 from whinrack.exceptions import PeerUnavailable
 from whinrack.objects import DECLARED_KINDS
 from whinrack.observability import Event, log_event
@@ -74,7 +73,7 @@
 
     def _watchers(self) -> list[str]:
         count = self.context.settings.membership.watchers_per_hall
-        return self.context.table.watchers(self.context.own_member(), count, time.monotonic())
+        return self.context.table.watchers(self.context.own_member(), count, steady())
 
     def _watch(self) -> bool:
         if not self._listed and not self._list():
--- a/whinrack/server/_http.py
+++ b/whinrack/server/_http.py
@@ -1,6 +1,5 @@
 """Requests and answers of the callers' side, independent of the WSGI runner."""
 
-import time
 from collections.abc import Iterable
 from http import HTTPStatus
 
@@ -8,6 +7,7 @@
 import msgspec
 
 from whinrack.base import Outcome
+from whinrack.clock import steady
 from whinrack.exceptions import BadRequest, BodyTooLarge, Refusal, RequestTimeout
 
 __all__ = [
@@ -89,7 +89,7 @@
         self.environ = environ
         self.body_limit = body_limit
         self.body_timeout = body_timeout
-        self.arrived = time.monotonic()
+        self.arrived = steady()
 
     @property
     def method(self) -> str:
--- a/whinrack/server/_operations.py
+++ b/whinrack/server/_operations.py
@@ -1,10 +1,10 @@
 """Endpoints other than requests: entry addresses, models, status, health, metrics."""
 
 import hmac
-import time
 
 import msgspec
 
+from whinrack.clock import steady
 from whinrack.exceptions import Unauthorized
 from whinrack.objects import TargetPool
 from whinrack.requests import Ticket, write_ticket
@@ -63,7 +63,7 @@
         """Answer "which address?"; needs no key, as it tells nothing secret."""
         own = self.context.own_member()
         busy = self.context.settings.http.busy_requests
-        members = self.context.table.entries(own, time.monotonic(), busy)
+        members = self.context.table.entries(own, steady(), busy)
         home = members[0] if members else own
         reply = EntryReply(
             addresses=[member.http_address for member in members[:_MOST_ADDRESSES]],
@@ -110,7 +110,7 @@
         return HttpAnswer(200, headers, [body])
 
     def _status(self) -> RouterStatus:
-        context, now = self.context, time.monotonic()
+        context, now = self.context, steady()
         targets = context.directory.targets()
         grants = [
             GrantStatus(
@@ -139,7 +139,7 @@
         context, metrics = self.context, self.context.metrics
         ledgers = context.keeper.ledgers()
         metrics.revision.set(context.config.newest)
-        metrics.members.set(len(context.table.alive(time.monotonic())))
+        metrics.members.set(len(context.table.alive(steady())))
         metrics.in_progress.set(context.state.in_progress)
         metrics.spendable.set(sum(ledger.spendable for ledger in ledgers))
         metrics.open_cover.set(sum(ledger.open_cover for ledger in ledgers))
--- a/whinrack/server/_ownership.py
+++ b/whinrack/server/_ownership.py
@@ -12,12 +12,11 @@
 repeated is run with a provisional bill, what may not is refused as unknown.
 """
 
-import time
-
 import eventlet
 import msgspec
 from returns.result import Failure
 
+from whinrack.clock import steady
 from whinrack.exceptions import (
     AnswerNotKept,
     ClaimUnavailable,
@@ -109,7 +108,7 @@
         if not known_owner:
             # A known owner stays on record while it is asked: whoever asks here
             # meanwhile is sent to it and is not given the request a second time.
-            self._memory.reserve(identity.name, digest, time.monotonic())
+            self._memory.reserve(identity.name, digest, steady())
         try:
             decision = self._ask(asked, first)
             if isinstance(decision, RunHere):
@@ -132,7 +131,7 @@
         entry = self._memory.find(asked.identity.name)
         if entry is None or entry.owner != self._own:
             return
-        self._memory.set_state(asked.identity.name, RunState.NOT_RUN, time.monotonic())
+        self._memory.set_state(asked.identity.name, RunState.NOT_RUN, steady())
         if asked.known_owner:
             # That owner may have run it: this must not be forgotten.
             self._memory.restore(asked.identity.name, before)
@@ -151,7 +150,7 @@
         if ticket is not None:
             return ticket.home
         own = self.context.own_member()
-        return self.context.table.home(own, asked.identity.name, time.monotonic())
+        return self.context.table.home(own, asked.identity.name, steady())
 
     def _ask(self, asked: AskedRequest, home: str) -> RunHere | JoinPeer:
         """Ask the home, and go on to the owner that it names."""
@@ -204,7 +203,7 @@
 
     def _confirm(self, asked: AskedRequest, decision: RunHere) -> RunHere | JoinHere | JoinPeer:
         """Reserve the request for good, unless it was ceded while the home was asked."""
-        now = time.monotonic()
+        now = steady()
         name = asked.identity.name
         entry = self._memory.find(name)
         if entry is not None and entry.owner not in (self._own, asked.known_owner):
--- a/whinrack/server/_peer_handlers.py
+++ b/whinrack/server/_peer_handlers.py
@@ -1,6 +1,5 @@
 """This daemon's answers to its peers."""
 
-import time
 from collections.abc import Callable, Iterator, Sequence
 
 import eventlet
@@ -8,6 +7,7 @@
 from returns.result import Failure, Result
 
 from whinrack.budgets import AccountDrawer, DrawOrder, DrawResult
+from whinrack.clock import steady
 from whinrack.exceptions import PeerUnavailable, PlatformFailure, Refusal
 from whinrack.membership import Member
 from whinrack.observability import Event, log_event
@@ -75,12 +75,12 @@
     def heartbeat(self, sender: Member, leaving: Sequence[str]) -> PeerWord:
         """Take in a peer's word and answer with one's own."""
         self.take_word(sender, leaving)
-        known = self.context.table.leaving_instances(time.monotonic())
+        known = self.context.table.leaving_instances(steady())
         return PeerWord(self.context.own_member(), sorted(known))
 
     def take_word(self, member: Member, leaving: Sequence[str]) -> None:
         """Learn from a heartbeat or its reply."""
-        now = time.monotonic()
+        now = steady()
         if self.context.table.heard(member, now):
             log_event(Event.MEMBER_JOINED, member=member.incarnation)
         if self.context.table.told_leaving(leaving, now):
@@ -99,7 +99,7 @@
 
     def consult(self, query: ConsultQuery) -> Verdict:
         """Tell whether a peer may run a request."""
-        if not self.context.memory.answers_for(query.home, time.monotonic()):
+        if not self.context.memory.answers_for(query.home, steady()):
             return Verdict(Consultation.NOT_HEIR)
         return self.context.memory.consult(
             query.identity,
@@ -107,17 +107,17 @@
             query.asker,
             query.lost_owner,
             query.repeatable,
-            time.monotonic(),
+            steady(),
         )
 
     def inherit(self, home: str, entries: list[HandedEntry]) -> None:
         """Take over the memory of a home that stops as planned."""
-        self.context.memory.inherit(home, entries, time.monotonic())
+        self.context.memory.inherit(home, entries, steady())
 
     def join(self, identity: str) -> Iterator[AnswerPart]:
         """Yield the answer of a request that runs or ran here."""
-        end = time.monotonic() + _JOIN_LONGEST
-        while time.monotonic() < end:
+        end = steady() + _JOIN_LONGEST
+        while steady() < end:
             entry = self.context.memory.find(identity)
             if entry is None or entry.state in (RunState.NOT_RUN, RunState.CEDED):
                 raise PeerUnavailable("no such answer")
--- a/whinrack/server/_policies.py
+++ b/whinrack/server/_policies.py
@@ -1,9 +1,8 @@
 """Evaluates the routing programs in force, or falls to the documented default."""
 
-import time
-
 from returns.result import Failure
 
+from whinrack.clock import steady
 from whinrack.exceptions import PolicyFailure
 from whinrack.feed import ConfigStore
 from whinrack.objects import RoutingPolicy
@@ -54,7 +53,7 @@
         default = default_decision(facts, tuple(serving))
         if policy is None:
             return default
-        now = time.monotonic()
+        now = steady()
         try:
             program = self._program(policy.program)
         except PolicyFailure as error:
--- a/whinrack/server/_services.py
+++ b/whinrack/server/_services.py
@@ -1,11 +1,11 @@
 """``ANY /services/<pool>/<path>``: plain services, body and headers whole both ways."""
 
-import time
 from collections.abc import Iterator
 
 from returns.result import Failure, Result, Success
 
 from whinrack.base import Outcome
+from whinrack.clock import steady
 from whinrack.engines import body_chunks, refused_unstarted
 from whinrack.exceptions import AnswerCut, Refusal, TargetFailed, TargetUnavailable, UnknownPool
 from whinrack.objects import Protocol
@@ -113,10 +113,8 @@
         except AnswerCut as cut:
             response.close()
             return Failure(cut)
-        call.slot.target.succeeded(time.monotonic())
-        self.context.metrics.first_byte.labels(self.kind).observe(
-            time.monotonic() - call.request.arrived
-        )
+        call.slot.target.succeeded(steady())
+        self.context.metrics.first_byte.labels(self.kind).observe(steady() - call.request.arrived)
         headers = _returned_headers(response)
         headers += answer_headers(call.identity.request_id, call.attempts, Outcome.RAN)
         if ended and call.request.method != "HEAD":
--- a/whinrack/server/_settlement.py
+++ b/whinrack/server/_settlement.py
@@ -1,10 +1,9 @@
 """The cover and the bill of one chat request."""
 
-import time
-
 from returns.result import Failure
 
 from whinrack.budgets import Cover
+from whinrack.clock import steady
 from whinrack.engines import Usage
 from whinrack.journal import BillRecord
 from whinrack.observability import Event, log_event
@@ -121,11 +120,11 @@
         """Wait until the bill is kept, as long as the settings say."""
         if not self._mark:
             return
-        started = time.monotonic()
+        started = steady()
         kept = self.context.bills.wait_kept(self._mark, self.context.settings.journal.answer_wait)
         self.context.metrics.bills.labels("kept" if kept else "unconfirmed").inc()
         if not kept:
-            waited = time.monotonic() - started
+            waited = steady() - started
             log_event(Event.BILL_UNCONFIRMED, waited=f"{waited:.2f}")
 
     def _count(self, billed: int, unproven: int) -> None:
--- a/whinrack/server/_sources.py
+++ b/whinrack/server/_sources.py
@@ -1,6 +1,5 @@
 """Where tokens come from: the region's drawer, the platform, and the peers."""
 
-import time
 from collections.abc import Iterable
 
 import eventlet
@@ -14,6 +13,7 @@
     SpareTotal,
     TokenSource,
 )
+from whinrack.clock import steady
 from whinrack.exceptions import WhinrackError
 from whinrack.membership import Member, MembershipTable
 from whinrack.observability import Metrics
@@ -52,7 +52,7 @@
     def draw(self, order: DrawOrder) -> Result[DrawResult, WhinrackError]:
         """Apply an order and return the books' state."""
         own = self.own()
-        chosen = self.table.drawer(own, order.account, time.monotonic())
+        chosen = self.table.drawer(own, order.account, steady())
         member = None if chosen == own.incarnation else self.table.find(chosen)
         if member is not None:
             result = self.peers.draw(member.peer_address, order)
@@ -87,7 +87,7 @@
     ) -> Iterable[SpareTotal]:
         """Ask peers for tokens and yield what each has given in all."""
         own = self.own()
-        members = self.table.alive(time.monotonic())
+        members = self.table.alive(steady())
         members.sort(key=lambda member: (member.region != own.region, member.name))
         pool = eventlet.GreenPool(_MOST_ASKED)
         missing = need
--- a/whinrack/server/_streams.py
+++ b/whinrack/server/_streams.py
@@ -1,10 +1,10 @@
 """Streamed bodies towards callers: hang-ups, and answers joined from elsewhere."""
 
-import time
 from collections.abc import Iterator
 
 import eventlet
 
+from whinrack.clock import steady
 from whinrack.exceptions import PeerUnavailable, Refusal, TargetFailed
 from whinrack.peers import AnswerPart
 from whinrack.server._call import Call
@@ -42,11 +42,11 @@
         eventlet.spawn_n(self._run_on)
 
     def _run_on(self) -> None:
-        end = time.monotonic() + self.grace
+        end = steady() + self.grace
         for _ in self.body:
             if self.call.answer.readers or not self.call.repeatable:
-                end = time.monotonic() + self.grace
-            if time.monotonic() >= end:
+                end = steady() + self.grace
+            if steady() >= end:
                 break
         self.body.close()
 
--- a/whinrack/server/_tasks.py
+++ b/whinrack/server/_tasks.py
@@ -1,12 +1,12 @@
 """The daemon's background tasks: heartbeats, lists, load reports, token reports."""
 
 import heapq
-import time
 from collections.abc import Callable
 
 import eventlet
 from returns.result import Failure, Success
 
+from whinrack.clock import steady
 from whinrack.objects import TargetPool
 from whinrack.observability import Event, log_event
 from whinrack.routing import TargetView
@@ -78,7 +78,7 @@
         the interval is left out, unless there is news for everyone.
         """
         own = self.context.own_member()
-        leaving = sorted(self.context.table.leaving_instances(time.monotonic()))
+        leaving = sorted(self.context.table.leaving_instances(steady()))
         pool = eventlet.GreenPool(_HEARTBEAT_FANOUT)
         for address in self._beat_addresses(everyone):
             pool.spawn_n(self._beat_one, address, own, leaving)
@@ -93,7 +93,7 @@
             self._platform_up = not self._platform_up
             log_event(Event.PLATFORM_BACK if self._platform_up else Event.PLATFORM_LOST)
         if isinstance(result, Success):
-            self.context.table.read_list(result.unwrap(), time.monotonic())
+            self.context.table.read_list(result.unwrap(), steady())
             self.update_leaving()
 
     def report_tokens(self) -> None:
@@ -106,7 +106,7 @@
 
     def update_leaving(self) -> None:
         """Let the pools know which instances leave."""
-        self.context.directory.set_leaving(self.context.table.leaving_instances(time.monotonic()))
+        self.context.directory.set_leaving(self.context.table.leaving_instances(steady()))
 
     def read_loads(self) -> None:
         """Read the load reports of the chat targets."""
@@ -140,7 +140,7 @@
             if address != settings.peer.address
         ]
         if not everyone:
-            recent = time.monotonic() - _SAME_BEAT * settings.membership.heartbeat_interval
+            recent = steady() - _SAME_BEAT * settings.membership.heartbeat_interval
             heard = self.context.table.heard_since(recent)
             addresses = [address for address in addresses if address not in heard]
         if len(addresses) <= settings.membership.full_mesh_limit:
@@ -157,7 +157,7 @@
         self.handlers.take_word(word.member, word.leaving)
 
     def _notice_lost(self) -> None:
-        now = time.monotonic()
+        now = steady()
         alive = {member.name for member in self.context.table.alive(now)}
         for name in self._alive - alive:
             log_event(Event.MEMBER_LOST, member=name)
@@ -166,7 +166,7 @@
 
     def _catch_up(self) -> None:
         """Fetch from a peer that has had newer configuration for some heartbeats."""
-        members = self.context.table.alive(time.monotonic())
+        members = self.context.table.alive(steady())
         newest = max(members, key=lambda member: member.revision, default=None)
         if newest is None or newest.revision <= self.context.config.newest:
             self._behind = 0
--- a/whinrack/store/_http.py
+++ b/whinrack/store/_http.py
@@ -17,6 +17,7 @@
 import urllib3
 from returns.result import Failure, Result, Success
 
+from whinrack.clock import steady
 from whinrack.exceptions import (
     Conflict,
     NotFound,
@@ -74,7 +75,7 @@
         rate: float = 50.0,
         longest_wait: float = 1.0,
         on_call: Callable[[str, str], None] = _ignore,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = steady,
         sleep: Callable[[float], None] = time.sleep,
     ):
         self.address = address
--- a/whinrack/store/_metered.py
+++ b/whinrack/store/_metered.py
@@ -1,11 +1,11 @@
 """Counts the calls to a store by operation and result."""
 
-import time
 from collections import Counter
 from collections.abc import Callable, Sequence
 
 from returns.result import Failure, Result, Success
 
+from whinrack.clock import steady
 from whinrack.exceptions import Conflict, NotFound, PlatformFailure
 from whinrack.store._types import Snapshot, StoredObject, WatchBatch
 from whinrack.store.base import ObjectStore
@@ -82,7 +82,7 @@
         self.calls[operation, outcome] += 1
         self.bytes[operation] += _size(result)
         if isinstance(result, Success) or isinstance(result.failure(), NotFound | Conflict):
-            self.answered_at = time.monotonic()
+            self.answered_at = steady()
         else:
             self.last_failure = f"{operation}: {result.failure().message}"
         self.count(operation, outcome)
