--- /dev/null
+++ b/whinrack/gossip/tests/test_versions.py
@@ -0,0 +1,54 @@
+"""Instances of two versions understand each other during a rolling restart."""
+
+import msgspec
+import pytest
+
+from whinrack.gossip import Heartbeat, Message, PeerAddress, PeerState, SuspectCases
+from whinrack.quarantine import Case
+
+STATE = PeerState(
+    incarnation="a.1",
+    sequence=1,
+    sender=PeerAddress("a", "10.0.0.1", 1),
+    callers="10.0.0.1:80",
+    data_hall="h",
+    ready=True,
+    store_answers=True,
+    load=0,
+    configuration=1,
+)
+# Fields that a heartbeat had before those of the quarantine and of the starts were added.
+_EARLIER_FIELDS = 9
+
+
+class EarlierHeartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat", kw_only=True):
+    """A heartbeat as an instance of the version before knows it."""
+
+    state: PeerState
+    number: int = 0
+    wall: float = 0.0
+    leaving: list[str] = []
+    gone: list[list] = []
+    peers: list[PeerAddress] = []
+    passed_on: list[PeerState] = []
+    ages: dict[int, int] = {}
+    asks_for_states: bool = False
+
+
+def test_a_later_heartbeat_is_read_by_an_earlier_version():
+    beat = Heartbeat(state=STATE, number=3, leaving=["t"], suspects=7, leaving_started=[5])
+    read = msgspec.msgpack.decode(msgspec.msgpack.encode(beat), type=EarlierHeartbeat)
+    assert (read.number, read.leaving) == (3, ["t"])
+
+
+def test_an_earlier_heartbeat_is_read_by_a_later_version():
+    assert len(EarlierHeartbeat.__struct_fields__) == _EARLIER_FIELDS
+    beat = EarlierHeartbeat(state=STATE, number=3, leaving=["t"])
+    read = msgspec.msgpack.decode(msgspec.msgpack.encode(beat), type=Message)
+    assert (read.leaving, read.leaving_started, read.suspects) == (["t"], [], 0)
+
+
+def test_a_message_that_an_earlier_version_does_not_know_is_none_of_its_own():
+    message = SuspectCases("a", [Case(fingerprint="f")])
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=EarlierHeartbeat)
