--- a/whinrack/dispatch/__init__.py
+++ b/whinrack/dispatch/__init__.py
@@ -3,8 +3,9 @@
 from whinrack.dispatch._configuration import Configuration
 from whinrack.dispatch._directory import Directory
 from whinrack.dispatch._dispatcher import Dispatcher, DispatchOptions
-from whinrack.dispatch._registry import TargetRegistry, TargetState
+from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._retries import RetryAllowance
+from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import (
     Attempt,
     DeclaredCover,
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -7,10 +7,11 @@
 from whinrack.dispatch._answers import AnswerRelay
 from whinrack.dispatch._last_words import settle_by_last_words
 from whinrack.dispatch._patience import AnswerTimes
-from whinrack.dispatch._registry import Reading, TargetRegistry, TargetState
+from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._retries import RetryAllowances
 from whinrack.dispatch._run import Run
 from whinrack.dispatch._target_ends import TargetEnds
+from whinrack.dispatch._target_state import Reading, TargetState
 from whinrack.dispatch._values import Attempt, PoolRecord, RouteKind, TargetsView
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
--- /dev/null
+++ b/whinrack/dispatch/_choice.py
@@ -0,0 +1,100 @@
+"""Which of the targets that may take a request gets it. Decisions only, no I/O."""
+
+import math
+import random
+from collections.abc import Callable
+
+from whinrack.base import rendezvous
+from whinrack.dispatch._loads import LoadsElsewhere
+from whinrack.dispatch._placement import EngineLoad, PromptNeed, choose_engine
+from whinrack.dispatch._target_state import TargetState
+
+__all__ = ["TargetChoice"]
+
+# How far above the mean a target's load may be before affinity gives way.
+_IMBALANCE = 1.25
+_IMBALANCE_SLACK = 2
+# Part of its slots up to which a target isn't so loaded that affinity gives way.
+_SLOTS_PART = 0.6
+# Where others' loads count, the least loaded of one part in so many is chosen, of two at
+# least: their counts are a little old, and all would choose the same target.
+_SAMPLED_PART = 4
+_FEWEST_SAMPLED = 2
+
+
+class TargetChoice:
+    """Chooses by affinity, load and what has to be read before.
+
+    Parameters
+    ----------
+    elsewhere : LoadsElsewhere
+        What other instances have at the targets.
+    seed : int, optional
+        Seeds the choice between equals.
+    """
+
+    def __init__(self, elsewhere: LoadsElsewhere, seed: int | None = None):
+        self.elsewhere = elsewhere
+        self._random = random.Random(seed)
+
+    def choose(
+        self,
+        open_: list[TargetState],
+        affinity: str,
+        now: float,
+        shares_loads: bool,
+        prompt: PromptNeed | None,
+    ) -> TargetState | None:
+        """Return one of some targets; see `TargetRegistry.choose`."""
+        states = [state for state in open_ if state.takes_work(now)] or open_
+        if not states:
+            return None
+        rested = [state for state in states if state.busy_until <= now] or states
+        load = self._load_everywhere if shares_loads else self._load_here
+        home = self._by_affinity(rested, affinity, load) if affinity else None
+        if home is not None and prompt is None:
+            return home
+        if shares_loads:
+            count = max(_FEWEST_SAMPLED, len(rested) // _SAMPLED_PART)
+            rested = self._random.sample(rested, min(count, len(rested)))
+        if prompt is not None:
+            return self._soonest(home, rested, prompt)
+        return min(rested, key=lambda state: (load(state), self._random.random()))
+
+    def _soonest(
+        self, home: TargetState | None, sampled: list[TargetState], prompt: PromptNeed
+    ) -> TargetState:
+        """Return the engine that reads the prompt first, the one with its shared parts or not."""
+        by_name = {state.record.incarnation: state for state in sampled}
+        loads = [self._engine_load(state) for state in sampled]
+        home_load = None
+        if home is not None:
+            by_name[home.record.incarnation] = home
+            home_load = self._engine_load(home)
+        return by_name[choose_engine(home_load, loads, prompt.shared).name]
+
+    def _engine_load(self, state: TargetState) -> EngineLoad:
+        return EngineLoad(
+            name=state.record.incarnation,
+            unread=state.unread + self.elsewhere.unread_at(state.digest),
+            requests=self._load_everywhere(state),
+            slots=state.record.slots,
+        )
+
+    def _by_affinity(
+        self, states: list[TargetState], affinity: str, load: Callable[[TargetState], int]
+    ) -> TargetState:
+        mean = sum(map(load, states)) / len(states)
+        most = math.ceil(_IMBALANCE * mean) + _IMBALANCE_SLACK
+        by_name = {state.record.incarnation: state for state in states}
+        for name in rendezvous(affinity, by_name):
+            state = by_name[name]
+            if load(state) < max(most, _SLOTS_PART * state.record.slots):
+                return state
+        return min(states, key=load)
+
+    def _load_here(self, state: TargetState) -> int:
+        return state.in_flight
+
+    def _load_everywhere(self, state: TargetState) -> int:
+        return state.in_flight + self.elsewhere.at(state.digest)
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -1,82 +1,25 @@
-"""The targets that this instance knows, and which of them takes a request."""
+"""The targets that this instance knows."""
 
-import math
-import random
 import sys
 from collections import OrderedDict
 from collections.abc import Callable, Collection
 
 import msgspec
-import xxhash
 
-from whinrack.base import rendezvous
+from whinrack.dispatch._choice import TargetChoice
 from whinrack.dispatch._loads import LoadsElsewhere
-from whinrack.dispatch._placement import EngineLoad, PromptNeed, choose_engine
+from whinrack.dispatch._placement import PromptNeed
+from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import TargetRecord
-from whinrack.ejection import EjectAlone
 
-__all__ = ["Reading", "TargetRegistry", "TargetState"]
+__all__ = ["TargetRegistry"]
 
-# How far above the mean a target's load may be before affinity gives way.
-_IMBALANCE = 1.25
-_IMBALANCE_SLACK = 2
-# Part of its slots up to which a target isn't so loaded that affinity gives way.
-_SLOTS_PART = 0.6
 _BUSY_SECONDS = 0.25
-# Where others' loads count, the least loaded of one part in so many is chosen, of two at
-# least: their counts are a little old, and all would choose the same target.
-_SAMPLED_PART = 4
-_FEWEST_SAMPLED = 2
 # Names of targets that said that they leave, the last ones; chosen as the names of those that
 # are gone are, for a release of the largest fleet aimed at.
 _MOST_LEFT = 2000
 
 
-class TargetState:
-    """One target as this instance sees it. Decisions only, no I/O."""
-
-    def __init__(self, record: TargetRecord):
-        self.record = record
-        self.digest = xxhash.xxh32_intdigest(record.identity.encode())
-        self.in_flight = 0
-        # Prompt tokens of requests from here that have brought no event yet.
-        self.unread = 0
-        self.gone = False
-        self.told_leaving = False
-        # A later start took its place before it had said that it leaves.
-        self.replaced = False
-        self.busy_until = float("-inf")
-        self.ejection = EjectAlone(failures=3, first=1.0, longest=4.0)
-
-    @property
-    def address(self) -> tuple[str, int]:
-        """Where it listens."""
-        return self.record.address
-
-    @property
-    def leaving(self) -> bool:
-        """Whether it takes no new work."""
-        return self.gone or self.told_leaving or self.record.leaving
-
-    def takes_work(self, now: float) -> bool:
-        """Whether a request may be sent to it."""
-        return not self.leaving and not self.ejection.ejected(now)
-
-
-class Reading:
-    """Prompt tokens that a target has to read for one request."""
-
-    def __init__(self, state: TargetState, tokens: int):
-        self.state = state
-        self.tokens = tokens
-        state.unread += tokens
-
-    def end(self) -> None:
-        """Learn that they are read, or needn't be; calling it again changes nothing."""
-        self.state.unread -= self.tokens
-        self.tokens = 0
-
-
 class TargetRegistry:
     """All targets by pool.
 
@@ -95,7 +38,7 @@
         # Called with each target of which a later start took the place.
         self.ended: list[Callable[[TargetState], None]] = []
         self.elsewhere = LoadsElsewhere()
-        self._random = random.Random(seed)
+        self._choice = TargetChoice(self.elsewhere, seed)
 
     def loads(self) -> dict[int, int]:
         """Return the requests in flight from here, by the targets' digests."""
@@ -237,66 +180,20 @@
         prompt : PromptNeed, optional
             Place by what the targets have to read before, too.
         """
-        open_ = [
-            state
-            for state in self._pools.get(pool, {}).values()
-            if state.record.identity not in tried
-            and not state.leaving
-            and state.in_flight < most_in_flight
-        ]
-        states = [state for state in open_ if state.takes_work(now)] or open_
-        if not states:
-            return None
-        rested = [state for state in states if state.busy_until <= now] or states
-        load = self._load_everywhere if shares_loads else self._load_here
-        home = self._by_affinity(rested, affinity, load) if affinity else None
-        if home is not None and prompt is None:
-            return home
-        if shares_loads:
-            count = max(_FEWEST_SAMPLED, len(rested) // _SAMPLED_PART)
-            rested = self._random.sample(rested, min(count, len(rested)))
-        if prompt is not None:
-            return self._soonest(home, rested, prompt)
-        return min(rested, key=lambda state: (load(state), self._random.random()))
-
-    def _soonest(
-        self, home: TargetState | None, sampled: list[TargetState], prompt: PromptNeed
-    ) -> TargetState:
-        """Return the engine that reads the prompt first, the one with its shared parts or not."""
-        by_name = {state.record.incarnation: state for state in sampled}
-        loads = [self._engine_load(state) for state in sampled]
-        home_load = None
-        if home is not None:
-            by_name[home.record.incarnation] = home
-            home_load = self._engine_load(home)
-        return by_name[choose_engine(home_load, loads, prompt.shared).name]
-
-    def _engine_load(self, state: TargetState) -> EngineLoad:
-        return EngineLoad(
-            name=state.record.incarnation,
-            unread=state.unread + self.elsewhere.unread_at(state.digest),
-            requests=self._load_everywhere(state),
-            slots=state.record.slots,
+        return self._choice.choose(
+            [
+                state
+                for state in self._pools.get(pool, {}).values()
+                if state.record.identity not in tried
+                and not state.leaving
+                and state.in_flight < most_in_flight
+            ],
+            affinity,
+            now,
+            shares_loads,
+            prompt,
         )
 
-    def _by_affinity(
-        self, states: list[TargetState], affinity: str, load: Callable[[TargetState], int]
-    ) -> TargetState:
-        mean = sum(map(load, states)) / len(states)
-        most = math.ceil(_IMBALANCE * mean) + _IMBALANCE_SLACK
-        by_name = {state.record.incarnation: state for state in states}
-        for name in rendezvous(affinity, by_name):
-            state = by_name[name]
-            if load(state) < max(most, _SLOTS_PART * state.record.slots):
-                return state
-        return min(states, key=load)
-
-    def _load_here(self, state: TargetState) -> int:
-        return state.in_flight
-
-    def _load_everywhere(self, state: TargetState) -> int:
-        return state.in_flight + self.elsewhere.at(state.digest)
-
     def started(self, state: TargetState) -> None:
         """Count a request that is sent to a target."""
         state.in_flight += 1
--- a/whinrack/dispatch/_run.py
+++ b/whinrack/dispatch/_run.py
@@ -4,7 +4,7 @@
 from whinrack.clock import steady
 from whinrack.dispatch._configuration import Configuration
 from whinrack.dispatch._placement import PromptNeed
-from whinrack.dispatch._registry import Reading
+from whinrack.dispatch._target_state import Reading
 from whinrack.dispatch._values import (
     IncomingRequest,
     PoolRecord,
--- a/whinrack/dispatch/_target_ends.py
+++ b/whinrack/dispatch/_target_ends.py
@@ -7,7 +7,8 @@
 from eventlet.green import socket
 
 from whinrack.clock import steady
-from whinrack.dispatch._registry import TargetRegistry, TargetState
+from whinrack.dispatch._registry import TargetRegistry
+from whinrack.dispatch._target_state import TargetState
 from whinrack.observability import Event, log_event
 from whinrack.quarantine import RequestName, RunGuard, TargetEnd
 
--- /dev/null
+++ b/whinrack/dispatch/_target_state.py
@@ -0,0 +1,53 @@
+"""One target as this instance sees it. Decisions only, no I/O."""
+
+import xxhash
+
+from whinrack.dispatch._values import TargetRecord
+from whinrack.ejection import EjectAlone
+
+__all__ = ["Reading", "TargetState"]
+
+
+class TargetState:
+    """One target as this instance sees it. Decisions only, no I/O."""
+
+    def __init__(self, record: TargetRecord):
+        self.record = record
+        self.digest = xxhash.xxh32_intdigest(record.identity.encode())
+        self.in_flight = 0
+        # Prompt tokens of requests from here that have brought no event yet.
+        self.unread = 0
+        self.gone = False
+        self.told_leaving = False
+        # A later start took its place before it had said that it leaves.
+        self.replaced = False
+        self.busy_until = float("-inf")
+        self.ejection = EjectAlone(failures=3, first=1.0, longest=4.0)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        return self.record.address
+
+    @property
+    def leaving(self) -> bool:
+        """Whether it takes no new work."""
+        return self.gone or self.told_leaving or self.record.leaving
+
+    def takes_work(self, now: float) -> bool:
+        """Whether a request may be sent to it."""
+        return not self.leaving and not self.ejection.ejected(now)
+
+
+class Reading:
+    """Prompt tokens that a target has to read for one request."""
+
+    def __init__(self, state: TargetState, tokens: int):
+        self.state = state
+        self.tokens = tokens
+        state.unread += tokens
+
+    def end(self) -> None:
+        """Learn that they are read, or needn't be; calling it again changes nothing."""
+        self.state.unread -= self.tokens
+        self.tokens = 0
--- a/whinrack/dispatch/tests/test_placement.py
+++ b/whinrack/dispatch/tests/test_placement.py
@@ -10,7 +10,7 @@
 
 from whinrack.dispatch import TargetRecord, TargetRegistry
 from whinrack.dispatch._placement import EngineLoad, PromptNeed, choose_engine
-from whinrack.dispatch._registry import Reading
+from whinrack.dispatch._target_state import Reading
 
 
 def engine(name, unread=0, requests=0, slots=32):
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -10,7 +10,7 @@
 
 from whinrack.base import new_incarnation
 from whinrack.budgets import RestartMoment
-from whinrack.clock import SleepWatch, steady
+from whinrack.clock import steady
 from whinrack.dispatch import (
     Configuration,
     Dialect,
@@ -25,15 +25,18 @@
 from whinrack.edge._entries import serves_callers
 from whinrack.edge._feeding import FeedPlan
 from whinrack.edge._knowledge import StoreKnowledge
-from whinrack.edge._membership import Membership, MembershipHost
+from whinrack.edge._membership import Membership
+from whinrack.edge._membership_host import MembershipHost
 from whinrack.edge._operator_answers import OperatorAnswers
 from whinrack.edge._options import EdgeOptions, HostPort
 from whinrack.edge._reloading import SettingsFollower
 from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
 from whinrack.edge._sources import ConfigurationReader, TargetReader
+from whinrack.edge._stopping import PlannedStop
 from whinrack.edge._suspects import SuspectExchange
 from whinrack.edge._tokens import TokenExchange
 from whinrack.edge._traffic import Place
+from whinrack.edge._upkeep import Upkeep
 from whinrack.gossip import GoneTarget, Message, SuspectCases
 from whinrack.http1 import ConnectionPool, HttpServer
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
@@ -42,16 +45,8 @@
 __all__ = ["EdgeDaemon"]
 
 _STDOUT = 1
-_POLL_SECONDS = 0.05
-_PUMP_SECONDS = 0.1
-_KILL_MARGIN_SECONDS = 0.4
-# Part of a stop's time in which requests are finished; the rest is for the last orders.
-_SERVING_PART_OF_STOP = 0.84
-# Callers may keep the answer where to go this many times as long as they were told.
-_STALE_ANSWERS = 3
 _EXIT_OK = 0
 _BOOKS_LOG_ROUNDS = 5
-_TRAFFIC_LOG_SECONDS = 20.0
 _TASK_PAUSE_SECONDS = 0.5
 # How often it is looked whether callers had better connect elsewhere.
 _CROWDED_SECONDS = 0.25
@@ -169,15 +164,16 @@
             lambda refusal: dialect.refusal(refusal, None),
             lambda: self.directory.limits,
         )
+        self.planned_stop = PlannedStop(
+            self.membership, self.front, self.dispatcher, self.keeper, self.tokens
+        )
+        self.upkeep = Upkeep(self.output, self.membership.traffic, self.store, self.membership.link)
         self._serves = False
-        self._stopping = False
-        self._stopped = False
-        self._reported_drops = 0
 
     def run(self) -> int:
         """Serve until a signal stops the process; returns its exit code."""
         configure_logs("INFO", json_lines=True, sink=self.output)
-        eventlet.spawn_n(self._pump_forever)
+        eventlet.spawn_n(self.upkeep.pump_forever)
         log_event(Event.ROUTER_STARTED, instance=self.options.name, run=self.holder)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: eventlet.spawn_n(self._stop))
@@ -274,7 +270,7 @@
             self._renew_forever,
             self.settings.follow,
             self._watch_crowding,
-            self._log_traffic_forever,
+            self.upkeep.log_traffic_forever,
             self.membership.beat_forever,
             self.membership.share_loads_forever,
         )
@@ -300,7 +296,7 @@
 
     def _renew_forever(self) -> None:
         rounds = 0
-        while not self._stopped:
+        while not self.planned_stop.served:
             if isinstance(self.keeper.renew(), Failure):
                 self.contact.report(False)
             rounds += 1
@@ -329,51 +325,16 @@
         self.dispatcher.use(_dispatch_options(options))
 
     def _stop(self) -> None:
-        """Finish what was taken, hand the tokens back and exit."""
-        if self._stopping:
+        if self.planned_stop.begun:
             return
-        self._stopping = True
-        signalled = steady()
-        log_event(Event.ROUTER_STOPPING, in_progress=self.dispatcher.in_progress)
-        self.membership.stopping = True
-        self.membership.beat()
-        self.front.closing = True
-        # Until callers have asked anew where to go, new requests are served as before.
-        known_until = signalled + min(3.0, self.options.answer_seconds * _STALE_ANSWERS)
-        end = signalled + self.options.stop_seconds * _SERVING_PART_OF_STOP
-        kill_at = signalled + self.options.stop_seconds - _KILL_MARGIN_SECONDS
-        eventlet.spawn_n(self.keeper.drain, False)
-        _sleep_until(known_until)
-        self.dispatcher.refusing = True
-        self.front.close_idle()
-        while self.dispatcher.in_progress and steady() < end:
-            eventlet.sleep(_POLL_SECONDS)
-        self._stopped = True
-        self.front.stop_listening()
-        self.tokens.tell_given()
-        with eventlet.Timeout(max(0.1, kill_at - steady()), False):
-            self.keeper.drain(True)
-        self._log_traffic()
+        self.planned_stop.run(self.options)
+        self.upkeep.log_traffic()
         log_event(Event.ROUTER_STOPPED, in_progress=self.dispatcher.in_progress)
         self.output.pump()
         sys.stdout.flush()
         os._exit(_EXIT_OK)
 
-    # --- upkeep ------------------------------------------------------------------
-
-    def _log_traffic_forever(self) -> None:
-        while True:
-            eventlet.sleep(_TRAFFIC_LOG_SECONDS)
-            self._log_traffic()
-
-    def _log_traffic(self) -> None:
-        log_event(
-            Event.TRAFFIC,
-            sent=self.membership.traffic.summary(),
-            calls=self.store.summary(),
-            values=self.store.bytes_summary(),
-            malformed=self.membership.link.malformed,
-        )
+    # --- counting ----------------------------------------------------------------
 
     def _count_bytes(self, message: str, place: Place, size: int) -> None:
         self.metrics.peer_bytes.labels(message, place.value).inc(size)
@@ -381,18 +342,6 @@
     def _count_call(self, operation: str, result: str) -> None:
         self.metrics.platform_calls.labels(operation, result).inc()
 
-    def _pump_forever(self) -> None:
-        sleep_watch = SleepWatch()
-        while True:
-            slept = sleep_watch.slept()
-            if slept:
-                log_event(Event.MACHINE_SUSPENDED, seconds=round(slept, 3))
-            self.output.pump()
-            if self.output.dropped > self._reported_drops:
-                log_event(Event.LINES_DROPPED, count=self.output.dropped - self._reported_drops)
-                self._reported_drops = self.output.dropped
-            eventlet.sleep(_PUMP_SECONDS)
-
 
 def _dispatch_options(options: EdgeOptions) -> DispatchOptions:
     return DispatchOptions(
@@ -413,7 +362,3 @@
         except Exception as error:
             log_event(Event.TASK_FAILED, task=task.__qualname__, error=repr(error))
             eventlet.sleep(_TASK_PAUSE_SECONDS)
-
-
-def _sleep_until(moment: float) -> None:
-    eventlet.sleep(max(0.0, moment - steady()))
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -12,14 +12,13 @@
 from whinrack.clock import steady
 from whinrack.dispatch import Directory, TargetRegistry
 from whinrack.edge._entries import choose_entries, is_crowded
+from whinrack.edge._membership_host import MembershipHost
 from whinrack.edge._options import EdgeOptions, HostPort
 from whinrack.edge._traffic import Place, TrafficMeter
 from whinrack.gossip import (
     ClockCheck,
-    GoneTarget,
     GossipLink,
     Heartbeat,
-    Message,
     PeerAddress,
     PeerState,
     PeerTable,
@@ -27,7 +26,7 @@
 )
 from whinrack.observability import Event, log_event
 
-__all__ = ["Membership", "MembershipHost"]
+__all__ = ["Membership"]
 
 _MOST_LEAVING = 200
 # Shortest time between two heartbeats that pass news on.
@@ -42,58 +41,6 @@
 _MOST_LOGGED = 6
 
 
-class MembershipHost:
-    """What the membership asks of the instance that it speaks for, and tells it."""
-
-    def open_requests(self) -> int:
-        """Return the requests in progress here."""
-        raise NotImplementedError
-
-    def serves_callers(self, now: float) -> bool:
-        """Whether callers' requests come here, by the steady clock."""
-        raise NotImplementedError
-
-    def holds_tokens(self) -> bool:
-        """Whether there are unspent tokens here."""
-        raise NotImplementedError
-
-    def reaches_store(self) -> bool:
-        """Whether the store can be reached from here."""
-        raise NotImplementedError
-
-    def confirms_store(self) -> bool:
-        """Whether the store has answered a call from here lately."""
-        raise NotImplementedError
-
-    def gone_targets(self) -> list[GoneTarget]:
-        """Return the targets whose records have gone lately."""
-        raise NotImplementedError
-
-    def learn_gone_targets(self, gone: list[GoneTarget]) -> None:
-        """Take in the targets that a peer knows to be gone."""
-        raise NotImplementedError
-
-    def hear_of_configuration(self, peer: HostPort) -> None:
-        """Learn that a peer has a newer configuration."""
-        raise NotImplementedError
-
-    def hear_of_store(self) -> None:
-        """Learn that a peer reaches the store, after none did."""
-        raise NotImplementedError
-
-    def suspects_checksum(self) -> int:
-        """Return the checksum of the requests that are suspected of ending targets."""
-        raise NotImplementedError
-
-    def compare_suspects(self, checksum: int, peer: HostPort) -> None:
-        """Take in a peer's checksum of the requests that it suspects."""
-        raise NotImplementedError
-
-    def receive(self, message: Message, address: HostPort) -> None:
-        """Take in a message that is not about who is there."""
-        raise NotImplementedError
-
-
 class Membership:
     """Sends heartbeats and takes in those of the peers.
 
--- /dev/null
+++ b/whinrack/edge/_upkeep.py
@@ -0,0 +1,64 @@
+"""What an instance writes of itself: log lines that wait, sleeps of the machine, traffic."""
+
+import eventlet
+
+from whinrack.clock import SleepWatch
+from whinrack.edge._traffic import TrafficMeter
+from whinrack.gossip import GossipLink
+from whinrack.observability import BoundedOutput, Event, log_event
+from whinrack.store import MeteredStore
+
+__all__ = ["Upkeep"]
+
+_PUMP_SECONDS = 0.1
+_TRAFFIC_LOG_SECONDS = 20.0
+
+
+class Upkeep:
+    """Writes waiting log lines, and lines on what is counted.
+
+    Parameters
+    ----------
+    output : BoundedOutput
+    traffic : TrafficMeter
+    store : MeteredStore
+    link : GossipLink
+    """
+
+    def __init__(
+        self, output: BoundedOutput, traffic: TrafficMeter, store: MeteredStore, link: GossipLink
+    ):
+        self.output = output
+        self.traffic = traffic
+        self.store = store
+        self.link = link
+        self._reported_drops = 0
+
+    def pump_forever(self) -> None:
+        """Write what waits; tell of lines that were left out and of sleeps of the machine."""
+        sleep_watch = SleepWatch()
+        while True:
+            slept = sleep_watch.slept()
+            if slept:
+                log_event(Event.MACHINE_SUSPENDED, seconds=round(slept, 3))
+            self.output.pump()
+            if self.output.dropped > self._reported_drops:
+                log_event(Event.LINES_DROPPED, count=self.output.dropped - self._reported_drops)
+                self._reported_drops = self.output.dropped
+            eventlet.sleep(_PUMP_SECONDS)
+
+    def log_traffic_forever(self) -> None:
+        """Tell now and then what moved."""
+        while True:
+            eventlet.sleep(_TRAFFIC_LOG_SECONDS)
+            self.log_traffic()
+
+    def log_traffic(self) -> None:
+        """Tell what moved between this instance and others since its start."""
+        log_event(
+            Event.TRAFFIC,
+            sent=self.traffic.summary(),
+            calls=self.store.summary(),
+            values=self.store.bytes_summary(),
+            malformed=self.link.malformed,
+        )
--- a/whinrack/edge/tests/test_membership.py
+++ b/whinrack/edge/tests/test_membership.py
@@ -6,7 +6,8 @@
 from whinrack.clock import steady
 from whinrack.dispatch import Directory, TargetRegistry
 from whinrack.edge import EdgeOptions
-from whinrack.edge._membership import Membership, MembershipHost
+from whinrack.edge._membership import Membership
+from whinrack.edge._membership_host import MembershipHost
 from whinrack.gossip import Heartbeat, PeerAddress, PeerState
 
 OPTIONS = EdgeOptions(
