A trial isn't spent on a store that is away, and its caller doesn't wait for it

Found on reading: 30 s after the last end each request that is kept out asked the store for the trial, up to 1.2 s when it is away, and counted it as taken though nothing was written, so that the next one was due only 5 minutes later.

--- a/whinrack/cli/tests/test_quarantine.py
+++ b/whinrack/cli/tests/test_quarantine.py
@@ -19,6 +19,9 @@
     def tell_all(self, cases):
         self.told += cases
 
+    def reaches_store(self):
+        return False
+
     def keep(self):
         pass
 
--- a/whinrack/edge/_suspects.py
+++ b/whinrack/edge/_suspects.py
@@ -126,6 +126,10 @@
 
     # --- the store ------------------------------------------------------------------
 
+    def reaches_store(self) -> bool:
+        """Whether the store answers calls from here."""
+        return self.contact.answers
+
     def keep(self) -> None:
         """Have the suspects written soon."""
         self._count()
--- a/whinrack/quarantine/_quarantine.py
+++ b/whinrack/quarantine/_quarantine.py
@@ -7,10 +7,10 @@
 
 from collections.abc import Callable, Iterable
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from whinrack.clock import steady
-from whinrack.exceptions import RequestQuarantined
+from whinrack.exceptions import RequestQuarantined, WriteUnknown
 from whinrack.observability import Event, log_event
 from whinrack.quarantine._archive import CaseArchive
 from whinrack.quarantine._cases import Case, TargetEnd
@@ -39,6 +39,10 @@
         """Tell all instances."""
         raise NotImplementedError
 
+    def reaches_store(self) -> bool:
+        """Whether the store answers calls from here."""
+        raise NotImplementedError
+
     def keep(self) -> None:
         """Have the suspects written to the store soon."""
         raise NotImplementedError
@@ -88,9 +92,14 @@
 
     def _takes_trial(self, case: Case) -> bool:
         """Whether this instance may let one run through; all others learn that it did."""
+        if not self.host.reaches_store():
+            # Its caller would wait for the store in vain.
+            return False
         claimed = self.archive.claim_trial(case)
+        if isinstance(claimed, Failure) and not isinstance(claimed.failure(), WriteUnknown):
+            return False
         taken = isinstance(claimed, Success) and claimed.unwrap()
-        # A write without an answer may have been done: here it counts as such.
+        # Another instance has it, or a write without an answer may have been done.
         self.table.merge(case.with_trial(self.wall()))
         self.host.tell_all([self.table.get(case.fingerprint)])
         log_event(
--- a/whinrack/quarantine/tests/test_quarantine.py
+++ b/whinrack/quarantine/tests/test_quarantine.py
@@ -17,6 +17,7 @@
     def __init__(self, name, store, clock):
         self.name = name
         self.hears = []
+        self.store_answers = True
         self.archive = CaseArchive(store, lambda: clock[0])
         self.quarantine = Quarantine(self.archive, self, lambda: clock[0], lambda: clock[0])
 
@@ -29,6 +30,9 @@
             if lacking:
                 self.quarantine.learn(lacking, peer.name)
 
+    def reaches_store(self):
+        return self.store_answers
+
     def keep(self):
         self.archive.write(self.quarantine.table.suspects())
 
@@ -188,6 +192,27 @@
     fleet.store.down = True
     fleet.clock[0] += 60.0
     assert fleet.admits() == [False] * 4
+    fleet.store.down = False
+    assert sum(fleet.admits()) == 1
+
+
+def test_while_the_store_is_away_nobody_waits_for_it(fleet):
+    for target in "abc":
+        fleet.end(0, target, DEADLY)
+    fleet.clock[0] += 60.0
+    calls = fleet.store.calls
+    for instance in fleet.all:
+        instance.store_answers = False
+    assert fleet.admits() == [False] * 4
+    assert fleet.store.calls == calls
+
+
+def test_a_trial_that_may_have_been_taken_is_not_taken_again(fleet):
+    for target in "abc":
+        fleet.end(0, target, DEADLY)
+    fleet.clock[0] += 60.0
+    fleet.store.lose_replies = 1
+    assert fleet.admits() == [False] * 4
 
 
 def test_an_operator_lifts_it_everywhere(fleet):
