--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -97,7 +97,7 @@
 
     def _end_earlier(self, state: TargetState) -> None:
         """Learn from another start's record that one has ended."""
-        state.replaced = not state.leaving
+        state.replaced = not (state.record.leaving or state.told_leaving)
         state.gone = True
         self._drop(state)
         for ended in self.ended:
--- a/whinrack/dispatch/tests/test_starts.py
+++ b/whinrack/dispatch/tests/test_starts.py
@@ -117,6 +117,18 @@
     assert chosen(registry) == 6
 
 
+@pytest.mark.parametrize("planned", [True, False])
+def test_whether_the_earlier_one_ended_as_planned_is_what_it_said(registry, planned):
+    registry.put(record(5))
+    (before,) = registry.of_pool("p")
+    registry.started(before)
+    if planned:
+        registry.leave("t", 5)
+    registry.remove("t")
+    registry.put(record(6))
+    assert before.replaced is not planned
+
+
 def test_a_record_of_another_name_with_its_address_takes_nothing_from_it(registry):
     ended = []
     registry.ended.append(ended.append)
