--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -181,7 +181,7 @@
         while True:
             eventlet.sleep(_PEER_PAUSE)
             # A fed instance goes on being fed by a peer that reaches the store.
-            alone = not self.contact.answers and self.plan.source().address is None
+            alone = not self.contact.answers and self.follows_store()
             peer = self.peer_with_store() if alone else None
             known = self.fetch(peer) if peer is not None else None
             if known is not None and not self.contact.answers:
@@ -200,7 +200,7 @@
                 heard.wait()
             # Word that comes while the store is asked in vain lets it be asked once more.
             heard = self._store_heard
-            is_fed = self.plan.source().address is not None
+            is_fed = not self.follows_store()
             if not self.contact.answers and is_fed and self.plan.store_may_answer():
                 self.contact.report(self._store_answers())
 
@@ -214,7 +214,7 @@
     def _catch_up(self, peer: HostPort) -> None:
         try:
             before = self.directory.version
-            if self.plan.source().address is not None:
+            if not self.follows_store():
                 eventlet.sleep(_FEED_PAUSE)
                 if self.directory.version != before:
                     return
--- a/whinrack/quarantine/_quarantine.py
+++ b/whinrack/quarantine/_quarantine.py
@@ -119,7 +119,7 @@
         """Take in a target's end as evidence against those that it cut."""
         now = self.wall()
         for request in runs:
-            if self.table.succeeded_lately(request.fingerprint, self.steady()):
+            if self._is_innocent(request.fingerprint):
                 continue
             empty = Case(
                 fingerprint=request.fingerprint,
@@ -151,7 +151,7 @@
         for told in cases:
             before = self.table.get(told.fingerprint, told.workspace)
             known = self.table.merge(told)
-            if len(known.ends) >= SUSPICIOUS and self._is_innocent(known):
+            if len(known.ends) >= SUSPICIOUS and self._is_innocent(known.fingerprint):
                 self._clear(known.fingerprint, known.workspace, "ended well lately")
                 continue
             if len(known.ends) < SUSPICIOUS and not known.epoch:
@@ -177,8 +177,8 @@
 
     # --- consequences -----------------------------------------------------------------
 
-    def _is_innocent(self, case: Case) -> bool:
-        return self.table.succeeded_lately(case.fingerprint, self.steady())
+    def _is_innocent(self, fingerprint: str) -> bool:
+        return self.table.succeeded_lately(fingerprint, self.steady())
 
     def _clear(self, fingerprint: str, workspace: str, why: str) -> bool:
         before = self.table.get(fingerprint, workspace)
