--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,6 +10,7 @@
     bench_fleet,
     bench_load,
     bench_router,
+    bench_warm_up,
 )
 
 BENCHMARKS = {
@@ -20,6 +21,7 @@
     "load": bench_load,
     "capacity": bench_capacity,
     "edge": bench_edge,
+    "warm_up": bench_warm_up,
 }
 
 
--- a/whinrack/dispatch/__init__.py
+++ b/whinrack/dispatch/__init__.py
@@ -3,11 +3,13 @@
 from whinrack.dispatch._configuration import Configuration
 from whinrack.dispatch._directory import Directory
 from whinrack.dispatch._dispatcher import Dispatcher, DispatchOptions
+from whinrack.dispatch._halls import EmptiedHalls, HallWord
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._retries import RetryAllowance
 from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import (
     Attempt,
+    ColdStart,
     DeclaredCover,
     EngineShape,
     IncomingRequest,
@@ -20,17 +22,21 @@
     TargetsView,
     WorkspaceRecord,
 )
+from whinrack.dispatch._warming import WarmUpLimits, WarmUpPermits
 from whinrack.dispatch.base import Dialect
 
 __all__ = [
     "Attempt",
+    "ColdStart",
     "Configuration",
     "DeclaredCover",
     "Dialect",
     "Directory",
     "DispatchOptions",
     "Dispatcher",
+    "EmptiedHalls",
     "EngineShape",
+    "HallWord",
     "IncomingRequest",
     "PoolRecord",
     "PoolShare",
@@ -42,5 +48,7 @@
     "TargetsView",
     "TargetRegistry",
     "TargetState",
+    "WarmUpLimits",
+    "WarmUpPermits",
     "WorkspaceRecord",
 ]
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -19,13 +19,20 @@
     AttemptTimeout,
     CallerGone,
     Refusal,
+    TargetsCold,
     TargetUnavailable,
 )
 from whinrack.http1 import ConnectionPool, RequestHead, ResponseHead, TargetConnection
 from whinrack.observability import Metrics
 from whinrack.quarantine import AdmitAll, RunGuard
 
-__all__ = ["BUSY_RETRY_SECONDS", "TIMEOUT_MARGIN", "AttemptFailed", "AttemptRunner"]
+__all__ = [
+    "BUSY_RETRY_SECONDS",
+    "TIMEOUT_MARGIN",
+    "AttemptFailed",
+    "AttemptRunner",
+    "NobodyTakesIt",
+]
 
 _OK = 200
 _SERVER_ERROR = 500
@@ -58,6 +65,13 @@
         self.counts = counts
 
 
+class NobodyTakesIt(AttemptFailed):
+    """No target of the pool takes a request now; asking again at once changes nothing."""
+
+    def __init__(self, refusal: Refusal):
+        super().__init__(refusal, counts=False)
+
+
 class AttemptRunner:
     """Sends requests to targets and relays their answers.
 
@@ -118,26 +132,34 @@
         pool = run.configuration.pools.get(pool_name)
         now = steady()
         if pool is None:
-            raise AttemptFailed(_no_target(), counts=False)
+            raise NobodyTakesIt(_no_target())
         most = self._most_in_flight(pool)
         has_engines = pool.engine is not None
         prompt = run.prompt if has_engines else None
         state = self.registry.choose(
-            pool_name, run.affinity, run.tried, now, most, shares_loads=has_engines, prompt=prompt
+            pool_name,
+            run.affinity,
+            run.tried,
+            now,
+            most,
+            shares_loads=has_engines,
+            prompt=prompt,
+            cold_start=pool.cold_start,
+            rank=run.priority,
         )
         if state is None:
-            raise AttemptFailed(_no_target(), counts=False)
+            raise NobodyTakesIt(self._nobody(pool, now))
         run.tried.add(state.record.identity)
         run.target = state.record.incarnation
         run.targets_view = self.targets_view()
         self.metrics.targets_age.set(run.targets_view.age)
-        self.registry.started(state)
+        self.registry.started(state, pool.cold_start)
         run.reading = Reading(state, prompt.tokens if prompt is not None else 0)
         connection = None
         try:
             connection = self._connect(run, state)
-            if state.leaving:
-                # It said so while the connection was waited for, and nothing was sent yet.
+            if not self.registry.may_be_sent(state):
+                # That was learnt while the connection was waited for, and nothing was sent yet.
                 raise AttemptFailed(_no_target(), counts=False)
             self._under_way.setdefault(state, set()).add(connection)
             self._exchange(run, pool, state, connection)
@@ -148,6 +170,13 @@
             if connection is not None:
                 self.connections.give_back(connection)
 
+    def _nobody(self, pool: PoolRecord, now: float) -> Refusal:
+        """Return why a pool has no target for a request, and when it may have one."""
+        wait = self.registry.warm_up_wait(pool.name, pool.cold_start, now)
+        if wait is None:
+            return _no_target()
+        return TargetsCold("the targets have just started", retry_after=wait)
+
     def _ended(self, state: TargetState, connection: TargetConnection | None) -> None:
         connections = self._under_way.get(state, set())
         connections.discard(connection)
@@ -174,7 +203,7 @@
         try:
             return self.connections.take(state.address, run.end)
         except TargetUnavailable as failure:
-            state.ejection.unreachable(steady())
+            state.unreachable(steady())
             raise AttemptFailed(_no_target(), counts=False) from failure
 
     def _exchange(
@@ -198,7 +227,7 @@
                 run.may_have_run = may_have_run_before
                 self._refused_by_target(state, head)
             answered = True
-            state.ejection.succeeded(steady())
+            state.answered(steady())
             self._pass_on(run, pool, connection, head)
             if head.status < _SERVER_ERROR:
                 self.guard.ended_well(run.name)
@@ -280,8 +309,8 @@
     def _run_again(self, run: Run, head: ResponseHead) -> None:
         """Try another target after a target's own failure, where that is allowed."""
         pool = run.route.shares[0].pool
-        others = self.registry.choose(pool, "", run.tried, steady())
-        if run.attempts < run.route.most_attempts and others is not None:
+        has_other = self.registry.has_other(pool, run.tried, steady())
+        if run.attempts < run.route.most_attempts and has_other:
             raise AnswerCut(f"the target answered {head.status}")
 
 
--- a/whinrack/dispatch/_choice.py
+++ b/whinrack/dispatch/_choice.py
@@ -8,6 +8,8 @@
 from whinrack.dispatch._loads import LoadsElsewhere
 from whinrack.dispatch._placement import EngineLoad, PromptNeed, choose_engine
 from whinrack.dispatch._target_state import TargetState
+from whinrack.dispatch._values import ColdStart
+from whinrack.dispatch._warming import WarmUpPermits
 
 __all__ = ["TargetChoice"]
 
@@ -29,12 +31,15 @@
     ----------
     elsewhere : LoadsElsewhere
         What other instances have at the targets.
+    permits : WarmUpPermits
+        What this instance may send to cold targets.
     seed : int, optional
         Seeds the choice between equals.
     """
 
-    def __init__(self, elsewhere: LoadsElsewhere, seed: int | None = None):
+    def __init__(self, elsewhere: LoadsElsewhere, permits: WarmUpPermits, seed: int | None = None):
         self.elsewhere = elsewhere
+        self.permits = permits
         self._random = random.Random(seed)
 
     def choose(
@@ -44,13 +49,17 @@
         now: float,
         shares_loads: bool,
         prompt: PromptNeed | None,
+        cold_start: ColdStart | None = None,
+        rank: int = 0,
     ) -> TargetState | None:
         """Return one of some targets; see `TargetRegistry.choose`."""
+        load = self._load_everywhere if shares_loads else self._load_here
         states = [state for state in open_ if state.takes_work(now)] or open_
+        if cold_start is not None:
+            states = self._bearing(states, cold_start, rank, now, load)
         if not states:
             return None
         rested = [state for state in states if state.busy_until <= now] or states
-        load = self._load_everywhere if shares_loads else self._load_here
         home = self._by_affinity(rested, affinity, load) if affinity else None
         if home is not None and prompt is None:
             return home
@@ -61,6 +70,34 @@
             return self._soonest(home, rested, prompt)
         return min(rested, key=lambda state: (load(state), self._random.random()))
 
+    def _bearing(
+        self,
+        states: list[TargetState],
+        cold_start: ColdStart,
+        rank: int,
+        now: float,
+        load: Callable[[TargetState], int],
+    ) -> list[TargetState]:
+        """Return those of some targets that bear one more request.
+
+        Cold ones only where no warm one has a free slot, and within what this instance may send
+        to them.
+        """
+        warm = [state for state in states if not state.is_cold(cold_start, now)]
+        if len(warm) == len(states) or any(load(state) < state.record.slots for state in warm):
+            return warm
+        permitted = [
+            state
+            for state in states
+            if state.is_cold(cold_start, now)
+            and self.permits.holds(state.record.identity, cold_start.rate, now)
+        ]
+        if not warm and self.permits.yields(rank, now):
+            return []
+        if not warm and not permitted:
+            self.permits.turned_away(rank, now)
+        return permitted or warm
+
     def _soonest(
         self, home: TargetState | None, sampled: list[TargetState], prompt: PromptNeed
     ) -> TargetState:
--- a/whinrack/dispatch/_configuration.py
+++ b/whinrack/dispatch/_configuration.py
@@ -20,6 +20,8 @@
     limits : ServerLimits
     checks_keys : bool
         Whether routes that aren't public need a key.
+    ignored : iterable of str
+        Fields that were left out, and why; for logs.
     """
 
     def __init__(
@@ -30,7 +32,9 @@
         workspaces: Iterable[WorkspaceRecord],
         limits: ServerLimits,
         checks_keys: bool = True,
+        ignored: Iterable[str] = (),
     ):
+        self.ignored = tuple(ignored)
         self.version = version
         self.limits = limits
         self.checks_keys = checks_keys
--- a/whinrack/dispatch/_directory.py
+++ b/whinrack/dispatch/_directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from whinrack.dispatch._configuration import Configuration
+from whinrack.dispatch._values import PoolRecord
 from whinrack.exceptions import ConfigurationUnknown
 from whinrack.http1 import ServerLimits
 
@@ -34,6 +35,11 @@
         """The limits in force, or their defaults."""
         return ServerLimits() if self._current is None else self._current.limits
 
+    @property
+    def pools(self) -> list[PoolRecord]:
+        """The pools in force, none if no configuration is known."""
+        return [] if self._current is None else list(self._current.pools.values())
+
     def current(self) -> Configuration:
         """Return the configuration in force.
 
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -15,6 +15,7 @@
     TIMEOUT_MARGIN,
     AttemptFailed,
     AttemptRunner,
+    NobodyTakesIt,
 )
 from whinrack.dispatch._directory import Directory
 from whinrack.dispatch._pacing import StreamPacing
@@ -228,6 +229,8 @@
             return False
         if run.seconds_left() <= TIMEOUT_MARGIN or unreached >= _UNREACHED_TRIES:
             return False
+        if isinstance(failed, NobodyTakesIt):
+            return False
         if not failed.counts:
             return True
         if run.attempts >= run.route.most_attempts:
--- /dev/null
+++ b/whinrack/dispatch/_halls.py
@@ -0,0 +1,88 @@
+"""Which data halls the operator has emptied. Decisions only, no I/O.
+
+The load that this answers: the targets of a whole hall stop taking work at one moment, and are
+back at another. Words on halls come from the store's watch, a feeding peer and heartbeats, in any
+order; each carries the store's revision, and the latest one wins wherever it came from.
+"""
+
+import msgspec
+
+__all__ = ["EmptiedHalls", "HallWord"]
+
+# Words that are kept and told, of halls that are in use again the oldest go first. The largest
+# fleet aimed at has 39 halls; a word is some 20 bytes in each heartbeat.
+_MOST_WORDS = 100
+
+
+class HallWord(msgspec.Struct, frozen=True, array_like=True):
+    """What the store said of a data hall at a revision.
+
+    Attributes
+    ----------
+    hall : str
+    version : int
+        The store's revision of the word.
+    emptied : bool
+        Nothing may be sent to targets of the hall; False if that was taken back.
+    """
+
+    hall: str
+    version: int
+    emptied: bool
+
+    def goes_before(self, other: "HallWord") -> bool:
+        """Whether this is the later word; at one revision a hall is first emptied, then back."""
+        return (self.version, not self.emptied) > (other.version, not other.emptied)
+
+
+class EmptiedHalls:
+    """The latest word on each data hall that was ever emptied."""
+
+    def __init__(self):
+        self._words: dict[str, HallWord] = {}
+        self._emptied: frozenset[str] = frozenset()
+
+    @property
+    def emptied(self) -> frozenset[str]:
+        """The halls whose targets get nothing."""
+        return self._emptied
+
+    def learn(self, word: HallWord) -> bool:
+        """Take in a word; True if a hall was emptied or came back by it."""
+        known = self._words.get(word.hall)
+        if known is not None and not word.goes_before(known):
+            return False
+        self._words[word.hall] = word
+        self._forget()
+        was_emptied = word.hall in self._emptied
+        self._emptied = frozenset(name for name, known in self._words.items() if known.emptied)
+        return was_emptied != (word.hall in self._emptied)
+
+    def not_listed(self, listed: set[str], revision: int) -> list[HallWord]:
+        """Return the words that a whole list of the store says by what isn't in it.
+
+        Parameters
+        ----------
+        listed : set of str
+            The halls in the list.
+        revision : int
+            Of the list; words that are later than it are not touched.
+        """
+        return [
+            HallWord(word.hall, word.version, emptied=False)
+            for word in self._words.values()
+            if word.emptied and word.hall not in listed and word.version <= revision
+        ]
+
+    def words(self) -> list[HallWord]:
+        """Return every word, for the peers."""
+        return list(self._words.values())
+
+    def _forget(self) -> None:
+        """Drop the oldest words on halls that are in use again."""
+        back = sorted(
+            (word for word in self._words.values() if not word.emptied),
+            key=lambda word: word.version,
+        )
+        for word in back[: max(0, len(self._words) - _MOST_WORDS)]:
+            del self._words[word.hall]
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -6,11 +6,14 @@
 
 import msgspec
 
+from whinrack.clock import steady
 from whinrack.dispatch._choice import TargetChoice
+from whinrack.dispatch._halls import EmptiedHalls, HallWord
 from whinrack.dispatch._loads import LoadsElsewhere
 from whinrack.dispatch._placement import PromptNeed
 from whinrack.dispatch._target_state import TargetState
-from whinrack.dispatch._values import TargetRecord
+from whinrack.dispatch._values import ColdStart, TargetRecord
+from whinrack.dispatch._warming import WarmUpPermits
 
 __all__ = ["TargetRegistry"]
 
@@ -27,9 +30,21 @@
     ----------
     seed : int, optional
         Seeds the choice between equals.
+    permits : WarmUpPermits, optional
+        What this instance may send to cold targets; by default all that they bear.
+    clock : callable, optional
+        The steady clock, replaced in tests.
     """
 
-    def __init__(self, seed: int | None = None):
+    def __init__(
+        self,
+        seed: int | None = None,
+        permits: WarmUpPermits | None = None,
+        clock: Callable[[], float] = steady,
+    ):
+        self.clock = clock
+        self.permits = permits or WarmUpPermits.of_one_instance()
+        self.halls = EmptiedHalls()
         self._targets: dict[str, TargetState] = {}
         self._pools: dict[str, dict[str, TargetState]] = {}
         # Starts that said that they leave, also after their records have gone: an old record,
@@ -38,7 +53,7 @@
         # Called with each target of which a later start took the place.
         self.ended: list[Callable[[TargetState], None]] = []
         self.elsewhere = LoadsElsewhere()
-        self._choice = TargetChoice(self.elsewhere, seed)
+        self._choice = TargetChoice(self.elsewhere, self.permits, seed)
 
     def loads(self) -> dict[int, int]:
         """Return the requests in flight from here, by the targets' digests."""
@@ -68,6 +83,7 @@
             state = None
         if state is None:
             state = self._targets[record.incarnation] = TargetState(record)
+            state.warmth.told(record.cold_left, self.clock())
             state.told_leaving = (record.incarnation, record.started) in self._left
             self._pools.setdefault(record.pool, {})[record.incarnation] = state
             return state.leaving
@@ -80,6 +96,8 @@
             return False
         if record.pool != state.record.pool:
             self._move(state, record)
+        if (record.version, record.cold_left) != (state.record.version, state.record.cold_left):
+            state.warmth.told(record.cold_left, self.clock())
         state.record = record
         state.gone = False
         return state.leaving and not was_leaving
@@ -108,6 +126,21 @@
         if self._targets.get(state.record.incarnation) is state:
             self.remove(state.record.incarnation)
 
+    def learn_of_hall(self, word: HallWord) -> bool:
+        """Take in a word on a data hall; True if it was emptied or came back by it."""
+        if not self.halls.learn(word):
+            return False
+        if not word.emptied:
+            now = self.clock()
+            for state in self._targets.values():
+                if state.record.data_hall == word.hall:
+                    state.warmth.hall_back(now)
+        return True
+
+    def may_be_sent(self, state: TargetState) -> bool:
+        """Whether nothing that is known now forbids to send a request to a target."""
+        return not state.leaving and state.record.data_hall not in self.halls.emptied
+
     def leave(self, incarnation: str, started: int = 0) -> bool:
         """Learn from a peer that a target is leaving; True if that is news.
 
@@ -146,7 +179,7 @@
     def has_other(self, pool: str, tried: Collection[str], now: float) -> bool:
         """Whether a target of the pool that was not tried takes work."""
         return any(
-            state.record.identity not in tried and state.takes_work(now)
+            state.record.identity not in tried and state.takes_work(now) and self.may_be_sent(state)
             for state in self._pools.get(pool, {}).values()
         )
 
@@ -159,6 +192,8 @@
         most_in_flight: int = sys.maxsize,
         shares_loads: bool = False,
         prompt: PromptNeed | None = None,
+        cold_start: ColdStart | None = None,
+        rank: int = 0,
     ) -> TargetState | None:
         """Return the target for a request, None if no target takes work.
 
@@ -179,24 +214,51 @@
             long that their counts are not old when they arrive.
         prompt : PromptNeed, optional
             Place by what the targets have to read before, too.
+        cold_start : ColdStart, optional
+            What targets of the pool bear after a start; None for no limit.
+        rank : int
+            Of the request, 0 is the most urgent.
         """
         return self._choice.choose(
             [
                 state
                 for state in self._pools.get(pool, {}).values()
                 if state.record.identity not in tried
-                and not state.leaving
+                and self.may_be_sent(state)
                 and state.in_flight < most_in_flight
             ],
             affinity,
             now,
             shares_loads,
             prompt,
+            cold_start,
+            rank,
         )
 
-    def started(self, state: TargetState) -> None:
+    def warm_up_wait(self, pool: str, cold_start: ColdStart | None, now: float) -> float | None:
+        """Return the seconds after which a pool whose targets are all cold takes a request.
+
+        None if the pool isn't cold, or has no target.
+        """
+        if cold_start is None:
+            return None
+        states = [state for state in self.of_pool(pool) if self.may_be_sent(state)]
+        if not states or not all(state.is_cold(cold_start, now) for state in states):
+            return None
+        warm_at = min(state.warmth.cold_until(cold_start.seconds) for state in states)
+        names = [state.record.identity for state in states]
+        return min(warm_at - now, self.permits.wait(names, cold_start.rate, now))
+
+    def cold(self, pool: str, cold_start: ColdStart | None, now: float) -> list[TargetState]:
+        """Return the targets of a pool that are cold."""
+        return [state for state in self.of_pool(pool) if state.is_cold(cold_start, now)]
+
+    def started(self, state: TargetState, cold_start: ColdStart | None = None) -> None:
         """Count a request that is sent to a target."""
         state.in_flight += 1
+        now = self.clock()
+        if cold_start is not None and state.is_cold(cold_start, now):
+            self.permits.take(state.record.identity, cold_start.rate, now)
 
     def finished(self, state: TargetState) -> None:
         """Count a request that ended, in whatever way."""
--- a/whinrack/dispatch/_target_ends.py
+++ b/whinrack/dispatch/_target_ends.py
@@ -103,7 +103,7 @@
         )
         if presence is Presence.ENDED:
             # Nobody else need find out by a connection that fails.
-            state.ejection.unreachable(steady())
+            state.unreachable(steady())
             self.guard.target_ended(TargetEnd(record.incarnation, record.started), requests)
 
     def _presence(self, state: TargetState) -> Presence:
--- a/whinrack/dispatch/_target_state.py
+++ b/whinrack/dispatch/_target_state.py
@@ -2,7 +2,8 @@
 
 import xxhash
 
-from whinrack.dispatch._values import TargetRecord
+from whinrack.dispatch._values import ColdStart, TargetRecord
+from whinrack.dispatch._warmth import Warmth
 from whinrack.ejection import EjectAlone
 
 __all__ = ["Reading", "TargetState"]
@@ -23,6 +24,7 @@
         self.replaced = False
         self.busy_until = float("-inf")
         self.ejection = EjectAlone(failures=3, first=1.0, longest=4.0)
+        self.warmth = Warmth()
 
     @property
     def address(self) -> tuple[str, int]:
@@ -38,6 +40,20 @@
         """Whether a request may be sent to it."""
         return not self.leaving and not self.ejection.ejected(now)
 
+    def unreachable(self, now: float) -> None:
+        """Learn that no connection could be made."""
+        self.ejection.unreachable(now)
+        self.warmth.unreachable(now)
+
+    def answered(self, now: float) -> None:
+        """Learn that it answers."""
+        self.ejection.succeeded(now)
+        self.warmth.answered(now)
+
+    def is_cold(self, cold_start: ColdStart | None, now: float) -> bool:
+        """Whether it bears few requests now, in a pool whose targets are cold at first."""
+        return cold_start is not None and now < self.warmth.cold_until(cold_start.seconds)
+
 
 class Reading:
     """Prompt tokens that a target has to read for one request."""
--- a/whinrack/dispatch/_values.py
+++ b/whinrack/dispatch/_values.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "Attempt",
+    "ColdStart",
     "DeclaredCover",
     "EngineShape",
     "IncomingRequest",
@@ -91,6 +92,21 @@
     event_tokens: int
 
 
+class ColdStart(msgspec.Struct, frozen=True):
+    """What the targets of a pool bear after they have started.
+
+    Attributes
+    ----------
+    seconds : float
+        For so long after a start a target is cold.
+    rate : float
+        Requests a second that a cold target bears from all instances together.
+    """
+
+    seconds: float
+    rate: float
+
+
 class PoolRecord(msgspec.Struct, frozen=True):
     """A pool of targets.
 
@@ -100,11 +116,14 @@
         Connections that one target accepts from all instances together.
     engine : EngineShape or None
         None for plain services.
+    cold_start : ColdStart or None
+        None if a target that has just started bears as much as others.
     """
 
     name: str
     most_connections: int
     engine: EngineShape | None = None
+    cold_start: ColdStart | None = None
 
 
 class WorkspaceRecord(msgspec.Struct, frozen=True):
@@ -129,6 +148,8 @@
         Unix time of its start, milliseconds; 0 if it isn't known.
     version : int
         The store's revision of the record; 0 if it isn't known.
+    cold_left : float or None
+        Seconds for which it is cold from when the record was written; None if it doesn't say.
     """
 
     incarnation: str
@@ -140,6 +161,7 @@
     leaving: bool = False
     started: int = 0
     version: int = 0
+    cold_left: float | None = 0.0
 
     @property
     def identity(self) -> str:
--- /dev/null
+++ b/whinrack/dispatch/tests/test_halls.py
@@ -0,0 +1,75 @@
+"""Words on emptied data halls, in any order."""
+
+import itertools
+
+from whinrack.dispatch import EmptiedHalls, HallWord, TargetRecord, TargetRegistry
+
+WORDS = (
+    HallWord("z", 5, True),
+    HallWord("z", 5, False),
+    HallWord("z", 8, True),
+    HallWord("y", 6, True),
+)
+
+
+def learn_all(words):
+    halls = EmptiedHalls()
+    for word in words:
+        halls.learn(word)
+    return halls
+
+
+def test_the_latest_word_wins_in_whatever_order_words_come():
+    for words in itertools.permutations(WORDS):
+        assert learn_all(words).emptied == {"z", "y"}
+
+
+def test_an_older_word_changes_nothing_and_is_no_news():
+    halls = learn_all(WORDS)
+    assert not halls.learn(HallWord("z", 7, False))
+    assert halls.learn(HallWord("z", 8, False))
+    assert not halls.learn(HallWord("z", 8, True))
+    assert halls.emptied == {"y"}
+
+
+def test_a_list_takes_back_what_it_lacks_but_not_what_is_later():
+    halls = learn_all(WORDS)
+    assert halls.not_listed({"y"}, 7) == []
+    assert halls.not_listed({"y"}, 8) == [HallWord("z", 8, False)]
+    assert halls.not_listed({"y", "z"}, 9) == []
+
+
+def test_words_on_halls_in_use_are_bounded_and_emptied_halls_are_kept():
+    halls = EmptiedHalls()
+    halls.learn(HallWord("kept", 1, True))
+    for number in range(500):
+        halls.learn(HallWord(f"hall-{number}", number + 2, False))
+    assert len(halls.words()) <= 101
+    assert halls.emptied == {"kept"}
+
+
+def registry(**halls):
+    targets = TargetRegistry(seed=1)
+    targets.replace_all(
+        [TargetRecord(name, "p", "127.0.0.1", 1, data_hall=hall) for name, hall in halls.items()]
+    )
+    return targets
+
+
+def test_targets_of_an_emptied_hall_are_neither_chosen_nor_another_choice():
+    targets = registry(a="z", b="y")
+    assert targets.learn_of_hall(HallWord("z", 2, True))
+    chosen = {targets.choose("p", f"k{n}", (), 0.0).record.incarnation for n in range(20)}
+    assert chosen == {"b"}
+    assert not targets.has_other("p", {"b"}, 0.0)
+    targets.learn_of_hall(HallWord("y", 3, True))
+    assert targets.choose("p", "", (), 0.0) is None
+
+
+def test_a_target_whose_hall_is_emptied_after_the_choice_may_be_sent_nothing():
+    targets = registry(a="z", b="y")
+    state = targets.choose("p", "", {"b"}, 0.0)
+    targets.learn_of_hall(HallWord("z", 2, True))
+    assert not targets.may_be_sent(state)
+    targets.learn_of_hall(HallWord("z", 2, False))
+    assert targets.may_be_sent(state)
--- /dev/null
+++ b/whinrack/dispatch/tests/test_warming.py
@@ -0,0 +1,111 @@
+"""What may reach a cold target in a second, summed over instances whose views differ."""
+
+import random
+
+import pytest
+
+from whinrack.dispatch import WarmUpLimits, WarmUpPermits
+from whinrack.dispatch._warming import share_of
+
+LIMITS = WarmUpLimits(1.5, 5.0)
+RATES = (1.0, 4.0, 9.9, 30.0, 100.0)
+SECONDS = 8.0
+# Between two requests that find no permit, as a part of the time between permits: one that waits
+# gains nothing.
+STEP_PART = 0.02
+# Between two looks at who holds a share, for views that change.
+LOOK_SECONDS = 0.1
+NAMES = [f"m{number}" for number in range(87)]
+
+
+def press(views, rate, target="t"):
+    """Let each instance send whatever it may; returns the moments of all sends.
+
+    Parameters
+    ----------
+    views : dict of str to callable
+        For each instance, whom it counts at a moment.
+    """
+    now, looked_at = 0.0, -1.0
+    permits = [
+        WarmUpPermits(name, LIMITS, lambda view=view: view(now)) for name, view in views.items()
+    ]
+    sends = []
+    while now < SECONDS:
+        if now - looked_at >= LOOK_SECONDS:
+            looked_at = now
+            holders = [one for one in permits if one.held([target], rate)]
+        for one in holders:
+            while one.holds(target, rate, now):
+                one.take(target, rate, now)
+                sends.append(now)
+        now += STEP_PART / rate
+    return sends
+
+
+def most_in_a_second(sends):
+    return max((sum(0.0 <= at - first < 1.0 for at in sends) for first in sends), default=0)
+
+
+def agreeing(count):
+    members = NAMES[:count]
+    return {name: lambda now: members for name in members}
+
+
+@pytest.mark.parametrize("rate", RATES)
+@pytest.mark.parametrize("count", [1, 2, 3, 6, 20, 87])
+def test_instances_that_agree_use_the_rate_and_stay_below_the_bound(rate, count):
+    sends = press(agreeing(count), rate)
+    assert most_in_a_second(sends) <= LIMITS.most_in_a_second(rate)
+    assert len(sends) >= 0.75 * rate * SECONDS - 1
+
+
+@pytest.mark.parametrize("rate", RATES)
+def test_two_halves_that_know_nothing_of_each_other_stay_below_the_bound(rate):
+    halves = (NAMES[:40], NAMES[40:])
+    views = {name: lambda now, half=half: half for half in halves for name in half}
+    assert most_in_a_second(press(views, rate)) <= LIMITS.most_in_a_second(rate)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_old_members_counted_and_new_ones_not_known_yet_stay_below_the_bound(seed):
+    """Each view lacks some that have just begun to serve, and has some that are gone."""
+    draw = random.Random(seed)
+    serving = NAMES[:8]
+    views = {}
+    for name in serving:
+        known = {name, *draw.sample(serving, 6), *draw.sample(NAMES[8:], 3)}
+        views[name] = lambda now, known=known: known
+    assert most_in_a_second(press(views, 9.9)) <= LIMITS.most_in_a_second(9.9)
+
+
+def test_members_that_change_while_it_is_cold_stay_below_the_bound():
+    """A halved fleet meets again, and halves again, three times."""
+
+    def view_of(half):
+        return lambda now: NAMES[:6] if int(now / 1.3) % 2 else half
+
+    halves = (NAMES[:3], NAMES[3:6])
+    views = {name: view_of(half) for half in halves for name in half}
+    assert most_in_a_second(press(views, 9.9)) <= LIMITS.most_in_a_second(9.9)
+
+
+def test_instances_that_know_nobody_send_nothing():
+    assert press({name: lambda now: () for name in NAMES}, 9.9) == []
+
+
+def test_a_restart_adds_one_request_at_most():
+    """The bucket of a new run is full; all holders restart at once."""
+    views = agreeing(6)
+    before = press(views, 9.9)
+    again = [SECONDS + at for at in press(views, 9.9)]
+    assert most_in_a_second(before + again) <= LIMITS.most_in_a_second(9.9)
+
+
+@pytest.mark.parametrize(
+    ("limits", "rate"), [(WarmUpLimits(1.0, 0.0), 10.0), (WarmUpLimits(), 0.5)]
+)
+def test_a_bound_without_slack_leaves_one_holder(limits, rate):
+    share = share_of(rate, limits, 10)
+    assert share.holders == 1
+    assert 2 * (share.rate + 1) <= max(limits.most_in_a_second(rate), 2.0)
--- /dev/null
+++ b/whinrack/dispatch/tests/test_warmth.py
@@ -0,0 +1,182 @@
+"""When a target counts as cold."""
+
+import pytest
+
+from whinrack.dispatch import (
+    ColdStart,
+    HallWord,
+    TargetRecord,
+    TargetRegistry,
+    WarmUpLimits,
+    WarmUpPermits,
+)
+
+COLD = ColdStart(seconds=3.0, rate=4.0)
+LIMITS = WarmUpLimits(1.5, 5.0)
+
+
+class World:
+    """A registry with a clock that is set."""
+
+    def __init__(self, *names, members=("m1",), slots=1):
+        self.now = 100.0
+        self.slots = slots
+        self.permits = WarmUpPermits("m1", LIMITS, lambda: members)
+        self.targets = TargetRegistry(seed=1, permits=self.permits, clock=lambda: self.now)
+        for name in names:
+            self.say(name, 0.0, version=1)
+
+    def say(self, name, cold_left, version=2, started=0):
+        self.targets.put(
+            TargetRecord(
+                name,
+                "p",
+                "127.0.0.1",
+                1,
+                data_hall="z",
+                slots=self.slots,
+                version=version,
+                cold_left=cold_left,
+                started=started,
+            )
+        )
+
+    def cold(self):
+        return {state.record.incarnation for state in self.targets.cold("p", COLD, self.now)}
+
+    def state(self, name):
+        return next(s for s in self.targets.of_pool("p") if s.record.incarnation == name)
+
+    def send(self, rank=0):
+        """Choose a target as a request does; returns its name."""
+        state = self.targets.choose("p", "", (), self.now, cold_start=COLD, rank=rank)
+        if state is None:
+            return None
+        self.targets.started(state, COLD)
+        return state.record.incarnation
+
+    def finish_all(self):
+        for state in self.targets.of_pool("p"):
+            while state.in_flight:
+                self.targets.finished(state)
+
+
+def test_a_target_is_cold_as_long_as_its_word_says_from_when_that_came():
+    world = World("a", "b")
+    world.say("a", 2.0)
+    assert world.cold() == {"a"}
+    world.now += 1.9
+    # The same word told again, by another way, begins nothing anew.
+    world.say("a", 2.0)
+    assert world.cold() == {"a"}
+    world.now += 0.2
+    assert world.cold() == set()
+
+
+def test_a_later_word_that_it_is_warm_counts_at_once():
+    world = World("a")
+    world.say("a", 3.0)
+    world.say("a", 0.0, version=3)
+    assert world.cold() == set()
+
+
+def test_a_target_that_does_not_say_is_cold_for_a_starts_time():
+    world = World()
+    world.say("a", None)
+    assert world.cold() == {"a"}
+    world.now += 3.1
+    assert world.cold() == set()
+
+
+def test_an_unreachable_target_is_cold_until_its_record_would_have_lapsed_and_it_had_started():
+    world = World("a")
+    world.state("a").unreachable(world.now)
+    world.now += 6.9
+    assert world.cold() == {"a"}
+    world.now += 0.2
+    assert world.cold() == set()
+
+
+def test_one_that_answers_after_it_was_unreachable_may_have_started_just_now():
+    world = World("a")
+    world.state("a").unreachable(world.now)
+    world.now += 20.0
+    world.state("a").answered(world.now)
+    assert world.cold() == {"a"}
+    world.now += 3.1
+    assert world.cold() == set()
+
+
+def test_a_word_from_before_the_end_does_not_make_it_warm():
+    world = World("a")
+    world.state("a").unreachable(world.now)
+    world.now += 0.5
+    world.say("a", 0.0)
+    assert world.cold() == {"a"}
+    world.now += 2.0
+    world.say("a", 0.0, version=3)
+    assert world.cold() == set()
+
+
+def test_targets_of_a_hall_that_comes_back_are_cold_whatever_they_said_before():
+    world = World("a")
+    world.targets.learn_of_hall(HallWord("z", 5, True))
+    world.targets.learn_of_hall(HallWord("z", 5, False))
+    world.say("a", 0.0)
+    assert world.cold() == {"a"}
+    world.now += 3.1
+    assert world.cold() == set()
+
+
+def test_a_later_start_is_cold_by_its_own_word():
+    world = World("a")
+    world.say("a", 0.0, version=2, started=1)
+    world.say("a", 3.0, version=3, started=2)
+    assert world.cold() == {"a"}
+
+
+def test_warm_targets_with_a_free_slot_go_first():
+    world = World("warm", "cold", slots=3)
+    world.say("cold", 10.0)
+    assert [world.send() for _ in range(3)] == ["warm"] * 3
+    assert world.send() == "cold"
+
+
+def test_a_pool_without_a_limit_has_no_cold_targets():
+    world = World("a")
+    world.say("a", 10.0)
+    assert world.targets.cold("p", None, world.now) == []
+    assert world.targets.choose("p", "", (), world.now) is not None
+
+
+def test_where_all_are_cold_what_is_not_allowed_is_turned_away_with_when_to_come_back():
+    world = World("a", members=("m1",))
+    world.say("a", 10.0)
+    sent = 0
+    for _ in range(50):
+        sent += world.send() is not None
+        world.finish_all()
+        world.now += 0.1
+    # Used is 3.5 a second of the 4 that it bears.
+    assert 16 <= sent <= 19
+    wait = world.targets.warm_up_wait("p", COLD, world.now)
+    assert 0.0 < wait <= 5.0
+
+
+def test_a_permit_is_left_to_the_more_urgent_that_were_turned_away():
+    world = World("a")
+    world.say("a", 10.0)
+    assert world.send(rank=1) == "a"
+    assert world.send(rank=0) is None
+    world.now += 0.4
+    assert world.send(rank=2) is None
+    assert world.send(rank=0) == "a"
+    world.now += 2.0
+    assert world.send(rank=2) == "a"
+
+
+@pytest.mark.parametrize("members", [(), ("m2", "m3", "m4", "m5")])
+def test_an_instance_that_knows_nobody_or_holds_nothing_sends_nothing_to_cold_targets(members):
+    world = World("a", members=members)
+    world.say("a", 10.0)
+    assert world.send() is None
--- a/whinrack/edge/__init__.py
+++ b/whinrack/edge/__init__.py
@@ -3,6 +3,13 @@
 from whinrack.edge._answers import SmallAnswers
 from whinrack.edge._daemon import EdgeDaemon
 from whinrack.edge._options import EdgeOptions
-from whinrack.edge._sources import ConfigurationReader, TargetReader
+from whinrack.edge._sources import ConfigurationReader, HallReader, TargetReader
 
-__all__ = ["ConfigurationReader", "EdgeDaemon", "EdgeOptions", "SmallAnswers", "TargetReader"]
+__all__ = [
+    "ConfigurationReader",
+    "EdgeDaemon",
+    "EdgeOptions",
+    "HallReader",
+    "SmallAnswers",
+    "TargetReader",
+]
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -17,13 +17,17 @@
     Directory,
     Dispatcher,
     DispatchOptions,
+    HallWord,
     TargetRegistry,
+    WarmUpLimits,
+    WarmUpPermits,
 )
 from whinrack.edge._answers import SmallAnswers
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._earlier_runs import EarlierRuns
 from whinrack.edge._entries import serves_callers
 from whinrack.edge._feeding import FeedPlan
+from whinrack.edge._halls import HallKnowledge
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._membership import Membership
 from whinrack.edge._membership_host import MembershipHost
@@ -31,12 +35,13 @@
 from whinrack.edge._options import EdgeOptions, HostPort
 from whinrack.edge._reloading import SettingsFollower
 from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
-from whinrack.edge._sources import ConfigurationReader, TargetReader
+from whinrack.edge._sources import ConfigurationReader, HallReader, TargetReader
 from whinrack.edge._stopping import PlannedStop
 from whinrack.edge._suspects import SuspectExchange
 from whinrack.edge._tokens import TokenExchange
 from whinrack.edge._traffic import Place
 from whinrack.edge._upkeep import Upkeep
+from whinrack.edge._warm_up_log import WarmUpLog
 from whinrack.gossip import GoneTarget, Message, SuspectCases
 from whinrack.http1 import ConnectionPool, HttpServer
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
@@ -64,6 +69,7 @@
     dialect : Dialect
     configuration_reader : ConfigurationReader
     target_reader : TargetReader
+    hall_reader : HallReader
     small_answers : SmallAnswers
         Answers callers' question where to go, and whether this instance is ready.
     restart : RestartMoment
@@ -79,6 +85,7 @@
         dialect: Dialect,
         configuration_reader: ConfigurationReader,
         target_reader: TargetReader,
+        hall_reader: HallReader,
         small_answers: SmallAnswers,
         restart: RestartMoment,
         reload: Callable[[], EdgeOptions],
@@ -91,7 +98,13 @@
         self.store = MeteredStore(store, self._count_call)
         self.output = BoundedOutput(_STDOUT, options.log_lines_per_second)
         self.contact = StoreContact(self._contact_changed)
-        self.registry = TargetRegistry()
+        self.registry = TargetRegistry(
+            permits=WarmUpPermits(
+                options.name,
+                WarmUpLimits(options.cold_overage, options.cold_slack),
+                lambda: self.membership.view.members(),
+            )
+        )
         self.directory = Directory(self._in_force)
         self.membership = Membership(
             options,
@@ -101,6 +114,14 @@
             self,
             self._count_bytes,
         )
+        plan = FeedPlan(
+            self.store,
+            self.contact,
+            self.membership.own_state,
+            self.membership.table,
+            self.membership.traffic.moved,
+            options.settle_seconds,
+        )
         self.knowledge = StoreKnowledge(
             self.store,
             self.contact,
@@ -108,19 +129,23 @@
             target_reader,
             self.directory,
             self.registry,
-            FeedPlan(
-                self.store,
-                self.contact,
-                self.membership.own_state,
-                self.membership.table,
-                self.membership.traffic.moved,
-                options.settle_seconds,
-            ),
+            plan,
             options.watch_seconds,
             self.membership.peer_with_store,
             self._fetch_knowledge,
-            lambda kind: self.metrics.invalid_objects.labels(kind).inc(),
+            self._count_invalid,
+            (hall_reader.kind,),
         )
+        self.halls = HallKnowledge(
+            hall_reader,
+            self.registry,
+            plan,
+            self.contact,
+            self.knowledge.relay.kinds[hall_reader.kind],
+            self.membership.spread,
+            self._count_invalid,
+        )
+        self.warm_up_log = WarmUpLog(self.registry, self.directory, self.metrics)
         self.tokens = TokenExchange(
             options,
             self.holder,
@@ -216,6 +241,10 @@
         """Take in the targets that a peer knows to be gone."""
         self.knowledge.learn_gone(gone)
 
+    def learn_halls(self, words: list[HallWord], peer: str) -> None:
+        """Take in what a peer knows of emptied data halls."""
+        self.halls.learn(words, peer)
+
     def _fetch_knowledge(self, peer: HostPort) -> SharedKnowledge | None:
         return fetch_knowledge(peer, self.membership.traffic.moved)
 
@@ -266,6 +295,8 @@
         tasks = (
             *self.knowledge.tasks(),
             *self.suspects.tasks(),
+            *self._hall_tasks(),
+            self.warm_up_log.run,
             self.earlier_runs.release_and_draw,
             self._renew_forever,
             self.settings.follow,
@@ -277,6 +308,10 @@
         for task in tasks:
             eventlet.spawn_n(_keep_running, task)
 
+    def _hall_tasks(self) -> list[Callable[[], None]]:
+        """Follow emptied halls only where operators empty any: each watch is a call."""
+        return [self.halls.follower.run] if self.options.emptying_seconds else []
+
     def _in_force(self, configuration: Configuration) -> None:
         self.keeper.declare(configuration.version, configuration.limits_by_workspace)
         self.metrics.revision.set(configuration.version)
@@ -339,6 +374,9 @@
     def _count_bytes(self, message: str, place: Place, size: int) -> None:
         self.metrics.peer_bytes.labels(message, place.value).inc(size)
 
+    def _count_invalid(self, kind: str) -> None:
+        self.metrics.invalid_objects.labels(kind).inc()
+
     def _count_call(self, operation: str, result: str) -> None:
         self.metrics.platform_calls.labels(operation, result).inc()
 
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -71,6 +71,8 @@
         Asks the peer at an address what it knows.
     count_invalid : callable, optional
         Told the kind of each object that can't be used.
+    further_kinds : tuple of str, optional
+        Followed elsewhere, and passed on to peers by the same relay.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         peer_with_store: Callable[[], HostPort | None],
         fetch: Callable[[HostPort], SharedKnowledge | None] = fetch_knowledge,
         count_invalid: Callable[[str], None] = lambda kind: None,
+        further_kinds: tuple[str, ...] = (),
     ):
         self.store = store
         self.configuration_reader = configuration_reader
@@ -101,11 +104,11 @@
         # What the store said is gone, and when; a peer that still has it is behind.
         self._gone: OrderedDict[str, _GoneRecord] = OrderedDict()
         self.plan = plan
-        self.relay = WatchRelay((configuration_reader.kind, target_reader.kind))
+        self.relay = WatchRelay((configuration_reader.kind, target_reader.kind, *further_kinds))
         self._configurations = KindFollower(
             plan,
             configuration_reader.kind,
-            self._take_configuration,
+            lambda objects, revision: self._take_configuration(objects),
             self._take_configuration,
             contact,
             watch_seconds,
@@ -252,13 +255,22 @@
             if stored.deleted or stored.name != self.configuration_reader.name:
                 continue
             try:
-                if self.directory.take(self.configuration_reader.read(stored)):
+                configuration = self.configuration_reader.read(stored)
+                if self.directory.take(configuration):
                     self._configuration = stored
+                    self._tell_ignored(stored, configuration.ignored)
             except InvalidObject as error:
                 self.count_invalid(stored.kind)
                 log_event(Event.CONFIG_INVALID, object=stored.name, error=_shown(error.message))
 
-    def _replace_targets(self, objects: tuple[StoredObject, ...]) -> None:
+    def _tell_ignored(self, stored: StoredObject, ignored: tuple[str, ...]) -> None:
+        """Tell which fields of a configuration were left out."""
+        if ignored:
+            self.count_invalid(stored.kind)
+            shown = _shown("; ".join(ignored))
+            log_event(Event.CONFIG_INVALID, object=stored.name, error=shown)
+
+    def _replace_targets(self, objects: tuple[StoredObject, ...], revision: int) -> None:
         listed = {stored.name: stored for stored in objects}
         for name in self._targets.keys() - listed.keys():
             self._note_gone(self._targets[name])
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -15,6 +15,7 @@
 from whinrack.edge._membership_host import MembershipHost
 from whinrack.edge._options import EdgeOptions, HostPort
 from whinrack.edge._traffic import Place, TrafficMeter
+from whinrack.edge._warm_up_view import WarmUpView
 from whinrack.gossip import (
     ClockCheck,
     GossipLink,
@@ -78,6 +79,7 @@
             data_hall=options.data_hall,
         )
         self.clocks = ClockCheck()
+        self.view = WarmUpView(options, self.table)
         self.traffic = TrafficMeter(options.data_hall, self.table.hall_of, count_bytes)
         self.link = GossipLink(options.gossip, self._receive, self.traffic.moved)
         self._callers = f"{options.callers[0]}:{options.callers[1]}"
@@ -145,6 +147,7 @@
             passed_on=passed_on,
             ages=self.table.ages(now),
             suspects=self.host.suspects_checksum(),
+            halls=self.registry.halls.words(),
         )
 
     def _asks_for_states(self, now: float) -> bool:
@@ -253,6 +256,8 @@
         if newest.configuration > self.directory.version:
             self.host.hear_of_configuration(newest.sender.address)
         self.host.learn_gone_targets(beat.gone)
+        if beat.halls:
+            self.host.learn_halls(beat.halls, sender.name)
         self.host.compare_suspects(beat.suspects, sender.address)
         if self._learn_leaving(beat) and not self.table.is_mesh:
             self.spread()
--- a/whinrack/edge/_membership_host.py
+++ b/whinrack/edge/_membership_host.py
@@ -1,5 +1,6 @@
 """What the membership asks of the instance that it speaks for, and tells it."""
 
+from whinrack.dispatch import HallWord
 from whinrack.edge._options import HostPort
 from whinrack.gossip import GoneTarget, Message
 
@@ -37,6 +38,10 @@
         """Take in the targets that a peer knows to be gone."""
         raise NotImplementedError
 
+    def learn_halls(self, words: list[HallWord], peer: str) -> None:
+        """Take in what a peer knows of emptied data halls."""
+        raise NotImplementedError
+
     def hear_of_configuration(self, peer: HostPort) -> None:
         """Learn that a peer has a newer configuration."""
         raise NotImplementedError
--- a/whinrack/edge/_options.py
+++ b/whinrack/edge/_options.py
@@ -51,6 +51,11 @@
         on together; 0 for none.
     cores : float
         Processor time that this instance may use, seconds a second; 0 if it isn't known.
+    emptying_seconds : float
+        Within which nothing more may reach a data hall that the operator has emptied; 0 where
+        halls are never emptied, and nobody need ask for it.
+    cold_overage, cold_slack : float
+        See `whinrack.dispatch.WarmUpLimits`.
     log_lines_per_second : float
         Lines beyond this are left out and counted.
     """
@@ -81,6 +86,9 @@
     bandwidth: float = 0.0
     cores: float = 0.0
     event_delay: float = 0.0
+    emptying_seconds: float = 0.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
     log_lines_per_second: float = 150.0
 
 
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -20,6 +20,7 @@
     "PROBE_SECONDS",
     "ConfigurationReader",
     "FollowedSource",
+    "HallReader",
     "KindFollower",
     "SourcePlan",
     "TargetReader",
@@ -40,6 +41,8 @@
 # What a sound feeder passes on is at most so old: the holds of its own watch and of one more
 # between it and the store, and 0.6 s for late answers. What is older tells that it hears nothing.
 _SOUND_FEED_SECONDS = 2.6
+# Watches that are held for longer are older by as much.
+_USUAL_WATCH_SECONDS = 1.0
 # Seconds between the starts of two watches of the store at least: changes that come in quick
 # succession share a call.
 _SHORTEST_INTERVAL = 0.1
@@ -78,6 +81,21 @@
         raise NotImplementedError
 
 
+class HallReader:
+    """Translates the stored entries of data halls that are emptied."""
+
+    kind: str
+
+    def read(self, stored: StoredObject) -> str:
+        """Return the data hall that an object empties.
+
+        Raises
+        ------
+        InvalidObject
+        """
+        raise NotImplementedError
+
+
 class FollowedSource(msgspec.Struct, frozen=True):
     """Where the next list or watch goes.
 
@@ -137,7 +155,7 @@
     plan : SourcePlan
     kind : str
     listed : callable
-        Called with all objects after each list.
+        Called with all objects after each list, and its revision.
     changed : callable
         Called with the objects of each watch that had some.
     contact : StoreContact
@@ -148,19 +166,23 @@
         Go on calling while the store is away, for all who wait for it.
     relay : KindRelay
         Told what was followed.
+    fed_watch_seconds : float, optional
+        How long a watch at a peer is held at most.
     """
 
     def __init__(
         self,
         plan: SourcePlan,
         kind: str,
-        listed: Callable[[tuple[StoredObject, ...]], None],
+        listed: Callable[[tuple[StoredObject, ...], int], None],
         changed: Callable[[tuple[StoredObject, ...]], None],
         contact: StoreContact,
         watch_seconds: float,
         probes: bool,
         relay: KindRelay,
+        fed_watch_seconds: float = _FED_WATCH_SECONDS,
     ):
+        self.fed_watch_seconds = fed_watch_seconds
         self.plan = plan
         self.kind = kind
         self.listed = listed
@@ -228,7 +250,7 @@
     def _patience(self, source: FollowedSource) -> float:
         """Return the seconds for which a watch is held."""
         if source.address is not None:
-            return min(_FED_WATCH_SECONDS, self.watch_seconds)
+            return min(self.fed_watch_seconds, self.watch_seconds)
         # A lost store is probed: the answer has to come at once, changes or not.
         return self.watch_seconds if self.contact.answers else PROBE_SECONDS
 
@@ -241,7 +263,7 @@
         if self.relay.revision is not None and snapshot.revision < self.relay.revision:
             return Failure(PlatformUnavailable("the peer is behind what was followed here"))
         self.relay.confirmed(snapshot.age)
-        self.listed(snapshot.objects)
+        self.listed(snapshot.objects, snapshot.revision)
         self.relay.listed(snapshot.revision, snapshot.objects)
         self.revision = snapshot.revision
         self.listed_once = True
@@ -250,7 +272,7 @@
     def _take_batch(self, source: FollowedSource, batch: WatchBatch) -> None:
         if self._knows_better(batch.age):
             self.plan.follow_store()
-        if batch.age > self.watch_seconds + _AGE_MARGIN_SECONDS:
+        if batch.age > self.watch_seconds + _AGE_MARGIN_SECONDS + self._longer_holds:
             self.plan.behind(source)
         if batch.gap:
             self.revision = None
@@ -261,13 +283,18 @@
         self.revision = max(self.revision, batch.revision)
         self.relay.changed(self.revision, batch.objects)
 
+    @property
+    def _longer_holds(self) -> float:
+        """Seconds for which a watch is held beyond the usual."""
+        return max(0.0, self.watch_seconds - _USUAL_WATCH_SECONDS)
+
     def _knows_better(self, age: float) -> bool:
         """Whether the store, in reach as far as is known, was heard here after the feeder heard it.
 
         Without it one that restarted while all others were cut off followed these, and
         answered by an old configuration for 5 s though the store was in its reach.
         """
-        if age <= _SOUND_FEED_SECONDS or not self.contact.answers:
+        if age <= _SOUND_FEED_SECONDS + 2 * self._longer_holds or not self.contact.answers:
             return False
         return steady() - age < self._store_heard_at
 
--- /dev/null
+++ b/whinrack/edge/_warm_up_log.py
@@ -0,0 +1,64 @@
+"""Tells which targets are cold and why, when that changes."""
+
+from collections import Counter
+
+import eventlet
+
+from whinrack.clock import steady
+from whinrack.dispatch import Directory, PoolRecord, TargetRegistry
+from whinrack.observability import Event, Metrics, log_event
+
+__all__ = ["WarmUpLog"]
+
+# Between two looks; a line a pool at most for each.
+_LOOK_SECONDS = 1.0
+
+
+class WarmUpLog:
+    """Logs the cold targets of each pool, at most once a second.
+
+    Parameters
+    ----------
+    registry : TargetRegistry
+    directory : Directory
+    metrics : Metrics
+    """
+
+    def __init__(self, registry: TargetRegistry, directory: Directory, metrics: Metrics):
+        self.registry = registry
+        self.directory = directory
+        self.metrics = metrics
+        self._told: dict[str, frozenset[str]] = {}
+
+    def run(self) -> None:
+        """Look for ever."""
+        while True:
+            eventlet.sleep(_LOOK_SECONDS)
+            self.look()
+
+    def look(self) -> None:
+        """Log what has changed since the last look."""
+        self.metrics.emptied_halls.set(len(self.registry.halls.emptied))
+        pools = self.directory.pools
+        self.metrics.cold_targets.set(sum(map(self._look_at, pools)))
+
+    def _look_at(self, pool: PoolRecord) -> int:
+        """Return how many targets of a pool are cold."""
+        if pool.cold_start is None:
+            return 0
+        states = self.registry.cold(pool.name, pool.cold_start, steady())
+        names = frozenset(state.record.identity for state in states)
+        if names != self._told.get(pool.name, frozenset()):
+            self._told[pool.name] = names
+            shares = self.registry.permits.held(names, pool.cold_start.rate)
+            log_event(
+                Event.TARGETS_COLD,
+                pool=pool.name,
+                cold=len(names),
+                of=len(self.registry.of_pool(pool.name)),
+                why=dict(Counter(state.warmth.reason.value for state in states)),
+                held=len(shares),
+                rate=round(max((share.rate for share in shares), default=0.0), 2),
+                turned_away=self.registry.permits.turned_away_count,
+            )
+        return len(names)
--- /dev/null
+++ b/whinrack/edge/_warm_up_view.py
@@ -0,0 +1,68 @@
+"""Who shares what cold targets bear, as this instance sees the fleet."""
+
+from whinrack.clock import steady
+from whinrack.edge._options import EdgeOptions
+from whinrack.gossip import PeerTable, PeerView
+
+__all__ = ["WarmUpView"]
+
+# A silent peer keeps its share for so long: it may be cut off and go on. Cuts of 8 to 10 s are
+# borne so without two instances that spend the same share.
+_REMEMBERED_SECONDS = 15.0
+# An instance that has just started sends nothing to cold targets until peers have told it who is
+# there: two heartbeats of a large fleet, and the answers with all states.
+_SETTLE_SECONDS = 2.0
+# After that, for a while, all that are ready count: to whom callers come isn't known yet when all
+# have just started.
+_ALL_COUNT_SECONDS = 5.0
+# One whose settings name others and that hears of none is cut off from them most likely.
+_ALONE_SECONDS = 15.0
+# The view is renewed so often; it is asked for with each request.
+_RENEWED_SECONDS = 0.1
+
+
+class WarmUpView:
+    """The instances that callers come to, old ones counted rather than new ones forgotten.
+
+    Counting one that is gone leaves some of the rate unused; missing one that is there makes two
+    spend the same share.
+
+    Parameters
+    ----------
+    options : EdgeOptions
+    table : PeerTable
+    """
+
+    def __init__(self, options: EdgeOptions, table: PeerTable):
+        self.options = options
+        self.table = table
+        self.started = steady()
+        self._members: frozenset[str] = frozenset()
+        self._renewed_at = float("-inf")
+
+    def members(self) -> frozenset[str]:
+        """Return the names of the instances, with this one; empty while that isn't known."""
+        now = steady()
+        if now - self._renewed_at >= _RENEWED_SECONDS:
+            self._renewed_at = now
+            self._members = self._count(now)
+        return self._members
+
+    def _count(self, now: float) -> frozenset[str]:
+        age = now - self.started
+        views = self.table.remembered(now, _REMEMBERED_SECONDS)
+        expects_others = any(seed != self.options.gossip for seed in self.options.seeds)
+        if age < _SETTLE_SECONDS and expects_others:
+            return frozenset()
+        if not views and expects_others and age < _ALONE_SECONDS:
+            return frozenset()
+        all_count = self.table.is_mesh or age < _ALL_COUNT_SECONDS
+        names = (view.state.sender.name for view in views if self._counts(view, now, all_count))
+        return frozenset([self.options.name, *names])
+
+    def _counts(self, view: PeerView, now: float, all_count: bool) -> bool:
+        """Whether callers come to a peer, or would if it was heard."""
+        if not (view.state.ready or self.table.is_live(view, now)):
+            # It stopped as planned, and said so.
+            return False
+        return all_count or view.state.serving
--- /dev/null
+++ b/whinrack/edge/tests/test_halls.py
@@ -0,0 +1,110 @@
+"""How words on emptied data halls reach an instance, and what it makes of them."""
+
+import msgspec
+
+from standins.memory_store import MemoryStore
+from whinrack.dispatch import HallWord, TargetRegistry
+from whinrack.edge import HallReader
+from whinrack.edge._contact import StoreContact
+from whinrack.edge._halls import HallKnowledge
+from whinrack.edge._relay import KindRelay
+from whinrack.edge._sources import SourcePlan
+from whinrack.exceptions import InvalidObject
+from whinrack.store import Snapshot, StoredObject
+
+
+class Halls(HallReader):
+    kind = "emptied"
+
+    def read(self, stored):
+        if msgspec.json.decode(stored.value) != {}:
+            raise InvalidObject("no entry")
+        return stored.name
+
+
+class World:
+    """One instance's knowledge of halls."""
+
+    def __init__(self, store=None):
+        self.store = store or MemoryStore()
+        self.registry = TargetRegistry(seed=1)
+        self.spreads = 0
+        self.invalid = []
+        self.relay = KindRelay()
+        self.knowledge = HallKnowledge(
+            Halls(),
+            self.registry,
+            SourcePlan(self.store),
+            StoreContact(lambda answers: None),
+            self.relay,
+            self._spread,
+            self.invalid.append,
+        )
+
+    def _spread(self):
+        self.spreads += 1
+
+    def emptied(self):
+        return self.registry.halls.emptied
+
+    def changes(self, *objects):
+        self.knowledge._change(objects)
+
+
+def entry(name, version, value=b"{}", deleted=False):
+    return StoredObject("emptied", name, version, value, deleted=deleted)
+
+
+def test_halls_come_from_the_list_and_from_changes():
+    world = World()
+    world.store.put("emptied", "z", b"{}", 0)
+    assert world.knowledge.follower.step()
+    assert world.emptied() == {"z"}
+    world.changes(entry("y", 9), entry("z", 9, deleted=True))
+    assert world.emptied() == {"y"}
+
+
+def test_a_list_of_a_feeder_that_is_behind_takes_nothing_back():
+    world = World()
+    world.knowledge.learn([HallWord("z", 9, True)], "peer")
+    world.knowledge._replace((), 8)
+    assert world.emptied() == {"z"}
+    world.knowledge._replace((), 9)
+    assert world.emptied() == set()
+
+
+def test_a_value_that_cannot_be_read_leaves_the_last_good_word():
+    world = World()
+    world.changes(entry("z", 2))
+    world.changes(entry("z", 3, b'"junk"'), entry("y", 3, b"[]"))
+    assert world.emptied() == {"z"}
+    world.knowledge._replace((entry("z", 3, b'"junk"'),), 5)
+    assert world.emptied() == {"z"}
+    assert world.invalid == ["emptied"] * 3
+
+
+def test_an_entry_that_is_good_again_counts():
+    world = World()
+    world.changes(entry("z", 2, b"[]"))
+    world.changes(entry("z", 3))
+    assert world.emptied() == {"z"}
+
+
+def test_a_peers_word_counts_and_is_passed_on_once():
+    world = World()
+    words = [HallWord("z", 4, True), HallWord("y", 5, False)]
+    world.knowledge.learn(words, "peer")
+    world.knowledge.learn(words, "another")
+    assert (world.emptied(), world.spreads) == ({"z"}, 1)
+
+
+def test_lost_history_means_a_new_list():
+    class Forgetful(MemoryStore):
+        def list(self, kinds):
+            found = super().list(kinds).unwrap()
+            return super().list(kinds).map(lambda _: Snapshot(7, found.objects))
+
+    world = World(Forgetful())
+    world.knowledge.learn([HallWord("z", 6, True)], "peer")
+    assert world.knowledge.follower.step()
+    assert world.emptied() == set()
--- a/whinrack/edge/tests/test_store_tasks.py
+++ b/whinrack/edge/tests/test_store_tasks.py
@@ -16,7 +16,7 @@
     return KindFollower(
         SourcePlan(store),
         "k",
-        lambda objects: seen.append(("listed", sorted(item.name for item in objects))),
+        lambda objects, revision: seen.append(("listed", sorted(item.name for item in objects))),
         lambda objects: seen.append(("changed", sorted(item.name for item in objects))),
         contact or StoreContact(lambda answers: None),
         watch_seconds=0.1,
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -44,6 +44,7 @@
     "RequestTimeout",
     "TargetFailed",
     "TargetUnavailable",
+    "TargetsCold",
     "Unauthorized",
     "UnknownModel",
     "UnknownPool",
@@ -298,6 +299,12 @@
     code, status, kind = "target_unavailable", 503, "overloaded_error"
 
 
+class TargetsCold(Refusal):
+    """All targets have just started, and bear no more requests now."""
+
+    code, status, kind = "targets_cold", 503, "overloaded_error"
+
+
 class RequestQuarantined(Refusal):
     """Targets ended under each run of this request; it goes to no more."""
 
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -4,6 +4,7 @@
 import xxhash
 
 from whinrack.budgets import DrawOrder, DrawResult, ReleasedRow, RunRelease
+from whinrack.dispatch import HallWord
 from whinrack.quarantine import Case
 
 __all__ = [
@@ -126,6 +127,8 @@
         Checksum of the requests that the sender suspects of ending targets; 0 for none.
     leaving_started : list of int
         The starts of those in `leaving`, in the same order; older senders tell none.
+    halls : list of HallWord
+        What is known of data halls that were emptied; older senders tell nothing.
     """
 
     state: PeerState
@@ -139,6 +142,7 @@
     asks_for_states: bool = False
     suspects: int = 0
     leaving_started: list[int] = []
+    halls: list[HallWord] = []
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
--- a/whinrack/gossip/_peers.py
+++ b/whinrack/gossip/_peers.py
@@ -192,6 +192,18 @@
         """Return the live peers that serve callers."""
         return [view for view in self.live(now) if view.state.serving]
 
+    def remembered(self, now: float, seconds: float) -> list[PeerView]:
+        """Return the peers that were heard within some seconds, or look alive."""
+        return [
+            view
+            for view in self._views.values()
+            if now - view.heard_at <= seconds or self._is_live(view.heard_at, now)
+        ]
+
+    def is_live(self, view: PeerView, now: float) -> bool:
+        """Whether a peer was heard lately."""
+        return self._is_live(view.heard_at, now)
+
     def holding(self, now: float) -> list[PeerView]:
         """Return the live peers that may have unspent tokens, in a large fleet shuffled."""
         live = self.live(now)
--- a/whinrack/gossip/tests/test_peers.py
+++ b/whinrack/gossip/tests/test_peers.py
@@ -386,3 +386,39 @@
     receivers = peers.receivers(now)
     near = [(address, message) for address in receivers.near]
     return near + [(address, brief) for address in receivers.far]
+
+
+def test_an_instance_that_ended_is_named_nowhere_soon_after_not_even_by_hearsay():
+    """Eighty instances go on telling each other how long ago each was heard.
+
+    One ends, one starts anew a second later and hears all from the others; four seconds of contact
+    and three more are what naming it may last.
+    """
+    size, ended, started_anew = 80, 5, 6
+    tables = [PeerTable(f"p{n}", 0.9, 60.0, seed=n) for n in range(size)]
+    for number, table_ in enumerate(tables):
+        for other in range(size):
+            if other != number:
+                table_.heard(beat(name=f"p{other}", port=other), 0.0)
+    for turn in range(1, 15):
+        now = turn * 0.5
+        if turn == 2:
+            tables[started_anew] = PeerTable(f"p{started_anew}", 0.9, 60.0, seed=99)
+            tables[started_anew].add_addresses([("127.0.0.1", 0)], now)
+        for number, table_ in enumerate(tables):
+            if number == ended:
+                continue
+            message = _beat_of(table_, number, 2 * turn, now)
+            for address in addresses_of(table_, now):
+                hearer, other = tables[address[1]], address[1]
+                if other == ended:
+                    continue
+                if hearer.heard(message, now) or message.asks_for_states:
+                    table_.heard(_beat_of(hearer, other, 2 * turn + 1, now, whole=True), now)
+    naming = [
+        number
+        for number, table_ in enumerate(tables)
+        if number != ended and f"p{ended}" in {view.state.sender.name for view in table_.ready(now)}
+    ]
+    assert naming == []
+    assert len(tables[started_anew].ready(now)) == size - 2
--- a/whinrack/gossip/tests/test_versions.py
+++ b/whinrack/gossip/tests/test_versions.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from whinrack.dispatch import HallWord
 from whinrack.gossip import Heartbeat, Message, PeerAddress, PeerState, SuspectCases
 from whinrack.quarantine import Case
 
@@ -36,7 +37,14 @@
 
 
 def test_a_later_heartbeat_is_read_by_an_earlier_version():
-    beat = Heartbeat(state=STATE, number=3, leaving=["t"], suspects=7, leaving_started=[5])
+    beat = Heartbeat(
+        state=STATE,
+        number=3,
+        leaving=["t"],
+        suspects=7,
+        leaving_started=[5],
+        halls=[HallWord("z", 4, True)],
+    )
     read = msgspec.msgpack.decode(msgspec.msgpack.encode(beat), type=EarlierHeartbeat)
     assert (read.number, read.leaving) == (3, ["t"])
 
@@ -46,6 +54,13 @@
     beat = EarlierHeartbeat(state=STATE, number=3, leaving=["t"])
     read = msgspec.msgpack.decode(msgspec.msgpack.encode(beat), type=Message)
     assert (read.leaving, read.leaving_started, read.suspects) == (["t"], [], 0)
+    assert read.halls == []
+
+
+def test_words_on_halls_travel_with_a_heartbeat():
+    words = [HallWord("z", 4, True), HallWord("odd \u20ac\u0001", 9, False)]
+    beat = Heartbeat(state=STATE, halls=words)
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(beat), type=Message).halls == words
 
 
 def test_a_message_that_an_earlier_version_does_not_know_is_none_of_its_own():
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -37,6 +37,9 @@
     FEED_CHANGED = (3003, "INFO", "configuration comes from another source")
     KNOWLEDGE_FETCHED = (3004, "INFO", "a peer with a newer configuration told what it knows")
 
+    HALL_EMPTIED = (3005, "INFO", "data hall emptied: its targets get nothing more")
+    HALL_BACK = (3006, "INFO", "data hall is in use again")
+
     MEMBER_JOINED = (4001, "INFO", "peer seen")
     MEMBER_LOST = (4002, "WARNING", "peer lost")
     CROWDED = (4006, "INFO", "far more requests are open here than at the peers, or no longer")
@@ -56,6 +59,8 @@
     QUARANTINE_NOT_KEPT = (9006, "WARNING", "requests to keep out could not be written or read")
     QUARANTINE_UNREADABLE = (9007, "ERROR", "stored requests to keep out can't be read")
 
+    TARGETS_COLD = (5007, "INFO", "targets of a pool that are cold, and the share of them here")
+
     TARGET_CUT = (5006, "INFO", "target cut answers; whether it is still there")
 
     GRANT_CLOSED = (6001, "ERROR", "this incarnation's grant was released by an operator")
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -49,6 +49,8 @@
         self.targets_age = self._gauge(
             "targets_age_seconds", "Time since the store confirmed the list of targets"
         )
+        self.emptied_halls = self._gauge("emptied_halls", "Data halls whose targets get nothing")
+        self.cold_targets = self._gauge("cold_targets", "Targets that are cold, of all pools")
         self.suspected = self._gauge(
             "suspected_requests", "Requests with which several targets ended, cleared ones included"
         )
