--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -15,6 +15,8 @@
 _HALF_LIFE_SECONDS = 8.0
 # A schedule of an idle grant is stated anew after so long, so that it releases little.
 _IDLE_SECONDS = 2.0
+# For so long after it lent tokens a run counts as a lender: borrowers ask each second or so.
+_LENDER_SECONDS = 2.0
 # Requests of the largest size that a budget which lasts for long releases at once: they come in
 # pairs by chance. With one, 25 of 119 requests of a seldom used budget were refused in outages
 # of 8 s though its supplier held ten times as much.
@@ -115,6 +117,8 @@
         # Tokens that peers said are used up by requests there, by giver.
         self.covering_elsewhere: dict[str, int] = {}
         self.stated: ReleaseSchedule | None = None
+        # When a peer was given tokens last.
+        self.lent_at = float("-inf")
         # The least that peers were asked for in vain, and when.
         self._scarce_tokens = 0
         self._scarce_at = float("-inf")
@@ -219,6 +223,10 @@
             return False
         return now - self.stated.steady >= _IDLE_SECONDS
 
+    def lends(self, now: float) -> bool:
+        """Whether peers use what the schedule releases here, and report it themselves."""
+        return self.stated is not None and now - self.lent_at < _LENDER_SECONDS
+
     def unspent_at_most(self) -> int:
         """Tokens that can be had from anywhere, as far as the books and the peers tell."""
         covering = self.ledger.covering + sum(self.covering_elsewhere.values())
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -161,6 +161,7 @@
         if usable < need and before <= already_received:
             return before
         total = grant.ledger.give(receiver, already_received, need, wish, usable)
+        grant.lent_at = now
         # What is used elsewhere is demand here: it is drawn ahead for all.
         grant.demand.record(total - before, now)
         return total
--- a/whinrack/budgets/_orders.py
+++ b/whinrack/budgets/_orders.py
@@ -132,6 +132,10 @@
             return True
         if self._excess(grant):
             return True
+        # A lender has nothing to report, and stated its schedule as seldom as an idle holder: when
+        # all lost power after an outage 0.130 of a large budget was out of use, 0.067 so.
+        if grant.lends(self.clock()):
+            return True
         return grant.overdrawn() or grant.releases_idly(self.clock())
 
     def _report_is_due(self, grant: Grant) -> bool:
