Callers of a pool whose halls are all emptied come back after as long as that has lasted

What has lasted for so long lasts for as long again; bounds 1 and 10 s. The reasons why nobody takes a request stand in a module of their own.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -12,6 +12,7 @@
 from whinrack.dispatch._run import Run
 from whinrack.dispatch._target_ends import TargetEnds
 from whinrack.dispatch._target_state import Reading, TargetState
+from whinrack.dispatch._turning_away import BUSY_RETRY_SECONDS, no_target, why_nobody
 from whinrack.dispatch._values import Attempt, PoolRecord, RouteKind, TargetsView
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
@@ -19,7 +20,6 @@
     AttemptTimeout,
     CallerGone,
     Refusal,
-    TargetsCold,
     TargetUnavailable,
 )
 from whinrack.http1 import ConnectionPool, RequestHead, ResponseHead, TargetConnection
@@ -27,7 +27,6 @@
 from whinrack.quarantine import AdmitAll, RunGuard
 
 __all__ = [
-    "BUSY_RETRY_SECONDS",
     "TIMEOUT_MARGIN",
     "AttemptFailed",
     "AttemptRunner",
@@ -36,8 +35,6 @@
 
 _OK = 200
 _SERVER_ERROR = 500
-# After which a caller may come back when targets are full.
-BUSY_RETRY_SECONDS = 0.25
 # Part of the connections that a target accepts which all instances together use.
 _CONNECTION_PART = 0.9
 _LEAST_IN_FLIGHT = 2
@@ -132,7 +129,7 @@
         pool = run.configuration.pools.get(pool_name)
         now = steady()
         if pool is None:
-            raise NobodyTakesIt(_no_target())
+            raise NobodyTakesIt(no_target())
         most = self._most_in_flight(pool)
         has_engines = pool.engine is not None
         prompt = run.prompt if has_engines else None
@@ -148,7 +145,7 @@
             rank=run.priority,
         )
         if state is None:
-            raise NobodyTakesIt(self._nobody(pool, now))
+            raise NobodyTakesIt(why_nobody(self.registry, pool, now))
         run.tried.add(state.record.identity)
         run.target = state.record.incarnation
         run.targets_view = self.targets_view()
@@ -160,7 +157,7 @@
             connection = self._connect(run, state)
             if not self.registry.may_be_sent(state):
                 # That was learnt while the connection was waited for, and nothing was sent yet.
-                raise AttemptFailed(_no_target(), counts=False)
+                raise AttemptFailed(no_target(), counts=False)
             self._under_way.setdefault(state, set()).add(connection)
             self._exchange(run, pool, state, connection)
         finally:
@@ -170,13 +167,6 @@
             if connection is not None:
                 self.connections.give_back(connection)
 
-    def _nobody(self, pool: PoolRecord, now: float) -> Refusal:
-        """Return why a pool has no target for a request, and when it may have one."""
-        wait = self.registry.warm_up_wait(pool.name, pool.cold_start, now)
-        if wait is None:
-            return _no_target()
-        return TargetsCold("the targets have just started", retry_after=wait)
-
     def _ended(self, state: TargetState, connection: TargetConnection | None) -> None:
         connections = self._under_way.get(state, set())
         connections.discard(connection)
@@ -204,7 +194,7 @@
             return self.connections.take(state.address, run.end)
         except TargetUnavailable as failure:
             state.unreachable(steady())
-            raise AttemptFailed(_no_target(), counts=False) from failure
+            raise AttemptFailed(no_target(), counts=False) from failure
 
     def _exchange(
         self, run: Run, pool: PoolRecord, state: TargetState, connection: TargetConnection
@@ -312,7 +302,3 @@
         has_other = self.registry.has_other(pool, run.tried, steady())
         if run.attempts < run.route.most_attempts and has_other:
             raise AnswerCut(f"the target answered {head.status}")
-
-
-def _no_target() -> Refusal:
-    return TargetUnavailable("no target takes work now", retry_after=BUSY_RETRY_SECONDS)
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -11,7 +11,6 @@
 from whinrack.clock import steady
 from whinrack.dispatch._answers import AnswerRelay
 from whinrack.dispatch._attempts import (
-    BUSY_RETRY_SECONDS,
     TIMEOUT_MARGIN,
     AttemptFailed,
     AttemptRunner,
@@ -28,6 +27,7 @@
     log_run,
     log_uncovered,
 )
+from whinrack.dispatch._turning_away import BUSY_RETRY_SECONDS
 from whinrack.dispatch._values import IncomingRequest, Route, TargetsView
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -45,6 +45,8 @@
         self.clock = clock
         self.permits = permits or WarmUpPermits.of_one_instance()
         self.halls = EmptiedHalls()
+        # When it was learnt that a hall is emptied.
+        self.emptied_at: dict[str, float] = {}
         self._targets: dict[str, TargetState] = {}
         self._pools: dict[str, dict[str, TargetState]] = {}
         # Starts that said that they leave, also after their records have gone: an old record,
@@ -130,8 +132,11 @@
         """Take in a word on a data hall; True if it was emptied or came back by it."""
         if not self.halls.learn(word):
             return False
-        if not word.emptied:
-            now = self.clock()
+        now = self.clock()
+        if word.emptied:
+            self.emptied_at[word.hall] = now
+        else:
+            self.emptied_at.pop(word.hall, None)
             for state in self._targets.values():
                 if state.record.data_hall == word.hall:
                     state.warmth.hall_back(now)
@@ -235,20 +240,6 @@
             rank,
         )
 
-    def warm_up_wait(self, pool: str, cold_start: ColdStart | None, now: float) -> float | None:
-        """Return the seconds after which a pool whose targets are all cold takes a request.
-
-        None if the pool isn't cold, or has no target.
-        """
-        if cold_start is None:
-            return None
-        states = [state for state in self.of_pool(pool) if self.may_be_sent(state)]
-        if not states or not all(state.is_cold(cold_start, now) for state in states):
-            return None
-        warm_at = min(state.warmth.cold_until(cold_start.seconds) for state in states)
-        names = [state.record.identity for state in states]
-        return min(warm_at - now, self.permits.wait(names, cold_start.rate, now))
-
     def cold(self, pool: str, cold_start: ColdStart | None, now: float) -> list[TargetState]:
         """Return the targets of a pool that are cold."""
         return [state for state in self.of_pool(pool) if state.is_cold(cold_start, now)]
--- a/whinrack/dispatch/tests/test_halls.py
+++ b/whinrack/dispatch/tests/test_halls.py
@@ -2,7 +2,8 @@
 
 import itertools
 
-from whinrack.dispatch import EmptiedHalls, HallWord, TargetRecord, TargetRegistry
+from whinrack.dispatch import EmptiedHalls, HallWord, PoolRecord, TargetRecord, TargetRegistry
+from whinrack.dispatch._turning_away import BUSY_RETRY_SECONDS, why_nobody
 
 WORDS = (
     HallWord("z", 5, True),
@@ -66,6 +67,20 @@
     assert targets.choose("p", "", (), 0.0) is None
 
 
+def test_callers_are_told_to_come_back_after_as_long_as_all_halls_have_been_emptied():
+    targets = registry(a="z", b="y")
+    pool = PoolRecord("p", 0)
+    targets.clock = lambda: 10.0
+    targets.learn_of_hall(HallWord("z", 2, True))
+    assert why_nobody(targets, pool, 15.0).retry_after == BUSY_RETRY_SECONDS
+    targets.clock = lambda: 12.0
+    targets.learn_of_hall(HallWord("y", 3, True))
+    assert why_nobody(targets, pool, 15.0).retry_after == 3.0
+    assert why_nobody(targets, pool, 12.1).retry_after == 1.0
+    targets.learn_of_hall(HallWord("z", 4, False))
+    assert why_nobody(targets, pool, 15.0).retry_after == BUSY_RETRY_SECONDS
+
+
 def test_a_target_whose_hall_is_emptied_after_the_choice_may_be_sent_nothing():
     targets = registry(a="z", b="y")
     state = targets.choose("p", "", {"b"}, 0.0)
--- a/whinrack/dispatch/tests/test_warmth.py
+++ b/whinrack/dispatch/tests/test_warmth.py
@@ -5,11 +5,13 @@
 from whinrack.dispatch import (
     ColdStart,
     HallWord,
+    PoolRecord,
     TargetRecord,
     TargetRegistry,
     WarmUpLimits,
     WarmUpPermits,
 )
+from whinrack.dispatch._turning_away import why_nobody
 
 COLD = ColdStart(seconds=3.0, rate=4.0)
 LIMITS = WarmUpLimits(1.5, 5.0)
@@ -159,7 +161,7 @@
         world.now += 0.1
     # Used is 3.5 a second of the 4 that it bears.
     assert 16 <= sent <= 19
-    wait = world.targets.warm_up_wait("p", COLD, world.now)
+    wait = why_nobody(world.targets, PoolRecord("p", 0, cold_start=COLD), world.now).retry_after
     assert 0.0 < wait <= 5.0
 
 
