--- a/whinrack/edge/__init__.py
+++ b/whinrack/edge/__init__.py
@@ -3,7 +3,7 @@
 from whinrack.edge._answers import SmallAnswers
 from whinrack.edge._daemon import EdgeDaemon
 from whinrack.edge._options import EdgeOptions
-from whinrack.edge._sources import ConfigurationReader, HallReader, TargetReader
+from whinrack.edge._readers import ConfigurationReader, HallReader, TargetReader
 
 __all__ = [
     "ConfigurationReader",
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -17,7 +17,6 @@
     Directory,
     Dispatcher,
     DispatchOptions,
-    HallWord,
     TargetRegistry,
     WarmUpLimits,
     WarmUpPermits,
@@ -25,24 +24,22 @@
 from whinrack.edge._answers import SmallAnswers
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._earlier_runs import EarlierRuns
-from whinrack.edge._entries import serves_callers
 from whinrack.edge._feeding import FeedPlan
 from whinrack.edge._halls import HallKnowledge
+from whinrack.edge._instance_host import InstanceHost
 from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._membership import Membership
-from whinrack.edge._membership_host import MembershipHost
 from whinrack.edge._operator_answers import OperatorAnswers
 from whinrack.edge._options import EdgeOptions, HostPort
+from whinrack.edge._readers import ConfigurationReader, HallReader, TargetReader
 from whinrack.edge._reloading import SettingsFollower
 from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
-from whinrack.edge._sources import ConfigurationReader, HallReader, TargetReader
 from whinrack.edge._stopping import PlannedStop
 from whinrack.edge._suspects import SuspectExchange
 from whinrack.edge._tokens import TokenExchange
 from whinrack.edge._traffic import Place
 from whinrack.edge._upkeep import Upkeep
 from whinrack.edge._warm_up_log import WarmUpLog
-from whinrack.gossip import GoneTarget, Message, SuspectCases
 from whinrack.http1 import ConnectionPool, HttpServer
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
 from whinrack.store import MeteredStore, ObjectStore
@@ -55,11 +52,9 @@
 _TASK_PAUSE_SECONDS = 0.5
 # How often it is looked whether callers had better connect elsewhere.
 _CROWDED_SECONDS = 0.25
-# The answer to a watch may be so late, beyond the time for which the watch is held.
-_WATCH_MARGIN_SECONDS = 1.0
 
 
-class EdgeDaemon(MembershipHost):
+class EdgeDaemon:
     """One instance that serves declared routes.
 
     Parameters
@@ -111,7 +106,7 @@
             self.holder,
             self.directory,
             self.registry,
-            self,
+            InstanceHost(self),
             self._count_bytes,
         )
         plan = FeedPlan(
@@ -193,7 +188,6 @@
             self.membership, self.front, self.dispatcher, self.keeper, self.tokens
         )
         self.upkeep = Upkeep(self.output, self.membership.traffic, self.store, self.membership.link)
-        self._serves = False
 
     def run(self) -> int:
         """Serve until a signal stops the process; returns its exit code."""
@@ -209,68 +203,9 @@
         while True:
             eventlet.sleep(3600)
 
-    # --- what the peers are told, and tell -----------------------------------------
-
-    def open_requests(self) -> int:
-        """Return the requests in progress here."""
-        return self.dispatcher.in_progress
-
-    def serves_callers(self, now: float) -> bool:
-        """Whether callers' requests come here; the platform's probes are fewer."""
-        self._serves = serves_callers(self.dispatcher.arrivals.rate(now), self._serves)
-        return self._serves
-
-    def holds_tokens(self) -> bool:
-        """Whether there are unspent tokens here."""
-        return self.keeper.holds_tokens
-
-    def reaches_store(self) -> bool:
-        """Whether the store can be reached from here."""
-        return self.contact.answers and self.keeper.store_answers
-
-    def confirms_store(self) -> bool:
-        """Whether the store has answered a call from here lately."""
-        silent = steady() - self.store.answered_at
-        return self.reaches_store() and silent < self.options.watch_seconds + _WATCH_MARGIN_SECONDS
-
-    def gone_targets(self) -> list[GoneTarget]:
-        """Return the targets whose records have gone lately."""
-        return self.knowledge.gone_lately()
-
-    def learn_gone_targets(self, gone: list[GoneTarget]) -> None:
-        """Take in the targets that a peer knows to be gone."""
-        self.knowledge.learn_gone(gone)
-
-    def learn_halls(self, words: list[HallWord], peer: str) -> None:
-        """Take in what a peer knows of emptied data halls."""
-        self.halls.learn(words, peer)
-
     def _fetch_knowledge(self, peer: HostPort) -> SharedKnowledge | None:
         return fetch_knowledge(peer, self.membership.traffic.moved)
 
-    def hear_of_configuration(self, peer: HostPort) -> None:
-        """Catch up with a peer that has a newer configuration."""
-        self.knowledge.suspect_configuration(peer)
-
-    def hear_of_store(self) -> None:
-        """Ask a lost store again, since a peer hears from it."""
-        self.knowledge.hear_of_store()
-
-    def receive(self, message: Message, address: HostPort) -> None:
-        """Take in a peer's message about suspected requests, or about tokens."""
-        if isinstance(message, SuspectCases):
-            self.suspects.receive(message, address)
-        else:
-            self.tokens.receive(message, address)
-
-    def suspects_checksum(self) -> int:
-        """Return the checksum of the requests that are suspected of ending targets."""
-        return self.suspects.checksum()
-
-    def compare_suspects(self, checksum: int, peer: HostPort) -> None:
-        """Catch up with a peer that suspects other requests."""
-        self.suspects.compare(checksum, peer)
-
     # --- start -------------------------------------------------------------------
 
     def _start_servers(self) -> None:
--- a/whinrack/edge/_halls.py
+++ b/whinrack/edge/_halls.py
@@ -4,8 +4,9 @@
 
 from whinrack.dispatch import HallWord, TargetRegistry
 from whinrack.edge._contact import StoreContact
+from whinrack.edge._readers import HallReader
 from whinrack.edge._relay import KindRelay
-from whinrack.edge._sources import HallReader, KindFollower, SourcePlan
+from whinrack.edge._sources import KindFollower, SourcePlan
 from whinrack.exceptions import InvalidObject
 from whinrack.observability import Event, log_event
 from whinrack.store import StoredObject
--- /dev/null
+++ b/whinrack/edge/_instance_host.py
@@ -0,0 +1,90 @@
+"""What the membership asks of this instance, and what peers tell it, led to whom it concerns."""
+
+from typing import TYPE_CHECKING
+
+from whinrack.clock import steady
+from whinrack.dispatch import HallWord
+from whinrack.edge._entries import serves_callers
+from whinrack.edge._membership_host import MembershipHost
+from whinrack.edge._options import HostPort
+from whinrack.gossip import GoneTarget, Message, SuspectCases
+
+if TYPE_CHECKING:
+    from whinrack.edge._daemon import EdgeDaemon
+
+__all__ = ["InstanceHost"]
+
+# The answer to a watch may be so late, beyond the time for which the watch is held.
+_WATCH_MARGIN_SECONDS = 1.0
+
+
+class InstanceHost(MembershipHost):
+    """Speaks for one instance.
+
+    Parameters
+    ----------
+    instance : EdgeDaemon
+    """
+
+    def __init__(self, instance: "EdgeDaemon"):
+        self.instance = instance
+        self._serves = False
+
+    def open_requests(self) -> int:
+        """Return the requests in progress here."""
+        return self.instance.dispatcher.in_progress
+
+    def serves_callers(self, now: float) -> bool:
+        """Whether callers' requests come here; the platform's probes are fewer."""
+        rate = self.instance.dispatcher.arrivals.rate(now)
+        self._serves = serves_callers(rate, self._serves)
+        return self._serves
+
+    def holds_tokens(self) -> bool:
+        """Whether there are unspent tokens here."""
+        return self.instance.keeper.holds_tokens
+
+    def reaches_store(self) -> bool:
+        """Whether the store can be reached from here."""
+        return self.instance.contact.answers and self.instance.keeper.store_answers
+
+    def confirms_store(self) -> bool:
+        """Whether the store has answered a call from here lately."""
+        silent = steady() - self.instance.store.answered_at
+        longest = self.instance.options.watch_seconds + _WATCH_MARGIN_SECONDS
+        return self.reaches_store() and silent < longest
+
+    def gone_targets(self) -> list[GoneTarget]:
+        """Return the targets whose records have gone lately."""
+        return self.instance.knowledge.gone_lately()
+
+    def learn_gone_targets(self, gone: list[GoneTarget]) -> None:
+        """Take in the targets that a peer knows to be gone."""
+        self.instance.knowledge.learn_gone(gone)
+
+    def learn_halls(self, words: list[HallWord], peer: str) -> None:
+        """Take in what a peer knows of emptied data halls."""
+        self.instance.halls.learn(words, peer)
+
+    def hear_of_configuration(self, peer: HostPort) -> None:
+        """Catch up with a peer that has a newer configuration."""
+        self.instance.knowledge.suspect_configuration(peer)
+
+    def hear_of_store(self) -> None:
+        """Ask a lost store again, since a peer hears from it."""
+        self.instance.knowledge.hear_of_store()
+
+    def receive(self, message: Message, address: HostPort) -> None:
+        """Take in a peer's message about suspected requests, or about tokens."""
+        if isinstance(message, SuspectCases):
+            self.instance.suspects.receive(message, address)
+        else:
+            self.instance.tokens.receive(message, address)
+
+    def suspects_checksum(self) -> int:
+        """Return the checksum of the requests that are suspected of ending targets."""
+        return self.instance.suspects.checksum()
+
+    def compare_suspects(self, checksum: int, peer: HostPort) -> None:
+        """Catch up with a peer that suspects other requests."""
+        self.instance.suspects.compare(checksum, peer)
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -13,15 +13,10 @@
 from whinrack.dispatch import Directory, TargetRecord, TargetRegistry, TargetsView
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import HostPort
+from whinrack.edge._readers import ConfigurationReader, TargetReader
 from whinrack.edge._relay import WatchRelay
 from whinrack.edge._sharing import SharedKnowledge, fetch_knowledge
-from whinrack.edge._sources import (
-    PROBE_SECONDS,
-    ConfigurationReader,
-    KindFollower,
-    SourcePlan,
-    TargetReader,
-)
+from whinrack.edge._sources import PROBE_SECONDS, KindFollower, SourcePlan
 from whinrack.exceptions import InvalidObject
 from whinrack.gossip import GoneTarget
 from whinrack.observability import Event, log_event
--- /dev/null
+++ b/whinrack/edge/_readers.py
@@ -0,0 +1,52 @@
+"""What translates stored objects into the product's values; an adapter implements it."""
+
+from whinrack.dispatch import Configuration, TargetRecord
+from whinrack.store import StoredObject
+
+__all__ = ["ConfigurationReader", "HallReader", "TargetReader"]
+
+
+class ConfigurationReader:
+    """Translates the stored configuration."""
+
+    kind: str
+    name: str
+
+    def read(self, stored: StoredObject) -> Configuration:
+        """Return the configuration that an object holds.
+
+        Raises
+        ------
+        InvalidObject
+        """
+        raise NotImplementedError
+
+
+class TargetReader:
+    """Translates the stored records of targets."""
+
+    kind: str
+
+    def read(self, stored: StoredObject) -> TargetRecord:
+        """Return the record that an object holds.
+
+        Raises
+        ------
+        InvalidObject
+        """
+        raise NotImplementedError
+
+
+class HallReader:
+    """Translates the stored entries of data halls that are emptied."""
+
+    kind: str
+
+    def read(self, stored: StoredObject) -> str:
+        """Return the data hall that an object empties.
+
+        Raises
+        ------
+        InvalidObject
+        """
+        raise NotImplementedError
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -8,7 +8,6 @@
 from returns.result import Failure, Result, Success
 
 from whinrack.clock import steady
-from whinrack.dispatch import Configuration, TargetRecord
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import HostPort
 from whinrack.edge._relay import KindRelay
@@ -18,12 +17,9 @@
 
 __all__ = [
     "PROBE_SECONDS",
-    "ConfigurationReader",
     "FollowedSource",
-    "HallReader",
     "KindFollower",
     "SourcePlan",
-    "TargetReader",
 ]
 
 # The store, where logs name who answered.
@@ -50,52 +46,6 @@
 _LONGEST_WAIT = 2.0
 
 
-class ConfigurationReader:
-    """Translates the stored configuration."""
-
-    kind: str
-    name: str
-
-    def read(self, stored: StoredObject) -> Configuration:
-        """Return the configuration that an object holds.
-
-        Raises
-        ------
-        InvalidObject
-        """
-        raise NotImplementedError
-
-
-class TargetReader:
-    """Translates the stored records of targets."""
-
-    kind: str
-
-    def read(self, stored: StoredObject) -> TargetRecord:
-        """Return the record that an object holds.
-
-        Raises
-        ------
-        InvalidObject
-        """
-        raise NotImplementedError
-
-
-class HallReader:
-    """Translates the stored entries of data halls that are emptied."""
-
-    kind: str
-
-    def read(self, stored: StoredObject) -> str:
-        """Return the data hall that an object empties.
-
-        Raises
-        ------
-        InvalidObject
-        """
-        raise NotImplementedError
-
-
 class FollowedSource(msgspec.Struct, frozen=True):
     """Where the next list or watch goes.
 
--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -11,13 +11,9 @@
 from whinrack.dispatch import Configuration, Directory, TargetRecord, TargetRegistry
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._knowledge import StoreKnowledge
+from whinrack.edge._readers import ConfigurationReader, TargetReader
 from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
-from whinrack.edge._sources import (
-    ConfigurationReader,
-    FollowedSource,
-    SourcePlan,
-    TargetReader,
-)
+from whinrack.edge._sources import FollowedSource, SourcePlan
 from whinrack.exceptions import PlatformUnavailable
 from whinrack.gossip import GoneTarget
 from whinrack.http1 import ServerLimits
