--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -258,6 +258,9 @@
         log_event(event, silent=silent, why=self.store.last_failure)
         if answers:
             self.keeper.store_regained()
+            # By the next round what may be used was stated up to 2.0 s later; what a process that
+            # ends before it is stated may have used is out of use.
+            eventlet.spawn_n(self._renew)
             # By the usual heartbeats the last of 24 instances came back 1.7 s after the first, and
             # refused for budgets meanwhile.
             self.membership.spread()
@@ -267,14 +270,18 @@
     def _renew_forever(self) -> None:
         rounds = 0
         while not self.planned_stop.served:
-            if isinstance(self.keeper.renew(), Failure):
-                self.contact.report(False)
+            self._renew()
             rounds += 1
             if rounds % _BOOKS_LOG_ROUNDS == 0:
                 log_event(Event.BOOKS_KNOWN, books=self.keeper.summary())
             eventlet.sleep(self.membership.table.interval(self.options.renew_seconds))
             self.contact.wait(self.options.renew_seconds)
 
+    def _renew(self) -> None:
+        """Tell the books what was used, and what may be used from now on."""
+        if isinstance(self.keeper.renew(), Failure):
+            self.contact.report(False)
+
     def _watch_crowding(self) -> None:
         """Let callers go elsewhere while far more requests are open here than at the peers."""
         while True:
