--- a/whinrack/edge/_halls.py
+++ b/whinrack/edge/_halls.py
@@ -4,7 +4,7 @@
 
 from whinrack.dispatch import HallWord, TargetRegistry
 from whinrack.edge._contact import StoreContact
-from whinrack.edge._readers import HallReader
+from whinrack.edge._readers import HallReader, shown
 from whinrack.edge._relay import KindRelay
 from whinrack.edge._sources import KindFollower, SourcePlan
 from whinrack.exceptions import InvalidObject
@@ -17,8 +17,6 @@
 # seldom, heartbeats tell of it as well, and a watch that is held for 1 s makes three times the
 # calls.
 _WATCH_SECONDS = 3.0
-# Letters of other writers' text that a log line shows.
-_MOST_SHOWN = 200
 
 
 class HallKnowledge:
@@ -72,7 +70,7 @@
         for word in news:
             log_event(
                 Event.HALL_EMPTIED if word.emptied else Event.HALL_BACK,
-                hall=_shown(word.hall),
+                hall=shown(word.hall),
                 version=word.version,
                 source=source,
                 age=self.relay.age(),
@@ -100,10 +98,5 @@
             return HallWord(self.reader.read(stored), stored.version, emptied=True)
         except InvalidObject as error:
             self.count_invalid(stored.kind)
-            log_event(Event.CONFIG_INVALID, object=_shown(stored.name), error=_shown(error.message))
+            log_event(Event.CONFIG_INVALID, object=shown(stored.name), error=shown(error.message))
             return None
-
-
-def _shown(text: str) -> str:
-    """Return the beginning of a text that others wrote, for a log line."""
-    return text[:_MOST_SHOWN]
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -13,7 +13,7 @@
 from whinrack.dispatch import Directory, TargetRecord, TargetRegistry, TargetsView
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._options import HostPort
-from whinrack.edge._readers import ConfigurationReader, TargetReader
+from whinrack.edge._readers import ConfigurationReader, TargetReader, shown
 from whinrack.edge._relay import WatchRelay
 from whinrack.edge._sharing import SharedKnowledge, fetch_knowledge
 from whinrack.edge._sources import PROBE_SECONDS, KindFollower, SourcePlan
@@ -30,8 +30,6 @@
 _PROBE_PAUSE = 1.0
 # A fed instance that hears of a newer configuration waits so long for it to come by itself.
 _FEED_PAUSE = 0.25
-# Letters of other writers' text that a log line shows.
-_MOST_SHOWN = 200
 # Names of targets that are gone, the last ones.
 _MOST_GONE = 2000
 # For so long peers are told that a target's record is gone.
@@ -256,14 +254,13 @@
                     self._tell_ignored(stored, configuration.ignored)
             except InvalidObject as error:
                 self.count_invalid(stored.kind)
-                log_event(Event.CONFIG_INVALID, object=stored.name, error=_shown(error.message))
+                log_event(Event.CONFIG_INVALID, object=stored.name, error=shown(error.message))
 
     def _tell_ignored(self, stored: StoredObject, ignored: tuple[str, ...]) -> None:
         """Tell which fields of a configuration were left out."""
         if ignored:
             self.count_invalid(stored.kind)
-            shown = _shown("; ".join(ignored))
-            log_event(Event.CONFIG_INVALID, object=stored.name, error=shown)
+            log_event(Event.CONFIG_INVALID, object=stored.name, error=shown("; ".join(ignored)))
 
     def _replace_targets(self, objects: tuple[StoredObject, ...], revision: int) -> None:
         listed = {stored.name: stored for stored in objects}
@@ -320,10 +317,5 @@
             return self.target_reader.read(stored)
         except InvalidObject as error:
             self.count_invalid(stored.kind)
-            log_event(Event.CONFIG_INVALID, object=_shown(stored.name), error=_shown(error.message))
+            log_event(Event.CONFIG_INVALID, object=shown(stored.name), error=shown(error.message))
             return None
-
-
-def _shown(text: str) -> str:
-    """Return the beginning of a text that others wrote, for a log line."""
-    return text[:_MOST_SHOWN]
--- a/whinrack/edge/_readers.py
+++ b/whinrack/edge/_readers.py
@@ -3,7 +3,10 @@
 from whinrack.dispatch import Configuration, TargetRecord
 from whinrack.store import StoredObject
 
-__all__ = ["ConfigurationReader", "HallReader", "TargetReader"]
+__all__ = ["ConfigurationReader", "HallReader", "TargetReader", "shown"]
+
+# Letters of other writers' text that a log line shows.
+_MOST_SHOWN = 200
 
 
 class ConfigurationReader:
@@ -50,3 +53,8 @@
         InvalidObject
         """
         raise NotImplementedError
+
+
+def shown(text: str) -> str:
+    """Return the beginning of a text that others wrote, for a log line."""
+    return text[:_MOST_SHOWN]
--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -254,3 +254,18 @@
     world.hear(told(7, "t1"))
     (passed_on,) = world.knowledge.shared().targets
     assert (passed_on.version, bytes(passed_on.value)) == (5, b'"leaving"')
+
+
+def test_a_configuration_with_fields_that_are_left_out_is_taken_and_counted(world, monkeypatch):
+    read = Configurations.read
+
+    def with_ignored(reader, stored):
+        configuration = read(reader, stored)
+        configuration.ignored = ("app: cold_per_s: allowed is 0 to 9",)
+        return configuration
+
+    invalid = []
+    monkeypatch.setattr(Configurations, "read", with_ignored)
+    monkeypatch.setattr(world.knowledge, "count_invalid", invalid.append)
+    world.hear(told(7))
+    assert (world.directory.version, invalid) == (7, ["config"])
