Sight: what a target states of itself in an answer is read, logged and counted

No decision stands on it yet. Each instance tells when an answer of a target first states a limit, changes it or takes it back, and by which request; a metric counts limited targets, another one words that can't be read.

It tells the three hypotheses of the incident apart: arrivals after that line at the instance that logged it, those at others, and those of one request.

--- a/whinrack/dispatch/__init__.py
+++ b/whinrack/dispatch/__init__.py
@@ -6,6 +6,7 @@
 from whinrack.dispatch._halls import EmptiedHalls, HallWord
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._retries import RetryAllowance
+from whinrack.dispatch._stated_limits import NO_LIMIT, LimitChange, StatedLimits
 from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import (
     Attempt,
@@ -26,6 +27,7 @@
 from whinrack.dispatch.base import Dialect
 
 __all__ = [
+    "NO_LIMIT",
     "Attempt",
     "ColdStart",
     "Configuration",
@@ -38,12 +40,14 @@
     "EngineShape",
     "HallWord",
     "IncomingRequest",
+    "LimitChange",
     "PoolRecord",
     "PoolShare",
     "PromptPart",
     "RetryAllowance",
     "Route",
     "RouteKind",
+    "StatedLimits",
     "TargetRecord",
     "TargetsView",
     "TargetRegistry",
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -213,6 +213,7 @@
                 head_end, lambda headers: self.dialect.is_answer_to(run.request, headers)
             )
             self.answer_times.observe(pool.name, steady() - began)
+            self._learn_limit(run, state, head)
             if self.dialect.did_not_run(head):
                 run.may_have_run = may_have_run_before
                 self._refused_by_target(state, head)
@@ -274,6 +275,14 @@
         head = RequestHead(request.method, request.target, self.dialect.attempt_headers(attempt))
         connection.send(head, request.body, run.end)
 
+    def _learn_limit(self, run: Run, state: TargetState, head: ResponseHead) -> None:
+        """Take in what a target states of itself, also where it did not run the request."""
+        rate = self.dialect.stated_limit(head)
+        if rate is None:
+            self.metrics.unreadable_limits.inc()
+        elif not self.dialect.is_other_target(head):
+            self.registry.limits.hear(state.record.identity, rate, run.label)
+
     def _refused_by_target(self, state: TargetState, head: ResponseHead) -> None:
         if self.dialect.is_other_target(head):
             self.registry.not_at_its_address(state)
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -11,6 +11,7 @@
 from whinrack.dispatch._halls import EmptiedHalls, HallWord
 from whinrack.dispatch._loads import LoadsElsewhere
 from whinrack.dispatch._placement import PromptNeed
+from whinrack.dispatch._stated_limits import StatedLimits
 from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import ColdStart, TargetRecord
 from whinrack.dispatch._warming import WarmUpPermits
@@ -45,6 +46,7 @@
         self.clock = clock
         self.permits = permits or WarmUpPermits.of_one_instance()
         self.halls = EmptiedHalls()
+        self.limits = StatedLimits()
         # When it was learnt that a hall is emptied.
         self.emptied_at: dict[str, float] = {}
         self._targets: dict[str, TargetState] = {}
--- a/whinrack/dispatch/base.py
+++ b/whinrack/dispatch/base.py
@@ -37,6 +37,16 @@
         """Whether the target says that it did not run the request, and won't."""
         raise NotImplementedError
 
+    def stated_limit(self, head: ResponseHead) -> float | None:
+        """Return the requests a second that the target says it takes from all instances.
+
+        Returns
+        -------
+        float or None
+            `NO_LIMIT` if the target states none, None if what it states can't be read.
+        """
+        raise NotImplementedError
+
     def is_other_target(self, head: ResponseHead) -> bool:
         """Whether another run of a target answers at this address."""
         raise NotImplementedError
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -28,6 +28,7 @@
 from whinrack.edge._halls import HallKnowledge
 from whinrack.edge._instance_host import InstanceHost
 from whinrack.edge._knowledge import StoreKnowledge
+from whinrack.edge._limit_log import LimitLog
 from whinrack.edge._membership import Membership
 from whinrack.edge._operator_answers import OperatorAnswers
 from whinrack.edge._options import EdgeOptions, HostPort
@@ -140,6 +141,8 @@
             self.membership.spread,
             self._count_invalid,
         )
+        self.limit_log = LimitLog(self.metrics)
+        self.registry.limits.changed.append(self.limit_log.changed)
         self.warm_up_log = WarmUpLog(self.registry, self.directory, self.metrics)
         self.tokens = TokenExchange(
             options,
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -61,6 +61,8 @@
 
     TARGETS_COLD = (5007, "INFO", "targets of a pool that are cold, and the share of them here")
 
+    TARGET_LIMITED = (5008, "INFO", "a target states another limit of requests than before")
+
     TARGET_CUT = (5006, "INFO", "target cut answers; whether it is still there")
 
     GRANT_CLOSED = (6001, "ERROR", "this incarnation's grant was released by an operator")
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -42,6 +42,9 @@
         self.invalid_objects = self._counter(
             "invalid_objects", "Stored objects that can't be used", "kind"
         )
+        self.unreadable_limits = self._counter(
+            "unreadable_limits", "Answers whose stated limit can't be read"
+        )
         self.ejections = self._counter("ejections", "Targets set aside")
         self.first_byte = self._histogram("first_byte_seconds", "Time to the first byte", "kind")
         self.queue_wait = self._histogram("queue_wait_seconds", "Time in the queue", "class_")
@@ -51,6 +54,9 @@
         )
         self.emptied_halls = self._gauge("emptied_halls", "Data halls whose targets get nothing")
         self.cold_targets = self._gauge("cold_targets", "Targets that are cold, of all pools")
+        self.limited_targets = self._gauge(
+            "limited_targets", "Targets that state a limit of requests"
+        )
         self.suspected = self._gauge(
             "suspected_requests", "Requests with which several targets ended, cleared ones included"
         )
