A target that states a limit gets no more than that from all instances together

Cause: what a target says about itself in an answer was used for that answer only and told nobody. Class: knowledge about a target that binds the fleet, kept in one exchange. Ruled out: late arrivals and retries (first attempts, 0.05 s each, in the failing tests).

Mend: the word becomes knowledge with an age, an order and a hearer, passed on with heartbeats at once; the rate is shared by the mechanism that cold targets had (rendezvous, two holders or a few more, half of the bound for each half of a fleet), which now knows bounds in general. A looser word counts from when its request was sent, a tighter one from its answer. Looked at again before the first byte; permits are good for 0.5 s; what is on its way unanswered is bounded, since it may arrive together. Where the holders hear nothing others are asked in turn, so a limit ends.

Why it holds: the sum is bounded by who may send, not by what each has counted; a view that lacks or has too many instances changes who that is, and the half kept for another part of the fleet pays for it.

--- a/benchmarks/bench_warm_up.py
+++ b/benchmarks/bench_warm_up.py
@@ -3,7 +3,7 @@
 Six instances have callers, of a fleet of 87, and each has more for one cold target than that bears
 (9.9 requests a second; 19.85 may reach it in one second). Compared are an equal share for each
 instance with callers, an equal share for each of the fleet, one holder, four holders, leases of a
-rate that one instance grants to those that ask, and the few holders of `WarmUpPermits`.
+rate that one instance grants to those that ask, and the few holders of `SharedRatePermits`.
 
 The views: all agree; a cut has parted the instances with callers in two and each half counts itself
 only; and each view lacks some that have just begun to serve and has some that are gone.
@@ -15,10 +15,10 @@
 
 from benchmarks.report import report, section
 from whinrack.base import rendezvous
-from whinrack.dispatch import WarmUpLimits, WarmUpPermits
+from whinrack.dispatch import SharedRatePermits, WarmUpLimits
 
 RATE = 9.9
-LIMITS = WarmUpLimits(1.5, 5.0)
+BOUND = WarmUpLimits(1.5, 5.0).bound(RATE)
 FLEET = [f"m{number}" for number in range(87)]
 SERVING = FLEET[:6]
 DEMAND = 8.0
@@ -108,14 +108,14 @@
     """What the product does."""
 
     def __init__(self, name, view, target):
-        self.permits = WarmUpPermits(name, LIMITS, lambda: view)
+        self.permits = SharedRatePermits(name, lambda: view)
         self.target = target
 
     def may_send(self, now):
         """Whether one more request is sent."""
-        if not self.permits.holds(self.target, RATE, now):
+        if not self.permits.holds(self.target, BOUND, now):
             return False
-        self.permits.take(self.target, RATE, now)
+        self.permits.take(self.target, BOUND, now)
         return True
 
 
@@ -175,7 +175,7 @@
 
 def main():
     """Compare the ways."""
-    bound = LIMITS.most_in_a_second(RATE)
+    bound = BOUND.most
     section(f"cold targets: {RATE} a second are borne, {bound} may reach one in a second")
     for way, kind in WAYS.items():
         for name, views in VIEWS.items():
--- a/whinrack/dispatch/__init__.py
+++ b/whinrack/dispatch/__init__.py
@@ -6,7 +6,8 @@
 from whinrack.dispatch._halls import EmptiedHalls, HallWord
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._retries import RetryAllowance
-from whinrack.dispatch._stated_limits import NO_LIMIT, LimitChange, StatedLimits
+from whinrack.dispatch._shared_rates import RateBound, SharedRatePermits, WarmUpLimits
+from whinrack.dispatch._stated_limits import NO_LIMIT, LimitChange, LimitWord, StatedLimits
 from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import (
     Attempt,
@@ -23,7 +24,6 @@
     TargetsView,
     WorkspaceRecord,
 )
-from whinrack.dispatch._warming import WarmUpLimits, WarmUpPermits
 from whinrack.dispatch.base import Dialect
 
 __all__ = [
@@ -41,18 +41,20 @@
     "HallWord",
     "IncomingRequest",
     "LimitChange",
+    "LimitWord",
     "PoolRecord",
     "PoolShare",
     "PromptPart",
     "RetryAllowance",
+    "RateBound",
     "Route",
     "RouteKind",
+    "SharedRatePermits",
     "StatedLimits",
     "TargetRecord",
     "TargetsView",
     "TargetRegistry",
     "TargetState",
     "WarmUpLimits",
-    "WarmUpPermits",
     "WorkspaceRecord",
 ]
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -150,12 +150,12 @@
         run.target = state.record.incarnation
         run.targets_view = self.targets_view()
         self.metrics.targets_age.set(run.targets_view.age)
-        self.registry.started(state, pool.cold_start)
+        permit_until = self.registry.started(state, pool.cold_start)
         run.reading = Reading(state, prompt.tokens if prompt is not None else 0)
         connection = None
         try:
             connection = self._connect(run, state)
-            if not self.registry.may_be_sent(state):
+            if not self.registry.still_takes(state, pool.cold_start, permit_until):
                 # That was learnt while the connection was waited for, and nothing was sent yet.
                 raise AttemptFailed(no_target(), counts=False)
             self._under_way.setdefault(state, set()).add(connection)
@@ -208,12 +208,9 @@
         has_another = self._has_another(run, pool, began)
         head_end = min(run.end, began + patience) if has_another else run.end
         try:
-            self._send(run, state, connection)
-            head = connection.read_head(
-                head_end, lambda headers: self.dialect.is_answer_to(run.request, headers)
-            )
+            head = self._head_of_answer(run, state, connection, head_end)
             self.answer_times.observe(pool.name, steady() - began)
-            self._learn_limit(run, state, head)
+            self._learn_limit(run, state, head, began)
             if self.dialect.did_not_run(head):
                 run.may_have_run = may_have_run_before
                 self._refused_by_target(state, head)
@@ -239,6 +236,19 @@
             self.moved(_REQUESTS, state.record.data_hall, connection.sent_bytes)
             self.moved(_ANSWERS, state.record.data_hall, connection.received_bytes)
 
+    def _head_of_answer(
+        self, run: Run, state: TargetState, connection: TargetConnection, end: float
+    ) -> ResponseHead:
+        """Send the request and wait for the head of its answer."""
+        state.unanswered += 1
+        try:
+            self._send(run, state, connection)
+            return connection.read_head(
+                end, lambda headers: self.dialect.is_answer_to(run.request, headers)
+            )
+        finally:
+            state.unanswered -= 1
+
     def _has_another(self, run: Run, pool: PoolRecord, now: float) -> bool:
         """Whether the request may still go to another target if this one is silent.
 
@@ -252,7 +262,7 @@
             return False
         if not self.allowances.of(pool.name).has_permit(now, self.instances()):
             return False
-        return self.registry.has_other(pool.name, run.tried, now)
+        return self.registry.has_other(pool.name, run.tried, now, pool.cold_start)
 
     def _suspect_silence(
         self, state: TargetState, began: float, answered: bool, patience: float
@@ -275,13 +285,15 @@
         head = RequestHead(request.method, request.target, self.dialect.attempt_headers(attempt))
         connection.send(head, request.body, run.end)
 
-    def _learn_limit(self, run: Run, state: TargetState, head: ResponseHead) -> None:
+    def _learn_limit(
+        self, run: Run, state: TargetState, head: ResponseHead, sent_at: float
+    ) -> None:
         """Take in what a target states of itself, also where it did not run the request."""
         rate = self.dialect.stated_limit(head)
         if rate is None:
             self.metrics.unreadable_limits.inc()
         elif not self.dialect.is_other_target(head):
-            self.registry.limits.hear(state.record.identity, rate, run.label)
+            self.registry.limits.hear(state.record.identity, rate, sent_at, run.label)
 
     def _refused_by_target(self, state: TargetState, head: ResponseHead) -> None:
         if self.dialect.is_other_target(head):
@@ -302,12 +314,11 @@
             return
         body = b"".join(pieces)
         if head.status >= _SERVER_ERROR and run.route.kind is RouteKind.REPEATABLE:
-            self._run_again(run, head)
+            self._run_again(run, pool, head)
         self.answers.pass_whole(run, pool, head, body)
 
-    def _run_again(self, run: Run, head: ResponseHead) -> None:
+    def _run_again(self, run: Run, pool: PoolRecord, head: ResponseHead) -> None:
         """Try another target after a target's own failure, where that is allowed."""
-        pool = run.route.shares[0].pool
-        has_other = self.registry.has_other(pool, run.tried, steady())
+        has_other = self.registry.has_other(pool.name, run.tried, steady(), pool.cold_start)
         if run.attempts < run.route.most_attempts and has_other:
             raise AnswerCut(f"the target answered {head.status}")
--- /dev/null
+++ b/whinrack/dispatch/_bearing.py
@@ -0,0 +1,102 @@
+"""Which targets take few requests now, and whether this instance may send them one more.
+
+Two things make a target take few: it has just started, or it says so. Decisions only, no I/O.
+"""
+
+from whinrack.dispatch._shared_rates import RateBound, SharedRatePermits, WarmUpLimits
+from whinrack.dispatch._stated_limits import NO_LIMIT, StatedLimits, stated_bound
+from whinrack.dispatch._target_state import TargetState
+from whinrack.dispatch._values import ColdStart
+
+__all__ = ["Bearing"]
+
+# A permit is good for so long. Connections that were waited for at a cut link are made at one
+# moment when it heals, and permits of many seconds would be spent at once.
+_PERMIT_SECONDS = 0.5
+
+
+class Bearing:
+    """What targets take, and this instance's part of it.
+
+    Parameters
+    ----------
+    limits : StatedLimits
+    permits : SharedRatePermits
+    warm_up : WarmUpLimits
+        What cold targets bear.
+    """
+
+    def __init__(self, limits: StatedLimits, permits: SharedRatePermits, warm_up: WarmUpLimits):
+        self.limits = limits
+        self.permits = permits
+        self.warm_up = warm_up
+
+    def bound(
+        self, state: TargetState, cold_start: ColdStart | None, now: float
+    ) -> RateBound | None:
+        """Return what a target takes from all instances, None if nothing bounds it."""
+        stated = self.limits.rate(state.record.identity)
+        cold = state.is_cold(cold_start, now)
+        if stated == NO_LIMIT:
+            return self.warm_up.bound(cold_start.rate) if cold else None
+        if cold and cold_start.rate < stated:
+            return self.warm_up.bound(cold_start.rate)
+        return stated_bound(stated)
+
+    def is_limited(self, state: TargetState) -> bool:
+        """Whether a target states a limit."""
+        return self.limits.rate(state.record.identity) != NO_LIMIT
+
+    def share(self, target: str) -> float:
+        """Return the requests a second that this instance may send to a limited target."""
+        rate = self.limits.rate(target)
+        if rate == NO_LIMIT:
+            return NO_LIMIT
+        shares = self.permits.held({target: stated_bound(rate)})
+        return shares[target].rate if shares else 0.0
+
+    def may_send(self, state: TargetState, cold_start: ColdStart | None, now: float) -> bool:
+        """Whether a target takes one more request from here."""
+        bound = self.bound(state, cold_start, now)
+        if bound is None:
+            return True
+        target = state.record.identity
+        most = self.permits.most_unanswered(target, bound)
+        if self.is_limited(state) and state.unanswered >= most:
+            return False
+        return self.permits.holds(target, bound, now, self.limits.silent(target))
+
+    def asks_again(self, state: TargetState, cold_start: ColdStart | None, now: float) -> bool:
+        """Whether to send a limited target a request to learn if the limit holds."""
+        if not self.is_limited(state) or not self.limits.asks_again(state.record.identity):
+            return False
+        return self.may_send(state, cold_start, now)
+
+    def take(self, state: TargetState, cold_start: ColdStart | None, now: float) -> float | None:
+        """Use up a permit if one is needed; returns until when it is good, None without one."""
+        bound = self.bound(state, cold_start, now)
+        if bound is None:
+            return None
+        target = state.record.identity
+        self.permits.take(target, bound, now, self.limits.silent(target))
+        return now + _PERMIT_SECONDS
+
+    def still_takes(
+        self,
+        state: TargetState,
+        cold_start: ColdStart | None,
+        permit_until: float | None,
+        now: float,
+    ) -> bool:
+        """Whether a request may go out now whose target was chosen a while ago.
+
+        The target may have stated a limit, or turned cold, since then; a permit is used up then.
+        """
+        if self.bound(state, cold_start, now) is None:
+            return True
+        if permit_until is not None and now <= permit_until:
+            return True
+        if not self.may_send(state, cold_start, now):
+            return False
+        self.take(state, cold_start, now)
+        return True
--- a/whinrack/dispatch/_choice.py
+++ b/whinrack/dispatch/_choice.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 
 from whinrack.base import rendezvous
+from whinrack.dispatch._bearing import Bearing
 from whinrack.dispatch._loads import LoadsElsewhere
 from whinrack.dispatch._placement import EngineLoad, PromptNeed, choose_engine
 from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import ColdStart
-from whinrack.dispatch._warming import WarmUpPermits
 
 __all__ = ["TargetChoice"]
 
@@ -31,15 +31,15 @@
     ----------
     elsewhere : LoadsElsewhere
         What other instances have at the targets.
-    permits : WarmUpPermits
-        What this instance may send to cold targets.
+    bearing : Bearing
+        Which targets take few requests, and what this instance may send them.
     seed : int, optional
         Seeds the choice between equals.
     """
 
-    def __init__(self, elsewhere: LoadsElsewhere, permits: WarmUpPermits, seed: int | None = None):
+    def __init__(self, elsewhere: LoadsElsewhere, bearing: Bearing, seed: int | None = None):
         self.elsewhere = elsewhere
-        self.permits = permits
+        self.bearing = bearing
         self._random = random.Random(seed)
 
     def choose(
@@ -55,8 +55,7 @@
         """Return one of some targets; see `TargetRegistry.choose`."""
         load = self._load_everywhere if shares_loads else self._load_here
         states = [state for state in open_ if state.takes_work(now)] or open_
-        if cold_start is not None:
-            states = self._bearing(states, cold_start, rank, now, load)
+        states = self._bearing(states, cold_start, rank, now, load)
         if not states:
             return None
         rested = [state for state in states if state.busy_until <= now] or states
@@ -73,30 +72,32 @@
     def _bearing(
         self,
         states: list[TargetState],
-        cold_start: ColdStart,
+        cold_start: ColdStart | None,
         rank: int,
         now: float,
         load: Callable[[TargetState], int],
     ) -> list[TargetState]:
         """Return those of some targets that bear one more request.
 
-        Cold ones only where no warm one has a free slot, and within what this instance may send
-        to them.
+        Those that take few only where no other has a free slot, within what this instance may
+        send to them; but one that states a limit is asked now and then whether that holds.
         """
-        warm = [state for state in states if not state.is_cold(cold_start, now)]
-        if len(warm) == len(states) or any(load(state) < state.record.slots for state in warm):
-            return warm
-        permitted = [
-            state
-            for state in states
-            if state.is_cold(cold_start, now)
-            and self.permits.holds(state.record.identity, cold_start.rate, now)
-        ]
-        if not warm and self.permits.yields(rank, now):
+        bearing = self.bearing
+        free = [state for state in states if bearing.bound(state, cold_start, now) is None]
+        if len(free) == len(states):
+            return free
+        few = [state for state in states if state not in free]
+        asked = [state for state in few if bearing.asks_again(state, cold_start, now)]
+        if asked and not bearing.permits.yields(rank, now):
+            return asked
+        if any(load(state) < state.record.slots for state in free):
+            return free
+        if not free and bearing.permits.yields(rank, now):
             return []
-        if not warm and not permitted:
-            self.permits.turned_away(rank, now)
-        return permitted or warm
+        permitted = [state for state in few if bearing.may_send(state, cold_start, now)]
+        if not free and not permitted:
+            bearing.permits.turned_away(rank, now)
+        return permitted or free
 
     def _soonest(
         self, home: TargetState | None, sampled: list[TargetState], prompt: PromptNeed
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -7,14 +7,15 @@
 import msgspec
 
 from whinrack.clock import steady
+from whinrack.dispatch._bearing import Bearing
 from whinrack.dispatch._choice import TargetChoice
 from whinrack.dispatch._halls import EmptiedHalls, HallWord
 from whinrack.dispatch._loads import LoadsElsewhere
 from whinrack.dispatch._placement import PromptNeed
+from whinrack.dispatch._shared_rates import SharedRatePermits, WarmUpLimits
 from whinrack.dispatch._stated_limits import StatedLimits
 from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import ColdStart, TargetRecord
-from whinrack.dispatch._warming import WarmUpPermits
 
 __all__ = ["TargetRegistry"]
 
@@ -31,8 +32,12 @@
     ----------
     seed : int, optional
         Seeds the choice between equals.
-    permits : WarmUpPermits, optional
-        What this instance may send to cold targets; by default all that they bear.
+    permits : SharedRatePermits, optional
+        What this instance may send to targets that take few requests; by default all of it.
+    warm_up : WarmUpLimits, optional
+        What cold targets bear.
+    limits : StatedLimits, optional
+        What targets say that they take.
     clock : callable, optional
         The steady clock, replaced in tests.
     """
@@ -40,13 +45,16 @@
     def __init__(
         self,
         seed: int | None = None,
-        permits: WarmUpPermits | None = None,
+        permits: SharedRatePermits | None = None,
+        warm_up: WarmUpLimits | None = None,
+        limits: StatedLimits | None = None,
         clock: Callable[[], float] = steady,
     ):
         self.clock = clock
-        self.permits = permits or WarmUpPermits.of_one_instance()
+        self.limits = limits or StatedLimits(clock=clock)
+        self.permits = permits or SharedRatePermits.of_one_instance()
+        self.bearing = Bearing(self.limits, self.permits, warm_up or WarmUpLimits())
         self.halls = EmptiedHalls()
-        self.limits = StatedLimits()
         # When it was learnt that a hall is emptied.
         self.emptied_at: dict[str, float] = {}
         self._targets: dict[str, TargetState] = {}
@@ -57,7 +65,7 @@
         # Called with each target of which a later start took the place.
         self.ended: list[Callable[[TargetState], None]] = []
         self.elsewhere = LoadsElsewhere()
-        self._choice = TargetChoice(self.elsewhere, self.permits, seed)
+        self._choice = TargetChoice(self.elsewhere, self.bearing, seed)
 
     def loads(self) -> dict[int, int]:
         """Return the requests in flight from here, by the targets' digests."""
@@ -183,10 +191,15 @@
         """Return every known target of a pool."""
         return list(self._pools.get(pool, {}).values())
 
-    def has_other(self, pool: str, tried: Collection[str], now: float) -> bool:
-        """Whether a target of the pool that was not tried takes work."""
+    def has_other(
+        self, pool: str, tried: Collection[str], now: float, cold_start: ColdStart | None = None
+    ) -> bool:
+        """Whether a target of the pool that was not tried takes work from here."""
         return any(
-            state.record.identity not in tried and state.takes_work(now) and self.may_be_sent(state)
+            state.record.identity not in tried
+            and state.takes_work(now)
+            and self.may_be_sent(state)
+            and self.bearing.may_send(state, cold_start, now)
             for state in self._pools.get(pool, {}).values()
         )
 
@@ -246,12 +259,24 @@
         """Return the targets of a pool that are cold."""
         return [state for state in self.of_pool(pool) if state.is_cold(cold_start, now)]
 
-    def started(self, state: TargetState, cold_start: ColdStart | None = None) -> None:
-        """Count a request that is sent to a target."""
+    def started(self, state: TargetState, cold_start: ColdStart | None = None) -> float | None:
+        """Count a request that is to be sent to a target.
+
+        Returns
+        -------
+        float or None
+            Until when its permit is good, steady clock; None if it needs none.
+        """
         state.in_flight += 1
-        now = self.clock()
-        if cold_start is not None and state.is_cold(cold_start, now):
-            self.permits.take(state.record.identity, cold_start.rate, now)
+        return self.bearing.take(state, cold_start, self.clock())
+
+    def still_takes(
+        self, state: TargetState, cold_start: ColdStart | None, permit_until: float | None
+    ) -> bool:
+        """Whether a request that was started may be sent now; see `Bearing.still_takes`."""
+        if not self.may_be_sent(state):
+            return False
+        return self.bearing.still_takes(state, cold_start, permit_until, self.clock())
 
     def finished(self, state: TargetState) -> None:
         """Count a request that ended, in whatever way."""
--- /dev/null
+++ b/whinrack/dispatch/_shared_rates.py
@@ -0,0 +1,289 @@
+"""How much each instance may send to a target that takes few requests. Decisions only, no I/O.
+
+The load that this answers: a target has just started, a whole data hall comes back, or a target in
+need says how few requests it takes, while all instances have work for it. It takes some requests a
+second from all of them together, and nobody can be asked at the moment of a request. So for each
+such target a few of the instances hold a part of the rate, chosen by rendezvous among those that
+callers come to, and spend it by a token bucket of their own.
+
+The limits: some requests may reach a target in one window of time. Two halves of a fleet that know
+nothing of each other each choose holders of their own, so each half may use half of it. Of that
+half a request or two a holder are the depth of its bucket, and the rest is rate.
+"""
+
+from collections import deque
+from collections.abc import Callable, Collection, Mapping
+
+import msgspec
+
+from whinrack.base import rendezvous
+
+__all__ = ["RateBound", "RateShare", "SharedRatePermits", "WarmUpLimits", "share_of"]
+
+# Part of a cold target's rate that the holders use if the bound allows it.
+_WARM_UP_USED_PART = 0.75
+_WARM_UP_DEPTH = 1.0
+# Holders of one target: each adds the depth of its bucket to what may come in a window, so small
+# rates have two, one of which may be away, and large ones as many as have callers to use them.
+_FEWEST_HOLDERS = 2
+_RATE_OF_A_HOLDER = 2.0
+# Halves of a fleet that may know nothing of each other.
+_SEPARATE_VIEWS = 2
+# Targets whose buckets are kept; the oldest go first. A bucket that is made anew is full.
+_MOST_BUCKETS = 5000
+# After an urgent request was turned away, less urgent ones leave it the next permit for so long:
+# the time after which it is told to come back, and the way.
+_YIELD_SECONDS = 0.5
+# Requests that were told so lately when to come back are ahead of a newcomer.
+_WAITING_SECONDS = 1.0
+# After which a request is told to come back at least, most likely at another instance, where this
+# one has no permits.
+_NO_PERMITS_SECONDS = 0.5
+# The longest time after which one is told to come back: limits change meanwhile.
+_LONGEST_WAIT_SECONDS = 10.0
+# The holders of a target that has said nothing for so long may be gone or without callers; another
+# instance, each time the next one, may send it one request. So a limit ends also if they don't
+# learn of its end.
+_SILENCE_SECONDS = 6.0
+
+
+class RateBound(msgspec.Struct, frozen=True):
+    """What one target takes from all instances together.
+
+    Attributes
+    ----------
+    rate : float
+        Requests a second that it takes.
+    most : float
+        Requests that may reach it in any window.
+    window : float
+        Seconds.
+    used_part : float
+        Part of the rate that is used, if the bound allows it for more than one holder.
+    most_depth : float
+        Permits that a holder may save up at most.
+    """
+
+    rate: float
+    most: float
+    window: float
+    used_part: float
+    most_depth: float
+
+
+class WarmUpLimits(msgspec.Struct, frozen=True):
+    """What may reach one cold target in one second: `rate * overage + slack` requests.
+
+    Attributes
+    ----------
+    overage : float
+    slack : float
+        Requests.
+    """
+
+    overage: float = 1.0
+    slack: float = 0.0
+
+    def bound(self, rate: float) -> RateBound:
+        """Return the bound of a target that bears some requests a second."""
+        most = rate * self.overage + self.slack
+        return RateBound(rate, most, 1.0, _WARM_UP_USED_PART, _WARM_UP_DEPTH)
+
+
+class RateShare(msgspec.Struct, frozen=True):
+    """How the rate of one target is divided.
+
+    Attributes
+    ----------
+    holders : int
+        Instances that may send to it.
+    rate : float
+        Requests a second of each.
+    depth : float
+        Permits that each may save up; with a single one what comes just before it is turned away
+        and the rate goes unused until the next request.
+    """
+
+    holders: int
+    rate: float
+    depth: float = 1.0
+
+
+_NO_SHARE = RateShare(holders=0, rate=0.0)
+
+
+def share_of(bound: RateBound, members: int) -> RateShare:
+    """Return how many of some instances may send to a target, and how much each.
+
+    Parameters
+    ----------
+    bound : RateBound
+    members : int
+        Instances to which callers come, one at least.
+    """
+    half = bound.most / _SEPARATE_VIEWS
+    spare = half - bound.used_part * bound.rate * bound.window
+    most_holders = max(_FEWEST_HOLDERS, int(bound.rate / _RATE_OF_A_HOLDER))
+    holders = max(1, min(most_holders, int(spare), members))
+    depth = min(bound.most_depth, max(1.0, spare / holders))
+    used = min(bound.rate, max(0.0, (half - holders * depth) / bound.window))
+    return RateShare(holders, used / holders, depth)
+
+
+class _Bucket:
+    """Permits of one target."""
+
+    def __init__(self, now: float):
+        self.permits = 1.0
+        self.at = now
+
+    def fill(self, rate: float, depth: float, now: float) -> None:
+        self.permits = min(depth, self.permits + rate * max(0.0, now - self.at))
+        self.at = now
+
+
+class SharedRatePermits:
+    """The permits of one instance for the targets that it is a holder of.
+
+    Parameters
+    ----------
+    name : str
+        This instance.
+    members : callable
+        Returns the names of the instances that callers come to, this one included; empty while
+        it isn't known who is there.
+    """
+
+    def __init__(self, name: str, members: Callable[[], Collection[str]]):
+        self.name = name
+        self.members = members
+        # Requests that found no permit, in all.
+        self.turned_away_count = 0
+        self._buckets: dict[str, _Bucket] = {}
+        # Of targets and their bounds, for the members that were there last; with each share the
+        # place of this instance among those that may hold it.
+        self._shares: dict[tuple[str, RateBound], tuple[RateShare, int]] = {}
+        self._shared_by: frozenset[str] = frozenset()
+        # When a request of each rank was turned away last.
+        self._turned_away: dict[int, float] = {}
+        # When requests were told to come back.
+        self._waiting: deque[float] = deque()
+
+    @classmethod
+    def of_one_instance(cls) -> "SharedRatePermits":
+        """Return the permits of an instance that has no peers."""
+        return cls("", lambda: [""])
+
+    def holds(self, target: str, bound: RateBound, now: float, silent: float = 0.0) -> bool:
+        """Whether a request may be sent to a target now.
+
+        Parameters
+        ----------
+        silent : float
+            Seconds for which the target has said nothing about what it takes.
+        """
+        bucket = self._filled(target, bound, now, silent)
+        return bucket is not None and bucket.permits >= 1.0
+
+    def take(self, target: str, bound: RateBound, now: float, silent: float = 0.0) -> None:
+        """Use up a permit."""
+        bucket = self._filled(target, bound, now, silent)
+        if bucket is not None:
+            bucket.permits -= 1.0
+
+    def most_unanswered(self, target: str, bound: RateBound) -> int:
+        """Return the requests to a target that may be on their way from here, one at least.
+
+        What is held up on the way arrives together, beside what is sent after it: half of what may
+        come in a window for all holders.
+        """
+        share, _ = self._share_and_place(target, bound)
+        return max(1, int(bound.most / _SEPARATE_VIEWS / max(1, share.holders)))
+
+    def yields(self, rank: int, now: float) -> bool:
+        """Whether a request leaves the next permit to a more urgent one that is to come back."""
+        return any(
+            other < rank and now - at < _YIELD_SECONDS for other, at in self._turned_away.items()
+        )
+
+    def turned_away(self, rank: int, now: float) -> None:
+        """Learn that a request found no permit."""
+        self.turned_away_count += 1
+        self._turned_away[rank] = now
+
+    def wait(self, bounds: Mapping[str, RateBound], now: float) -> float:
+        """Return the seconds after which a request that is turned away now may find a permit.
+
+        Parameters
+        ----------
+        bounds : mapping of str to RateBound
+            Of the targets that it may go to.
+        """
+        while self._waiting and now - self._waiting[0] > _WAITING_SECONDS:
+            self._waiting.popleft()
+        self._waiting.append(now)
+        permits = sum(share.rate for share in self.held(bounds).values())
+        if permits > 0.0:
+            return min(_LONGEST_WAIT_SECONDS, len(self._waiting) / permits)
+        ahead = len(self._waiting) - 1
+        fair = self._fair_part(bounds)
+        if not ahead or fair <= 0.0:
+            return _NO_PERMITS_SECONDS
+        return min(_LONGEST_WAIT_SECONDS, max(_NO_PERMITS_SECONDS, ahead / fair))
+
+    def held(self, bounds: Mapping[str, RateBound]) -> dict[str, RateShare]:
+        """Return the shares of this instance in some targets, without those it has none of."""
+        shares = {target: self._share(target, bound) for target, bound in bounds.items()}
+        return {target: share for target, share in shares.items() if share is not None}
+
+    def _fair_part(self, bounds: Mapping[str, RateBound]) -> float:
+        """Return the requests a second that fall to each instance, of what all may send."""
+        count = len(self.members())
+        if not count:
+            return 0.0
+        shares = [share_of(bound, count) for bound in bounds.values()]
+        return sum(share.rate * share.holders for share in shares) / count
+
+    def _share(self, target: str, bound: RateBound) -> RateShare | None:
+        """Return what this instance may send to a target, None if it is no holder."""
+        share, place = self._share_and_place(target, bound)
+        return share if place < share.holders else None
+
+    def _share_and_place(self, target: str, bound: RateBound) -> tuple[RateShare, int]:
+        members = frozenset(self.members())
+        if members != self._shared_by or len(self._shares) > _MOST_BUCKETS:
+            self._shares.clear()
+            self._shared_by = members
+        key = (target, bound)
+        if key not in self._shares:
+            self._shares[key] = self._share_among(target, bound, members)
+        return self._shares[key]
+
+    def _share_among(
+        self, target: str, bound: RateBound, members: frozenset[str]
+    ) -> tuple[RateShare, int]:
+        if self.name not in members:
+            return _NO_SHARE, 0
+        share = share_of(bound, len(members))
+        return share, rendezvous(target, members).index(self.name)
+
+    def _filled(self, target: str, bound: RateBound, now: float, silent: float) -> _Bucket | None:
+        share, place = self._share_and_place(target, bound)
+        rate, depth = share.rate, share.depth
+        if place >= share.holders:
+            if not self._has_turn(share, place, silent):
+                return None
+            rate, depth = min(rate, 1.0 / _SILENCE_SECONDS), 1.0
+        bucket = self._buckets.get(target)
+        if bucket is None:
+            bucket = self._buckets[target] = _Bucket(now)
+            while len(self._buckets) > _MOST_BUCKETS:
+                del self._buckets[next(iter(self._buckets))]
+        bucket.fill(rate, depth, now)
+        return bucket
+
+    def _has_turn(self, share: RateShare, place: int, silent: float) -> bool:
+        """Whether an instance that is no holder may send to a target that is silent for long."""
+        others = len(self._shared_by) - share.holders
+        turn = int(silent / _SILENCE_SECONDS) - 1
+        return others > 0 and turn >= 0 and place - share.holders == turn % others
--- a/whinrack/dispatch/_target_state.py
+++ b/whinrack/dispatch/_target_state.py
@@ -16,6 +16,8 @@
         self.record = record
         self.digest = xxhash.xxh32_intdigest(record.identity.encode())
         self.in_flight = 0
+        # Requests sent from here whose answers have not begun.
+        self.unanswered = 0
         # Prompt tokens of requests from here that have brought no event yet.
         self.unread = 0
         self.gone = False
--- a/whinrack/dispatch/_turning_away.py
+++ b/whinrack/dispatch/_turning_away.py
@@ -7,7 +7,7 @@
 
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._values import PoolRecord
-from whinrack.exceptions import Refusal, TargetsCold, TargetUnavailable
+from whinrack.exceptions import Refusal, TargetsCold, TargetsLimited, TargetUnavailable
 
 __all__ = ["BUSY_RETRY_SECONDS", "no_target", "why_nobody"]
 
@@ -25,9 +25,9 @@
 
 def why_nobody(registry: TargetRegistry, pool: PoolRecord, now: float) -> Refusal:
     """Return the refusal of a request for a pool none of whose targets takes it."""
-    wait = _warm_up_wait(registry, pool, now)
-    if wait is not None:
-        return TargetsCold("the targets have just started", retry_after=wait)
+    few = _all_take_few(registry, pool, now)
+    if few is not None:
+        return few
     emptied = _emptied_for(registry, pool, now)
     if emptied is None:
         return no_target()
@@ -37,18 +37,24 @@
     return no_target(min(most, max(least, emptied)))
 
 
-def _warm_up_wait(registry: TargetRegistry, pool: PoolRecord, now: float) -> float | None:
-    """Return the seconds after which a pool takes a request whose targets are all cold.
+def _all_take_few(registry: TargetRegistry, pool: PoolRecord, now: float) -> Refusal | None:
+    """Return the refusal of a request for a pool all of whose targets take few requests.
 
-    None if the pool isn't cold, or has no target.
+    None if one of them takes more, or there is none.
     """
-    cold_start = pool.cold_start
+    bearing, cold_start = registry.bearing, pool.cold_start
     states = [state for state in registry.of_pool(pool.name) if registry.may_be_sent(state)]
-    if not states or not all(state.is_cold(cold_start, now) for state in states):
+    bounds = {state.record.identity: bearing.bound(state, cold_start, now) for state in states}
+    if not states or None in bounds.values():
         return None
-    warm_at = min(state.warmth.cold_until(cold_start.seconds) for state in states)
-    names = [state.record.identity for state in states]
-    return min(warm_at - now, registry.permits.wait(names, cold_start.rate, now))
+    wait = registry.permits.wait(bounds, now)
+    only_cold = [state for state in states if not bearing.is_limited(state)]
+    if only_cold:
+        warm_at = min(state.warmth.cold_until(cold_start.seconds) for state in only_cold)
+        wait = min(warm_at - now, wait)
+    if len(only_cold) == len(states):
+        return TargetsCold("the targets have just started", retry_after=wait)
+    return TargetsLimited("the targets take few requests now", retry_after=wait)
 
 
 def _emptied_for(registry: TargetRegistry, pool: PoolRecord, now: float) -> float | None:
--- /dev/null
+++ b/whinrack/dispatch/tests/limited_fleet.py
@@ -0,0 +1,198 @@
+"""A fleet in simulated time before targets that state limits; every decision is the product's."""
+
+import random
+
+import simpy
+
+from whinrack.dispatch import (
+    NO_LIMIT,
+    SharedRatePermits,
+    StatedLimits,
+    TargetRecord,
+    TargetRegistry,
+)
+
+__all__ = ["Fleet", "most_in_window"]
+
+_POOL = "p"
+_BEAT_SECONDS = 0.5
+# Heartbeats of a large fleet go to a few in turn.
+_FANOUT = 6
+_NEWS_SECONDS = 0.02
+_REMEMBERED_SECONDS = 15.0
+_SETTLE_SECONDS = 2.0
+_LOOK_SECONDS = 0.1
+WINDOW_SECONDS = 4.0
+
+
+def most_in_window(times, seconds=WINDOW_SECONDS):
+    """Return the most of some moments, in order, that lie within a window."""
+    most, first = 0, 0
+    for last, at in enumerate(times):
+        while at - times[first] >= seconds:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+class Target:
+    """Answers after a while, and states what it is set to state.
+
+    Attributes
+    ----------
+    times : list of float
+        When requests arrived.
+    limit : float
+    """
+
+    def __init__(self, name, limit=NO_LIMIT):
+        self.name = name
+        self.limit = limit
+        self.times = []
+
+
+class Instance:
+    """One instance of the fleet: its registry, and whom it has heard."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.start()
+
+    def start(self):
+        """Start with nothing known but the list of targets."""
+        clock = lambda: self.fleet.now  # noqa: E731
+        self.started_at = self.fleet.now
+        self._members, self._counted_at = frozenset(), -1.0
+        limits = StatedLimits(f"{self.name}-{self.fleet.now}", clock)
+        limits.changed.append(lambda change: self.fleet.spread(self))
+        permits = SharedRatePermits(self.name, self.members)
+        self.registry = TargetRegistry(seed=1, permits=permits, limits=limits, clock=clock)
+        for target in self.fleet.targets:
+            self.registry.put(TargetRecord(target.name, _POOL, "h", 1, slots=10_000))
+
+    def members(self):
+        """Return whom this instance counts, as the product's view of the fleet does."""
+        if self.fleet.now - self._counted_at >= _LOOK_SECONDS:
+            self._counted_at = self.fleet.now
+            self._members = self._count()
+        return self._members
+
+    def _count(self):
+        fleet = self.fleet
+        if self.started_at > 0.0 and fleet.now - self.started_at < _SETTLE_SECONDS:
+            return frozenset()
+        remembers = (
+            fleet.now - fleet.cut_at <= _REMEMBERED_SECONDS and self.started_at < fleet.cut_at
+        )
+        return frozenset(
+            name for name in fleet.names if remembers or fleet.reaches(self.name, name)
+        )
+
+
+class Fleet:
+    """Instances, targets and callers.
+
+    Parameters
+    ----------
+    count : int
+        Instances.
+    limits : list of float
+        One target for each.
+    demand : float
+        Requests a second that callers bring to each instance.
+    """
+
+    def __init__(self, count, limits, demand, seed=1, answer_seconds=0.05):
+        self.environment = simpy.Environment()
+        self.random = random.Random(seed)
+        self.demand = demand
+        self.answer_seconds = answer_seconds
+        self.refused = 0
+        # One half of a cut; the other ones hear nothing of these.
+        self.half = frozenset()
+        self.cut_at = float("-inf")
+        # Until when what an instance sends is held up on the way.
+        self.held_up = {}
+        self.targets = [Target(f"t{number}", limit) for number, limit in enumerate(limits)]
+        self.names = [f"m{number}" for number in range(count)]
+        self.instances = {}
+        for name in self.names:
+            self.instances[name] = Instance(self, name)
+            self.environment.process(self._callers(self.instances[name]))
+            self.environment.process(self._beats(self.instances[name]))
+
+    @property
+    def now(self):
+        """Simulated time, seconds."""
+        return self.environment.now
+
+    def run(self, until):
+        """Go on to a moment."""
+        self.environment.run(until=until)
+
+    def cut(self, half):
+        """Part the fleet in two."""
+        self.half = frozenset(half)
+        self.cut_at = self.now
+
+    def heal(self):
+        """Let all hear each other again."""
+        self.half = frozenset()
+
+    def reaches(self, one, other):
+        """Whether messages get from one instance to another."""
+        return (one in self.half) == (other in self.half)
+
+    def since(self, moment):
+        """Return the arrivals at each target after a moment."""
+        return [[at for at in target.times if at > moment] for target in self.targets]
+
+    def spread(self, instance):
+        """Tell some peers what has changed, a moment later."""
+        self.environment.process(self._spread(instance))
+
+    def _spread(self, instance):
+        yield self.environment.timeout(_NEWS_SECONDS)
+        self._beat(instance)
+
+    def _beats(self, instance):
+        yield self.environment.timeout(self.random.random() * _BEAT_SECONDS)
+        while True:
+            self._beat(instance)
+            yield self.environment.timeout(_BEAT_SECONDS)
+
+    def _beat(self, instance):
+        words = instance.registry.limits.to_tell()
+        others = [name for name in self.names if name != instance.name]
+        for name in self.random.sample(others, min(_FANOUT, len(others))):
+            if self.reaches(instance.name, name):
+                self.instances[name].registry.limits.learn(words, instance.name)
+
+    def _callers(self, instance):
+        while True:
+            yield self.environment.timeout(self.random.expovariate(self.demand))
+            registry = instance.registry
+            state = registry.choose(_POOL, "", (), self.now)
+            if state is None:
+                self.refused += 1
+                continue
+            permit = registry.started(state)
+            if not registry.still_takes(state, None, permit):
+                registry.finished(state)
+                continue
+            target = self.targets[int(state.record.incarnation[1:])]
+            self.environment.process(self._request(registry, state, target, instance.name))
+
+    def _request(self, registry, state, target, sender):
+        sent_at = self.now
+        state.unanswered += 1
+        until = self.held_up.get(sender, 0.0)
+        if until > self.now:
+            yield self.environment.timeout(until - self.now)
+        target.times.append(self.now)
+        stated = target.limit
+        yield self.environment.timeout(self.answer_seconds * self.random.uniform(0.5, 1.5))
+        state.unanswered -= 1
+        registry.limits.hear(state.record.identity, stated, sent_at)
+        registry.finished(state)
--- a/whinrack/dispatch/tests/test_choice_and_send.py
+++ b/whinrack/dispatch/tests/test_choice_and_send.py
@@ -102,3 +102,15 @@
     assert connections.sent == []
     assert (run.attempts, run.may_have_run) == (0, False)
     assert steady() - began < 1.0
+
+
+def test_a_target_that_states_a_limit_while_its_connection_is_waited_for_gets_its_rate(run):
+    """Requests that had been chosen for it before the word was heard come no more than others."""
+    registry = TargetRegistry(seed=1)
+    registry.put(TargetRecord("t1", "p", "h", 1))
+    registry.limits.hear("t1", 1.0, sent_at=steady())
+    (state,) = registry.of_pool("p")
+    assert registry.still_takes(state, None, permit_until=None)
+    assert not registry.still_takes(state, None, permit_until=None)
+    assert not registry.still_takes(state, None, permit_until=steady() - 0.1)
+    assert registry.still_takes(state, None, permit_until=steady() + 0.1)
--- /dev/null
+++ b/whinrack/dispatch/tests/test_stated_limits.py
@@ -0,0 +1,137 @@
+"""Words on limits come late, in any order, more than once, and from other runs."""
+
+import math
+
+import pytest
+
+from whinrack.dispatch import NO_LIMIT, LimitWord, StatedLimits
+
+
+class World:
+    """Some instances' limits and one clock."""
+
+    def __init__(self, *names):
+        self.now = 100.0
+        self.changes = []
+        self.limits = {name: self.start(name) for name in names}
+
+    def start(self, name):
+        limits = StatedLimits(name, lambda: self.now)
+        limits.changed.append(self.changes.append)
+        return limits
+
+    def tell(self, giver, taker):
+        self.limits[taker].learn(self.limits[giver].to_tell(), giver)
+
+    def rates(self):
+        return [limits.rate("t") for limits in self.limits.values()]
+
+
+def word(rate, age=0.0, number=1, hearer=7, target="t"):
+    return LimitWord(target, rate, hearer, number, age)
+
+
+def test_a_word_is_told_and_taken_back():
+    world = World("a", "b")
+    world.limits["a"].hear("t", 1.5, sent_at=99.0, request="r1")
+    world.tell("a", "b")
+    assert world.rates() == [1.5, 1.5]
+    world.now += 1.0
+    world.limits["b"].hear("t", NO_LIMIT, sent_at=100.5)
+    world.tell("b", "a")
+    assert world.rates() == [NO_LIMIT, NO_LIMIT]
+    assert [(change.rate, change.source) for change in world.changes] == [
+        (1.5, "answer"),
+        (1.5, "a"),
+        (NO_LIMIT, "answer"),
+        (NO_LIMIT, "b"),
+    ]
+
+
+def test_an_answer_to_a_request_from_before_the_word_does_not_take_it_back():
+    world = World("a")
+    world.limits["a"].hear("t", 1.0, sent_at=99.9)
+    world.now += 2.0
+    world.limits["a"].hear("t", NO_LIMIT, sent_at=99.5)
+    world.limits["a"].hear("t", 3.0, sent_at=99.5)
+    assert world.rates() == [1.0]
+    world.limits["a"].hear("t", 0.5, sent_at=99.5)
+    assert world.rates() == [0.5]
+
+
+def test_a_peer_that_was_cut_off_does_not_bring_an_ended_limit_back():
+    world = World("a", "b")
+    world.limits["a"].hear("t", 1.0, sent_at=100.0)
+    world.tell("a", "b")
+    world.now += 10.0
+    world.limits["a"].hear("t", NO_LIMIT, sent_at=109.0)
+    world.now += 10.0
+    world.tell("b", "a")
+    assert world.rates() == [NO_LIMIT, 1.0]
+    world.tell("a", "b")
+    assert world.rates() == [NO_LIMIT, NO_LIMIT]
+
+
+def test_a_word_that_goes_round_among_peers_gets_no_younger():
+    """Each hop takes some time that no age counts."""
+    world = World("a", "b")
+    world.limits["a"].hear("t", 1.0, sent_at=100.0)
+    for _ in range(100):
+        for giver, taker in (("a", "b"), ("b", "a")):
+            words = world.limits[giver].to_tell()
+            world.now += 0.4
+            world.limits[taker].learn(words, giver)
+            world.now += 0.4
+    assert world.now > 160.0
+    assert world.rates() == [NO_LIMIT, NO_LIMIT]
+    assert world.changes[-1].source == "silence"
+
+
+def test_a_restart_that_counts_its_words_anew_is_heard():
+    world = World("a", "b")
+    world.limits["a"].hear("t", 1.0, sent_at=100.0)
+    world.tell("a", "b")
+    world.now += 1.0
+    world.limits["a"] = world.start("a2")
+    world.limits["a"].hear("t", 2.0, sent_at=100.9)
+    world.tell("a", "b")
+    assert world.rates() == [2.0, 2.0]
+
+
+@pytest.mark.parametrize("odd", [word(-1.0), word(math.nan), word(1.0, -5.0), word(1.0, math.nan)])
+def test_words_that_make_no_sense_are_left_out(odd):
+    world = World("a")
+    world.limits["a"].learn([odd], "b")
+    assert world.rates() == [NO_LIMIT]
+
+
+def test_an_unlimited_target_costs_nothing():
+    world = World("a")
+    for number in range(1000):
+        world.limits["a"].hear(f"t{number}", NO_LIMIT, sent_at=100.0)
+    assert world.limits["a"].to_tell() == []
+
+
+def test_what_is_kept_and_told_is_bounded():
+    world = World("a")
+    for number in range(2000):
+        world.limits["a"].hear(f"t{number}", 1.0, sent_at=100.0)
+    told = world.limits["a"].to_tell()
+    assert len(world.limits["a"].limited()) == 500
+    assert len(told) == 16
+    assert not {each.target for each in told} & {
+        each.target for each in world.limits["a"].to_tell()
+    }
+
+
+def test_news_goes_before_what_is_only_confirmed():
+    world = World("a")
+    for number in range(45):
+        world.limits["a"].hear(f"t{number}", 1.0, sent_at=100.0)
+    for _ in range(10):
+        world.limits["a"].to_tell()
+    world.now += 1.0
+    for number in range(45):
+        world.limits["a"].hear(f"t{number}", 1.0, sent_at=100.5)
+    world.limits["a"].hear("t44", 0.5, sent_at=100.5)
+    assert "t44" in {each.target for each in world.limits["a"].to_tell()}
--- a/whinrack/dispatch/tests/test_warmth.py
+++ b/whinrack/dispatch/tests/test_warmth.py
@@ -6,10 +6,10 @@
     ColdStart,
     HallWord,
     PoolRecord,
+    SharedRatePermits,
     TargetRecord,
     TargetRegistry,
     WarmUpLimits,
-    WarmUpPermits,
 )
 from whinrack.dispatch._turning_away import why_nobody
 
@@ -23,8 +23,10 @@
     def __init__(self, *names, members=("m1",), slots=1):
         self.now = 100.0
         self.slots = slots
-        self.permits = WarmUpPermits("m1", LIMITS, lambda: members)
-        self.targets = TargetRegistry(seed=1, permits=self.permits, clock=lambda: self.now)
+        self.permits = SharedRatePermits("m1", lambda: members)
+        self.targets = TargetRegistry(
+            seed=1, permits=self.permits, warm_up=LIMITS, clock=lambda: self.now
+        )
         for name in names:
             self.say(name, 0.0, version=1)
 
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -17,9 +17,10 @@
     Directory,
     Dispatcher,
     DispatchOptions,
+    SharedRatePermits,
+    StatedLimits,
     TargetRegistry,
     WarmUpLimits,
-    WarmUpPermits,
 )
 from whinrack.edge._answers import SmallAnswers
 from whinrack.edge._contact import StoreContact
@@ -95,11 +96,9 @@
         self.output = BoundedOutput(_STDOUT, options.log_lines_per_second)
         self.contact = StoreContact(self._contact_changed)
         self.registry = TargetRegistry(
-            permits=WarmUpPermits(
-                options.name,
-                WarmUpLimits(options.cold_overage, options.cold_slack),
-                lambda: self.membership.view.members(),
-            )
+            permits=SharedRatePermits(options.name, lambda: self.membership.view.members()),
+            warm_up=WarmUpLimits(options.cold_overage, options.cold_slack),
+            limits=StatedLimits(self.holder),
         )
         self.directory = Directory(self._in_force)
         self.membership = Membership(
@@ -141,7 +140,7 @@
             self.membership.spread,
             self._count_invalid,
         )
-        self.limit_log = LimitLog(self.metrics)
+        self.limit_log = LimitLog(self.registry, self.metrics, self.membership.spread)
         self.registry.limits.changed.append(self.limit_log.changed)
         self.warm_up_log = WarmUpLog(self.registry, self.directory, self.metrics)
         self.tokens = TokenExchange(
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -148,6 +148,7 @@
             ages=self.table.ages(now),
             suspects=self.host.suspects_checksum(),
             halls=self.registry.halls.words(),
+            limits=self.registry.limits.to_tell(),
         )
 
     def _asks_for_states(self, now: float) -> bool:
@@ -258,6 +259,7 @@
         self.host.learn_gone_targets(beat.gone)
         if beat.halls:
             self.host.learn_halls(beat.halls, sender.name)
+        self.registry.limits.learn(beat.limits, sender.name)
         self.host.compare_suspects(beat.suspects, sender.address)
         if self._learn_leaving(beat) and not self.table.is_mesh:
             self.spread()
--- a/whinrack/edge/_warm_up_log.py
+++ b/whinrack/edge/_warm_up_log.py
@@ -50,7 +50,8 @@
         names = frozenset(state.record.identity for state in states)
         if names != self._told.get(pool.name, frozenset()):
             self._told[pool.name] = names
-            shares = self.registry.permits.held(names, pool.cold_start.rate)
+            bound = self.registry.bearing.warm_up.bound(pool.cold_start.rate)
+            shares = self.registry.permits.held(dict.fromkeys(names, bound)).values()
             log_event(
                 Event.TARGETS_COLD,
                 pool=pool.name,
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -45,6 +45,7 @@
     "TargetFailed",
     "TargetUnavailable",
     "TargetsCold",
+    "TargetsLimited",
     "Unauthorized",
     "UnknownModel",
     "UnknownPool",
@@ -305,6 +306,12 @@
     code, status, kind = "targets_cold", 503, "overloaded_error"
 
 
+class TargetsLimited(Refusal):
+    """All targets say that they take few requests, and those are taken."""
+
+    code, status, kind = "targets_limited", 503, "overloaded_error"
+
+
 class RequestQuarantined(Refusal):
     """Targets ended under each run of this request; it goes to no more."""
 
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -4,7 +4,7 @@
 import xxhash
 
 from whinrack.budgets import DrawOrder, DrawResult, ReleasedRow, RunRelease
-from whinrack.dispatch import HallWord
+from whinrack.dispatch import HallWord, LimitWord
 from whinrack.quarantine import Case
 
 __all__ = [
@@ -129,6 +129,8 @@
         The starts of those in `leaving`, in the same order; older senders tell none.
     halls : list of HallWord
         What is known of data halls that were emptied; older senders tell nothing.
+    limits : list of LimitWord
+        What targets in need say that they take; older senders tell nothing.
     """
 
     state: PeerState
@@ -143,6 +145,7 @@
     suspects: int = 0
     leaving_started: list[int] = []
     halls: list[HallWord] = []
+    limits: list[LimitWord] = []
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
