The whole of a stated limit is used while no instance is missing

Hypothesis: half of the bound is kept for another part of the fleet at all times, though there is none unless somebody is missing; callers pay for that with refusals.

Change: while nobody is missing the shares add up to the whole bound, and there are as many holders as the rate gives one request a second each. Who fell silent without a planned stop is missed for 600 s, in a memory of its own, since the table of peers forgets after 60 s; heartbeats tell peers, so one that starts during a cut knows it. Cold targets keep half always: their window is 1 s, and two holders that follow one another spend in the same one.

Why it holds: views part at 15 s of silence, and from 1 s on all know that somebody is missing; halves, restarts, held-up requests and views that differ by one stay within the bound at 8, 87 and 200 instances. Not covered: all instances of one part restart during a cut and their settings name none of the other part.

--- a/whinrack/dispatch/_shared_rates.py
+++ b/whinrack/dispatch/_shared_rates.py
@@ -7,8 +7,8 @@
 callers come to, and spend it by a token bucket of their own.
 
 The limits: some requests may reach a target in one window of time. Two halves of a fleet that know
-nothing of each other each choose holders of their own, so each half may use half of it. Of that
-half a request or two a holder are the depth of its bucket, and the rest is rate.
+nothing of each other each choose holders of their own, so each half may use half of it. Of what may
+be used a request or two a holder are the depth of its bucket, and the rest is rate.
 """
 
 from collections import deque
@@ -26,7 +26,7 @@
 # Holders of one target: each adds the depth of its bucket to what may come in a window, so small
 # rates have two, one of which may be away, and large ones as many as have callers to use them.
 _FEWEST_HOLDERS = 2
-_RATE_OF_A_HOLDER = 2.0
+_RATE_OF_A_HOLDER = 1.0
 # Halves of a fleet that may know nothing of each other.
 _SEPARATE_VIEWS = 2
 # Targets whose buckets are kept; the oldest go first. A bucket that is made anew is full.
@@ -62,6 +62,9 @@
         Part of the rate that is used, if the bound allows it for more than one holder.
     most_depth : float
         Permits that a holder may save up at most.
+    whole_at_times : bool
+        Use the whole of it while no instance is missing, so that nobody counts without it. Not for
+        windows so short that two holders which follow one another spend in the same one.
     """
 
     rate: float
@@ -69,6 +72,7 @@
     window: float
     used_part: float
     most_depth: float
+    whole_at_times: bool = False
 
 
 class WarmUpLimits(msgspec.Struct, frozen=True):
@@ -112,7 +116,7 @@
 _NO_SHARE = RateShare(holders=0, rate=0.0)
 
 
-def share_of(bound: RateBound, members: int) -> RateShare:
+def share_of(bound: RateBound, members: int, is_whole: bool = False) -> RateShare:
     """Return how many of some instances may send to a target, and how much each.
 
     Parameters
@@ -120,13 +124,16 @@
     bound : RateBound
     members : int
         Instances to which callers come, one at least.
+    is_whole : bool
+        No instance is missing.
     """
-    half = bound.most / _SEPARATE_VIEWS
-    spare = half - bound.used_part * bound.rate * bound.window
+    views = 1 if is_whole and bound.whole_at_times else _SEPARATE_VIEWS
+    most = bound.most / views
+    spare = most - bound.used_part * bound.rate * bound.window
     most_holders = max(_FEWEST_HOLDERS, int(bound.rate / _RATE_OF_A_HOLDER))
     holders = max(1, min(most_holders, int(spare), members))
     depth = min(bound.most_depth, max(1.0, spare / holders))
-    used = min(bound.rate, max(0.0, (half - holders * depth) / bound.window))
+    used = min(bound.rate, max(0.0, (most - holders * depth) / bound.window))
     return RateShare(holders, used / holders, depth)
 
 
@@ -152,11 +159,19 @@
     members : callable
         Returns the names of the instances that callers come to, this one included; empty while
         it isn't known who is there.
+    is_whole : callable, optional
+        Returns whether no instance that was there is missing.
     """
 
-    def __init__(self, name: str, members: Callable[[], Collection[str]]):
+    def __init__(
+        self,
+        name: str,
+        members: Callable[[], Collection[str]],
+        is_whole: Callable[[], bool] = lambda: False,
+    ):
         self.name = name
         self.members = members
+        self.is_whole = is_whole
         # Requests that found no permit, in all.
         self.turned_away_count = 0
         self._buckets: dict[str, _Bucket] = {}
@@ -164,6 +179,7 @@
         # place of this instance among those that may hold it.
         self._shares: dict[tuple[str, RateBound], tuple[RateShare, int]] = {}
         self._shared_by: frozenset[str] = frozenset()
+        self._shared_whole = False
         # When a request of each rank was turned away last.
         self._turned_away: dict[int, float] = {}
         # When requests were told to come back.
@@ -172,7 +188,7 @@
     @classmethod
     def of_one_instance(cls) -> "SharedRatePermits":
         """Return the permits of an instance that has no peers."""
-        return cls("", lambda: [""])
+        return cls("", lambda: [""], lambda: True)
 
     def holds(self, target: str, bound: RateBound, now: float, silent: float = 0.0) -> bool:
         """Whether a request may be sent to a target now.
@@ -194,11 +210,13 @@
     def most_unanswered(self, target: str, bound: RateBound) -> int:
         """Return the requests to a target that may be on their way from here, one at least.
 
-        What is held up on the way arrives together, beside what is sent after it: half of what may
-        come in a window for all holders.
+        What is held up on the way arrives together, beside what all holders send after it.
         """
         share, _ = self._share_and_place(target, bound)
-        return max(1, int(bound.most / _SEPARATE_VIEWS / max(1, share.holders)))
+        if not share.holders:
+            return 1
+        of_a_holder = bound.most / share.holders - share.depth - share.rate * bound.window
+        return max(1, int(of_a_holder))
 
     def yields(self, rank: int, now: float) -> bool:
         """Whether a request leaves the next permit to a more urgent one that is to come back."""
@@ -241,7 +259,7 @@
         count = len(self.members())
         if not count:
             return 0.0
-        shares = [share_of(bound, count) for bound in bounds.values()]
+        shares = [share_of(bound, count, self.is_whole()) for bound in bounds.values()]
         return sum(share.rate * share.holders for share in shares) / count
 
     def _share(self, target: str, bound: RateBound) -> RateShare | None:
@@ -250,10 +268,11 @@
         return share if place < share.holders else None
 
     def _share_and_place(self, target: str, bound: RateBound) -> tuple[RateShare, int]:
-        members = frozenset(self.members())
-        if members != self._shared_by or len(self._shares) > _MOST_BUCKETS:
+        members, is_whole = frozenset(self.members()), self.is_whole()
+        is_changed = (members, is_whole) != (self._shared_by, self._shared_whole)
+        if is_changed or len(self._shares) > _MOST_BUCKETS:
             self._shares.clear()
-            self._shared_by = members
+            self._shared_by, self._shared_whole = members, is_whole
         key = (target, bound)
         if key not in self._shares:
             self._shares[key] = self._share_among(target, bound, members)
@@ -264,7 +283,7 @@
     ) -> tuple[RateShare, int]:
         if self.name not in members:
             return _NO_SHARE, 0
-        share = share_of(bound, len(members))
+        share = share_of(bound, len(members), self._shared_whole)
         return share, rendezvous(target, members).index(self.name)
 
     def _filled(self, target: str, bound: RateBound, now: float, silent: float) -> _Bucket | None:
--- a/whinrack/dispatch/_stated_limits.py
+++ b/whinrack/dispatch/_stated_limits.py
@@ -45,7 +45,7 @@
 def stated_bound(rate: float) -> RateBound:
     """Return the bound of a target that states a limit, requests a second."""
     most = _OVERAGE * rate * _WINDOW_SECONDS + _SLACK
-    return RateBound(max(rate, _LEAST_RATE), most, _WINDOW_SECONDS, _USED_PART, _MOST_DEPTH)
+    return RateBound(max(rate, _LEAST_RATE), most, _WINDOW_SECONDS, _USED_PART, _MOST_DEPTH, True)
 
 
 class LimitWord(msgspec.Struct, frozen=True, array_like=True):
--- a/whinrack/dispatch/tests/limited_fleet.py
+++ b/whinrack/dispatch/tests/limited_fleet.py
@@ -22,6 +22,7 @@
 _REMEMBERED_SECONDS = 15.0
 _SETTLE_SECONDS = 2.0
 _LOOK_SECONDS = 0.1
+_SILENT_SECONDS = 1.0
 WINDOW_SECONDS = 4.0
 
 
@@ -66,7 +67,7 @@
         self._members, self._counted_at = frozenset(), -1.0
         limits = StatedLimits(f"{self.name}-{self.fleet.now}", clock)
         limits.changed.append(lambda change: self.fleet.spread(self))
-        permits = SharedRatePermits(self.name, self.members)
+        permits = SharedRatePermits(self.name, self.members, self.is_whole)
         self.registry = TargetRegistry(seed=1, permits=permits, limits=limits, clock=clock)
         for target in self.fleet.targets:
             self.registry.put(TargetRecord(target.name, _POOL, "h", 1, slots=10_000))
@@ -78,6 +79,17 @@
             self._members = self._count()
         return self._members
 
+    def is_whole(self):
+        """Return whether this instance or one that it hears misses nobody."""
+        fleet = self.fleet
+        if not fleet.half or fleet.now - fleet.cut_at < _SILENT_SECONDS:
+            return True
+        remembering = (
+            fleet.reaches(self.name, name) and instance.started_at < fleet.cut_at
+            for name, instance in fleet.instances.items()
+        )
+        return not any(remembering)
+
     def _count(self):
         fleet = self.fleet
         if self.started_at > 0.0 and fleet.now - self.started_at < _SETTLE_SECONDS:
--- a/whinrack/dispatch/tests/test_limited_fleet.py
+++ b/whinrack/dispatch/tests/test_limited_fleet.py
@@ -27,7 +27,7 @@
 
 
 @pytest.mark.parametrize("count", SIZES)
-@pytest.mark.parametrize("limit", [0.0, 0.2, 1.0, 1.4, 3.0])
+@pytest.mark.parametrize("limit", [0.0, 0.2, 1.0, 1.4, 3.0, 10.0])
 def test_the_sum_keeps_to_the_limit_and_uses_it(count, limit):
     limits = [limit] * 3
     fleet = Fleet(count, limits, demand=_DEMAND[count])
@@ -37,6 +37,27 @@
     assert used >= _LEAST_USED * limit * len(limits) * 20.0 - len(limits)
 
 
+def test_what_is_allowed_for_all_that_callers_bring_serves_nearly_all_at_once():
+    """24 requests a second come, and the targets take 30."""
+    fleet = Fleet(8, [10.0] * 3, demand=3.0)
+    fleet.run(23.0)
+    served = sum(map(len, fleet.since(_CONTACT_SECONDS)))
+    assert served >= 0.8 * 24.0 * 20.0
+    assert_bound_holds(fleet, [10.0] * 3, _CONTACT_SECONDS)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_views_that_differ_keep_to_it(seed):
+    """Each lacks one that has just begun to serve, or counts one that is gone; none misses any."""
+    limits = [0.2, 1.0, 3.0, 10.0]
+    fleet = Fleet(8, limits, demand=_DEMAND[8], seed=seed)
+    for name, instance in fleet.instances.items():
+        known = {name, *fleet.random.sample(fleet.names, 7)}
+        instance.registry.permits.members = lambda known=known: frozenset(known)
+    fleet.run(23.0)
+    assert_bound_holds(fleet, limits, _CONTACT_SECONDS)
+
+
 @pytest.mark.parametrize("count", SIZES)
 def test_two_halves_that_hear_nothing_of_each_other_keep_to_it_together(count):
     limits = [0.2, 1.0, 3.0]
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -96,7 +96,11 @@
         self.output = BoundedOutput(_STDOUT, options.log_lines_per_second)
         self.contact = StoreContact(self._contact_changed)
         self.registry = TargetRegistry(
-            permits=SharedRatePermits(options.name, lambda: self.membership.view.members()),
+            permits=SharedRatePermits(
+                options.name,
+                lambda: self.membership.view.members(),
+                lambda: self.membership.missing.is_whole,
+            ),
             warm_up=WarmUpLimits(options.cold_overage, options.cold_slack),
             limits=StatedLimits(self.holder),
         )
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -13,6 +13,7 @@
 from whinrack.dispatch import Directory, TargetRegistry
 from whinrack.edge._entries import choose_entries, is_crowded
 from whinrack.edge._membership_host import MembershipHost
+from whinrack.edge._missing_peers import MissingPeers
 from whinrack.edge._options import EdgeOptions, HostPort
 from whinrack.edge._traffic import Place, TrafficMeter
 from whinrack.edge._warm_up_view import WarmUpView
@@ -80,6 +81,7 @@
         )
         self.clocks = ClockCheck()
         self.view = WarmUpView(options, self.table)
+        self.missing = MissingPeers(options, self.table)
         self.traffic = TrafficMeter(options.data_hall, self.table.hall_of, count_bytes)
         self.link = GossipLink(options.gossip, self._receive, self.traffic.moved)
         self._callers = f"{options.callers[0]}:{options.callers[1]}"
@@ -149,6 +151,7 @@
             suspects=self.host.suspects_checksum(),
             halls=self.registry.halls.words(),
             limits=self.registry.limits.to_tell(),
+            misses_peers=self.missing.misses,
         )
 
     def _asks_for_states(self, now: float) -> bool:
@@ -259,6 +262,7 @@
         self.host.learn_gone_targets(beat.gone)
         if beat.halls:
             self.host.learn_halls(beat.halls, sender.name)
+        self.missing.tell(beat.misses_peers)
         self.registry.limits.learn(beat.limits, sender.name)
         self.host.compare_suspects(beat.suspects, sender.address)
         if self._learn_leaving(beat) and not self.table.is_mesh:
--- /dev/null
+++ b/whinrack/edge/_missing_peers.py
@@ -0,0 +1,77 @@
+"""Whether an instance that was there may go on somewhere without being heard here."""
+
+from whinrack.clock import steady
+from whinrack.edge._options import EdgeOptions
+from whinrack.gossip import PeerTable
+
+__all__ = ["MissingPeers"]
+
+# One that fell silent without a planned stop is missed for so long, unless it is heard again. It
+# may be cut off, with others, for longer than any outage known.
+_MISSED_SECONDS = 600.0
+# A peer's word that it misses somebody counts for so long; it comes with each heartbeat.
+_TOLD_SECONDS = 5.0
+_RENEWED_SECONDS = 0.1
+
+
+class MissingPeers:
+    """Remembers who was there for longer than the table of peers does.
+
+    Who starts during a cut has never heard the other part, so peers tell each other that they miss
+    somebody, each by its own memory only.
+
+    Parameters
+    ----------
+    options : EdgeOptions
+    table : PeerTable
+    """
+
+    def __init__(self, options: EdgeOptions, table: PeerTable):
+        self.options = options
+        self.table = table
+        self._started_at = steady()
+        # When those that have not stopped as planned were heard last, by name.
+        self._heard_at: dict[str, float] = {}
+        self._told_at = float("-inf")
+        self._missing = False
+        self._renewed_at = float("-inf")
+
+    def tell(self, misses: bool) -> None:
+        """Take in a peer's word whether it misses somebody."""
+        if misses:
+            self._told_at = steady()
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether nobody is missing, by this instance's memory and its peers'."""
+        return not self.misses and steady() - self._told_at > _TOLD_SECONDS
+
+    @property
+    def misses(self) -> bool:
+        """Whether this instance itself misses somebody."""
+        now = steady()
+        if now - self._renewed_at >= _RENEWED_SECONDS:
+            self._renewed_at = now
+            self._missing = self._looks_missing(now)
+        return self._missing
+
+    def _looks_missing(self, now: float) -> bool:
+        for view in self.table.remembered(now, self.options.forget_seconds):
+            name = view.state.sender.name
+            if view.state.ready:
+                self._heard_at[name] = max(view.heard_at, self._heard_at.get(name, 0.0))
+            elif self.table.is_live(view, now):
+                self._heard_at.pop(name, None)
+        live = {view.state.sender.name for view in self.table.live(now)}
+        self._heard_at = {
+            name: at for name, at in self._heard_at.items() if now - at <= _MISSED_SECONDS
+        }
+        return bool(self._heard_at.keys() - live) or self._lacks_seeds(now)
+
+    def _lacks_seeds(self, now: float) -> bool:
+        """Whether an instance that the settings name has not been heard yet."""
+        if now - self._started_at > _MISSED_SECONDS:
+            return False
+        own = self.options.gossip[0]
+        hosts = {host for host, _ in self.options.seeds if host != own}
+        return any(self.table.hall_of(host) is None for host in hosts)
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -131,6 +131,8 @@
         What is known of data halls that were emptied; older senders tell nothing.
     limits : list of LimitWord
         What targets in need say that they take; older senders tell nothing.
+    misses_peers : bool
+        The sender itself misses an instance that was there and did not say that it stops.
     """
 
     state: PeerState
@@ -146,6 +148,7 @@
     leaving_started: list[int] = []
     halls: list[HallWord] = []
     limits: list[LimitWord] = []
+    misses_peers: bool = False
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
