What all instances share is shared with those that are missing, too

The same cause elsewhere: a bound on the sum over all instances, of which each took the part of one in so many that look alive. The share of a target's connections is counted the same way.

Both cases keep to the bound now, and a fleet that hears itself uses as much as before. What it costs: after a kill the others may send again as little as with the killed one, until it is back.

Looked at and left: a target's 503 or 421 is known here only, but bounds nobody else; budgets and emptied halls go through the store; quarantine is counted in the fleet.

--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -202,8 +202,13 @@
         return is_crowded(self.own_state(), self.host.open_requests(), serving)
 
     def sharing_instances(self) -> int:
-        """Return the number of instances that share the work."""
-        return self.table.sharing_count(steady())
+        """Return the number of instances that share the work.
+
+        Those that are missing count: parts of a fleet that don't hear each other would each share
+        out the whole of what all together may send again, or connect.
+        """
+        missing = self.missing.count(only_serving=not self.table.is_mesh)
+        return self.table.sharing_count(steady()) + missing
 
     def peer_with_store(self) -> HostPort | None:
         """Return the address of a peer that reaches the store, None if none does."""
--- a/whinrack/edge/_missing_peers.py
+++ b/whinrack/edge/_missing_peers.py
@@ -1,5 +1,7 @@
 """Whether an instance that was there may go on somewhere without being heard here."""
 
+from typing import NamedTuple
+
 from whinrack.clock import steady
 from whinrack.edge._options import EdgeOptions
 from whinrack.gossip import PeerTable
@@ -14,11 +16,19 @@
 _RENEWED_SECONDS = 0.1
 
 
+class _Remembered(NamedTuple):
+    """An instance that was ready when it was heard last."""
+
+    heard_at: float
+    serving: bool
+
+
 class MissingPeers:
     """Remembers who was there for longer than the table of peers does.
 
-    Who starts during a cut has never heard the other part, so peers tell each other that they miss
-    somebody, each by its own memory only.
+    What all instances share has to be shared with those that may go on unheard, too. Who starts
+    during a cut has never heard the other part, so peers tell each other that they miss somebody,
+    each by its own memory only.
 
     Parameters
     ----------
@@ -30,10 +40,10 @@
         self.options = options
         self.table = table
         self._started_at = steady()
-        # When those that have not stopped as planned were heard last, by name.
-        self._heard_at: dict[str, float] = {}
+        # Those that have not stopped as planned, by name.
+        self._remembered: dict[str, _Remembered] = {}
         self._told_at = float("-inf")
-        self._missing = False
+        self._missing: list[_Remembered] = []
         self._renewed_at = float("-inf")
 
     def tell(self, misses: bool) -> None:
@@ -49,24 +59,34 @@
     @property
     def misses(self) -> bool:
         """Whether this instance itself misses somebody."""
+        return bool(self._look()) or self._lacks_seeds(steady())
+
+    def count(self, only_serving: bool) -> int:
+        """Return how many are missing, of all or of those that callers came to."""
+        return sum(each.serving or not only_serving for each in self._look())
+
+    def _look(self) -> list[_Remembered]:
+        """Return who is missing, looked up a few times a second."""
         now = steady()
         if now - self._renewed_at >= _RENEWED_SECONDS:
             self._renewed_at = now
-            self._missing = self._looks_missing(now)
+            self._renew(now)
         return self._missing
 
-    def _looks_missing(self, now: float) -> bool:
+    def _renew(self, now: float) -> None:
         for view in self.table.remembered(now, self.options.forget_seconds):
             name = view.state.sender.name
             if view.state.ready:
-                self._heard_at[name] = max(view.heard_at, self._heard_at.get(name, 0.0))
+                self._remembered[name] = _Remembered(view.heard_at, view.state.serving)
             elif self.table.is_live(view, now):
-                self._heard_at.pop(name, None)
-        live = {view.state.sender.name for view in self.table.live(now)}
-        self._heard_at = {
-            name: at for name, at in self._heard_at.items() if now - at <= _MISSED_SECONDS
+                self._remembered.pop(name, None)
+        self._remembered = {
+            name: each
+            for name, each in self._remembered.items()
+            if now - each.heard_at <= _MISSED_SECONDS
         }
-        return bool(self._heard_at.keys() - live) or self._lacks_seeds(now)
+        live = {view.state.sender.name for view in self.table.live(now)}
+        self._missing = [each for name, each in self._remembered.items() if name not in live]
 
     def _lacks_seeds(self, now: float) -> bool:
         """Whether an instance that the settings name has not been heard yet."""
--- /dev/null
+++ b/whinrack/edge/tests/test_shared_retries.py
@@ -0,0 +1,107 @@
+"""Two parts of a fleet that don't hear each other send again no more than all together may.
+
+Each instance took the part of one in so many that look alive, so after a cut each half of eight
+instances shared out the whole slack: 80 further attempts in 10 s where 60 are allowed, and 312 by
+eight that hear nobody.
+"""
+
+import pytest
+
+from whinrack.dispatch import Directory, RetryAllowance, TargetRegistry
+from whinrack.edge import EdgeOptions, _membership, _missing_peers
+from whinrack.edge._membership import Membership
+from whinrack.edge.tests.test_membership import Host
+from whinrack.gossip import Heartbeat, PeerAddress, PeerState
+
+_RATIO, _SLACK, _WINDOW = 0.2, 56.0, 10.0
+_INSTANCES = 8
+# First attempts at each instance in a window: few, so that the slack decides.
+_REQUESTS = 3
+
+
+class World:
+    """Eight instances that hear each other, or only their own half."""
+
+    def __init__(self, monkeypatch):
+        self.now = 100.0
+        for module in (_membership, _missing_peers):
+            monkeypatch.setattr(module, "steady", lambda: self.now)
+        self.members = [self.start(number) for number in range(_INSTANCES)]
+
+    def start(self, number):
+        options = EdgeOptions(
+            name=f"m{number}",
+            data_hall="h",
+            callers=(f"10.0.0.{number}", 80),
+            directory=None,
+            ready=None,
+            gossip=(f"10.0.0.{number}", 7340),
+        )
+        directory = Directory(lambda configuration: None)
+        return Membership(options, f"m{number}.1", directory, TargetRegistry(), Host(), _nothing)
+
+    def pass_time(self, seconds, reaches=lambda one, other: True):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.25
+            for taker, member in enumerate(self.members):
+                for giver in range(_INSTANCES):
+                    if giver != taker and reaches(giver, taker):
+                        member.table.heard(self.beat(giver), self.now)
+                member.table.receivers(self.now)
+                member.sharing_instances()
+
+    def beat(self, number):
+        state = PeerState(
+            incarnation=f"m{number}.1",
+            sequence=1,
+            sender=PeerAddress(f"m{number}", f"10.0.0.{number}", 7340),
+            callers=f"10.0.0.{number}:80",
+            data_hall="h",
+            ready=True,
+            store_answers=True,
+            load=0,
+            configuration=1,
+        )
+        return Heartbeat(state=state, number=int(self.now * 100))
+
+    def further_attempts(self):
+        """Return what all instances together send again if each takes what it may."""
+        taken = 0
+        for member in self.members:
+            allowance = RetryAllowance(_RATIO, _SLACK, _WINDOW)
+            for _ in range(_REQUESTS):
+                allowance.record_request(self.now)
+            while allowance.try_take(self.now, member.sharing_instances()):
+                taken += 1
+        return taken
+
+
+def _nothing(*_):
+    """Count no bytes."""
+
+
+@pytest.fixture
+def world(monkeypatch):
+    world = World(monkeypatch)
+    world.pass_time(3.0)
+    return world
+
+
+def in_halves(one, other):
+    return (one < _INSTANCES // 2) == (other < _INSTANCES // 2)
+
+
+@pytest.mark.parametrize("seconds", [2.0, 20.0, 90.0])
+def test_two_halves_keep_to_it_together(world, seconds):
+    world.pass_time(seconds, in_halves)
+    assert world.further_attempts() <= _RATIO * _REQUESTS * _INSTANCES + _SLACK
+
+
+def test_instances_each_on_its_own_keep_to_it_together(world):
+    world.pass_time(20.0, lambda one, other: False)
+    assert world.further_attempts() <= _RATIO * _REQUESTS * _INSTANCES + _SLACK
+
+
+def test_all_that_hear_each_other_use_most_of_it(world):
+    assert world.further_attempts() >= 0.55 * _SLACK
