Many instances hold a limited target while nobody is missing

Three holders a target leave some instances with none.

Change: without a part of the fleet to keep half for, as many hold a target as the bound has room for one request saved up and one on its way of each.

The bound holds in all cases of test_limited_fleet.

Not built: a request that waits blocks nothing here, but whether it is served is known only at the end.

--- a/whinrack/dispatch/_rate_bounds.py
+++ b/whinrack/dispatch/_rate_bounds.py
@@ -97,11 +97,24 @@
     is_whole : bool
         No instance is missing.
     """
-    views = 1 if is_whole and bound.whole_at_times else _SEPARATE_VIEWS
-    most = bound.most / views
-    spare = most - bound.used_part * bound.rate * bound.window
+    if is_whole and bound.whole_at_times:
+        return _share_of_whole(bound, members)
+    half = bound.most / _SEPARATE_VIEWS
+    spare = half - bound.used_part * bound.rate * bound.window
     most_holders = max(_FEWEST_HOLDERS, int(bound.rate / _RATE_OF_A_HOLDER))
     holders = max(1, min(most_holders, int(spare), members))
     depth = min(bound.most_depth, max(1.0, spare / holders))
-    used = min(bound.rate, max(0.0, (most - holders * depth) / bound.window))
+    used = min(bound.rate, max(0.0, (half - holders * depth) / bound.window))
     return RateShare(holders, used / holders, depth)
+
+
+def _share_of_whole(bound: RateBound, members: int) -> RateShare:
+    """Return the shares of a fleet that misses nobody: all of the rate, among many holders.
+
+    Each has room for a request on its way and for one saved up. With few holders callers of the
+    other instances were refused though the targets took more than all callers brought.
+    """
+    spare = bound.most - bound.rate * bound.window
+    holders = max(1, min(int(spare / 2.0), members))
+    depth = min(bound.most_depth, max(1.0, spare / holders - 1.0))
+    return RateShare(holders, bound.rate / holders, depth)
