A target whose limit changes with each answer floods neither log nor peers; one that is silent is asked once

Found by reading: each change of a number had a line and a heartbeat at every instance, up to ten a second; a silent limited target got its rate while others had room. A changed number has a line and a heartbeat a second at most now, start and end of a limit go out at once. A word that lapses is told ahead of the heartbeat in the making, not within it, where the later number had gone out first and the peers had dropped the heartbeat.

--- a/whinrack/dispatch/_bearing.py
+++ b/whinrack/dispatch/_bearing.py
@@ -68,8 +68,13 @@
         return self.permits.holds(target, bound, now, self.limits.silent(target))
 
     def asks_again(self, state: TargetState, cold_start: ColdStart | None, now: float) -> bool:
-        """Whether to send a limited target a request to learn if the limit holds."""
-        if not self.is_limited(state) or not self.limits.asks_again(state.record.identity):
+        """Whether to send a limited target a request to learn if the limit holds.
+
+        One at a time: a target that answers nothing would get its rate while others have room.
+        """
+        if not self.is_limited(state) or state.unanswered:
+            return False
+        if not self.limits.asks_again(state.record.identity):
             return False
         return self.may_send(state, cold_start, now)
 
--- a/whinrack/dispatch/_stated_limits.py
+++ b/whinrack/dispatch/_stated_limits.py
@@ -190,7 +190,6 @@
 
     def to_tell(self) -> list[LimitWord]:
         """Return some words for the next heartbeat, those told least often first."""
-        self._forget()
         chosen = sorted(self._words.items(), key=lambda item: item[1].told)[:_MOST_TOLD]
         for _, known in chosen:
             known.told += 1
@@ -200,6 +199,16 @@
             for target, known in chosen
         ]
 
+    def forget(self) -> None:
+        """Drop the words that nobody heard again for long."""
+        now = self.clock()
+        for target, known in list(self._words.items()):
+            if now - known.at > _FORGET_SECONDS:
+                del self._words[target]
+                if known.rate != NO_LIMIT:
+                    age = now - known.at
+                    self._tell(LimitChange(target, known.rate, NO_LIMIT, "silence", age))
+
     def _take(self, target: str, word: _Known, source: str, request: str = "") -> None:
         known = self._words.pop(target, None)
         self._words[target] = word
@@ -212,16 +221,6 @@
         age = max(0.0, self.clock() - word.at)
         self._tell(LimitChange(target, before, word.rate, source, age, request))
 
-    def _forget(self) -> None:
-        """Drop the words that nobody heard again for long."""
-        now = self.clock()
-        for target, known in list(self._words.items()):
-            if now - known.at > _FORGET_SECONDS:
-                del self._words[target]
-                if known.rate != NO_LIMIT:
-                    age = now - known.at
-                    self._tell(LimitChange(target, known.rate, NO_LIMIT, "silence", age))
-
     def _tell(self, change: LimitChange) -> None:
         for changed in self.changed:
             changed(change)
--- a/whinrack/dispatch/tests/limited_fleet.py
+++ b/whinrack/dispatch/tests/limited_fleet.py
@@ -175,6 +175,7 @@
             yield self.environment.timeout(_BEAT_SECONDS)
 
     def _beat(self, instance):
+        instance.registry.limits.forget()
         words = instance.registry.limits.to_tell()
         others = [name for name in self.names if name != instance.name]
         for name in self.random.sample(others, min(_FANOUT, len(others))):
--- a/whinrack/dispatch/tests/test_stated_limits.py
+++ b/whinrack/dispatch/tests/test_stated_limits.py
@@ -78,6 +78,7 @@
     world.limits["a"].hear("t", 1.0, sent_at=100.0)
     for _ in range(100):
         for giver, taker in (("a", "b"), ("b", "a")):
+            world.limits[giver].forget()
             words = world.limits[giver].to_tell()
             world.now += 0.4
             world.limits[taker].learn(words, giver)
--- a/whinrack/edge/_limit_log.py
+++ b/whinrack/edge/_limit_log.py
@@ -2,11 +2,23 @@
 
 from collections.abc import Callable
 
-from whinrack.dispatch import LimitChange, TargetRegistry
+from whinrack.clock import steady
+from whinrack.dispatch import NO_LIMIT, LimitChange, TargetRegistry
 from whinrack.observability import Event, Metrics, log_event
 
 __all__ = ["LimitLog"]
 
+# A target may state another number with each answer: lines on one target, and heartbeats that go
+# out for such changes, have so many seconds between them at least. What no heartbeat goes out for
+# comes with the next one.
+_LINE_SECONDS = 1.0
+_SPREAD_SECONDS = 1.0
+# The start and the end of a limit have a line always, and heartbeats that go out for one have so
+# many seconds between them: by the usual ones alone 200 instances take some three seconds.
+_NEWS_SECONDS = 0.25
+# Targets whose last line is remembered, the latest ones.
+_MOST_TARGETS = 500
+
 
 class LimitLog:
     """Logs each limit that becomes known, changes or ends.
@@ -24,10 +36,25 @@
         self.registry = registry
         self.metrics = metrics
         self.spread = spread
+        self._line_at: dict[str, float] = {}
+        self._spread_at = float("-inf")
 
     def changed(self, change: LimitChange) -> None:
-        """Log one change."""
+        """Log and pass on one change, unless the one before is too recent."""
         self.metrics.limited_targets.set(len(self.registry.limits.limited()))
+        now = steady()
+        is_another_number = NO_LIMIT not in (change.before, change.rate)
+        if not is_another_number or now - self._line_at.get(change.target, 0.0) >= _LINE_SECONDS:
+            self._log(change, now)
+        if now - self._spread_at >= (_SPREAD_SECONDS if is_another_number else _NEWS_SECONDS):
+            self._spread_at = now
+            self.spread()
+
+    def _log(self, change: LimitChange, now: float) -> None:
+        self._line_at.pop(change.target, None)
+        self._line_at[change.target] = now
+        while len(self._line_at) > _MOST_TARGETS:
+            del self._line_at[next(iter(self._line_at))]
         log_event(
             Event.TARGET_LIMITED,
             target=change.target,
@@ -39,4 +66,3 @@
             share=round(self.registry.bearing.share(change.target), 3),
             turned_away=self.registry.permits.turned_away_count,
         )
-        self.spread()
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -110,6 +110,8 @@
 
     def beat(self) -> None:
         """Send a heartbeat to the peers whose turn it is."""
+        # What it changes is told by a heartbeat of its own, ahead of this one.
+        self.registry.limits.forget()
         now = steady()
         message = self._heartbeat(now, self.table.news(now))
         receivers = self.table.receivers(now)
