--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -13,6 +13,7 @@
 from whinrack.dispatch._target_ends import TargetEnds
 from whinrack.dispatch._target_state import Reading, TargetState
 from whinrack.dispatch._turning_away import BUSY_RETRY_SECONDS, no_target, why_nobody
+from whinrack.dispatch._under_way import ConnectionsUnderWay
 from whinrack.dispatch._values import Attempt, PoolRecord, RouteKind, TargetsView
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
@@ -113,8 +114,8 @@
         self.targets_view = targets_view
         self.moved = moved
         self.answer_times = AnswerTimes()
-        self._under_way: dict[TargetState, set[TargetConnection]] = {}
-        registry.ended.append(self._target_started_anew)
+        self.under_way = ConnectionsUnderWay(connections)
+        registry.ended.append(self.under_way.target_started_anew)
         self.guard = guard or AdmitAll()
         self.target_ends = TargetEnds(registry, self.guard)
 
@@ -158,30 +159,15 @@
             if not self.registry.still_takes(state, pool.cold_start, permit_until):
                 # That was learnt while the connection was waited for, and nothing was sent yet.
                 raise AttemptFailed(no_target(), counts=False)
-            self._under_way.setdefault(state, set()).add(connection)
+            self.under_way.add(state, connection)
             self._exchange(run, pool, state, connection)
         finally:
-            self._ended(state, connection)
+            self.under_way.remove(state, connection)
             run.reading.end()
             self.registry.finished(state)
             if connection is not None:
                 self.connections.give_back(connection)
 
-    def _ended(self, state: TargetState, connection: TargetConnection | None) -> None:
-        connections = self._under_way.get(state, set())
-        connections.discard(connection)
-        if not connections:
-            self._under_way.pop(state, None)
-
-    def _target_started_anew(self, state: TargetState) -> None:
-        """End what is under way at an earlier start: its answers never come.
-
-        Behind a cut link no reset tells so, and callers would wait for their deadlines.
-        """
-        for connection in list(self._under_way.get(state, ())):
-            connection.abort()
-        self.connections.forget(state.address)
-
     def _most_in_flight(self, pool: PoolRecord) -> int:
         """Return this instance's share of the connections that one target accepts."""
         if not pool.most_connections:
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -244,7 +244,7 @@
             self._watch_crowding,
             self.upkeep.log_traffic_forever,
             self.membership.beat_forever,
-            self.membership.share_loads_forever,
+            self.membership.loads.share_forever,
         )
         for task in tasks:
             eventlet.spawn_n(_keep_running, task)
--- /dev/null
+++ b/whinrack/edge/_load_sharing.py
@@ -0,0 +1,49 @@
+"""Instances tell each other how many requests they have at each target."""
+
+import eventlet
+
+from whinrack.clock import steady
+from whinrack.dispatch import TargetRegistry
+from whinrack.gossip import GossipLink, PeerTable, TargetLoads
+
+__all__ = ["LoadSharing"]
+
+# Between two messages on the requests in flight.
+_LOADS_SECONDS = 0.25
+
+
+class LoadSharing:
+    """Sends this instance's loads to the peers that serve callers, and takes in theirs.
+
+    Parameters
+    ----------
+    name : str
+        This instance.
+    table : PeerTable
+    link : GossipLink
+    registry : TargetRegistry
+    """
+
+    def __init__(self, name: str, table: PeerTable, link: GossipLink, registry: TargetRegistry):
+        self.name = name
+        self.table = table
+        self.link = link
+        self.registry = registry
+
+    def heard(self, message: TargetLoads) -> None:
+        """Take in the loads of a peer."""
+        self.registry.elsewhere.heard(message.sender, message.counts, steady(), message.unread)
+
+    def share_forever(self) -> None:
+        """Tell the peers that serve callers how many requests are at each target from here."""
+        told = False
+        while True:
+            eventlet.sleep(self.table.interval(_LOADS_SECONDS))
+            counts = self.registry.loads()
+            if counts or told:
+                self._share(TargetLoads(self.name, counts, self.registry.unread()))
+            told = bool(counts)
+
+    def _share(self, message: TargetLoads) -> None:
+        for view in self.table.serving(steady()):
+            self.link.send(message, view.state.sender.address)
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -12,6 +12,7 @@
 from whinrack.clock import steady
 from whinrack.dispatch import Directory, TargetRegistry
 from whinrack.edge._entries import choose_entries, is_crowded
+from whinrack.edge._load_sharing import LoadSharing
 from whinrack.edge._membership_host import MembershipHost
 from whinrack.edge._missing_peers import MissingPeers
 from whinrack.edge._options import EdgeOptions, HostPort
@@ -37,8 +38,6 @@
 _ASKING_SECONDS = 1.0
 # The load is told in steps, so that not every change of it is news to the whole fleet.
 _LOAD_STEP = 10
-# Between two messages on the requests in flight.
-_LOADS_SECONDS = 0.25
 # Peers that one log line names.
 _MOST_LOGGED = 6
 
@@ -84,6 +83,7 @@
         self.missing = MissingPeers(options, self.table)
         self.traffic = TrafficMeter(options.data_hall, self.table.hall_of, count_bytes)
         self.link = GossipLink(options.gossip, self._receive, self.traffic.moved)
+        self.loads = LoadSharing(options.name, self.table, self.link, registry)
         self._callers = f"{options.callers[0]}:{options.callers[1]}"
         self._sequence = 0
         self._known_live: set[str] = set()
@@ -230,25 +230,11 @@
             self.beat()
             eventlet.sleep(self.table.interval(self.options.heartbeat_seconds))
 
-    def share_loads_forever(self) -> None:
-        """Tell the peers that serve callers how many requests are at each target from here."""
-        told = False
-        while True:
-            eventlet.sleep(self.table.interval(_LOADS_SECONDS))
-            counts = self.registry.loads()
-            if counts or told:
-                self._share_loads(TargetLoads(self.options.name, counts, self.registry.unread()))
-            told = bool(counts)
-
-    def _share_loads(self, message: TargetLoads) -> None:
-        for view in self.table.serving(steady()):
-            self.link.send(message, view.state.sender.address)
-
     def _receive(self, message, address: tuple[str, int]) -> None:
         if isinstance(message, Heartbeat):
             self._heard(message)
         elif isinstance(message, TargetLoads):
-            self.registry.elsewhere.heard(message.sender, message.counts, steady(), message.unread)
+            self.loads.heard(message)
         else:
             self.host.receive(message, address)
 
