--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -275,6 +275,8 @@
         self, run: Run, state: TargetState, head: ResponseHead, sent_at: float
     ) -> None:
         """Take in what a target states of itself, also where it did not run the request."""
+        # Kept for all instances, and told to them: known to this exchange only, the word bound
+        # nobody, and a target in need got its usual share.
         rate = self.dialect.stated_limit(head)
         if rate is None:
             self.metrics.unreadable_limits.inc()
