--- a/whinrack/dispatch/_bearing.py
+++ b/whinrack/dispatch/_bearing.py
@@ -32,6 +32,10 @@
         self.permits = permits
         self.warm_up = warm_up
 
+    def binds_nothing(self, cold_start: ColdStart | None) -> bool:
+        """Whether no target of a pool can be bound now, which is known without a look at each."""
+        return cold_start is None and self.limits.is_empty
+
     def bound(
         self, state: TargetState, cold_start: ColdStart | None, now: float
     ) -> RateBound | None:
--- a/whinrack/dispatch/_choice.py
+++ b/whinrack/dispatch/_choice.py
@@ -83,6 +83,8 @@
         send to them; but one that states a limit is asked now and then whether that holds.
         """
         bearing = self.bearing
+        if bearing.binds_nothing(cold_start):
+            return states
         free = [state for state in states if bearing.bound(state, cold_start, now) is None]
         if len(free) == len(states):
             return free
--- a/whinrack/dispatch/_stated_limits.py
+++ b/whinrack/dispatch/_stated_limits.py
@@ -141,6 +141,11 @@
         known = self._words.get(target)
         return NO_LIMIT if known is None else known.rate
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target has stated anything."""
+        return not self._words
+
     def limited(self) -> list[str]:
         """Return the identities of the targets that state a limit."""
         return [target for target, known in self._words.items() if known.rate != NO_LIMIT]
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -98,7 +98,7 @@
         self.registry = TargetRegistry(
             permits=SharedRatePermits(
                 options.name,
-                lambda: self.membership.view.members(),
+                lambda: self.membership.rate_sharers.members(),
                 lambda: self.membership.missing.is_whole,
             ),
             warm_up=WarmUpLimits(options.cold_overage, options.cold_slack),
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -79,7 +79,7 @@
             data_hall=options.data_hall,
         )
         self.clocks = ClockCheck()
-        self.view = RateSharers(options, self.table)
+        self.rate_sharers = RateSharers(options, self.table)
         self.missing = MissingPeers(options, self.table)
         self.traffic = TrafficMeter(options.data_hall, self.table.hall_of, count_bytes)
         self.link = GossipLink(options.gossip, self._receive, self.traffic.moved)
