The end of a limit is not confirmed by each answer without one

Callers would have seen nothing, a limited target too much: after a limit had ended, each answer without one made the word of its end younger. One that was sent before a new limit and came after it went before the new word of a peer, and took it back in the fleet until the target's next answer; and the word was told with heartbeats for ever, so a pool was never again chosen from without a look at each target.

Both tests failed before ([inf, inf] for [1.0, 1.0]; words left after 70 s). An answer without a limit from a target that is known to state none says nothing new and is left out.

--- a/whinrack/dispatch/_stated_limits.py
+++ b/whinrack/dispatch/_stated_limits.py
@@ -168,9 +168,11 @@
             When the request was sent, steady clock. A word that takes more than the one before
             counts from then: the answer may have been made before that word, and come after it.
         """
-        known = self._words.get(target)
-        if known is None and rate == NO_LIMIT:
+        if rate == NO_LIMIT and self.rate(target) == NO_LIMIT:
+            # Confirmed by each answer, the end of a limit would go before a new limit that a peer
+            # has heard meanwhile, and would be told for ever.
             return
+        known = self._words.get(target)
         is_looser = known is not None and rate > known.rate
         at = sent_at if is_looser else self.clock()
         if known is not None and at < known.at:
--- a/whinrack/dispatch/tests/test_stated_limits.py
+++ b/whinrack/dispatch/tests/test_stated_limits.py
@@ -59,6 +59,31 @@
     assert world.rates() == [0.5]
 
 
+def test_an_unlimited_answer_that_comes_late_hides_no_limit_that_a_peer_was_told():
+    """Once a limit has ended each answer without one made its end younger."""
+    world = World("a", "b")
+    world.limits["a"].hear("t", 1.0, sent_at=99.9)
+    world.now += 1.0
+    world.limits["a"].hear("t", NO_LIMIT, sent_at=100.5)
+    world.now += 1.0
+    world.limits["b"].hear("t", 1.0, sent_at=101.9)
+    world.now += 0.1
+    world.limits["a"].hear("t", NO_LIMIT, sent_at=101.8)
+    world.tell("b", "a")
+    world.tell("a", "b")
+    assert world.rates() == [1.0, 1.0]
+
+
+def test_the_end_of_a_limit_is_told_for_a_while_only():
+    world = World("a")
+    world.limits["a"].hear("t", 1.0, sent_at=99.9)
+    for _ in range(70):
+        world.now += 1.0
+        world.limits["a"].hear("t", NO_LIMIT, sent_at=world.now - 0.1)
+    world.limits["a"].forget()
+    assert world.limits["a"].is_empty
+
+
 def test_a_peer_that_was_cut_off_does_not_bring_an_ended_limit_back():
     world = World("a", "b")
     world.limits["a"].hear("t", 1.0, sent_at=100.0)
