--- a/whinrack/dispatch/_choice.py
+++ b/whinrack/dispatch/_choice.py
@@ -85,10 +85,13 @@
         bearing = self.bearing
         if bearing.binds_nothing(cold_start):
             return states
-        free = [state for state in states if bearing.bound(state, cold_start, now) is None]
-        if len(free) == len(states):
+        free: list[TargetState] = []
+        few: list[TargetState] = []
+        for state in states:
+            is_free = bearing.bound(state, cold_start, now) is None
+            (free if is_free else few).append(state)
+        if not few:
             return free
-        few = [state for state in states if state not in free]
         asked = [state for state in few if bearing.asks_again(state, cold_start, now)]
         if asked and not bearing.permits.yields(rank, now):
             return asked
--- a/whinrack/edge/tests/peer_world.py
+++ b/whinrack/edge/tests/peer_world.py
@@ -5,7 +5,7 @@
 from whinrack.edge import EdgeOptions
 from whinrack.gossip import Heartbeat, PeerAddress, PeerState, PeerTable
 
-__all__ = ["OPTIONS", "PeerWorld"]
+__all__ = ["OPTIONS", "PeerWorld", "ready_state"]
 
 OPTIONS = EdgeOptions(
     name="a",
@@ -18,6 +18,22 @@
 )
 
 
+def ready_state(address, sequence=1, **fields):
+    """Return the state of an instance that serves callers, with some fields set."""
+    state = PeerState(
+        incarnation=f"{address.name}.1",
+        sequence=sequence,
+        sender=address,
+        callers=f"{address.name}:80",
+        data_hall="h0",
+        ready=True,
+        store_answers=True,
+        load=0,
+        configuration=1,
+    )
+    return msgspec.structs.replace(state, **fields)
+
+
 class PeerWorld:
     """The table, and peers that are heard; `module` is the one whose clock is set."""
 
@@ -29,16 +45,6 @@
     def hear(self, *peers, **fields):
         """Let heartbeats of some peers come, with some fields of their states set."""
         for peer in peers:
-            state = PeerState(
-                incarnation=f"p{peer}.1",
-                sequence=int(self.now * 10),
-                sender=PeerAddress(f"p{peer}", f"10.0.1.{peer}", 7340),
-                callers=f"p{peer}:80",
-                data_hall="h0",
-                ready=True,
-                store_answers=True,
-                load=0,
-                configuration=1,
-            )
-            state = msgspec.structs.replace(state, **fields)
+            address = PeerAddress(f"p{peer}", f"10.0.1.{peer}", 7340)
+            state = ready_state(address, sequence=int(self.now * 10), **fields)
             self.table.heard(Heartbeat(state=state, number=int(self.now * 10)), self.now)
--- a/whinrack/edge/tests/test_shared_retries.py
+++ b/whinrack/edge/tests/test_shared_retries.py
@@ -10,8 +10,9 @@
 from whinrack.dispatch import Directory, RetryAllowance, TargetRegistry
 from whinrack.edge import EdgeOptions, _membership, _missing_peers
 from whinrack.edge._membership import Membership
+from whinrack.edge.tests.peer_world import ready_state
 from whinrack.edge.tests.test_membership import Host
-from whinrack.gossip import Heartbeat, PeerAddress, PeerState
+from whinrack.gossip import Heartbeat, PeerAddress
 
 _RATIO, _SLACK, _WINDOW = 0.2, 56.0, 10.0
 _INSTANCES = 8
@@ -52,17 +53,7 @@
                 member.sharing_instances()
 
     def beat(self, number):
-        state = PeerState(
-            incarnation=f"m{number}.1",
-            sequence=1,
-            sender=PeerAddress(f"m{number}", f"10.0.0.{number}", 7340),
-            callers=f"10.0.0.{number}:80",
-            data_hall="h",
-            ready=True,
-            store_answers=True,
-            load=0,
-            configuration=1,
-        )
+        state = ready_state(PeerAddress(f"m{number}", f"10.0.0.{number}", 7340))
         return Heartbeat(state=state, number=int(self.now * 100))
 
     def further_attempts(self):
