What an answer states of its target is one typed statement; leaving and rests are logged

No decision changes. The dialect decodes the head of an answer once (did_not_run, other target, leaving, rest, limit) in place of a method a field; one intake takes it in. A line tells when a target says in an answer that it leaves or asks for a rest, with the request.

--- a/whinrack/dispatch/__init__.py
+++ b/whinrack/dispatch/__init__.py
@@ -9,6 +9,7 @@
 from whinrack.dispatch._retries import RetryAllowance
 from whinrack.dispatch._shared_rates import SharedRatePermits
 from whinrack.dispatch._stated_limits import NO_LIMIT, LimitChange, LimitWord, StatedLimits
+from whinrack.dispatch._statements import TargetStatement
 from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import (
     Attempt,
@@ -56,6 +57,7 @@
     "TargetsView",
     "TargetRegistry",
     "TargetState",
+    "TargetStatement",
     "WarmUpLimits",
     "WorkspaceRecord",
 ]
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -10,6 +10,7 @@
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._retries import RetryAllowances
 from whinrack.dispatch._run import Run
+from whinrack.dispatch._statements import StatementIntake, TargetStatement
 from whinrack.dispatch._target_ends import TargetEnds
 from whinrack.dispatch._target_state import Reading, TargetState
 from whinrack.dispatch._turning_away import BUSY_RETRY_SECONDS, no_target, why_nobody
@@ -116,6 +117,7 @@
         self.answer_times = AnswerTimes()
         self.under_way = ConnectionsUnderWay(connections)
         registry.ended.append(self.under_way.target_started_anew)
+        self.statements = StatementIntake(registry, metrics)
         self.guard = guard or AdmitAll()
         self.target_ends = TargetEnds(registry, self.guard)
 
@@ -196,10 +198,11 @@
         try:
             head = self._head_of_answer(run, state, connection, head_end)
             self.answer_times.observe(pool.name, steady() - began)
-            self._learn_limit(run, state, head, began)
-            if self.dialect.did_not_run(head):
+            statement = self.dialect.statement(head)
+            self.statements.hear(state, statement, began, run.label)
+            if statement.did_not_run:
                 run.may_have_run = may_have_run_before
-                self._refused_by_target(state, head)
+                self._refused_by_target(state, statement)
             answered = True
             state.answered(steady())
             self._pass_on(run, pool, connection, head)
@@ -271,20 +274,8 @@
         head = RequestHead(request.method, request.target, self.dialect.attempt_headers(attempt))
         connection.send(head, request.body, run.end)
 
-    def _learn_limit(
-        self, run: Run, state: TargetState, head: ResponseHead, sent_at: float
-    ) -> None:
-        """Take in what a target states of itself, also where it did not run the request."""
-        # Kept for all instances, and told to them: known to this exchange only, the word bound
-        # nobody, and a target in need got its usual share.
-        rate = self.dialect.stated_limit(head)
-        if rate is None:
-            self.metrics.unreadable_limits.inc()
-        elif not self.dialect.is_other_target(head):
-            self.registry.limits.hear(state.record.identity, rate, sent_at, run.label)
-
-    def _refused_by_target(self, state: TargetState, head: ResponseHead) -> None:
-        if self.dialect.is_other_target(head):
+    def _refused_by_target(self, state: TargetState, statement: TargetStatement) -> None:
+        if statement.is_other_target:
             self.registry.not_at_its_address(state)
         else:
             self.registry.busy(state, steady())
--- a/whinrack/dispatch/_last_words.py
+++ b/whinrack/dispatch/_last_words.py
@@ -36,7 +36,7 @@
             head = connection.read_head(
                 end, lambda headers: dialect.is_answer_to(run.request, headers)
             )
-            if dialect.did_not_run(head):
+            if dialect.statement(head).did_not_run:
                 run.may_have_run = run.attempts > 1
                 return
         for block in event_blocks(connection.pieces(end), run.last_id):
--- /dev/null
+++ b/whinrack/dispatch/_statements.py
@@ -0,0 +1,87 @@
+"""What targets state of themselves in the heads of their answers, taken in at one place."""
+
+import msgspec
+
+from whinrack.dispatch._registry import TargetRegistry
+from whinrack.dispatch._stated_limits import NO_LIMIT
+from whinrack.dispatch._target_state import TargetState
+from whinrack.observability import Event, Metrics, log_event
+
+__all__ = ["StatementIntake", "TargetStatement"]
+
+
+class TargetStatement(msgspec.Struct, frozen=True, kw_only=True):
+    """What one answer states of the target that gave it.
+
+    Attributes
+    ----------
+    did_not_run : bool
+        The target did not run the request, and won't.
+    is_other_target : bool
+        Another target listens at this address; the statement is of that one.
+    leaving : bool
+        The target takes no new work from anybody.
+    rest : float
+        Seconds for which the target wants nothing from this instance; 0 if it asks for no rest.
+    limit : float or None
+        Requests a second that the target takes from all instances, `NO_LIMIT` if it states none,
+        None if what it states can't be read.
+    unreadable : tuple of str
+        Names of the fields whose values can't be read.
+    """
+
+    did_not_run: bool = False
+    is_other_target: bool = False
+    leaving: bool = False
+    rest: float = 0.0
+    limit: float | None = NO_LIMIT
+    unreadable: tuple[str, ...] = ()
+
+
+class StatementIntake:
+    """Takes in what targets state of themselves.
+
+    Parameters
+    ----------
+    registry : TargetRegistry
+    metrics : Metrics
+    """
+
+    def __init__(self, registry: TargetRegistry, metrics: Metrics):
+        self.registry = registry
+        self.metrics = metrics
+
+    def hear(
+        self, state: TargetState, statement: TargetStatement, sent_at: float, request: str
+    ) -> None:
+        """Take in the statement of an answer.
+
+        Parameters
+        ----------
+        state : TargetState
+            The target that was asked.
+        sent_at : float
+            When it was sent the request, steady clock.
+        request : str
+            The request's id, for the log.
+        """
+        for field in statement.unreadable:
+            self.metrics.unreadable_statements.labels(field).inc()
+        if statement.is_other_target:
+            return
+        if statement.limit is not None:
+            self.registry.limits.hear(state.record.identity, statement.limit, sent_at, request)
+        if statement.leaving:
+            log_event(
+                Event.TARGET_LEAVING,
+                target=state.record.incarnation,
+                source="answer",
+                request=request,
+            )
+        if statement.rest > 0.0:
+            log_event(
+                Event.TARGET_RESTING,
+                target=state.record.incarnation,
+                seconds=statement.rest,
+                request=request,
+            )
--- a/whinrack/dispatch/base.py
+++ b/whinrack/dispatch/base.py
@@ -1,5 +1,6 @@
 """What the pipeline needs of the protocol that callers and targets speak."""
 
+from whinrack.dispatch._statements import TargetStatement
 from whinrack.dispatch._values import Attempt, IncomingRequest
 from whinrack.exceptions import Refusal
 from whinrack.http1 import Headers, RequestHead, ResponseHead
@@ -33,20 +34,6 @@
         """Whether an answer belongs to a request."""
         raise NotImplementedError
 
-    def did_not_run(self, head: ResponseHead) -> bool:
-        """Whether the target says that it did not run the request, and won't."""
-        raise NotImplementedError
-
-    def stated_limit(self, head: ResponseHead) -> float | None:
-        """Return the requests a second that the target says it takes from all instances.
-
-        Returns
-        -------
-        float or None
-            `NO_LIMIT` if the target states none, None if what it states can't be read.
-        """
-        raise NotImplementedError
-
-    def is_other_target(self, head: ResponseHead) -> bool:
-        """Whether another run of a target answers at this address."""
+    def statement(self, head: ResponseHead) -> TargetStatement:
+        """Return what an answer states of the target that gave it."""
         raise NotImplementedError
--- a/whinrack/dispatch/tests/test_last_words.py
+++ b/whinrack/dispatch/tests/test_last_words.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from whinrack.dispatch import DeclaredCover, EngineShape, PoolRecord
+from whinrack.dispatch import DeclaredCover, EngineShape, PoolRecord, TargetStatement
 from whinrack.dispatch._last_words import settle_by_last_words
 from whinrack.dispatch._run import Run
 from whinrack.exceptions import AnswerCut, AttemptTimeout
@@ -49,8 +49,8 @@
     def is_answer_to(self, request, headers):
         return True
 
-    def did_not_run(self, head):
-        return head.status == 503
+    def statement(self, head):
+        return TargetStatement(did_not_run=head.status == 503)
 
 
 @pytest.fixture
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -63,6 +63,8 @@
 
     TARGET_LIMITED = (5008, "INFO", "a target states another limit of requests than before")
 
+    TARGET_RESTING = (5009, "INFO", "a target wants nothing from this instance for a while")
+
     TARGET_CUT = (5006, "INFO", "target cut answers; whether it is still there")
 
     GRANT_CLOSED = (6001, "ERROR", "this incarnation's grant was released by an operator")
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -42,8 +42,8 @@
         self.invalid_objects = self._counter(
             "invalid_objects", "Stored objects that can't be used", "kind"
         )
-        self.unreadable_limits = self._counter(
-            "unreadable_limits", "Answers whose stated limit can't be read"
+        self.unreadable_statements = self._counter(
+            "unreadable_statements", "Fields of targets' answers that can't be read", "field"
         )
         self.ejections = self._counter("ejections", "Targets set aside")
         self.first_byte = self._histogram("first_byte_seconds", "Time to the first byte", "kind")
