A target that says in an answer that it leaves gets nothing more from any instance

What callers saw: on a deployment of 6 instances requests reached a target 2.2 and 5.0 s after it had said in an answer, passed on by the same instance, that it leaves; the store was away for 13 s. Cause: leaving was learnt from the store's entries and from peers only; the field of the answer was read nowhere. Class: the contract states something in a field, and nobody looks. Ruled out: requests held up in connections (0.06 s at most), a weaker word that goes before it. Why it holds: the word goes the way of a peer's word: it binds that start of the target against any entry that still says ready, outlives the entry, is told to peers at once (the latest last in a heartbeat, so that it is among the 200 that fit), and is looked at again before the first byte. Where all targets of a pool leave, a request is refused at once with 1 s in place of 0.25 s.

--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -65,6 +65,8 @@
         self._left: OrderedDict[tuple[str, int], None] = OrderedDict()
         # Called with each target of which a later start took the place.
         self.ended: list[Callable[[TargetState], None]] = []
+        # Called when a target has said in an answer that it leaves, and that is news.
+        self.heard_leaving: list[Callable[[], None]] = []
         self.elsewhere = LoadsElsewhere()
         self._choice = TargetChoice(self.elsewhere, self.bearing, seed)
 
@@ -113,6 +115,9 @@
             state.warmth.told(record.cold_left, self.clock())
         state.record = record
         state.gone = False
+        if state.leaving:
+            # Its start may have become known only now.
+            self._note_left(record.incarnation, record.started)
         return state.leaving and not was_leaving
 
     def remove(self, incarnation: str) -> bool:
@@ -158,7 +163,7 @@
         return not state.leaving and state.record.data_hall not in self.halls.emptied
 
     def leave(self, incarnation: str, started: int = 0) -> bool:
-        """Learn from a peer that a target is leaving; True if that is news.
+        """Learn from the target or a peer that a target is leaving; True if that is news.
 
         Parameters
         ----------
@@ -175,11 +180,12 @@
         return True
 
     def leaving(self) -> list[TargetRecord]:
-        """Return the records of targets that said that they are leaving, for the peers."""
+        """Return the records of targets that said that they leave, the latest last."""
+        known = (self._targets.get(incarnation) for incarnation, _ in self._left)
         return [
             state.record
-            for state in self._targets.values()
-            if state.record.leaving or state.told_leaving
+            for state in dict.fromkeys(known)
+            if state is not None and (state.record.leaving or state.told_leaving)
         ]
 
     def at_address(self, address: tuple[str, int]) -> set[str]:
--- a/whinrack/dispatch/_statements.py
+++ b/whinrack/dispatch/_statements.py
@@ -72,12 +72,7 @@
         if statement.limit is not None:
             self.registry.limits.hear(state.record.identity, statement.limit, sent_at, request)
         if statement.leaving:
-            log_event(
-                Event.TARGET_LEAVING,
-                target=state.record.incarnation,
-                source="answer",
-                request=request,
-            )
+            self._hear_leaving(state, request)
         if statement.rest > 0.0:
             log_event(
                 Event.TARGET_RESTING,
@@ -85,3 +80,11 @@
                 seconds=statement.rest,
                 request=request,
             )
+
+    def _hear_leaving(self, state: TargetState, request: str) -> None:
+        record = state.record
+        if not self.registry.leave(record.incarnation, record.started):
+            return
+        log_event(Event.TARGET_LEAVING, target=record.incarnation, source="answer", request=request)
+        for heard in self.registry.heard_leaving:
+            heard()
--- a/whinrack/dispatch/_turning_away.py
+++ b/whinrack/dispatch/_turning_away.py
@@ -16,6 +16,8 @@
 # The same, in seconds, while all halls of a pool are emptied: a release takes effect in a second
 # or two, and callers with a deadline of some ten seconds have left after the longest.
 _EMPTIED_RETRY_BOUNDS = (1.0, 10.0)
+# The same, in seconds, while all targets of a pool leave: those that take their places start first.
+_LEAVING_RETRY_SECONDS = 1.0
 
 
 def no_target(retry_after: float = BUSY_RETRY_SECONDS) -> Refusal:
@@ -28,6 +30,9 @@
     few = _all_take_few(registry, pool, now)
     if few is not None:
         return few
+    states = registry.of_pool(pool.name)
+    if states and all(state.leaving for state in states):
+        return no_target(_LEAVING_RETRY_SECONDS)
     emptied = _emptied_for(registry, pool, now)
     if emptied is None:
         return no_target()
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -144,6 +144,7 @@
             self.membership.spread,
             self._count_invalid,
         )
+        self.registry.heard_leaving.append(self.membership.spread)
         self.limit_log = LimitLog(self.registry, self.metrics, self.membership.spread)
         self.registry.limits.changed.append(self.limit_log.changed)
         self.warm_up_log = WarmUpLog(self.registry, self.directory, self.metrics)
