A target that refuses with a time gets nothing from the instance that it refused until then

What callers saw: on a deployment of 8 instances a target that had asked an instance for 3 s of rest got 3 and 7 requests from it in that time; callers got a 503 after one attempt while four other targets were free, and the operator was alerted (over a tenth of one kind not served). Cause: whatever time a refusal named, its target was set aside for 0.25 s, and was used within that where no other was left. Class: the contract states something in a field, and nobody looks. Ruled out: requests chosen before the word (0.06 s at most). Why it holds: the time is kept by the start of the target at this instance alone, the longest word counts, it outlives an entry that lapses, goes before ejection's fall-back, affinity and the questions whether a limit still holds, and is looked at again before the first byte. Where all that is in use rests, a request is refused at once with the least time that is left (0.25 s before); also where the last one has just refused.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -13,7 +13,7 @@
 from whinrack.dispatch._statements import StatementIntake, TargetStatement
 from whinrack.dispatch._target_ends import TargetEnds
 from whinrack.dispatch._target_state import Reading, TargetState
-from whinrack.dispatch._turning_away import BUSY_RETRY_SECONDS, no_target, why_nobody
+from whinrack.dispatch._turning_away import no_target, target_full, why_nobody
 from whinrack.dispatch._under_way import ConnectionsUnderWay
 from whinrack.dispatch._values import Attempt, PoolRecord, RouteKind, TargetsView
 from whinrack.dispatch.base import Dialect
@@ -202,7 +202,7 @@
             self.statements.hear(state, statement, began, run.label)
             if statement.did_not_run:
                 run.may_have_run = may_have_run_before
-                self._refused_by_target(state, statement)
+                self._refused_by_target(pool, state, statement)
             answered = True
             state.answered(steady())
             self._pass_on(run, pool, connection, head)
@@ -274,14 +274,15 @@
         head = RequestHead(request.method, request.target, self.dialect.attempt_headers(attempt))
         connection.send(head, request.body, run.end)
 
-    def _refused_by_target(self, state: TargetState, statement: TargetStatement) -> None:
+    def _refused_by_target(
+        self, pool: PoolRecord, state: TargetState, statement: TargetStatement
+    ) -> None:
+        now = steady()
         if statement.is_other_target:
             self.registry.not_at_its_address(state)
         else:
-            self.registry.busy(state, steady())
-        raise AttemptFailed(
-            TargetUnavailable("the target is full", retry_after=BUSY_RETRY_SECONDS), counts=True
-        )
+            self.registry.busy(state, now)
+        raise AttemptFailed(target_full(self.registry, pool, now), counts=True)
 
     def _pass_on(
         self, run: Run, pool: PoolRecord, connection: TargetConnection, head: ResponseHead
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -13,6 +13,7 @@
 from whinrack.dispatch._loads import LoadsElsewhere
 from whinrack.dispatch._placement import PromptNeed
 from whinrack.dispatch._rate_bounds import WarmUpLimits
+from whinrack.dispatch._rests import Rests
 from whinrack.dispatch._shared_rates import SharedRatePermits
 from whinrack.dispatch._stated_limits import StatedLimits
 from whinrack.dispatch._target_state import TargetState
@@ -55,6 +56,7 @@
         self.limits = limits or StatedLimits(clock=clock)
         self.permits = permits or SharedRatePermits.of_one_instance()
         self.bearing = Bearing(self.limits, self.permits, warm_up or WarmUpLimits())
+        self.rests = Rests()
         self.halls = EmptiedHalls()
         # When it was learnt that a hall is emptied.
         self.emptied_at: dict[str, float] = {}
@@ -158,10 +160,18 @@
                     state.warmth.hall_back(now)
         return True
 
-    def may_be_sent(self, state: TargetState) -> bool:
-        """Whether nothing that is known now forbids to send a request to a target."""
+    def is_in_use(self, state: TargetState) -> bool:
+        """Whether a target takes requests at all: it doesn't leave, nor is its hall emptied."""
         return not state.leaving and state.record.data_hall not in self.halls.emptied
 
+    def rest_left(self, state: TargetState, now: float) -> float:
+        """Return the seconds for which a target wants nothing more from this instance."""
+        return 0.0 if self.rests.is_empty else self.rests.left(state.record.identity, now)
+
+    def may_be_sent(self, state: TargetState, now: float) -> bool:
+        """Whether nothing that is known now forbids to send a request to a target."""
+        return self.is_in_use(state) and not self.rest_left(state, now)
+
     def leave(self, incarnation: str, started: int = 0) -> bool:
         """Learn from the target or a peer that a target is leaving; True if that is news.
 
@@ -205,7 +215,7 @@
         return any(
             state.record.identity not in tried
             and state.takes_work(now)
-            and self.may_be_sent(state)
+            and self.may_be_sent(state, now)
             and self.bearing.may_send(state, cold_start, now)
             for state in self._pools.get(pool, {}).values()
         )
@@ -251,7 +261,7 @@
                 state
                 for state in self._pools.get(pool, {}).values()
                 if state.record.identity not in tried
-                and self.may_be_sent(state)
+                and self.may_be_sent(state, now)
                 and state.in_flight < most_in_flight
             ],
             affinity,
@@ -281,9 +291,10 @@
         self, state: TargetState, cold_start: ColdStart | None, permit_until: float | None
     ) -> bool:
         """Whether a request that was started may be sent now; see `Bearing.still_takes`."""
-        if not self.may_be_sent(state):
+        now = self.clock()
+        if not self.may_be_sent(state, now):
             return False
-        return self.bearing.still_takes(state, cold_start, permit_until, self.clock())
+        return self.bearing.still_takes(state, cold_start, permit_until, now)
 
     def finished(self, state: TargetState) -> None:
         """Count a request that ended, in whatever way."""
--- a/whinrack/dispatch/_statements.py
+++ b/whinrack/dispatch/_statements.py
@@ -74,12 +74,7 @@
         if statement.leaving:
             self._hear_leaving(state, request)
         if statement.rest > 0.0:
-            log_event(
-                Event.TARGET_RESTING,
-                target=state.record.incarnation,
-                seconds=statement.rest,
-                request=request,
-            )
+            self._hear_rest(state, statement.rest, request)
 
     def _hear_leaving(self, state: TargetState, request: str) -> None:
         record = state.record
@@ -88,3 +83,15 @@
         log_event(Event.TARGET_LEAVING, target=record.incarnation, source="answer", request=request)
         for heard in self.registry.heard_leaving:
             heard()
+
+    def _hear_rest(self, state: TargetState, seconds: float, request: str) -> None:
+        record, now = state.record, self.registry.clock()
+        self.registry.rests.ask(record.identity, seconds, now)
+        log_event(
+            Event.TARGET_RESTING,
+            target=record.incarnation,
+            seconds=seconds,
+            left=round(self.registry.rest_left(state, now), 3),
+            request=request,
+            in_flight=state.in_flight,
+        )
--- a/whinrack/dispatch/_turning_away.py
+++ b/whinrack/dispatch/_turning_away.py
@@ -7,9 +7,15 @@
 
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._values import PoolRecord
-from whinrack.exceptions import Refusal, TargetsCold, TargetsLimited, TargetUnavailable
+from whinrack.exceptions import (
+    Refusal,
+    TargetsCold,
+    TargetsLimited,
+    TargetsResting,
+    TargetUnavailable,
+)
 
-__all__ = ["BUSY_RETRY_SECONDS", "no_target", "why_nobody"]
+__all__ = ["BUSY_RETRY_SECONDS", "no_target", "target_full", "why_nobody"]
 
 # After which a caller may come back when targets are full.
 BUSY_RETRY_SECONDS = 0.25
@@ -25,12 +31,25 @@
     return TargetUnavailable("no target takes work now", retry_after=retry_after)
 
 
+def target_full(registry: TargetRegistry, pool: PoolRecord, now: float) -> Refusal:
+    """Return the refusal of a request that a target has turned away."""
+    others_take_work = registry.has_other(pool.name, (), now, pool.cold_start)
+    wait = BUSY_RETRY_SECONDS if others_take_work else why_nobody(registry, pool, now).retry_after
+    return TargetUnavailable("the target is full", retry_after=wait)
+
+
 def why_nobody(registry: TargetRegistry, pool: PoolRecord, now: float) -> Refusal:
     """Return the refusal of a request for a pool none of whose targets takes it."""
+    states = registry.of_pool(pool.name)
+    rests = [registry.rest_left(state, now) for state in states if registry.is_in_use(state)]
+    rest = min((left for left in rests if left), default=None)
     few = _all_take_few(registry, pool, now)
     if few is not None:
+        if rest is not None:
+            few.retry_after = min(few.retry_after, rest)
         return few
-    states = registry.of_pool(pool.name)
+    if rests and all(rests):
+        return TargetsResting("all targets asked this instance for a rest", retry_after=rest)
     if states and all(state.leaving for state in states):
         return no_target(_LEAVING_RETRY_SECONDS)
     emptied = _emptied_for(registry, pool, now)
@@ -48,7 +67,7 @@
     None if one of them takes more, or there is none.
     """
     bearing, cold_start = registry.bearing, pool.cold_start
-    states = [state for state in registry.of_pool(pool.name) if registry.may_be_sent(state)]
+    states = [state for state in registry.of_pool(pool.name) if registry.may_be_sent(state, now)]
     bounds = {state.record.identity: bearing.bound(state, cold_start, now) for state in states}
     if not states or None in bounds.values():
         return None
@@ -68,6 +87,6 @@
     None if that isn't why the pool takes no request.
     """
     states = [state for state in registry.of_pool(pool.name) if not state.leaving]
-    if not states or any(map(registry.may_be_sent, states)):
+    if not states or any(map(registry.is_in_use, states)):
         return None
     return now - max(registry.emptied_at[state.record.data_hall] for state in states)
--- a/whinrack/dispatch/tests/test_halls.py
+++ b/whinrack/dispatch/tests/test_halls.py
@@ -85,6 +85,6 @@
     targets = registry(a="z", b="y")
     state = targets.choose("p", "", {"b"}, 0.0)
     targets.learn_of_hall(HallWord("z", 2, True))
-    assert not targets.may_be_sent(state)
+    assert not targets.may_be_sent(state, 0.0)
     targets.learn_of_hall(HallWord("z", 2, False))
-    assert targets.may_be_sent(state)
+    assert targets.may_be_sent(state, 0.0)
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -312,6 +312,12 @@
     code, status, kind = "targets_limited", 503, "overloaded_error"
 
 
+class TargetsResting(Refusal):
+    """All targets have asked this instance for a rest."""
+
+    code, status, kind = "targets_resting", 503, "overloaded_error"
+
+
 class RequestQuarantined(Refusal):
     """Targets ended under each run of this request; it goes to no more."""
 
