--- a/whinrack/dispatch/_statements.py
+++ b/whinrack/dispatch/_statements.py
@@ -9,6 +9,11 @@
 
 __all__ = ["StatementIntake", "TargetStatement"]
 
+# Fields that are counted by their names, and logged once each; the others are counted together.
+_MOST_UNKNOWN_FIELDS = 20
+_LONGEST_FIELD_SHOWN = 60
+_OTHER_FIELDS = "others"
+
 
 class TargetStatement(msgspec.Struct, frozen=True, kw_only=True):
     """What one answer states of the target that gave it.
@@ -28,6 +33,8 @@
         None if what it states can't be read.
     unreadable : tuple of str
         Names of the fields whose values can't be read.
+    unknown : tuple of str
+        Names of fields by which targets state something, and that the dialect doesn't know.
     """
 
     did_not_run: bool = False
@@ -36,6 +43,7 @@
     rest: float = 0.0
     limit: float | None = NO_LIMIT
     unreadable: tuple[str, ...] = ()
+    unknown: tuple[str, ...] = ()
 
 
 class StatementIntake:
@@ -50,6 +58,7 @@
     def __init__(self, registry: TargetRegistry, metrics: Metrics):
         self.registry = registry
         self.metrics = metrics
+        self._unknown: set[str] = set()
 
     def hear(
         self, state: TargetState, statement: TargetStatement, sent_at: float, request: str
@@ -67,6 +76,8 @@
         """
         for field in statement.unreadable:
             self.metrics.unreadable_statements.labels(field).inc()
+        for field in statement.unknown:
+            self._count_unknown(field, state, request)
         if statement.is_other_target:
             return
         if statement.limit is not None:
@@ -76,6 +87,19 @@
         if statement.rest > 0.0:
             self._hear_rest(state, statement.rest, request)
 
+    def _count_unknown(self, field: str, state: TargetState, request: str) -> None:
+        """Show that targets state something that nothing here heeds."""
+        shown = field[:_LONGEST_FIELD_SHOWN]
+        if shown not in self._unknown:
+            if len(self._unknown) >= _MOST_UNKNOWN_FIELDS:
+                self.metrics.unknown_statements.labels(_OTHER_FIELDS).inc()
+                return
+            self._unknown.add(shown)
+            log_event(
+                Event.FIELD_UNKNOWN, field=shown, target=state.record.incarnation, request=request
+            )
+        self.metrics.unknown_statements.labels(shown).inc()
+
     def _hear_leaving(self, state: TargetState, request: str) -> None:
         record = state.record
         if not self.registry.leave(record.incarnation, record.started):
--- a/whinrack/dispatch/tests/test_statements.py
+++ b/whinrack/dispatch/tests/test_statements.py
@@ -26,7 +26,8 @@
         self.spread = 0
         self.registry = TargetRegistry(seed=1, clock=lambda: self.now)
         self.registry.heard_leaving.append(self.count_spread)
-        self.intake = StatementIntake(self.registry, Metrics())
+        self.metrics = Metrics()
+        self.intake = StatementIntake(self.registry, self.metrics)
         self.put("a", started=5)
         self.put("b", started=5)
 
@@ -191,3 +192,14 @@
     world.hear("b", rest(4.0))
     assert why_nobody(world.registry, POOL, world.now).retry_after == 3.0
     assert world.registry.choose("p", "", (), world.now) is None
+
+
+def test_fields_that_are_not_known_are_counted_by_name_and_no_more_than_some_of_them(world):
+    names = [f"new-{number}" for number in range(25)]
+    world.hear("a", TargetStatement(unknown=tuple(names)))
+    world.hear("a", TargetStatement(unknown=("new-0", "new-24")))
+    text = world.metrics.render().decode()
+    counted = [line for line in text.splitlines() if "unknown_statements_total{" in line]
+    assert len(counted) == 21
+    assert 'whinrack_unknown_statements_total{field="new-0"} 2.0' in counted
+    assert 'whinrack_unknown_statements_total{field="others"} 6.0' in counted
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -65,6 +65,8 @@
 
     TARGET_RESTING = (5009, "INFO", "a target wants nothing from this instance for a while")
 
+    FIELD_UNKNOWN = (5010, "WARNING", "targets state something that is not known here")
+
     TARGET_CUT = (5006, "INFO", "target cut answers; whether it is still there")
 
     GRANT_CLOSED = (6001, "ERROR", "this incarnation's grant was released by an operator")
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -45,6 +45,9 @@
         self.unreadable_statements = self._counter(
             "unreadable_statements", "Fields of targets' answers that can't be read", "field"
         )
+        self.unknown_statements = self._counter(
+            "unknown_statements", "Fields of targets' answers that nothing here heeds", "field"
+        )
         self.ejections = self._counter("ejections", "Targets set aside")
         self.first_byte = self._histogram("first_byte_seconds", "Time to the first byte", "kind")
         self.queue_wait = self._histogram("queue_wait_seconds", "Time in the queue", "class_")
