--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -195,11 +195,15 @@
         patience = self.answer_times.suspicious_after(pool)
         has_another = self._has_another(run, pool, began)
         head_end = min(run.end, began + patience) if has_another else run.end
+
+        def hear(statement: TargetStatement) -> None:
+            self.statements.hear(state, statement, began, run.label)
+
         try:
             head = self._head_of_answer(run, state, connection, head_end)
             self.answer_times.observe(pool.name, steady() - began)
             statement = self.dialect.statement(head)
-            self.statements.hear(state, statement, began, run.label)
+            hear(statement)
             if statement.did_not_run:
                 run.may_have_run = may_have_run_before
                 self._refused_by_target(pool, state, statement)
@@ -219,7 +223,7 @@
             self._suspect_silence(state, began, answered, patience)
             # Nobody waits for an answer here, so there is time to learn what was made.
             if run.cover is not None and run.may_have_run:
-                settle_by_last_words(run, pool, connection, self.dialect, answered)
+                settle_by_last_words(run, pool, connection, self.dialect, hear, answered)
             raise
         finally:
             self.moved(_REQUESTS, state.record.data_hall, connection.sent_bytes)
--- a/whinrack/dispatch/_last_words.py
+++ b/whinrack/dispatch/_last_words.py
@@ -5,9 +5,12 @@
 an end within a moment nothing is known, and the cover counts in full.
 """
 
+from collections.abc import Callable
+
 from whinrack.clock import steady
 from whinrack.dispatch._events import event_blocks
 from whinrack.dispatch._run import Run
+from whinrack.dispatch._statements import TargetStatement
 from whinrack.dispatch._values import PoolRecord
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import AnswerCut, AttemptTimeout
@@ -20,12 +23,19 @@
 
 
 def settle_by_last_words(
-    run: Run, pool: PoolRecord, connection: TargetConnection, dialect: Dialect, answered: bool
+    run: Run,
+    pool: PoolRecord,
+    connection: TargetConnection,
+    dialect: Dialect,
+    hear: Callable[[TargetStatement], None],
+    answered: bool,
 ) -> None:
     """Bill a run whose caller left, if its target ends it; else leave it unsettled.
 
     Parameters
     ----------
+    hear : callable
+        Told what the target states, if the head of its answer comes now.
     answered : bool
         The head of the answer has been read.
     """
@@ -36,7 +46,9 @@
             head = connection.read_head(
                 end, lambda headers: dialect.is_answer_to(run.request, headers)
             )
-            if dialect.statement(head).did_not_run:
+            statement = dialect.statement(head)
+            hear(statement)
+            if statement.did_not_run:
                 run.may_have_run = run.attempts > 1
                 return
         for block in event_blocks(connection.pieces(end), run.last_id):
--- a/whinrack/dispatch/tests/test_last_words.py
+++ b/whinrack/dispatch/tests/test_last_words.py
@@ -64,8 +64,9 @@
     return run
 
 
-def settle(run, connection, answered=True):
-    settle_by_last_words(run, POOL, connection, Dialect(), answered)
+def settle(run, connection, answered=True, heard=None):
+    hear = [].append if heard is None else heard.append
+    settle_by_last_words(run, POOL, connection, Dialect(), hear, answered)
     assert connection.finished_sending
     return run.cover.billed
 
@@ -94,8 +95,10 @@
 
 def test_a_target_that_says_it_did_not_run_is_believed(run):
     refused = Connection(head=ResponseHead(503, []))
-    assert settle(run, refused, answered=False) is None
+    heard = []
+    assert settle(run, refused, answered=False, heard=heard) is None
     assert not run.may_have_run
+    assert heard == [TargetStatement(did_not_run=True)]
 
 
 def test_no_more_than_the_cover_is_billed(run):
