An engine's Retry-After on a 429 or 503 is kept to by the OpenAI-compatible way in, too

The same cause elsewhere: an engine that refused with a time was sent the next request at once; only its limit on requests at once fell. Failing before (the engine ran the next request: 200 for 503), passing now. The target takes no work from this instance for that time, an hour at most, the longest counts; where all targets of the allowed pools rest, a caller is refused at once with the least time that is left. The bound on a mistaken time stands once for both ways in.

--- a/standins/_wsgi.py
+++ b/standins/_wsgi.py
@@ -14,8 +14,9 @@
 class Reply(Exception):
     """Ends a request with a status and a JSON value."""
 
-    def __init__(self, status: int, value=None):
+    def __init__(self, status: int, value=None, headers=()):
         super().__init__(status)
+        self.headers = headers
         self.status = status
         self.value = value
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -4,8 +4,8 @@
 words that follow from the prompt alone. Starts are recorded with the tokens that were
 really generated: ``GET /starts``. Faults are set by ``PUT /faults``:
 ``token_delay``, ``first_delay``, ``cut_after`` (tokens, -1: never), ``foreign_id``,
-``busy`` (answer 503), ``overrun`` (tokens beyond max_tokens), ``duplicate`` (send each
-event twice), ``silent_usage`` (no usage at the end), ``stop_at`` (end after so many).
+``busy`` (answer 503), ``rest`` (Retry-After of that answer), ``overrun`` (tokens beyond
+max_tokens), ``duplicate`` (send each event twice), ``silent_usage`` (no usage at the end), ``stop_at`` (end after so many).
 """
 
 import argparse
@@ -56,6 +56,7 @@
     "cut_after": -1,
     "foreign_id": False,
     "busy": False,
+    "rest": "",
     "overrun": 0,
     "duplicate": False,
     "silent_usage": False,
@@ -81,7 +82,7 @@
             return _stream_order(path.split("/")[3:], environ, start_response)
         raise Reply(404)
     except Reply as reply:
-        return respond(start_response, reply.status, reply.value)
+        return respond(start_response, reply.status, reply.value, reply.headers)
 
 
 def _row(stream):
@@ -112,7 +113,8 @@
 def _chat(environ, start_response):
     request = json.loads(read_body(environ))
     if FAULTS["busy"]:
-        raise Reply(503, {"error": {"message": "busy", "code": "not_started"}})
+        fields = [("Retry-After", FAULTS["rest"])] if FAULTS["rest"] else []
+        raise Reply(503, {"error": {"message": "busy", "code": "not_started"}}, fields)
     stream = _start(environ, request)
     if request.get("stream"):
         start_response("200 OK", [("Content-Type", "text/event-stream")])
--- a/tests/support.py
+++ b/tests/support.py
@@ -179,6 +179,7 @@
                 cut_after=-1,
                 foreign_id=False,
                 busy=False,
+                rest="",
                 overrun=0,
                 duplicate=False,
                 silent_usage=False,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -237,6 +237,21 @@
     assert answer.headers["Whinrack-Outcome"] == "not_run"
 
 
+@pytest.mark.usefixtures("clean_faults")
+def test_an_engine_that_had_asked_for_a_rest_was_sent_to_again(fleet):
+    engine = fleet.targets["e1"]
+    engine.fault(busy=True, rest="3")
+    assert fleet.caller.chat(fleet.routers[0]).status == 503
+    engine.fault(busy=False)
+    began = time.monotonic()
+    answer = fleet.caller.chat(fleet.routers[0])
+    assert (answer.status, answer.headers["Whinrack-Attempts"]) == (503, "0")
+    assert 1 <= int(answer.headers["Retry-After"]) <= 3
+    assert time.monotonic() - began < 1.0
+    time.sleep(3.0)
+    assert fleet.caller.chat(fleet.routers[0]).status == 200
+
+
 # --- plain services ----------------------------------------------------------------------
 
 
--- a/whinrack/base.py
+++ b/whinrack/base.py
@@ -6,7 +6,17 @@
 
 import xxhash
 
-__all__ = ["Outcome", "incarnation_name", "instance_of", "new_incarnation", "rendezvous"]
+__all__ = [
+    "LONGEST_REST_SECONDS",
+    "Outcome",
+    "incarnation_name",
+    "instance_of",
+    "new_incarnation",
+    "rendezvous",
+]
+
+# A target that names a longer time by mistake must not stay out of use for good.
+LONGEST_REST_SECONDS = 3600.0
 
 _NONCE_BYTES = 5
 
--- a/whinrack/dispatch/_rests.py
+++ b/whinrack/dispatch/_rests.py
@@ -4,10 +4,9 @@
 which it wants none from whoever it refused. A rest binds the instance that was asked, and no other.
 """
 
-__all__ = ["Rests"]
+from whinrack.base import LONGEST_REST_SECONDS
 
-# A target that names a longer time by mistake must not stay out of use for good.
-_LONGEST_REST_SECONDS = 3600.0
+__all__ = ["Rests"]
 
 
 class Rests:
@@ -24,7 +23,7 @@
     def ask(self, target: str, seconds: float, now: float) -> None:
         """Learn that a target asks for a rest; a shorter one doesn't shorten the one before."""
         self._forget(now)
-        until = now + min(seconds, _LONGEST_REST_SECONDS)
+        until = now + min(seconds, LONGEST_REST_SECONDS)
         self._until[target] = max(until, self._until.get(target, until))
 
     def left(self, target: str, now: float) -> float:
--- a/whinrack/engines/__init__.py
+++ b/whinrack/engines/__init__.py
@@ -7,6 +7,7 @@
     body_chunks,
     read_body,
     refused_unstarted,
+    rest_asked,
 )
 from whinrack.engines._sse import ChatStream, whole_events
 
@@ -18,5 +19,6 @@
     "body_chunks",
     "read_body",
     "refused_unstarted",
+    "rest_asked",
     "whole_events",
 ]
--- a/whinrack/engines/_client.py
+++ b/whinrack/engines/_client.py
@@ -1,5 +1,6 @@
 """Talks to targets: chat engines and plain services, over urllib3."""
 
+import re
 from collections.abc import Iterable, Iterator
 
 import msgspec
@@ -16,12 +17,14 @@
     "body_chunks",
     "read_body",
     "refused_unstarted",
+    "rest_asked",
 ]
 
 _CONNECT_TIMEOUT = 1.0
 _ORDER_TIMEOUT = 1.0
 _CONNECTIONS = 256
 _BUSY = (429, 503)
+_SECONDS = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 _CHUNK = 65_536
 _TIMEOUTS = (urllib3.exceptions.ReadTimeoutError,)
 _NEVER_SENT = (
@@ -141,6 +144,12 @@
     return reply.status in _BUSY
 
 
+def rest_asked(reply: urllib3.BaseHTTPResponse) -> float:
+    """Return the seconds for which a busy target wants nothing from here, 0 for no word."""
+    text = reply.headers.get("Retry-After", "").strip()
+    return float(text) if _SECONDS.fullmatch(text) else 0.0
+
+
 def read_body(reply: urllib3.BaseHTTPResponse) -> Result[bytes, Refusal]:
     """Read a whole body, or say that it was cut."""
     try:
--- a/whinrack/routing/_pools.py
+++ b/whinrack/routing/_pools.py
@@ -104,6 +104,11 @@
         """Whether any target takes work."""
         return any(target.takes_work(now) for target in self.targets.values())
 
+    def rest_left(self, now: float) -> float | None:
+        """Return the seconds until the first target has rested, None if none rests."""
+        left = [target.rests_until - now for target in self.targets.values() if not target.leaving]
+        return min((seconds for seconds in left if seconds > 0.0), default=None)
+
     def pick(self, query: PickQuery, now: float) -> TargetView | None:
         """Choose a target that has room and count the request there; None if none has."""
         if query.request_class is RequestClass.DEFERRABLE and not self._spare_room(now):
--- a/whinrack/routing/_targets.py
+++ b/whinrack/routing/_targets.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from whinrack.base import LONGEST_REST_SECONDS
 from whinrack.ejection import EjectionPolicy
 from whinrack.objects import Target, TargetState
 
@@ -54,6 +55,7 @@
         self.limit = float(spec.max_concurrency)
         self.report: LoadReport | None = None
         self.instance_leaving = False
+        self.rests_until = float("-inf")
 
     @property
     def leaving(self) -> bool:
@@ -68,7 +70,7 @@
 
     def takes_work(self, now: float) -> bool:
         """Whether new work may go to the target at all."""
-        return not self.leaving and not self.ejection.ejected(now)
+        return not self.leaving and now >= self.rests_until and not self.ejection.ejected(now)
 
     def load(self, now: float) -> float:
         """Estimate the requests at the target, from all instances.
@@ -100,6 +102,10 @@
         most = float(self.spec.max_concurrency)
         self.limit = min(most, self.limit + _INCREASE / self.limit)
 
+    def asked_rest(self, seconds: float, now: float) -> None:
+        """Learn that the target wants nothing from this instance for a while."""
+        self.rests_until = max(self.rests_until, now + min(seconds, LONGEST_REST_SECONDS))
+
     def overloaded(self) -> None:
         """Learn from the target's word that it is busy."""
         self.limit = max(_LEAST_LIMIT, min(self.limit, self.in_flight + 1.0) * _DECREASE)
--- a/whinrack/routing/tests/test_routing.py
+++ b/whinrack/routing/tests/test_routing.py
@@ -102,6 +102,16 @@
     assert not listed.takes_work(0.0)
 
 
+def test_a_target_takes_nothing_in_a_rest_and_the_longest_counts():
+    target = view("t")
+    target.asked_rest(3.0, now=10.0)
+    target.asked_rest(1.0, now=11.0)
+    assert not target.takes_work(12.9)
+    assert target.takes_work(13.0)
+    target.asked_rest(1e12, now=20.0)
+    assert target.takes_work(20.0 + 3600.0)
+
+
 def test_limit_falls_when_the_target_is_busy_and_recovers():
     target = view("t", limit=8)
     for _ in range(4):
