--- a/whinrack/edge/_instance_host.py
+++ b/whinrack/edge/_instance_host.py
@@ -1,32 +1,50 @@
 """What the membership asks of this instance, and what peers tell it, led to whom it concerns."""
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from whinrack.budgets import GrantKeeper
 from whinrack.clock import steady
-from whinrack.dispatch import HallWord
+from whinrack.dispatch import Dispatcher, HallWord
+from whinrack.edge._contact import StoreContact
 from whinrack.edge._entries import serves_callers
+from whinrack.edge._halls import HallKnowledge
+from whinrack.edge._knowledge import StoreKnowledge
 from whinrack.edge._membership_host import MembershipHost
-from whinrack.edge._options import HostPort
+from whinrack.edge._options import EdgeOptions, HostPort
+from whinrack.edge._suspects import SuspectExchange
+from whinrack.edge._tokens import TokenExchange
 from whinrack.gossip import GoneTarget, Message, SuspectCases
+from whinrack.store import MeteredStore
 
-if TYPE_CHECKING:
-    from whinrack.edge._daemon import EdgeDaemon
-
-__all__ = ["InstanceHost"]
+__all__ = ["HostedInstance", "InstanceHost"]
 
 # The answer to a watch may be so late, beyond the time for which the watch is held.
 _WATCH_MARGIN_SECONDS = 1.0
 
 
+class HostedInstance(Protocol):
+    """The parts of an instance that the membership asks and tells."""
+
+    options: EdgeOptions
+    dispatcher: Dispatcher
+    keeper: GrantKeeper
+    contact: StoreContact
+    store: MeteredStore
+    knowledge: StoreKnowledge
+    halls: HallKnowledge
+    suspects: SuspectExchange
+    tokens: TokenExchange
+
+
 class InstanceHost(MembershipHost):
     """Speaks for one instance.
 
     Parameters
     ----------
-    instance : EdgeDaemon
+    instance : HostedInstance
     """
 
-    def __init__(self, instance: "EdgeDaemon"):
+    def __init__(self, instance: HostedInstance):
         self.instance = instance
         self._serves = False
 
