--- a/standins/engine.py
+++ b/standins/engine.py
@@ -4,8 +4,8 @@
 words that follow from the prompt alone. Starts are recorded with the tokens that were
 really generated: ``GET /starts``. Faults are set by ``PUT /faults``:
 ``token_delay``, ``first_delay``, ``cut_after`` (tokens, -1: never), ``foreign_id``,
-``busy`` (answer 503), ``rest`` (Retry-After of that answer), ``overrun`` (tokens beyond
-max_tokens), ``duplicate`` (send each event twice), ``silent_usage`` (no usage at the end),
+``busy`` (answer 503), ``rest`` (Retry-After of that answer), ``leaving`` (in load
+reports), ``overrun`` (tokens beyond max_tokens), ``duplicate`` (send each event twice), ``silent_usage`` (no usage at the end),
 ``stop_at`` (end after so many).
 """
 
@@ -58,6 +58,7 @@
     "foreign_id": False,
     "busy": False,
     "rest": "",
+    "leaving": False,
     "overrun": 0,
     "duplicate": False,
     "silent_usage": False,
@@ -73,6 +74,7 @@
             return _chat(environ, start_response)
         if path == "/load":
             value = {"running": len(RUNNING), "waiting": 0, "at": time.time()}
+            value["leaving"] = FAULTS["leaving"]
             return respond(start_response, 200, value)
         if path == "/faults":
             FAULTS.update(json.loads(read_body(environ)))
--- a/tests/support.py
+++ b/tests/support.py
@@ -180,6 +180,7 @@
                 foreign_id=False,
                 busy=False,
                 rest="",
+                leaving=False,
                 overrun=0,
                 duplicate=False,
                 silent_usage=False,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -252,6 +252,15 @@
     assert fleet.caller.chat(fleet.routers[0]).status == 200
 
 
+@pytest.mark.usefixtures("clean_faults")
+def test_an_engine_whose_report_said_that_it_leaves_was_sent_to(fleet):
+    engine, router = fleet.targets["e1"], fleet.routers[0]
+    engine.fault(leaving=True)
+    wait_until(lambda: fleet.caller.chat(router).status == 503)
+    engine.fault(leaving=False)
+    wait_until(lambda: fleet.caller.chat(router).status == 200)
+
+
 # --- plain services ----------------------------------------------------------------------
 
 
--- a/whinrack/routing/_targets.py
+++ b/whinrack/routing/_targets.py
@@ -55,12 +55,14 @@
         self.limit = float(spec.max_concurrency)
         self.report: LoadReport | None = None
         self.instance_leaving = False
+        self.reports_leaving = False
         self.rests_until = float("-inf")
 
     @property
     def leaving(self) -> bool:
         """Whether any source says that the target is leaving."""
-        return self.spec.state is TargetState.LEAVING or self.instance_leaving
+        declared = self.spec.state is TargetState.LEAVING
+        return declared or self.instance_leaving or self.reports_leaving
 
     def update(self, spec: Target) -> None:
         """Take in a newer declaration."""
--- a/whinrack/server/_admission.py
+++ b/whinrack/server/_admission.py
@@ -4,6 +4,7 @@
 from returns.result import Failure, Result, Success
 
 from whinrack.clock import steady
+from whinrack.engines import EngineLoad
 from whinrack.exceptions import DeadlineUnreachable, Refusal, TargetUnavailable
 from whinrack.feed import ConfigStore
 from whinrack.objects import Protocol, Target, TargetPool
@@ -121,10 +122,13 @@
             )
         return self._wait(alive[0], query, min(deadline, now + decision.wait), now)
 
-    def report(self, target: TargetView, running: int, waiting: int) -> None:
+    def report(self, target: TargetView, load: EngineLoad) -> None:
         """Take in a load report."""
-        now = steady()
-        target.report = LoadReport(running, waiting, now, target.in_flight)
+        was_leaving = target.leaving
+        target.reports_leaving = load.leaving
+        target.report = LoadReport(load.running, load.waiting, steady(), target.in_flight)
+        if target.leaving and not was_leaving:
+            log_event(Event.TARGET_LEAVING, target=target.name, source="report")
 
     def failed(self, target: TargetView) -> None:
         """Take in a connection that failed or broke."""
--- a/whinrack/server/_tasks.py
+++ b/whinrack/server/_tasks.py
@@ -128,7 +128,7 @@
     def _read_load(self, target) -> None:
         load = self.context.targets.load(target.spec.address)
         if load is not None:
-            self.context.directory.report(target, load.running, load.waiting)
+            self.context.directory.report(target, load)
 
     def _beat_addresses(self, everyone: bool) -> list[str]:
         """Return all peers of a small fleet, or a turning part of a large one."""
