--- a/standins/engine.py
+++ b/standins/engine.py
@@ -5,8 +5,8 @@
 really generated: ``GET /starts``. Faults are set by ``PUT /faults``:
 ``token_delay``, ``first_delay``, ``cut_after`` (tokens, -1: never), ``foreign_id``,
 ``busy`` (answer 503), ``rest`` (Retry-After of that answer), ``leaving`` (in load
-reports), ``overrun`` (tokens beyond max_tokens), ``duplicate`` (send each event twice), ``silent_usage`` (no usage at the end),
-``stop_at`` (end after so many).
+reports), ``overrun`` (tokens beyond max_tokens), ``duplicate`` (send each event twice),
+``silent_usage`` (no usage at the end), ``stop_at`` (end after so many).
 """
 
 import argparse
--- a/whinrack/dispatch/tests/test_statements.py
+++ b/whinrack/dispatch/tests/test_statements.py
@@ -164,6 +164,13 @@
     assert world.registry.still_takes(state, None, permit_until=None)
 
 
+def test_a_limited_target_is_not_asked_in_its_rest_whether_the_limit_holds(world):
+    world.hear("a", TargetStatement(did_not_run=True, limit=1.0, rest=30.0))
+    world.now += 10.0
+    assert world.registry.limits.asks_again("a@5")
+    assert world.chosen() == {"b"}
+
+
 def test_callers_come_back_when_the_first_target_has_rested(world):
     world.hear("a", rest(3.0))
     assert why_nobody(world.registry, POOL, world.now).retry_after == BUSY_RETRY_SECONDS
