--- a/whinrack/base.py
+++ b/whinrack/base.py
@@ -7,7 +7,7 @@
 import xxhash
 
 __all__ = [
-    "LONGEST_REST_SECONDS",
+    "LONGEST_BACKOFF_SECONDS",
     "Outcome",
     "incarnation_name",
     "instance_of",
@@ -16,7 +16,7 @@
 ]
 
 # A target that names a longer time by mistake must not stay out of use for good.
-LONGEST_REST_SECONDS = 3600.0
+LONGEST_BACKOFF_SECONDS = 3600.0
 
 _NONCE_BYTES = 5
 
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -7,13 +7,13 @@
 import msgspec
 
 from whinrack.clock import steady
+from whinrack.dispatch._backoffs import Backoffs
 from whinrack.dispatch._bearing import Bearing
 from whinrack.dispatch._choice import TargetChoice
 from whinrack.dispatch._halls import EmptiedHalls, HallWord
 from whinrack.dispatch._loads import LoadsElsewhere
 from whinrack.dispatch._placement import PromptNeed
 from whinrack.dispatch._rate_bounds import WarmUpLimits
-from whinrack.dispatch._rests import Rests
 from whinrack.dispatch._shared_rates import SharedRatePermits
 from whinrack.dispatch._stated_limits import StatedLimits
 from whinrack.dispatch._target_state import TargetState
@@ -56,7 +56,7 @@
         self.limits = limits or StatedLimits(clock=clock)
         self.permits = permits or SharedRatePermits.of_one_instance()
         self.bearing = Bearing(self.limits, self.permits, warm_up or WarmUpLimits())
-        self.rests = Rests()
+        self.backoffs = Backoffs()
         self.halls = EmptiedHalls()
         # When it was learnt that a hall is emptied.
         self.emptied_at: dict[str, float] = {}
@@ -164,13 +164,13 @@
         """Whether a target takes requests at all: it doesn't leave, nor is its hall emptied."""
         return not state.leaving and state.record.data_hall not in self.halls.emptied
 
-    def rest_left(self, state: TargetState, now: float) -> float:
-        """Return the seconds for which a target wants nothing more from this instance."""
-        return 0.0 if self.rests.is_empty else self.rests.left(state.record.identity, now)
+    def backoff_left(self, state: TargetState, now: float) -> float:
+        """Return the seconds for which a target takes nothing from this instance."""
+        return 0.0 if self.backoffs.is_empty else self.backoffs.left(state.record.identity, now)
 
     def may_be_sent(self, state: TargetState, now: float) -> bool:
         """Whether nothing that is known now forbids to send a request to a target."""
-        return self.is_in_use(state) and not self.rest_left(state, now)
+        return self.is_in_use(state) and not self.backoff_left(state, now)
 
     def leave(self, incarnation: str, started: int = 0) -> bool:
         """Learn from the target or a peer that a target is leaving; True if that is news.
--- a/whinrack/dispatch/_statements.py
+++ b/whinrack/dispatch/_statements.py
@@ -26,8 +26,8 @@
         Another target listens at this address; the statement is of that one.
     leaving : bool
         The target takes no new work from anybody.
-    rest : float
-        Seconds for which the target wants nothing from this instance; 0 if it asks for no rest.
+    retry_after : float
+        Seconds for which the target takes nothing from this instance; 0 if it doesn't say so.
     limit : float or None
         Requests a second that the target takes from all instances, `NO_LIMIT` if it states none,
         None if what it states can't be read.
@@ -40,7 +40,7 @@
     did_not_run: bool = False
     is_other_target: bool = False
     leaving: bool = False
-    rest: float = 0.0
+    retry_after: float = 0.0
     limit: float | None = NO_LIMIT
     unreadable: tuple[str, ...] = ()
     unknown: tuple[str, ...] = ()
@@ -84,8 +84,8 @@
             self.registry.limits.hear(state.record.identity, statement.limit, sent_at, request)
         if statement.leaving:
             self._hear_leaving(state, request)
-        if statement.rest > 0.0:
-            self._hear_rest(state, statement.rest, request)
+        if statement.retry_after > 0.0:
+            self._hear_backoff(state, statement.retry_after, request)
 
     def _count_unknown(self, field: str, state: TargetState, request: str) -> None:
         """Show that targets state something that nothing here heeds."""
@@ -108,14 +108,14 @@
         for heard in self.registry.heard_leaving:
             heard()
 
-    def _hear_rest(self, state: TargetState, seconds: float, request: str) -> None:
+    def _hear_backoff(self, state: TargetState, seconds: float, request: str) -> None:
         record, now = state.record, self.registry.clock()
-        self.registry.rests.ask(record.identity, seconds, now)
+        self.registry.backoffs.start(record.identity, seconds, now)
         log_event(
-            Event.TARGET_RESTING,
+            Event.TARGET_BACKOFF,
             target=record.incarnation,
             seconds=seconds,
-            left=round(self.registry.rest_left(state, now), 3),
+            left=round(self.registry.backoff_left(state, now), 3),
             request=request,
             in_flight=state.in_flight,
         )
--- a/whinrack/dispatch/_turning_away.py
+++ b/whinrack/dispatch/_turning_away.py
@@ -11,7 +11,7 @@
     Refusal,
     TargetsCold,
     TargetsLimited,
-    TargetsResting,
+    TargetsOverloaded,
     TargetUnavailable,
 )
 
@@ -41,15 +41,17 @@
 def why_nobody(registry: TargetRegistry, pool: PoolRecord, now: float) -> Refusal:
     """Return the refusal of a request for a pool none of whose targets takes it."""
     states = registry.of_pool(pool.name)
-    rests = [registry.rest_left(state, now) for state in states if registry.is_in_use(state)]
-    rest = min((left for left in rests if left), default=None)
+    backoffs = [registry.backoff_left(state, now) for state in states if registry.is_in_use(state)]
+    first_end = min((left for left in backoffs if left), default=None)
     few = _all_take_few(registry, pool, now)
     if few is not None:
-        if rest is not None:
-            few.retry_after = min(few.retry_after, rest)
+        if first_end is not None:
+            few.retry_after = min(few.retry_after, first_end)
         return few
-    if rests and all(rests):
-        return TargetsResting("all targets asked this instance for a rest", retry_after=rest)
+    if backoffs and all(backoffs):
+        return TargetsOverloaded(
+            "all targets told this instance to back off", retry_after=first_end
+        )
     if states and all(state.leaving for state in states):
         return no_target(_LEAVING_RETRY_SECONDS)
     emptied = _emptied_for(registry, pool, now)
--- a/whinrack/dispatch/tests/test_statements.py
+++ b/whinrack/dispatch/tests/test_statements.py
@@ -115,12 +115,12 @@
     assert told == ["t2", "t0", "t1"]
 
 
-def rest(seconds):
-    return TargetStatement(did_not_run=True, rest=seconds)
+def backoff(seconds):
+    return TargetStatement(did_not_run=True, retry_after=seconds)
 
 
-def test_a_target_that_asks_for_a_rest_gets_nothing_until_its_end(world):
-    world.hear("a", rest(3.0))
+def test_a_target_that_tells_to_back_off_gets_nothing_until_the_time_is_over(world):
+    world.hear("a", backoff(3.0))
     world.now += 2.99
     assert world.chosen() == {"b"}
     assert not world.registry.has_other("p", {"b@5"}, world.now)
@@ -128,19 +128,19 @@
     assert world.chosen() == {"a", "b"}
 
 
-def test_a_shorter_rest_does_not_shorten_the_one_before(world):
-    world.hear("a", rest(3.0))
+def test_a_shorter_back_off_does_not_shorten_the_one_before(world):
+    world.hear("a", backoff(3.0))
     world.now += 1.0
-    world.hear("a", rest(0.5))
+    world.hear("a", backoff(0.5))
     world.now += 1.9
     assert world.chosen() == {"b"}
-    world.hear("a", rest(1.0))
+    world.hear("a", backoff(1.0))
     world.now += 0.9
     assert world.chosen() == {"b"}
 
 
-def test_a_rest_outlives_a_record_that_goes_and_comes_back_and_ends_with_the_start(world):
-    world.hear("a", rest(30.0))
+def test_a_back_off_outlives_a_record_that_goes_and_comes_back_and_ends_with_the_start(world):
+    world.hear("a", backoff(30.0))
     world.registry.remove("a")
     world.put("a", started=5)
     assert world.chosen() == {"b"}
@@ -149,7 +149,7 @@
 
 
 def test_a_target_that_names_a_huge_time_is_in_use_again_after_an_hour(world):
-    world.hear("a", rest(1e12))
+    world.hear("a", backoff(1e12))
     world.now += 3599.0
     assert world.chosen() == {"b"}
     world.now += 2.0
@@ -158,45 +158,45 @@
 
 def test_a_request_that_was_chosen_before_the_word_is_not_sent_after_it(world):
     state = world.state("a")
-    world.hear("a", rest(3.0))
+    world.hear("a", backoff(3.0))
     assert not world.registry.still_takes(state, None, permit_until=None)
     world.now += 3.0
     assert world.registry.still_takes(state, None, permit_until=None)
 
 
-def test_a_limited_target_is_not_asked_in_its_rest_whether_the_limit_holds(world):
-    world.hear("a", TargetStatement(did_not_run=True, limit=1.0, rest=30.0))
+def test_a_limited_target_is_not_asked_in_a_back_off_whether_the_limit_holds(world):
+    world.hear("a", TargetStatement(did_not_run=True, limit=1.0, retry_after=30.0))
     world.now += 10.0
     assert world.registry.limits.asks_again("a@5")
     assert world.chosen() == {"b"}
 
 
-def test_callers_come_back_when_the_first_target_has_rested(world):
-    world.hear("a", rest(3.0))
+def test_callers_come_back_when_the_first_back_off_ends(world):
+    world.hear("a", backoff(3.0))
     assert why_nobody(world.registry, POOL, world.now).retry_after == BUSY_RETRY_SECONDS
     assert target_full(world.registry, POOL, world.now).retry_after == BUSY_RETRY_SECONDS
-    world.hear("b", rest(5.0))
+    world.hear("b", backoff(5.0))
     world.now += 1.0
     refusal = why_nobody(world.registry, POOL, world.now)
-    assert (refusal.code, refusal.retry_after) == ("targets_resting", 2.0)
+    assert (refusal.code, refusal.retry_after) == ("targets_overloaded", 2.0)
     assert target_full(world.registry, POOL, world.now).retry_after == 2.0
 
 
-def test_where_some_targets_rest_and_the_others_are_cold_the_sooner_counts(world):
+def test_where_some_targets_are_backed_off_from_and_the_others_are_cold_the_sooner_counts(world):
     cold = PoolRecord("p", 0, cold_start=ColdStart(seconds=100.0, rate=0.0))
     for name in ("a", "b"):
         world.put(name, started=6)
         world.state(name).warmth.told(100.0, world.now)
-    world.hear("a", rest(0.125))
+    world.hear("a", backoff(0.125))
     refusal = why_nobody(world.registry, cold, world.now)
     assert (refusal.code, refusal.retry_after) == ("targets_cold", 0.125)
 
 
-def test_where_some_targets_rest_and_the_others_are_in_emptied_halls_the_rest_counts(world):
+def test_where_the_other_targets_are_in_emptied_halls_the_back_off_counts(world):
     world.registry.put(TargetRecord("c", "p", "h", 1, data_hall="z"))
     world.registry.learn_of_hall(HallWord("z", 2, True))
-    world.hear("a", rest(3.0))
-    world.hear("b", rest(4.0))
+    world.hear("a", backoff(3.0))
+    world.hear("b", backoff(4.0))
     assert why_nobody(world.registry, POOL, world.now).retry_after == 3.0
     assert world.registry.choose("p", "", (), world.now) is None
 
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -145,7 +145,7 @@
             self._count_invalid,
         )
         self.registry.heard_leaving.append(self.membership.spread)
-        self.metrics.resting_targets.set_function(lambda: self.registry.rests.count(steady()))
+        self.metrics.backed_off_targets.set_function(lambda: self.registry.backoffs.count(steady()))
         self.limit_log = LimitLog(self.registry, self.metrics, self.membership.spread)
         self.registry.limits.changed.append(self.limit_log.changed)
         self.warm_up_log = WarmUpLog(self.registry, self.directory, self.metrics)
--- a/whinrack/engines/__init__.py
+++ b/whinrack/engines/__init__.py
@@ -7,7 +7,7 @@
     body_chunks,
     read_body,
     refused_unstarted,
-    rest_asked,
+    retry_after,
 )
 from whinrack.engines._sse import ChatStream, whole_events
 
@@ -19,6 +19,6 @@
     "body_chunks",
     "read_body",
     "refused_unstarted",
-    "rest_asked",
+    "retry_after",
     "whole_events",
 ]
--- a/whinrack/engines/_client.py
+++ b/whinrack/engines/_client.py
@@ -17,7 +17,7 @@
     "body_chunks",
     "read_body",
     "refused_unstarted",
-    "rest_asked",
+    "retry_after",
 ]
 
 _CONNECT_TIMEOUT = 1.0
@@ -144,8 +144,8 @@
     return reply.status in _BUSY
 
 
-def rest_asked(reply: urllib3.BaseHTTPResponse) -> float:
-    """Return the seconds for which a busy target wants nothing from here, 0 for no word."""
+def retry_after(reply: urllib3.BaseHTTPResponse) -> float:
+    """Return the seconds for which a busy target takes nothing from here, 0 for no word."""
     text = reply.headers.get("Retry-After", "").strip()
     return float(text) if _SECONDS.fullmatch(text) else 0.0
 
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -312,10 +312,10 @@
     code, status, kind = "targets_limited", 503, "overloaded_error"
 
 
-class TargetsResting(Refusal):
-    """All targets have asked this instance for a rest."""
+class TargetsOverloaded(Refusal):
+    """All targets have told this instance to back off."""
 
-    code, status, kind = "targets_resting", 503, "overloaded_error"
+    code, status, kind = "targets_overloaded", 503, "overloaded_error"
 
 
 class RequestQuarantined(Refusal):
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -63,7 +63,7 @@
 
     TARGET_LIMITED = (5008, "INFO", "a target states another limit of requests than before")
 
-    TARGET_RESTING = (5009, "INFO", "a target wants nothing from this instance for a while")
+    TARGET_BACKOFF = (5009, "INFO", "a target told this instance to back off")
 
     FIELD_UNKNOWN = (5010, "WARNING", "targets state something that is not known here")
 
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -60,8 +60,8 @@
         self.limited_targets = self._gauge(
             "limited_targets", "Targets that state a limit of requests"
         )
-        self.resting_targets = self._gauge(
-            "resting_targets", "Targets that want nothing from this instance for a while"
+        self.backed_off_targets = self._gauge(
+            "backed_off_targets", "Targets that told this instance to back off, until that is over"
         )
         self.suspected = self._gauge(
             "suspected_requests", "Requests with which several targets ended, cleared ones included"
--- a/whinrack/routing/_pools.py
+++ b/whinrack/routing/_pools.py
@@ -104,9 +104,11 @@
         """Whether any target takes work."""
         return any(target.takes_work(now) for target in self.targets.values())
 
-    def rest_left(self, now: float) -> float | None:
-        """Return the seconds until the first target has rested, None if none rests."""
-        left = [target.rests_until - now for target in self.targets.values() if not target.leaving]
+    def backoff_left(self, now: float) -> float | None:
+        """Return the seconds until the first back-off ends, None if there is none."""
+        left = [
+            target.backoff_until - now for target in self.targets.values() if not target.leaving
+        ]
         return min((seconds for seconds in left if seconds > 0.0), default=None)
 
     def pick(self, query: PickQuery, now: float) -> TargetView | None:
--- a/whinrack/routing/_targets.py
+++ b/whinrack/routing/_targets.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from whinrack.base import LONGEST_REST_SECONDS
+from whinrack.base import LONGEST_BACKOFF_SECONDS
 from whinrack.ejection import EjectionPolicy
 from whinrack.objects import Target, TargetState
 
@@ -56,7 +56,7 @@
         self.report: LoadReport | None = None
         self.instance_leaving = False
         self.reports_leaving = False
-        self.rests_until = float("-inf")
+        self.backoff_until = float("-inf")
 
     @property
     def leaving(self) -> bool:
@@ -72,7 +72,7 @@
 
     def takes_work(self, now: float) -> bool:
         """Whether new work may go to the target at all."""
-        return not self.leaving and now >= self.rests_until and not self.ejection.ejected(now)
+        return not self.leaving and now >= self.backoff_until and not self.ejection.ejected(now)
 
     def load(self, now: float) -> float:
         """Estimate the requests at the target, from all instances.
@@ -104,9 +104,9 @@
         most = float(self.spec.max_concurrency)
         self.limit = min(most, self.limit + _INCREASE / self.limit)
 
-    def asked_rest(self, seconds: float, now: float) -> None:
-        """Learn that the target wants nothing from this instance for a while."""
-        self.rests_until = max(self.rests_until, now + min(seconds, LONGEST_REST_SECONDS))
+    def back_off(self, seconds: float, now: float) -> None:
+        """Learn that the target takes nothing from this instance for a while."""
+        self.backoff_until = max(self.backoff_until, now + min(seconds, LONGEST_BACKOFF_SECONDS))
 
     def overloaded(self) -> None:
         """Learn from the target's word that it is busy."""
--- a/whinrack/routing/tests/test_routing.py
+++ b/whinrack/routing/tests/test_routing.py
@@ -102,13 +102,13 @@
     assert not listed.takes_work(0.0)
 
 
-def test_a_target_takes_nothing_in_a_rest_and_the_longest_counts():
+def test_a_target_takes_nothing_in_a_back_off_and_the_longest_counts():
     target = view("t")
-    target.asked_rest(3.0, now=10.0)
-    target.asked_rest(1.0, now=11.0)
+    target.back_off(3.0, now=10.0)
+    target.back_off(1.0, now=11.0)
     assert not target.takes_work(12.9)
     assert target.takes_work(13.0)
-    target.asked_rest(1e12, now=20.0)
+    target.back_off(1e12, now=20.0)
     assert target.takes_work(20.0 + 3600.0)
 
 
--- a/whinrack/server/_admission.py
+++ b/whinrack/server/_admission.py
@@ -113,11 +113,11 @@
                     return Success(Slot(self, pool, target))
         alive = [pool for pool in pools if pool.alive(now)]
         if not alive:
-            rests = [left for pool in pools if (left := pool.rest_left(now)) is not None]
+            waits = [left for pool in pools if (left := pool.backoff_left(now)) is not None]
             return Failure(
                 TargetUnavailable(
                     "no target of the allowed pools takes work",
-                    retry_after=min(rests, default=_RETRY_AFTER_NO_TARGET),
+                    retry_after=min(waits, default=_RETRY_AFTER_NO_TARGET),
                 )
             )
         return self._wait(alive[0], query, min(deadline, now + decision.wait), now)
--- a/whinrack/server/_chat.py
+++ b/whinrack/server/_chat.py
@@ -14,7 +14,7 @@
     body_chunks,
     read_body,
     refused_unstarted,
-    rest_asked,
+    retry_after,
     whole_events,
 )
 from whinrack.exceptions import (
@@ -190,7 +190,7 @@
             response.drain_conn()
             response.release_conn()
             call.slot.target.overloaded()
-            call.slot.target.asked_rest(rest_asked(response), steady())
+            call.slot.target.back_off(retry_after(response), steady())
             return Failure(TargetUnavailable("the target is busy", retry_after=1.0))
         if response.status >= 500:
             response.close()
--- a/whinrack/server/_services.py
+++ b/whinrack/server/_services.py
@@ -6,7 +6,7 @@
 
 from whinrack.base import Outcome
 from whinrack.clock import steady
-from whinrack.engines import body_chunks, refused_unstarted, rest_asked
+from whinrack.engines import body_chunks, refused_unstarted, retry_after
 from whinrack.exceptions import AnswerCut, Refusal, TargetFailed, TargetUnavailable, UnknownPool
 from whinrack.objects import Protocol
 from whinrack.requests import Identity
@@ -106,7 +106,7 @@
         if refused_unstarted(response) and response.headers.get("Whinrack-Started") == "no":
             response.close()
             call.slot.target.overloaded()
-            call.slot.target.asked_rest(rest_asked(response), steady())
+            call.slot.target.back_off(retry_after(response), steady())
             return Failure(TargetUnavailable("the target is busy", retry_after=1.0))
         chunks = body_chunks(response)
         try:
