Store: the era that answers name is read, logged and counted; a refused list has a line

Callers saw old configurations and leaving targets in use after the store came back from a copy; no line told that return from the end of an outage, nor why the store's lists were not taken. No decision reads it yet.

--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -44,7 +44,7 @@
 from whinrack.edge._warm_up_log import WarmUpLog
 from whinrack.http1 import ConnectionPool, HttpServer
 from whinrack.observability import BoundedOutput, Event, Metrics, configure_logs, log_event
-from whinrack.store import MeteredStore, ObjectStore
+from whinrack.store import EraChange, MeteredStore, ObjectStore
 
 __all__ = ["EdgeDaemon"]
 
@@ -94,6 +94,7 @@
         self.metrics = Metrics()
         self.store = MeteredStore(store, self._count_call)
         self.output = BoundedOutput(_STDOUT, options.log_lines_per_second)
+        self.store.era.changed.append(self._era_changed)
         self.contact = StoreContact(self._contact_changed)
         self.registry = TargetRegistry(
             permits=SharedRatePermits(
@@ -273,6 +274,19 @@
             # refused for budgets meanwhile.
             self.membership.spread()
 
+    def _era_changed(self, change: EraChange) -> None:
+        self.metrics.store_era.set(change.now)
+        silent = round(steady() - self.store.answered_at, 3)
+        event = Event.STORE_ERA if change.before is None else Event.STORE_RESTORED
+        log_event(
+            event,
+            era=change.now,
+            before=change.before,
+            silent=silent,
+            configuration=self.directory.version,
+            targets=self.knowledge.targets_view(),
+        )
+
     # --- tokens ------------------------------------------------------------------
 
     def _renew_forever(self) -> None:
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -145,6 +145,7 @@
         self.listed_once = False
         self.source = "nobody"
         self._pause = _FIRST_PAUSE
+        self._refused_revision: int | None = None
         self._store_heard_at = float("-inf")
 
     def run(self) -> None:
@@ -193,7 +194,8 @@
     def _ask(self, source: FollowedSource, patience: float) -> Result:
         """List, or watch for some seconds."""
         if self.revision is None:
-            return source.store.list([self.kind]).bind(self._take_list)
+            listed = source.store.list([self.kind])
+            return listed.bind(lambda snapshot: self._take_list(source, snapshot))
         result = source.store.watch([self.kind], self.revision, patience)
         return result.map(lambda batch: self._take_batch(source, batch))
 
@@ -209,9 +211,13 @@
             log_event(Event.FEED_CHANGED, kind=self.kind, before=self.source, now=source.name)
             self.source = source.name
 
-    def _take_list(self, snapshot: Snapshot) -> Result[None, PlatformFailure]:
+    def _take_list(
+        self, source: FollowedSource, snapshot: Snapshot
+    ) -> Result[None, PlatformFailure]:
         if self.relay.revision is not None and snapshot.revision < self.relay.revision:
-            return Failure(PlatformUnavailable("the peer is behind what was followed here"))
+            self._log_refused(source, snapshot.revision)
+            return Failure(PlatformUnavailable("the list is behind what was followed here"))
+        self._refused_revision = None
         self.relay.confirmed(snapshot.age)
         self.listed(snapshot.objects, snapshot.revision)
         self.relay.listed(snapshot.revision, snapshot.objects)
@@ -219,6 +225,18 @@
         self.listed_once = True
         return Success(None)
 
+    def _log_refused(self, source: FollowedSource, revision: int) -> None:
+        """Tell of a list that is not taken, once for each revision."""
+        if revision != self._refused_revision:
+            self._refused_revision = revision
+            log_event(
+                Event.LIST_REFUSED,
+                kind=self.kind,
+                source=source.name,
+                revision=revision,
+                followed=self.relay.revision,
+            )
+
     def _take_batch(self, source: FollowedSource, batch: WatchBatch) -> None:
         if self._knows_better(batch.age):
             self.plan.follow_store()
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -31,6 +31,9 @@
 
     PLATFORM_LOST = (2001, "WARNING", "platform doesn't answer")
     PLATFORM_BACK = (2002, "INFO", "platform answers again")
+    STORE_ERA = (2003, "INFO", "the store names its era")
+    STORE_RESTORED = (2004, "WARNING", "the store came back from a copy without its latest writes")
+    LIST_REFUSED = (2005, "WARNING", "a list is behind what was followed here")
 
     CONFIG_TAKEN = (3001, "INFO", "configuration changed")
     CONFIG_INVALID = (3002, "ERROR", "invalid object met, the last good version stays in force")
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -51,6 +51,7 @@
         self.ejections = self._counter("ejections", "Targets set aside")
         self.first_byte = self._histogram("first_byte_seconds", "Time to the first byte", "kind")
         self.queue_wait = self._histogram("queue_wait_seconds", "Time in the queue", "class_")
+        self.store_era = self._gauge("store_era", "Era that the store's answers name")
         self.revision = self._gauge("config_revision", "Configuration revision in force")
         self.targets_age = self._gauge(
             "targets_age_seconds", "Time since the store confirmed the list of targets"
--- a/whinrack/store/__init__.py
+++ b/whinrack/store/__init__.py
@@ -2,6 +2,7 @@
 
 from whinrack.store._adaptive_timeout import AdaptiveTimeout
 from whinrack.store._connections import StoreConnections
+from whinrack.store._era import EraChange, StoreEra
 from whinrack.store._http import HttpObjectStore
 from whinrack.store._limiter import TokenBucket
 from whinrack.store._metered import MeteredStore
@@ -17,6 +18,7 @@
 
 __all__ = [
     "AdaptiveTimeout",
+    "EraChange",
     "HttpObjectStore",
     "InstanceRecord",
     "InstanceState",
@@ -25,6 +27,7 @@
     "ObjectStore",
     "Snapshot",
     "StoreConnections",
+    "StoreEra",
     "StoredObject",
     "TokenBucket",
     "WatchBatch",
--- a/whinrack/store/_metered.py
+++ b/whinrack/store/_metered.py
@@ -43,6 +43,7 @@
         self.bytes: Counter[str] = Counter()
         self.answered_at = float("-inf")
         self.last_failure = ""
+        self.era = store.era
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
         """Read one object."""
--- a/whinrack/store/base.py
+++ b/whinrack/store/base.py
@@ -1,10 +1,12 @@
 """The small interface that every platform adapter and fake provides."""
 
 from collections.abc import Sequence
+from functools import cached_property
 
 from returns.result import Result
 
 from whinrack.exceptions import PlatformFailure, ReplyLost, WriteUnknown
+from whinrack.store._era import StoreEra
 from whinrack.store._types import InstanceRecord, Snapshot, StoredObject, WatchBatch
 
 __all__ = ["ObjectStore", "lost_reply"]
@@ -24,6 +26,11 @@
     fails with `WriteUnknown` may have taken effect.
     """
 
+    @cached_property
+    def era(self) -> StoreEra:
+        """Which of its lives the store answers from; one that names none stays in its first."""
+        return StoreEra()
+
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
         """Read one object."""
         raise NotImplementedError
