--- a/whinrack/store/tests/test_era.py
+++ b/whinrack/store/tests/test_era.py
@@ -12,10 +12,15 @@
 def test_a_later_era_is_told_once():
     era, told, belongs = observed("1", "1", "2", " 2 ", "4")
     assert belongs == [1, 1, 2, 2, 4]
-    assert told == [EraChange(0, 1), EraChange(1, 2), EraChange(2, 4)]
+    assert told == [EraChange(None, 1), EraChange(1, 2), EraChange(2, 4)]
     assert era.current == 4
 
 
+def test_a_first_era_of_0_is_an_era():
+    _, told, _ = observed("0", "0", "1")
+    assert told == [EraChange(None, 0), EraChange(0, 1)]
+
+
 def test_a_late_answer_of_an_earlier_era_changes_nothing():
     era, told, belongs = observed("3", "2")
     assert belongs == [3, 2]
