Revisions go on rising when the store comes back from a copy

Callers saw revoked keys, old routes and leaving targets in use for good after the store had come back from a copy: its revisions had gone back, and every place that keeps the larger of two took its word for that of a peer that is behind. Where its counter had passed the old number, the watch went on and never told what was written below. What the copy lacks is believed for as long as it takes to be written again (targets 2.5 s, emptied halls 5 s), and a target whose end was known isn't in use again until its entry in the copy had time to lapse (5 s). In era 0 a revision is the store's number, so builds beside each other agree on stores that never came back. Ruled out: following 410 alone, which doesn't come once the counter has passed the old number.

--- a/whinrack/edge/_halls.py
+++ b/whinrack/edge/_halls.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import eventlet
+
 from whinrack.dispatch import HallWord, TargetRegistry
 from whinrack.edge._contact import StoreContact
 from whinrack.edge._readers import HallReader, shown
@@ -9,7 +11,7 @@
 from whinrack.edge._sources import KindFollower, SourcePlan
 from whinrack.exceptions import InvalidObject
 from whinrack.observability import Event, log_event
-from whinrack.store import StoredObject
+from whinrack.store import StoredObject, era_of, shown_revision
 
 __all__ = ["HallKnowledge"]
 
@@ -17,6 +19,8 @@
 # seldom, heartbeats tell of it as well, and a watch that is held for 1 s makes three times the
 # calls.
 _WATCH_SECONDS = 3.0
+# What an operator wrote on halls and the store lost is written again within so long.
+_REWRITTEN_SECONDS = 5.0
 
 
 class HallKnowledge:
@@ -52,6 +56,9 @@
         self.relay = relay
         self.spread = spread
         self.count_invalid = count_invalid
+        self._era: int | None = None
+        # Words of an earlier era hold in spite of the lists of this one.
+        self._unsettled_era: int | None = None
         self.follower = KindFollower(
             plan,
             reader.kind,
@@ -71,7 +78,7 @@
             log_event(
                 Event.HALL_EMPTIED if word.emptied else Event.HALL_BACK,
                 hall=shown(word.hall),
-                version=word.version,
+                version=shown_revision(word.version),
                 source=source,
                 age=self.relay.age(),
             )
@@ -79,10 +86,30 @@
             self.spread()
 
     def _replace(self, objects: tuple[StoredObject, ...], revision: int) -> None:
+        if self._era is not None and era_of(revision) > self._era:
+            eventlet.spawn_after(_REWRITTEN_SECONDS, self._release_unlisted, era_of(revision))
+            self._unsettled_era = era_of(revision)
+        self._era = era_of(revision)
         listed = {stored.name for stored in objects if not stored.deleted}
-        released = self.registry.halls.not_listed(listed, revision)
+        released = [
+            word
+            for word in self.registry.halls.not_listed(listed, revision)
+            if era_of(word.version) >= self._era or self._unsettled_era != self._era
+        ]
         self.learn([*self._words(objects), *released], "list")
 
+    def _release_unlisted(self, era: int) -> None:
+        """Believe the store alone, once what it lost has had time to be written again."""
+        if era != self._unsettled_era:
+            # It came back once more meanwhile.
+            return
+        self._unsettled_era = None
+        snapshot = self.relay.snapshot()
+        if snapshot is not None:
+            listed = {stored.name for stored in snapshot.objects}
+            released = self.registry.halls.not_listed(listed, snapshot.revision)
+            self.learn(released, "restored store")
+
     def _change(self, objects: tuple[StoredObject, ...]) -> None:
         self.learn(self._words(objects), self.follower.source)
 
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 import eventlet
@@ -12,6 +12,7 @@
 from whinrack.clock import steady
 from whinrack.dispatch import Directory, TargetRecord, TargetRegistry, TargetsView
 from whinrack.edge._contact import StoreContact
+from whinrack.edge._lost_entries import LostEntries
 from whinrack.edge._options import HostPort
 from whinrack.edge._readers import ConfigurationReader, TargetReader, shown
 from whinrack.edge._relay import WatchRelay
@@ -20,7 +21,7 @@
 from whinrack.exceptions import InvalidObject
 from whinrack.gossip import GoneTarget
 from whinrack.observability import Event, log_event
-from whinrack.store import ObjectStore, StoredObject
+from whinrack.store import ObjectStore, StoredObject, shown_revision
 
 __all__ = ["StoreKnowledge"]
 
@@ -96,6 +97,7 @@
         self._targets: dict[str, StoredObject] = {}
         # What the store said is gone, and when; a peer that still has it is behind.
         self._gone: OrderedDict[str, _GoneRecord] = OrderedDict()
+        self._lost = LostEntries()
         self.plan = plan
         self.relay = WatchRelay((configuration_reader.kind, target_reader.kind, *further_kinds))
         self._configurations = KindFollower(
@@ -263,6 +265,19 @@
             log_event(Event.CONFIG_INVALID, object=stored.name, error=shown("; ".join(ignored)))
 
     def _replace_targets(self, objects: tuple[StoredObject, ...], revision: int) -> None:
+        now = steady()
+        for seconds in self._lost.learn(revision, self._gone, now):
+            eventlet.spawn_after(seconds, self._look_again)
+        self._believe(self._lost.believed(objects, self._targets.values(), now))
+
+    def _look_again(self) -> None:
+        """Take the list anew: what the store lost has had time to be written again."""
+        snapshot = self._target_list.relay.snapshot()
+        if snapshot is not None:
+            self._replace_targets(snapshot.objects, snapshot.revision)
+
+    def _believe(self, objects: Collection[StoredObject]) -> None:
+        """Put a whole list in the place of what was known."""
         listed = {stored.name: stored for stored in objects}
         for name in self._targets.keys() - listed.keys():
             self._note_gone(self._targets[name])
@@ -284,7 +299,7 @@
             Event.TARGET_LEAVING,
             target=incarnation,
             source=how,
-            version=version,
+            version=shown_revision(version),
             targets=self.targets_view(),
         )
 
@@ -297,6 +312,7 @@
         if known is not None and known.version > stored.version:
             # A peer that is behind; passed on, its record would make others blind too.
             return False
+        self._lost.ended.discard(stored.name)
         self._targets[stored.name] = stored
         self._gone.pop(stored.name, None)
         record = self._read_target(stored)
--- a/whinrack/edge/_sources.py
+++ b/whinrack/edge/_sources.py
@@ -13,7 +13,13 @@
 from whinrack.edge._relay import KindRelay
 from whinrack.exceptions import PlatformFailure, PlatformUnavailable, ReplyLost
 from whinrack.observability import Event, log_event
-from whinrack.store import ObjectStore, Snapshot, StoredObject, WatchBatch
+from whinrack.store import (
+    ObjectStore,
+    Snapshot,
+    StoredObject,
+    WatchBatch,
+    shown_revision,
+)
 
 __all__ = [
     "PROBE_SECONDS",
@@ -233,8 +239,8 @@
                 Event.LIST_REFUSED,
                 kind=self.kind,
                 source=source.name,
-                revision=revision,
-                followed=self.relay.revision,
+                revision=shown_revision(revision),
+                followed=shown_revision(self.relay.revision),
             )
 
     def _take_batch(self, source: FollowedSource, batch: WatchBatch) -> None:
--- a/whinrack/edge/tests/test_halls.py
+++ b/whinrack/edge/tests/test_halls.py
@@ -10,7 +10,7 @@
 from whinrack.edge._relay import KindRelay
 from whinrack.edge._sources import SourcePlan
 from whinrack.exceptions import InvalidObject
-from whinrack.store import Snapshot, StoredObject
+from whinrack.store import Snapshot, StoredObject, compose_revision
 
 
 class Halls(HallReader):
@@ -73,6 +73,16 @@
     assert world.emptied() == set()
 
 
+def test_an_emptied_hall_was_in_use_after_the_store_came_back_without_its_entry():
+    world = World()
+    world.knowledge._replace((entry("z", 9),), 9)
+    world.knowledge._replace((), compose_revision(1, 3))
+    assert world.emptied() == {"z"}
+    world.relay.listed(compose_revision(1, 3), ())
+    world.knowledge._release_unlisted(1)
+    assert world.emptied() == set()
+
+
 def test_a_value_that_cannot_be_read_leaves_the_last_good_word():
     world = World()
     world.changes(entry("z", 2))
--- a/whinrack/edge/tests/test_knowledge.py
+++ b/whinrack/edge/tests/test_knowledge.py
@@ -17,7 +17,7 @@
 from whinrack.exceptions import PlatformUnavailable
 from whinrack.gossip import GoneTarget
 from whinrack.http1 import ServerLimits
-from whinrack.store import StoredObject
+from whinrack.store import StoredObject, compose_revision
 
 PEER = ("peer", 1)
 
@@ -269,3 +269,60 @@
     monkeypatch.setattr(world.knowledge, "count_invalid", invalid.append)
     world.hear(told(7))
     assert (world.directory.version, invalid) == (7, ["config"])
+
+
+def entries(era, *names):
+    return tuple(stored("target", n, "ready", compose_revision(era, 3)) for n in names)
+
+
+def listed(world, era, *names):
+    revision = compose_revision(era, 9)
+    world.knowledge._target_list.relay.listed(revision, entries(era, *names))
+    world.knowledge._replace_targets(entries(era, *names), revision)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr("whinrack.edge._knowledge.steady", lambda: now[0])
+    return now
+
+
+def test_a_target_that_the_copy_lacks_is_in_use_until_it_has_had_time_to_be_written(world, clock):
+    listed(world, 1, "old", "young")
+    listed(world, 2, "old")
+    assert world.targets() == {"old", "young"}
+    clock[0] += 2.7
+    world.knowledge._look_again()
+    assert world.targets() == {"old"}
+
+
+def test_a_target_that_had_gone_was_in_use_again_with_the_copy(world, clock):
+    listed(world, 1, "old", "ended")
+    listed(world, 1, "old")
+    listed(world, 2, "old", "ended")
+    assert world.targets() == {"old"}
+    clock[0] += 2.7
+    world.knowledge._look_again()
+    assert world.targets() == {"old"}
+    clock[0] += 2.5
+    world.knowledge._look_again()
+    assert world.targets() == {"old", "ended"}
+
+
+def test_a_target_that_had_gone_and_is_written_again_is_in_use(world, clock):
+    listed(world, 1, "back")
+    listed(world, 1)
+    listed(world, 2, "back")
+    again = stored("target", "back", "ready", compose_revision(2, 10))
+    world.knowledge._change_targets((again,))
+    assert world.targets() == {"back"}
+
+
+def test_a_peer_that_is_in_an_earlier_era_takes_nothing_back(world):
+    listed(world, 2, "t")
+    late = stored("target", "t", "leaving", compose_revision(1, 99))
+    world.knowledge._change_targets((late,), "peer")
+    world.knowledge.learn_gone([GoneTarget("t", compose_revision(1, 99))])
+    assert world.targets() == {"t"}
+    assert not world.registry.leaving()
--- a/whinrack/store/__init__.py
+++ b/whinrack/store/__init__.py
@@ -6,6 +6,7 @@
 from whinrack.store._http import HttpObjectStore
 from whinrack.store._limiter import TokenBucket
 from whinrack.store._metered import MeteredStore
+from whinrack.store._revisions import compose_revision, era_of, number_of, shown_revision
 from whinrack.store._transactions import ObjectEditor
 from whinrack.store._types import (
     InstanceRecord,
@@ -31,5 +32,9 @@
     "StoredObject",
     "TokenBucket",
     "WatchBatch",
+    "compose_revision",
+    "era_of",
     "lost_reply",
+    "number_of",
+    "shown_revision",
 ]
--- /dev/null
+++ b/whinrack/store/_revisions.py
@@ -0,0 +1,33 @@
+"""Revisions that go on rising when a store comes back from a copy.
+
+A store's own counter goes back then, and gives numbers out again. A revision here holds the
+store's era before the number, so that two of them compare in the order in which they were given
+out. In era 0, and at a store that names no era, it is the store's own number.
+"""
+
+__all__ = ["compose_revision", "era_of", "number_of", "shown_revision"]
+
+# A store that counts a million changes a second gives out no more in twelve days.
+_NUMBER_BITS = 40
+_NUMBERS = (1 << _NUMBER_BITS) - 1
+
+
+def compose_revision(era: int, number: int) -> int:
+    """Return the revision of a number that the store gave out in an era."""
+    return (era << _NUMBER_BITS) | min(number, _NUMBERS)
+
+
+def era_of(revision: int) -> int:
+    """Return the era in which a revision was given out."""
+    return revision >> _NUMBER_BITS
+
+
+def number_of(revision: int) -> int:
+    """Return the store's own number of a revision."""
+    return revision & _NUMBERS
+
+
+def shown_revision(revision: int) -> str:
+    """Return a revision for logs, `era:number` or the number alone in era 0."""
+    era = era_of(revision)
+    return f"{era}:{number_of(revision)}" if era else str(revision)
--- a/whinrack/store/_types.py
+++ b/whinrack/store/_types.py
@@ -19,7 +19,8 @@
     Attributes
     ----------
     version : int
-        The platform's revision at the object's last change; grows with every write.
+        The revision of the object's last change, as `compose_revision` makes it; grows with every
+        write, and when the store comes back from a copy.
     value : msgspec.Raw
         The JSON value, not decoded.
     deleted : bool
