Budgets: holders state again what the store lost; until then nothing is drawn

Cause: what was drawn since the copy is free again in it; a row or an account that the copy lacks was taken for one that was folded away, or its missing object for a failure (404 to a PUT). Each order now says what its holder has drawn in all, in which era it was applied last, and what was taken by the latest books that the holder knows. The first writer of an era goes on with the later of the copy and its own memory (books of one era are written one after the other), holds back draws for 2.5 s while holders state their rows again, then writes off what was handed out and nobody stated. Rows that come from the copy alone are written off whole where their run has ended. An object that is gone is made again. Releases of earlier runs and suspects are written once more.

--- a/whinrack/budgets/_books.py
+++ b/whinrack/budgets/_books.py
@@ -41,6 +41,11 @@
         since peers may still report transfers.
     schedule : ReleaseSchedule or None
         How much of the grant its holder may have used by when.
+    era : int or None
+        The store's era in which an order of the holder was applied last.
+    is_unstated : bool
+        The row comes from a copy of the store, and its holder has ordered nothing since: it
+        may have drawn and used more.
     """
 
     drawn: int = 0
@@ -53,6 +58,8 @@
     closed: bool = False
     released: bool = False
     schedule: ReleaseSchedule | None = None
+    era: int | None = None
+    is_unstated: bool = False
 
     @property
     def taken(self) -> int:
@@ -79,6 +86,11 @@
         Totals of rows that were folded away.
     rows : dict of str to AccountRow
         By holder incarnation.
+    unaccounted : int
+        Handed out in writes that the store lost, and stated again by no holder.
+    known_taken, known_edition : int
+        What was out of the free tokens by the latest books that anybody knows of an earlier
+        era, and the edition of those; read while the books are held.
     """
 
     topups: dict[str, int] = {}
@@ -87,6 +99,9 @@
     settled_billed: int = 0
     settled_unproven: int = 0
     rows: dict[str, AccountRow] = {}
+    unaccounted: int = 0
+    known_taken: int = 0
+    known_edition: int = 0
 
     @property
     def limit(self) -> int:
@@ -110,17 +125,35 @@
         """Tokens that holders can still spend."""
         return sum(row.outstanding for row in self.rows.values())
 
+    @property
+    def taken(self) -> int:
+        """Tokens that are out of the free ones."""
+        of_rows = sum(row.taken for row in self.rows.values())
+        return self.settled_billed + self.settled_unproven + self.unaccounted + of_rows
+
     @property
     def free(self) -> int:
         """Tokens that nobody holds."""
-        taken = sum(row.taken for row in self.rows.values())
-        return self.limit - self.settled_billed - self.settled_unproven - taken
+        return self.limit - self.taken
 
 
 class BudgetAccount(msgspec.Struct, kw_only=True):
-    """The object that is stored: many budgets by name."""
+    """The object that is stored: many budgets by name.
+
+    Attributes
+    ----------
+    era : int or None
+        The store's era in which the books were written last.
+    edition : int
+        Writes of the books so far.
+    is_held : bool
+        Nothing is drawn: the store came back from a copy, and holders state again what they hold.
+    """
 
     budgets: dict[str, BudgetEntry] = {}
+    era: int | None = None
+    edition: int = 0
+    is_held: bool = False
 
 
 class DrawOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -148,6 +181,13 @@
         it; version 0 where payments make the limit.
     schedule : ReleaseSchedule or None
         The holder keeps to this from now on.
+    drawn : int
+        What the holder knows to have drawn in all.
+    era : int or None
+        The store's era in which an order of the holder for this budget was applied last.
+    taken, edition : int
+        Tokens that were out of the free ones by the latest books of that era that the holder
+        knows, and the edition of those.
     """
 
     account: str
@@ -166,6 +206,10 @@
     limit: int = 0
     limit_version: int = 0
     schedule: ReleaseSchedule | None = None
+    drawn: int = 0
+    era: int | None = None
+    taken: int = 0
+    edition: int = 0
 
 
 class DrawResult(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -183,6 +227,11 @@
         Version of the configuration whose limit is in the books.
     holders : int
         Holders that are not closed.
+    era : int or None
+    edition : int
+        Of the books, as in `BudgetAccount`.
+    taken : int
+        Tokens that are out of the free ones.
     """
 
     sequence: int = 0
@@ -193,6 +242,9 @@
     billed: int = 0
     limit_version: int = 0
     holders: int = 0
+    era: int | None = None
+    edition: int = 0
+    taken: int = 0
 
     @property
     def left(self) -> int:
--- a/whinrack/budgets/_drawer.py
+++ b/whinrack/budgets/_drawer.py
@@ -9,12 +9,17 @@
 from whinrack.budgets._keeper import TokenSource
 from whinrack.budgets._reading import books_for, draw_result
 from whinrack.budgets._release import ReleasedRow, RunRelease, earlier_runs, release_earlier_runs
+from whinrack.budgets._restoring import are_of_earlier_era, end_hold, restored
+from whinrack.clock import steady
 from whinrack.exceptions import NotFound, PlatformFailure
 from whinrack.store import ObjectEditor, ObjectStore
 
 __all__ = ["ACCOUNT_KIND", "AccountDrawer", "BookSource", "OrderBatch"]
 
 ACCOUNT_KIND = "BudgetAccount"
+# For so long after the store came back from a copy holders state what they hold before anybody
+# draws: one that is fed by peers hears of it last.
+_HOLD_SECONDS = 2.5
 
 
 class OrderBatch:
@@ -81,6 +86,8 @@
     collect : callable, optional
         Called with the `OrderBatch` before each write; orders that arrive while it pauses
         share the write.
+    clock : callable, optional
+        The steady clock, replaced in tests.
 
     Notes
     -----
@@ -93,11 +100,15 @@
         store: ObjectStore,
         make_lock: Callable,
         collect: Callable[[OrderBatch], None] = _no_pause,
+        clock: Callable[[], float] = steady,
         **editor_options,
     ):
         self.store = store
         self.make_lock = make_lock
         self.collect = collect
+        self.clock = clock
+        # Since when books are held, as far as this writer knows.
+        self._held_since: dict[str, float] = {}
         self._editor = ObjectEditor(store, ACCOUNT_KIND, BudgetAccount, **editor_options)
         self._locks: dict[str, object] = {}
         self._batches: dict[str, OrderBatch] = {}
@@ -146,5 +157,32 @@
             if batch.result is None:
                 self.collect(batch)
                 self._batches.pop(account)
-                batch.result = self._editor.apply(account, batch.apply)
+                batch.result = self._editor.apply(
+                    account, lambda books: self._changed(account, batch, books)
+                )
         return batch.result
+
+    def _changed(
+        self, account: str, batch: OrderBatch, books: BudgetAccount | None
+    ) -> BudgetAccount | None:
+        """Return the books after a batch, None where nothing is left to do."""
+        books = self._in_this_era(account, books)
+        changed = batch.apply(books)
+        if changed is not None:
+            changed.era = max(changed.era or 0, self.store.era.current)
+            changed.edition += 1
+        return changed
+
+    def _in_this_era(self, account: str, books: BudgetAccount | None) -> BudgetAccount | None:
+        """Return books to go on with, whatever the store lost of them."""
+        era, now = self.store.era.current, self.clock()
+        earlier = self._editor.earlier(account)
+        is_lost = books is None and earlier is not None
+        if is_lost or (books is not None and are_of_earlier_era(books, era)):
+            books = restored(books, earlier, era)
+            self._held_since[account] = now
+        if books is not None and books.is_held:
+            since = self._held_since.setdefault(account, now)
+            if now - since >= _HOLD_SECONDS:
+                end_hold(books)
+        return books
--- a/whinrack/budgets/_draws.py
+++ b/whinrack/budgets/_draws.py
@@ -3,6 +3,7 @@
 import xxhash
 
 from whinrack.budgets._books import AccountRow, BudgetAccount, BudgetEntry, DrawOrder
+from whinrack.budgets._restoring import learn_taken
 
 __all__ = ["account_name", "apply_draws", "apply_topups"]
 
@@ -48,8 +49,8 @@
         entry = account.budgets[order.budget] = BudgetEntry()
     row = entry.rows.get(order.holder)
     if row is None:
-        # A late copy of an order whose holder has been folded away.
-        if not order.opening:
+        # A late copy of an order whose holder has been folded away, unless the store lost the row.
+        if not (order.opening or _is_of_earlier_era(account, order)):
             return False
         row = entry.rows[order.holder] = AccountRow()
     if row.closed or order.sequence <= row.sequence:
@@ -57,20 +58,33 @@
     if order.limit_version > entry.declared_version:
         entry.declared = order.limit
         entry.declared_version = order.limit_version
-    _record_received(entry, row, order)
+    learn_taken(account, entry, order)
+    taken_before = entry.taken
+    _record_received(account, entry, row, order)
+    row.drawn = max(row.drawn, order.drawn)
+    if not account.is_held and entry.unaccounted:
+        # A holder that could not state this in time does now.
+        stated_late = max(0, entry.taken - taken_before)
+        entry.unaccounted = max(0, entry.unaccounted - stated_late)
+    row.era, row.is_unstated = account.era, False
     row.schedule = order.schedule
     row.billed = max(row.billed, order.billed)
     row.unproven = max(row.unproven, order.unproven)
     row.returned = max(row.returned, order.returned)
     if order.final:
         _close(row, order)
-    else:
+    elif not account.is_held:
         row.drawn += _grant_size(entry, order)
     row.sequence = order.sequence
     _fold(entry, order.holder)
     return True
 
 
+def _is_of_earlier_era(account: BudgetAccount, order: DrawOrder) -> bool:
+    """Whether the holder's row may be among what the store lost."""
+    return None not in (order.era, account.era) and order.era < account.era
+
+
 def _close(row: AccountRow, order: DrawOrder) -> None:
     row.closed = True
     if order.given is not None:
@@ -78,13 +92,17 @@
         row.returned += max(0, unused)
 
 
-def _record_received(entry: BudgetEntry, row: AccountRow, order: DrawOrder) -> None:
+def _record_received(
+    account: BudgetAccount, entry: BudgetEntry, row: AccountRow, order: DrawOrder
+) -> None:
     for giver, tokens in order.received.items():
         more = tokens - row.received.get(giver, 0)
         if more <= 0:
             continue
         row.received = {**row.received, giver: tokens}
-        source = entry.rows.setdefault(giver, AccountRow(closed=True))
+        # While the books are held the giver may be about to state its row again.
+        unknown = AccountRow(closed=not account.is_held, is_unstated=account.is_held)
+        source = entry.rows.setdefault(giver, unknown)
         if source.closed and source.outstanding < more:
             # The giver's row was released before this transfer was known.
             correction = more - source.outstanding
--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -143,6 +143,7 @@
             self.spending.record(max(0, books.billed - self.last.billed), asked)
         self.last = books
         self.learnt_at = asked
+        self.ledger.see_books(books)
 
     def part_of_demand(self, now: float) -> float:
         """Return this run's part of the budget's use, an equal one at least."""
--- a/whinrack/budgets/_grants.py
+++ b/whinrack/budgets/_grants.py
@@ -197,6 +197,10 @@
             return Success(None)
         return self._orders.send([self._orders.order(grant) for grant in due])
 
+    def restate(self, era: int) -> None:
+        """Learn that the store came back from a copy; the next round states all grants again."""
+        self._orders.restate(era)
+
     def store_regained(self) -> None:
         """Learn from others' calls that the books can be reached again."""
         self._orders.regained()
--- a/whinrack/budgets/_ledger.py
+++ b/whinrack/budgets/_ledger.py
@@ -72,6 +72,10 @@
         self.closed = False
         self._open_written_off = False
         self._reported: tuple | None = None
+        # Of the books that an order was applied to last, and what was taken by them.
+        self.era: int | None = None
+        self.edition = 0
+        self.taken = 0
 
     @property
     def spendable(self) -> int:
@@ -142,6 +146,10 @@
             received=dict(self.received),
             opening=self._reported is None,
             final=final,
+            drawn=self.drawn,
+            era=self.era,
+            taken=self.taken,
+            edition=self.edition,
         )
 
     def learn(self, order: DrawOrder, result: DrawResult) -> None:
@@ -149,9 +157,16 @@
         self.drawn = max(self.drawn, result.drawn)
         if result.sequence >= order.sequence:
             self._reported = _report(order)
+            self.era = result.era
+            self.see_books(result)
         if result.closed:
             self.closed = True
 
+    def see_books(self, result: DrawResult) -> None:
+        """Remember what is taken by books of the era in which this holder's row was stated."""
+        if result.era == self.era:
+            self.edition, self.taken = result.edition, result.taken
+
     @property
     def unreported(self) -> bool:
         """Whether the books don't know the latest numbers yet."""
--- a/whinrack/budgets/_orders.py
+++ b/whinrack/budgets/_orders.py
@@ -15,6 +15,8 @@
 
 # What is held beyond so many times the wanted tokens is given back.
 _SURPLUS = 1.25
+# For so long after the store came back nothing is given back.
+_RESTATING_SECONDS = 5.0
 
 
 def unchecked_wall_clock() -> WallReading:
@@ -73,6 +75,19 @@
         self._limits: dict[str, int] = {}
         self._limit_version = 0
         self._limit_changed_in: dict[str, int] = {}
+        # What the store lost is stated again in this era and for some seconds more.
+        self._restated_era = 0
+        self._restated_until = float("-inf")
+
+    def restate(self, era: int) -> None:
+        """Learn that the store came back from a copy: the books may lack what is held here."""
+        if era > self._restated_era:
+            self._restated_era = era
+            self._restated_until = self.clock() + _RESTATING_SECONDS
+
+    def _is_lost(self, grant: Grant) -> bool:
+        """Whether the books may lack what this run stated last of a grant."""
+        return bool(grant.ledger.sequence) and (grant.ledger.era or 0) < self._restated_era
 
     def declare(self, version: int, limits: dict[str, int]) -> None:
         """Take in the limits of a newer version of the configuration."""
@@ -124,7 +139,7 @@
             return False
         if self.stopping and grant.ledger.spendable > 0:
             return True
-        if not grant.ledger.sequence:
+        if not grant.ledger.sequence or self._is_lost(grant):
             return True
         if grant.ledger.unreported and self._report_is_due(grant):
             return True
@@ -151,12 +166,15 @@
         supplies = self.supplies(ledger.budget)
         if self.stopping:
             ledger.give_back(ledger.spendable - need)
+        elif self.clock() < self._restated_until:
+            # What came back meanwhile would look like what nobody states again.
+            pass
         elif grant.overdrawn():
             ledger.give_back(min(ledger.spendable, -grant.last.free))
         elif not supplies:
             ledger.give_back(self._excess(grant) - need)
         want = self._wanted(grant) if supplies else grant.waiting
-        if supplies and not need:
+        if supplies and not need and self.clock() >= self._restated_until:
             # What was held while the demand was hardly known.
             ledger.give_back(ledger.spendable - int(_SURPLUS * want))
         short = max(0, need - ledger.spendable)
--- a/whinrack/budgets/_reading.py
+++ b/whinrack/budgets/_reading.py
@@ -13,7 +13,7 @@
     """Read what the books say of a budget, and of what a holder has of it."""
     entry = account.budgets.get(budget) if account is not None else None
     if entry is None:
-        return DrawResult()
+        return DrawResult(era=account.era if account is not None else None)
     row = entry.rows.get(holder, _NO_ROW)
     return DrawResult(
         sequence=row.sequence,
@@ -24,6 +24,9 @@
         billed=entry.billed,
         limit_version=entry.declared_version,
         holders=sum(not row.closed for row in entry.rows.values()),
+        era=account.era,
+        edition=account.edition,
+        taken=entry.taken,
     )
 
 
--- a/whinrack/budgets/_release.py
+++ b/whinrack/budgets/_release.py
@@ -109,18 +109,22 @@
     """
     if account is None:
         return []
-    return [
+    rows = [
         _release_row(budget, entry.rows[name], release.restart)
         for budget, entry in account.budgets.items()
         for name in release.ended
         if name in entry.rows and not entry.rows[name].closed
     ]
+    if account.is_held:
+        for row in rows:
+            account.budgets[row.budget].known_taken -= max(0, row.freed)
+    return rows
 
 
 def _release_row(budget: str, row: AccountRow, restart: RestartMoment) -> ReleasedRow:
     accounted = row.billed + row.unproven + row.moved_out
-    used, seconds = row.outstanding, 0.0
-    if row.schedule is not None:
+    used, seconds = max(0, row.outstanding), 0.0
+    if row.schedule is not None and not row.is_unstated:
         seconds = restart.seconds_since(row.schedule)
         most = row.schedule.most_used(seconds) + sum(row.received.values())
         used = max(0, min(used, most - accounted))
--- /dev/null
+++ b/whinrack/budgets/_restoring.py
@@ -0,0 +1,72 @@
+"""Books after the store came back from a copy, which lacks their latest writes.
+
+Holders state again what they know of themselves with each order. Until they have had time to,
+the books hold back what looks free: part of it was handed out in writes that the copy lacks.
+"""
+
+from whinrack.budgets._books import BudgetAccount, BudgetEntry, DrawOrder
+
+__all__ = ["are_of_earlier_era", "end_hold", "learn_taken", "restored"]
+
+
+def are_of_earlier_era(account: BudgetAccount, era: int) -> bool:
+    """Whether books were written last before the store came back in its present era."""
+    return account.era is not None and account.era < era
+
+
+def restored(
+    account: BudgetAccount | None, earlier: BudgetAccount | None, era: int
+) -> BudgetAccount:
+    """Return books to go on with in a later era.
+
+    Parameters
+    ----------
+    account : BudgetAccount or None
+        As the store has them, None if it has none.
+    earlier : BudgetAccount or None
+        The latest that this writer knows of an earlier era.
+    era : int
+        The present one.
+    """
+    if account is None or (earlier is not None and _age_key(earlier) >= _age_key(account)):
+        # Books of one era are written one after the other, so the later ones hold all of the copy.
+        books = earlier or BudgetAccount()
+    else:
+        books = account
+        _mark_unstated(books)
+    books.era = era
+    books.is_held = True
+    for entry in books.budgets.values():
+        entry.known_edition, entry.known_taken = books.edition, entry.taken
+    return books
+
+
+def learn_taken(account: BudgetAccount, entry: BudgetEntry, order: DrawOrder) -> None:
+    """Take in what a holder knows of an earlier era; the latest word on it counts."""
+    is_of_earlier_era = order.era is not None and order.era < account.era
+    if account.is_held and is_of_earlier_era and order.edition > entry.known_edition:
+        entry.known_edition, entry.known_taken = order.edition, order.taken
+        # The books that were gone on with were not the latest: neither are their rows.
+        _mark_unstated_entry(entry, account.era)
+
+
+def end_hold(account: BudgetAccount) -> None:
+    """Let tokens be drawn again; write off what was handed out and nobody stated again."""
+    account.is_held = False
+    for entry in account.budgets.values():
+        entry.unaccounted += max(0, entry.known_taken - entry.taken)
+
+
+def _age_key(account: BudgetAccount) -> tuple[int, int]:
+    return account.era or 0, account.edition
+
+
+def _mark_unstated(account: BudgetAccount) -> None:
+    for entry in account.budgets.values():
+        _mark_unstated_entry(entry, None)
+
+
+def _mark_unstated_entry(entry: BudgetEntry, era: int | None) -> None:
+    for row in entry.rows.values():
+        if not row.closed and (era is None or row.era != era):
+            row.is_unstated = True
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -173,6 +173,7 @@
         self.earlier_runs = EarlierRuns(
             options, restart, self.keeper, self.contact, self.membership.wall_clock
         )
+        self.knowledge.restored.append(self._store_restored)
         self.dispatcher = Dispatcher(
             dialect,
             self.directory,
@@ -287,6 +288,13 @@
             targets=self.knowledge.targets_view(),
         )
 
+    def _store_restored(self, era: int) -> None:
+        """Write what this instance knows and the store has lost."""
+        self.keeper.restate(era)
+        eventlet.spawn_n(self._renew)
+        eventlet.spawn_n(self.earlier_runs.release_again)
+        self.suspects.keep_again()
+
     # --- tokens ------------------------------------------------------------------
 
     def _renew_forever(self) -> None:
--- a/whinrack/edge/_earlier_runs.py
+++ b/whinrack/edge/_earlier_runs.py
@@ -61,6 +61,11 @@
         eventlet.sleep(_PEERS_KNOWN_SECONDS)
         self.keeper.draws_ahead = True
 
+    def release_again(self) -> None:
+        """Do it once more: the store has come back from a copy, and may lack the first time."""
+        if self.keeper.draws_ahead:
+            self._release()
+
     def _release(self) -> None:
         restart = self._checked_restart()
         while isinstance(rows := self.keeper.release_earlier_runs(restart), Failure):
--- a/whinrack/edge/_knowledge.py
+++ b/whinrack/edge/_knowledge.py
@@ -21,7 +21,7 @@
 from whinrack.exceptions import InvalidObject
 from whinrack.gossip import GoneTarget
 from whinrack.observability import Event, log_event
-from whinrack.store import ObjectStore, StoredObject, shown_revision
+from whinrack.store import ObjectStore, StoredObject, era_of, shown_revision
 
 __all__ = ["StoreKnowledge"]
 
@@ -98,6 +98,8 @@
         # What the store said is gone, and when; a peer that still has it is behind.
         self._gone: OrderedDict[str, _GoneRecord] = OrderedDict()
         self._lost = LostEntries()
+        # Called with the era in which the store has come back from a copy.
+        self.restored: list[Callable[[int], None]] = []
         self.plan = plan
         self.relay = WatchRelay((configuration_reader.kind, target_reader.kind, *further_kinds))
         self._configurations = KindFollower(
@@ -266,9 +268,13 @@
 
     def _replace_targets(self, objects: tuple[StoredObject, ...], revision: int) -> None:
         now = steady()
-        for seconds in self._lost.learn(revision, self._gone, now):
+        pauses = self._lost.learn(revision, self._gone, now)
+        for seconds in pauses:
             eventlet.spawn_after(seconds, self._look_again)
         self._believe(self._lost.believed(objects, self._targets.values(), now))
+        if pauses:
+            for tell in self.restored:
+                tell(era_of(revision))
 
     def _look_again(self) -> None:
         """Take the list anew: what the store lost has had time to be written again."""
--- a/whinrack/edge/_suspects.py
+++ b/whinrack/edge/_suspects.py
@@ -137,6 +137,11 @@
         if not self._changed.ready():
             self._changed.send(None)
 
+    def keep_again(self) -> None:
+        """Have the suspects written once more: the store may have lost them."""
+        if self.quarantine.table.suspects():
+            self.keep()
+
     def _keep_forever(self) -> None:
         while True:
             if not self._unkept:
