--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -33,7 +33,7 @@
 from whinrack.edge._membership import Membership
 from whinrack.edge._operator_answers import OperatorAnswers
 from whinrack.edge._options import EdgeOptions, HostPort
-from whinrack.edge._readers import ConfigurationReader, HallReader, TargetReader
+from whinrack.edge._readers import ConfigurationReader, HallReader, TargetReader, shown
 from whinrack.edge._reloading import SettingsFollower
 from whinrack.edge._sharing import KnowledgeServer, SharedKnowledge, fetch_knowledge
 from whinrack.edge._stopping import PlannedStop
@@ -50,6 +50,8 @@
 
 _STDOUT = 1
 _EXIT_OK = 0
+# The store, where logs name who stated something.
+_STORE = "store"
 _BOOKS_LOG_ROUNDS = 5
 _TASK_PAUSE_SECONDS = 0.5
 # How often it is looked whether callers had better connect elsewhere.
@@ -95,6 +97,7 @@
         self.store = MeteredStore(store, self._count_call)
         self.output = BoundedOutput(_STDOUT, options.log_lines_per_second)
         self.store.era.changed.append(self._era_changed)
+        self.store.unknown_fields.found.append(self._field_unknown)
         self.contact = StoreContact(self._contact_changed)
         self.registry = TargetRegistry(
             permits=SharedRatePermits(
@@ -260,12 +263,12 @@
     def _in_force(self, configuration: Configuration) -> None:
         self.keeper.declare(configuration.version, configuration.limits_by_workspace)
         self.metrics.revision.set(configuration.version)
-        log_event(Event.CONFIG_TAKEN, version=configuration.version)
+        log_event(Event.CONFIG_TAKEN, version=configuration.version, era=self.store.era.current)
 
     def _contact_changed(self, answers: bool) -> None:
         silent = round(steady() - self.store.answered_at, 3)
         event = Event.PLATFORM_BACK if answers else Event.PLATFORM_LOST
-        log_event(event, silent=silent, why=self.store.last_failure)
+        log_event(event, silent=silent, why=self.store.last_failure, era=self.store.era.current)
         if answers:
             self.keeper.store_regained()
             # By the next round what may be used was stated up to 2.0 s later; what a process that
@@ -303,7 +306,9 @@
             self._renew()
             rounds += 1
             if rounds % _BOOKS_LOG_ROUNDS == 0:
-                log_event(Event.BOOKS_KNOWN, books=self.keeper.summary())
+                log_event(
+                    Event.BOOKS_KNOWN, books=self.keeper.summary(), era=self.store.era.current
+                )
             eventlet.sleep(self.membership.table.interval(self.options.renew_seconds))
             self.contact.wait(self.options.renew_seconds)
 
@@ -349,6 +354,12 @@
     def _count_invalid(self, kind: str) -> None:
         self.metrics.invalid_objects.labels(kind).inc()
 
+    def _field_unknown(self, field: str) -> None:
+        """Tell of a field of the store's answers that nothing here reads."""
+        name = shown(field)
+        self.metrics.unknown_statements.labels(name).inc()
+        log_event(Event.FIELD_UNKNOWN, field=name, target=_STORE, request="")
+
     def _count_call(self, operation: str, result: str) -> None:
         self.metrics.platform_calls.labels(operation, result).inc()
 
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -68,7 +68,7 @@
 
     TARGET_BACKOFF = (5009, "INFO", "a target told this instance to back off")
 
-    FIELD_UNKNOWN = (5010, "WARNING", "targets state something that is not known here")
+    FIELD_UNKNOWN = (5010, "WARNING", "targets or the store state something that is not known here")
 
     TARGET_CUT = (5006, "INFO", "target cut answers; whether it is still there")
 
--- a/whinrack/store/__init__.py
+++ b/whinrack/store/__init__.py
@@ -15,6 +15,7 @@
     StoredObject,
     WatchBatch,
 )
+from whinrack.store._unknown_fields import UnknownFields
 from whinrack.store.base import ObjectStore, lost_reply
 
 __all__ = [
@@ -31,6 +32,7 @@
     "StoreEra",
     "StoredObject",
     "TokenBucket",
+    "UnknownFields",
     "WatchBatch",
     "compose_revision",
     "era_of",
--- a/whinrack/store/_metered.py
+++ b/whinrack/store/_metered.py
@@ -44,6 +44,7 @@
         self.answered_at = float("-inf")
         self.last_failure = ""
         self.era = store.era
+        self.unknown_fields = store.unknown_fields
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
         """Read one object."""
--- a/whinrack/store/base.py
+++ b/whinrack/store/base.py
@@ -8,6 +8,7 @@
 from whinrack.exceptions import PlatformFailure, ReplyLost, WriteUnknown
 from whinrack.store._era import StoreEra
 from whinrack.store._types import InstanceRecord, Snapshot, StoredObject, WatchBatch
+from whinrack.store._unknown_fields import UnknownFields
 
 __all__ = ["ObjectStore", "lost_reply"]
 
@@ -31,6 +32,11 @@
         """Which of its lives the store answers from; one that names none stays in its first."""
         return StoreEra()
 
+    @cached_property
+    def unknown_fields(self) -> UnknownFields:
+        """What the store states in its answers and nothing here reads."""
+        return UnknownFields()
+
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
         """Read one object."""
         raise NotImplementedError
