Books: a write of an earlier era that lands late takes nothing back

A write that was in flight when the store came back may meet the same revision of another content, and put books of the earlier era in the place of those written since. The writer remembers the latest books that it has written or read, whatever the store shows, and goes on with those; that takes the place of the editor's own memory of earlier eras.

--- a/whinrack/budgets/_drawer.py
+++ b/whinrack/budgets/_drawer.py
@@ -9,7 +9,7 @@
 from whinrack.budgets._keeper import TokenSource
 from whinrack.budgets._reading import books_for, draw_result
 from whinrack.budgets._release import ReleasedRow, RunRelease, earlier_runs, release_earlier_runs
-from whinrack.budgets._restoring import are_of_earlier_era, end_hold, restored
+from whinrack.budgets._restoring import are_of_earlier_era, end_hold, is_later, restored
 from whinrack.clock import steady
 from whinrack.exceptions import NotFound, PlatformFailure
 from whinrack.store import ObjectEditor, ObjectStore
@@ -107,6 +107,8 @@
         self.make_lock = make_lock
         self.collect = collect
         self.clock = clock
+        # The latest books of an account that this writer has written or read.
+        self._latest: dict[str, BudgetAccount] = {}
         # Since when books are held, as far as this writer knows.
         self._held_since: dict[str, float] = {}
         self._editor = ObjectEditor(store, ACCOUNT_KIND, BudgetAccount, **editor_options)
@@ -138,6 +140,7 @@
     def earlier_runs(self, account: str, holder: str) -> Result[list[str], PlatformFailure]:
         """Read which earlier runs of the holder's instance have open rows."""
         books = self._editor.read(account)
+        books.map(lambda value: self._remember(account, value))
         if isinstance(books, Failure) and isinstance(books.failure(), NotFound):
             return Success([])
         return books.map(lambda value: earlier_runs(value, holder))
@@ -160,8 +163,14 @@
                 batch.result = self._editor.apply(
                     account, lambda books: self._changed(account, batch, books)
                 )
+                batch.result.map(lambda books: self._remember(account, books))
         return batch.result
 
+    def _remember(self, account: str, books: BudgetAccount) -> None:
+        latest = self._latest.get(account)
+        if latest is None or is_later(books, latest):
+            self._latest[account] = books
+
     def _changed(
         self, account: str, batch: OrderBatch, books: BudgetAccount | None
     ) -> BudgetAccount | None:
@@ -176,10 +185,10 @@
     def _in_this_era(self, account: str, books: BudgetAccount | None) -> BudgetAccount | None:
         """Return books to go on with, whatever the store lost of them."""
         era, now = self.store.era.current, self.clock()
-        earlier = self._editor.earlier(account)
-        is_lost = books is None and earlier is not None
+        latest = self._latest.get(account)
+        is_lost = books is None and latest is not None
         if is_lost or (books is not None and are_of_earlier_era(books, era)):
-            books = restored(books, earlier, era)
+            books = restored(books, latest, era)
             self._held_since[account] = now
         if books is not None and books.is_held:
             since = self._held_since.setdefault(account, now)
--- a/whinrack/budgets/_restoring.py
+++ b/whinrack/budgets/_restoring.py
@@ -4,9 +4,11 @@
 the books hold back what looks free: part of it was handed out in writes that the copy lacks.
 """
 
+import msgspec
+
 from whinrack.budgets._books import BudgetAccount, BudgetEntry, DrawOrder
 
-__all__ = ["are_of_earlier_era", "end_hold", "learn_taken", "restored"]
+__all__ = ["are_of_earlier_era", "end_hold", "is_later", "learn_taken", "restored"]
 
 
 def are_of_earlier_era(account: BudgetAccount, era: int) -> bool:
@@ -15,7 +17,7 @@
 
 
 def restored(
-    account: BudgetAccount | None, earlier: BudgetAccount | None, era: int
+    account: BudgetAccount | None, latest: BudgetAccount | None, era: int
 ) -> BudgetAccount:
     """Return books to go on with in a later era.
 
@@ -23,14 +25,16 @@
     ----------
     account : BudgetAccount or None
         As the store has them, None if it has none.
-    earlier : BudgetAccount or None
-        The latest that this writer knows of an earlier era.
+    latest : BudgetAccount or None
+        The latest that this writer knows; not changed.
     era : int
         The present one.
     """
-    if account is None or (earlier is not None and _age_key(earlier) >= _age_key(account)):
+    if latest is not None and (account is None or not is_later(account, latest)):
         # Books of one era are written one after the other, so the later ones hold all of the copy.
-        books = earlier or BudgetAccount()
+        books = msgspec.convert(msgspec.to_builtins(latest), BudgetAccount)
+    elif account is None:
+        books = BudgetAccount()
     else:
         books = account
         _mark_unstated(books)
@@ -57,8 +61,9 @@
         entry.unaccounted += max(0, entry.known_taken - entry.taken)
 
 
-def _age_key(account: BudgetAccount) -> tuple[int, int]:
-    return account.era or 0, account.edition
+def is_later(account: BudgetAccount, other: BudgetAccount) -> bool:
+    """Whether books were written after others of the same account."""
+    return (account.era or 0, account.edition) > (other.era or 0, other.edition)
 
 
 def _mark_unstated(account: BudgetAccount) -> None:
--- a/whinrack/budgets/tests/test_restored_books.py
+++ b/whinrack/budgets/tests/test_restored_books.py
@@ -6,9 +6,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from returns.result import Success
 
-from whinrack.budgets import AccountRow, BudgetAccount, BudgetEntry
+from whinrack.budgets import ACCOUNT_KIND, AccountRow, BudgetAccount, BudgetEntry
 from whinrack.budgets._restoring import end_hold, restored
-from whinrack.budgets.tests.test_grants import busy_fleet, use_all, work
+from whinrack.budgets.tests.test_grants import BUDGET, busy_fleet, use_all, work
 
 _BOUND_SECONDS = 8
 
@@ -24,10 +24,8 @@
 def forget_books(fleet):
     """Let no writer know more of the books than the store does, as after a change of writers."""
     for machine in fleet.machines:
-        editor = machine.keeper.books._editor
-        editor._known.clear()
-        editor._seen.clear()
-        editor._earlier.clear()
+        machine.keeper.books._latest.clear()
+        machine.keeper.books._editor._known.clear()
 
 
 @pytest.mark.parametrize("forgets", [False, True])
@@ -193,3 +191,21 @@
     max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
 )
 TestNeverBeyondTheLimitAcrossReturns = NeverBeyondTheLimitAcrossReturns.TestCase
+
+
+def test_a_write_of_an_earlier_era_that_was_done_late_took_back_what_was_written_since():
+    fleet = busy_fleet(limit=20_000, seconds=3)
+    copy = fleet.store.copy()
+    late = fleet.store.objects[ACCOUNT_KIND, "a"]
+    work(fleet)
+    come_back(fleet, copy)
+    for _ in range(4):
+        work(fleet)
+    fleet.machines[1].die()
+    for _ in range(2):
+        work(fleet)
+    present = fleet.store.objects[ACCOUNT_KIND, "a"]
+    fleet.store.put(ACCOUNT_KIND, "a", late.value, present.version)
+    use_all(fleet)
+    assert 0.9 * fleet.limit <= fleet.used <= fleet.limit
+    assert not any(m.keeper._grant(BUDGET).ledger.closed for m in fleet.machines)
--- a/whinrack/store/_transactions.py
+++ b/whinrack/store/_transactions.py
@@ -16,7 +16,6 @@
     PlatformUnavailable,
     WriteUnknown,
 )
-from whinrack.store._revisions import era_of
 from whinrack.store._types import StoredObject
 from whinrack.store.base import ObjectStore
 
@@ -70,9 +69,6 @@
         self._random = random.Random(seed)
         self._decoder = msgspec.json.Decoder(value_type)
         self._known: OrderedDict[str, StoredObject] = OrderedDict()
-        # The last that was seen of an object, and the last of an era before the present one.
-        self._seen: OrderedDict[str, StoredObject] = OrderedDict()
-        self._earlier: OrderedDict[str, StoredObject] = OrderedDict()
 
     def read(self, name: str) -> Result[Value, PlatformFailure]:
         """Read the stored value afresh."""
@@ -81,14 +77,6 @@
             self._copy(name, result.unwrap())
         return result.map(lambda stored: self._decoder.decode(stored.value))
 
-    def earlier(self, name: str) -> Value | None:
-        """Return what was seen last of an object before the store came back without it.
-
-        None once the object was written in the store's present era.
-        """
-        stored = self._earlier.get(name)
-        return None if stored is None else self._decoder.decode(stored.value)
-
     def apply(
         self, name: str, change: Callable[[Value | None], Value | None]
     ) -> Result[Value, PlatformFailure]:
@@ -118,7 +106,6 @@
             written = self.store.put(self.kind, name, msgspec.json.encode(new), version)
             if isinstance(written, Success):
                 self._copy(name, written.unwrap())
-                self._earlier.pop(name, None)
                 return Success(new)
             failure = written.failure()
             if isinstance(failure, NotFound):
@@ -147,32 +134,15 @@
             return Success(known)
         result = self.store.get(self.kind, name)
         if isinstance(result, Failure) and isinstance(result.failure(), NotFound):
-            if name in self._seen:
-                _keep(self._earlier, name, self._seen.pop(name))
             return Success(None)
-        if isinstance(result, Success):
-            self._see(name, result.unwrap())
         return result
 
     def _copy(self, name: str, stored: StoredObject) -> None:
-        self._see(name, stored)
-        _keep(self._known, name, stored)
-
-    def _see(self, name: str, stored: StoredObject) -> None:
-        """Remember an object, and what it was in the era before."""
-        seen = self._seen.get(name)
-        if seen is not None and era_of(seen.version) < era_of(stored.version):
-            _keep(self._earlier, name, seen)
-        _keep(self._seen, name, stored)
+        self._known[name] = stored
+        self._known.move_to_end(name)
+        if len(self._known) > _MOST_COPIES:
+            self._known.popitem(last=False)
 
     def _back_off(self, attempt: int) -> None:
         longest = min(_LONGEST_BACKOFF, _FIRST_BACKOFF * 2**attempt)
         self.sleep(longest * self._random.random())
-
-
-def _keep(copies: OrderedDict[str, StoredObject], name: str, stored: StoredObject) -> None:
-    """Keep a copy in place of the oldest ones."""
-    copies[name] = stored
-    copies.move_to_end(name)
-    if len(copies) > _MOST_COPIES:
-        copies.popitem(last=False)
