Books: what is kept of a return stands at the budget, not in each row

Two fields in each of some thousand rows would have made the one object of the largest fleets a tenth longer, and it may be 1 MB. Fields at their defaults are left out of budgets now.

--- a/whinrack/budgets/_books.py
+++ b/whinrack/budgets/_books.py
@@ -41,11 +41,6 @@
         since peers may still report transfers.
     schedule : ReleaseSchedule or None
         How much of the grant its holder may have used by when.
-    era : int or None
-        The store's era in which an order of the holder was applied last.
-    is_unstated : bool
-        The row comes from a copy of the store, and its holder has ordered nothing since: it
-        may have drawn and used more.
     """
 
     drawn: int = 0
@@ -58,8 +53,6 @@
     closed: bool = False
     released: bool = False
     schedule: ReleaseSchedule | None = None
-    era: int | None = None
-    is_unstated: bool = False
 
     @property
     def taken(self) -> int:
@@ -72,7 +65,7 @@
         return self.taken - self.billed - self.unproven
 
 
-class BudgetEntry(msgspec.Struct, kw_only=True):
+class BudgetEntry(msgspec.Struct, kw_only=True, omit_defaults=True):
     """One budget's books.
 
     Attributes
@@ -91,6 +84,11 @@
     known_taken, known_edition : int
         What was out of the free tokens by the latest books that anybody knows of an earlier
         era, and the edition of those; read while the books are held.
+    unstated : set of str
+        Holders whose rows come from a copy of the store and that have ordered nothing since:
+        they may have drawn and used more.
+    stated : set of str
+        Holders that have ordered while the books are held.
     """
 
     topups: dict[str, int] = {}
@@ -102,6 +100,8 @@
     unaccounted: int = 0
     known_taken: int = 0
     known_edition: int = 0
+    unstated: set[str] = set()
+    stated: set[str] = set()
 
     @property
     def limit(self) -> int:
@@ -137,7 +137,7 @@
         return self.limit - self.taken
 
 
-class BudgetAccount(msgspec.Struct, kw_only=True):
+class BudgetAccount(msgspec.Struct, kw_only=True, omit_defaults=True):
     """The object that is stored: many budgets by name.
 
     Attributes
--- a/whinrack/budgets/_draws.py
+++ b/whinrack/budgets/_draws.py
@@ -66,7 +66,9 @@
         # A holder that could not state this in time does now.
         stated_late = max(0, entry.taken - taken_before)
         entry.unaccounted = max(0, entry.unaccounted - stated_late)
-    row.era, row.is_unstated = account.era, False
+    entry.unstated.discard(order.holder)
+    if account.is_held:
+        entry.stated.add(order.holder)
     row.schedule = order.schedule
     row.billed = max(row.billed, order.billed)
     row.unproven = max(row.unproven, order.unproven)
@@ -101,8 +103,11 @@
             continue
         row.received = {**row.received, giver: tokens}
         # While the books are held the giver may be about to state its row again.
-        unknown = AccountRow(closed=not account.is_held, is_unstated=account.is_held)
-        source = entry.rows.setdefault(giver, unknown)
+        if giver not in entry.rows:
+            entry.rows[giver] = AccountRow(closed=not account.is_held)
+            if account.is_held:
+                entry.unstated.add(giver)
+        source = entry.rows[giver]
         if source.closed and source.outstanding < more:
             # The giver's row was released before this transfer was known.
             correction = more - source.outstanding
--- a/whinrack/budgets/_release.py
+++ b/whinrack/budgets/_release.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from whinrack.base import instance_of
-from whinrack.budgets._books import AccountRow, BudgetAccount
+from whinrack.budgets._books import AccountRow, BudgetAccount, BudgetEntry
 from whinrack.budgets._schedule import RestartMoment
 
 __all__ = [
@@ -110,7 +110,7 @@
     if account is None:
         return []
     rows = [
-        _release_row(budget, entry.rows[name], release.restart)
+        _release_row(budget, entry, name, release.restart)
         for budget, entry in account.budgets.items()
         for name in release.ended
         if name in entry.rows and not entry.rows[name].closed
@@ -121,13 +121,15 @@
     return rows
 
 
-def _release_row(budget: str, row: AccountRow, restart: RestartMoment) -> ReleasedRow:
+def _release_row(budget: str, entry: BudgetEntry, name: str, restart: RestartMoment) -> ReleasedRow:
+    row = entry.rows[name]
     accounted = row.billed + row.unproven + row.moved_out
     used, seconds = max(0, row.outstanding), 0.0
-    if row.schedule is not None and not row.is_unstated:
+    if row.schedule is not None and name not in entry.unstated:
         seconds = restart.seconds_since(row.schedule)
         most = row.schedule.most_used(seconds) + sum(row.received.values())
         used = max(0, min(used, most - accounted))
+    entry.unstated.discard(name)
     freed = _close_row(row, used)
     return ReleasedRow(budget=budget, written_off=used, freed=freed, seconds=seconds)
 
--- a/whinrack/budgets/_restoring.py
+++ b/whinrack/budgets/_restoring.py
@@ -37,10 +37,12 @@
         books = BudgetAccount()
     else:
         books = account
-        _mark_unstated(books)
+        for entry in books.budgets.values():
+            entry.unstated = _open_holders(entry)
     books.era = era
     books.is_held = True
     for entry in books.budgets.values():
+        entry.stated = set()
         entry.known_edition, entry.known_taken = books.edition, entry.taken
     return books
 
@@ -51,7 +53,7 @@
     if account.is_held and is_of_earlier_era and order.edition > entry.known_edition:
         entry.known_edition, entry.known_taken = order.edition, order.taken
         # The books that were gone on with were not the latest: neither are their rows.
-        _mark_unstated_entry(entry, account.era)
+        entry.unstated = _open_holders(entry) - entry.stated
 
 
 def end_hold(account: BudgetAccount) -> None:
@@ -59,6 +61,8 @@
     account.is_held = False
     for entry in account.budgets.values():
         entry.unaccounted += max(0, entry.known_taken - entry.taken)
+        entry.known_taken = entry.known_edition = 0
+        entry.stated = set()
 
 
 def is_later(account: BudgetAccount, other: BudgetAccount) -> bool:
@@ -66,12 +70,5 @@
     return (account.era or 0, account.edition) > (other.era or 0, other.edition)
 
 
-def _mark_unstated(account: BudgetAccount) -> None:
-    for entry in account.budgets.values():
-        _mark_unstated_entry(entry, None)
-
-
-def _mark_unstated_entry(entry: BudgetEntry, era: int | None) -> None:
-    for row in entry.rows.values():
-        if not row.closed and (era is None or row.era != era):
-            row.is_unstated = True
+def _open_holders(entry: BudgetEntry) -> set[str]:
+    return {holder for holder, row in entry.rows.items() if not row.closed}
--- a/whinrack/budgets/tests/test_restored_books.py
+++ b/whinrack/budgets/tests/test_restored_books.py
@@ -102,7 +102,7 @@
     row = AccountRow(drawn=300)
     entry = BudgetEntry(declared=1000, declared_version=1, rows={"a.1": row})
     books = restored(BudgetAccount(budgets={"b": entry}, era=1, edition=5), None, 2)
-    assert row.is_unstated
+    assert entry.unstated == {"a.1"}
     entry.known_taken = 450
     end_hold(books)
     assert (entry.unaccounted, entry.free) == (150, 550)
