--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -293,6 +293,8 @@
 
     def _store_restored(self, era: int) -> None:
         """Write what this instance knows and the store has lost."""
+        # An instance that peers feed calls the store seldom.
+        self.store.era.learn(era)
         self.keeper.restate(era)
         eventlet.spawn_n(self._renew)
         eventlet.spawn_n(self.earlier_runs.release_again)
--- a/whinrack/store/_era.py
+++ b/whinrack/store/_era.py
@@ -62,12 +62,16 @@
             return self.current
         if era < self.current:
             self.late_answers += 1
-        elif era > self.current or not self._is_named:
+        self.learn(era)
+        return era
+
+    def learn(self, era: int) -> None:
+        """Take in an era that an answer named, here or at a peer; an earlier one says nothing."""
+        if era > self.current or not self._is_named:
             change = EraChange(self.current if self._is_named else None, era)
             self.current, self._is_named = era, True
             for tell in self.changed:
                 tell(change)
-        return era
 
 
 def _parse(text: str) -> int | None:
--- a/whinrack/store/tests/test_era.py
+++ b/whinrack/store/tests/test_era.py
@@ -32,3 +32,12 @@
     era, told, belongs = observed("2", *odd)
     assert belongs == [2] * (1 + len(odd))
     assert (era.current, era.unreadable, len(told)) == (2, len(odd) - 1, 1)
+
+
+def test_an_era_that_a_peer_heard_is_told_once_too():
+    era, told, _ = observed("1")
+    era.learn(2)
+    era.observe("2")
+    era.learn(1)
+    assert (era.current, era.late_answers) == (2, 0)
+    assert told == [EraChange(None, 1), EraChange(1, 2)]
