Books are written with all their fields again

A planned stop's test read "rows" of a budget whose holders are all folded: in fields at their defaults were left out, so an empty one was missing from the stored form that others read. The five fields of a return cost 78 bytes a budget instead, none a row.

--- a/whinrack/budgets/_books.py
+++ b/whinrack/budgets/_books.py
@@ -65,7 +65,7 @@
         return self.taken - self.billed - self.unproven
 
 
-class BudgetEntry(msgspec.Struct, kw_only=True, omit_defaults=True):
+class BudgetEntry(msgspec.Struct, kw_only=True):
     """One budget's books.
 
     Attributes
@@ -137,7 +137,7 @@
         return self.limit - self.taken
 
 
-class BudgetAccount(msgspec.Struct, kw_only=True, omit_defaults=True):
+class BudgetAccount(msgspec.Struct, kw_only=True):
     """The object that is stored: many budgets by name.
 
     Attributes
