Books that an earlier build wrote can be drawn from again

Beside an earlier build, which drops the era of the books that it writes, each order of a holder that had been applied before failed with a TypeError: the era of an order was compared with none.

--- a/whinrack/budgets/_draws.py
+++ b/whinrack/budgets/_draws.py
@@ -3,7 +3,7 @@
 import xxhash
 
 from whinrack.budgets._books import AccountRow, BudgetAccount, BudgetEntry, DrawOrder
-from whinrack.budgets._restoring import learn_taken
+from whinrack.budgets._restoring import is_of_earlier_era, learn_taken
 
 __all__ = ["account_name", "apply_draws", "apply_topups"]
 
@@ -50,7 +50,7 @@
     row = entry.rows.get(order.holder)
     if row is None:
         # A late copy of an order whose holder has been folded away, unless the store lost the row.
-        if not (order.opening or _is_of_earlier_era(account, order)):
+        if not (order.opening or is_of_earlier_era(account, order)):
             return False
         row = entry.rows[order.holder] = AccountRow()
     if row.closed or order.sequence <= row.sequence:
@@ -82,11 +82,6 @@
     return True
 
 
-def _is_of_earlier_era(account: BudgetAccount, order: DrawOrder) -> bool:
-    """Whether the holder's row may be among what the store lost."""
-    return None not in (order.era, account.era) and order.era < account.era
-
-
 def _close(row: AccountRow, order: DrawOrder) -> None:
     row.closed = True
     if order.given is not None:
--- a/whinrack/budgets/_restoring.py
+++ b/whinrack/budgets/_restoring.py
@@ -8,7 +8,14 @@
 
 from whinrack.budgets._books import BudgetAccount, BudgetEntry, DrawOrder
 
-__all__ = ["are_of_earlier_era", "end_hold", "is_later", "learn_taken", "restored"]
+__all__ = [
+    "are_of_earlier_era",
+    "end_hold",
+    "is_later",
+    "is_of_earlier_era",
+    "learn_taken",
+    "restored",
+]
 
 
 def are_of_earlier_era(account: BudgetAccount, era: int) -> bool:
@@ -47,10 +54,18 @@
     return books
 
 
+def is_of_earlier_era(account: BudgetAccount, order: DrawOrder) -> bool:
+    """Whether the holder's row may be among what the store lost."""
+    return None not in (order.era, account.era) and order.era < account.era
+
+
 def learn_taken(account: BudgetAccount, entry: BudgetEntry, order: DrawOrder) -> None:
     """Take in what a holder knows of an earlier era; the latest word on it counts."""
-    is_of_earlier_era = order.era is not None and order.era < account.era
-    if account.is_held and is_of_earlier_era and order.edition > entry.known_edition:
+    if (
+        account.is_held
+        and is_of_earlier_era(account, order)
+        and order.edition > entry.known_edition
+    ):
         entry.known_edition, entry.known_taken = order.edition, order.taken
         # The books that were gone on with were not the latest: neither are their rows.
         entry.unstated = _open_holders(entry) - entry.stated
--- a/whinrack/budgets/tests/test_restored_books.py
+++ b/whinrack/budgets/tests/test_restored_books.py
@@ -1,6 +1,7 @@
 """Books that the store has lost some writes of: no overspend, and little that is never sold."""
 
 import hypothesis.strategies as st
+import msgspec
 import pytest
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -209,3 +210,12 @@
     use_all(fleet)
     assert 0.9 * fleet.limit <= fleet.used <= fleet.limit
     assert not any(m.keeper._grant(BUDGET).ledger.closed for m in fleet.machines)
+
+
+def test_books_that_an_earlier_build_wrote_could_not_be_drawn_from():
+    fleet = busy_fleet(limit=20_000, seconds=2)
+    stored = fleet.store.objects[ACCOUNT_KIND, "a"]
+    books = msgspec.json.decode(stored.value)
+    del books["era"], books["edition"], books["is_held"]
+    fleet.store.put(ACCOUNT_KIND, "a", msgspec.json.encode(books), stored.version)
+    assert work(fleet) == 9
