Quarantine: the log names the rivals of a quarantined request

A quarantined request whose ends another quarantined request explains as well may be innocent, and the log line of the quarantine did not say so: whether an innocent request was kept out could only be worked out from the ends in the lines of all requests. request_quarantined now has the field rivals, the fingerprints of the requests that may be the cause instead. Nothing is decided by it yet.

--- a/whinrack/quarantine/_attribution.py
+++ b/whinrack/quarantine/_attribution.py
@@ -6,11 +6,11 @@
 so on. Requests whose ends are explained by a blamed one are not blamed.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from whinrack.quarantine._cases import Case, TargetEnd
 
-__all__ = ["BLAME_THRESHOLD", "find_culprits"]
+__all__ = ["BLAME_THRESHOLD", "find_culprits", "find_rivals"]
 
 # Ends of targets after which a request is quarantined; the users' requirement counts from the
 # third end.
@@ -37,3 +37,26 @@
             name: ends - explained for name, ends in unexplained.items() if name not in culprits
         }
     return frozenset(found)
+
+
+def find_rivals(cases: Iterable[Case], culprits: Collection[str]) -> dict[str, frozenset[str]]:
+    """Return the rivals of each culprit that may have been blamed wrongly.
+
+    The rivals of a request are the other culprits that were present at some of its ends. If they
+    explain so many of its ends that fewer than `BLAME_THRESHOLD` are left, it is undecided which
+    of them is the cause. Culprits for which this is decided are not in the result.
+
+    Parameters
+    ----------
+    cases : iterable of Case
+    culprits : collection of str
+        Fingerprints of the requests that are to blame, from `find_culprits`.
+    """
+    ends_of = {case.fingerprint: set(case.ends) for case in cases if case.fingerprint in culprits}
+    rivals_of: dict[str, frozenset[str]] = {}
+    for fingerprint, ends in ends_of.items():
+        rivals = {name for name, other in ends_of.items() if name != fingerprint and ends & other}
+        own_ends = ends.difference(*(ends_of[name] for name in rivals))
+        if rivals and len(own_ends) < BLAME_THRESHOLD:
+            rivals_of[fingerprint] = frozenset(rivals)
+    return rivals_of
--- a/whinrack/quarantine/_quarantine.py
+++ b/whinrack/quarantine/_quarantine.py
@@ -245,6 +245,7 @@
                 workspace=case.workspace,
                 route=case.route,
                 targets=" ".join(case.target_names()),
+                rivals=" ".join(rival.fingerprint for rival in self.table.rivals(fingerprint)),
             )
         for fingerprint in self._quarantined - blamed:
             log_event(
--- a/whinrack/quarantine/_table.py
+++ b/whinrack/quarantine/_table.py
@@ -5,7 +5,7 @@
 import msgspec
 import xxhash
 
-from whinrack.quarantine._attribution import find_culprits
+from whinrack.quarantine._attribution import find_culprits, find_rivals
 from whinrack.quarantine._cases import Case, TargetEnd, merge_evidence
 
 __all__ = ["SUSPECT_LIFETIME_SECONDS", "MAX_SUSPECTS", "SUSPECT_THRESHOLD", "CaseTable"]
@@ -39,6 +39,7 @@
         self._suspects: dict[str, Case] = {}
         self._successes: OrderedDict[str, float] = OrderedDict()
         self._blamed: frozenset[str] | None = frozenset()
+        self._rivals: dict[str, frozenset[str]] | None = {}
         self._checksum = 0
 
     # --- reading -----------------------------------------------------------------
@@ -60,6 +61,15 @@
             self._blamed = find_culprits(self._suspects.values())
         return self._blamed
 
+    def rivals(self, fingerprint: str) -> list[Case]:
+        """Return the cases of the requests that may be to blame instead of a blamed one.
+
+        Empty if it is decided that this request is to blame; see `find_rivals`.
+        """
+        if self._rivals is None:
+            self._rivals = find_rivals(self._suspects.values(), self.blamed_fingerprints())
+        return [self._suspects[name] for name in sorted(self._rivals.get(fingerprint, ()))]
+
     def checksum(self) -> int:
         """Return a checksum of the suspect cases; 0 if there are none."""
         if not self._checksum and self._suspects:
@@ -180,4 +190,5 @@
 
     def _invalidate_cache(self) -> None:
         self._blamed = None
+        self._rivals = None
         self._checksum = 0
--- a/whinrack/quarantine/tests/test_attribution.py
+++ b/whinrack/quarantine/tests/test_attribution.py
@@ -3,7 +3,7 @@
 import random
 
 from whinrack.quarantine import Case, TargetEnd
-from whinrack.quarantine._attribution import find_culprits
+from whinrack.quarantine._attribution import find_culprits, find_rivals
 
 
 def case(fingerprint, ends):
@@ -32,6 +32,33 @@
     assert find_culprits([case("one", "abc"), case("two", "abc")]) == {"one", "two"}
 
 
+def rivals(*cases):
+    found = find_rivals(cases, find_culprits(cases))
+    return {name: set(others) for name, others in found.items()}
+
+
+def test_requests_with_the_same_ends_are_rivals():
+    assert rivals(case("one", "abc"), case("two", "abc")) == {"one": {"two"}, "two": {"one"}}
+
+
+def test_requests_with_mostly_the_same_ends_are_rivals():
+    """The end that explains the neighbour's third one may not be known here yet."""
+    assert rivals(case("culprit", "abd"), case("neighbour", "abc")) == {
+        "culprit": {"neighbour"},
+        "neighbour": {"culprit"},
+    }
+
+
+def test_culprits_with_enough_ends_of_their_own_have_no_rivals():
+    assert rivals(case("one", "abcd"), case("two", "defg")) == {}
+    assert rivals(case("culprit", "abcd"), case("neighbour", "abc")) == {}
+
+
+def test_three_requests_with_the_same_ends_are_rivals_of_each_other():
+    tied = rivals(*(case(name, "abc") for name in ("one", "two", "three")))
+    assert tied["one"] == {"two", "three"} and len(tied) == 3
+
+
 def simulate_ends(seed, targets=6, callers=40, ends=8):
     """Return the cases after a culprit ended some targets; interrupted requests are repeated."""
     chance = random.Random(seed)
