Quarantine: a request whose blame is undecided gets a trial at once instead of a refusal

Seen by callers: a harmless stream that was resumed, or sent again, at each of three targets that another request ended was refused (503 request_quarantined) with all that had the same body, until the first trial 30 s after the last end, or longer. Cause: all requests with the most ends are blamed, though their ends may be explained by any one of them. Change: blamed requests that share ends are rivals while fewer than three ends of a request are its own. One run of such a request in the whole fleet is admitted at once, rivals 0.5 s apart; its other requests wait for the result, 2.5 s and their deadline at most. A run that ends well clears the request, an end under it leaves its rivals unblamed. These trials are the ones that the bound leaves (three in all), so the cause is sent to targets no more often than before. The store decides who runs; without it, an instance that hears a majority announces the trial. A trial that no target ran is used by the next request.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -167,16 +167,16 @@
         route = configuration.find_route(request.host, request.path)
         workspace = configuration.authenticate(route, request.key)
         run = RequestRun(exchange, request, configuration, route, workspace)
-        # The quarantine remembers across the fleet which requests crashed targets. Without it, one
-        # request that was repeated under new ids crashed 88 targets in 20 s; with it, 4.
-        self.attempt_runner.guard.admit(run.request_name)
-        self._reserve_tokens(run)
         try:
+            self._admit(run)
+            self._reserve_tokens(run)
             self._attempt_all(run)
         except CallerGone:
             log_run(Event.CALLER_LEFT, run)
             raise
         finally:
+            if run.is_trial and not run.may_have_run:
+                self.attempt_runner.guard.return_trial(run.request_name)
             # Settle the reservation if the attempts did not.
             if not run.may_have_run:
                 run.settle_not_run()
@@ -188,6 +188,15 @@
                     output=run.request.declared_tokens.output,
                 )
 
+    def _admit(self, run: RequestRun) -> None:
+        """Check that the request is not in quarantine, which all instances share.
+
+        Without it, one request that was repeated under new ids crashed 88 targets in 20 s; with it,
+        4.
+        """
+        deadline = run.deadline - TIMEOUT_MARGIN
+        run.is_trial = self.attempt_runner.guard.admit(run.request_name, deadline)
+
     def _reserve_tokens(self, run: RequestRun) -> None:
         declared = run.request.declared_tokens
         if declared is None or run.workspace is None:
@@ -216,12 +225,13 @@
                 log_attempt(run, failed.refusal)
                 if not self._can_retry(run, failed, unsent_attempts, retry_budget):
                     raise self._final_refusal(run, failed.refusal) from failed
-                self._check_quarantine_again(run)
+                if failed.was_sent or not run.is_trial:
+                    self._check_quarantine_again(run)
 
     def _check_quarantine_again(self, run: RequestRun) -> None:
         """Raise a refusal if the request's own attempts have put it into quarantine."""
         try:
-            self.attempt_runner.guard.admit(run.request_name)
+            self._admit(run)
         except Refusal as refusal:
             raise self._final_refusal(run, refusal) from refusal
 
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -47,6 +47,8 @@
         Tokens billed for the answer, 0 while it is not settled.
     sent_at : float
         Steady clock time at which the request was sent to the latest target.
+    is_trial : bool
+        Whether the run is a trial run of a quarantined request.
     concurrent_requests : int
         Other requests of this instance at the latest target at that time.
     """
@@ -82,6 +84,7 @@
         self.targets_view = TargetsView()
         self.sent_at = 0.0
         self.concurrent_requests = 0
+        self.is_trial = False
         self._fingerprint = ""
 
     @property
--- a/whinrack/edge/_suspects.py
+++ b/whinrack/edge/_suspects.py
@@ -132,6 +132,12 @@
         """Return whether the store answers calls of this instance."""
         return self.availability.is_available
 
+    def is_hearing_majority(self) -> bool:
+        """Return whether this instance hears more than half of the known instances."""
+        now = steady()
+        heard = self.table.count_live_instances(now)
+        return heard > len(self.table.silent_peers(now))
+
     def schedule_save(self) -> None:
         """Schedule a write of the suspects."""
         self._update_metrics()
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -92,6 +92,7 @@
         "could not read or write quarantined requests in the store",
     )
     QUARANTINE_UNREADABLE = (9007, "ERROR", "stored quarantine data cannot be decoded")
+    QUARANTINE_AWAITED = (9008, "INFO", "request waited until its blame was decided")
 
     TARGETS_COLD = (5007, "INFO", "cold targets of a pool, and this instance's share of their rate")
 
--- a/whinrack/quarantine/__init__.py
+++ b/whinrack/quarantine/__init__.py
@@ -3,8 +3,9 @@
 from whinrack.quarantine._case_store import CaseStore
 from whinrack.quarantine._cases import Case, TargetEnd
 from whinrack.quarantine._fingerprint import compute_fingerprint
+from whinrack.quarantine._host import QuarantineHost
 from whinrack.quarantine._listing import QuarantinedRequest, describe_case
-from whinrack.quarantine._quarantine import Quarantine, QuarantineHost
+from whinrack.quarantine._quarantine import Quarantine
 from whinrack.quarantine.base import AdmitAll, RequestSignature, RunGuard
 
 __all__ = [
--- a/whinrack/quarantine/_case_store.py
+++ b/whinrack/quarantine/_case_store.py
@@ -26,6 +26,13 @@
     cases: tuple[Case, ...] = ()
 
 
+class RivalTrialClaim(msgspec.Struct, frozen=True):
+    """Outcome of a claim, and the cases that were stored at that moment."""
+
+    is_claimed: bool
+    cases: tuple[Case, ...]
+
+
 class CaseStore:
     """Reads and writes the object that holds all suspect cases.
 
@@ -84,6 +91,28 @@
 
         return self._editor.apply(_NAME, claim).map(lambda _: claimed)
 
+    def claim_rival_trial(
+        self, case: Case, rivals: Iterable[Case]
+    ) -> Result[RivalTrialClaim, PlatformFailure]:
+        """Claim a trial run of a request with rivals that is due by what this instance knows.
+
+        It is not claimed if the store holds a trial of the request or of a rival, or a clearing,
+        that this instance does not know. A trial whose write got no reply counts as used.
+        """
+        known = (case, *rivals)
+        is_claimed = False
+
+        def claim(old: msgspec.Raw | None) -> msgspec.Raw | None:
+            nonlocal is_claimed
+            stored = _decode_by_fingerprint(old)
+            is_claimed = not any(_has_news(stored.get(each.fingerprint), each) for each in known)
+            if not is_claimed:
+                return None
+            return self._merge_into(old, (case.with_trial(self.wall_clock()),))
+
+        stored = self._editor.apply(_NAME, claim)
+        return stored.map(lambda value: RivalTrialClaim(is_claimed, _decode_cases(value)))
+
     def _merge_into(self, old: msgspec.Raw | None, cases: tuple[Case, ...]) -> msgspec.Raw | None:
         """Return the stored value with cases merged into it, or None if they change nothing."""
         merged = _decode_by_fingerprint(old)
@@ -98,6 +127,11 @@
         return msgspec.Raw(msgspec.json.encode(StoredCases(tuple(retained[:MAX_SUSPECTS]))))
 
 
+def _has_news(stored: Case | None, known: Case) -> bool:
+    """Return whether a stored case has a trial or a clearing that the known one lacks."""
+    return stored is not None and (stored.epoch, stored.trials) > (known.epoch, known.trials)
+
+
 def _decode_cases(stored: msgspec.Raw | None) -> tuple[Case, ...]:
     """Decode a stored value; an invalid one counts as empty and is overwritten."""
     if stored is None:
--- a/whinrack/quarantine/_quarantine.py
+++ b/whinrack/quarantine/_quarantine.py
@@ -6,6 +6,7 @@
 heartbeat. These cases are also kept in the store.
 """
 
+import time
 from collections.abc import Callable, Iterable
 
 from returns.result import Failure, Success
@@ -15,11 +16,13 @@
 from whinrack.observability import Event, log_event
 from whinrack.quarantine._case_store import CaseStore
 from whinrack.quarantine._cases import Case, TargetEnd
+from whinrack.quarantine._host import QuarantineHost
 from whinrack.quarantine._table import SUSPECT_THRESHOLD, CaseTable
 from whinrack.quarantine._trials import seconds_until_trial
+from whinrack.quarantine._undecided import UndecidedBlames
 from whinrack.quarantine.base import RequestSignature, RunGuard
 
-__all__ = ["Quarantine", "QuarantineHost"]
+__all__ = ["Quarantine"]
 
 _OWN_SOURCE = "here"
 _STORE_SOURCE = "store"
@@ -30,26 +33,6 @@
 _MIN_RETRY_SECONDS = 1.0
 
 
-class QuarantineHost:
-    """Connection of the quarantine to peers and the store."""
-
-    def send_to_owners(self, case: Case) -> None:
-        """Send a case to the instances that own its fingerprint."""
-        raise NotImplementedError
-
-    def send_to_all(self, cases: list[Case]) -> None:
-        """Send cases to all instances."""
-        raise NotImplementedError
-
-    def is_store_reachable(self) -> bool:
-        """Return whether the store answers calls of this instance."""
-        raise NotImplementedError
-
-    def schedule_save(self) -> None:
-        """Schedule a write of the suspect cases to the store."""
-        raise NotImplementedError
-
-
 class Quarantine(RunGuard):
     """Quarantine of one instance, with its knowledge of requests during whose runs targets ended.
 
@@ -61,6 +44,8 @@
         Returns the Unix time in seconds.
     steady : callable, optional
         Returns the steady clock in seconds.
+    sleep : callable, optional
+        Replaced in tests.
     """
 
     def __init__(
@@ -69,36 +54,73 @@
         host: QuarantineHost,
         wall_clock: Callable[[], float],
         steady: Callable[[], float] = steady,
+        sleep: Callable[[float], None] = time.sleep,
     ):
         self.case_store = case_store
         self.host = host
         self.wall_clock = wall_clock
         self.steady = steady
         self.table = CaseTable()
+        self._undecided = UndecidedBlames(self, steady, sleep)
+        # Epoch and number of trials claimed here whose requests did not run, by fingerprint.
+        self._unused_trials: dict[str, tuple[int, int]] = {}
         self._quarantined: frozenset[str] = frozenset()
 
     # --- request pipeline -----------------------------------------------------------
 
-    def admit(self, request: RequestSignature) -> None:
+    def admit(self, request: RequestSignature, deadline: float | None = None) -> bool:
         """Check that a request may run on a target.
 
+        While it is undecided whether a request is to blame, it waits for a decision or for a trial
+        run, if either is expected in time.
+
+        Parameters
+        ----------
+        request : RequestSignature
+        deadline : float, optional
+            Steady clock time up to which the request may wait; by default it does not wait.
+
+        Returns
+        -------
+        bool
+            Whether the run is a trial run.
+
         Raises
         ------
         RequestQuarantined
             If the request is in quarantine and no trial run of it is due here.
         """
-        if request.fingerprint not in self.table.blamed_fingerprints():
-            return
-        case = self.table.get(request.fingerprint)
-        wait = seconds_until_trial(case, self.wall_clock())
-        if wait == 0.0 and self._try_claim_trial(case):
-            return
+        fingerprint = request.fingerprint
+        if self._take_unused_trial(fingerprint):
+            return True
+        if deadline is not None and self._undecided.await_decision(fingerprint, deadline):
+            return True
+        if fingerprint not in self.table.blamed_fingerprints():
+            return False
+        case = self.table.get(fingerprint)
+        wait = self._undecided.seconds_until_trial(case) if deadline is not None else None
+        if wait is None:
+            wait = seconds_until_trial(case, self.wall_clock())
+            if wait == 0.0 and self._try_claim_trial(case):
+                return True
         raise RequestQuarantined(
             f"{len(case.ends)} targets ended while running requests with fingerprint "
             f"{case.fingerprint}",
             retry_after=_NO_TRIAL_RETRY_SECONDS if wait is None else wait + _MIN_RETRY_SECONDS,
         )
 
+    def return_trial(self, request: RequestSignature) -> None:
+        """Keep a trial for the next request with this fingerprint, as no target ran this one."""
+        case = self.table.get(request.fingerprint)
+        if case is not None and request.fingerprint in self.table.blamed_fingerprints():
+            self._unused_trials[request.fingerprint] = (case.epoch, case.trials)
+
+    def _take_unused_trial(self, fingerprint: str) -> bool:
+        trial = self._unused_trials.pop(fingerprint, None)
+        case = self.table.get(fingerprint)
+        # A later trial of another instance takes its place.
+        return trial is not None and case is not None and trial == (case.epoch, case.trials)
+
     def _try_claim_trial(self, case: Case) -> bool:
         """Try to claim the next trial run, and announce it to all instances.
 
@@ -116,8 +138,7 @@
         taken = isinstance(claimed, Success) and claimed.unwrap()
         # Recorded in any case: another instance has claimed the trial, or a write without a reply
         # may have been applied.
-        self.table.merge(case.with_trial(self.wall_clock()))
-        self.host.send_to_all([self.table.get(case.fingerprint)])
+        self.record_trial(case)
         log_event(
             Event.QUARANTINE_TRIAL,
             fingerprint=case.fingerprint,
@@ -126,6 +147,12 @@
         )
         return taken
 
+    def record_trial(self, case: Case) -> None:
+        """Record a trial run and announce it to all instances."""
+        self.table.merge(case.with_trial(self.wall_clock()))
+        self._log_changes()
+        self.host.send_to_all([self.table.get(case.fingerprint)])
+
     def record_success(self, request: RequestSignature) -> None:
         """Clear a request that ran successfully, as it does not end every target that runs it."""
         self.table.record_success(request.fingerprint, self.steady())
@@ -237,6 +264,9 @@
     def _log_changes(self) -> None:
         """Log the requests that entered or left the quarantine."""
         blamed = self.table.blamed_fingerprints()
+        self._undecided.update_times(self.table.get(fingerprint) for fingerprint in blamed)
+        for fingerprint in self._unused_trials.keys() - blamed:
+            del self._unused_trials[fingerprint]
         for fingerprint in blamed - self._quarantined:
             case = self.table.get(fingerprint)
             log_event(
--- a/whinrack/quarantine/base.py
+++ b/whinrack/quarantine/base.py
@@ -18,9 +18,20 @@
 class RunGuard:
     """Decides whether requests may run on targets and is notified how their runs end."""
 
-    def admit(self, run: RequestSignature) -> None:
+    def admit(self, run: RequestSignature, deadline: float | None = None) -> bool:
         """Check that a request may run on a target.
 
+        Parameters
+        ----------
+        run : RequestSignature
+        deadline : float, optional
+            Steady clock time up to which the call may wait for a decision.
+
+        Returns
+        -------
+        bool
+            Whether the run is a trial run of a quarantined request.
+
         Raises
         ------
         RequestQuarantined
@@ -28,6 +39,10 @@
         """
         raise NotImplementedError
 
+    def return_trial(self, run: RequestSignature) -> None:
+        """Record that no target ran a request that was admitted as a trial run."""
+        raise NotImplementedError
+
     def record_success(self, run: RequestSignature) -> None:
         """Record that a target has completed a request and is still running."""
         raise NotImplementedError
@@ -40,8 +55,12 @@
 class AdmitAll(RunGuard):
     """Guard without a quarantine."""
 
-    def admit(self, run: RequestSignature) -> None:
+    def admit(self, run: RequestSignature, deadline: float | None = None) -> bool:
         """Admit every request."""
+        return False
+
+    def return_trial(self, run: RequestSignature) -> None:
+        """Ignore the trial."""
 
     def record_success(self, run: RequestSignature) -> None:
         """Ignore the success."""
--- a/whinrack/quarantine/tests/test_case_store.py
+++ b/whinrack/quarantine/tests/test_case_store.py
@@ -103,3 +103,34 @@
     clock[0] += 31.0
     store.down = True
     assert isinstance(case_stores[0].claim_trial(case()), Failure)
+
+
+@pytest.fixture
+def rivals(case_stores):
+    rivals = case("f"), case("g")
+    case_stores[0].write(rivals)
+    return rivals
+
+
+def claims_rival_trial(case_store, own, other):
+    return case_store.claim_rival_trial(own, [other]).unwrap().is_claimed
+
+
+def test_trial_of_a_request_with_rivals_is_claimed_by_one_instance(case_stores, rivals):
+    assert claims_rival_trial(case_stores[0], *rivals)
+    assert not claims_rival_trial(case_stores[1], *rivals)
+
+
+def test_trial_is_not_claimed_while_a_trial_of_a_rival_is_unknown(case_stores, rivals):
+    own, other = rivals
+    assert claims_rival_trial(case_stores[0], other, own)
+    claim = case_stores[1].claim_rival_trial(own, [other]).unwrap()
+    assert not claim.is_claimed
+    (known,) = (stored for stored in claim.cases if stored.fingerprint == other.fingerprint)
+    assert claims_rival_trial(case_stores[1], own, known)
+
+
+def test_trial_of_a_request_that_was_cleared_is_not_claimed(case_stores, rivals):
+    own, other = rivals
+    case_stores[0].write([own.cleared()])
+    assert not claims_rival_trial(case_stores[1], own, other)
