Quarantine: a blame is acted on once the evidence of other instances has arrived

Seen by callers: a harmless request was refused for some milliseconds to a quarter of a second, when its last end was known before the same end of the request that caused it. Cause: each instance finds out by itself that a target has ended, 0.05 to 0.9 s after the cut, and acts on a blame at once. Change: a request waits for up to 0.5 s after its blame became known, if its deadline leaves the time. Test: test_request_waits_for_evidence_against_its_rival_that_is_on_its_way failed before (refused), passes.

--- a/whinrack/quarantine/_undecided.py
+++ b/whinrack/quarantine/_undecided.py
@@ -1,7 +1,8 @@
 """Requests of which it is undecided whether they are to blame.
 
-An innocent request may have run beside the cause at each end of a target. A trial run decides
-within a fraction of a second, so such a request waits for it instead of being refused.
+An innocent request may have run beside the cause at each end of a target, or the evidence that
+explains its ends may still be on its way. A decision takes a fraction of a second, so such a
+request waits for it instead of being refused. If it has rivals, a trial run decides.
 """
 
 from collections.abc import Callable, Iterable
@@ -20,6 +21,8 @@
 
 __all__ = ["UndecidedBlames"]
 
+# Time after a blame within which other instances report what they saw at the same ends.
+_SETTLE_SECONDS = 0.5
 # Maximum time for which a request waits.
 _MAX_WAIT_SECONDS = 2.5
 # Interval at which a waiting request looks at the evidence, and the one after a failed claim.
@@ -127,13 +130,14 @@
 
     def _seconds_until_decision(self, case: Case, rivals: list[Case]) -> float | None:
         """Return the seconds until new evidence is expected, None if none is."""
-        if not rivals:
-            return None
-        tried_seconds = self._times.tried_seconds(case, self.steady())
-        until_trial = self._seconds_until_trial(case, rivals)
-        until_result = seconds_until_trial_has_run(case.trials, tried_seconds)
-        expected = (seconds for seconds in (until_trial, until_result) if seconds is not None)
-        return min(expected, default=None)
+        now = self.steady()
+        settling = _SETTLE_SECONDS - self._times.blamed_seconds(case, now)
+        expected = [settling if settling > 0.0 else None]
+        if rivals:
+            tried_seconds = self._times.tried_seconds(case, now)
+            expected.append(self._seconds_until_trial(case, rivals))
+            expected.append(seconds_until_trial_has_run(case.trials, tried_seconds))
+        return min((seconds for seconds in expected if seconds is not None), default=None)
 
     def _try_claim_trial(self, case: Case, rivals: list[Case]) -> bool:
         """Try to claim the next trial run and announce it.
--- a/whinrack/quarantine/tests/test_undecided.py
+++ b/whinrack/quarantine/tests/test_undecided.py
@@ -164,6 +164,32 @@
     assert tied.now == began
 
 
+def test_request_waits_for_evidence_against_its_rival_that_is_on_its_way(fleet):
+    """Guards against refusing a request in the moment before other instances report the cause."""
+    first, last = fleet.instances[0], fleet.instances[3]
+    fleet.connect(fleet.instances[:3], fleet.instances[3:])
+    for target in "abc":
+        last.end(target, NEIGHBOUR)
+        first.end(target, CAUSE)
+    first.end("d", CAUSE)
+    reported = first.quarantine.table.suspect_cases()
+    fleet.after(0.1, lambda: last.quarantine.merge_cases(reported, first.name))
+    began = fleet.now
+    assert last.admit(NEIGHBOUR) is False
+    assert fleet.now - began < 0.2
+
+
+def test_request_without_rivals_is_refused_once_no_evidence_is_on_its_way(fleet):
+    for target in "abc":
+        fleet.instances[0].end(target, CAUSE)
+    began = fleet.now
+    assert fleet.instances[1].admit(CAUSE) is None
+    assert fleet.now - began < 0.6
+    began = fleet.now
+    assert fleet.instances[1].admit(CAUSE) is None
+    assert fleet.now == began
+
+
 def test_trial_is_admitted_once_while_the_store_does_not_answer(tied):
     for instance in tied.instances:
         instance.store_answers = False
