Budgets: output that a further attempt generates again is reserved again

Cause: the declared output is reserved once for a request, and its bill never exceeds that. A target that ends takes events with it that it generated and that were on their way, and the next target generates them again from the last one received: both count. Change: before an attempt after one that may have run, the output that was not received is reserved once more and billed as used. Where the budget can't cover it there is no further attempt. An earlier attempt that was refused as not run is no reason to bill the whole output any more.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 
 from whinrack.base import Outcome
-from whinrack.budgets import DemandEstimate, GrantManager
+from whinrack.budgets import Cover, DemandEstimate, GrantManager
 from whinrack.clock import steady
 from whinrack.dispatch._answers import AnswerRelay
 from whinrack.dispatch._attempts import (
@@ -184,7 +184,7 @@
                 log_run(
                     Event.COVER_COUNTED,
                     run,
-                    tokens=run.reservation.tokens,
+                    tokens=run.reserved_tokens,
                     output=run.request.declared_tokens.output,
                 )
 
@@ -203,11 +203,26 @@
             return
         if not self.grant_manager.has_limit(run.workspace.name):
             return
-        reservation = self.grant_manager.cover(run.workspace.name, declared.total)
+        run.reservation = self._cover(run, declared.total)
+
+    def _reserve_repeated_output(self, run: RequestRun, pool_name: str) -> None:
+        """Reserve the output that an earlier target may have generated and that was lost.
+
+        The next target generates it again, and both count.
+        """
+        pool = run.configuration.pools.get(pool_name)
+        if run.reservation is None or pool is None:
+            return
+        tokens = run.unreceived_output(pool)
+        if tokens:
+            run.repeat_reservations.append(self._cover(run, tokens))
+
+    def _cover(self, run: RequestRun, tokens: int) -> Cover:
+        reservation = self.grant_manager.cover(run.workspace.name, tokens)
         if isinstance(reservation, Failure):
-            log_reservation_refused(run, declared.total, self.grant_manager)
+            log_reservation_refused(run, tokens, self.grant_manager)
             raise reservation.failure()
-        run.reservation = reservation.unwrap()
+        return reservation.unwrap()
 
     # --- attempts ----------------------------------------------------------------
 
@@ -225,13 +240,19 @@
                 log_attempt(run, failed.refusal)
                 if not self._can_retry(run, failed, unsent_attempts, retry_budget):
                     raise self._final_refusal(run, failed.refusal) from failed
-                if failed.was_sent or not run.is_trial:
-                    self._check_quarantine_again(run)
+                self._prepare_retry(run, pool, failed)
+
+    def _prepare_retry(self, run: RequestRun, pool: str, failed: AttemptFailed) -> None:
+        """Raise a refusal if the request must not be sent again.
 
-    def _check_quarantine_again(self, run: RequestRun) -> None:
-        """Raise a refusal if the request's own attempts have put it into quarantine."""
+        Its own attempts may have put it into quarantine, or the budget may not cover the output
+        that they have generated in vain.
+        """
         try:
-            self._admit(run)
+            if failed.was_sent or not run.is_trial:
+                self._admit(run)
+            if failed.refusal.outcome is not Outcome.NOT_RUN:
+                self._reserve_repeated_output(run, pool)
         except Refusal as refusal:
             raise self._final_refusal(run, refusal) from refusal
 
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -27,6 +27,9 @@
         Steady clock time at which the request times out for the caller or the route.
     reservation : Cover or None
         Tokens reserved from the workspace's budget, None if it has no limit.
+    repeat_reservations : list of Cover
+        Tokens reserved for output that targets of earlier attempts may have generated and that was
+        not received; further attempts generate it again.
     attempts : int
         Number of targets that the request was sent to.
     tried_targets : set of str
@@ -70,6 +73,7 @@
             request.deadline_seconds or route.timeout, route.timeout
         )
         self.reservation: Cover | None = None
+        self.repeat_reservations: list[Cover] = []
         self.billed_tokens = 0
         self.attempts = 0
         self.tried_targets: set[str] = set()
@@ -152,21 +156,29 @@
         if last_id is not None:
             self.last_id = last_id
 
+    @property
+    def reserved_tokens(self) -> int:
+        """All tokens reserved for the request."""
+        return sum(cover.tokens for cover in self._covers())
+
+    def unreceived_output(self, pool: PoolRecord) -> int:
+        """Return the declared output tokens that have not been received."""
+        return max(0, self.request.declared_tokens.output - self._received_output(pool))
+
     def settle_not_run(self) -> None:
         """Release the whole reservation: no target ran the request."""
-        if self.reservation is not None:
-            self.reservation.settle(0)
+        self._settle(0)
 
     def settle_complete(self, pool: PoolRecord) -> None:
         """Bill the events of a complete answer."""
-        self._bill(pool, self.events)
+        self._bill(self._received_output(pool))
 
     def settle_partial(self, pool: PoolRecord) -> None:
         """Bill the events of a run that its target ended early, and one more.
 
         The target may have generated part of a further event.
         """
-        self._bill(pool, self.events + 1)
+        self._bill(self._received_output(pool) + _event_tokens(pool))
 
     def settle_unknown(self) -> bool:
         """Bill the whole reservation as unproven: the tokens generated are unknown.
@@ -176,18 +188,34 @@
         bool
             False if there was no reservation or it was settled already.
         """
-        if self.reservation is None:
+        if self.reservation is None or self.reservation.is_settled:
             return False
-        return self.reservation.settle(0, unproven=self.reservation.tokens)
+        self._settle(0, unproven=self.reserved_tokens)
+        return True
+
+    def _received_output(self, pool: PoolRecord) -> int:
+        return self.events * _event_tokens(pool)
 
-    def _bill(self, pool: PoolRecord, events: int) -> None:
+    def _bill(self, output_tokens: int) -> None:
         if self.reservation is None:
             return
         declared = self.request.declared_tokens
-        event_tokens = pool.engine.max_event_tokens if pool.engine is not None else 1
-        output_tokens = events * event_tokens
-        if self.attempts > 1 and self.may_have_run:
-            # An earlier target may have generated events that were not received here.
-            output_tokens += declared.output
-        self.billed_tokens = min(declared.total, declared.prompt + output_tokens)
-        self.reservation.settle(self.billed_tokens)
+        repeated = sum(cover.tokens for cover in self.repeat_reservations)
+        output_tokens = min(declared.output, output_tokens)
+        self.billed_tokens = declared.prompt + output_tokens + repeated
+        self._settle(self.billed_tokens)
+
+    def _settle(self, billed: int, unproven: int = 0) -> None:
+        """Settle the covers, each with the part of the bill that it holds."""
+        for cover in self._covers():
+            part = min(billed, cover.tokens)
+            unproven_part = min(unproven, cover.tokens - part)
+            cover.settle(part, unproven=unproven_part)
+            billed, unproven = billed - part, unproven - unproven_part
+
+    def _covers(self) -> list[Cover]:
+        return [] if self.reservation is None else [self.reservation, *self.repeat_reservations]
+
+
+def _event_tokens(pool: PoolRecord) -> int:
+    return pool.engine.max_event_tokens if pool.engine is not None else 1
