--- a/whinrack/dispatch/_answers.py
+++ b/whinrack/dispatch/_answers.py
@@ -54,8 +54,6 @@
         ------
         AnswerCut, AttemptTimeout
             Raised by the iteration over the pieces.
-        Refusal
-            If the target generates more output than the budget covers.
         """
         exchange = run.exchange
         for block in event_blocks(self.pacing.paced(pieces), run.last_id):
@@ -64,7 +62,6 @@
                 self._record_first_event(run)
             exchange.write(block.data)
             run.record_relayed(block.count, block.last_id)
-            run.reserve_excess_output(pool)
         if not exchange.is_started:
             exchange.start_response(head.status, _answer_headers(head))
         run.settle_complete(pool)
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -203,8 +203,19 @@
             return
         if not self.grant_manager.has_limit(run.workspace.name):
             return
-        run.reserve = lambda tokens: self._cover(run, tokens)
-        run.reservation = run.reserve(declared.total)
+        run.reservation = self._cover(run, declared.total)
+
+    def _reserve_repeated_output(self, run: RequestRun, pool_name: str) -> None:
+        """Reserve the output that an earlier target may have generated and that was lost.
+
+        The next target generates it again, and both count.
+        """
+        pool = run.configuration.pools.get(pool_name)
+        if run.reservation is None or pool is None:
+            return
+        tokens = run.unreceived_output(pool)
+        if tokens:
+            run.repeat_reservations.append(self._cover(run, tokens))
 
     def _cover(self, run: RequestRun, tokens: int) -> Cover:
         reservation = self.grant_manager.cover(run.workspace.name, tokens)
@@ -241,7 +252,7 @@
             if failed.was_sent or not run.is_trial:
                 self._admit(run)
             if failed.refusal.outcome is not Outcome.NOT_RUN:
-                run.reserve_repeated_output(run.configuration.pools[pool])
+                self._reserve_repeated_output(run, pool)
         except Refusal as refusal:
             raise self._final_refusal(run, refusal) from refusal
 
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -1,7 +1,5 @@
 """The state of one request in the pipeline."""
 
-from collections.abc import Callable
-
 from whinrack.budgets import Cover
 from whinrack.clock import steady
 from whinrack.dispatch._configuration import Configuration
@@ -19,9 +17,6 @@
 
 __all__ = ["RequestRun"]
 
-# Events beyond the declared output for which tokens are reserved at once.
-_EXCESS_EVENTS = 8
-
 
 class RequestRun:
     """State of one request: its route, its attempts so far and its token reservation.
@@ -35,10 +30,6 @@
     repeat_reservations : list of Cover
         Tokens reserved for output that targets of earlier attempts may have generated and that was
         not received; further attempts generate it again.
-    excess_reservations : list of Cover
-        Tokens reserved for output beyond the declared maximum.
-    reserve : callable or None
-        Reserves tokens of the workspace's budget or raises `Refusal`; None if it has no limit.
     attempts : int
         Number of targets that the request was sent to.
     tried_targets : set of str
@@ -83,8 +74,6 @@
         )
         self.reservation: Cover | None = None
         self.repeat_reservations: list[Cover] = []
-        self.excess_reservations: list[Cover] = []
-        self.reserve: Callable[[int], Cover] | None = None
         self.billed_tokens = 0
         self.attempts = 0
         self.tried_targets: set[str] = set()
@@ -172,37 +161,9 @@
         """All tokens reserved for the request."""
         return sum(cover.tokens for cover in self._covers())
 
-    def reserve_repeated_output(self, pool: PoolRecord) -> None:
-        """Reserve the output that an earlier target may have generated and that was lost.
-
-        The next target generates it again, and both count.
-
-        Raises
-        ------
-        Refusal
-            If the budget does not cover it.
-        """
-        if self.reserve is None:
-            return
-        lost = self._output_bound() - self._received_output(pool)
-        if lost > 0:
-            self.repeat_reservations.append(self.reserve(lost))
-
-    def reserve_excess_output(self, pool: PoolRecord) -> None:
-        """Reserve more tokens if a target generates more output than the request declares.
-
-        Raises
-        ------
-        Refusal
-            If the budget does not cover it.
-        """
-        if self.reserve is None:
-            return
-        excess = self._received_output(pool) - self._output_bound()
-        # The last event of a complete answer may hold fewer tokens than the others.
-        if excess >= _event_tokens(pool):
-            tokens = excess + _EXCESS_EVENTS * _event_tokens(pool)
-            self.excess_reservations.append(self.reserve(tokens))
+    def unreceived_output(self, pool: PoolRecord) -> int:
+        """Return the declared output tokens that have not been received."""
+        return max(0, self.request.declared_tokens.output - self._received_output(pool))
 
     def settle_not_run(self) -> None:
         """Release the whole reservation: no target ran the request."""
@@ -232,20 +193,16 @@
         self._settle(0, unproven=self.reserved_tokens)
         return True
 
-    def _output_bound(self) -> int:
-        """Return the output tokens that are reserved for one complete run."""
-        excess = sum(cover.tokens for cover in self.excess_reservations)
-        return self.request.declared_tokens.output + excess
-
     def _received_output(self, pool: PoolRecord) -> int:
         return self.events * _event_tokens(pool)
 
     def _bill(self, output_tokens: int) -> None:
         if self.reservation is None:
             return
+        declared = self.request.declared_tokens
         repeated = sum(cover.tokens for cover in self.repeat_reservations)
-        output_tokens = min(self._output_bound(), output_tokens)
-        self.billed_tokens = self.request.declared_tokens.prompt + output_tokens + repeated
+        output_tokens = min(declared.output, output_tokens)
+        self.billed_tokens = declared.prompt + output_tokens + repeated
         self._settle(self.billed_tokens)
 
     def _settle(self, billed: int, unproven: int = 0) -> None:
@@ -257,9 +214,7 @@
             billed, unproven = billed - part, unproven - unproven_part
 
     def _covers(self) -> list[Cover]:
-        if self.reservation is None:
-            return []
-        return [self.reservation, *self.repeat_reservations, *self.excess_reservations]
+        return [] if self.reservation is None else [self.reservation, *self.repeat_reservations]
 
 
 def _event_tokens(pool: PoolRecord) -> int:
