Quarantine: a trial that was claimed without the store is written once the store is back

Found by reading: such a trial was known to the instances only and not counted after a restart of all. The wait for a decision uses the sleep of the green threads by name and not by what time.sleep was when the module was imported. Checks: whinrack/quarantine, test_suspects.py, test_repeated_crashes.py pass.

--- a/whinrack/edge/_suspects.py
+++ b/whinrack/edge/_suspects.py
@@ -71,7 +71,7 @@
         self.metrics = metrics
         self.is_following_store = is_following_store
         self.case_store = CaseStore(store, wall_clock)
-        self.quarantine = Quarantine(self.case_store, self, wall_clock)
+        self.quarantine = Quarantine(self.case_store, self, wall_clock, sleep=eventlet.sleep)
         self._sent_at: dict[HostPort, float] = {}
         self._has_unsaved = False
         self._changed = Signal()
--- a/whinrack/quarantine/_undecided.py
+++ b/whinrack/quarantine/_undecided.py
@@ -146,10 +146,13 @@
         It then takes a majority, so that no two parts of the fleet run the same trial.
         """
         is_claimed = self._claim_in_store(case, rivals)
-        if is_claimed is None:
+        is_stored = is_claimed is not None
+        if not is_stored:
             is_claimed = self.quarantine.host.is_hearing_majority()
         if is_claimed:
             self.quarantine.record_trial(case)
+        if is_claimed and not is_stored:
+            self.quarantine.host.schedule_save()
         log_event(
             Event.QUARANTINE_TRIAL,
             fingerprint=case.fingerprint,
