--- a/whinrack/dispatch/_stated_limits.py
+++ b/whinrack/dispatch/_stated_limits.py
@@ -134,7 +134,7 @@
 
     Attributes
     ----------
-    callback : list of callable
+    on_change : list of callable
         Called with each `LimitChange`.
     """
 
--- a/whinrack/edge/tests/test_kind_follower.py
+++ b/whinrack/edge/tests/test_kind_follower.py
@@ -183,7 +183,7 @@
 
 
 class StalePeer(MemoryStore):
-    """A peer without changes whose data was confirmed some seconds ago."""
+    """A peer without changes that has not reached the store for some seconds."""
 
     def __init__(self, age):
         super().__init__()
@@ -264,17 +264,6 @@
     assert store.call_count - before - 20 <= 9
 
 
-class LaggingPeer(MemoryStore):
-    """A peer without changes that has not reached the store for some seconds."""
-
-    def __init__(self, age):
-        super().__init__()
-        self.age = age
-
-    def watch(self, kinds, since, wait):
-        return Success(WatchBatch(since, age=self.age))
-
-
 class SwitchingSelector(UpstreamSelector):
     """Selects the store until a peer is set, and again after `prefer_store`."""
 
@@ -308,12 +297,12 @@
 def test_the_store_is_preferred_when_a_peers_data_is_older_than_the_last_store_answer():
     """Otherwise an instance that restarted while all others were cut off from the store followed
     them and used an old configuration for 5 s although it could reach the store."""
-    assert selector_after_watching(LaggingPeer(2.9)).is_store_preferred
+    assert selector_after_watching(StalePeer(2.9)).is_store_preferred
 
 
 def test_a_peer_whose_age_is_explained_by_held_watches_is_kept():
-    assert not selector_after_watching(LaggingPeer(2.2)).is_store_preferred
+    assert not selector_after_watching(StalePeer(2.2)).is_store_preferred
 
 
 def test_a_stale_peer_is_kept_while_the_store_is_unavailable():
-    assert not selector_after_watching(LaggingPeer(2.9), is_available=False).is_store_preferred
+    assert not selector_after_watching(StalePeer(2.9), is_available=False).is_store_preferred
--- a/whinrack/edge/tests/test_membership.py
+++ b/whinrack/edge/tests/test_membership.py
@@ -116,11 +116,6 @@
     return Heartbeat(**({"state": state, "number": 1} | fields))
 
 
-def halls_told_of(member, message):
-    digests = {view.state.digest: view.state.data_hall for view in member.table.live_peers(0.0)}
-    return {digests[digest] for digest in message.ages}
-
-
 def test_heartbeats_to_other_halls_describe_the_own_hall_only(membership):
     membership.send_heartbeats()
     near = [message for message, address in membership.link.sent if len(message.ages) == 30]
--- a/whinrack/edge/tests/test_upstream_selection.py
+++ b/whinrack/edge/tests/test_upstream_selection.py
@@ -53,12 +53,6 @@
     )
 
 
-def lose_store(peers):
-    for number, item in enumerate(peers.states):
-        fields = {name: getattr(item, name) for name in item.__struct_fields__}
-        peers.states[number] = PeerState(**(fields | {"store_answers": False}))
-
-
 def test_other_instances_follow_a_relay(peers):
     assert make_selector(peers).select().name in ("a:1", "b:1")
 
--- a/whinrack/quarantine/tests/test_quarantine.py
+++ b/whinrack/quarantine/tests/test_quarantine.py
@@ -4,38 +4,22 @@
 
 from standins.memory_store import MemoryStore
 from whinrack.exceptions import RequestQuarantined
-from whinrack.quarantine import CaseStore, Quarantine, QuarantineHost, RequestSignature, TargetEnd
+from whinrack.quarantine import CaseStore, Quarantine, RequestSignature, TargetEnd
+from whinrack.quarantine.tests.connected_host import ConnectedHost
 
 DEADLY = RequestSignature("deadly", "w", "r")
 NEIGHBOUR = RequestSignature("neighbour", "v", "r")
 POPULAR = RequestSignature("popular", "v", "r")
 
 
-class Instance(QuarantineHost):
-    """Instance whose messages reach the instances in `reachable`."""
+class Instance(ConnectedHost):
+    """Instance with a clock that the fleet sets."""
 
     def __init__(self, name, store, clock):
-        self.name = name
-        self.reachable = []
-        self.store_answers = True
+        super().__init__(name)
         self.case_store = CaseStore(store, lambda: clock[0])
         self.quarantine = Quarantine(self.case_store, self, lambda: clock[0], lambda: clock[0])
 
-    def send_to_owners(self, case):
-        self.send_to_all([case])
-
-    def send_to_all(self, cases):
-        for peer in self.reachable:
-            missing = peer.quarantine.merge_cases(cases, self.name)
-            if missing:
-                self.quarantine.merge_cases(missing, peer.name)
-
-    def is_store_reachable(self):
-        return self.store_answers
-
-    def schedule_save(self):
-        self.case_store.write(self.quarantine.table.suspect_cases())
-
     def compare(self, peer):
         """Exchange cases as heartbeats with different checksums do."""
         if self.quarantine.table.checksum() != peer.quarantine.table.checksum():
--- a/whinrack/quarantine/tests/test_undecided.py
+++ b/whinrack/quarantine/tests/test_undecided.py
@@ -7,13 +7,8 @@
 
 from standins.memory_store import MemoryStore
 from whinrack.exceptions import RequestQuarantined
-from whinrack.quarantine import (
-    CaseStore,
-    Quarantine,
-    QuarantineHost,
-    RequestSignature,
-    TargetEnd,
-)
+from whinrack.quarantine import CaseStore, Quarantine, RequestSignature, TargetEnd
+from whinrack.quarantine.tests.connected_host import ConnectedHost
 
 CAUSE = RequestSignature("cause", "w", "r")
 NEIGHBOUR = RequestSignature("neighbour", "v", "r")
@@ -21,16 +16,13 @@
 PATIENCE_SECONDS = 4.0
 
 
-class Instance(QuarantineHost):
-    """Instance whose messages reach the peers in `reachable` at once."""
+class Instance(ConnectedHost):
+    """Instance with a simulated clock, whose time of day differs from that of the others."""
 
     def __init__(self, fleet, name):
+        super().__init__(name)
         self.fleet = fleet
-        self.name = name
-        self.reachable = []
-        self.store_answers = True
         self.case_store = CaseStore(fleet.store, lambda: fleet.now + self.wall_offset)
-        # The times of day of two instances differ.
         self.wall_offset = 3.0 * int(name)
         self.quarantine = Quarantine(
             self.case_store,
@@ -40,24 +32,9 @@
             fleet.sleep,
         )
 
-    def send_to_owners(self, case):
-        self.send_to_all([case])
-
-    def send_to_all(self, cases):
-        for peer in self.reachable:
-            missing = peer.quarantine.merge_cases(cases, self.name)
-            if missing:
-                self.quarantine.merge_cases(missing, peer.name)
-
-    def is_store_reachable(self):
-        return self.store_answers
-
     def is_hearing_majority(self):
         return 2 * (1 + len(self.reachable)) > len(self.fleet.instances)
 
-    def schedule_save(self):
-        self.case_store.write(self.quarantine.table.suspect_cases())
-
     def end(self, target, *requests):
         self.quarantine.record_target_end(TargetEnd(target), list(requests))
 
