--- a/whinrack/quarantine/tests/test_quarantine.py
+++ b/whinrack/quarantine/tests/test_quarantine.py
@@ -10,15 +10,28 @@
 DEADLY = RequestSignature("deadly", "w", "r")
 NEIGHBOUR = RequestSignature("neighbour", "v", "r")
 POPULAR = RequestSignature("popular", "v", "r")
+# Time for which requests of the dispatcher wait for a decision at most, seconds.
+PATIENCE_SECONDS = 4.0
 
 
 class Instance(ConnectedHost):
     """Instance with a clock that the fleet sets."""
 
-    def __init__(self, name, store, clock):
+    def __init__(self, name, store, clock, patience):
         super().__init__(name)
+        self.clock = clock
+        self.patience = patience
         self.case_store = CaseStore(store, lambda: clock[0])
-        self.quarantine = Quarantine(self.case_store, self, lambda: clock[0], lambda: clock[0])
+        self.quarantine = Quarantine(
+            self.case_store, self, lambda: clock[0], lambda: clock[0], self._sleep
+        )
+
+    def _sleep(self, seconds):
+        self.clock[0] += seconds
+
+    def admit(self, request):
+        deadline = None if self.patience is None else self.clock[0] + self.patience
+        return self.quarantine.admit(request, deadline)
 
     def compare(self, peer):
         """Exchange cases as heartbeats with different checksums do."""
@@ -28,20 +41,23 @@
 
     def admits(self, request):
         try:
-            self.quarantine.admit(request)
+            self.admit(request)
         except RequestQuarantined:
             return False
         return True
 
 
 class Fleet:
-    def __init__(self, count=4):
+    def __init__(self, count=4, patience=None):
+        self.patience = patience
         self.store = MemoryStore()
         self.clock = [1_000_000.0]
         self.start(count)
 
     def start(self, count):
-        self.all = [Instance(f"m{number}", self.store, self.clock) for number in range(count)]
+        self.all = [
+            Instance(f"m{number}", self.store, self.clock, self.patience) for number in range(count)
+        ]
         self.connect(self.all)
 
     def connect(self, *groups):
@@ -56,8 +72,13 @@
         return [instance.admits(request) for instance in self.all]
 
 
+@pytest.fixture(params=[None, PATIENCE_SECONDS], ids=["at once", "patient"])
+def fleet(request):
+    return Fleet(patience=request.param)
+
+
 @pytest.fixture
-def fleet():
+def impatient_fleet():
     return Fleet()
 
 
@@ -79,7 +100,7 @@
     for target in "abc":
         fleet.end(0, target, DEADLY)
     with pytest.raises(RequestQuarantined) as refused:
-        fleet.all[1].quarantine.admit(DEADLY)
+        fleet.all[1].admit(DEADLY)
     assert 30.0 <= refused.value.retry_after <= 32.0
 
 
@@ -99,7 +120,9 @@
     assert fleet.admits() == [False] * 4
 
 
-def test_neighbour_is_admitted_once_the_culprit_is_known(fleet):
+def test_neighbour_is_admitted_once_the_culprit_is_known(impatient_fleet):
+    """Without a deadline; test_undecided.py has what a request that may wait gets meanwhile."""
+    fleet = impatient_fleet
     for target in "abc":
         fleet.end(0, target, DEADLY, NEIGHBOUR)
     assert fleet.admits(NEIGHBOUR) == [False] * 4
