--- a/whinrack/edge/_kind_follower.py
+++ b/whinrack/edge/_kind_follower.py
@@ -187,13 +187,11 @@
             False if the call failed.
         """
         upstream = self.upstreams.select()
+        started = steady()
         outcome = self._fetch(upstream, self._watch_duration(upstream))
         if upstream.address is None:
             if _is_lost_reply(outcome):
-                # Possibly only the connection is broken, and a second call opens a new one.
-                # Without the retry, one silent connection at each relay left 87 instances without
-                # updates for 10 s.
-                outcome = self._fetch(upstream, PROBE_SECONDS)
+                outcome = self._repeat_lost_call(upstream, outcome.failure(), steady() - started)
             self.availability.report(isinstance(outcome, Success))
             if isinstance(outcome, Success):
                 self._store_answered_at = steady()
@@ -204,6 +202,30 @@
         self._record_upstream(upstream)
         return True
 
+    def _repeat_lost_call(self, upstream: Upstream, lost: ReplyLost, seconds: float) -> Result:
+        """Call the store again after a lost reply.
+
+        Possibly only the connection is broken, and a second call opens a new one. Without it, one
+        silent connection at each relay left 87 instances without updates for 10 s.
+
+        Parameters
+        ----------
+        seconds : float
+            Duration of the call whose reply was lost.
+        """
+        started = steady()
+        outcome = self._fetch(upstream, PROBE_SECONDS)
+        if self.availability.is_available:
+            log_event(
+                Event.STORE_REPLY_LOST,
+                kind=self.kind,
+                why=str(lost),
+                seconds=f"{seconds:.3f}",
+                repeated="answered" if isinstance(outcome, Success) else str(outcome.failure()),
+                repeated_seconds=f"{steady() - started:.3f}",
+            )
+        return outcome
+
     def _fetch(self, upstream: Upstream, watch_seconds: float) -> Result:
         """Request a list if none is known, else watch for some seconds."""
         if self.revision is None:
--- a/whinrack/edge/tests/test_kind_follower.py
+++ b/whinrack/edge/tests/test_kind_follower.py
@@ -1,14 +1,17 @@
 """Following of the store and waiting for it during an outage."""
 
 import eventlet
+import pytest
 from returns.result import Failure, Success
 
 from standins.memory_store import MemoryStore
 from whinrack.clock import steady
+from whinrack.edge import _kind_follower
 from whinrack.edge._kind_follower import KindFollower, Upstream, UpstreamSelector
 from whinrack.edge._relay import WatchCache
 from whinrack.edge._store_availability import StoreAvailability
 from whinrack.exceptions import PlatformUnavailable
+from whinrack.observability import Event
 from whinrack.store import StoredObject, WatchBatch, lost_reply_failure
 
 
@@ -154,6 +157,27 @@
     assert (store.watches, reported) == (2, [False])
 
 
+@pytest.mark.parametrize(
+    ("failures", "repeated"), [([lost_answer()], "answered"), ([lost_answer()] * 2, "no answer")]
+)
+def test_a_lost_reply_is_logged_with_the_result_of_the_repeated_call(
+    monkeypatch, failures, repeated
+):
+    """Otherwise a late change after a lost reply doesn't show which of both calls took long."""
+    lines = []
+    monkeypatch.setattr(
+        _kind_follower, "log_event", lambda event, **fields: lines.append((event, fields))
+    )
+    follower = make_follower(FailingStore(*failures), [])
+    follower.poll()
+    follower.poll()
+    ((event, fields),) = [line for line in lines if line[0] is not Event.FEED_CHANGED]
+    assert event is Event.STORE_REPLY_LOST
+    assert (fields["kind"], fields["why"], fields["repeated"]) == ("k", "no answer", repeated)
+    assert 0.0 <= float(fields["seconds"]) < 1.0
+    assert 0.0 <= float(fields["repeated_seconds"]) < 1.0
+
+
 def test_a_refused_call_is_not_retried_at_once():
     store, reported = FailingStore(PlatformUnavailable("busy")), []
     follower = make_follower(store, [], availability=StoreAvailability(reported.append))
