An era that an answer of the store names twice is read

What callers saw: behind a proxy that adds Store-Era once more, each answer reads \"1, 1\". That was taken for an answer without an era and left no line, so a return of the store from a copy went unnoticed: a configuration in force seconds late or never, requests to leaving targets, refusals with plenty left (docs/incidents/store-restored-from-copy.md).

Cause: StoreEra._parse accepted a bare number only, and counted all else in a number that nobody read. Now equal values of a repeated field count as one (RFC 9110, 5.3); different or unreadable ones count as of the era known before, as they did, and the first one is logged (2007).

--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -97,6 +97,7 @@
         self.store = MeteredStore(store, self._count_call)
         self.output = BoundedLogWriter(_STDOUT, options.log_lines_per_second)
         self.store.era.listeners.append(self._on_era_changed)
+        self.store.era.unreadable_listeners.append(self._on_unreadable_era)
         self.store.unknown_fields.listeners.append(self._on_unknown_field)
         self.availability = StoreAvailability(self._on_availability_changed)
         self.registry = TargetRegistry(
@@ -300,6 +301,9 @@
             targets=self.knowledge.targets_view(),
         )
 
+    def _on_unreadable_era(self, text: str) -> None:
+        log_event(Event.STORE_ERA_INVALID, named=text, era=self.store.era.current)
+
     def _on_store_restored(self, era: int) -> None:
         """Write again what a store that was restored from a copy may have lost."""
         # An instance that follows a peer rarely calls the store and may not have seen the era yet.
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -50,6 +50,7 @@
         "ignored a list that is older than the revision already followed",
     )
     STORE_REPLY_LOST = (2006, "INFO", "no reply from the store; result of the repeated call")
+    STORE_ERA_INVALID = (2007, "WARNING", "era in an answer of the store cannot be parsed")
 
     CONFIG_TAKEN = (3001, "INFO", "configuration changed")
     CONFIG_INVALID = (3002, "ERROR", "invalid object; its last valid version stays in effect")
--- a/whinrack/store/_era.py
+++ b/whinrack/store/_era.py
@@ -8,6 +8,9 @@
 
 # Far more restores than a store ever has; a number from here on is not an era.
 _ERA_LIMIT = 2**20
+# Most occurrences of the field in one answer.
+_MAX_REPETITIONS = 8
+_MAX_SHOWN_CHARACTERS = 64
 
 
 class EraChange(msgspec.Struct, frozen=True):
@@ -41,6 +44,8 @@
         Number of answers whose era could not be parsed.
     listeners : list of callable
         Called with each `EraChange`.
+    unreadable_listeners : list of callable
+        Called with the text of the first era that could not be parsed, cut to 64 characters.
     """
 
     def __init__(self):
@@ -49,6 +54,7 @@
         self.late_answers = 0
         self.unreadable_answers = 0
         self.listeners: list[Callable[[EraChange], None]] = []
+        self.unreadable_listeners: list[Callable[[str], None]] = []
 
     def observe(self, text: str | None) -> int:
         """Process the era that an answer names.
@@ -67,13 +73,20 @@
             return self.current
         era = _parse(text)
         if era is None:
-            self.unreadable_answers += 1
+            self._record_unreadable(text)
             return self.current
         if era < self.current:
             self.late_answers += 1
         self.advance_to(era)
         return era
 
+    def _record_unreadable(self, text: str) -> None:
+        self.unreadable_answers += 1
+        if self.unreadable_answers > 1:
+            return
+        for listener in self.unreadable_listeners:
+            listener(text[:_MAX_SHOWN_CHARACTERS])
+
     def advance_to(self, era: int) -> None:
         """Advance to an era that an answer here or at a peer named; an earlier one is ignored."""
         if era > self.current or not self._is_named:
@@ -84,8 +97,16 @@
 
 
 def _parse(text: str) -> int | None:
-    """Return the era as a number, or None if the text is not a valid era."""
-    text = text.strip()
+    """Return the era as a number, or None if the text is not a valid era.
+
+    A field that occurs several times in an answer arrives as one list; equal eras are valid.
+    """
+    names = text.split(",", _MAX_REPETITIONS)
+    eras = {_parse_one(name.strip()) for name in names}
+    return eras.pop() if len(eras) == 1 else None
+
+
+def _parse_one(text: str) -> int | None:
     if not (text.isascii() and text.isdigit()) or len(text) > len(str(_ERA_LIMIT)):
         return None
     era = int(text)
