--- a/whinrack/budgets/tests/test_loss_of_power.py
+++ b/whinrack/budgets/tests/test_loss_of_power.py
@@ -10,7 +10,7 @@
 import pytest
 from returns.result import Success
 
-from whinrack.budgets.tests.test_grants import Fleet
+from whinrack.budgets.tests.simulated_fleet import Fleet
 
 _DEMAND = 60_000
 _LIMIT = 65 * _DEMAND
--- a/whinrack/budgets/tests/test_store_restore.py
+++ b/whinrack/budgets/tests/test_store_restore.py
@@ -4,12 +4,18 @@
 import msgspec
 import pytest
 from hypothesis import settings
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import rule
 from returns.result import Success
 
 from whinrack.budgets import ACCOUNT_KIND, AccountRow, BudgetAccount, BudgetEntry
 from whinrack.budgets._store_restore import end_hold, restore_account
-from whinrack.budgets.tests.test_grants import BUDGET, busy_fleet, run_second, use_all_tokens
+from whinrack.budgets.tests.fault_rules import FaultRules
+from whinrack.budgets.tests.simulated_fleet import (
+    BUDGET,
+    busy_fleet,
+    run_second,
+    use_all_tokens,
+)
 
 _BOUND_SECONDS = 8
 
@@ -120,12 +126,11 @@
     assert restore_account(None, None, 2).edition == 0
 
 
-class NeverBeyondTheLimitAcrossReturns(RuleBasedStateMachine):
+class NeverBeyondTheLimitAcrossReturns(FaultRules):
     """Restores the store at any moment, with machines that are cut off and healed."""
 
     def __init__(self):
         super().__init__()
-        self.fleet = busy_fleet(limit=40_000, seconds=6)
         self.copies = [self.fleet.store.take_snapshot()]
 
     @rule()
@@ -151,42 +156,6 @@
     def clear_known_accounts(self):
         clear_known_accounts(self.fleet)
 
-    @rule(index=st.integers(0, 2))
-    def cut(self, index):
-        self.fleet.machines[index].cut_off = True
-
-    @rule(index=st.integers(0, 2))
-    def heal(self, index):
-        self.fleet.machines[index].cut_off = False
-
-    @rule(replies=st.integers(1, 3))
-    def lose_store_replies(self, replies):
-        self.fleet.store.replies_to_drop = replies
-
-    @rule(writes=st.integers(1, 3))
-    def hold_writes(self, writes):
-        self.fleet.store.writes_to_delay = writes
-
-    @rule()
-    def apply_held_writes(self):
-        self.fleet.store.apply_delayed_writes()
-
-    @rule(replies=st.integers(1, 3))
-    def lose_peer_replies(self, replies):
-        self.fleet.lose_peer_replies = replies
-
-    @invariant()
-    def never_beyond_the_limit(self):
-        assert self.fleet.max_spent() <= self.fleet.limit
-
-    def teardown(self):
-        """Heal everything and use what is left: tokens used before must not be granted again."""
-        self.fleet.store.apply_delayed_writes()
-        for machine in self.fleet.machines:
-            machine.cut_off = False
-        use_all_tokens(self.fleet)
-        self.never_beyond_the_limit()
-
 
 NeverBeyondTheLimitAcrossReturns.TestCase.settings = settings(
     max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
--- a/whinrack/budgets/tests/test_young_demand.py
+++ b/whinrack/budgets/tests/test_young_demand.py
@@ -10,7 +10,7 @@
 import pytest
 from returns.result import Success
 
-from whinrack.budgets.tests.test_grants import BUDGET, Fleet
+from whinrack.budgets.tests.simulated_fleet import BUDGET, Fleet
 
 _LIMIT = 4_400_000
 # Peak demand in tokens per second, before and after the increase.
