Events 5011 and 5012: pools that were lost and reached again; why a connection failed

An instance now tracks the failed contacts of each pool since its last answer (not reached, silent, cut) and logs when several targets have failed without an answer in between, and the end of that. attempt_failed names the reason of a failed connection. Nothing is decided by it yet.

--- a/whinrack/dispatch/__init__.py
+++ b/whinrack/dispatch/__init__.py
@@ -5,6 +5,7 @@
 from whinrack.dispatch._dispatcher import Dispatcher, DispatchOptions
 from whinrack.dispatch._emptied_halls import EmptiedHalls, HallStatus
 from whinrack.dispatch._rate_bounds import RateBound, WarmUpLimits
+from whinrack.dispatch._reachability import ContactChange, ContactFailure, Reachability
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._retries import RetryBudget
 from whinrack.dispatch._shared_rates import SharedRatePermits
@@ -33,6 +34,8 @@
     "Attempt",
     "ColdStart",
     "Configuration",
+    "ContactChange",
+    "ContactFailure",
     "DeclaredTokens",
     "Dialect",
     "CurrentConfiguration",
@@ -49,6 +52,7 @@
     "PromptPart",
     "RetryBudget",
     "RateBound",
+    "Reachability",
     "Route",
     "RouteKind",
     "SharedRatePermits",
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -9,6 +9,7 @@
 from whinrack.dispatch._answers import AnswerRelay
 from whinrack.dispatch._crash_detector import CrashDetector
 from whinrack.dispatch._open_connections import OpenConnections
+from whinrack.dispatch._reachability import ContactFailure
 from whinrack.dispatch._refusals import no_target_refusal, pool_refusal, target_full_refusal
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._request_run import RequestRun
@@ -56,10 +57,13 @@
         The refusal returned to the caller if no further attempt is made.
     was_sent : bool
         Whether the request was sent to the target.
+    reason : str
+        What happened, for the log.
     """
 
-    def __init__(self, refusal: Refusal, was_sent: bool):
-        super().__init__(refusal.message)
+    def __init__(self, refusal: Refusal, was_sent: bool, reason: str = ""):
+        self.reason = reason or refusal.message
+        super().__init__(self.reason)
         self.refusal = refusal
         self.was_sent = was_sent
 
@@ -183,11 +187,21 @@
         return max(_MIN_IN_FLIGHT, int(share))
 
     def _connect(self, run: RequestRun, state: TargetState) -> TargetConnection:
+        began_at = steady()
         try:
             return self.connections.acquire(state.address, run.deadline)
         except TargetUnavailable as failure:
             state.record_unreachable(steady())
-            raise AttemptFailed(no_target_refusal(), was_sent=False) from failure
+            self._record_contact_failure(state, ContactFailure.UNREACHABLE, began_at)
+            raise AttemptFailed(
+                no_target_refusal(), was_sent=False, reason=failure.message
+            ) from failure
+
+    def _record_contact_failure(
+        self, state: TargetState, kind: ContactFailure, began_at: float
+    ) -> None:
+        record = state.record
+        self.registry.reachability.record_failure(record.pool, record.identity, kind, began_at)
 
     def _exchange(
         self, run: RequestRun, pool: PoolRecord, state: TargetState, connection: TargetConnection
@@ -207,7 +221,10 @@
             self.statements.handle(state, statement, sent_at, run.request_id)
 
         try:
-            head = self._send_and_read_head(run, state, connection, head_deadline)
+            head = self._send_and_read_head(
+                run, state, connection, head_deadline, sent_at + silence_timeout
+            )
+            self.registry.reachability.record_answer(pool.name, state.record.identity)
             self.answer_times.observe(pool.name, steady() - sent_at)
             statement = self.dialect.parse_statement(head)
             on_statement(statement)
@@ -221,6 +238,8 @@
                 self.guard.record_success(run.request_name)
         except AnswerCut as failure:
             state.ejection.record_failure(steady())
+            if not has_head:
+                self._record_contact_failure(state, ContactFailure.CUT, sent_at)
             self.crash_detector.record_cut(state, run.request_name)
             raise AttemptFailed(failure, was_sent=True) from failure
         except AttemptTimeout as failure:
@@ -237,15 +256,37 @@
             self.record_traffic(_ANSWERS, state.record.data_hall, connection.received_bytes)
 
     def _send_and_read_head(
-        self, run: RequestRun, state: TargetState, connection: TargetConnection, deadline: float
+        self,
+        run: RequestRun,
+        state: TargetState,
+        connection: TargetConnection,
+        deadline: float,
+        silent_at: float,
     ) -> ResponseHead:
-        """Send the request and read the head of its answer."""
+        """Send the request and read the head of its answer.
+
+        Parameters
+        ----------
+        deadline, silent_at : float
+            Steady clock times at which to give up, and at which the target counts as silent.
+        """
         state.unanswered_requests += 1
-        try:
-            self._send(run, state, connection)
+
+        def read_head(until: float) -> ResponseHead:
             return connection.read_head(
-                deadline, lambda headers: self.dialect.is_response_to(run.request, headers)
+                until, lambda headers: self.dialect.is_response_to(run.request, headers)
             )
+
+        try:
+            self._send(run, state, connection)
+            try:
+                return read_head(min(deadline, silent_at))
+            except AttemptTimeout:
+                if steady() >= silent_at:
+                    self._record_contact_failure(state, ContactFailure.SILENT, run.sent_at)
+                if steady() >= deadline:
+                    raise
+            return read_head(deadline)
         finally:
             state.unanswered_requests -= 1
 
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -233,7 +233,7 @@
                 return
             except AttemptFailed as failed:
                 unsent_attempts += not failed.was_sent
-                log_attempt(run, failed.refusal)
+                log_attempt(run, failed.refusal, failed.reason)
                 if not self._can_retry(run, failed, unsent_attempts, retry_budget):
                     raise self._final_refusal(run, failed.refusal) from failed
                 self._prepare_retry(run, pool, failed)
--- /dev/null
+++ b/whinrack/dispatch/_reachability.py
@@ -0,0 +1,161 @@
+"""Detection of pools whose targets this instance has lost contact with; pure logic without I/O.
+
+A single target that fails is ejected. If several targets of a pool fail one after another and none
+answers in between, the failure may lie between this instance and all of them, and other instances
+may still reach them.
+"""
+
+from collections.abc import Callable, Collection
+from enum import StrEnum
+
+import msgspec
+
+__all__ = ["ContactChange", "ContactFailure", "Reachability"]
+
+# Number of targets that must fail without an answer in between. Smaller pools are lost when all
+# their targets have failed.
+_MIN_FAILED_TARGETS = 2
+# Failures that are remembered per pool, the latest ones.
+_MAX_FAILURES = 50
+
+
+class ContactFailure(StrEnum):
+    """How contact with a target failed."""
+
+    UNREACHABLE = "unreachable"
+    SILENT = "silent"
+    CUT = "cut"
+
+
+class ContactChange(msgspec.Struct, frozen=True):
+    """A pool that was lost, or reached again.
+
+    Attributes
+    ----------
+    pool : str
+    is_lost : bool
+    evidence : str
+        Failed targets with how and how many seconds ago they failed, or the target that answered.
+    targets : int
+        Targets of the pool that are in service.
+    silent_seconds : float
+        Seconds since the last answer of the pool, infinite if there was none.
+    """
+
+    pool: str
+    is_lost: bool
+    evidence: str
+    targets: int
+    silent_seconds: float
+
+
+class _Failure(msgspec.Struct, frozen=True):
+    """The latest failed contact with a target; `began_at` is when the attempt began."""
+
+    kind: ContactFailure
+    began_at: float
+
+
+class _PoolContact:
+    """Contact with the targets of one pool."""
+
+    def __init__(self):
+        self.answered_at = float("-inf")
+        self.failures: dict[str, _Failure] = {}
+        self.is_lost = False
+
+
+class Reachability:
+    """Tracks with which pools this instance has lost contact.
+
+    Parameters
+    ----------
+    targets_in_service : callable
+        Returns the identities of the targets of a pool that are in service.
+    clock : callable
+        Monotonic clock in seconds.
+
+    Attributes
+    ----------
+    on_change : list of callable
+        Called with each `ContactChange`.
+    """
+
+    def __init__(
+        self, targets_in_service: Callable[[str], Collection[str]], clock: Callable[[], float]
+    ):
+        self.targets_in_service = targets_in_service
+        self.clock = clock
+        self.on_change: list[Callable[[ContactChange], None]] = []
+        self._pools: dict[str, _PoolContact] = {}
+
+    def is_lost(self, pool: str) -> bool:
+        """Return whether contact with all targets of a pool is believed to be lost."""
+        contact = self._pools.get(pool)
+        if contact is None or not contact.is_lost:
+            return False
+        if not self._has_evidence(pool, contact):
+            # The failed targets are gone, and nothing speaks against the remaining ones.
+            self._set_reached(pool, contact, "failed targets are gone")
+        return contact.is_lost
+
+    def lost_pools(self) -> list[str]:
+        """Return the names of the lost pools in alphabetical order."""
+        return sorted(pool for pool in list(self._pools) if self.is_lost(pool))
+
+    def record_answer(self, pool: str, target: str) -> None:
+        """Record that a target has answered."""
+        contact = self._pools.get(pool)
+        if contact is None:
+            contact = self._pools[pool] = _PoolContact()
+        contact.failures.clear()
+        if contact.is_lost:
+            self._set_reached(pool, contact, target)
+        contact.answered_at = self.clock()
+
+    def record_failure(self, pool: str, target: str, kind: ContactFailure, began_at: float) -> None:
+        """Record that a target could not be contacted.
+
+        Parameters
+        ----------
+        began_at : float
+            Steady clock time at which the failed attempt began. Failures of attempts that began
+            before the pool's last answer are ignored.
+        """
+        contact = self._pools.setdefault(pool, _PoolContact())
+        if began_at < contact.answered_at:
+            return
+        contact.failures.pop(target, None)
+        contact.failures[target] = _Failure(kind, began_at)
+        while len(contact.failures) > _MAX_FAILURES:
+            del contact.failures[next(iter(contact.failures))]
+        if not contact.is_lost and self._has_evidence(pool, contact):
+            contact.is_lost = True
+            self._notify(pool, contact, self._describe(contact))
+
+    def _has_evidence(self, pool: str, contact: _PoolContact) -> bool:
+        in_service = self.targets_in_service(pool)
+        failed = sum(target in contact.failures for target in in_service)
+        return 0 < min(_MIN_FAILED_TARGETS, len(in_service)) <= failed
+
+    def _set_reached(self, pool: str, contact: _PoolContact, evidence: str) -> None:
+        contact.is_lost = False
+        self._notify(pool, contact, evidence)
+
+    def _describe(self, contact: _PoolContact) -> str:
+        now = self.clock()
+        return " ".join(
+            f"{target}:{failure.kind}@{now - failure.began_at:.2f}"
+            for target, failure in contact.failures.items()
+        )
+
+    def _notify(self, pool: str, contact: _PoolContact, evidence: str) -> None:
+        change = ContactChange(
+            pool=pool,
+            is_lost=contact.is_lost,
+            evidence=evidence,
+            targets=len(self.targets_in_service(pool)),
+            silent_seconds=self.clock() - contact.answered_at,
+        )
+        for callback in self.on_change:
+            callback(change)
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -12,6 +12,7 @@
 from whinrack.dispatch._engine_choice import PromptSize
 from whinrack.dispatch._rate_bounds import WarmUpLimits
 from whinrack.dispatch._rate_limiter import RateLimiter
+from whinrack.dispatch._reachability import Reachability
 from whinrack.dispatch._remote_loads import RemoteLoads
 from whinrack.dispatch._shared_rates import SharedRatePermits
 from whinrack.dispatch._stated_limits import StatedLimits
@@ -73,6 +74,7 @@
         # Called when an answer first announces that its target leaves.
         self.on_target_leaving: list[Callable[[], None]] = []
         self.remote_loads = RemoteLoads()
+        self.reachability = Reachability(self._identities_in_service, clock)
         self._selector = TargetSelector(self.remote_loads, self.rate_limiter, seed)
 
     def requests_by_target(self) -> dict[int, int]:
@@ -203,6 +205,13 @@
         """Return whether a target is neither leaving nor in an emptied data hall."""
         return not state.is_leaving and state.record.data_hall not in self.emptied_halls.names
 
+    def _identities_in_service(self, pool: str) -> list[str]:
+        return [
+            state.record.identity
+            for state in self._pools.get(pool, {}).values()
+            if self.is_in_service(state)
+        ]
+
     def backoff_seconds_left(self, state: TargetState, now: float) -> float:
         """Return the seconds for which this instance must not send to a target."""
         return (
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -30,14 +30,14 @@
     )
 
 
-def log_attempt(run: RequestRun, refusal: Refusal) -> None:
+def log_attempt(run: RequestRun, refusal: Refusal, reason: str) -> None:
     """Log that an attempt failed before the caller received an answer, and why."""
     log_run(
         Event.ATTEMPT_FAILED,
         run,
         code=refusal.code,
         outcome=refusal.outcome,
-        why=refusal.message,
+        why=reason,
         at_target=round(steady() - run.sent_at, 4) if run.sent_at else 0.0,
         beside=run.concurrent_requests,
     )
--- /dev/null
+++ b/whinrack/dispatch/tests/test_reachability.py
@@ -0,0 +1,96 @@
+"""Detection of pools whose targets this instance has lost contact with."""
+
+import pytest
+
+from whinrack.dispatch import ContactFailure, Reachability
+
+
+class Pool:
+    """Pool `p` with a settable list of targets, and the changes that were reported."""
+
+    def __init__(self, *targets):
+        self.now = 100.0
+        self.targets = list(targets)
+        self.reachability = Reachability(lambda pool: self.targets, lambda: self.now)
+        self.changes = []
+        self.reachability.on_change.append(self.changes.append)
+
+    def fail(self, target, kind=ContactFailure.UNREACHABLE, began_at=None):
+        began_at = self.now if began_at is None else began_at
+        self.reachability.record_failure("p", target, kind, began_at)
+
+    def answer(self, target="a"):
+        self.reachability.record_answer("p", target)
+
+    @property
+    def is_lost(self):
+        return self.reachability.is_lost("p")
+
+
+def test_unknown_pool_is_not_lost():
+    assert not Pool("a", "b").is_lost
+
+
+@pytest.mark.parametrize("kind", ContactFailure)
+def test_two_failed_targets_without_an_answer_in_between(kind):
+    pool = Pool("a", "b", "c", "d")
+    pool.fail("a", kind)
+    pool.fail("a", kind)
+    assert not pool.is_lost
+    pool.fail("b", kind)
+    assert pool.is_lost
+    (change,) = pool.changes
+    assert change.is_lost and change.targets == 4
+    assert change.evidence == f"a:{kind}@0.00 b:{kind}@0.00"
+
+
+def test_an_answer_in_between_is_evidence_against_a_loss():
+    pool = Pool("a", "b", "c")
+    pool.fail("a")
+    pool.now += 0.1
+    pool.answer("c")
+    pool.now += 0.1
+    pool.fail("b")
+    assert not pool.is_lost
+
+
+def test_failure_of_an_attempt_that_began_before_the_last_answer():
+    pool = Pool("a", "b", "c")
+    pool.answer("c")
+    pool.fail("a", began_at=pool.now - 1.0)
+    pool.fail("b", began_at=pool.now - 1.0)
+    assert not pool.is_lost
+
+
+def test_single_target_of_a_pool():
+    pool = Pool("a")
+    pool.fail("a")
+    assert pool.is_lost
+
+
+def test_pool_without_targets_in_service_is_not_lost():
+    pool = Pool()
+    pool.fail("a")
+    pool.fail("b")
+    assert not pool.is_lost
+
+
+def test_any_answer_ends_a_loss():
+    pool = Pool("a", "b", "c")
+    pool.fail("a")
+    pool.fail("b")
+    pool.now += 5.0
+    pool.answer("c")
+    assert not pool.is_lost
+    assert [change.is_lost for change in pool.changes] == [True, False]
+    assert pool.changes[1].evidence == "c"
+
+
+def test_replacement_of_the_failed_targets_ends_a_loss():
+    pool = Pool("a", "b")
+    pool.fail("a")
+    pool.fail("b")
+    assert pool.reachability.lost_pools() == ["p"]
+    pool.targets = ["c", "d"]
+    assert pool.reachability.lost_pools() == []
+    assert [change.is_lost for change in pool.changes] == [True, False]
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -33,6 +33,7 @@
 from whinrack.edge._membership import Membership
 from whinrack.edge._operator_endpoints import OperatorEndpoints
 from whinrack.edge._options import EdgeOptions, HostPort
+from whinrack.edge._reachability_log import ReachabilityLog
 from whinrack.edge._readers import ConfigurationReader, HallReader, TargetReader, truncate_for_log
 from whinrack.edge._settings_follower import SettingsFollower
 from whinrack.edge._store_availability import StoreAvailability
@@ -153,6 +154,10 @@
         self.metrics.backed_off_targets.set_function(lambda: self.registry.backoffs.count(steady()))
         self.limit_log = LimitLog(self.registry, self.metrics, self.membership.notify_peers)
         self.registry.stated_limits.on_change.append(self.limit_log.on_limit_changed)
+        self.reachability_log = ReachabilityLog(
+            self.registry.reachability, self.metrics, self.membership.notify_peers
+        )
+        self.registry.reachability.on_change.append(self.reachability_log.on_contact_changed)
         self.warm_up_log = WarmUpLog(self.registry, self.current_configuration, self.metrics)
         self.tokens = TokenExchange(
             options,
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -63,7 +63,8 @@
         try:
             sock = _connect(address, timeout)
         except OSError as error:
-            raise TargetUnavailable("connection to the target failed") from error
+            reason = "timed out" if isinstance(error, TimeoutError) else error.strerror or "failed"
+            raise TargetUnavailable(f"connection to the target: {reason}") from error
         return cls(address, sock)
 
     def send(self, request: RequestHead, body: bytes, deadline: float) -> None:
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -106,6 +106,9 @@
 
     TARGET_CUT = (5006, "INFO", "target cut responses; result of checking whether it still runs")
 
+    POOL_LOST = (5011, "WARNING", "several targets of a pool failed and none answered in between")
+    POOL_REACHED = (5012, "INFO", "a lost pool is reached again")
+
     GRANT_CLOSED = (6001, "ERROR", "an operator released this incarnation's grant")
     BILL_UNCONFIRMED = (6002, "WARNING", "response ended before its bill record was stored")
     POLICY_FAILED = (6003, "WARNING", "routing program failed; the default route decision applies")
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -75,6 +75,9 @@
         self.backed_off_targets = self._gauge(
             "backed_off_targets", "Targets that told this instance to back off, until that is over"
         )
+        self.lost_pools = self._gauge(
+            "lost_pools", "Pools whose targets this instance has lost contact with"
+        )
         self.suspected_requests = self._gauge(
             "suspected_requests", "Requests with which several targets ended, cleared ones included"
         )
