Requests for pools that this instance has lost are forwarded to peers that reach them

What callers saw: at instances that were cut off from all targets nearly every first attempt failed, after up to 2.6 s, though all peers reached the targets.

Cause: no path led from an instance to a target but its own, and the loss was found out anew by each request. Class: a shared resource is believed gone because the own way to it is.

Change: an instance believes a pool lost when several targets failed and none answered in between. While it does, it probes them, says so in its heartbeats, and forwards requests by HTTP to a peer that has not lost the pool. The peer handles them as those of its own callers, so one place reserves, bills and sends. Marks are read on the listener for peers only.

A cut path is no end of a target either: cut answers no longer count as a crash while the pool is lost.

--- a/whinrack/dispatch/__init__.py
+++ b/whinrack/dispatch/__init__.py
@@ -4,6 +4,7 @@
 from whinrack.dispatch._current_configuration import CurrentConfiguration
 from whinrack.dispatch._dispatcher import Dispatcher, DispatchOptions
 from whinrack.dispatch._emptied_halls import EmptiedHalls, HallStatus
+from whinrack.dispatch._forwarding import ForwardingPeer, PeerSelector, RequestForwarder
 from whinrack.dispatch._rate_bounds import RateBound, WarmUpLimits
 from whinrack.dispatch._reachability import ContactChange, ContactFailure, Reachability
 from whinrack.dispatch._registry import TargetRegistry
@@ -43,16 +44,19 @@
     "Dispatcher",
     "EmptiedHalls",
     "EngineCapacity",
+    "ForwardingPeer",
     "HallStatus",
     "IncomingRequest",
     "LimitChange",
     "LimitReport",
+    "PeerSelector",
     "PoolRecord",
     "WeightedPool",
     "PromptPart",
     "RetryBudget",
     "RateBound",
     "Reachability",
+    "RequestForwarder",
     "Route",
     "RouteKind",
     "SharedRatePermits",
--- a/whinrack/dispatch/_answers.py
+++ b/whinrack/dispatch/_answers.py
@@ -4,12 +4,13 @@
 
 from whinrack.clock import steady
 from whinrack.dispatch._events import event_blocks
+from whinrack.dispatch._forwarding_mark import without_marks
 from whinrack.dispatch._pacing import StreamPacing
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._run_log import log_run
 from whinrack.dispatch._values import PoolRecord
 from whinrack.exceptions import AnswerCut
-from whinrack.http1 import Headers, ResponseHead, end_to_end_headers
+from whinrack.http1 import ResponseHead
 from whinrack.observability import Event, Metrics
 
 __all__ = ["AnswerRelay"]
@@ -42,7 +43,7 @@
         if run.exchange.is_started:
             raise AnswerCut(f"target answered with status {head.status} in the middle of a stream")
         run.settle_complete(pool)
-        run.exchange.respond(head.status, _answer_headers(head), body)
+        run.exchange.respond(head.status, without_marks(head.headers), body)
         self._record_answered(run, head)
 
     def relay_stream(
@@ -58,12 +59,12 @@
         exchange = run.exchange
         for block in event_blocks(self.pacing.paced(pieces), run.last_id):
             if not exchange.is_started:
-                exchange.start_response(head.status, _answer_headers(head))
+                exchange.start_response(head.status, without_marks(head.headers))
                 self._record_first_event(run)
             exchange.write(block.data)
             run.record_relayed(block.count, block.last_id)
         if not exchange.is_started:
-            exchange.start_response(head.status, _answer_headers(head))
+            exchange.start_response(head.status, without_marks(head.headers))
         run.settle_complete(pool)
         exchange.finish()
         self._record_answered(run, head)
@@ -75,8 +76,3 @@
     def _record_answered(self, run: RequestRun, head: ResponseHead) -> None:
         log_run(Event.REQUEST_ANSWERED, run, status=head.status, billed=run.billed_tokens)
         self.metrics.requests.labels(str(run.route.kind), str(head.status)).inc()
-
-
-def _answer_headers(head: ResponseHead) -> Headers:
-    """Return an answer's headers without framing headers, since the body is framed anew."""
-    return [field for field in end_to_end_headers(head.headers) if field[0] != b"content-length"]
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -224,7 +224,9 @@
             head = self._send_and_read_head(
                 run, state, connection, head_deadline, sent_at + silence_timeout
             )
-            self.registry.reachability.record_answer(pool.name, state.record.identity)
+            self.registry.reachability.record_answer(
+                pool.name, state.record.identity, connection.opened_at
+            )
             self.answer_times.observe(pool.name, steady() - sent_at)
             statement = self.dialect.parse_statement(head)
             on_statement(statement)
@@ -284,12 +286,20 @@
             except AttemptTimeout:
                 if steady() >= silent_at:
                     self._record_contact_failure(state, ContactFailure.SILENT, run.sent_at)
-                if steady() >= deadline:
+                if steady() >= deadline or self._should_move(run, state.record.pool):
                     raise
             return read_head(deadline)
         finally:
             state.unanswered_requests -= 1
 
+    def _should_move(self, run: RequestRun, pool: str) -> bool:
+        """Return whether a request waits for a target of a lost pool and may be repeated."""
+        return (
+            run.route.kind is RouteKind.REPEATABLE
+            and run.attempts < run.route.max_attempts
+            and self.registry.reachability.is_lost(pool)
+        )
+
     def _can_try_another(self, run: RequestRun, pool: PoolRecord, now: float) -> bool:
         """Return whether the request may be sent to another target if this one stays silent.
 
--- a/whinrack/dispatch/_crash_detector.py
+++ b/whinrack/dispatch/_crash_detector.py
@@ -95,6 +95,9 @@
             eventlet.sleep(_RECHECK_INTERVAL_SECONDS)
             presence = self._recheck(state, presence, known_identities)
         record = state.record
+        if presence is Presence.ENDED and self.registry.reachability.is_lost(record.pool):
+            # The path to all targets is broken, which says nothing about a single one.
+            presence = Presence.UNKNOWN
         log_event(
             Event.TARGET_CUT,
             target=record.incarnation,
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -17,21 +17,34 @@
     NoTargetAvailable,
 )
 from whinrack.dispatch._current_configuration import CurrentConfiguration
+from whinrack.dispatch._forwarding import RequestForwarder
+from whinrack.dispatch._forwarding_mark import (
+    ForwardingMark,
+    answer_mark,
+    parse_mark,
+    refusal_mark,
+)
 from whinrack.dispatch._pacing import StreamPacing
-from whinrack.dispatch._refusals import BUSY_RETRY_SECONDS
+from whinrack.dispatch._refusals import (
+    BUSY_RETRY_SECONDS,
+    LOST_RETRY_SECONDS,
+    no_target_refusal,
+)
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._retries import RetryBudget, RetryBudgets
 from whinrack.dispatch._run_log import (
     log_attempt,
+    log_forwarded,
     log_refusal,
     log_reservation_refused,
     log_run,
 )
-from whinrack.dispatch._values import IncomingRequest, Route, TargetsView
+from whinrack.dispatch._values import IncomingRequest, Route, RouteKind, TargetsView
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
     CallerGone,
+    ConfigurationUnknown,
     InternalFailure,
     Refusal,
     RouterStopping,
@@ -45,6 +58,9 @@
 
 # Attempts that failed before anything was sent, per request.
 _MAX_UNSENT_ATTEMPTS = 4
+# Attempts of one request that failed before anything was sent, after which it is forwarded even if
+# other requests are still answered over open connections.
+_UNSENT_ATTEMPTS_BEFORE_FORWARDING = 2
 # Half-life of the estimated rate of arriving requests, in seconds.
 _ARRIVAL_RATE_HALF_LIFE = 2.0
 
@@ -88,6 +104,8 @@
         or received from the target.
     guard : RunGuard, optional
         Rejects quarantined requests and is notified of how runs end.
+    forwarder : RequestForwarder, optional
+        Forwards requests for pools that this instance has lost contact with.
     """
 
     def __init__(
@@ -103,7 +121,10 @@
         targets_view: Callable[[], TargetsView],
         record_traffic: Callable[[str, str, int], None],
         guard: RunGuard | None = None,
+        forwarder: RequestForwarder | None = None,
     ):
+        self.forwarder = forwarder
+        self.reachability = registry.reachability
         self.dialect = dialect
         self.current_configuration = current_configuration
         self.grant_manager = grant_manager
@@ -135,20 +156,47 @@
         )
 
     def handle(self, exchange: Exchange) -> None:
-        """Handle one request and answer it.
+        """Handle one request of a caller and answer it.
 
         Raises
         ------
         CallerGone
             If the caller has closed its connection.
         """
+        self._handle(exchange, None)
+
+    def handle_forwarded(self, exchange: Exchange) -> bool:
+        """Handle a request on the listener for peers if it carries the mark of a forwarded one.
+
+        Returns
+        -------
+        bool
+            False if it does not.
+
+        Raises
+        ------
+        CallerGone
+            If the peer has closed its connection.
+        """
+        try:
+            mark = parse_mark(exchange.head)
+        except Refusal as refusal:
+            self._refuse(exchange, None, refusal)
+            return True
+        if mark is None:
+            return False
+        exchange.added_headers += answer_mark(self.current_configuration.version)
+        self._handle(exchange, mark)
+        return True
+
+    def _handle(self, exchange: Exchange, mark: ForwardingMark | None) -> None:
         self.requests_in_progress += 1
         self.arrivals.record(1, steady())
         self.metrics.requests_in_progress.set(self.requests_in_progress)
         request = None
         try:
             request = self.dialect.parse_request(exchange.head, exchange.body)
-            self._serve(exchange, request)
+            self._serve(exchange, request, mark)
         except Refusal as refusal:
             self._refuse(exchange, request, refusal)
         except CallerGone:
@@ -160,17 +208,30 @@
             self.requests_in_progress -= 1
             self.metrics.requests_in_progress.set(self.requests_in_progress)
 
-    def _serve(self, exchange: Exchange, request: IncomingRequest) -> None:
+    def _serve(
+        self, exchange: Exchange, request: IncomingRequest, mark: ForwardingMark | None
+    ) -> None:
         if self.is_refusing_requests:
             raise RouterStopping("this instance is shutting down", retry_after=BUSY_RETRY_SECONDS)
         configuration = self.current_configuration.get()
+        if mark is not None and configuration.version < mark.configuration:
+            raise ConfigurationUnknown("the forwarding instance has a newer configuration")
         route = configuration.find_route(request.host, request.path)
         workspace = configuration.authenticate(route, request.key)
-        run = RequestRun(exchange, request, configuration, route, workspace)
+        run = RequestRun(exchange, request, configuration, route, workspace, mark)
+        pool = self._choose_pool(route)
         try:
+            if mark is not None:
+                log_forwarded(run, mark)
+            if self._should_forward(run, pool):
+                self._forward(run, pool)
+                return
+            if self.reachability.is_lost(pool):
+                # Probes find out when targets are reached again; an attempt would only take time.
+                raise no_target_refusal(LOST_RETRY_SECONDS)
             self._admit(run)
             self._reserve_tokens(run)
-            self._attempt_all(run)
+            self._attempt_all(run, pool)
         except CallerGone:
             log_run(Event.CALLER_LEFT, run)
             raise
@@ -222,10 +283,10 @@
 
     # --- attempts ----------------------------------------------------------------
 
-    def _attempt_all(self, run: RequestRun) -> None:
-        pool = self._choose_pool(run.route)
+    def _attempt_all(self, run: RequestRun, pool: str) -> None:
         retry_budget = self.retry_budgets.for_pool(pool)
-        retry_budget.record_request(steady())
+        if not run.attempts:
+            retry_budget.record_request(steady())
         unsent_attempts = 0
         while True:
             try:
@@ -234,10 +295,42 @@
             except AttemptFailed as failed:
                 unsent_attempts += not failed.was_sent
                 log_attempt(run, failed.refusal, failed.reason)
+                if not failed.was_sent and self._should_forward(run, pool, unsent_attempts):
+                    self._forward(run, pool)
+                    return
                 if not self._can_retry(run, failed, unsent_attempts, retry_budget):
                     raise self._final_refusal(run, failed.refusal) from failed
+                if self._should_forward(run, pool, unsent_attempts):
+                    self._forward(run, pool)
+                    return
                 self._prepare_retry(run, pool, failed)
 
+    def _should_forward(self, run: RequestRun, pool: str, unsent_attempts: int = 0) -> bool:
+        """Return whether to forward a request to a peer instead of sending it to a target.
+
+        Not if it may have run and its tokens are reserved here, as the peer reserves them again.
+        """
+        if self.forwarder is None or run.is_forwarded or run.exchange.is_started:
+            return False
+        can_repeat = run.route.kind is RouteKind.REPEATABLE and run.reservation is None
+        if run.may_have_run and not can_repeat:
+            return False
+        if unsent_attempts < _UNSENT_ATTEMPTS_BEFORE_FORWARDING and not self.reachability.is_lost(
+            pool
+        ):
+            return False
+        return self.forwarder.has_peer(run, pool)
+
+    def _forward(self, run: RequestRun, pool: str) -> None:
+        if run.is_trial:
+            self.attempt_runner.guard.return_trial(run.request_name)
+            run.is_trial = False
+        run.settle_not_run()
+        try:
+            self.forwarder.forward(run, pool)
+        except Refusal as refusal:
+            raise self._final_refusal(run, refusal) from refusal
+
     def _prepare_retry(self, run: RequestRun, pool: str, failed: AttemptFailed) -> None:
         """Raise a refusal if the request must not be sent again.
 
@@ -301,5 +394,7 @@
         if exchange.is_started:
             # The response has begun: leave it incomplete, which closes the connection.
             return
+        if exchange.added_headers:
+            exchange.added_headers += refusal_mark(refusal.code)
         status, headers, body = self.dialect.refusal_response(refusal, request)
         exchange.respond(status, headers, body)
--- a/whinrack/dispatch/_reachability.py
+++ b/whinrack/dispatch/_reachability.py
@@ -5,6 +5,7 @@
 may still reach them.
 """
 
+import math
 from collections.abc import Callable, Collection
 from enum import StrEnum
 
@@ -13,8 +14,9 @@
 __all__ = ["ContactChange", "ContactFailure", "Reachability"]
 
 # Number of targets that must fail without an answer in between. Smaller pools are lost when all
-# their targets have failed.
+# their targets have failed. While another pool is lost, one failed target is enough.
 _MIN_FAILED_TARGETS = 2
+_MIN_FAILED_TARGETS_IF_OTHER_LOST = 1
 # Failures that are remembered per pool, the latest ones.
 _MAX_FAILURES = 50
 
@@ -63,6 +65,7 @@
         self.answered_at = float("-inf")
         self.failures: dict[str, _Failure] = {}
         self.is_lost = False
+        self.lost_at = float("-inf")
 
 
 class Reachability:
@@ -103,11 +106,31 @@
         """Return the names of the lost pools in alphabetical order."""
         return sorted(pool for pool in list(self._pools) if self.is_lost(pool))
 
-    def record_answer(self, pool: str, target: str) -> None:
-        """Record that a target has answered."""
+    def silent_seconds(self, pool: str) -> float:
+        """Return the seconds since the last answer of a pool, infinite if there was none."""
+        contact = self._pools.get(pool)
+        return math.inf if contact is None else self.clock() - contact.answered_at
+
+    def failed_targets(self, pool: str) -> Collection[str]:
+        """Return the targets of a pool that have failed since its last answer."""
+        contact = self._pools.get(pool)
+        return () if contact is None else contact.failures.keys()
+
+    def record_answer(self, pool: str, target: str, opened_at: float) -> None:
+        """Record that a target has answered.
+
+        Parameters
+        ----------
+        opened_at : float
+            Steady clock time at which the connection was opened. Connections that were open when
+            the pool was lost may live on while no new ones can be opened, so their answers do not
+            end the loss.
+        """
         contact = self._pools.get(pool)
         if contact is None:
             contact = self._pools[pool] = _PoolContact()
+        if contact.is_lost and opened_at < contact.lost_at:
+            return
         contact.failures.clear()
         if contact.is_lost:
             self._set_reached(pool, contact, target)
@@ -131,12 +154,15 @@
             del contact.failures[next(iter(contact.failures))]
         if not contact.is_lost and self._has_evidence(pool, contact):
             contact.is_lost = True
+            contact.lost_at = self.clock()
             self._notify(pool, contact, self._describe(contact))
 
     def _has_evidence(self, pool: str, contact: _PoolContact) -> bool:
         in_service = self.targets_in_service(pool)
         failed = sum(target in contact.failures for target in in_service)
-        return 0 < min(_MIN_FAILED_TARGETS, len(in_service)) <= failed
+        is_other_lost = any(other.is_lost for other in self._pools.values() if other is not contact)
+        needed = _MIN_FAILED_TARGETS_IF_OTHER_LOST if is_other_lost else _MIN_FAILED_TARGETS
+        return 0 < min(needed, len(in_service)) <= failed
 
     def _set_reached(self, pool: str, contact: _PoolContact, evidence: str) -> None:
         contact.is_lost = False
--- a/whinrack/dispatch/_refusals.py
+++ b/whinrack/dispatch/_refusals.py
@@ -15,10 +15,19 @@
     TargetUnavailable,
 )
 
-__all__ = ["BUSY_RETRY_SECONDS", "no_target_refusal", "target_full_refusal", "pool_refusal"]
+__all__ = [
+    "BUSY_RETRY_SECONDS",
+    "LOST_RETRY_SECONDS",
+    "no_target_refusal",
+    "target_full_refusal",
+    "pool_refusal",
+]
 
 # Retry delay when targets are full, in seconds.
 BUSY_RETRY_SECONDS = 0.25
+# Retry delay while contact with all targets of a pool is lost and no peer reaches one, in seconds.
+# The targets are probed about as often.
+LOST_RETRY_SECONDS = 0.5
 # Bounds of the retry delay while all data halls of a pool are emptied, in seconds. A release takes
 # effect within one or two seconds; callers with a deadline of about ten seconds have given up
 # after the upper bound.
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -12,7 +12,7 @@
 from whinrack.dispatch._engine_choice import PromptSize
 from whinrack.dispatch._rate_bounds import WarmUpLimits
 from whinrack.dispatch._rate_limiter import RateLimiter
-from whinrack.dispatch._reachability import Reachability
+from whinrack.dispatch._reachability import ContactChange, Reachability
 from whinrack.dispatch._remote_loads import RemoteLoads
 from whinrack.dispatch._shared_rates import SharedRatePermits
 from whinrack.dispatch._stated_limits import StatedLimits
@@ -75,6 +75,7 @@
         self.on_target_leaving: list[Callable[[], None]] = []
         self.remote_loads = RemoteLoads()
         self.reachability = Reachability(self._identities_in_service, clock)
+        self.reachability.on_change.append(self._on_contact_changed)
         self._selector = TargetSelector(self.remote_loads, self.rate_limiter, seed)
 
     def requests_by_target(self) -> dict[int, int]:
@@ -205,6 +206,12 @@
         """Return whether a target is neither leaving nor in an emptied data hall."""
         return not state.is_leaving and state.record.data_hall not in self.emptied_halls.names
 
+    def _on_contact_changed(self, change: ContactChange) -> None:
+        """End the ejections in a pool that is reached again: the path was the cause."""
+        if not change.is_lost:
+            for state in self.targets_in_pool(change.pool):
+                state.ejection.record_success(self.clock())
+
     def _identities_in_service(self, pool: str) -> list[str]:
         return [
             state.record.identity
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -4,6 +4,7 @@
 from whinrack.clock import steady
 from whinrack.dispatch._configuration import Configuration
 from whinrack.dispatch._engine_choice import PromptSize
+from whinrack.dispatch._forwarding_mark import ForwardingMark
 from whinrack.dispatch._target_state import PendingPrompt
 from whinrack.dispatch._values import (
     IncomingRequest,
@@ -50,6 +51,8 @@
         Tokens billed for the answer, 0 while it is not settled.
     sent_at : float
         Steady clock time at which the request was sent to the latest target.
+    is_forwarded : bool
+        Whether a peer has forwarded the request to this instance.
     is_trial : bool
         Whether the run is a trial run of a quarantined request.
     concurrent_requests : int
@@ -63,6 +66,7 @@
         configuration: Configuration,
         route: Route,
         workspace: WorkspaceRecord | None,
+        mark: ForwardingMark | None = None,
     ):
         self.exchange = exchange
         self.request = request
@@ -76,6 +80,10 @@
         self.repeat_reservations: list[Cover] = []
         self.billed_tokens = 0
         self.attempts = 0
+        self.is_forwarded = mark is not None
+        if mark is not None:
+            self.deadline = min(self.deadline, exchange.received_at + mark.seconds_left)
+            self.attempts = mark.attempts
         self.tried_targets: set[str] = set()
         self.may_have_run = False
         self.events = 0
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -2,12 +2,13 @@
 
 from whinrack.budgets import GrantManager
 from whinrack.clock import steady
+from whinrack.dispatch._forwarding_mark import ForwardingMark
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.exceptions import Refusal
 from whinrack.http1 import Exchange
 from whinrack.observability import Event, log_event
 
-__all__ = ["log_attempt", "log_refusal", "log_run", "log_reservation_refused"]
+__all__ = ["log_attempt", "log_forwarded", "log_refusal", "log_run", "log_reservation_refused"]
 
 
 def log_run(event: Event, run: RequestRun, **fields) -> None:
@@ -43,6 +44,16 @@
     )
 
 
+def log_forwarded(run: RequestRun, mark: ForwardingMark) -> None:
+    """Log that a peer has forwarded a request to this instance."""
+    log_run(
+        Event.FORWARDED_RECEIVED,
+        run,
+        left=round(mark.seconds_left, 3),
+        checked_with=mark.configuration,
+    )
+
+
 def log_reservation_refused(run: RequestRun, tokens: int, grant_manager: GrantManager) -> None:
     """Log that tokens could not be reserved, with the last known state of the budget."""
     last_result = grant_manager.last_result(run.workspace_name)
--- a/whinrack/dispatch/_values.py
+++ b/whinrack/dispatch/_values.py
@@ -119,12 +119,15 @@
         None for services without engines.
     cold_start : ColdStart or None
         None if a target accepts its full load right after its start.
+    health_path : str
+        Path at which targets answer health checks.
     """
 
     name: str
     max_connections: int
     engine: EngineCapacity | None = None
     cold_start: ColdStart | None = None
+    health_path: str = "/"
 
 
 class WorkspaceRecord(msgspec.Struct, frozen=True):
--- a/whinrack/dispatch/tests/test_choice_and_send.py
+++ b/whinrack/dispatch/tests/test_choice_and_send.py
@@ -101,7 +101,7 @@
     )
     started_at = steady()
     with pytest.raises(TargetUnavailable) as refused:
-        dispatcher._attempt_all(run)
+        dispatcher._attempt_all(run, "p")
     assert refused.value.outcome == "not_run"
     assert sorted(connections.opened) == [("h", 1), ("h", 2)]
     assert connections.sent == []
--- a/whinrack/dispatch/tests/test_reachability.py
+++ b/whinrack/dispatch/tests/test_reachability.py
@@ -19,8 +19,9 @@
         began_at = self.now if began_at is None else began_at
         self.reachability.record_failure("p", target, kind, began_at)
 
-    def answer(self, target="a"):
-        self.reachability.record_answer("p", target)
+    def answer(self, target="a", opened_at=None):
+        opened_at = self.now if opened_at is None else opened_at
+        self.reachability.record_answer("p", target, opened_at)
 
     @property
     def is_lost(self):
@@ -75,7 +76,23 @@
     assert not pool.is_lost
 
 
-def test_any_answer_ends_a_loss():
+def test_an_answer_over_a_connection_from_before_a_loss_does_not_end_it():
+    pool = Pool("a", "b", "c")
+    pool.fail("a")
+    pool.fail("b")
+    pool.answer("c", opened_at=pool.now - 1.0)
+    assert pool.is_lost
+
+
+def test_one_failed_target_is_enough_while_another_pool_is_lost():
+    pool = Pool("a", "b", "c")
+    pool.fail("a")
+    pool.fail("b")
+    pool.reachability.record_failure("q", "a", ContactFailure.SILENT, pool.now)
+    assert pool.reachability.lost_pools() == ["p", "q"]
+
+
+def test_any_answer_over_a_new_connection_ends_a_loss():
     pool = Pool("a", "b", "c")
     pool.fail("a")
     pool.fail("b")
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -17,6 +17,7 @@
     Dialect,
     Dispatcher,
     DispatchOptions,
+    RequestForwarder,
     SharedRatePermits,
     StatedLimits,
     TargetRegistry,
@@ -25,6 +26,7 @@
 from whinrack.edge._earlier_runs import EarlierRuns
 from whinrack.edge._emptied_halls import HallKnowledge
 from whinrack.edge._endpoints import AuxiliaryEndpoints
+from whinrack.edge._forwarding_peers import ForwardingPeers
 from whinrack.edge._graceful_shutdown import GracefulShutdown
 from whinrack.edge._instance_host import InstanceHost
 from whinrack.edge._knowledge import StoreKnowledge
@@ -38,6 +40,7 @@
 from whinrack.edge._settings_follower import SettingsFollower
 from whinrack.edge._store_availability import StoreAvailability
 from whinrack.edge._suspects import SuspectExchange
+from whinrack.edge._target_probes import TargetProbes
 from whinrack.edge._tokens import TokenExchange
 from whinrack.edge._traffic import Locality
 from whinrack.edge._upkeep import Upkeep
@@ -183,6 +186,7 @@
             options, restart, self.grant_manager, self.availability, self.membership.wall_clock
         )
         self.knowledge.on_restored.append(self._on_store_restored)
+        self.target_probes = TargetProbes(self.registry, self.current_configuration, self.metrics)
         self.dispatcher = Dispatcher(
             dialect,
             self.current_configuration,
@@ -195,6 +199,12 @@
             self.knowledge.targets_view,
             self.membership.traffic.record_for_hall,
             self.suspects.quarantine,
+            RequestForwarder(
+                ConnectionPool(),
+                ForwardingPeers(self.membership.table, self._catch_up),
+                self.metrics,
+                self._record_forwarded,
+            ),
         )
         self.endpoints = endpoints
         self.server = HttpServer(
@@ -231,6 +241,13 @@
     def _fetch_knowledge(self, peer: HostPort) -> SharedKnowledge | None:
         return fetch_knowledge(peer, self.membership.traffic.record)
 
+    def _catch_up(self, peer: HostPort, version: int) -> None:
+        if version > self.current_configuration.version:
+            self.knowledge.catch_up(peer)
+
+    def _record_forwarded(self, peer: HostPort, size: int) -> None:
+        self.membership.traffic.record("forwarded", peer, size)
+
     # --- start -------------------------------------------------------------------
 
     def _start_servers(self) -> None:
@@ -249,6 +266,8 @@
             self.options.gossip,
             self.knowledge.shared_knowledge,
             self.knowledge.relay.handle,
+            self.dispatcher.handle_forwarded,
+            lambda: self.current_configuration.limits,
         ).start()
 
     def _start_tasks(self) -> None:
@@ -257,6 +276,7 @@
             *self.suspects.tasks(),
             *self._emptied_hall_tasks(),
             self.warm_up_log.run,
+            self.target_probes.run,
             self.earlier_runs.release_and_draw,
             self._renew_forever,
             self.settings_follower.follow,
--- a/whinrack/edge/_knowledge_exchange.py
+++ b/whinrack/edge/_knowledge_exchange.py
@@ -8,7 +8,14 @@
 from whinrack.clock import steady
 from whinrack.edge._options import HostPort
 from whinrack.exceptions import Refusal
-from whinrack.http1 import ConnectionPool, Exchange, Headers, HttpServer, RequestHead
+from whinrack.http1 import (
+    ConnectionPool,
+    Exchange,
+    Headers,
+    HttpServer,
+    RequestHead,
+    ServerLimits,
+)
 from whinrack.store import StoredObject
 
 __all__ = [
@@ -45,6 +52,10 @@
     targets: tuple[StoredObject, ...] = ()
 
 
+# Size allowed for the mark of a forwarded request, in addition to the head of a caller's request.
+_MARK_BYTES = 1024
+
+
 def _handle_nothing(exchange: Exchange) -> bool:
     return False
 
@@ -60,6 +71,10 @@
         Returns the `SharedKnowledge` of this instance.
     handle_other : callable, optional
         Handles requests for other paths; returns False for paths that it does not know.
+    handle_forwarded : callable, optional
+        Handles callers' requests that a peer forwards; returns False for other requests.
+    limits : callable, optional
+        Returns the limits of callers' requests.
     """
 
     def __init__(
@@ -67,10 +82,14 @@
         address: HostPort,
         knowledge: Callable[[], SharedKnowledge],
         handle_other: Callable[[Exchange], bool] = _handle_nothing,
+        handle_forwarded: Callable[[Exchange], bool] = _handle_nothing,
+        limits: Callable[[], ServerLimits] = ServerLimits,
     ):
         self.knowledge = knowledge
         self.handle_other = handle_other
-        self._server = HttpServer(address, self._answer)
+        self.handle_forwarded = handle_forwarded
+        self.limits = limits
+        self._server = HttpServer(address, self._answer, limits=self._server_limits)
 
     @property
     def address(self) -> HostPort:
@@ -85,7 +104,13 @@
         """Stop listening."""
         self._server.stop_listening()
 
+    def _server_limits(self) -> ServerLimits:
+        limits = self.limits()
+        return msgspec.structs.replace(limits, head_bytes=limits.head_bytes + _MARK_BYTES)
+
     def _answer(self, exchange: Exchange) -> None:
+        if self.handle_forwarded(exchange):
+            return
         if exchange.head.target == _PATH:
             headers, body = encode_answer(self.knowledge())
             exchange.respond(_OK, headers, body)
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -12,6 +12,7 @@
 from whinrack.clock import steady
 from whinrack.dispatch import CurrentConfiguration, TargetRegistry
 from whinrack.edge._entry_selection import choose_entries, is_crowded
+from whinrack.edge._forwarding_peers import pool_digest
 from whinrack.edge._load_sharing import LoadSharing
 from whinrack.edge._membership_host import MembershipHost
 from whinrack.edge._missing_peers import MissingPeers
@@ -195,6 +196,8 @@
             holds_tokens=self.host.has_spendable_tokens(),
             bandwidth=self.options.bandwidth,
             cores=self.options.cores,
+            accepts_forwarded=True,
+            lost_pools=tuple(map(pool_digest, self.registry.reachability.lost_pools())),
         )
 
     def caller_addresses(self, hall: str) -> list[str]:
--- /dev/null
+++ b/whinrack/edge/_target_probes.py
@@ -0,0 +1,137 @@
+"""Probes of the targets of lost pools, so that no caller's request has to find out."""
+
+import eventlet
+
+from whinrack.clock import steady
+from whinrack.dispatch import (
+    ContactFailure,
+    CurrentConfiguration,
+    PoolRecord,
+    TargetRegistry,
+    TargetState,
+)
+from whinrack.exceptions import AttemptTimeout, Refusal, TargetUnavailable
+from whinrack.http1 import RequestHead, TargetConnection
+from whinrack.observability import Metrics
+
+__all__ = ["TargetProbes"]
+
+_CHECK_SECONDS = 0.1
+# Interval between the probes of one pool.
+_PROBE_INTERVAL_SECONDS = 0.5
+_CONNECT_SECONDS = 0.3
+# Time for the answer: a target that is busy may let a probe wait.
+_ANSWER_SECONDS = 0.7
+# While a pool is lost, other pools without an answer for this time are probed as well.
+_UNSURE_SECONDS = 1.0
+
+
+class TargetProbes:
+    """Probes one target of each lost pool after the other.
+
+    Parameters
+    ----------
+    registry : TargetRegistry
+    current_configuration : CurrentConfiguration
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        registry: TargetRegistry,
+        current_configuration: CurrentConfiguration,
+        metrics: Metrics,
+    ):
+        self.registry = registry
+        self.current_configuration = current_configuration
+        self.metrics = metrics
+        self._probed_at: dict[str, float] = {}
+        # Identities of the targets that were probed in the current round, by pool.
+        self._probed: dict[str, set[str]] = {}
+
+    def run(self) -> None:
+        """Probe until the process ends."""
+        while True:
+            eventlet.sleep(_CHECK_SECONDS)
+            for pool in self._due_pools(steady()):
+                eventlet.spawn_n(self._probe_next, pool)
+
+    def _due_pools(self, now: float) -> list[PoolRecord]:
+        reachability = self.registry.reachability
+        if not reachability.lost_pools():
+            self._probed_at.clear()
+            self._probed.clear()
+            return []
+        due = [
+            pool
+            for pool in self.current_configuration.pools
+            if now - self._probed_at.get(pool.name, float("-inf")) >= _PROBE_INTERVAL_SECONDS
+            and (
+                reachability.is_lost(pool.name)
+                or reachability.silent_seconds(pool.name) >= _UNSURE_SECONDS
+            )
+        ]
+        for pool in due:
+            self._probed_at[pool.name] = now
+        return due
+
+    def _probe_next(self, pool: PoolRecord) -> None:
+        state = self._next_target(pool.name)
+        if state is None:
+            return
+        began_at, identity = steady(), state.record.identity
+        failure = _probe(state, pool.health_path)
+        self.metrics.target_probes.labels(failure.value if failure else "answered").inc()
+        if failure is None:
+            self.registry.reachability.record_answer(pool.name, identity, began_at)
+        else:
+            self.registry.reachability.record_failure(pool.name, identity, failure, began_at)
+
+    def _next_target(self, pool: str) -> TargetState | None:
+        """Return the next target in service, one that has not failed if possible.
+
+        A round ends when all were probed.
+        """
+        probed = self._probed.setdefault(pool, set())
+        states = [
+            state
+            for state in self.registry.targets_in_pool(pool)
+            if self.registry.is_in_service(state)
+        ]
+        if not states:
+            return None
+        remaining = [state for state in states if state.record.identity not in probed]
+        if not remaining:
+            probed.clear()
+            remaining = states
+        failed = self.registry.reachability.failed_targets(pool)
+        chosen = min(remaining, key=lambda state: state.record.identity in failed)
+        probed.add(chosen.record.identity)
+        return chosen
+
+
+def _probe(state: TargetState, path: str) -> ContactFailure | None:
+    """Ask a target for its health; any answer shows that it is reached.
+
+    Returns
+    -------
+    ContactFailure or None
+        None if it has answered.
+    """
+    host, port = state.address
+    try:
+        connection = TargetConnection.connect(state.address, _CONNECT_SECONDS)
+    except TargetUnavailable:
+        return ContactFailure.UNREACHABLE
+    deadline = steady() + _ANSWER_SECONDS
+    try:
+        headers = [(b"host", f"{host}:{port}".encode()), (b"connection", b"close")]
+        connection.send(RequestHead(b"GET", path.encode(), headers), b"", deadline)
+        connection.read_head(deadline, lambda headers: True)
+    except AttemptTimeout:
+        return ContactFailure.SILENT
+    except Refusal:
+        return ContactFailure.CUT
+    finally:
+        connection.close()
+    return None
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -71,6 +71,10 @@
         Bandwidth of the instance's network link, Mbit/s; 0 if unknown.
     cores : float
         Processor time available to the instance, seconds per second; 0 if unknown.
+    accepts_forwarded : bool
+        Whether the instance handles requests that peers forward; False from older senders.
+    lost_pools : tuple of int
+        Digests of the pools whose targets the instance has lost contact with.
     """
 
     incarnation: str
@@ -87,6 +91,8 @@
     bandwidth: float = 0.0
     cores: float = 0.0
     store_confirmed: bool = False
+    accepts_forwarded: bool = False
+    lost_pools: tuple[int, ...] = ()
 
     @property
     def digest(self) -> int:
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -37,6 +37,7 @@
     def __init__(self, address: tuple[str, int], sock):
         self.address = address
         self.sock = sock
+        self.opened_at = steady()
         # Sizes of the latest request and its response, including their heads.
         self.sent_bytes = 0
         self.received_bytes = 0
--- a/whinrack/http1/_exchange.py
+++ b/whinrack/http1/_exchange.py
@@ -64,6 +64,8 @@
         Whether the head of a response has been sent.
     is_finished : bool
         Whether the response has been sent completely.
+    added_headers : Headers
+        Headers that are added to the response.
     """
 
     def __init__(self, connection: ResponseWriter, head: RequestHead, body: bytes):
@@ -73,6 +75,7 @@
         self.received_at = steady()
         self.is_started = False
         self.is_finished = False
+        self.added_headers: Headers = []
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response.
@@ -83,13 +86,13 @@
             If the caller has closed the connection or doesn't read.
         """
         self.is_started = True
-        self._connection.send_response(status, headers, body)
+        self._connection.send_response(status, [*headers, *self.added_headers], body)
         self.is_finished = True
 
     def start_response(self, status: int, headers: Headers) -> None:
         """Send the head of a response whose body is sent in parts."""
         self.is_started = True
-        self._connection.send_response(status, headers, None)
+        self._connection.send_response(status, [*headers, *self.added_headers], None)
 
     def write(self, data: bytes) -> None:
         """Send a part of the response body."""
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -135,6 +135,9 @@
         "INFO",
         "outcome of a request is unknown; all its reserved tokens are charged",
     )
+    REQUEST_FORWARDED = (7008, "INFO", "answer of a peer to a forwarded request relayed")
+    FORWARDING_FAILED = (7009, "WARNING", "a peer did not serve a forwarded request")
+    FORWARDED_RECEIVED = (7010, "INFO", "received a request that a peer forwards")
 
     def __init__(self, number: int, level: str, text: str):
         self.number = number
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -22,6 +22,12 @@
         self.retries_denied = self._counter(
             "retries_denied", "Further attempts not made, by reason", "reason"
         )
+        self.forwarded_requests = self._counter(
+            "forwarded_requests", "Requests forwarded to peers, by outcome", "outcome"
+        )
+        self.target_probes = self._counter(
+            "target_probes", "Probes of targets in lost pools, by result", "result"
+        )
         self.tokens = self._counter("tokens", "Tokens settled, by how", "how")
         self.joined_retries = self._counter(
             "joined_retries", "Retries that joined an answer", "where"
