--- a/whinrack/dispatch/__init__.py
+++ b/whinrack/dispatch/__init__.py
@@ -4,7 +4,9 @@
 from whinrack.dispatch._current_configuration import CurrentConfiguration
 from whinrack.dispatch._dispatcher import Dispatcher, DispatchOptions
 from whinrack.dispatch._emptied_halls import EmptiedHalls, HallStatus
+from whinrack.dispatch._forwarding import ForwardingPeer, PeerSelector, RequestForwarder
 from whinrack.dispatch._rate_bounds import RateBound, WarmUpLimits
+from whinrack.dispatch._reachability import ContactChange, ContactFailure, Reachability
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._retries import RetryBudget
 from whinrack.dispatch._shared_rates import SharedRatePermits
@@ -33,6 +35,8 @@
     "Attempt",
     "ColdStart",
     "Configuration",
+    "ContactChange",
+    "ContactFailure",
     "DeclaredTokens",
     "Dialect",
     "CurrentConfiguration",
@@ -40,15 +44,19 @@
     "Dispatcher",
     "EmptiedHalls",
     "EngineCapacity",
+    "ForwardingPeer",
     "HallStatus",
     "IncomingRequest",
     "LimitChange",
     "LimitReport",
+    "PeerSelector",
     "PoolRecord",
     "WeightedPool",
     "PromptPart",
     "RetryBudget",
     "RateBound",
+    "Reachability",
+    "RequestForwarder",
     "Route",
     "RouteKind",
     "SharedRatePermits",
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -17,6 +17,7 @@
     Dialect,
     Dispatcher,
     DispatchOptions,
+    RequestForwarder,
     SharedRatePermits,
     StatedLimits,
     TargetRegistry,
@@ -25,6 +26,7 @@
 from whinrack.edge._earlier_runs import EarlierRuns
 from whinrack.edge._emptied_halls import HallKnowledge
 from whinrack.edge._endpoints import AuxiliaryEndpoints
+from whinrack.edge._forwarding_peers import ForwardingPeers
 from whinrack.edge._graceful_shutdown import GracefulShutdown
 from whinrack.edge._instance_host import InstanceHost
 from whinrack.edge._knowledge import StoreKnowledge
@@ -33,10 +35,12 @@
 from whinrack.edge._membership import Membership
 from whinrack.edge._operator_endpoints import OperatorEndpoints
 from whinrack.edge._options import EdgeOptions, HostPort
+from whinrack.edge._reachability_log import ReachabilityLog
 from whinrack.edge._readers import ConfigurationReader, HallReader, TargetReader, truncate_for_log
 from whinrack.edge._settings_follower import SettingsFollower
 from whinrack.edge._store_availability import StoreAvailability
 from whinrack.edge._suspects import SuspectExchange
+from whinrack.edge._target_probes import TargetProbes
 from whinrack.edge._tokens import TokenExchange
 from whinrack.edge._traffic import Locality
 from whinrack.edge._upkeep import Upkeep
@@ -153,6 +157,10 @@
         self.metrics.backed_off_targets.set_function(lambda: self.registry.backoffs.count(steady()))
         self.limit_log = LimitLog(self.registry, self.metrics, self.membership.notify_peers)
         self.registry.stated_limits.on_change.append(self.limit_log.on_limit_changed)
+        self.reachability_log = ReachabilityLog(
+            self.registry.reachability, self.metrics, self.membership.notify_peers
+        )
+        self.registry.reachability.on_change.append(self.reachability_log.on_contact_changed)
         self.warm_up_log = WarmUpLog(self.registry, self.current_configuration, self.metrics)
         self.tokens = TokenExchange(
             options,
@@ -178,6 +186,7 @@
             options, restart, self.grant_manager, self.availability, self.membership.wall_clock
         )
         self.knowledge.on_restored.append(self._on_store_restored)
+        self.target_probes = TargetProbes(self.registry, self.current_configuration, self.metrics)
         self.dispatcher = Dispatcher(
             dialect,
             self.current_configuration,
@@ -190,6 +199,12 @@
             self.knowledge.targets_view,
             self.membership.traffic.record_for_hall,
             self.suspects.quarantine,
+            RequestForwarder(
+                ConnectionPool(),
+                ForwardingPeers(self.membership.table, self._catch_up),
+                self.metrics,
+                self._record_forwarded,
+            ),
         )
         self.endpoints = endpoints
         self.server = HttpServer(
@@ -226,6 +241,13 @@
     def _fetch_knowledge(self, peer: HostPort) -> SharedKnowledge | None:
         return fetch_knowledge(peer, self.membership.traffic.record)
 
+    def _catch_up(self, peer: HostPort, version: int) -> None:
+        if version > self.current_configuration.version:
+            self.knowledge.catch_up(peer)
+
+    def _record_forwarded(self, peer: HostPort, size: int) -> None:
+        self.membership.traffic.record("forwarded", peer, size)
+
     # --- start -------------------------------------------------------------------
 
     def _start_servers(self) -> None:
@@ -244,6 +266,8 @@
             self.options.gossip,
             self.knowledge.shared_knowledge,
             self.knowledge.relay.handle,
+            self.dispatcher.handle_forwarded,
+            lambda: self.current_configuration.limits,
         ).start()
 
     def _start_tasks(self) -> None:
@@ -252,6 +276,7 @@
             *self.suspects.tasks(),
             *self._emptied_hall_tasks(),
             self.warm_up_log.run,
+            self.target_probes.run,
             self.earlier_runs.release_and_draw,
             self._renew_forever,
             self.settings_follower.follow,
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -37,6 +37,7 @@
     def __init__(self, address: tuple[str, int], sock):
         self.address = address
         self.sock = sock
+        self.opened_at = steady()
         # Sizes of the latest request and its response, including their heads.
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -63,7 +64,8 @@
         try:
             sock = _connect(address, timeout)
         except OSError as error:
-            raise TargetUnavailable("connection to the target failed") from error
+            reason = "timed out" if isinstance(error, TimeoutError) else error.strerror or "failed"
+            raise TargetUnavailable(f"connection to the target: {reason}") from error
         return cls(address, sock)
 
     def send(self, request: RequestHead, body: bytes, deadline: float) -> None:
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -106,6 +106,9 @@
 
     TARGET_CUT = (5006, "INFO", "target cut responses; result of checking whether it still runs")
 
+    POOL_LOST = (5011, "WARNING", "several targets of a pool failed and none answered in between")
+    POOL_REACHED = (5012, "INFO", "a lost pool is reached again")
+
     GRANT_CLOSED = (6001, "ERROR", "an operator released this incarnation's grant")
     BILL_UNCONFIRMED = (6002, "WARNING", "response ended before its bill record was stored")
     POLICY_FAILED = (6003, "WARNING", "routing program failed; the default route decision applies")
@@ -132,6 +135,9 @@
         "INFO",
         "outcome of a request is unknown; all its reserved tokens are charged",
     )
+    REQUEST_FORWARDED = (7008, "INFO", "answer of a peer to a forwarded request relayed")
+    FORWARDING_FAILED = (7009, "WARNING", "a peer did not serve a forwarded request")
+    FORWARDED_RECEIVED = (7010, "INFO", "received a request that a peer forwards")
 
     def __init__(self, number: int, level: str, text: str):
         self.number = number
