Brittle targets are sent no more than they have slots, by all instances together

What callers saw: targets that state Server-Brittle fell over one after the other as soon as a load beyond their room came, and hardly anything ran.

Cause: the statement was read nowhere; each instance sent until it was refused.

Change: the statement is kept and spread as stated limits are. While it holds, each instance keeps to its quota of the target's slots, uses what shared loads show as free, and takes one of few permits beyond that. A fall is no evidence against the requests that ran.

--- /dev/null
+++ b/whinrack/dispatch/_brittle_targets.py
@@ -0,0 +1,134 @@
+"""Limits for targets that state that refusals for lack of room make them fall over; pure logic.
+
+Such a target falls over if it has to refuse more than a stated number of requests within a second,
+from all instances together. While it states that, each instance keeps to a quota of the target's
+slots, so that all instances together never exceed them. Beyond its quota an instance uses slots
+that stay free according to the reported loads, or takes one of the few permits for requests that
+may be refused.
+"""
+
+from collections.abc import Callable, Collection
+
+from whinrack.base import rendezvous_order
+from whinrack.dispatch._rate_bounds import RateBound
+from whinrack.dispatch._remote_loads import RemoteLoads
+from whinrack.dispatch._shared_rates import SharedRatePermits
+from whinrack.dispatch._stated_limits import NO_LIMIT, StatedLimits
+from whinrack.dispatch._target_state import TargetState
+
+__all__ = ["BrittleTargets"]
+
+# Window of the stated number of refusals, in seconds.
+_WINDOW_SECONDS = 1.0
+# Fraction of the stated refusals that all instances together risk.
+_RISKED_FRACTION = 0.5
+# Time for which an instance that was refused by a brittle target stays below its quota there, and
+# the fraction of the quota that it uses meanwhile.
+_CAUTION_SECONDS = 3.0
+_CAUTION_FRACTION = 0.5
+# Suffix of the name under which permits for requests beyond the quota are counted.
+_PERMIT_SUFFIX = "/beyond-quota"
+
+
+class BrittleTargets:
+    """Decides whether this instance may send one more request to a brittle target.
+
+    Parameters
+    ----------
+    limits : StatedLimits
+        The refusals per second that targets state, `NO_LIMIT` for targets that are not brittle.
+    permits : SharedRatePermits
+        Divides the permits for requests beyond the quotas among the instances.
+    remote_loads : RemoteLoads
+        Loads that other instances put on the targets.
+    """
+
+    def __init__(self, limits: StatedLimits, permits: SharedRatePermits, remote_loads: RemoteLoads):
+        self.limits = limits
+        self.permits = permits
+        self.remote_loads = remote_loads
+        self._refused_at: dict[str, float] = {}
+        # This instance's position among the members, by target, for the latest known members.
+        self._positions: dict[str, int] = {}
+        self._known_members: Collection[str] = frozenset()
+
+    @property
+    def members(self) -> Callable[[], Collection[str]]:
+        """Returns the names of the instances that share the targets."""
+        return self.permits.members
+
+    def is_brittle(self, state: TargetState) -> bool:
+        """Return whether a target states that it is brittle."""
+        return self.limits.rate(state.record.identity) != NO_LIMIT
+
+    def can_send(self, state: TargetState, now: float) -> bool:
+        """Return whether one more request may be sent to a target now."""
+        if self.limits.is_empty or not self.is_brittle(state):
+            return True
+        if state.in_flight < self._allowance(state, now):
+            return True
+        if self._is_cautious(state, now):
+            return False
+        target, bound = self._permit(state)
+        return bound is not None and self.permits.has_permit(target, bound, now)
+
+    def begin(self, state: TargetState, now: float) -> None:
+        """Count a request that is about to be sent; it is not part of `in_flight` yet."""
+        if self.limits.is_empty or not self.is_brittle(state):
+            return
+        target, bound = self._permit(state)
+        if state.in_flight >= self._allowance(state, now) and bound is not None:
+            self.permits.take_permit(target, bound, now)
+
+    def record_refusal(self, state: TargetState, now: float) -> None:
+        """Record that a target refused a request because it is full."""
+        if self.is_brittle(state):
+            self._refused_at[state.record.identity] = now
+        self._refused_at = {
+            target: at for target, at in self._refused_at.items() if now - at < _CAUTION_SECONDS
+        }
+
+    def _allowance(self, state: TargetState, now: float) -> int:
+        """Return how many requests this instance may have in flight without risking a refusal."""
+        members = max(1, len(self.members()))
+        quota = self._quota(state, members)
+        if self._is_cautious(state, now):
+            return max(1, int(quota * _CAUTION_FRACTION)) if quota else 0
+        free = state.record.slots - state.in_flight - self.remote_loads.requests_at(state.digest)
+        # Each member may use an equal part of what is free before it hears of the others.
+        return max(quota, state.in_flight + max(0, free) // members)
+
+    def _quota(self, state: TargetState, members: int) -> int:
+        slots = state.record.slots
+        return slots // members + (self._position(state) < slots % members)
+
+    def _position(self, state: TargetState) -> int:
+        members = frozenset(self.members())
+        if members != self._known_members:
+            self._positions.clear()
+            self._known_members = members
+        target = state.record.identity
+        if target not in self._positions:
+            order = rendezvous_order(target, members)
+            name = self.permits.name
+            self._positions[target] = order.index(name) if name in members else len(order)
+        return self._positions[target]
+
+    def _is_cautious(self, state: TargetState, now: float) -> bool:
+        refused_at = self._refused_at.get(state.record.identity)
+        return refused_at is not None and now - refused_at < _CAUTION_SECONDS
+
+    def _permit(self, state: TargetState) -> tuple[str, RateBound | None]:
+        """Return the name and the bound of the permits for requests beyond the quotas."""
+        identity = state.record.identity
+        refusals = self.limits.rate(identity)
+        if refusals < 1.0 or refusals == NO_LIMIT:
+            return identity, None
+        bound = RateBound(
+            rate=_RISKED_FRACTION * refusals,
+            max_requests=refusals,
+            window_seconds=_WINDOW_SECONDS,
+            utilization=_RISKED_FRACTION,
+            max_burst=1.0,
+        )
+        return identity + _PERMIT_SUFFIX, bound
--- a/whinrack/dispatch/_crash_detector.py
+++ b/whinrack/dispatch/_crash_detector.py
@@ -95,6 +95,7 @@
             eventlet.sleep(_RECHECK_INTERVAL_SECONDS)
             presence = self._recheck(state, presence, known_identities)
         record = state.record
+        is_brittle = self.registry.brittle_targets.is_brittle(state)
         if presence is Presence.ENDED and self.registry.reachability.is_lost(record.pool):
             # The path to all targets is broken, which says nothing about a single one.
             presence = Presence.UNKNOWN
@@ -109,6 +110,8 @@
         if presence is Presence.ENDED:
             # Spares other requests a failed connection.
             state.record_unreachable(steady())
+        if presence is Presence.ENDED and not is_brittle:
+            # A brittle target falls over because of refused requests, not of those that it runs.
             self.guard.record_target_end(TargetEnd(record.incarnation, record.started), requests)
 
     def _presence(self, state: TargetState) -> Presence:
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -8,6 +8,7 @@
 
 from whinrack.clock import steady
 from whinrack.dispatch._backoffs import Backoffs
+from whinrack.dispatch._brittle_targets import BrittleTargets
 from whinrack.dispatch._emptied_halls import EmptiedHalls, HallStatus
 from whinrack.dispatch._engine_choice import PromptSize
 from whinrack.dispatch._rate_bounds import WarmUpLimits
@@ -41,6 +42,8 @@
         Rate limits of cold targets.
     stated_limits : StatedLimits, optional
         Rate limits that targets have stated.
+    brittle_limits : StatedLimits, optional
+        Refusals per second beyond which targets have stated that they fall over.
     clock : callable, optional
         Monotonic clock, replaced in tests.
     """
@@ -51,6 +54,7 @@
         rate_permits: SharedRatePermits | None = None,
         warm_up_limits: WarmUpLimits | None = None,
         stated_limits: StatedLimits | None = None,
+        brittle_limits: StatedLimits | None = None,
         clock: Callable[[], float] = steady,
     ):
         self.clock = clock
@@ -74,6 +78,10 @@
         # Called when an answer first announces that its target leaves.
         self.on_target_leaving: list[Callable[[], None]] = []
         self.remote_loads = RemoteLoads()
+        self.brittle_limits = brittle_limits or StatedLimits(clock=clock)
+        self.brittle_targets = BrittleTargets(
+            self.brittle_limits, self.rate_permits, self.remote_loads
+        )
         self.reachability = Reachability(self._identities_in_service, clock)
         self.reachability.on_change.append(self._on_contact_changed)
         self._selector = TargetSelector(self.remote_loads, self.rate_limiter, seed)
@@ -281,6 +289,7 @@
             and state.is_available(now)
             and self.is_eligible(state, now)
             and self.rate_limiter.can_send(state, cold_start, now)
+            and self.brittle_targets.can_send(state, now)
             for state in self._pools.get(pool, {}).values()
         )
 
@@ -332,6 +341,7 @@
                 if state.record.identity not in tried
                 and self.is_eligible(state, now)
                 and state.in_flight < max_in_flight
+                and self.brittle_targets.can_send(state, now)
             ],
             affinity,
             now,
@@ -357,6 +367,7 @@
         float or None
             Steady clock time until which the permit is valid, None if none is needed.
         """
+        self.brittle_targets.begin(state, self.clock())
         state.in_flight += 1
         return self.rate_limiter.take_permit(state, cold_start, self.clock())
 
@@ -378,6 +389,7 @@
     def mark_busy(self, state: TargetState, now: float) -> None:
         """Record that a target has refused a request because it is full."""
         state.busy_until = now + _BUSY_SECONDS
+        self.brittle_targets.record_refusal(state, now)
 
     def _remember_leaving(self, incarnation: str, started: int) -> None:
         self._leaving_starts[incarnation, started] = None
--- a/whinrack/dispatch/_statements.py
+++ b/whinrack/dispatch/_statements.py
@@ -31,6 +31,9 @@
     rate_limit : float or None
         Requests per second that the target accepts from all instances, `NO_LIMIT` if not stated,
         None if the value cannot be parsed.
+    max_refusals : float or None
+        Refusals for lack of room within a second, from all instances, beyond which the target falls
+        over; `NO_LIMIT` if not stated, None if the value cannot be parsed.
     unreadable_fields : tuple of str
         Names of the fields whose values cannot be parsed.
     unknown_fields : tuple of str
@@ -42,6 +45,7 @@
     is_leaving: bool = False
     retry_after: float = 0.0
     rate_limit: float | None = NO_LIMIT
+    max_refusals: float | None = NO_LIMIT
     unreadable_fields: tuple[str, ...] = ()
     unknown_fields: tuple[str, ...] = ()
 
@@ -84,6 +88,10 @@
             self.registry.stated_limits.record_answer(
                 state.record.identity, statement.rate_limit, sent_at, request
             )
+        if statement.max_refusals is not None:
+            self.registry.brittle_limits.record_answer(
+                state.record.identity, statement.max_refusals, sent_at, request
+            )
         if statement.is_leaving:
             self._handle_leaving(state, request)
         if statement.retry_after > 0.0:
--- /dev/null
+++ b/whinrack/dispatch/tests/test_brittle_targets.py
@@ -0,0 +1,82 @@
+"""Quotas of brittle targets: together the instances never exceed a target's slots."""
+
+import pytest
+
+from whinrack.dispatch import NO_LIMIT, SharedRatePermits, TargetRecord, TargetRegistry
+
+
+class Fleet:
+    """Registries of several instances with the same targets and a common clock."""
+
+    def __init__(self, instances, slots, refusals, targets=1):
+        self.now = 100.0
+        self.names = [f"m{number}" for number in range(instances)]
+        self.registries = {name: self._registry(name, slots, targets) for name in self.names}
+        for registry in self.registries.values():
+            for number in range(targets):
+                registry.brittle_limits.record_answer(f"t{number}", refusals, self.now)
+
+    def _registry(self, name, slots, targets):
+        permits = SharedRatePermits(name, lambda: frozenset(self.names), lambda: True)
+        registry = TargetRegistry(seed=1, rate_permits=permits, clock=lambda: self.now)
+        for number in range(targets):
+            registry.put(TargetRecord(f"t{number}", "p", "h", 1, slots=slots))
+        return registry
+
+    def send_all(self, name, most=1000):
+        """Send requests from one instance until it chooses no target; return how many."""
+        registry = self.registries[name]
+        for count in range(most):
+            state = registry.choose("p", "", (), self.now)
+            if state is None:
+                return count
+            registry.begin_request(state)
+        return most
+
+
+@pytest.mark.parametrize("instances", [1, 2, 3, 8, 87])
+@pytest.mark.parametrize("slots", [1, 4, 6, 64])
+@pytest.mark.parametrize("refusals", [0.0, 1.0, 3.0, 8.0])
+def test_requests_beyond_the_slots_are_fewer_than_the_refusals_that_make_a_target_fall(
+    instances, slots, refusals
+):
+    fleet = Fleet(instances, slots, refusals)
+    for registry in fleet.registries.values():
+        # All instances know that others use everything that is beyond their own quotas.
+        for number, state in enumerate(registry.targets_in_pool("p")):
+            assert number == 0
+            registry.remote_loads.update("others", {state.digest: slots}, fleet.now)
+    sent = sum(fleet.send_all(name) for name in fleet.names)
+    assert slots <= sent <= slots + refusals
+
+
+def test_free_slots_are_used_by_an_instance_beyond_its_quota():
+    fleet = Fleet(8, 64, 3.0)
+    assert fleet.send_all("m0") > 64 // 8
+
+
+def test_targets_that_are_not_brittle_have_no_quota():
+    fleet = Fleet(4, 2, NO_LIMIT)
+    assert fleet.send_all("m0", most=50) == 50
+
+
+def test_instance_that_was_refused_stays_below_its_quota_for_some_time():
+    fleet = Fleet(2, 8, 3.0)
+    registry = fleet.registries["m0"]
+    (state,) = registry.targets_in_pool("p")
+    registry.mark_busy(state, fleet.now)
+    assert fleet.send_all("m0") == 2
+    fleet.now += 3.1
+    assert fleet.send_all("m0") >= 2
+
+
+def test_quota_follows_the_members():
+    fleet = Fleet(2, 8, 0.0)
+    (state,) = fleet.registries["m0"].targets_in_pool("p")
+    fleet.registries["m0"].remote_loads.update("m1", {state.digest: 8}, fleet.now)
+    assert fleet.send_all("m0") == 4
+    fleet.names.append("m2")
+    fleet.now += 1.0
+    assert fleet.send_all("m0") == 0
+    del fleet.names[1:]
+    assert fleet.send_all("m0") == 4
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -23,6 +23,7 @@
     TargetRegistry,
     WarmUpLimits,
 )
+from whinrack.edge._brittle_log import BrittleLog
 from whinrack.edge._earlier_runs import EarlierRuns
 from whinrack.edge._emptied_halls import HallKnowledge
 from whinrack.edge._endpoints import AuxiliaryEndpoints
@@ -112,6 +113,7 @@
             ),
             warm_up_limits=WarmUpLimits(options.cold_overage, options.cold_slack),
             stated_limits=StatedLimits(self.holder),
+            brittle_limits=StatedLimits(self.holder),
         )
         self.current_configuration = CurrentConfiguration(self._on_configuration_applied)
         self.membership = Membership(
@@ -161,6 +163,8 @@
             self.registry.reachability, self.metrics, self.membership.notify_peers
         )
         self.registry.reachability.on_change.append(self.reachability_log.on_contact_changed)
+        self.brittle_log = BrittleLog(self.registry, self.metrics, self.membership.notify_peers)
+        self.registry.brittle_limits.on_change.append(self.brittle_log.on_change)
         self.warm_up_log = WarmUpLog(self.registry, self.current_configuration, self.metrics)
         self.tokens = TokenExchange(
             options,
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -113,6 +113,7 @@
         """Send a heartbeat to the peers that are due."""
         # Expired limits trigger a heartbeat of their own, ahead of this one.
         self.registry.stated_limits.drop_expired()
+        self.registry.brittle_limits.drop_expired()
         now = steady()
         message = self._build_heartbeat(now, self.table.take_states_to_pass_on(now))
         receivers = self.table.next_receivers(now)
@@ -159,6 +160,7 @@
             emptied_halls=self.registry.emptied_halls.statuses(),
             target_limits=self.registry.stated_limits.next_reports(),
             has_missing_peers=self.missing_peers.has_missing,
+            brittle_limits=self.registry.brittle_limits.next_reports(),
         )
 
     def _take_state_request(self, now: float) -> bool:
@@ -267,6 +269,7 @@
             self.host.merge_halls(heartbeat.emptied_halls, sender.name)
         self.missing_peers.report(heartbeat.has_missing_peers)
         self.registry.stated_limits.merge_reports(heartbeat.target_limits, sender.name)
+        self.registry.brittle_limits.merge_reports(heartbeat.brittle_limits, sender.name)
         self.host.compare_suspects(heartbeat.suspects_checksum, sender.address)
         if self._merge_leaving(heartbeat) and not self.table.is_full_mesh:
             self.notify_peers()
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -141,6 +141,9 @@
     has_missing_peers : bool
         Whether the sender itself has lost contact with an instance that did not announce its
         stop.
+    brittle_limits : list of LimitReport
+        Refusals per second beyond which targets fall over, as they have stated; empty from older
+        senders.
     """
 
     state: PeerState
@@ -157,6 +160,7 @@
     emptied_halls: list[HallStatus] = []
     target_limits: list[LimitReport] = []
     has_missing_peers: bool = False
+    brittle_limits: list[LimitReport] = []
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -109,6 +109,8 @@
     POOL_LOST = (5011, "WARNING", "several targets of a pool failed and none answered in between")
     POOL_REACHED = (5012, "INFO", "a lost pool is reached again")
 
+    TARGET_BRITTLE = (5013, "INFO", "target changed its statement that refusals make it fall over")
+
     GRANT_CLOSED = (6001, "ERROR", "an operator released this incarnation's grant")
     BILL_UNCONFIRMED = (6002, "WARNING", "response ended before its bill record was stored")
     POLICY_FAILED = (6003, "WARNING", "routing program failed; the default route decision applies")
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -81,6 +81,9 @@
         self.backed_off_targets = self._gauge(
             "backed_off_targets", "Targets that told this instance to back off, until that is over"
         )
+        self.brittle_targets = self._gauge(
+            "brittle_targets", "Targets that state that refusals make them fall over"
+        )
         self.lost_pools = self._gauge(
             "lost_pools", "Pools whose targets this instance has lost contact with"
         )
