Forwarding: peers are not chosen by what heartbeats said of their configuration

A peer's state is replaced only when its sequence rises, which a new configuration alone doesn't do, so the version known of an otherwise unchanged peer stays old and it was left out. The peer checks the version itself and declines.

With it: a loss counts as confirmed after a second, until then a request that no peer takes goes to a target, as healthy targets may be silent for a moment; silence counts from 0.6 s on; the age of a connection is the start of its attempt.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -43,6 +43,8 @@
 _MIN_IN_FLIGHT = 2
 # Seconds subtracted from the time left, so that the target's own timeout response can arrive.
 TIMEOUT_MARGIN = 0.05
+# Minimum seconds without an answer that count as evidence that contact with a pool is lost.
+_MIN_SILENCE_SECONDS = 0.6
 # Labels under which bytes sent to and received from targets are counted.
 _REQUESTS = "request"
 _ANSWERS = "answer"
@@ -212,6 +214,7 @@
         sent_at, has_head = steady(), False
         run.sent_at, run.concurrent_requests = sent_at, state.in_flight - 1
         silence_timeout = self.answer_times.silence_timeout(pool)
+        silent_at = sent_at + max(silence_timeout, _MIN_SILENCE_SECONDS)
         can_try_another = self._can_try_another(run, pool, sent_at)
         head_deadline = (
             min(run.deadline, sent_at + silence_timeout) if can_try_another else run.deadline
@@ -221,9 +224,7 @@
             self.statements.handle(state, statement, sent_at, run.request_id)
 
         try:
-            head = self._send_and_read_head(
-                run, state, connection, head_deadline, sent_at + silence_timeout
-            )
+            head = self._send_and_read_head(run, state, connection, head_deadline, silent_at)
             self.registry.reachability.record_answer(
                 pool.name, state.record.identity, connection.opened_at
             )
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -223,12 +223,9 @@
         try:
             if mark is not None:
                 log_forwarded(run, mark)
-            if self._should_forward(run, pool):
-                self._forward(run, pool)
+            if self._should_forward(run, pool) and self._forward(run, pool):
                 return
-            if self.reachability.is_lost(pool):
-                # Probes find out when targets are reached again; an attempt would only take time.
-                raise no_target_refusal(LOST_RETRY_SECONDS)
+            self._check_reachability(run, pool)
             self._admit(run)
             self._reserve_tokens(run)
             self._attempt_all(run, pool)
@@ -296,12 +293,12 @@
                 unsent_attempts += not failed.was_sent
                 log_attempt(run, failed.refusal, failed.reason)
                 if not failed.was_sent and self._should_forward(run, pool, unsent_attempts):
-                    self._forward(run, pool)
+                    self._forward_finally(run, pool)
                     return
                 if not self._can_retry(run, failed, unsent_attempts, retry_budget):
                     raise self._final_refusal(run, failed.refusal) from failed
                 if self._should_forward(run, pool, unsent_attempts):
-                    self._forward(run, pool)
+                    self._forward_finally(run, pool)
                     return
                 self._prepare_retry(run, pool, failed)
 
@@ -319,17 +316,33 @@
             pool
         ):
             return False
-        return self.forwarder.has_peer(run, pool)
+        return self.forwarder.has_peer(pool)
 
-    def _forward(self, run: RequestRun, pool: str) -> None:
+    def _forward(self, run: RequestRun, pool: str) -> bool:
+        """Forward a request for which nothing is reserved; return whether a peer took it."""
+        try:
+            return self.forwarder.forward(run, pool)
+        except Refusal as refusal:
+            raise self._final_refusal(run, refusal) from refusal
+
+    def _forward_finally(self, run: RequestRun, pool: str) -> None:
+        """Give up what is reserved for a request, and forward or refuse it."""
         if run.is_trial:
             self.attempt_runner.guard.return_trial(run.request_name)
             run.is_trial = False
         run.settle_not_run()
-        try:
-            self.forwarder.forward(run, pool)
-        except Refusal as refusal:
-            raise self._final_refusal(run, refusal) from refusal
+        if not self._forward(run, pool):
+            raise self._final_refusal(run, no_target_refusal(LOST_RETRY_SECONDS))
+
+    def _check_reachability(self, run: RequestRun, pool: str) -> None:
+        """Refuse a request for a lost pool: probes find out when targets are reached again.
+
+        A forwarded request is refused at once, so that the peer may try another instance. Others
+        are only refused once the loss is confirmed.
+        """
+        is_lost = self.reachability.is_lost(pool)
+        if is_lost and (run.is_forwarded or self.reachability.is_loss_confirmed(pool)):
+            raise no_target_refusal(LOST_RETRY_SECONDS)
 
     def _prepare_retry(self, run: RequestRun, pool: str, failed: AttemptFailed) -> None:
         """Raise a refusal if the request must not be sent again.
--- a/whinrack/dispatch/_forwarding.py
+++ b/whinrack/dispatch/_forwarding.py
@@ -16,7 +16,6 @@
     read_peer_answer,
     without_marks,
 )
-from whinrack.dispatch._refusals import LOST_RETRY_SECONDS, no_target_refusal
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._run_log import log_run
 from whinrack.exceptions import (
@@ -63,14 +62,8 @@
 class PeerSelector:
     """Selects the peers that a request may be forwarded to."""
 
-    def candidates(self, pool: str, configuration: int) -> list[ForwardingPeer]:
-        """Return the peers that may reach a pool, the preferred one first.
-
-        Parameters
-        ----------
-        configuration : int
-            Lowest version of the configuration that a peer must have.
-        """
+    def candidates(self, pool: str) -> list[ForwardingPeer]:
+        """Return the peers that may reach a pool, the preferred one first."""
         raise NotImplementedError
 
     def record_declined(self, peer: ForwardingPeer) -> None:
@@ -111,21 +104,26 @@
         self.metrics = metrics
         self.record_traffic = record_traffic
 
-    def has_peer(self, run: RequestRun, pool: str) -> bool:
+    def has_peer(self, pool: str) -> bool:
         """Return whether there is a peer that may serve a request for a pool."""
-        return bool(self.peers.candidates(pool, run.configuration.version))
+        return bool(self.peers.candidates(pool))
 
-    def forward(self, run: RequestRun, pool: str) -> None:
+    def forward(self, run: RequestRun, pool: str) -> bool:
         """Forward a request to one peer and relay its answer.
 
         Another peer is tried only if the one before has certainly not run the request.
 
+        Returns
+        -------
+        bool
+            False if no peer has taken the request.
+
         Raises
         ------
         Refusal
-            If no peer has taken the request, or the one that took it failed.
+            If the peer that took the request failed.
         """
-        for peer in self.peers.candidates(pool, run.configuration.version)[:_MAX_PEERS]:
+        for peer in self.peers.candidates(pool)[:_MAX_PEERS]:
             if run.seconds_left() <= _PEER_TIMEOUT_MARGIN:
                 break
             began_at = steady()
@@ -138,8 +136,8 @@
                 self._log_failure(run, peer, failure.message, failure.outcome, began_at)
                 raise
             else:
-                return
-        raise no_target_refusal(LOST_RETRY_SECONDS)
+                return True
+        return False
 
     def _forward_to(self, peer: ForwardingPeer, run: RequestRun) -> None:
         began_at = steady()
--- a/whinrack/dispatch/_reachability.py
+++ b/whinrack/dispatch/_reachability.py
@@ -17,6 +17,9 @@
 # their targets have failed. While another pool is lost, one failed target is enough.
 _MIN_FAILED_TARGETS = 2
 _MIN_FAILED_TARGETS_IF_OTHER_LOST = 1
+# Time for which a pool must be lost until the loss counts as confirmed, in seconds: healthy targets
+# may all be silent for a moment.
+_CONFIRMATION_SECONDS = 1.0
 # Failures that are remembered per pool, the latest ones.
 _MAX_FAILURES = 50
 
@@ -102,6 +105,12 @@
             self._set_reached(pool, contact, "failed targets are gone")
         return contact.is_lost
 
+    def is_loss_confirmed(self, pool: str) -> bool:
+        """Return whether a pool has been lost for so long that waiting for it is of no use."""
+        if not self.is_lost(pool):
+            return False
+        return self.clock() - self._pools[pool].lost_at >= _CONFIRMATION_SECONDS
+
     def lost_pools(self) -> list[str]:
         """Return the names of the lost pools in alphabetical order."""
         return sorted(pool for pool in list(self._pools) if self.is_lost(pool))
--- a/whinrack/dispatch/tests/test_reachability.py
+++ b/whinrack/dispatch/tests/test_reachability.py
@@ -103,6 +103,18 @@
     assert pool.changes[1].evidence == "c"
 
 
+def test_a_loss_is_confirmed_after_a_second():
+    pool = Pool("a", "b")
+    pool.fail("a")
+    pool.fail("b")
+    pool.now += 0.9
+    assert not pool.reachability.is_loss_confirmed("p")
+    pool.now += 0.1
+    assert pool.reachability.is_loss_confirmed("p")
+    pool.answer()
+    assert not pool.reachability.is_loss_confirmed("p")
+
+
 def test_replacement_of_the_failed_targets_ends_a_loss():
     pool = Pool("a", "b")
     pool.fail("a")
--- a/whinrack/edge/_forwarding_peers.py
+++ b/whinrack/edge/_forwarding_peers.py
@@ -50,7 +50,7 @@
         self._random = random.Random(seed)
         self._avoided_until: dict[str, float] = {}
 
-    def candidates(self, pool: str, configuration: int) -> list[ForwardingPeer]:
+    def candidates(self, pool: str) -> list[ForwardingPeer]:
         """Return the live peers that have not lost a pool, the least loaded one first.
 
         Peers that stop serve requests for some more seconds, and are used if there is no other.
@@ -59,9 +59,7 @@
         states = [
             view.state
             for view in self.table.live_peers(now)
-            if view.state.accepts_forwarded
-            and digest not in view.state.lost_pools
-            and view.state.configuration >= configuration
+            if view.state.accepts_forwarded and digest not in view.state.lost_pools
         ]
         states.sort(key=lambda state: self._preference(state, now))
         return [ForwardingPeer(state.sender.name, state.sender.address) for state in states]
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -37,7 +37,8 @@
     def __init__(self, address: tuple[str, int], sock):
         self.address = address
         self.sock = sock
-        self.opened_at = steady()
+        # Steady clock time at which the connection attempt began.
+        self.opened_at = 0.0
         # Sizes of the latest request and its response, including their heads.
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -276,9 +277,11 @@
             connection.close()
         began = steady()
         try:
-            return TargetConnection.connect(
+            connection = TargetConnection.connect(
                 address, max(0.01, min(self.connect_timeout, deadline - began))
             )
+            connection.opened_at = began
+            return connection
         finally:
             # Failed attempts count as well: if all of them time out, the own link is the cause.
             took = steady() - began
