Brittle targets: instances that have lost a pool leave their quotas to the others

Soak: three of four instances were partitioned from all runners while these were brittle. They forwarded to the fourth, which kept to a quarter of the slots and refused 120 requests in 4 s.

--- a/whinrack/dispatch/_brittle_targets.py
+++ b/whinrack/dispatch/_brittle_targets.py
@@ -41,21 +41,22 @@
         Divides the permits for requests beyond the quotas among the instances.
     remote_loads : RemoteLoads
         Loads that other instances put on the targets.
+    instances_without : callable, optional
+        Returns the names of the instances that have lost contact with a pool; they have no quota.
     """
 
-    def __init__(self, limits: StatedLimits, permits: SharedRatePermits, remote_loads: RemoteLoads):
+    def __init__(
+        self,
+        limits: StatedLimits,
+        permits: SharedRatePermits,
+        remote_loads: RemoteLoads,
+        instances_without: Callable[[str], Collection[str]] = lambda pool: (),
+    ):
+        self.instances_without = instances_without
         self.limits = limits
         self.permits = permits
         self.remote_loads = remote_loads
         self._refused_at: dict[str, float] = {}
-        # This instance's position among the members, by target, for the latest known members.
-        self._positions: dict[str, int] = {}
-        self._known_members: Collection[str] = frozenset()
-
-    @property
-    def members(self) -> Callable[[], Collection[str]]:
-        """Returns the names of the instances that share the targets."""
-        return self.permits.members
 
     def is_brittle(self, state: TargetState) -> bool:
         """Return whether a target states that it is brittle."""
@@ -90,29 +91,24 @@
 
     def _allowance(self, state: TargetState, now: float) -> int:
         """Return how many requests this instance may have in flight without risking a refusal."""
-        members = max(1, len(self.members()))
+        members = frozenset(self.permits.members()).difference(
+            self.instances_without(state.record.pool)
+        )
         quota = self._quota(state, members)
         if self._is_cautious(state, now):
             return max(1, int(quota * _CAUTION_FRACTION)) if quota else 0
         free = state.record.slots - state.in_flight - self.remote_loads.requests_at(state.digest)
         # Each member may use an equal part of what is free before it hears of the others.
-        return max(quota, state.in_flight + max(0, free) // members)
+        return max(quota, state.in_flight + max(0, free) // max(1, len(members)))
 
-    def _quota(self, state: TargetState, members: int) -> int:
+    def _quota(self, state: TargetState, members: Collection[str]) -> int:
+        """Return this instance's part of the slots; what does not divide goes to the first ones."""
+        if self.permits.name not in members:
+            return 0
         slots = state.record.slots
-        return slots // members + (self._position(state) < slots % members)
-
-    def _position(self, state: TargetState) -> int:
-        members = frozenset(self.members())
-        if members != self._known_members:
-            self._positions.clear()
-            self._known_members = members
-        target = state.record.identity
-        if target not in self._positions:
-            order = rendezvous_order(target, members)
-            name = self.permits.name
-            self._positions[target] = order.index(name) if name in members else len(order)
-        return self._positions[target]
+        order = rendezvous_order(state.record.identity, members)
+        position = order.index(self.permits.name)
+        return slots // len(members) + (position < slots % len(members))
 
     def _is_cautious(self, state: TargetState, now: float) -> bool:
         refused_at = self._refused_at.get(state.record.identity)
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -44,6 +44,8 @@
         Rate limits that targets have stated.
     brittle_limits : StatedLimits, optional
         Refusals per second beyond which targets have stated that they fall over.
+    instances_without : callable, optional
+        Returns the names of the instances that have lost contact with a pool.
     clock : callable, optional
         Monotonic clock, replaced in tests.
     """
@@ -55,6 +57,7 @@
         warm_up_limits: WarmUpLimits | None = None,
         stated_limits: StatedLimits | None = None,
         brittle_limits: StatedLimits | None = None,
+        instances_without: Callable[[str], Collection[str]] = lambda pool: (),
         clock: Callable[[], float] = steady,
     ):
         self.clock = clock
@@ -80,7 +83,7 @@
         self.remote_loads = RemoteLoads()
         self.brittle_limits = brittle_limits or StatedLimits(clock=clock)
         self.brittle_targets = BrittleTargets(
-            self.brittle_limits, self.rate_permits, self.remote_loads
+            self.brittle_limits, self.rate_permits, self.remote_loads, instances_without
         )
         self.reachability = Reachability(self._identities_in_service, clock)
         self.reachability.on_change.append(self._on_contact_changed)
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -224,6 +224,15 @@
         missing = self.missing_peers.count(only_serving=not self.table.is_full_mesh)
         return self.table.count_sharing_instances(steady()) + missing
 
+    def instances_without(self, pool: str) -> list[str]:
+        """Return the names of the live peers that have lost contact with a pool."""
+        digest = pool_digest(pool)
+        return [
+            view.state.sender.name
+            for view in self.table.live_peers(steady())
+            if digest in view.state.lost_pools
+        ]
+
     def peer_with_store(self) -> HostPort | None:
         """Return the address of a random peer that reaches the store, None if no peer does."""
         reaching = self.table.peers_with_store(steady())
