Forwarding: a refusal after an attempt is final; marks of bounded length; quotas computed ten times a second

Read again: a peer that had sent a request to a target and was refused there declined it, and the next peer sent it once more without a permit for a retry. Its refusal now says how many targets had it. A mark with a number of hundreds of digits ended the connection's thread. The members that share a brittle target's slots were ordered anew for each target and request.

--- a/whinrack/dispatch/_brittle_targets.py
+++ b/whinrack/dispatch/_brittle_targets.py
@@ -30,6 +30,29 @@
 _PERMIT_SUFFIX = "/beyond-quota"
 
 
+# The members are needed for each target and request, and recomputed at this interval.
+_REFRESH_SECONDS = 0.1
+# Targets whose positions are remembered.
+_MAX_POSITIONS = 5000
+
+
+class _Members:
+    """The instances that have a quota in a pool, with this instance's position by target."""
+
+    def __init__(self, names: frozenset[str], updated_at: float):
+        self.names = names
+        self.updated_at = updated_at
+        self._positions: dict[str, int] = {}
+
+    def position(self, name: str, target: str) -> int:
+        """Return the position of a member in the rendezvous order of a target."""
+        if target not in self._positions:
+            if len(self._positions) >= _MAX_POSITIONS:
+                self._positions.clear()
+            self._positions[target] = rendezvous_order(target, self.names).index(name)
+        return self._positions[target]
+
+
 class BrittleTargets:
     """Decides whether this instance may send one more request to a brittle target.
 
@@ -57,6 +80,7 @@
         self.permits = permits
         self.remote_loads = remote_loads
         self._refused_at: dict[str, float] = {}
+        self._members_by_pool: dict[str, _Members] = {}
 
     def is_brittle(self, state: TargetState) -> bool:
         """Return whether a target states that it is brittle."""
@@ -91,24 +115,30 @@
 
     def _allowance(self, state: TargetState, now: float) -> int:
         """Return how many requests this instance may have in flight without risking a refusal."""
-        members = frozenset(self.permits.members()).difference(
-            self.instances_without(state.record.pool)
-        )
+        members = self._members(state.record.pool, now)
         quota = self._quota(state, members)
         if self._is_cautious(state, now):
             return max(1, int(quota * _CAUTION_FRACTION)) if quota else 0
         free = state.record.slots - state.in_flight - self.remote_loads.requests_at(state.digest)
         # Each member may use an equal part of what is free before it hears of the others.
-        return max(quota, state.in_flight + max(0, free) // max(1, len(members)))
-
-    def _quota(self, state: TargetState, members: Collection[str]) -> int:
+        return max(quota, state.in_flight + max(0, free) // max(1, len(members.names)))
+
+    def _members(self, pool: str, now: float) -> _Members:
+        known = self._members_by_pool.get(pool)
+        if known is not None and now - known.updated_at < _REFRESH_SECONDS:
+            return known
+        names = frozenset(self.permits.members()).difference(self.instances_without(pool))
+        if known is None or known.names != names:
+            known = self._members_by_pool[pool] = _Members(names, now)
+        known.updated_at = now
+        return known
+
+    def _quota(self, state: TargetState, members: _Members) -> int:
         """Return this instance's part of the slots; what does not divide goes to the first ones."""
-        if self.permits.name not in members:
+        if self.permits.name not in members.names:
             return 0
-        slots = state.record.slots
-        order = rendezvous_order(state.record.identity, members)
-        position = order.index(self.permits.name)
-        return slots // len(members) + (position < slots % len(members))
+        quota, rest = divmod(state.record.slots, len(members.names))
+        return quota + (members.position(self.permits.name, state.record.identity) < rest)
 
     def _is_cautious(self, state: TargetState, now: float) -> bool:
         refused_at = self._refused_at.get(state.record.identity)
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -408,6 +408,6 @@
             # The response has begun: leave it incomplete, which closes the connection.
             return
         if exchange.added_headers:
-            exchange.added_headers += refusal_mark(refusal.code)
+            exchange.added_headers += refusal_mark(refusal.code, refusal.attempts)
         status, headers, body = self.dialect.refusal_response(refusal, request)
         exchange.respond(status, headers, body)
--- a/whinrack/dispatch/_forwarding.py
+++ b/whinrack/dispatch/_forwarding.py
@@ -40,7 +40,8 @@
 _MAX_PEERS = 3
 # Seconds subtracted from the time left, so that the peer's own timeout response can arrive.
 _PEER_TIMEOUT_MARGIN = 0.05
-# Refusals with which a peer declines a request that another peer may be able to serve.
+# Refusals with which a peer declines a request that another peer may be able to serve, if it has
+# not sent it to a target: a further target would be a retry.
 _DECLINING_CODES = frozenset(
     (TargetUnavailable.code, RouterStopping.code, ConfigurationUnknown.code)
 )
@@ -189,7 +190,8 @@
         may_have_run_before: bool,
     ) -> None:
         """Raise an exception if the peer's refusal is not the answer for the caller."""
-        if answer.refusal in _DECLINING_CODES:
+        is_untried = answer.attempts <= run.attempts
+        if answer.refusal in _DECLINING_CODES and is_untried:
             run.may_have_run = may_have_run_before
             raise _Declined(answer.refusal)
         if answer.refusal and may_have_run_before:
--- a/whinrack/dispatch/_forwarding_mark.py
+++ b/whinrack/dispatch/_forwarding_mark.py
@@ -4,6 +4,8 @@
 removed before a message is forwarded.
 """
 
+import re
+
 import msgspec
 
 from whinrack.exceptions import BadRequest
@@ -24,6 +26,8 @@
 _CONFIGURATION = b"whinrack-configuration"
 _REFUSAL = b"whinrack-refusal"
 _MILLISECONDS_PER_SECOND = 1000.0
+_REQUEST_PATTERN = re.compile(rb"(\d{1,9}),(\d{1,9}),(\d{1,18})")
+_REFUSAL_PATTERN = re.compile(rb"([a-z_]{1,60}),(\d{1,9})")
 # Headers that frame a body or its transmission; each hop sets its own.
 _FRAMING = frozenset((b"content-length", b"expect"))
 
@@ -60,10 +64,13 @@
         Version of the configuration in force at the peer.
     refusal : str
         Code of the peer's own refusal, empty for the answer of a target.
+    attempts : int
+        Targets that a refused request was sent to, including those of `ForwardingMark.attempts`.
     """
 
     configuration: int
-    refusal: str
+    refusal: str = ""
+    attempts: int = 0
 
 
 def parse_mark(head: RequestHead) -> ForwardingMark | None:
@@ -77,10 +84,10 @@
     value = header_value(head.headers, _REQUEST)
     if not value:
         return None
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+    match = _REQUEST_PATTERN.fullmatch(value)
+    if match is None:
         raise BadRequest("malformed mark of a forwarded request")
-    milliseconds, attempts, configuration = map(int, parts)
+    milliseconds, attempts, configuration = map(int, match.groups())
     return ForwardingMark(milliseconds / _MILLISECONDS_PER_SECOND, attempts, configuration)
 
 
@@ -89,9 +96,9 @@
     return [(_CONFIGURATION, b"%d" % configuration)]
 
 
-def refusal_mark(code: str) -> Headers:
+def refusal_mark(code: str, attempts: int) -> Headers:
     """Return the additional headers of an instance's own refusal of a forwarded request."""
-    return [(_REFUSAL, code.encode())]
+    return [(_REFUSAL, b"%b,%d" % (code.encode(), attempts))]
 
 
 def read_peer_answer(head: ResponseHead) -> PeerAnswer | None:
@@ -99,7 +106,11 @@
     configuration = header_value(head.headers, _CONFIGURATION)
     if not configuration.isdigit():
         return None
-    return PeerAnswer(int(configuration), header_value(head.headers, _REFUSAL).decode("latin-1"))
+    refusal = _REFUSAL_PATTERN.fullmatch(header_value(head.headers, _REFUSAL))
+    if refusal is None:
+        return PeerAnswer(int(configuration))
+    code, attempts = refusal.groups()
+    return PeerAnswer(int(configuration), code.decode(), int(attempts))
 
 
 def without_marks(headers: Headers) -> Headers:
--- a/whinrack/dispatch/tests/test_brittle_targets.py
+++ b/whinrack/dispatch/tests/test_brittle_targets.py
@@ -82,6 +82,7 @@
     fleet.registries["m0"].remote_loads.update("others", {state.digest: 8}, fleet.now)
     assert fleet.send_all("m0") == 2
     fleet.without_pool = ["m1", "m2", "m3"]
+    fleet.now += 0.2
     assert fleet.send_all("m0") == 6
 
 
@@ -94,4 +95,5 @@
     fleet.now += 1.0
     assert fleet.send_all("m0") == 0
     del fleet.names[1:]
+    fleet.now += 1.0
     assert fleet.send_all("m0") == 4
