A pool counts as lost only after two of its targets failed, also while another pool is lost

Soak (16 daemons, 32 callers): one pool was down and a runner of the other had crashed. The only instance that reached it took the one failure for the loss of the pool and refused what three partitioned instances forwarded: 6 of 140 served. One failure sufficed while another pool was lost, so that a cut shows sooner; the probes of silent pools give that evidence as well.

--- a/whinrack/dispatch/_reachability.py
+++ b/whinrack/dispatch/_reachability.py
@@ -14,9 +14,8 @@
 __all__ = ["ContactChange", "ContactFailure", "Reachability"]
 
 # Number of targets that must fail without an answer in between. Smaller pools are lost when all
-# their targets have failed. While another pool is lost, one failed target is enough.
+# their targets have failed.
 _MIN_FAILED_TARGETS = 2
-_MIN_FAILED_TARGETS_IF_OTHER_LOST = 1
 # Time for which a pool must be lost until the loss counts as confirmed, in seconds: healthy targets
 # may all be silent for a moment.
 _CONFIRMATION_SECONDS = 1.0
@@ -169,9 +168,7 @@
     def _has_evidence(self, pool: str, contact: _PoolContact) -> bool:
         in_service = self.targets_in_service(pool)
         failed = sum(target in contact.failures for target in in_service)
-        is_other_lost = any(other.is_lost for other in self._pools.values() if other is not contact)
-        needed = _MIN_FAILED_TARGETS_IF_OTHER_LOST if is_other_lost else _MIN_FAILED_TARGETS
-        return 0 < min(needed, len(in_service)) <= failed
+        return 0 < min(_MIN_FAILED_TARGETS, len(in_service)) <= failed
 
     def _set_reached(self, pool: str, contact: _PoolContact, evidence: str) -> None:
         contact.is_lost = False
--- a/whinrack/dispatch/tests/test_reachability.py
+++ b/whinrack/dispatch/tests/test_reachability.py
@@ -84,12 +84,13 @@
     assert pool.is_lost
 
 
-def test_one_failed_target_is_enough_while_another_pool_is_lost():
+def test_one_failed_target_is_not_enough_while_another_pool_is_lost():
+    """Guards against a pool that is down and one crashed target of another taken for a cut."""
     pool = Pool("a", "b", "c")
     pool.fail("a")
     pool.fail("b")
-    pool.reachability.record_failure("q", "a", ContactFailure.SILENT, pool.now)
-    assert pool.reachability.lost_pools() == ["p", "q"]
+    pool.reachability.record_failure("q", "a", ContactFailure.UNREACHABLE, pool.now)
+    assert pool.reachability.lost_pools() == ["p"]
 
 
 def test_any_answer_over_a_new_connection_ends_a_loss():
