TargetRecord: the store's revision of a record is called revision

The entry's own field version is the version of the target's software. One word for two things hid that nothing reads it. Names only; the field does not leave the process.

--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -151,8 +151,8 @@
             return False
         if record.pool != state.record.pool:
             self._move_to_pool(state, record)
-        if (record.version, record.cold_seconds_left) != (
-            state.record.version,
+        if (record.revision, record.cold_seconds_left) != (
+            state.record.revision,
             state.record.cold_seconds_left,
         ):
             state.cold_state.update(record.cold_seconds_left, self.clock())
--- a/whinrack/dispatch/_values.py
+++ b/whinrack/dispatch/_values.py
@@ -151,7 +151,7 @@
         Whether the target accepts no new requests.
     started : int
         Unix time of its start in milliseconds, 0 if unknown.
-    version : int
+    revision : int
         The store's revision of the record, 0 if unknown.
     cold_seconds_left : float or None
         Seconds for which the target is cold, counted from when the record was written; None if
@@ -166,7 +166,7 @@
     slots: int = 1
     is_leaving: bool = False
     started: int = 0
-    version: int = 0
+    revision: int = 0
     cold_seconds_left: float | None = 0.0
 
     @property
@@ -189,8 +189,8 @@
         The store's revisions take precedence over start times: a start time in the future,
         written by another program, must not make valid records look outdated.
         """
-        if 0 not in (self.version, other.version):
-            return self.version < other.version
+        if 0 not in (self.revision, other.revision):
+            return self.revision < other.revision
         return self.started < other.started
 
 
--- a/whinrack/dispatch/tests/test_cold_targets.py
+++ b/whinrack/dispatch/tests/test_cold_targets.py
@@ -28,9 +28,9 @@
             seed=1, rate_permits=self.permits, warm_up_limits=LIMITS, clock=lambda: self.now
         )
         for name in names:
-            self.update_record(name, 0.0, version=1)
+            self.update_record(name, 0.0, revision=1)
 
-    def update_record(self, name, cold_left, version=2, started=0):
+    def update_record(self, name, cold_left, revision=2, started=0):
         self.targets.put(
             TargetRecord(
                 name,
@@ -39,7 +39,7 @@
                 1,
                 data_hall="z",
                 slots=self.slots,
-                version=version,
+                revision=revision,
                 cold_seconds_left=cold_left,
                 started=started,
             )
@@ -82,7 +82,7 @@
 def test_a_later_record_that_says_warm_takes_effect_at_once():
     harness = Harness("a")
     harness.update_record("a", 3.0)
-    harness.update_record("a", 0.0, version=3)
+    harness.update_record("a", 0.0, revision=3)
     assert harness.cold() == set()
 
 
@@ -120,7 +120,7 @@
     harness.update_record("a", 0.0)
     assert harness.cold() == {"a"}
     harness.now += 2.0
-    harness.update_record("a", 0.0, version=3)
+    harness.update_record("a", 0.0, revision=3)
     assert harness.cold() == set()
 
 
@@ -136,8 +136,8 @@
 
 def test_a_later_start_is_cold_by_its_own_record():
     harness = Harness("a")
-    harness.update_record("a", 0.0, version=2, started=1)
-    harness.update_record("a", 3.0, version=3, started=2)
+    harness.update_record("a", 0.0, revision=2, started=1)
+    harness.update_record("a", 3.0, revision=3, started=2)
     assert harness.cold() == {"a"}
 
 
--- a/whinrack/dispatch/tests/test_target_starts.py
+++ b/whinrack/dispatch/tests/test_target_starts.py
@@ -7,8 +7,10 @@
 NOW = 10.0
 
 
-def record(started, leaving=False, port=1, name="t", version=0):
-    return TargetRecord(name, "p", "h", port, started=started, is_leaving=leaving, version=version)
+def record(started, leaving=False, port=1, name="t", revision=0):
+    return TargetRecord(
+        name, "p", "h", port, started=started, is_leaving=leaving, revision=revision
+    )
 
 
 @pytest.fixture
@@ -142,8 +144,8 @@
 
 def test_a_wrong_start_time_in_the_future_does_not_block_valid_records(registry):
     registry.put(record(5))
-    registry.put(record(4_102_444_800_000, version=8))
-    registry.put(record(5, version=9))
+    registry.put(record(4_102_444_800_000, revision=8))
+    registry.put(record(5, revision=9))
     assert chosen(registry) == 5
 
 
