--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -158,6 +158,7 @@
             raise NoTargetAvailable(pool_refusal(self.registry, pool, now))
         run.tried_targets.add(state.record.identity)
         run.target = state.record.incarnation
+        run.software_version = state.record.software_version
         run.targets_view = self.targets_view()
         self.metrics.targets_age_seconds.set(run.targets_view.age)
         permit_until = self.registry.begin_request(state, pool.cold_start)
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -45,6 +45,8 @@
         Longest pause between two relayed events.
     pending_prompt : PendingPrompt or None
         Prompt tokens counted as unread at the latest target.
+    software_version : str
+        Software version of the latest target when the request was sent to it.
     targets_view : TargetsView
         Revision and age of the target list at the latest choice.
     billed_tokens : int
@@ -92,6 +94,7 @@
         self._last_relayed_at = 0.0
         self.last_id = request.resume_after
         self.target = ""
+        self.software_version = ""
         self.pending_prompt: PendingPrompt | None = None
         self.targets_view = TargetsView()
         self.sent_at = 0.0
@@ -104,6 +107,11 @@
         """The request id as text, for logs."""
         return self.request.request_id.decode("latin-1")
 
+    @property
+    def resumed_id(self) -> str:
+        """Id of the caller's attempt that began the stream, as text, for logs."""
+        return self.request.resumed_id.decode("latin-1")
+
     @property
     def fingerprint(self) -> str:
         """Fingerprint shared by all requests with the same host, target, workspace and body."""
--- a/whinrack/dispatch/_values.py
+++ b/whinrack/dispatch/_values.py
@@ -156,6 +156,8 @@
     cold_seconds_left : float or None
         Seconds for which the target is cold, counted from when the record was written; None if
         the record does not say.
+    software_version : str
+        Version of the target's software, empty if unknown.
     """
 
     incarnation: str
@@ -168,6 +170,7 @@
     started: int = 0
     revision: int = 0
     cold_seconds_left: float | None = 0.0
+    software_version: str = ""
 
     @property
     def identity(self) -> str:
@@ -253,6 +256,9 @@
         Parts in order; the last one belongs to this request alone.
     resume_after : int or None
         Id of the last event that the caller has received.
+    resumed_id : bytes
+        Id of the caller's attempt that received the first event of the stream that this request
+        continues; empty if the caller names none.
     """
 
     request_id: bytes
@@ -267,6 +273,7 @@
     declared_tokens: DeclaredTokens | None = None
     prompt_parts: tuple[PromptPart, ...] = ()
     resume_after: int | None = None
+    resumed_id: bytes = b""
 
 
 class Attempt(msgspec.Struct, frozen=True, kw_only=True):
