Streams go on only at the software version that began them

Cause: an instance that continued a broken stream, or was asked by a caller to, chose among all targets of the pool. Nothing read the version in a target's record nor Resumes, and nothing that an instance knows of a stream outlived its answer. Change: the version at which a stream's first event came binds further attempts. Its instance reports it to three homes by rendezvous before the first event is relayed; who is asked to continue asks them. What can't be known is refused, not run.

--- a/whinrack/dispatch/__init__.py
+++ b/whinrack/dispatch/__init__.py
@@ -7,7 +7,7 @@
 from whinrack.dispatch._forwarding import ForwardingPeer, PeerSelector, RequestForwarder
 from whinrack.dispatch._rate_bounds import RateBound, WarmUpLimits
 from whinrack.dispatch._reachability import ContactChange, ContactFailure, Reachability
-from whinrack.dispatch._registry import TargetRegistry
+from whinrack.dispatch._registry import OWN_SOURCE, TargetRegistry
 from whinrack.dispatch._retries import RetryBudget
 from whinrack.dispatch._shared_rates import SharedRatePermits
 from whinrack.dispatch._stated_limits import NO_LIMIT, LimitChange, LimitReport, StatedLimits
@@ -32,6 +32,7 @@
 
 __all__ = [
     "NO_LIMIT",
+    "OWN_SOURCE",
     "Attempt",
     "ColdStart",
     "Configuration",
--- a/whinrack/dispatch/_answers.py
+++ b/whinrack/dispatch/_answers.py
@@ -1,6 +1,6 @@
 """Relays targets' answers to callers and bills them."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from whinrack.clock import steady
 from whinrack.dispatch._events import event_blocks
@@ -24,11 +24,19 @@
     metrics : Metrics
     pacing : StreamPacing
         Inserts pauses between the pieces of streams.
+    on_first_event : callable
+        Called before the first event of a stream is relayed.
     """
 
-    def __init__(self, metrics: Metrics, pacing: StreamPacing):
+    def __init__(
+        self,
+        metrics: Metrics,
+        pacing: StreamPacing,
+        on_first_event: Callable[[RequestRun, PoolRecord], None],
+    ):
         self.metrics = metrics
         self.pacing = pacing
+        self.on_first_event = on_first_event
 
     def relay_complete(
         self, run: RequestRun, pool: PoolRecord, head: ResponseHead, body: bytes
@@ -59,6 +67,7 @@
         exchange = run.exchange
         for block in event_blocks(self.pacing.paced(pieces), run.last_id):
             if not exchange.is_started:
+                self.on_first_event(run, pool)
                 exchange.start_response(head.status, without_marks(head.headers))
                 self._record_first_event(run)
             exchange.write(block.data)
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -10,11 +10,12 @@
 from whinrack.dispatch._crash_detector import CrashDetector
 from whinrack.dispatch._open_connections import OpenConnections
 from whinrack.dispatch._reachability import ContactFailure
-from whinrack.dispatch._refusals import no_target_refusal, pool_refusal, target_full_refusal
+from whinrack.dispatch._refusals import no_target_refusal, target_full_refusal
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._retries import RetryBudgets
 from whinrack.dispatch._statements import StatementHandler, TargetStatement
+from whinrack.dispatch._stream_versions import StreamVersions
 from whinrack.dispatch._target_state import PendingPrompt, TargetState
 from whinrack.dispatch._values import Attempt, PoolRecord, RouteKind, TargetsView
 from whinrack.dispatch.base import Dialect
@@ -95,6 +96,7 @@
     record_traffic : callable
         Called with the kind of traffic, the target's data hall and the number of bytes sent to
         or received from the target.
+    stream_versions : StreamVersions
     guard : RunGuard, optional
         Notified of how runs end.
     """
@@ -110,6 +112,7 @@
         instance_count: Callable[[], int],
         targets_view: Callable[[], TargetsView],
         record_traffic: Callable[[str, str, int], None],
+        stream_versions: StreamVersions,
         guard: RunGuard | None = None,
     ):
         self.dialect = dialect
@@ -121,6 +124,7 @@
         self.instance_count = instance_count
         self.targets_view = targets_view
         self.record_traffic = record_traffic
+        self.stream_versions = stream_versions
         self.answer_times = AnswerTimes()
         self.open_connections = OpenConnections(connections)
         registry.on_target_replaced.append(self.open_connections.abort_replaced)
@@ -153,12 +157,13 @@
             prompt=prompt,
             cold_start=pool.cold_start,
             priority=run.priority,
+            software_version=run.origin.software_version if run.origin is not None else None,
         )
         if state is None:
-            raise NoTargetAvailable(pool_refusal(self.registry, pool, now))
+            raise NoTargetAvailable(self.stream_versions.refusal(run, pool))
         run.tried_targets.add(state.record.identity)
         run.target = state.record.incarnation
-        run.software_version = state.record.software_version
+        run.software_version = self.registry.software_version(state)
         run.targets_view = self.targets_view()
         self.metrics.targets_age_seconds.set(run.targets_view.age)
         permit_until = self.registry.begin_request(state, pool.cold_start)
@@ -195,6 +200,10 @@
             return self.connections.acquire(state.address, run.deadline)
         except TargetUnavailable as failure:
             state.record_unreachable(steady())
+            is_refused = isinstance(failure.__cause__, ConnectionRefusedError)
+            # A running target with too many connections refuses further ones as well.
+            if is_refused and state.in_flight <= 1:
+                self.registry.record_ended(state)
             self._record_contact_failure(state, ContactFailure.UNREACHABLE, began_at)
             raise AttemptFailed(
                 no_target_refusal(), was_sent=False, reason=failure.message
@@ -237,6 +246,7 @@
                 self._handle_target_refusal(pool, state, statement)
             has_head = True
             state.record_answer(steady())
+            state.record_alive(connection.opened_at)
             self._relay_answer(run, pool, connection, head)
             if head.status < _SERVER_ERROR:
                 self.guard.record_success(run.request_name)
@@ -245,6 +255,8 @@
             if not has_head:
                 self._record_contact_failure(state, ContactFailure.CUT, sent_at)
             self.crash_detector.record_cut(state, run.request_name)
+            if state.is_replaced:
+                self.stream_versions.record_replaced(run)
             raise AttemptFailed(failure, was_sent=True) from failure
         except AttemptTimeout as failure:
             self._suspect_silence(state, sent_at, has_head, silence_timeout)
--- a/whinrack/dispatch/_crash_detector.py
+++ b/whinrack/dispatch/_crash_detector.py
@@ -110,6 +110,7 @@
         if presence is Presence.ENDED:
             # Spares other requests a failed connection.
             state.record_unreachable(steady())
+            self.registry.record_ended(state)
         if presence is Presence.ENDED and not is_brittle:
             # A brittle target falls over because of refused requests, not of those that it runs.
             self.guard.record_target_end(TargetEnd(record.incarnation, record.started), requests)
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -40,7 +40,8 @@
     log_reservation_refused,
     log_run,
 )
-from whinrack.dispatch._values import IncomingRequest, Route, RouteKind, TargetsView
+from whinrack.dispatch._stream_versions import StreamVersions
+from whinrack.dispatch._values import IncomingRequest, RouteKind, TargetsView
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
     CallerGone,
@@ -53,6 +54,7 @@
 from whinrack.http1 import ConnectionPool, Exchange
 from whinrack.observability import Event, Metrics, log_event
 from whinrack.quarantine import RunGuard
+from whinrack.streams import LocalOrigins, OriginDirectory
 
 __all__ = ["DispatchOptions", "Dispatcher"]
 
@@ -106,6 +108,8 @@
         Rejects quarantined requests and is notified of how runs end.
     forwarder : RequestForwarder, optional
         Forwards requests for pools that this instance has lost contact with.
+    origins : OriginDirectory, optional
+        Directory of where streams began; by default only those of this instance.
     """
 
     def __init__(
@@ -122,6 +126,7 @@
         record_traffic: Callable[[str, str, int], None],
         guard: RunGuard | None = None,
         forwarder: RequestForwarder | None = None,
+        origins: OriginDirectory | None = None,
     ):
         self.forwarder = forwarder
         self.reachability = registry.reachability
@@ -136,16 +141,22 @@
         self.retry_budgets = RetryBudgets(
             options.retry_ratio, options.retry_slack, options.retry_window
         )
+        self.stream_versions = StreamVersions(origins or LocalOrigins(), registry, metrics)
         self.attempt_runner = AttemptRunner(
             dialect,
             registry,
             connections,
-            AnswerRelay(metrics, StreamPacing(options.cores, options.event_delay)),
+            AnswerRelay(
+                metrics,
+                StreamPacing(options.cores, options.event_delay),
+                self.stream_versions.record_first_event,
+            ),
             self.retry_budgets,
             metrics,
             instance_count,
             targets_view,
             record_traffic,
+            self.stream_versions,
             guard,
         )
 
@@ -219,10 +230,11 @@
         route = configuration.find_route(request.host, request.path)
         workspace = configuration.authenticate(route, request.key)
         run = RequestRun(exchange, request, configuration, route, workspace, mark)
-        pool = self._choose_pool(route)
         try:
             if mark is not None:
                 log_forwarded(run, mark)
+            self.stream_versions.look_up(run)
+            pool = self._choose_pool(run)
             if self._should_forward(run, pool) and self._forward(run, pool):
                 return
             self._check_reachability(run, pool)
@@ -316,7 +328,7 @@
             pool
         ):
             return False
-        return self.forwarder.has_peer(pool)
+        return self.forwarder.has_peer(pool, run.needs_version)
 
     def _forward(self, run: RequestRun, pool: str) -> bool:
         """Forward a request for which nothing is reserved; return whether a peer took it."""
@@ -358,8 +370,10 @@
         except Refusal as refusal:
             raise self._final_refusal(run, refusal) from refusal
 
-    def _choose_pool(self, route: Route) -> str:
-        weighted_pools = route.weighted_pools
+    def _choose_pool(self, run: RequestRun) -> str:
+        if run.origin is not None:
+            return run.origin.pool
+        weighted_pools = run.route.weighted_pools
         if len(weighted_pools) == 1:
             return weighted_pools[0].pool
         weights = [weighted_pool.weight for weighted_pool in weighted_pools]
--- a/whinrack/dispatch/_forwarding.py
+++ b/whinrack/dispatch/_forwarding.py
@@ -63,8 +63,15 @@
 class PeerSelector:
     """Selects the peers that a request may be forwarded to."""
 
-    def candidates(self, pool: str) -> list[ForwardingPeer]:
-        """Return the peers that may reach a pool, the preferred one first."""
+    def candidates(self, pool: str, needs_version: bool = False) -> list[ForwardingPeer]:
+        """Return the peers that may reach a pool, the preferred one first.
+
+        Parameters
+        ----------
+        pool : str
+        needs_version : bool
+            Leave out peers that do not keep streams at their software version.
+        """
         raise NotImplementedError
 
     def record_declined(self, peer: ForwardingPeer) -> None:
@@ -105,9 +112,9 @@
         self.metrics = metrics
         self.record_traffic = record_traffic
 
-    def has_peer(self, pool: str) -> bool:
+    def has_peer(self, pool: str, needs_version: bool = False) -> bool:
         """Return whether there is a peer that may serve a request for a pool."""
-        return bool(self.peers.candidates(pool))
+        return bool(self.peers.candidates(pool, needs_version))
 
     def forward(self, run: RequestRun, pool: str) -> bool:
         """Forward a request to one peer and relay its answer.
@@ -124,7 +131,7 @@
         Refusal
             If the peer that took the request failed.
         """
-        for peer in self.peers.candidates(pool)[:_MAX_PEERS]:
+        for peer in self.peers.candidates(pool, run.needs_version)[:_MAX_PEERS]:
             if run.seconds_left() <= _PEER_TIMEOUT_MARGIN:
                 break
             began_at = steady()
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -21,12 +21,19 @@
 from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import ColdStart, TargetRecord
 
-__all__ = ["TargetRegistry"]
+__all__ = ["OWN_SOURCE", "TargetRegistry"]
 
 _BUSY_SECONDS = 0.25
+# Source of what this instance has observed itself.
+OWN_SOURCE = "here"
 # Starts of leaving targets that are remembered, the latest ones. Like the number of remembered
 # removed targets, it covers a release of the largest fleet that is planned for.
 _MAX_LEAVING_STARTS = 2000
+# Time for which peers are informed that a start seemed to have ended, seconds.
+_ENDED_ADVERTISED_SECONDS = 4.0
+# Time after which a report of the same end counts as a new one, so that peers do not repeat each
+# other's reports.
+_ENDED_REPEAT_SECONDS = 10.0
 
 
 class TargetRegistry:
@@ -48,6 +55,11 @@
         Returns the names of the instances that have lost contact with a pool.
     clock : callable, optional
         Monotonic clock, replaced in tests.
+
+    Attributes
+    ----------
+    confirmed_at : callable
+        Returns the steady clock time at which the store last confirmed the records.
     """
 
     def __init__(
@@ -61,6 +73,7 @@
         clock: Callable[[], float] = steady,
     ):
         self.clock = clock
+        self.confirmed_at: Callable[[], float] = clock
         self.stated_limits = stated_limits or StatedLimits(clock=clock)
         self.rate_permits = rate_permits or SharedRatePermits.for_single_instance()
         self.rate_limiter = RateLimiter(
@@ -76,6 +89,10 @@
         # late, outdated record does not bring them back. Later starts of the same name are not
         # affected.
         self._leaving_starts: OrderedDict[tuple[str, int], None] = OrderedDict()
+        # Steady clock times at which starts seemed to have ended, the latest last.
+        self._ended_starts: OrderedDict[tuple[str, int], float] = OrderedDict()
+        # Called with a target that seems to have ended and with the source of the report.
+        self.on_target_ended: list[Callable[[TargetState, str], None]] = []
         # Called with each target that was replaced by a later start.
         self.on_target_replaced: list[Callable[[TargetState], None]] = []
         # Called when an answer first announces that its target leaves.
@@ -264,6 +281,31 @@
         state.has_announced_leaving = True
         return True
 
+    def record_ended(self, state: TargetState) -> None:
+        """Record that nothing listened at the address of a target."""
+        self.merge_ended(state.record.incarnation, state.record.started, OWN_SOURCE)
+
+    def merge_ended(self, incarnation: str, started: int, source: str) -> None:
+        """Record that a start seemed to have ended, as seen here or by a peer."""
+        now, start = self.clock(), (incarnation, started)
+        if now - self._ended_starts.get(start, float("-inf")) < _ENDED_REPEAT_SECONDS:
+            return
+        self._ended_starts[start] = now
+        self._ended_starts.move_to_end(start)
+        while len(self._ended_starts) > _MAX_LEAVING_STARTS:
+            self._ended_starts.popitem(last=False)
+        state = self._targets.get(incarnation)
+        if state is None or state.record.started != started:
+            return
+        state.record_ended(now)
+        for callback in self.on_target_ended:
+            callback(state, source)
+
+    def recently_ended(self) -> list[tuple[str, int]]:
+        """Return names and start times of the starts that seemed to have ended recently."""
+        since = self.clock() - _ENDED_ADVERTISED_SECONDS
+        return [start for start, at in self._ended_starts.items() if at >= since]
+
     def leaving_records(self) -> list[TargetRecord]:
         """Return the records of targets that announced that they leave, latest last."""
         known = (self._targets.get(incarnation) for incarnation, _ in self._leaving_starts)
@@ -307,6 +349,7 @@
         prompt: PromptSize | None = None,
         cold_start: ColdStart | None = None,
         priority: int = 0,
+        software_version: str | None = None,
     ) -> TargetState | None:
         """Choose the target for a request.
 
@@ -331,6 +374,8 @@
             Limits of targets that have just started, None for no limit.
         priority : int
             Priority of the request, 0 is the most urgent.
+        software_version : str, optional
+            Software version that the target must have; by default any.
 
         Returns
         -------
@@ -344,6 +389,7 @@
                 if state.record.identity not in tried
                 and self.is_eligible(state, now)
                 and state.in_flight < max_in_flight
+                and self._matches(state, software_version)
                 and self.brittle_targets.can_send(state, now)
             ],
             affinity,
@@ -354,6 +400,22 @@
             priority,
         )
 
+    def software_version(self, state: TargetState) -> str:
+        """Return the software version of a target, empty if it is unknown."""
+        return state.software_version(self.confirmed_at())
+
+    def has_version(self, pool: str, software_version: str) -> bool:
+        """Return whether a target of a software version is in service; an unknown one has none."""
+        return any(
+            self.is_in_service(state) and self._matches(state, software_version)
+            for state in self.targets_in_pool(pool)
+        )
+
+    def _matches(self, state: TargetState, software_version: str | None) -> bool:
+        if software_version is None:
+            return True
+        return bool(software_version) and self.software_version(state) == software_version
+
     def cold_targets(
         self, pool: str, cold_start: ColdStart | None, now: float
     ) -> list[TargetState]:
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -10,11 +10,13 @@
     IncomingRequest,
     PoolRecord,
     Route,
+    RouteKind,
     TargetsView,
     WorkspaceRecord,
 )
 from whinrack.http1 import Exchange
 from whinrack.quarantine import RequestSignature, compute_fingerprint
+from whinrack.streams import StreamOrigin, stream_key
 
 __all__ = ["RequestRun"]
 
@@ -47,6 +49,8 @@
         Prompt tokens counted as unread at the latest target.
     software_version : str
         Software version of the latest target when the request was sent to it.
+    origin : StreamOrigin or None
+        Where the stream began; None before its first event and for other requests.
     targets_view : TargetsView
         Revision and age of the target list at the latest choice.
     billed_tokens : int
@@ -95,6 +99,7 @@
         self.last_id = request.resume_after
         self.target = ""
         self.software_version = ""
+        self.origin: StreamOrigin | None = None
         self.pending_prompt: PendingPrompt | None = None
         self.targets_view = TargetsView()
         self.sent_at = 0.0
@@ -107,6 +112,26 @@
         """The request id as text, for logs."""
         return self.request.request_id.decode("latin-1")
 
+    @property
+    def is_continuation(self) -> bool:
+        """Whether the request continues a stream that an earlier request began."""
+        request = self.request
+        names_stream = bool(request.resumed_id) or request.resume_after is not None
+        return names_stream and self.route.kind is RouteKind.STREAM
+
+    @property
+    def needs_version(self) -> bool:
+        """Whether the request must keep to a software version now or after a failure."""
+        return self.is_continuation or (
+            self.route.is_resumable and self.route.kind is RouteKind.STREAM
+        )
+
+    @property
+    def stream_key(self) -> bytes:
+        """Key of the stream, which is the same for all requests that continue it."""
+        first_id = self.request.resumed_id or self.request.request_id
+        return stream_key(self.workspace_name, first_id)
+
     @property
     def resumed_id(self) -> str:
         """Id of the caller's attempt that began the stream, as text, for logs."""
--- a/whinrack/dispatch/_target_state.py
+++ b/whinrack/dispatch/_target_state.py
@@ -9,6 +9,11 @@
 __all__ = ["PendingPrompt", "TargetState"]
 
 
+# Seconds after the end of a target within which the store removes its record: three heartbeats of
+# 1.2 s, with the delays of the store and the watch.
+RECORD_EXPIRY_SECONDS = 6.0
+
+
 class TargetState:
     """State of one target as seen by this instance.
 
@@ -26,6 +31,8 @@
         Whether the target's record was deleted or replaced.
     is_replaced : bool
         Whether a later start replaced the target before it announced that it leaves.
+    ended_at : float
+        Steady clock time at which this start seemed to have ended, minus infinity if it did not.
     """
 
     def __init__(self, record: TargetRecord):
@@ -37,6 +44,7 @@
         self.is_removed = False
         self.has_announced_leaving = False
         self.is_replaced = False
+        self.ended_at = float("-inf")
         self.busy_until = float("-inf")
         self.ejection = LocalEjection(failure_threshold=3, initial_seconds=1.0, max_seconds=4.0)
         self.cold_state = ColdState()
@@ -60,6 +68,29 @@
         self.ejection.record_unreachable(now)
         self.cold_state.record_unreachable(now)
 
+    def record_ended(self, now: float) -> None:
+        """Record that nothing listened at the target's address.
+
+        A later start under the same name may have other software; its record arrives later.
+        """
+        self.ended_at = now
+
+    def record_alive(self, connected_at: float) -> None:
+        """Record an answer over a connection, which belongs to one process at the target."""
+        if connected_at <= self.ended_at:
+            self.ended_at = float("-inf")
+
+    def software_version(self, confirmed_at: float) -> str:
+        """Return the software version of the process at the target's address, empty if unknown.
+
+        Parameters
+        ----------
+        confirmed_at : float
+            Steady clock time at which the store last confirmed the record.
+        """
+        is_certain = confirmed_at - self.ended_at > RECORD_EXPIRY_SECONDS
+        return self.record.software_version if is_certain else ""
+
     def record_answer(self, now: float) -> None:
         """Record that the target has answered."""
         self.ejection.record_success(now)
--- a/whinrack/dispatch/_values.py
+++ b/whinrack/dispatch/_values.py
@@ -184,7 +184,11 @@
 
     def is_different_start(self, other: "TargetRecord") -> bool:
         """Return whether two records of one name belong to different known starts."""
-        return 0 not in (self.started, other.started) and self.started != other.started
+        if 0 not in (self.started, other.started) and self.started != other.started:
+            return True
+        # The software of a process does not change while it runs.
+        versions = (self.software_version, other.software_version)
+        return "" not in versions and versions[0] != versions[1]
 
     def is_older_than(self, other: "TargetRecord") -> bool:
         """Return whether another record of the same name is newer.
--- /dev/null
+++ b/whinrack/dispatch/tests/test_stream_versions.py
@@ -0,0 +1,107 @@
+"""Choice of targets for streams that must keep a software version."""
+
+import pytest
+
+from whinrack.dispatch import TargetRecord, TargetRegistry
+from whinrack.dispatch._target_state import RECORD_EXPIRY_SECONDS
+
+NOW = 100.0
+
+
+def record(name, version, started=1, revision=1):
+    return TargetRecord(
+        name, "p", "h", 1, started=started, revision=revision, software_version=version
+    )
+
+
+@pytest.fixture
+def registry():
+    registry = TargetRegistry(seed=1, clock=lambda: NOW)
+    registry.confirmed_at = lambda: NOW
+    return registry
+
+
+def choose(registry, version, tried=()):
+    state = registry.choose("p", "", tried, NOW, software_version=version)
+    return None if state is None else state.record.incarnation
+
+
+def test_only_targets_of_the_version_are_chosen(registry):
+    registry.replace_all([record("a", "v1"), record("b", "v2"), record("c", "v2")])
+    assert {choose(registry, "v2") for _ in range(20)} == {"b", "c"}
+    assert choose(registry, "v1", tried=("a@1",)) is None
+    assert choose(registry, "v3") is None
+
+
+@pytest.mark.parametrize("wanted", ["", "v1"])
+def test_unknown_version_equals_none(registry, wanted):
+    registry.replace_all([record("a", "")])
+    assert choose(registry, wanted) is None
+    assert choose(registry, None) == "a"
+    assert not registry.has_version("p", wanted)
+
+
+def test_target_that_seemed_to_end_has_no_known_version(registry):
+    """A later start under its name may have other software, and its record arrives later."""
+    registry.replace_all([record("a", "v1")])
+    (state,) = registry.targets_in_pool("p")
+    state.record_ended(NOW - 1.0)
+    assert registry.software_version(state) == ""
+    assert choose(registry, "v1") is None
+
+
+def test_record_that_outlives_a_doubt_is_trusted_again(registry):
+    registry.replace_all([record("a", "v1")])
+    (state,) = registry.targets_in_pool("p")
+    state.record_ended(NOW)
+    registry.confirmed_at = lambda: NOW + RECORD_EXPIRY_SECONDS + 0.1
+    assert registry.software_version(state) == "v1"
+
+
+def test_answer_over_an_older_connection_ends_the_doubt(registry):
+    registry.replace_all([record("a", "v1")])
+    (state,) = registry.targets_in_pool("p")
+    state.record_ended(NOW)
+    state.record_alive(NOW + 0.1)
+    assert registry.software_version(state) == ""
+    state.record_alive(NOW - 0.1)
+    assert registry.software_version(state) == "v1"
+
+
+def test_end_that_a_peer_reports_is_a_doubt_once(registry):
+    """Peers that repeat each other's reports must not keep the doubt alive."""
+    registry.replace_all([record("a", "v1")])
+    (state,) = registry.targets_in_pool("p")
+    registry.merge_ended("a", 1, "peer")
+    assert registry.software_version(state) == ""
+    assert registry.recently_ended() == [("a", 1)]
+    state.record_alive(NOW - 1.0)
+    registry.merge_ended("a", 1, "another peer")
+    assert registry.software_version(state) == "v1"
+
+
+def test_end_of_an_earlier_start_is_no_doubt(registry):
+    registry.replace_all([record("a", "v1", started=2)])
+    registry.merge_ended("a", 1, "peer")
+    assert registry.software_version(registry.targets_in_pool("p")[0]) == "v1"
+
+
+@pytest.mark.parametrize("started", [0, 1])
+def test_record_with_another_version_is_a_later_start(registry, started):
+    registry.put(record("a", "v1", started))
+    (before,) = registry.targets_in_pool("p")
+    before.record_ended(NOW)
+    registry.put(record("a", "v2", started, revision=2))
+    (after,) = registry.targets_in_pool("p")
+    assert before.is_replaced and after is not before
+    assert registry.software_version(after) == "v2"
+    registry.put(record("a", "v1", started, revision=1))
+    assert registry.targets_in_pool("p") == [after]
+
+
+def test_record_that_no_longer_names_its_version_is_the_same_start(registry):
+    registry.put(record("a", "v1"))
+    (before,) = registry.targets_in_pool("p")
+    registry.put(record("a", "", revision=2))
+    assert registry.targets_in_pool("p") == [before]
+    assert registry.software_version(before) == ""
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -12,6 +12,7 @@
 from whinrack.budgets import RestartTime
 from whinrack.clock import steady
 from whinrack.dispatch import (
+    OWN_SOURCE,
     Configuration,
     CurrentConfiguration,
     Dialect,
@@ -21,6 +22,7 @@
     SharedRatePermits,
     StatedLimits,
     TargetRegistry,
+    TargetState,
     WarmUpLimits,
 )
 from whinrack.edge._brittle_log import BrittleLog
@@ -40,6 +42,7 @@
 from whinrack.edge._readers import ConfigurationReader, HallReader, TargetReader, truncate_for_log
 from whinrack.edge._settings_follower import SettingsFollower
 from whinrack.edge._store_availability import StoreAvailability
+from whinrack.edge._stream_origins import StreamOriginExchange
 from whinrack.edge._suspects import SuspectExchange
 from whinrack.edge._target_probes import TargetProbes
 from whinrack.edge._tokens import TokenExchange
@@ -157,6 +160,7 @@
             self._count_invalid,
         )
         self.registry.on_target_leaving.append(self.membership.notify_peers)
+        self.registry.on_target_ended.append(self._on_target_ended)
         self.metrics.backed_off_targets.set_function(lambda: self.registry.backoffs.count(steady()))
         self.limit_log = LimitLog(self.registry, self.metrics, self.membership.notify_peers)
         self.registry.stated_limits.on_change.append(self.limit_log.on_limit_changed)
@@ -192,6 +196,10 @@
         )
         self.knowledge.on_restored.append(self._on_store_restored)
         self.target_probes = TargetProbes(self.registry, self.current_configuration, self.metrics)
+        self.stream_origins = StreamOriginExchange(
+            options.name, self.membership.link, self.membership.table
+        )
+        self.registry.confirmed_at = lambda: steady() - self.knowledge.targets_view().age
         self.dispatcher = Dispatcher(
             dialect,
             self.current_configuration,
@@ -210,6 +218,7 @@
                 self.metrics,
                 self._record_forwarded,
             ),
+            self.stream_origins,
         )
         self.endpoints = endpoints
         self.server = HttpServer(
@@ -318,6 +327,18 @@
             # 1.7 s after the first one and refused requests for lack of budget in the meantime.
             self.membership.notify_peers()
 
+    def _on_target_ended(self, state: TargetState, source: str) -> None:
+        record = state.record
+        log_event(
+            Event.TARGET_ENDED,
+            target=record.incarnation,
+            started=record.started,
+            software=record.software_version,
+            source=source,
+        )
+        if source == OWN_SOURCE or not self.membership.table.is_full_mesh:
+            self.membership.notify_peers()
+
     def _on_era_changed(self, change: EraChange) -> None:
         self.metrics.store_era.set(change.now)
         silent = round(steady() - self.store.last_answer_at, 3)
--- a/whinrack/edge/_forwarding_peers.py
+++ b/whinrack/edge/_forwarding_peers.py
@@ -50,16 +50,19 @@
         self._random = random.Random(seed)
         self._avoided_until: dict[str, float] = {}
 
-    def candidates(self, pool: str) -> list[ForwardingPeer]:
+    def candidates(self, pool: str, needs_version: bool = False) -> list[ForwardingPeer]:
         """Return the live peers that have not lost a pool, the least loaded one first.
 
         Peers that stop serve requests for some more seconds, and are used if there is no other.
+        Peers of earlier builds, which continue streams at any version, get none that needs one.
         """
         now, digest = steady(), pool_digest(pool)
         states = [
             view.state
             for view in self.table.live_peers(now)
-            if view.state.accepts_forwarded and digest not in view.state.lost_pools
+            if view.state.accepts_forwarded
+            and digest not in view.state.lost_pools
+            and (view.state.keeps_stream_versions or not needs_version)
         ]
         states.sort(key=lambda state: self._preference(state, now))
         return [ForwardingPeer(state.sender.name, state.sender.address) for state in states]
--- a/whinrack/edge/_instance_host.py
+++ b/whinrack/edge/_instance_host.py
@@ -11,9 +11,17 @@
 from whinrack.edge._membership_host import MembershipHost
 from whinrack.edge._options import EdgeOptions, HostPort
 from whinrack.edge._store_availability import StoreAvailability
+from whinrack.edge._stream_origins import StreamOriginExchange
 from whinrack.edge._suspects import SuspectExchange
 from whinrack.edge._tokens import TokenExchange
-from whinrack.gossip import Message, RemovedTarget, SuspectCases
+from whinrack.gossip import (
+    Message,
+    RemovedTarget,
+    StreamAnswer,
+    StreamBegan,
+    StreamQuestion,
+    SuspectCases,
+)
 from whinrack.store import MeteredStore
 
 __all__ = ["HostedInstance", "InstanceHost"]
@@ -33,6 +41,7 @@
     knowledge: StoreKnowledge
     halls: HallKnowledge
     suspects: SuspectExchange
+    stream_origins: StreamOriginExchange
     tokens: TokenExchange
 
 
@@ -96,9 +105,11 @@
         self.instance.knowledge.handle_store_reachable()
 
     def receive(self, message: Message, address: HostPort) -> None:
-        """Dispatch a peer's message on suspected requests or on tokens."""
+        """Dispatch a peer's message on suspected requests, on streams or on tokens."""
         if isinstance(message, SuspectCases):
             self.instance.suspects.receive(message, address)
+        elif isinstance(message, StreamBegan | StreamQuestion | StreamAnswer):
+            self.instance.stream_origins.receive(message, address)
         else:
             self.instance.tokens.receive(message, address)
 
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -161,6 +161,7 @@
             target_limits=self.registry.stated_limits.next_reports(),
             has_missing_peers=self.missing_peers.has_missing,
             brittle_limits=self.registry.brittle_limits.next_reports(),
+            ended_targets=self.registry.recently_ended()[-_MAX_LEAVING:],
         )
 
     def _take_state_request(self, now: float) -> bool:
@@ -199,6 +200,7 @@
             bandwidth=self.options.bandwidth,
             cores=self.options.cores,
             accepts_forwarded=True,
+            keeps_stream_versions=True,
             lost_pools=tuple(map(pool_digest, self.registry.reachability.lost_pools())),
         )
 
@@ -279,6 +281,8 @@
         self.missing_peers.report(heartbeat.has_missing_peers)
         self.registry.stated_limits.merge_reports(heartbeat.target_limits, sender.name)
         self.registry.brittle_limits.merge_reports(heartbeat.brittle_limits, sender.name)
+        for incarnation, started in heartbeat.ended_targets:
+            self.registry.merge_ended(incarnation, started, sender.name)
         self.host.compare_suspects(heartbeat.suspects_checksum, sender.address)
         if self._merge_leaving(heartbeat) and not self.table.is_full_mesh:
             self.notify_peers()
--- /dev/null
+++ b/whinrack/edge/_stream_origins.py
@@ -0,0 +1,137 @@
+"""Exchange of the origins of streams between instances.
+
+The instance that relays the first event of a stream sends the origin to the homes of the stream, a
+few instances chosen by rendezvous hashing, before the caller can receive that event. An instance
+that is asked to continue a stream asks its homes.
+"""
+
+import itertools
+
+from eventlet import Timeout
+from eventlet.event import Event as Signal
+
+from whinrack.base import rendezvous_order
+from whinrack.clock import steady
+from whinrack.edge._options import HostPort
+from whinrack.gossip import GossipLink, PeerTable, StreamAnswer, StreamBegan, StreamQuestion
+from whinrack.streams import OriginDirectory, OriginLookup, OriginTable, StreamOrigin
+
+__all__ = ["StreamOriginExchange"]
+
+# Instances that keep the origin of a stream, besides the one at which it began. Any of them may be
+# down or may have restarted.
+_HOME_COUNT = 3
+# Instances that are asked in a large fleet. The homes move when members join or leave, and the
+# members that two instances know may differ.
+_ASKED_COUNT = 6
+# Seconds to wait for answers in each round of questions. A datagram may be lost, so there are two.
+_ROUND_SECONDS = (0.1, 0.15)
+
+
+class _Question:
+    """A question that waits for answers.
+
+    Attributes
+    ----------
+    pending : set of tuple of str and int
+        Addresses of the peers that have not answered.
+    """
+
+    def __init__(self, peers: list[HostPort]):
+        self.pending = set(peers)
+        self.origin: StreamOrigin | None = None
+        self.source = ""
+        self.is_decided = Signal()
+
+    def answer(self, origin: StreamOrigin | None, address: HostPort) -> None:
+        """Record the answer of a peer."""
+        self.pending.discard(address)
+        if self.is_decided.ready():
+            return
+        if origin is not None:
+            self.origin, self.source = origin, f"{address[0]}:{address[1]}"
+        if origin is not None or not self.pending:
+            self.is_decided.send(None)
+
+    def wait(self, seconds: float) -> bool:
+        """Wait for a decision; return whether there is one."""
+        with Timeout(seconds, False):
+            self.is_decided.wait()
+        return self.is_decided.ready()
+
+
+class StreamOriginExchange(OriginDirectory):
+    """Directory of stream origins that is distributed over all instances.
+
+    Parameters
+    ----------
+    name : str
+        Name of this instance.
+    link : GossipLink
+    table : PeerTable
+    """
+
+    def __init__(self, name: str, link: GossipLink, table: PeerTable):
+        self.name = name
+        self.link = link
+        self.table = table
+        self.origins = OriginTable()
+        self._numbers = itertools.count(1)
+        self._questions: dict[int, _Question] = {}
+
+    # --- requests here ----------------------------------------------------------------
+
+    def record(self, key: bytes, origin: StreamOrigin) -> None:
+        """Record where a stream began or was continued, here and at its homes."""
+        self.origins.put(key, origin, steady())
+        message = StreamBegan(key, origin)
+        for address in self._peers_by_preference(key, _HOME_COUNT):
+            self.link.send(message, address)
+
+    def find(self, key: bytes, deadline: float) -> OriginLookup:
+        """Look up where a stream began, and ask the peers if it is not known here."""
+        origin = self.origins.get(key, steady())
+        if origin is not None:
+            return OriginLookup(origin, "here")
+        # All peers of a small fleet are asked, among them the instance at which the stream began.
+        count = None if self.table.is_full_mesh else _ASKED_COUNT
+        peers = self._peers_by_preference(key, count)
+        if not peers:
+            return OriginLookup(None)
+        return self._ask(key, peers, deadline)
+
+    def _ask(self, key: bytes, peers: list[HostPort], deadline: float) -> OriginLookup:
+        number = next(self._numbers)
+        question = self._questions[number] = _Question(peers)
+        message = StreamQuestion(number, key)
+        try:
+            for seconds in _ROUND_SECONDS:
+                for address in list(question.pending):
+                    self.link.send(message, address)
+                if question.wait(max(0.0, min(seconds, deadline - steady()))):
+                    break
+        finally:
+            del self._questions[number]
+        return OriginLookup(question.origin, question.source, len(question.pending))
+
+    def _peers_by_preference(self, key: bytes, count: int | None) -> list[HostPort]:
+        """Return the addresses of live peers, the homes of a stream first."""
+        peers = {
+            view.state.sender.name: view.state.sender.address
+            for view in self.table.live_peers(steady())
+        }
+        return [peers[name] for name in rendezvous_order(key.hex(), peers)[:count]]
+
+    # --- messages of peers --------------------------------------------------------------
+
+    def receive(
+        self, message: StreamBegan | StreamQuestion | StreamAnswer, address: HostPort
+    ) -> None:
+        """Handle a message of a peer."""
+        if isinstance(message, StreamBegan):
+            self.origins.put(message.key, message.origin, steady())
+        elif isinstance(message, StreamQuestion):
+            origin = self.origins.get(message.key, steady())
+            self.link.send(StreamAnswer(message.number, origin), address)
+        elif (question := self._questions.get(message.number)) is not None:
+            question.answer(message.origin, address)
--- a/whinrack/edge/tests/test_forwarding_peers.py
+++ b/whinrack/edge/tests/test_forwarding_peers.py
@@ -85,3 +85,11 @@
     assert candidates(table, peers, heartbeat("m1"), heartbeat("m2", load=50)) == ["m1", "m2"]
     peers.record_declined(ForwardingPeer("m1", ("h", 1)))
     assert candidates(table, peers) == ["m2", "m1"]
+
+
+def test_streams_go_only_to_peers_that_keep_their_version(table, peers):
+    """A peer of an earlier build continues a broken stream at a target of any version."""
+    for beat in (heartbeat("m1"), heartbeat("m2", keeps_stream_versions=True)):
+        table.record_heartbeat(beat, steady())
+    assert [peer.name for peer in peers.candidates(POOL, needs_version=True)] == ["m2"]
+    assert {peer.name for peer in peers.candidates(POOL)} == {"m1", "m2"}
--- /dev/null
+++ b/whinrack/edge/tests/test_stream_origins.py
@@ -0,0 +1,118 @@
+"""Exchange of the origins of streams between instances."""
+
+import eventlet
+import pytest
+
+from whinrack.clock import steady
+from whinrack.edge._stream_origins import _HOME_COUNT, _ROUND_SECONDS, StreamOriginExchange
+from whinrack.edge.tests.fake_peers import ready_state
+from whinrack.gossip import Heartbeat, PeerAddress, PeerTable, StreamAnswer
+from whinrack.streams import StreamOrigin
+
+NAMES = [f"m{number}" for number in range(8)]
+KEY = b"k" * 16
+ORIGIN = StreamOrigin("lm", "v1")
+
+
+class Network:
+    """Delivers datagrams between exchanges, and drops those of instances that are down."""
+
+    def __init__(self):
+        self.exchanges = {}
+        self.down = set()
+        self.drops = 0
+
+    def link(self, name):
+        return Link(self, name)
+
+
+class Link:
+    def __init__(self, network, name):
+        self.network, self.name = network, name
+
+    def send(self, message, address):
+        receiver = address[0]
+        if self.network.drops:
+            self.network.drops -= 1
+        elif not {receiver, self.name} & self.network.down:
+            deliver = self.network.exchanges[receiver].receive
+            eventlet.spawn_n(deliver, message, (self.name, 1))
+
+
+def peer_table(name):
+    table = PeerTable(name, silent_seconds=60.0, forget_seconds=90.0)
+    for peer in NAMES:
+        state = ready_state(PeerAddress(peer, peer, 1))
+        table.record_heartbeat(Heartbeat(state=state, number=1), steady())
+    return table
+
+
+@pytest.fixture
+def network():
+    network = Network()
+    for name in NAMES:
+        network.exchanges[name] = StreamOriginExchange(name, network.link(name), peer_table(name))
+    return network
+
+
+def find(network, name):
+    return network.exchanges[name].find(KEY, steady() + 5.0)
+
+
+def test_origin_is_found_at_every_instance(network):
+    network.exchanges["m0"].record(KEY, ORIGIN)
+    eventlet.sleep(0)
+    assert all(find(network, name).origin == ORIGIN for name in NAMES)
+
+
+def test_origin_is_found_after_its_first_instance_is_killed(network):
+    network.exchanges["m0"].record(KEY, ORIGIN)
+    eventlet.sleep(0)
+    network.down.add("m0")
+    assert all(find(network, name).origin == ORIGIN for name in NAMES[1:])
+
+
+def test_origin_is_found_after_all_homes_but_one_are_killed(network):
+    network.exchanges["m0"].record(KEY, ORIGIN)
+    eventlet.sleep(0)
+    holders = [name for name in NAMES if network.exchanges[name].origins.get(KEY, steady())]
+    assert len(holders) == _HOME_COUNT + 1
+    network.down.update(holders[:-1])
+    assert find(network, holders[-1]).origin == ORIGIN
+    others = set(NAMES) - set(holders)
+    assert all(find(network, name).origin == ORIGIN for name in others)
+
+
+def test_unknown_origin_is_reported_as_soon_as_all_peers_have_answered(network):
+    began = steady()
+    lookup = find(network, "m0")
+    assert (lookup.origin, lookup.unanswered) == (None, 0)
+    assert steady() - began < _ROUND_SECONDS[0]
+
+
+def test_lookup_gives_up_on_silent_peers(network):
+    network.down.update(NAMES[1:])
+    began = steady()
+    lookup = find(network, "m0")
+    assert (lookup.origin, lookup.unanswered) == (None, len(NAMES) - 1)
+    assert steady() - began < sum(_ROUND_SECONDS) + 0.2
+
+
+def test_question_is_repeated_after_a_loss(network):
+    network.exchanges["m0"].record(KEY, ORIGIN)
+    eventlet.sleep(0)
+    stranger = next(
+        name for name in NAMES if network.exchanges[name].origins.get(KEY, steady()) is None
+    )
+    network.drops = len(NAMES) - 1
+    assert find(network, stranger).origin == ORIGIN
+
+
+def test_late_answer_is_ignored(network):
+    exchange = network.exchanges["m0"]
+    network.down.update(NAMES[1:])
+    find(network, "m0")
+    network.down.clear()
+    network.exchanges["m1"].link.send(StreamAnswer(1, ORIGIN), ("m0", 1))
+    eventlet.sleep(0)
+    assert exchange.origins.get(KEY, steady()) is None
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -42,6 +42,8 @@
     "RouterStopping",
     "RequestQuarantined",
     "RequestTimeout",
+    "StreamOriginUnknown",
+    "StreamVersionUnavailable",
     "TargetFailed",
     "TargetUnavailable",
     "TargetsCold",
@@ -318,6 +320,18 @@
     code, status, error_type = "targets_overloaded", 503, "overloaded_error"
 
 
+class StreamOriginUnknown(Refusal):
+    """The software version at which a stream began is unknown, so it is not continued."""
+
+    code, status, error_type = "stream_origin_unknown", 503, "api_error"
+
+
+class StreamVersionUnavailable(Refusal):
+    """No target has the software version at which a stream began."""
+
+    code, status, error_type = "stream_version_unavailable", 503, "overloaded_error"
+
+
 class RequestQuarantined(Refusal):
     """The request is quarantined, since targets terminated while running it."""
 
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -6,6 +6,7 @@
 from whinrack.budgets import DrawOrder, DrawResult, ReleasedRow, RunRelease
 from whinrack.dispatch import HallStatus, LimitReport
 from whinrack.quarantine import Case
+from whinrack.streams import StreamOrigin
 
 __all__ = [
     "DrawAccepted",
@@ -18,6 +19,9 @@
     "PeerState",
     "ReleaseReply",
     "ReleaseRequest",
+    "StreamAnswer",
+    "StreamBegan",
+    "StreamQuestion",
     "SuspectCases",
     "TargetLoads",
     "TokenReply",
@@ -75,6 +79,9 @@
         Whether the instance handles requests that peers forward; False from older senders.
     lost_pools : tuple of int
         Digests of the pools whose targets the instance has lost contact with.
+    keeps_stream_versions : bool
+        Whether the instance continues streams only at their software version; False from older
+        senders.
     """
 
     incarnation: str
@@ -93,6 +100,7 @@
     store_confirmed: bool = False
     accepts_forwarded: bool = False
     lost_pools: tuple[int, ...] = ()
+    keeps_stream_versions: bool = False
 
     @property
     def digest(self) -> int:
@@ -144,6 +152,9 @@
     brittle_limits : list of LimitReport
         Refusals per second beyond which targets fall over, as they have stated; empty from older
         senders.
+    ended_targets : list of tuple of str and int
+        Names and start times of targets that seemed to have ended recently; empty from older
+        senders.
     """
 
     state: PeerState
@@ -161,6 +172,7 @@
     target_limits: list[LimitReport] = []
     has_missing_peers: bool = False
     brittle_limits: list[LimitReport] = []
+    ended_targets: list[tuple[str, int]] = []
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
@@ -290,6 +302,33 @@
     cases: list[Case]
 
 
+class StreamBegan(msgspec.Struct, frozen=True, array_like=True, tag="began"):
+    """Where a stream began; sent to the homes of the stream."""
+
+    key: bytes
+    origin: StreamOrigin
+
+
+class StreamQuestion(msgspec.Struct, frozen=True, array_like=True, tag="origin"):
+    """Question where a stream began.
+
+    Attributes
+    ----------
+    number : int
+        Returned with the answer.
+    """
+
+    number: int
+    key: bytes
+
+
+class StreamAnswer(msgspec.Struct, frozen=True, array_like=True, tag="origin_is"):
+    """Answer to a `StreamQuestion`; `origin` is None if the sender does not know it."""
+
+    number: int
+    origin: StreamOrigin | None
+
+
 Message = (
     Heartbeat
     | TokenRequest
@@ -299,6 +338,9 @@
     | DrawReply
     | ReleaseRequest
     | ReleaseReply
+    | StreamAnswer
+    | StreamBegan
+    | StreamQuestion
     | SuspectCases
     | TargetLoads
 )
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -60,7 +60,8 @@
         Raises
         ------
         TargetUnavailable
-            If the connection fails or takes longer than `timeout` seconds.
+            If the connection fails or takes longer than `timeout` seconds; caused by the
+            `OSError`.
         """
         try:
             sock = _connect(address, timeout)
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -111,6 +111,8 @@
 
     TARGET_BRITTLE = (5013, "INFO", "target changed its statement that refusals make it fall over")
 
+    TARGET_ENDED = (5014, "INFO", "target seems to have ended; its software version is unknown")
+
     GRANT_CLOSED = (6001, "ERROR", "an operator released this incarnation's grant")
     BILL_UNCONFIRMED = (6002, "WARNING", "response ended before its bill record was stored")
     POLICY_FAILED = (6003, "WARNING", "routing program failed; the default route decision applies")
@@ -139,6 +141,7 @@
     )
     REQUEST_FORWARDED = (7008, "INFO", "answer of a peer to a forwarded request relayed")
     FORWARDING_FAILED = (7009, "WARNING", "a peer did not serve a forwarded request")
+    STREAM_CONTINUED = (7011, "INFO", "looked up where a continued stream began")
     FORWARDED_RECEIVED = (7010, "INFO", "received a request that a peer forwards")
 
     def __init__(self, number: int, level: str, text: str):
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -25,6 +25,9 @@
         self.forwarded_requests = self._counter(
             "forwarded_requests", "Requests forwarded to peers, by outcome", "outcome"
         )
+        self.stream_continuations = self._counter(
+            "stream_continuations", "Streams that callers continue, by result", "result"
+        )
         self.target_probes = self._counter(
             "target_probes", "Probes of targets in lost pools, by result", "result"
         )
--- /dev/null
+++ b/whinrack/streams/__init__.py
@@ -0,0 +1,13 @@
+"""Where streams began, so that they are continued only at the same software version."""
+
+from whinrack.streams._origins import OriginTable, StreamOrigin, stream_key
+from whinrack.streams.base import LocalOrigins, OriginDirectory, OriginLookup
+
+__all__ = [
+    "LocalOrigins",
+    "OriginDirectory",
+    "OriginLookup",
+    "OriginTable",
+    "StreamOrigin",
+    "stream_key",
+]
