--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -10,6 +10,9 @@
 
 __all__ = ["log_attempt", "log_forwarded", "log_refusal", "log_run", "log_reservation_refused"]
 
+# Callers choose the names of the parts of their prompts.
+_MAX_PARTS_LENGTH = 200
+
 
 def log_run(event: Event, run: RequestRun, **fields) -> None:
     """Log an event with the state of a request."""
@@ -17,6 +20,7 @@
         event,
         request=run.request_id,
         fingerprint=run.fingerprint,
+        parts=_shared_parts(run),
         route=run.route.name,
         workspace=run.workspace_name,
         target=run.target,
@@ -86,5 +90,11 @@
     )
 
 
+def _shared_parts(run: RequestRun) -> str:
+    """Return the names of the parts of the prompt that other requests may share."""
+    names = [part.name.decode("latin-1") for part in run.request.prompt_parts[:-1]]
+    return " ".join(names)[:_MAX_PARTS_LENGTH]
+
+
 def _waited(exchange: Exchange) -> float:
     return round(steady() - exchange.received_at, 4)
