Parts of prompts that end targets are quarantined, whatever else their requests hold

Cause: what a request did was kept under one hash of path, workspace and body. No two of these requests have that in common, so no evidence ever added up. Change: each part of a prompt but the last is a possible cause of its own, by pool and of no workspace, beside the request as a whole. The fewest causes that explain the ends are blamed, as before; a run that wrote something clears all its parts, here and at peers, so common parts are never blamed. One run is a trial of all blamed names of its request.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -249,7 +249,11 @@
             state.record_alive(connection.opened_at)
             self._relay_answer(run, pool, connection, head)
             if head.status < _SERVER_ERROR:
-                self.guard.record_success(run.request_name)
+                # Only a run that wrote an answer shows that no part of its prompt ends targets.
+                signature = run.request_name
+                self.guard.record_success(
+                    signature if run.has_written else signature.without_parts()
+                )
         except AnswerCut as failure:
             state.ejection.record_failure(steady())
             if not has_head:
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -234,7 +234,7 @@
             if mark is not None:
                 log_forwarded(run, mark)
             self.stream_versions.look_up(run)
-            pool = self._choose_pool(run)
+            pool = run.pool = self._choose_pool(run)
             if self._should_forward(run, pool) and self._forward(run, pool):
                 return
             self._check_reachability(run, pool)
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -15,11 +15,14 @@
     WorkspaceRecord,
 )
 from whinrack.http1 import Exchange
-from whinrack.quarantine import RequestSignature, compute_fingerprint
+from whinrack.quarantine import RequestSignature, compute_fingerprint, compute_part_name
 from whinrack.streams import StreamOrigin, stream_key
 
 __all__ = ["RequestRun"]
 
+# Parts of a prompt that can be blamed for ends of targets; prompts have a few.
+_MAX_NAMED_PARTS = 32
+
 
 class RequestRun:
     """State of one request: its route, its attempts so far and its token reservation.
@@ -47,6 +50,8 @@
         Longest pause between two relayed events.
     pending_prompt : PendingPrompt or None
         Prompt tokens counted as unread at the latest target.
+    pool : str
+        The pool that was chosen, empty before that.
     software_version : str
         Software version of the latest target when the request was sent to it.
     origin : StreamOrigin or None
@@ -97,6 +102,7 @@
         self.max_pause_seconds = 0.0
         self._last_relayed_at = 0.0
         self.last_id = request.resume_after
+        self.pool = ""
         self.target = ""
         self.software_version = ""
         self.origin: StreamOrigin | None = None
@@ -106,6 +112,7 @@
         self.concurrent_requests = 0
         self.is_trial = False
         self._fingerprint = ""
+        self._signature: RequestSignature | None = None
 
     @property
     def request_id(self) -> str:
@@ -150,7 +157,22 @@
     @property
     def request_name(self) -> RequestSignature:
         """The signature by which the quarantine identifies the request."""
-        return RequestSignature(self.fingerprint, self.workspace_name, self.route.name)
+        if self._signature is None:
+            # The last part belongs to this request or its session alone.
+            shared = self.request.prompt_parts[:-1][:_MAX_NAMED_PARTS]
+            self._signature = RequestSignature(
+                self.fingerprint,
+                self.workspace_name,
+                self.route.name,
+                self.pool,
+                tuple(dict.fromkeys(compute_part_name(self.pool, part.name) for part in shared)),
+            )
+        return self._signature
+
+    @property
+    def has_written(self) -> bool:
+        """Whether the target of a complete answer has written any of it."""
+        return self.events > 0 or self.route.kind is not RouteKind.STREAM
 
     @property
     def workspace_name(self) -> str:
--- a/whinrack/quarantine/__init__.py
+++ b/whinrack/quarantine/__init__.py
@@ -1,8 +1,8 @@
-"""Quarantine of requests that end the targets on which they run."""
+"""Quarantine of requests and parts of prompts that end the targets on which they run."""
 
 from whinrack.quarantine._case_store import CaseStore
 from whinrack.quarantine._cases import Case, TargetEnd
-from whinrack.quarantine._fingerprint import compute_fingerprint
+from whinrack.quarantine._fingerprint import compute_fingerprint, compute_part_name
 from whinrack.quarantine._host import QuarantineHost
 from whinrack.quarantine._listing import QuarantinedRequest, describe_case
 from whinrack.quarantine._quarantine import Quarantine
@@ -19,5 +19,6 @@
     "RunGuard",
     "TargetEnd",
     "compute_fingerprint",
+    "compute_part_name",
     "describe_case",
 ]
--- a/whinrack/quarantine/_attribution.py
+++ b/whinrack/quarantine/_attribution.py
@@ -1,16 +1,17 @@
 """Attribution of the ends of targets to requests; it does no I/O.
 
-The end of a target interrupts all requests that it runs, of which only one is the cause. The
-smallest number of requests that explains the ends is blamed, by a greedy set cover: first the
-request that was present at the most ends, then the one at the most of the unexplained ends, and
-so on. Requests whose ends are explained by a blamed one are not blamed.
+The end of a target interrupts all requests that it runs, of which only one is the cause: the
+request as a whole, or a part of its prompt that other requests share. Each of these names has a
+case. The smallest number of names that explains the ends is blamed, by a greedy set cover: first
+the name that was present at the most ends, then the one at the most of the unexplained ends, and so
+on. Names whose ends are explained by a blamed one are not blamed.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from whinrack.quarantine._cases import Case, TargetEnd
 
-__all__ = ["BLAME_THRESHOLD", "find_culprits", "find_rivals"]
+__all__ = ["BLAME_THRESHOLD", "find_culprits", "find_outside_rivals", "find_rivals"]
 
 # Ends of targets after which a request is quarantined; the users' requirement counts from the
 # third end.
@@ -60,3 +61,34 @@
         if rivals and len(own_ends) < BLAME_THRESHOLD:
             rivals_of[fingerprint] = frozenset(rivals)
     return rivals_of
+
+
+def find_outside_rivals(
+    blamed: Collection[Case], rivals_of: Mapping[str, Collection[Case]]
+) -> list[Case]:
+    """Return the rivals of a request's blamed names that are not names of the request itself.
+
+    Runs of the request cannot tell its own names apart: all of them are present at its ends.
+
+    Parameters
+    ----------
+    blamed : collection of Case
+        Cases of the blamed names of one request.
+    rivals_of : mapping of str to collection of Case
+        Rivals of each of these names, from `find_rivals`.
+
+    Returns
+    -------
+    list of Case
+        Empty if it is decided that the request is to blame.
+    """
+    own_names = {case.fingerprint for case in blamed}
+    found: dict[str, Case] = {}
+    for case in blamed:
+        outside = [
+            rival for rival in rivals_of[case.fingerprint] if rival.fingerprint not in own_names
+        ]
+        if len(set(case.ends).difference(*(rival.ends for rival in outside))) >= BLAME_THRESHOLD:
+            return []
+        found |= {rival.fingerprint: rival for rival in outside}
+    return list(found.values())
--- a/whinrack/quarantine/_case_store.py
+++ b/whinrack/quarantine/_case_store.py
@@ -1,6 +1,6 @@
 """Storage of suspect cases in the platform's store, which survives a kill of all instances."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -9,7 +9,7 @@
 from whinrack.observability import Event, log_event
 from whinrack.quarantine._cases import Case, merge_evidence
 from whinrack.quarantine._table import MAX_SUSPECTS, SUSPECT_LIFETIME_SECONDS
-from whinrack.quarantine._trials import seconds_until_trial
+from whinrack.quarantine._trials import seconds_until_trials
 from whinrack.store import ObjectEditor, ObjectStore
 
 __all__ = ["CaseStore"]
@@ -68,11 +68,12 @@
         result = self._editor.apply(_NAME, lambda old: self._merge_into(old, new_cases))
         return result.map(_decode_cases)
 
-    def claim_trial(self, case: Case) -> Result[bool, PlatformFailure]:
-        """Claim the next trial run of a quarantined request for this instance.
+    def claim_trial(self, cases: Sequence[Case]) -> Result[bool, PlatformFailure]:
+        """Claim the next trial run for this instance.
 
-        Only one instance can claim it, because the write is conditional on the version that was
-        read. A trial whose write got no reply counts as used, and no instance runs it.
+        A run of one request is a trial of all its blamed names, whose cases are given. Only one
+        instance can claim it, because the write is conditional on the version that was read. A
+        trial whose write got no reply counts as used, and no instance runs it.
 
         Returns
         -------
@@ -83,23 +84,24 @@
 
         def claim(old: msgspec.Raw | None) -> msgspec.Raw | None:
             nonlocal claimed
-            known = _decode_by_fingerprint(old).get(case.fingerprint)
-            present = case if known is None else merge_evidence(known, case)
+            known = _decode_by_fingerprint(old)
+            present = [merge_evidence(known.get(case.fingerprint, case), case) for case in cases]
             now = self.wall_clock()
-            claimed = seconds_until_trial(present, now) == 0.0
-            return self._merge_into(old, (present.with_trial(now),)) if claimed else None
+            claimed = seconds_until_trials(present, now) == 0.0
+            tried = tuple(case.with_trial(now) for case in present)
+            return self._merge_into(old, tried) if claimed else None
 
         return self._editor.apply(_NAME, claim).map(lambda _: claimed)
 
     def claim_rival_trial(
-        self, case: Case, rivals: Iterable[Case]
+        self, cases: Sequence[Case], rivals: Iterable[Case]
     ) -> Result[RivalTrialClaim, PlatformFailure]:
-        """Claim a trial run of a request with rivals that is due by what this instance knows.
+        """Claim a trial run of names with rivals that is due by what this instance knows.
 
-        It is not claimed if the store holds a trial of the request or of a rival, or a clearing,
+        It is not claimed if the store holds a trial of a name or of a rival, or a clearing,
         that this instance does not know. A trial whose write got no reply counts as used.
         """
-        known = (case, *rivals)
+        known = (*cases, *rivals)
         is_claimed = False
 
         def claim(old: msgspec.Raw | None) -> msgspec.Raw | None:
@@ -108,7 +110,8 @@
             is_claimed = not any(_has_news(stored.get(each.fingerprint), each) for each in known)
             if not is_claimed:
                 return None
-            return self._merge_into(old, (case.with_trial(self.wall_clock()),))
+            now = self.wall_clock()
+            return self._merge_into(old, tuple(case.with_trial(now) for case in cases))
 
         stored = self._editor.apply(_NAME, claim)
         return stored.map(lambda value: RivalTrialClaim(is_claimed, _decode_cases(value)))
--- a/whinrack/quarantine/_quarantine.py
+++ b/whinrack/quarantine/_quarantine.py
@@ -1,4 +1,4 @@
-"""Fleet-wide quarantine of requests that end targets.
+"""Fleet-wide quarantine of requests, and of parts of their prompts, that end targets.
 
 The first end of a target under a request is sent to the three instances that own the request's
 fingerprint, later ones to all instances. Heartbeats carry a checksum of the cases that all
@@ -7,7 +7,7 @@
 """
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from returns.result import Failure, Success
 
@@ -18,7 +18,7 @@
 from whinrack.quarantine._cases import Case, TargetEnd
 from whinrack.quarantine._host import QuarantineHost
 from whinrack.quarantine._table import SUSPECT_THRESHOLD, CaseTable
-from whinrack.quarantine._trials import seconds_until_trial
+from whinrack.quarantine._trials import seconds_until_trials
 from whinrack.quarantine._undecided import UndecidedBlames
 from whinrack.quarantine.base import RequestSignature, RunGuard
 
@@ -62,8 +62,9 @@
         self.steady = steady
         self.table = CaseTable()
         self._undecided = UndecidedBlames(self, steady, sleep)
-        # Epoch and number of trials claimed here whose requests did not run, by fingerprint.
-        self._unused_trials: dict[str, tuple[int, int]] = {}
+        # Trials claimed here whose requests did not run, by the blamed names: for each name its
+        # epoch and number of trials.
+        self._unused_trials: dict[tuple[str, ...], tuple[tuple[int, int], ...]] = {}
         self._quarantined: frozenset[str] = frozenset()
 
     # --- request pipeline -----------------------------------------------------------
@@ -71,8 +72,8 @@
     def admit(self, request: RequestSignature, deadline: float | None = None) -> bool:
         """Check that a request may run on a target.
 
-        While it is undecided whether a request is to blame, it waits for a decision or for a trial
-        run, if either is expected in time.
+        While it is undecided whether a request, or a part of its prompt, is to blame, it waits for
+        a decision or for a trial run, if either is expected in time.
 
         Parameters
         ----------
@@ -88,40 +89,41 @@
         Raises
         ------
         RequestQuarantined
-            If the request is in quarantine and no trial run of it is due here.
+            If the request or a part of its prompt is in quarantine, and no trial run is due here.
         """
-        fingerprint = request.fingerprint
-        if self._take_unused_trial(fingerprint):
+        if self._take_unused_trial(request):
             return True
-        if deadline is not None and self._undecided.await_decision(fingerprint, deadline):
+        if deadline is not None and self._undecided.await_decision(request, deadline):
             return True
-        if fingerprint not in self.table.blamed_fingerprints():
+        blamed = self.table.blamed_cases(request.names)
+        if not blamed:
             return False
-        case = self.table.get(fingerprint)
-        wait = self._undecided.seconds_until_trial(case) if deadline is not None else None
+        wait = self._undecided.seconds_until_trial(blamed) if deadline is not None else None
         if wait is None:
-            wait = seconds_until_trial(case, self.wall_clock())
-            if wait == 0.0 and self._try_claim_trial(case):
+            wait = seconds_until_trials(blamed, self.wall_clock())
+            if wait == 0.0 and self._try_claim_trial(blamed):
                 return True
         raise RequestQuarantined(
-            f"{len(case.ends)} targets ended while running requests with fingerprint "
-            f"{case.fingerprint}",
+            f"{len(blamed[0].ends)} targets ended while running requests with "
+            f"{_describe_names(blamed)}",
             retry_after=_NO_TRIAL_RETRY_SECONDS if wait is None else wait + _MIN_RETRY_SECONDS,
         )
 
     def return_trial(self, request: RequestSignature) -> None:
-        """Keep a trial for the next request with this fingerprint, as no target ran this one."""
-        case = self.table.get(request.fingerprint)
-        if case is not None and request.fingerprint in self.table.blamed_fingerprints():
-            self._unused_trials[request.fingerprint] = (case.epoch, case.trials)
-
-    def _take_unused_trial(self, fingerprint: str) -> bool:
-        trial = self._unused_trials.pop(fingerprint, None)
-        case = self.table.get(fingerprint)
+        """Keep a trial for the next request with these names, as no target ran this one."""
+        blamed = self.table.blamed_cases(request.names)
+        if blamed:
+            self._unused_trials[_names_of(blamed)] = _trials_of(blamed)
+
+    def _take_unused_trial(self, request: RequestSignature) -> bool:
+        if not self._unused_trials:
+            return False
+        blamed = self.table.blamed_cases(request.names)
+        trials = self._unused_trials.pop(_names_of(blamed), None)
         # A later trial of another instance takes its place.
-        return trial is not None and case is not None and trial == (case.epoch, case.trials)
+        return trials is not None and trials == _trials_of(blamed)
 
-    def _try_claim_trial(self, case: Case) -> bool:
+    def _try_claim_trial(self, blamed: Sequence[Case]) -> bool:
         """Try to claim the next trial run, and announce it to all instances.
 
         Returns
@@ -132,44 +134,46 @@
         if not self.host.is_store_reachable():
             # The caller would only wait for a call to the store that fails.
             return False
-        claimed = self.case_store.claim_trial(case)
+        claimed = self.case_store.claim_trial(blamed)
         if isinstance(claimed, Failure) and not isinstance(claimed.failure(), WriteUnknown):
             return False
         taken = isinstance(claimed, Success) and claimed.unwrap()
         # Recorded in any case: another instance has claimed the trial, or a write without a reply
         # may have been applied.
-        self.record_trial(case)
+        self.record_trial(blamed)
         log_event(
             Event.QUARANTINE_TRIAL,
-            fingerprint=case.fingerprint,
-            trial=case.trials + 1,
+            fingerprint=" ".join(_names_of(blamed)),
+            trial=max(case.trials for case in blamed) + 1,
             taken=taken,
         )
         return taken
 
-    def record_trial(self, case: Case) -> None:
+    def record_trial(self, cases: Sequence[Case]) -> None:
         """Record a trial run and announce it to all instances."""
-        self.table.merge(case.with_trial(self.wall_clock()))
+        for case in cases:
+            self.table.merge(case.with_trial(self.wall_clock()))
         self._log_changes()
-        self.host.send_to_all([self.table.get(case.fingerprint)])
+        self.host.send_to_all([self.table.get(case.fingerprint) for case in cases])
 
     def record_success(self, request: RequestSignature) -> None:
-        """Clear a request that ran successfully, as it does not end every target that runs it."""
-        self.table.record_success(request.fingerprint, self.steady())
-        self._clear(request.fingerprint, request.workspace, "run succeeded")
+        """Clear a request that ran successfully, as it does not end every target that runs it.
+
+        The same holds for the parts of its prompt.
+        """
+        now = self.steady()
+        for suspect in request.suspects():
+            self.table.record_success(suspect.fingerprint, now)
+            self._clear(suspect.fingerprint, suspect.workspace, "run succeeded")
 
     def record_target_end(self, end: TargetEnd, runs: list[RequestSignature]) -> None:
         """Record the end of a target as evidence against the requests that it interrupted."""
         now = self.wall_clock()
-        for request in runs:
-            if self._has_recent_success(request.fingerprint):
+        suspects = {case.fingerprint: case for request in runs for case in request.suspects()}
+        for suspect in suspects.values():
+            if self._has_recent_success(suspect.fingerprint):
                 continue
-            empty = Case(
-                fingerprint=request.fingerprint,
-                workspace=request.workspace,
-                route=request.route,
-            )
-            case = self.table.record_end(empty, end, now)
+            case = self.table.record_end(suspect, end, now)
             if len(case.ends) < SUSPECT_THRESHOLD:
                 self.host.send_to_owners(case)
             else:
@@ -265,8 +269,8 @@
         """Log the requests that entered or left the quarantine."""
         blamed = self.table.blamed_fingerprints()
         self._undecided.update_times(self.table.get(fingerprint) for fingerprint in blamed)
-        for fingerprint in self._unused_trials.keys() - blamed:
-            del self._unused_trials[fingerprint]
+        for names in [names for names in self._unused_trials if not blamed.issuperset(names)]:
+            del self._unused_trials[names]
         for fingerprint in blamed - self._quarantined:
             case = self.table.get(fingerprint)
             log_event(
@@ -284,3 +288,15 @@
                 why="cleared, or the ends are explained by other requests",
             )
         self._quarantined = blamed
+
+
+def _names_of(cases: Iterable[Case]) -> tuple[str, ...]:
+    return tuple(case.fingerprint for case in cases)
+
+
+def _trials_of(cases: Iterable[Case]) -> tuple[tuple[int, int], ...]:
+    return tuple((case.epoch, case.trials) for case in cases)
+
+
+def _describe_names(cases: Iterable[Case]) -> str:
+    return "fingerprint " + " ".join(_names_of(cases))
--- a/whinrack/quarantine/_table.py
+++ b/whinrack/quarantine/_table.py
@@ -1,6 +1,7 @@
 """Bounded table of the cases that this instance knows; it does no I/O."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 import msgspec
 import xxhash
@@ -26,7 +27,7 @@
 SUSPECT_LIFETIME_SECONDS = 7 * 86_400.0
 # Seconds for which a success is remembered, and the maximum number of remembered ones.
 _SUCCESS_LIFETIME_SECONDS = 60.0
-_MAX_SUCCESSES = 4096
+_MAX_SUCCESSES = 8192
 
 
 class CaseTable:
@@ -61,6 +62,11 @@
             self._blamed = find_culprits(self._suspects.values())
         return self._blamed
 
+    def blamed_cases(self, names: Iterable[str]) -> list[Case]:
+        """Return the cases of those names of a request that are to blame."""
+        blamed = self.blamed_fingerprints()
+        return [self._suspects[name] for name in names if name in blamed] if blamed else []
+
     def rivals(self, fingerprint: str) -> list[Case]:
         """Return the cases of the requests that may be to blame instead of a blamed one.
 
--- a/whinrack/quarantine/_trials.py
+++ b/whinrack/quarantine/_trials.py
@@ -17,6 +17,7 @@
 __all__ = [
     "seconds_until_rival_trial",
     "seconds_until_trial",
+    "seconds_until_trials",
     "seconds_until_trial_has_run",
 ]
 
@@ -48,6 +49,12 @@
     return max(0.0, since + pause - now)
 
 
+def seconds_until_trials(cases: Iterable[Case], now: float) -> float | None:
+    """Return the seconds until a run is due that is a trial of several cases, or None."""
+    waits = [seconds_until_trial(case, now) for case in cases]
+    return None if None in waits else max(waits, default=0.0)
+
+
 def seconds_until_rival_trial(
     trials: int, tried_seconds: float, rivals_tried_seconds: Iterable[float]
 ) -> float | None:
--- a/whinrack/quarantine/base.py
+++ b/whinrack/quarantine/base.py
@@ -2,17 +2,46 @@
 
 import msgspec
 
-from whinrack.quarantine._cases import TargetEnd
+from whinrack.quarantine._cases import Case, TargetEnd
 
 __all__ = ["AdmitAll", "RequestSignature", "RunGuard"]
 
 
 class RequestSignature(msgspec.Struct, frozen=True):
-    """Fingerprint, workspace and route that identify equal requests."""
+    """What a request is identified by as the possible cause of the end of a target.
+
+    Attributes
+    ----------
+    fingerprint, workspace, route : str
+        Identify equal requests.
+    pool : str
+        Pool of the target.
+    parts : tuple of str
+        Names of the parts of its prompt that other requests may share, from `compute_part_name`.
+    """
 
     fingerprint: str
     workspace: str
     route: str
+    pool: str = ""
+    parts: tuple[str, ...] = ()
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of the possible causes: the request as a whole, and each part of its prompt."""
+        return (self.fingerprint, *self.parts)
+
+    def without_parts(self) -> "RequestSignature":
+        """Return the signature of the request as a whole only."""
+        return msgspec.structs.replace(self, parts=())
+
+    def suspects(self) -> list[Case]:
+        """Return a case without evidence for each possible cause.
+
+        A part may end targets whoever sends it, so its case belongs to no workspace.
+        """
+        request = Case(fingerprint=self.fingerprint, workspace=self.workspace, route=self.route)
+        return [request, *(Case(fingerprint=part, route=self.pool) for part in self.parts)]
 
 
 class RunGuard:
--- a/whinrack/quarantine/tests/test_case_store.py
+++ b/whinrack/quarantine/tests/test_case_store.py
@@ -77,9 +77,9 @@
 
 def test_trial_is_claimed_by_one_instance(case_stores, clock):
     case_stores[0].write([case()])
-    assert case_stores[0].claim_trial(case()) == Success(False)
+    assert case_stores[0].claim_trial([case()]) == Success(False)
     clock[0] += 31.0
-    claimed = [case_store.claim_trial(case()) for case_store in case_stores]
+    claimed = [case_store.claim_trial([case()]) for case_store in case_stores]
     assert claimed == [Success(True), Success(False)]
 
 
@@ -87,22 +87,22 @@
     case_stores[0].write([case()])
     case_stores[1].read()
     clock[0] += 31.0
-    store.before_write = lambda: case_stores[1].claim_trial(case())
-    assert case_stores[0].claim_trial(case()) == Success(False)
+    store.before_write = lambda: case_stores[1].claim_trial([case()])
+    assert case_stores[0].claim_trial([case()]) == Success(False)
 
 
 def test_trial_is_not_run_if_the_reply_of_its_claim_is_lost(store, case_stores, clock):
     case_stores[0].write([case()])
     clock[0] += 31.0
     store.replies_to_drop = 1
-    assert case_stores[0].claim_trial(case()) == Success(False)
-    assert case_stores[1].claim_trial(case()) == Success(False)
+    assert case_stores[0].claim_trial([case()]) == Success(False)
+    assert case_stores[1].claim_trial([case()]) == Success(False)
 
 
 def test_no_trial_can_be_claimed_while_the_store_is_down(store, case_stores, clock):
     clock[0] += 31.0
     store.down = True
-    assert isinstance(case_stores[0].claim_trial(case()), Failure)
+    assert isinstance(case_stores[0].claim_trial([case()]), Failure)
 
 
 @pytest.fixture
@@ -113,7 +113,7 @@
 
 
 def claims_rival_trial(case_store, own, other):
-    return case_store.claim_rival_trial(own, [other]).unwrap().is_claimed
+    return case_store.claim_rival_trial([own], [other]).unwrap().is_claimed
 
 
 def test_trial_of_a_request_with_rivals_is_claimed_by_one_instance(case_stores, rivals):
@@ -124,7 +124,7 @@
 def test_trial_is_not_claimed_while_a_trial_of_a_rival_is_unknown(case_stores, rivals):
     own, other = rivals
     assert claims_rival_trial(case_stores[0], other, own)
-    claim = case_stores[1].claim_rival_trial(own, [other]).unwrap()
+    claim = case_stores[1].claim_rival_trial([own], [other]).unwrap()
     assert not claim.is_claimed
     (known,) = (stored for stored in claim.cases if stored.fingerprint == other.fingerprint)
     assert claims_rival_trial(case_stores[1], own, known)
