Streams that nobody knows go on while their pool has had targets of one version only

Change: the version is deduced if all targets of the route's only pool, gone ones too, have had one version for twice the route's timeout, no change of the list was missed, none is in doubt, and the store confirmed the list after the request arrived.

--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -20,6 +20,7 @@
 from whinrack.dispatch._target_choice import TargetSelector
 from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import ColdStart, TargetRecord
+from whinrack.dispatch._version_history import VersionHistory
 
 __all__ = ["OWN_SOURCE", "TargetRegistry"]
 
@@ -97,6 +98,7 @@
         self.on_target_replaced: list[Callable[[TargetState], None]] = []
         # Called when an answer first announces that its target leaves.
         self.on_target_leaving: list[Callable[[], None]] = []
+        self.version_history = VersionHistory(clock)
         self.remote_loads = RemoteLoads()
         self.brittle_limits = brittle_limits or StatedLimits(clock=clock)
         self.brittle_targets = BrittleTargets(
@@ -128,6 +130,7 @@
         list of str
             Incarnations of the targets that became leaving by this.
         """
+        self.version_history.restart()
         listed = {record.incarnation for record in records}
         newly_leaving = [
             name for name in list(self._targets) if name not in listed and self.remove(name)
@@ -144,7 +147,10 @@
         """
         if record.is_leaving:
             self._remember_leaving(record.incarnation, record.started)
+        self.version_history.record(record.pool, record.software_version)
         state = self._targets.get(record.incarnation)
+        if state is not None:
+            self.version_history.record(state.record.pool, state.record.software_version)
         if state is not None and record.is_different_start(state.record):
             if record.is_older_than(state.record):
                 return False
@@ -192,6 +198,7 @@
         if state is None or state.is_removed:
             return False
         was_leaving = state.is_leaving
+        self.version_history.record(state.record.pool, state.record.software_version)
         state.is_removed = True
         if not state.in_flight:
             self._drop(state)
@@ -411,6 +418,20 @@
             for state in self.targets_in_pool(pool)
         )
 
+    def sole_version(self, pool: str, seconds: float) -> str:
+        """Return the version of all targets that a pool had within the last seconds.
+
+        Returns
+        -------
+        str
+            Empty if there were several, if one is unknown, or if not all targets are known.
+        """
+        versions = self.version_history.versions_since(pool, self.clock() - seconds)
+        if versions is None:
+            return ""
+        versions |= {self.software_version(state) for state in self.targets_in_pool(pool)}
+        return versions.pop() if len(versions) == 1 else ""
+
     def _matches(self, state: TargetState, software_version: str | None) -> bool:
         if software_version is None:
             return True
--- a/whinrack/dispatch/_stream_versions.py
+++ b/whinrack/dispatch/_stream_versions.py
@@ -5,6 +5,8 @@
 if its caller continues it with another request.
 """
 
+import eventlet
+
 from whinrack.clock import steady
 from whinrack.dispatch._refusals import BUSY_RETRY_SECONDS, pool_refusal
 from whinrack.dispatch._registry import TargetRegistry
@@ -17,6 +19,17 @@
 
 __all__ = ["StreamVersions"]
 
+# Multiple of a route's timeout within which a stream began that is continued now: the time of the
+# caller's first attempt and of the ones that continue it.
+_STREAM_TIMEOUTS = 2.0
+# How long to wait for the store to confirm the target list, seconds, and how often to look.
+_CONFIRMATION_SECONDS = 1.2
+_POLL_SECONDS = 0.05
+# Ages of target lists from peers are rounded to tenths of a second.
+_AGE_ERROR_SECONDS = 0.1
+
+# Source of an origin that was deduced.
+_SOLE_VERSION = "sole version"
 # Retry delay if no peer that answered knows where a stream began, seconds.
 _UNKNOWN_RETRY_SECONDS = 1.0
 # Retry delay if no target of the version of a stream is in service, seconds: one that crashed may
@@ -54,6 +67,8 @@
         found = OriginLookup(None)
         if run.request.resumed_id:
             found = self.origins.find(run.stream_key, run.deadline)
+        if found.origin is None:
+            found = self._deduce(run, found)
         try:
             run.origin = self._checked(run, found)
         except Refusal as refusal:
@@ -61,6 +76,26 @@
             raise
         self._log(run, found, "found")
 
+    def _deduce(self, run: RequestRun, found: OriginLookup) -> OriginLookup:
+        """Deduce where a stream began if its pool has had targets of one version only.
+
+        The list of targets must have been confirmed after the request arrived: otherwise another
+        instance may have known a further version already.
+        """
+        if len(run.route.weighted_pools) != 1:
+            return found
+        pool = run.route.weighted_pools[0].pool
+        seconds = _STREAM_TIMEOUTS * run.route.timeout
+        confirmed_from = run.exchange.received_at + _AGE_ERROR_SECONDS
+        until = min(run.deadline, steady() + _CONFIRMATION_SECONDS)
+        while version := self.registry.sole_version(pool, seconds):
+            if self.registry.confirmed_at() >= confirmed_from:
+                return OriginLookup(StreamOrigin(pool, version), _SOLE_VERSION, found.unanswered)
+            if steady() >= until:
+                break
+            eventlet.sleep(_POLL_SECONDS)
+        return found
+
     def record_first_event(self, run: RequestRun, pool: PoolRecord) -> None:
         """Record at which version a stream has begun, before its first event is relayed."""
         if run.origin is None:
--- a/whinrack/dispatch/tests/test_stream_versions.py
+++ b/whinrack/dispatch/tests/test_stream_versions.py
@@ -105,3 +105,70 @@
     registry.put(record("a", "", revision=2))
     assert registry.targets_in_pool("p") == [before]
     assert registry.software_version(before) == ""
+
+
+class Clock:
+    def __init__(self):
+        self.now = NOW
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def followed(clock):
+    """Registry that has followed the targets of one version for 20 s."""
+    registry = TargetRegistry(seed=1, clock=clock)
+    registry.replace_all([record("a", "v1"), record("b", "v1")])
+    clock.now += 20.0
+    return registry
+
+
+def test_sole_version_needs_a_history_of_all_targets(followed):
+    assert followed.sole_version("p", 15.0) == "v1"
+    assert followed.sole_version("p", 30.0) == ""
+    assert followed.sole_version("other", 15.0) == ""
+
+
+def test_target_of_another_version_counts_for_a_while_after_it_has_gone(followed, clock):
+    followed.put(record("c", "v2"))
+    clock.now += 1.0
+    followed.remove("c")
+    clock.now += 14.0
+    assert followed.sole_version("p", 15.0) == ""
+    clock.now += 2.0
+    assert followed.sole_version("p", 15.0) == "v1"
+
+
+def test_target_that_returned_with_another_version_counts_with_both(followed, clock):
+    followed.put(record("a", "v2", started=2))
+    followed.put(record("b", "v2", started=2))
+    assert followed.sole_version("p", 15.0) == ""
+    clock.now += 16.0
+    assert followed.sole_version("p", 15.0) == "v2"
+
+
+@pytest.mark.parametrize("version", ["", "v2"])
+def test_there_is_no_sole_version_beside_an_unknown_or_another_one(followed, version):
+    followed.put(record("c", version))
+    assert followed.sole_version("p", 15.0) == ""
+
+
+def test_there_is_no_sole_version_while_a_target_may_have_returned(followed, clock):
+    followed.confirmed_at = clock
+    followed.merge_ended("a", 1, "peer")
+    assert followed.sole_version("p", 15.0) == ""
+    clock.now += RECORD_EXPIRY_SECONDS + 0.1
+    assert followed.sole_version("p", 15.0) == "v1"
+
+
+def test_new_list_of_all_targets_starts_the_history_anew(followed, clock):
+    followed.replace_all([record("a", "v1"), record("b", "v1")])
+    assert followed.sole_version("p", 15.0) == ""
+    clock.now += 15.0
+    assert followed.sole_version("p", 15.0) == "v1"
--- a/whinrack/streams/base.py
+++ b/whinrack/streams/base.py
@@ -16,7 +16,7 @@
     origin : StreamOrigin or None
         None if no instance that answered knows it.
     source : str
-        Address of the peer that knew it, "here", or empty.
+        Address of the peer that knew it, "here", how it was deduced, or empty.
     unanswered : int
         Peers that were asked and did not answer in time.
     """
