Ends of targets count as evidence once their pool is reached, though it counted as lost for a moment

Seen: soak on the code with parts: requests with one part ended 17 targets, and 5 of them reached targets later than 4 s after the fifth end. Cause: of 17 ends 14 were not counted. Each end was found (nothing listened), but the pool counted as lost at that moment, since connections that other ended targets refused had failed one after the other; the end was then taken for the loss of the path, for good. The third end was counted 9.7 s after the first. Change: the end of a target in a lost pool is inconclusive. It is looked at again each 0.25 s for 6 s, as other inconclusive ones are, and counts when the pool is reached and still nothing listens. If the pool stays lost, it is no evidence, as before.

--- a/whinrack/dispatch/_crash_detector.py
+++ b/whinrack/dispatch/_crash_detector.py
@@ -91,13 +91,12 @@
         eventlet.sleep(_PROBE_DELAY_SECONDS)
         requests = self._cut_requests.pop(state)
         presence = self._presence(state)
-        while presence is not Presence.ENDED and steady() - cut_at < _RECHECK_SECONDS:
+        while not self._is_ended(state, presence) and steady() - cut_at < _RECHECK_SECONDS:
             eventlet.sleep(_RECHECK_INTERVAL_SECONDS)
             presence = self._recheck(state, presence, known_identities)
         record = state.record
         is_brittle = self.registry.brittle_targets.is_brittle(state)
-        if presence is Presence.ENDED and self.registry.reachability.is_lost(record.pool):
-            # The path to all targets is broken, which says nothing about a single one.
+        if presence is Presence.ENDED and not self._is_ended(state, presence):
             presence = Presence.UNKNOWN
         log_event(
             Event.TARGET_CUT,
@@ -115,6 +114,11 @@
             # A brittle target falls over because of refused requests, not of those that it runs.
             self.guard.record_target_end(TargetEnd(record.incarnation, record.started), requests)
 
+    def _is_ended(self, state: TargetState, presence: Presence) -> bool:
+        """Return whether a target has ended, and not the path to all targets of its pool."""
+        is_lost = self.registry.reachability.is_lost(state.record.pool)
+        return presence is Presence.ENDED and not is_lost
+
     def _presence(self, state: TargetState) -> Presence:
         presence = self.probe_address(state.address)
         if presence is Presence.ENDED and state.in_flight:
--- a/whinrack/dispatch/tests/test_crash_detector.py
+++ b/whinrack/dispatch/tests/test_crash_detector.py
@@ -6,7 +6,7 @@
 import pytest
 
 from whinrack.clock import steady
-from whinrack.dispatch import TargetRecord, TargetRegistry
+from whinrack.dispatch import ContactFailure, TargetRecord, TargetRegistry
 from whinrack.dispatch._crash_detector import CrashDetector, Presence, probe_address
 from whinrack.quarantine import RequestSignature, RunGuard, TargetEnd
 
@@ -120,3 +120,29 @@
     harness.presence = Presence.HERE
     harness.registry.begin_request(harness.state)
     assert harness.cut(lambda: harness.registry.remove("t")) == []
+
+
+def lose_pool(harness):
+    """Let two targets of the pool fail, so that contact with it counts as lost."""
+    other = TargetRecord("other", "p", "h", 2, started=7)
+    harness.registry.put(other)
+    for identity in (RECORD.identity, other.identity):
+        harness.registry.reachability.record_failure(
+            "p", identity, ContactFailure.UNREACHABLE, steady()
+        )
+    assert harness.registry.reachability.is_lost("p")
+
+
+def test_end_in_a_lost_pool_counts_once_the_pool_is_reached(harness):
+    """Guards against losing the evidence of every end while other targets have just ended."""
+    lose_pool(harness)
+    assert harness.cut(seconds=0.0) == []
+    harness.registry.reachability.record_answer("p", "other@7", steady())
+    eventlet.sleep(0.4)
+    assert harness.guard.ends == [(TargetEnd("t", 7), REQUESTS)]
+
+
+def test_cut_in_a_pool_that_stays_lost_is_no_evidence(harness):
+    """The path to all targets is broken, which says nothing about a single one."""
+    lose_pool(harness)
+    assert harness.cut(seconds=6.5) == []
