--- a/whinrack/quarantine/_cases.py
+++ b/whinrack/quarantine/_cases.py
@@ -25,14 +25,17 @@
 
 
 class Case(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
-    """Evidence against all requests with one fingerprint.
+    """Evidence against one possible cause of ends: equal requests, or a part of prompts.
 
     Merging the evidence of instances is commutative, associative and idempotent.
 
     Attributes
     ----------
-    fingerprint, workspace, route : str
-        The request, its workspace, and the route on which it came.
+    fingerprint : str
+        Fingerprint of the request, or name of the part.
+    workspace, route : str
+        Workspace of the request and the route on which it came. A part has no workspace, and the
+        pool of its targets stands in place of a route.
     epoch : int
         Incremented whenever the request is cleared; evidence of earlier epochs is void.
     ends : tuple of TargetEnd
--- a/whinrack/quarantine/_listing.py
+++ b/whinrack/quarantine/_listing.py
@@ -13,7 +13,7 @@
     Attributes
     ----------
     fingerprint, workspace, route : str
-        The request, its workspace, and the route on which it came.
+        What is quarantined; see `Case`.
     targets : tuple of str
         Targets that ended while they ran the request, as `name@started`.
     ended_at : float
