Sight: pool_lost tells over which connections targets failed, and how many were not asked

The lines could not tell whether a connection that failed was a new one, nor that other targets of the pool had not been asked. evidence now has both ages, untried the number of targets in service without a failure. No change of logic; the tests of dispatch and edge pass.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -210,10 +210,17 @@
             ) from failure
 
     def _record_contact_failure(
-        self, state: TargetState, kind: ContactFailure, began_at: float
+        self,
+        state: TargetState,
+        kind: ContactFailure,
+        began_at: float,
+        connection: TargetConnection | None = None,
     ) -> None:
         record = state.record
-        self.registry.reachability.record_failure(record.pool, record.identity, kind, began_at)
+        opened_at = None if connection is None else connection.opened_at
+        self.registry.reachability.record_failure(
+            record.pool, record.identity, kind, began_at, opened_at
+        )
 
     def _exchange(
         self, run: RequestRun, pool: PoolRecord, state: TargetState, connection: TargetConnection
@@ -257,7 +264,7 @@
         except AnswerCut as failure:
             state.ejection.record_failure(steady())
             if not has_head:
-                self._record_contact_failure(state, ContactFailure.CUT, sent_at)
+                self._record_contact_failure(state, ContactFailure.CUT, sent_at, connection)
             self.crash_detector.record_cut(state, run.request_name)
             if state.is_replaced:
                 self.stream_versions.record_replaced(run)
@@ -303,7 +310,9 @@
                 return read_head(min(deadline, silent_at))
             except AttemptTimeout:
                 if steady() >= silent_at:
-                    self._record_contact_failure(state, ContactFailure.SILENT, run.sent_at)
+                    self._record_contact_failure(
+                        state, ContactFailure.SILENT, run.sent_at, connection
+                    )
                 if steady() >= deadline or self._should_move(run, state.record.pool):
                     raise
             return read_head(deadline)
--- a/whinrack/dispatch/_reachability.py
+++ b/whinrack/dispatch/_reachability.py
@@ -39,9 +39,10 @@
     pool : str
     is_lost : bool
     evidence : str
-        Failed targets with how and how many seconds ago they failed, or the target that answered.
-    targets : int
-        Targets of the pool that are in service.
+        Failed targets with how they failed and the seconds since the attempt and since the opening
+        of its connection began, or the target that answered.
+    targets, untried : int
+        Targets of the pool that are in service, and those among them that have not failed.
     silent_seconds : float
         Seconds since the last answer of the pool, infinite if there was none.
     """
@@ -50,14 +51,22 @@
     is_lost: bool
     evidence: str
     targets: int
+    untried: int
     silent_seconds: float
 
 
 class _Failure(msgspec.Struct, frozen=True):
-    """The latest failed contact with a target; `began_at` is when the attempt began."""
+    """The latest failed contact with a target.
+
+    Attributes
+    ----------
+    began_at, opened_at : float
+        Steady clock times at which the attempt and the opening of its connection began.
+    """
 
     kind: ContactFailure
     began_at: float
+    opened_at: float
 
 
 class _PoolContact:
@@ -144,7 +153,14 @@
             self._set_reached(pool, contact, target)
         contact.answered_at = self.clock()
 
-    def record_failure(self, pool: str, target: str, kind: ContactFailure, began_at: float) -> None:
+    def record_failure(
+        self,
+        pool: str,
+        target: str,
+        kind: ContactFailure,
+        began_at: float,
+        opened_at: float | None = None,
+    ) -> None:
         """Record that a target could not be contacted.
 
         Parameters
@@ -152,12 +168,17 @@
         began_at : float
             Steady clock time at which the failed attempt began. Failures of attempts that began
             before the pool's last answer are ignored.
+        opened_at : float, optional
+            Steady clock time at which the opening of the attempt's connection began; by default
+            the attempt opened a connection of its own.
         """
         contact = self._pools.setdefault(pool, _PoolContact())
         if began_at < contact.answered_at:
             return
         contact.failures.pop(target, None)
-        contact.failures[target] = _Failure(kind, began_at)
+        contact.failures[target] = _Failure(
+            kind, began_at, began_at if opened_at is None else opened_at
+        )
         while len(contact.failures) > _MAX_FAILURES:
             del contact.failures[next(iter(contact.failures))]
         if not contact.is_lost and self._has_evidence(pool, contact):
@@ -177,16 +198,18 @@
     def _describe(self, contact: _PoolContact) -> str:
         now = self.clock()
         return " ".join(
-            f"{target}:{failure.kind}@{now - failure.began_at:.2f}"
+            f"{target}:{failure.kind}@{now - failure.began_at:.2f}/{now - failure.opened_at:.2f}"
             for target, failure in contact.failures.items()
         )
 
     def _notify(self, pool: str, contact: _PoolContact, evidence: str) -> None:
+        in_service = self.targets_in_service(pool)
         change = ContactChange(
             pool=pool,
             is_lost=contact.is_lost,
             evidence=evidence,
-            targets=len(self.targets_in_service(pool)),
+            targets=len(in_service),
+            untried=sum(target not in contact.failures for target in in_service),
             silent_seconds=self.clock() - contact.answered_at,
         )
         for callback in self.on_change:
--- a/whinrack/dispatch/tests/test_reachability.py
+++ b/whinrack/dispatch/tests/test_reachability.py
@@ -42,7 +42,8 @@
     assert pool.is_lost
     (change,) = pool.changes
     assert change.is_lost and change.targets == 4
-    assert change.evidence == f"a:{kind}@0.00 b:{kind}@0.00"
+    assert change.evidence == f"a:{kind}@0.00/0.00 b:{kind}@0.00/0.00"
+    assert change.untried == 2
 
 
 def test_an_answer_in_between_is_evidence_against_a_loss():
--- a/whinrack/edge/_reachability_log.py
+++ b/whinrack/edge/_reachability_log.py
@@ -34,6 +34,7 @@
             pool=change.pool,
             evidence=change.evidence,
             targets=change.targets,
+            untried=change.untried,
             silent=round(change.silent_seconds, 3),
         )
         self.notify_peers()
