A pool is lost only when new connections to all of its targets fail; suspected pools are checked

Callers of instances cut off from all targets, and of those that reach them, got 503 target_unavailable: two failures made a pool lost, whoever failed (ended targets), while answers over old connections cleared the evidence that no new one can be opened. Cause: one failed connection was one kind of evidence, and the targets that had not failed were not asked.

Failures of two targets now only make a pool suspected. Its other targets are probed at once, 16 at most, and it is lost if new connections to all of them fail; an answer speaks against failures of connections that are not newer than its own. A probe whose connection is closed without a reset was answered by the path.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -217,7 +217,8 @@
         connection: TargetConnection | None = None,
     ) -> None:
         record = state.record
-        opened_at = None if connection is None else connection.opened_at
+        has_new_connection = connection is None or not connection.is_reused
+        opened_at = None if has_new_connection else connection.opened_at
         self.registry.reachability.record_failure(
             record.pool, record.identity, kind, began_at, opened_at
         )
--- a/whinrack/dispatch/_reachability.py
+++ b/whinrack/dispatch/_reachability.py
@@ -1,8 +1,10 @@
 """Detection of pools whose targets this instance has lost contact with; pure logic without I/O.
 
-A single target that fails is ejected. If several targets of a pool fail one after another and none
-answers in between, the failure may lie between this instance and all of them, and other instances
-may still reach them.
+A failed connection may mean that its target has ended or that this instance's path to all targets
+is broken, and only the other targets of the pool tell these apart. So failures of several targets
+make a pool suspected, and its other targets are checked. The pool is lost if new connections to
+all of them fail. Connections that were open before may live on while no new ones can be opened, so
+answers over them do not speak against a loss.
 """
 
 import math
@@ -13,9 +15,12 @@
 
 __all__ = ["ContactChange", "ContactFailure", "Reachability"]
 
-# Number of targets that must fail without an answer in between. Smaller pools are lost when all
+# Number of targets that must fail until a pool is suspected. Smaller pools are suspected when all
 # their targets have failed.
 _MIN_FAILED_TARGETS = 2
+# Number of targets to which new connections must fail until a pool is lost. Smaller pools are lost
+# when they fail to all targets.
+_MAX_CHECKED_TARGETS = 16
 # Time for which a pool must be lost until the loss counts as confirmed, in seconds: healthy targets
 # may all be silent for a moment.
 _CONFIRMATION_SECONDS = 1.0
@@ -68,16 +73,74 @@
     began_at: float
     opened_at: float
 
+    @property
+    def is_of_new_connection(self) -> bool:
+        """Whether the attempt opened a connection of its own."""
+        return self.opened_at >= self.began_at
+
+    def is_outdated_by(self, opened_at: float) -> bool:
+        """Return whether an answer that arrives now speaks against this failure.
+
+        Parameters
+        ----------
+        opened_at : float
+            Steady clock time at which the connection of the answer was opened.
+        """
+        return not self.is_of_new_connection or opened_at >= self.opened_at
+
 
 class _PoolContact:
-    """Contact with the targets of one pool."""
+    """Contact with the targets of one pool.
+
+    Attributes
+    ----------
+    answered_at, connected_at : float
+        Steady clock times of the last answer, and of the opening of the latest connection that was
+        answered.
+    """
 
     def __init__(self):
         self.answered_at = float("-inf")
+        self.connected_at = float("-inf")
         self.failures: dict[str, _Failure] = {}
         self.is_lost = False
         self.lost_at = float("-inf")
 
+    def record_answer(self, opened_at: float, now: float) -> None:
+        self.answered_at = now
+        self.connected_at = max(self.connected_at, opened_at)
+        self.failures = {
+            target: failure
+            for target, failure in self.failures.items()
+            if not failure.is_outdated_by(opened_at)
+        }
+
+    def record_failure(self, target: str, failure: _Failure) -> bool:
+        """Record a failure; return False if an answer already speaks against it."""
+        if failure.began_at < self.connected_at:
+            return False
+        if not failure.is_of_new_connection and failure.began_at < self.answered_at:
+            return False
+        known = self.failures.pop(target, None)
+        if known is not None and known.is_of_new_connection:
+            # The failure of an older connection adds nothing to that of a new one.
+            failure = failure if failure.is_of_new_connection else known
+        self.failures[target] = failure
+        while len(self.failures) > _MAX_FAILURES:
+            del self.failures[next(iter(self.failures))]
+        return True
+
+    def failed_targets(self, in_service: Collection[str]) -> list[str]:
+        return [target for target in in_service if target in self.failures]
+
+    def unconnectable_targets(self, in_service: Collection[str]) -> list[str]:
+        """Return the targets in service to which new connections have failed."""
+        return [
+            target
+            for target in self.failed_targets(in_service)
+            if self.failures[target].is_of_new_connection
+        ]
+
 
 class Reachability:
     """Tracks with which pools this instance has lost contact.
@@ -93,6 +156,8 @@
     ----------
     on_change : list of callable
         Called with each `ContactChange`.
+    on_suspected : list of callable
+        Called with the name of a pool after each failure that leaves it suspected.
     """
 
     def __init__(
@@ -101,6 +166,7 @@
         self.targets_in_service = targets_in_service
         self.clock = clock
         self.on_change: list[Callable[[ContactChange], None]] = []
+        self.on_suspected: list[Callable[[str], None]] = []
         self._pools: dict[str, _PoolContact] = {}
 
     def is_lost(self, pool: str) -> bool:
@@ -108,11 +174,23 @@
         contact = self._pools.get(pool)
         if contact is None or not contact.is_lost:
             return False
-        if not self._has_evidence(pool, contact):
+        if not self._has_suspicion(pool, contact):
             # The failed targets are gone, and nothing speaks against the remaining ones.
             self._set_reached(pool, contact, "failed targets are gone")
         return contact.is_lost
 
+    def is_suspected(self, pool: str) -> bool:
+        """Return whether several targets of a pool failed and the others should be checked."""
+        contact = self._pools.get(pool)
+        return contact is not None and not contact.is_lost and self._has_suspicion(pool, contact)
+
+    def targets_to_check(self, pool: str) -> list[str]:
+        """Return the targets in service to which no new connection has failed, but not too many."""
+        in_service, contact = self.targets_in_service(pool), self._pools.get(pool, _PoolContact())
+        unconnectable = set(contact.unconnectable_targets(in_service))
+        untested = [target for target in in_service if target not in unconnectable]
+        return untested[: max(1, _MAX_CHECKED_TARGETS - len(unconnectable))]
+
     def is_loss_confirmed(self, pool: str) -> bool:
         """Return whether a pool has been lost for so long that waiting for it is of no use."""
         if not self.is_lost(pool):
@@ -143,15 +221,12 @@
             the pool was lost may live on while no new ones can be opened, so their answers do not
             end the loss.
         """
-        contact = self._pools.get(pool)
-        if contact is None:
-            contact = self._pools[pool] = _PoolContact()
+        contact = self._pools.setdefault(pool, _PoolContact())
         if contact.is_lost and opened_at < contact.lost_at:
             return
-        contact.failures.clear()
+        contact.record_answer(opened_at, self.clock())
         if contact.is_lost:
             self._set_reached(pool, contact, target)
-        contact.answered_at = self.clock()
 
     def record_failure(
         self,
@@ -166,31 +241,34 @@
         Parameters
         ----------
         began_at : float
-            Steady clock time at which the failed attempt began. Failures of attempts that began
-            before the pool's last answer are ignored.
+            Steady clock time at which the failed attempt began. Failures that an answer speaks
+            against already are ignored.
         opened_at : float, optional
             Steady clock time at which the opening of the attempt's connection began; by default
             the attempt opened a connection of its own.
         """
         contact = self._pools.setdefault(pool, _PoolContact())
-        if began_at < contact.answered_at:
+        failure = _Failure(kind, began_at, began_at if opened_at is None else opened_at)
+        if not contact.record_failure(target, failure) or contact.is_lost:
             return
-        contact.failures.pop(target, None)
-        contact.failures[target] = _Failure(
-            kind, began_at, began_at if opened_at is None else opened_at
-        )
-        while len(contact.failures) > _MAX_FAILURES:
-            del contact.failures[next(iter(contact.failures))]
-        if not contact.is_lost and self._has_evidence(pool, contact):
+        if self._has_evidence(pool, contact):
             contact.is_lost = True
             contact.lost_at = self.clock()
             self._notify(pool, contact, self._describe(contact))
+        elif self._has_suspicion(pool, contact):
+            for callback in self.on_suspected:
+                callback(pool)
 
-    def _has_evidence(self, pool: str, contact: _PoolContact) -> bool:
+    def _has_suspicion(self, pool: str, contact: _PoolContact) -> bool:
         in_service = self.targets_in_service(pool)
-        failed = sum(target in contact.failures for target in in_service)
+        failed = len(contact.failed_targets(in_service))
         return 0 < min(_MIN_FAILED_TARGETS, len(in_service)) <= failed
 
+    def _has_evidence(self, pool: str, contact: _PoolContact) -> bool:
+        in_service = self.targets_in_service(pool)
+        unconnectable = len(contact.unconnectable_targets(in_service))
+        return 0 < min(_MAX_CHECKED_TARGETS, len(in_service)) <= unconnectable
+
     def _set_reached(self, pool: str, contact: _PoolContact, evidence: str) -> None:
         contact.is_lost = False
         self._notify(pool, contact, evidence)
--- a/whinrack/edge/_target_probes.py
+++ b/whinrack/edge/_target_probes.py
@@ -1,4 +1,6 @@
-"""Probes of the targets of lost pools, so that no caller's request has to find out."""
+"""Probes of targets of suspected and lost pools, so that no caller's request has to find out."""
+
+import math
 
 import eventlet
 
@@ -17,7 +19,9 @@
 __all__ = ["TargetProbes"]
 
 _CHECK_SECONDS = 0.1
-# Interval between the probes of one pool.
+# Minimum interval between two checks of one suspected pool.
+_CHECK_INTERVAL_SECONDS = 0.3
+# Interval between the probes of one lost pool.
 _PROBE_INTERVAL_SECONDS = 0.5
 _CONNECT_SECONDS = 0.3
 # Time for the answer: a target that is busy may let a probe wait.
@@ -27,7 +31,7 @@
 
 
 class TargetProbes:
-    """Probes one target of each lost pool after the other.
+    """Probes the untested targets of suspected pools at once, and those of lost pools in turn.
 
     Parameters
     ----------
@@ -48,11 +52,16 @@
         self._probed_at: dict[str, float] = {}
         # Identities of the targets that were probed in the current round, by pool.
         self._probed: dict[str, set[str]] = {}
+        self._checked_at: dict[str, float] = {}
+        registry.reachability.on_suspected.append(self._check_by_name)
 
     def run(self) -> None:
         """Probe until the process ends."""
         while True:
             eventlet.sleep(_CHECK_SECONDS)
+            for pool in self.current_configuration.pools:
+                if self.registry.reachability.is_suspected(pool.name):
+                    self._check(pool)
             for pool in self._due_pools(steady()):
                 eventlet.spawn_n(self._probe_next, pool)
 
@@ -65,7 +74,7 @@
         due = [
             pool
             for pool in self.current_configuration.pools
-            if now - self._probed_at.get(pool.name, float("-inf")) >= _PROBE_INTERVAL_SECONDS
+            if now - self._probed_at.get(pool.name, -math.inf) >= _PROBE_INTERVAL_SECONDS
             and (
                 reachability.is_lost(pool.name)
                 or reachability.silent_seconds(pool.name) >= _UNSURE_SECONDS
@@ -75,12 +84,30 @@
             self._probed_at[pool.name] = now
         return due
 
+    def _check_by_name(self, pool_name: str) -> None:
+        for pool in self.current_configuration.pools:
+            if pool.name == pool_name:
+                self._check(pool)
+
+    def _check(self, pool: PoolRecord) -> None:
+        """Probe the targets of a suspected pool to which no new connection has failed."""
+        now = steady()
+        if now - self._checked_at.get(pool.name, -math.inf) < _CHECK_INTERVAL_SECONDS:
+            return
+        self._checked_at[pool.name] = now
+        to_check = set(self.registry.reachability.targets_to_check(pool.name))
+        for state in self.registry.targets_in_pool(pool.name):
+            if state.record.identity in to_check and self.registry.is_in_service(state):
+                eventlet.spawn_n(self._probe, pool, state)
+
     def _probe_next(self, pool: PoolRecord) -> None:
         state = self._next_target(pool.name)
-        if state is None:
-            return
+        if state is not None:
+            self._probe(pool, state)
+
+    def _probe(self, pool: PoolRecord, state: TargetState) -> None:
         began_at, identity = steady(), state.record.identity
-        failure = _probe(state, pool.health_path)
+        failure = _send_probe(state, pool.health_path)
         self.metrics.target_probes.labels(failure.value if failure else "answered").inc()
         if failure is None:
             self.registry.reachability.record_answer(pool.name, identity, began_at)
@@ -110,13 +137,13 @@
         return chosen
 
 
-def _probe(state: TargetState, path: str) -> ContactFailure | None:
+def _send_probe(state: TargetState, path: str) -> ContactFailure | None:
     """Ask a target for its health; any answer shows that it is reached.
 
     Returns
     -------
     ContactFailure or None
-        None if it has answered.
+        None if it has answered or closed the connection without a reset.
     """
     host, port = state.address
     try:
@@ -131,7 +158,8 @@
     except AttemptTimeout:
         return ContactFailure.SILENT
     except Refusal:
-        return ContactFailure.CUT
+        is_reached = connection.is_closed_by_target or connection.received_bytes
+        return None if is_reached else ContactFailure.CUT
     finally:
         connection.close()
     return None
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -53,6 +53,11 @@
         # An event that was parsed after data received with it; the next one to be returned.
         self._pending_event = None
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether the connection has carried an earlier request."""
+        return self.released_at > 0.0
+
     @classmethod
     def connect(cls, address: tuple[str, int], timeout: float) -> "TargetConnection":
         """Connect to a target.
