Refused connections do not count as attempts, so requests reach the targets that are left

After six of eight targets ended at once, one request of 107 got 503 target_unavailable though two targets served: it met four ended ones, here and at each of three peers, and four attempts that were not sent are the most. Cause: the limit bounds the time that a caller waits, and a refused connection takes none. Such attempts no longer count towards the limit, nor towards forwarding, which a lost pool causes by itself.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -34,6 +34,7 @@
     "TIMEOUT_MARGIN",
     "AttemptFailed",
     "AttemptRunner",
+    "ConnectionRefused",
     "NoTargetAvailable",
 ]
 
@@ -78,6 +79,13 @@
         super().__init__(refusal, was_sent=False)
 
 
+class ConnectionRefused(AttemptFailed):
+    """Raised when a target refuses the connection, which costs the request no time."""
+
+    def __init__(self, refusal: Refusal, reason: str):
+        super().__init__(refusal, was_sent=False, reason=reason)
+
+
 class AttemptRunner:
     """Runs single attempts of requests at targets and relays their answers.
 
@@ -205,6 +213,8 @@
             if is_refused and state.in_flight <= 1:
                 self.registry.record_ended(state)
             self._record_contact_failure(state, ContactFailure.UNREACHABLE, began_at)
+            if is_refused:
+                raise ConnectionRefused(no_target_refusal(), failure.message) from failure
             raise AttemptFailed(
                 no_target_refusal(), was_sent=False, reason=failure.message
             ) from failure
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -14,6 +14,7 @@
     TIMEOUT_MARGIN,
     AttemptFailed,
     AttemptRunner,
+    ConnectionRefused,
     NoTargetAvailable,
 )
 from whinrack.dispatch._current_configuration import CurrentConfiguration
@@ -58,7 +59,7 @@
 
 __all__ = ["DispatchOptions", "Dispatcher"]
 
-# Attempts that failed before anything was sent, per request.
+# Attempts that failed before anything was sent, per request. Refused connections do not count.
 _MAX_UNSENT_ATTEMPTS = 4
 # Attempts of one request that failed before anything was sent, after which it is forwarded even if
 # other requests are still answered over open connections.
@@ -302,7 +303,7 @@
                 self.attempt_runner.attempt(run, pool)
                 return
             except AttemptFailed as failed:
-                unsent_attempts += not failed.was_sent
+                unsent_attempts += not failed.was_sent and not isinstance(failed, ConnectionRefused)
                 log_attempt(run, failed.refusal, failed.reason)
                 if not failed.was_sent and self._should_forward(run, pool, unsent_attempts):
                     self._forward_finally(run, pool)
