An instance without its path no longer reports refused connections as ends of targets

An instance whose new connections are all refused told its peers that the targets had ended, so these took the software versions for unknown for 6 s. Cause: the report was made with the first refusal, before anything told the path from the target. It now waits until the other targets are checked and is dropped if the pool is lost; the instance itself still doubts the version at once, since a later start may listen there.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -211,7 +211,7 @@
             is_refused = isinstance(failure.__cause__, ConnectionRefusedError)
             # A running target with too many connections refuses further ones as well.
             if is_refused and state.in_flight <= 1:
-                self.registry.record_ended(state)
+                self.crash_detector.record_refused(state)
             self._record_contact_failure(state, ContactFailure.UNREACHABLE, began_at)
             if is_refused:
                 raise ConnectionRefused(no_target_refusal(), failure.message) from failure
--- a/whinrack/dispatch/_crash_detector.py
+++ b/whinrack/dispatch/_crash_detector.py
@@ -1,4 +1,4 @@
-"""Detection of target crashes after answers that were cut off."""
+"""Detection of target crashes after answers that were cut off and connections that were refused."""
 
 from collections.abc import Callable
 from enum import StrEnum
@@ -23,6 +23,8 @@
 # ended expires after three heartbeats of 1.2 s, and a new start writes its own record.
 _RECHECK_SECONDS = 6.0
 _RECHECK_INTERVAL_SECONDS = 0.25
+# Time in which a pool becomes suspected or lost if its path causes the refusals.
+_PATH_CHECK_SECONDS = 0.2
 
 
 class Presence(StrEnum):
@@ -73,6 +75,27 @@
         self.probe_address = probe_address
         # Requests whose answers were cut, collected for one probe per target.
         self._cut_requests: dict[TargetState, list[RequestSignature]] = {}
+        self._refusing_targets: set[TargetState] = set()
+
+    def record_refused(self, state: TargetState) -> None:
+        """Record that a target refused a connection; its end is reported if others are reached.
+
+        An instance whose path is broken may be refused by all targets though none has ended.
+        """
+        state.record_refused(self.registry.clock())
+        if state not in self._refusing_targets:
+            self._refusing_targets.add(state)
+            eventlet.spawn_n(self._report_refused, state)
+
+    def _report_refused(self, state: TargetState) -> None:
+        reachability, pool, began_at = self.registry.reachability, state.record.pool, steady()
+        eventlet.sleep(_PATH_CHECK_SECONDS)
+        while reachability.is_suspected(pool) and steady() - began_at < _RECHECK_SECONDS:
+            eventlet.sleep(_RECHECK_INTERVAL_SECONDS)
+        self._refusing_targets.discard(state)
+        has_answered_since = state.refused_at == float("-inf")
+        if not reachability.is_lost(pool) and not has_answered_since:
+            self.registry.record_ended(state)
 
     def record_cut(self, state: TargetState, request: RequestSignature) -> None:
         """Record that a target cut off the answer to a request, and probe the target."""
--- a/whinrack/dispatch/_target_state.py
+++ b/whinrack/dispatch/_target_state.py
@@ -33,6 +33,9 @@
         Whether a later start replaced the target before it announced that it leaves.
     ended_at : float
         Steady clock time at which this start seemed to have ended, minus infinity if it did not.
+    refused_at : float
+        Steady clock time at which its address last refused a connection of this instance, minus
+        infinity if it did not or has answered over an older connection since.
     """
 
     def __init__(self, record: TargetRecord):
@@ -45,6 +48,7 @@
         self.has_announced_leaving = False
         self.is_replaced = False
         self.ended_at = float("-inf")
+        self.refused_at = float("-inf")
         self.busy_until = float("-inf")
         self.ejection = LocalEjection(failure_threshold=3, initial_seconds=1.0, max_seconds=4.0)
         self.cold_state = ColdState()
@@ -75,10 +79,16 @@
         """
         self.ended_at = now
 
+    def record_refused(self, now: float) -> None:
+        """Record that a connection was refused: the target may have ended."""
+        self.refused_at = now
+
     def record_alive(self, connected_at: float) -> None:
         """Record an answer over a connection, which belongs to one process at the target."""
         if connected_at <= self.ended_at:
             self.ended_at = float("-inf")
+        if connected_at <= self.refused_at:
+            self.refused_at = float("-inf")
 
     def software_version(self, confirmed_at: float) -> str:
         """Return the software version of the process at the target's address, empty if unknown.
@@ -88,7 +98,8 @@
         confirmed_at : float
             Steady clock time at which the store last confirmed the record.
         """
-        is_certain = confirmed_at - self.ended_at > RECORD_EXPIRY_SECONDS
+        doubted_at = max(self.ended_at, self.refused_at)
+        is_certain = confirmed_at - doubted_at > RECORD_EXPIRY_SECONDS
         return self.record.software_version if is_certain else ""
 
     def record_answer(self, now: float) -> None:
--- a/whinrack/dispatch/tests/test_crash_detector.py
+++ b/whinrack/dispatch/tests/test_crash_detector.py
@@ -146,3 +146,28 @@
     """The path to all targets is broken, which says nothing about a single one."""
     lose_pool(harness)
     assert harness.cut(seconds=6.5) == []
+
+
+def test_refused_connection_is_reported_as_an_end(harness):
+    harness.registry.put(TargetRecord("u", "p", "h", 2, started=7))
+    harness.ends.record_refused(harness.state)
+    assert harness.registry.software_version(harness.state) == ""
+    eventlet.sleep(0.4)
+    assert harness.registry.recently_ended() == [("t", 7)]
+
+
+def test_refused_connections_of_a_lost_pool_are_not_reported_as_ends(harness):
+    """Guards against peers that doubt targets which only a partitioned instance can't reach."""
+    harness.ends.record_refused(harness.state)
+    lose_pool(harness)
+    eventlet.sleep(0.4)
+    assert harness.registry.recently_ended() == []
+
+
+def test_answer_over_an_older_connection_speaks_against_an_end(harness):
+    opened_at = steady()
+    harness.registry.put(TargetRecord("u", "p", "h", 2, started=7))
+    harness.ends.record_refused(harness.state)
+    harness.state.record_alive(opened_at)
+    eventlet.sleep(0.4)
+    assert harness.registry.recently_ended() == []
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -106,7 +106,7 @@
 
     TARGET_CUT = (5006, "INFO", "target cut responses; result of checking whether it still runs")
 
-    POOL_LOST = (5011, "WARNING", "several targets of a pool failed and none answered in between")
+    POOL_LOST = (5011, "WARNING", "new connections to the targets of a pool fail")
     POOL_REACHED = (5012, "INFO", "a lost pool is reached again")
 
     TARGET_BRITTLE = (5013, "INFO", "target changed its statement that refusals make it fall over")
