A lost pool gets a trial request now and then, so that hanging health checks do not keep it lost

Cause: only an answered health check could end the loss of a pool, as no request is sent to it. Every 0.5 s one request that would be refused, and that may run again, is now sent all the same; an answer over its new connection ends the loss.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -348,13 +348,15 @@
             raise self._final_refusal(run, no_target_refusal(LOST_RETRY_SECONDS))
 
     def _check_reachability(self, run: RequestRun, pool: str) -> None:
-        """Refuse a request for a lost pool: probes find out when targets are reached again.
+        """Refuse a request for a lost pool, except for a trial now and then.
 
         A forwarded request is refused at once, so that the peer may try another instance. Others
         are only refused once the loss is confirmed.
         """
         is_lost = self.reachability.is_lost(pool)
-        if is_lost and (run.is_forwarded or self.reachability.is_loss_confirmed(pool)):
+        if not is_lost or not (run.is_forwarded or self.reachability.is_loss_confirmed(pool)):
+            return
+        if not (run.route.can_run_again and self.reachability.take_trial(pool)):
             raise no_target_refusal(LOST_RETRY_SECONDS)
 
     def _prepare_retry(self, run: RequestRun, pool: str, failed: AttemptFailed) -> None:
--- a/whinrack/dispatch/_reachability.py
+++ b/whinrack/dispatch/_reachability.py
@@ -24,6 +24,8 @@
 # Time for which a pool must be lost until the loss counts as confirmed, in seconds: healthy targets
 # may all be silent for a moment.
 _CONFIRMATION_SECONDS = 1.0
+# Interval between the trial requests that are sent to a lost pool.
+_TRIAL_INTERVAL_SECONDS = 0.5
 # Failures that are remembered per pool, the latest ones.
 _MAX_FAILURES = 50
 
@@ -105,6 +107,7 @@
         self.failures: dict[str, _Failure] = {}
         self.is_lost = False
         self.lost_at = float("-inf")
+        self.tried_at = float("-inf")
 
     def record_answer(self, opened_at: float, now: float) -> None:
         self.answered_at = now
@@ -197,6 +200,17 @@
             return False
         return self.clock() - self._pools[pool].lost_at >= _CONFIRMATION_SECONDS
 
+    def take_trial(self, pool: str) -> bool:
+        """Return whether a request for a lost pool may be sent all the same.
+
+        Health checks may go unanswered though requests are answered.
+        """
+        contact, now = self._pools[pool], self.clock()
+        if now - max(contact.lost_at, contact.tried_at) < _TRIAL_INTERVAL_SECONDS:
+            return False
+        contact.tried_at = now
+        return True
+
     def lost_pools(self) -> list[str]:
         """Return the names of the lost pools in alphabetical order."""
         return sorted(pool for pool in list(self._pools) if self.is_lost(pool))
--- a/whinrack/dispatch/tests/test_reachability.py
+++ b/whinrack/dispatch/tests/test_reachability.py
@@ -174,3 +174,13 @@
     pool.targets = ["c", "d"]
     assert pool.reachability.lost_pools() == []
     assert [change.is_lost for change in pool.changes] == [True, False]
+
+
+def test_a_lost_pool_gets_a_trial_request_now_and_then():
+    pool = Pool("a", "b")
+    pool.fail("a", "b")
+    trials = []
+    for _ in range(10):
+        pool.now += 0.2
+        trials.append(pool.reachability.take_trial("p"))
+    assert trials.count(True) == 3
