--- a/whinrack/edge/_target_probes.py
+++ b/whinrack/edge/_target_probes.py
@@ -1,6 +1,7 @@
 """Probes of targets of suspected and lost pools, so that no caller's request has to find out."""
 
 import math
+import random
 
 import eventlet
 
@@ -19,8 +20,11 @@
 __all__ = ["TargetProbes"]
 
 _CHECK_SECONDS = 0.1
-# Minimum interval between two checks of one suspected pool.
-_CHECK_INTERVAL_SECONDS = 0.3
+# Targets of a suspected pool that are probed first; one answer ends the suspicion.
+_FIRST_PROBES = 3
+# Rounds of probes after which a check ends without a result, and the pause between them.
+_MAX_CHECK_ROUNDS = 5
+_ROUND_PAUSE_SECONDS = 0.05
 # Interval between the probes of one lost pool.
 _PROBE_INTERVAL_SECONDS = 0.5
 _CONNECT_SECONDS = 0.3
@@ -52,7 +56,7 @@
         self._probed_at: dict[str, float] = {}
         # Identities of the targets that were probed in the current round, by pool.
         self._probed: dict[str, set[str]] = {}
-        self._checked_at: dict[str, float] = {}
+        self._checking: set[str] = set()
         registry.reachability.on_suspected.append(self._check_by_name)
 
     def run(self) -> None:
@@ -90,15 +94,34 @@
                 self._check(pool)
 
     def _check(self, pool: PoolRecord) -> None:
-        """Probe the targets of a suspected pool to which no new connection has failed."""
-        now = steady()
-        if now - self._checked_at.get(pool.name, -math.inf) < _CHECK_INTERVAL_SECONDS:
-            return
-        self._checked_at[pool.name] = now
+        """Check a suspected pool in the background unless this is being done."""
+        if pool.name not in self._checking:
+            self._checking.add(pool.name)
+            eventlet.spawn_n(self._check_until_certain, pool)
+
+    def _check_until_certain(self, pool: PoolRecord) -> None:
+        try:
+            for number in range(_MAX_CHECK_ROUNDS):
+                if not self.registry.reachability.is_suspected(pool.name):
+                    break
+                self._probe_untested(pool, _FIRST_PROBES if number == 0 else None)
+                eventlet.sleep(_ROUND_PAUSE_SECONDS)
+        finally:
+            self._checking.discard(pool.name)
+
+    def _probe_untested(self, pool: PoolRecord, most: int | None) -> None:
+        """Probe targets to which no new connection has failed, and wait for the results."""
         to_check = set(self.registry.reachability.targets_to_check(pool.name))
-        for state in self.registry.targets_in_pool(pool.name):
-            if state.record.identity in to_check and self.registry.is_in_service(state):
-                eventlet.spawn_n(self._probe, pool, state)
+        states = [
+            state
+            for state in self.registry.targets_in_pool(pool.name)
+            if state.record.identity in to_check and self.registry.is_in_service(state)
+        ]
+        random.shuffle(states)
+        probes = eventlet.GreenPile()
+        for state in states[:most]:
+            probes.spawn(self._probe, pool, state)
+        list(probes)
 
     def _probe_next(self, pool: PoolRecord) -> None:
         state = self._next_target(pool.name)
