A suspicion considers the targets that were in service when it began

Cause: the loss asked for failures of all targets in service at its end. Later targets are no longer considered until an answer ends the suspicion, and the second round of probes does not wait for the first to time out. test_targets_that_come_during_a_check_do_not_prolong_it failed before.

--- a/whinrack/dispatch/_reachability.py
+++ b/whinrack/dispatch/_reachability.py
@@ -99,12 +99,16 @@
     answered_at, connected_at : float
         Steady clock times of the last answer, and of the opening of the latest connection that was
         answered.
+    considered : frozenset of str
+        Targets that were in service when the pool became suspected. Later ones are not considered,
+        since targets may come faster than they can be checked.
     """
 
     def __init__(self):
         self.answered_at = float("-inf")
         self.connected_at = float("-inf")
         self.failures: dict[str, _Failure] = {}
+        self.considered: frozenset[str] = frozenset()
         self.is_lost = False
         self.lost_at = float("-inf")
         self.tried_at = float("-inf")
@@ -188,10 +192,13 @@
         return contact is not None and not contact.is_lost and self._has_suspicion(pool, contact)
 
     def targets_to_check(self, pool: str) -> list[str]:
-        """Return the targets in service to which no new connection has failed, but not too many."""
-        in_service, contact = self.targets_in_service(pool), self._pools.get(pool, _PoolContact())
-        unconnectable = set(contact.unconnectable_targets(in_service))
-        untested = [target for target in in_service if target not in unconnectable]
+        """Return the targets whose answers decide whether a suspected pool is lost."""
+        contact = self._pools.get(pool)
+        if contact is None:
+            return []
+        considered = self._considered_targets(pool, contact)
+        unconnectable = set(contact.unconnectable_targets(considered))
+        untested = [target for target in considered if target not in unconnectable]
         return untested[: max(1, _MAX_CHECKED_TARGETS - len(unconnectable))]
 
     def is_loss_confirmed(self, pool: str) -> bool:
@@ -239,6 +246,8 @@
         if contact.is_lost and opened_at < contact.lost_at:
             return
         contact.record_answer(opened_at, self.clock())
+        if not self._has_suspicion(pool, contact):
+            contact.considered = frozenset()
         if contact.is_lost:
             self._set_reached(pool, contact, target)
 
@@ -265,13 +274,15 @@
         failure = _Failure(kind, began_at, began_at if opened_at is None else opened_at)
         if not contact.record_failure(target, failure) or contact.is_lost:
             return
+        if not self._has_suspicion(pool, contact):
+            return
         if self._has_evidence(pool, contact):
             contact.is_lost = True
             contact.lost_at = self.clock()
             self._notify(pool, contact, self._describe(contact))
-        elif self._has_suspicion(pool, contact):
-            for callback in self.on_suspected:
-                callback(pool)
+            return
+        for callback in self.on_suspected:
+            callback(pool)
 
     def _has_suspicion(self, pool: str, contact: _PoolContact) -> bool:
         in_service = self.targets_in_service(pool)
@@ -279,9 +290,18 @@
         return 0 < min(_MIN_FAILED_TARGETS, len(in_service)) <= failed
 
     def _has_evidence(self, pool: str, contact: _PoolContact) -> bool:
+        considered = self._considered_targets(pool, contact)
+        unconnectable = len(contact.unconnectable_targets(considered))
+        return min(_MAX_CHECKED_TARGETS, len(considered)) <= unconnectable
+
+    def _considered_targets(self, pool: str, contact: _PoolContact) -> list[str]:
+        """Return the targets in service that a suspicion is about."""
         in_service = self.targets_in_service(pool)
-        unconnectable = len(contact.unconnectable_targets(in_service))
-        return 0 < min(_MAX_CHECKED_TARGETS, len(in_service)) <= unconnectable
+        considered = [target for target in in_service if target in contact.considered]
+        if not considered:
+            considered = list(in_service)
+            contact.considered = frozenset(in_service)
+        return considered
 
     def _set_reached(self, pool: str, contact: _PoolContact, evidence: str) -> None:
         contact.is_lost = False
--- a/whinrack/dispatch/tests/test_reachability.py
+++ b/whinrack/dispatch/tests/test_reachability.py
@@ -184,3 +184,24 @@
         pool.now += 0.2
         trials.append(pool.reachability.take_trial("p"))
     assert trials.count(True) == 3
+
+
+def test_targets_that_come_during_a_check_do_not_prolong_it():
+    """Guards against a loss that is never noticed while targets are replaced one by one."""
+    pool = Pool("a", "b", "c")
+    pool.fail("a", "b")
+    pool.targets += ["d"]
+    assert pool.reachability.targets_to_check("p") == ["c"]
+    pool.fail("c")
+    assert pool.is_lost
+
+
+def test_later_suspicions_consider_the_targets_of_their_time():
+    pool = Pool("a", "b", "c")
+    pool.fail("a", "b")
+    pool.check(failing="")
+    pool.targets = ["d", "e", "f"]
+    pool.now += 1.0
+    pool.fail("d", "e")
+    assert not pool.is_lost
+    assert pool.reachability.targets_to_check("p") == ["f"]
--- a/whinrack/edge/_target_probes.py
+++ b/whinrack/edge/_target_probes.py
@@ -20,11 +20,13 @@
 __all__ = ["TargetProbes"]
 
 _CHECK_SECONDS = 0.1
-# Targets of a suspected pool that are probed first; one answer ends the suspicion.
+# Targets of a suspected pool that are probed first, as one answer ends the suspicion, and the time
+# after which the others are probed.
 _FIRST_PROBES = 3
-# Rounds of probes after which a check ends without a result, and the pause between them.
-_MAX_CHECK_ROUNDS = 5
-_ROUND_PAUSE_SECONDS = 0.05
+_FIRST_ROUND_SECONDS = 0.2
+# Time after which a check ends without a result.
+_MAX_CHECK_SECONDS = 1.5
+_POLL_SECONDS = 0.02
 # Interval between the probes of one lost pool.
 _PROBE_INTERVAL_SECONDS = 0.5
 _CONNECT_SECONDS = 0.3
@@ -100,28 +102,34 @@
             eventlet.spawn_n(self._check_until_certain, pool)
 
     def _check_until_certain(self, pool: PoolRecord) -> None:
+        began_at = steady()
         try:
-            for number in range(_MAX_CHECK_ROUNDS):
-                if not self.registry.reachability.is_suspected(pool.name):
-                    break
-                self._probe_untested(pool, _FIRST_PROBES if number == 0 else None)
-                eventlet.sleep(_ROUND_PAUSE_SECONDS)
+            started = self._start_probes(pool, set(), _FIRST_PROBES)
+            self._wait_while_suspected(pool, began_at + _FIRST_ROUND_SECONDS)
+            if self.registry.reachability.is_suspected(pool.name):
+                self._start_probes(pool, started)
+            self._wait_while_suspected(pool, began_at + _MAX_CHECK_SECONDS)
         finally:
             self._checking.discard(pool.name)
 
-    def _probe_untested(self, pool: PoolRecord, most: int | None) -> None:
-        """Probe targets to which no new connection has failed, and wait for the results."""
-        to_check = set(self.registry.reachability.targets_to_check(pool.name))
+    def _wait_while_suspected(self, pool: PoolRecord, until: float) -> None:
+        while steady() < until and self.registry.reachability.is_suspected(pool.name):
+            eventlet.sleep(_POLL_SECONDS)
+
+    def _start_probes(
+        self, pool: PoolRecord, excluded: set[str], most: int | None = None
+    ) -> set[str]:
+        """Start to probe targets that are to be checked; return their identities."""
+        to_check = set(self.registry.reachability.targets_to_check(pool.name)) - excluded
         states = [
             state
             for state in self.registry.targets_in_pool(pool.name)
-            if state.record.identity in to_check and self.registry.is_in_service(state)
+            if state.record.identity in to_check
         ]
         random.shuffle(states)
-        probes = eventlet.GreenPile()
         for state in states[:most]:
-            probes.spawn(self._probe, pool, state)
-        list(probes)
+            eventlet.spawn_n(self._probe, pool, state)
+        return {state.record.identity for state in states[:most]}
 
     def _probe_next(self, pool: PoolRecord) -> None:
         state = self._next_target(pool.name)
