New starts in a brittle pool count as brittle, and starts that may have ended get nothing while brittle

Cause: a statement was kept for one start, though the targets of a pool make it together. The latest statement of the pool is now kept and reported beside those of its targets, and holds for targets that have not answered. Brittle targets that may have ended get no requests until their records tell; test_a_brittle_target_that_may_have_ended_gets_no_requests failed before.

--- a/whinrack/dispatch/_brittle_targets.py
+++ b/whinrack/dispatch/_brittle_targets.py
@@ -5,6 +5,10 @@
 slots, so that all instances together never exceed them. Beyond its quota an instance uses slots
 that stay free according to the reported loads, or takes one of the few permits for requests that
 may be refused.
+
+The targets of a pool state it together. Until a target has answered, it is treated as the latest
+statement of its pool says: a target that fell over comes back as a new start, and may fall over
+before any answer of it has reached all instances.
 """
 
 from collections.abc import Callable, Collection
@@ -26,6 +30,12 @@
 # the fraction of the quota that it uses meanwhile.
 _CAUTION_SECONDS = 3.0
 _CAUTION_FRACTION = 0.5
+# Interval at which an unchanged statement of a pool is confirmed, in seconds.
+_CONFIRMATION_SECONDS = 1.0
+# Prefix of the name under which the latest statement of a pool is kept and reported to peers.
+_POOL_PREFIX = "pool/"
+# Targets of brittle pools that are remembered as not brittle.
+_MAX_STURDY_TARGETS = 500
 # Suffix of the name under which permits for requests beyond the quota are counted.
 _PERMIT_SUFFIX = "/beyond-quota"
 
@@ -64,6 +74,8 @@
         Divides the permits for requests beyond the quotas among the instances.
     remote_loads : RemoteLoads
         Loads that other instances put on the targets.
+    identities_in_service : callable
+        Returns the identities of the targets of a pool that are in service.
     instances_without : callable, optional
         Returns the names of the instances that have lost contact with a pool; they have no quota.
     """
@@ -73,23 +85,67 @@
         limits: StatedLimits,
         permits: SharedRatePermits,
         remote_loads: RemoteLoads,
+        identities_in_service: Callable[[str], Collection[str]],
         instances_without: Callable[[str], Collection[str]] = lambda pool: (),
     ):
         self.instances_without = instances_without
         self.limits = limits
         self.permits = permits
         self.remote_loads = remote_loads
+        self.identities_in_service = identities_in_service
+        # Targets of brittle pools that have stated that they are not brittle.
+        self._sturdy: dict[str, None] = {}
         self._refused_at: dict[str, float] = {}
         self._members_by_pool: dict[str, _Members] = {}
 
     def is_brittle(self, state: TargetState) -> bool:
-        """Return whether a target states that it is brittle."""
-        return self.limits.rate(state.record.identity) != NO_LIMIT
+        """Return whether a target is brittle by its own statement or, before it, by its pool's."""
+        return self.max_refusals(state) != NO_LIMIT
+
+    def max_refusals(self, state: TargetState) -> float:
+        """Return the refusals per second that a target survives, `NO_LIMIT` if any number."""
+        identity = state.record.identity
+        stated = self.limits.rate(identity)
+        if stated != NO_LIMIT or identity in self._sturdy:
+            return stated
+        return self.limits.rate(_POOL_PREFIX + state.record.pool)
+
+    def count_stated(self) -> int:
+        """Return the number of targets that state that they are brittle."""
+        return sum(not target.startswith(_POOL_PREFIX) for target in self.limits.limited_targets())
+
+    def record_statement(
+        self, state: TargetState, max_refusals: float, sent_at: float, request: str
+    ) -> None:
+        """Record the refusals per second that an answer stated; see `StatedLimits`."""
+        identity, pool = state.record.identity, _POOL_PREFIX + state.record.pool
+        self.limits.record_answer(identity, max_refusals, sent_at, request)
+        if max_refusals != NO_LIMIT:
+            self._sturdy.pop(identity, None)
+            self._confirm_pool(pool, max_refusals, sent_at, request)
+            return
+        if self.limits.rate(pool) == NO_LIMIT:
+            return
+        self._sturdy[identity] = None
+        while len(self._sturdy) > _MAX_STURDY_TARGETS:
+            del self._sturdy[next(iter(self._sturdy))]
+        in_service = self.identities_in_service(state.record.pool)
+        if all(self.limits.rate(target) == NO_LIMIT for target in in_service):
+            self.limits.record_answer(pool, NO_LIMIT, sent_at, request)
+
+    def _confirm_pool(self, pool: str, max_refusals: float, sent_at: float, request: str) -> None:
+        """Record the statement of a pool, which is the lowest of its targets."""
+        is_lower = max_refusals < self.limits.rate(pool)
+        if is_lower or self.limits.silent_seconds(pool) >= _CONFIRMATION_SECONDS:
+            self.limits.record_answer(pool, max_refusals, sent_at, request)
 
     def can_send(self, state: TargetState, now: float) -> bool:
         """Return whether one more request may be sent to a target now."""
         if self.limits.is_empty or not self.is_brittle(state):
             return True
+        if state.may_have_ended(now) or state.ejection.is_ejected(now):
+            # A later start may listen there already and gets a quota of its own with its record.
+            return False
         if state.in_flight < self._allowance(state, now):
             return True
         if self._is_cautious(state, now):
@@ -147,7 +203,7 @@
     def _permit(self, state: TargetState) -> tuple[str, RateBound | None]:
         """Return the name and the bound of the permits for requests beyond the quotas."""
         identity = state.record.identity
-        refusals = self.limits.rate(identity)
+        refusals = self.max_refusals(state)
         if refusals < 1.0 or refusals == NO_LIMIT:
             return identity, None
         bound = RateBound(
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -102,7 +102,11 @@
         self.remote_loads = RemoteLoads()
         self.brittle_limits = brittle_limits or StatedLimits(clock=clock)
         self.brittle_targets = BrittleTargets(
-            self.brittle_limits, self.rate_permits, self.remote_loads, instances_without
+            self.brittle_limits,
+            self.rate_permits,
+            self.remote_loads,
+            self._identities_in_service,
+            instances_without,
         )
         self.reachability = Reachability(self._identities_in_service, clock)
         self.reachability.on_change.append(self._on_contact_changed)
--- a/whinrack/dispatch/_statements.py
+++ b/whinrack/dispatch/_statements.py
@@ -89,8 +89,8 @@
                 state.record.identity, statement.rate_limit, sent_at, request
             )
         if statement.max_refusals is not None:
-            self.registry.brittle_limits.record_answer(
-                state.record.identity, statement.max_refusals, sent_at, request
+            self.registry.brittle_targets.record_statement(
+                state, statement.max_refusals, sent_at, request
             )
         if statement.is_leaving:
             self._handle_leaving(state, request)
--- a/whinrack/dispatch/_target_state.py
+++ b/whinrack/dispatch/_target_state.py
@@ -98,9 +98,11 @@
         confirmed_at : float
             Steady clock time at which the store last confirmed the record.
         """
-        doubted_at = max(self.ended_at, self.refused_at)
-        is_certain = confirmed_at - doubted_at > RECORD_EXPIRY_SECONDS
-        return self.record.software_version if is_certain else ""
+        return "" if self.may_have_ended(confirmed_at) else self.record.software_version
+
+    def may_have_ended(self, now: float) -> bool:
+        """Return whether this start seemed to have ended and its record may be outdated."""
+        return now - max(self.ended_at, self.refused_at) <= RECORD_EXPIRY_SECONDS
 
     def record_answer(self, now: float) -> None:
         """Record that the target has answered."""
--- a/whinrack/dispatch/tests/test_brittle_targets.py
+++ b/whinrack/dispatch/tests/test_brittle_targets.py
@@ -97,3 +97,58 @@
     del fleet.names[1:]
     fleet.now += 1.0
     assert fleet.send_all("m0") == 4
+
+
+def new_start(registry, name="t1"):
+    registry.put(TargetRecord(name, "p", "h", 1, started=9, slots=4))
+    return next(s for s in registry.targets_in_pool("p") if s.record.incarnation == name)
+
+
+def state_brittle(registry, state, refusals, now):
+    registry.brittle_targets.record_statement(state, refusals, now, "")
+
+
+def test_a_new_start_in_a_brittle_pool_counts_as_brittle_before_its_first_answer():
+    fleet = Fleet(2, 4, NO_LIMIT)
+    told, other = fleet.registries.values()
+    state_brittle(told, told.targets_in_pool("p")[0], 3.0, fleet.now)
+    other.brittle_limits.merge_reports(told.brittle_limits.next_reports(), "m0")
+    for registry in (told, other):
+        state = new_start(registry)
+        assert registry.brittle_targets.is_brittle(state)
+        state_brittle(registry, state, NO_LIMIT, fleet.now + 0.1)
+        assert not registry.brittle_targets.is_brittle(state)
+
+
+def test_a_pool_stays_brittle_while_none_of_its_targets_is_left():
+    fleet = Fleet(1, 4, NO_LIMIT)
+    (registry,) = fleet.registries.values()
+    state_brittle(registry, registry.targets_in_pool("p")[0], 0.0, fleet.now)
+    registry.remove("t0")
+    assert registry.brittle_targets.is_brittle(new_start(registry))
+
+
+def test_a_pool_is_no_longer_brittle_when_its_targets_stop_stating_it():
+    fleet = Fleet(1, 4, NO_LIMIT, targets=2)
+    (registry,) = fleet.registries.values()
+    first, second = registry.targets_in_pool("p")
+    state_brittle(registry, first, 3.0, fleet.now)
+    state_brittle(registry, second, 3.0, fleet.now)
+    fleet.now += 1.0
+    state_brittle(registry, first, NO_LIMIT, fleet.now)
+    assert registry.brittle_targets.is_brittle(new_start(registry, "t2"))
+    state_brittle(registry, second, NO_LIMIT, fleet.now)
+    assert not registry.brittle_targets.is_brittle(new_start(registry, "t3"))
+
+
+def test_a_brittle_target_that_may_have_ended_gets_no_requests():
+    """Guards against a later start that gets the quota of its earlier one besides its own."""
+    fleet = Fleet(1, 4, 0.0)
+    (registry,) = fleet.registries.values()
+    (state,) = registry.targets_in_pool("p")
+    state.record_unreachable(fleet.now)
+    state.record_refused(fleet.now)
+    fleet.now += 3.0
+    assert fleet.send_all("m0") == 0
+    assert new_start(registry, "t0") is not state
+    assert fleet.send_all("m0") == 4
--- a/whinrack/edge/_brittle_log.py
+++ b/whinrack/edge/_brittle_log.py
@@ -28,7 +28,7 @@
 
     def on_change(self, change: LimitChange) -> None:
         """Log a change and notify the peers."""
-        self.metrics.brittle_targets.set(len(self.registry.brittle_limits.limited_targets()))
+        self.metrics.brittle_targets.set(self.registry.brittle_targets.count_stated())
         log_event(
             Event.TARGET_BRITTLE,
             target=change.target,
