--- a/whinrack/dispatch/_abandoned_runs.py
+++ b/whinrack/dispatch/_abandoned_runs.py
@@ -1,4 +1,4 @@
-"""Billing of runs whose caller has disconnected.
+"""Ends and billing of runs whose caller has disconnected.
 
 The sending side of the target's connection is closed. A target that notices this stops and closes
 its side; by then, everything that it generated has arrived, and the run is billed by that. If the
@@ -11,7 +11,7 @@
 from whinrack.dispatch._events import event_blocks
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._statements import TargetStatement
-from whinrack.dispatch._values import PoolRecord
+from whinrack.dispatch._values import PoolRecord, RouteKind
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import AnswerCut, AttemptTimeout
 from whinrack.http1 import TargetConnection
@@ -29,7 +29,7 @@
     dialect: Dialect,
     on_statement: Callable[[TargetStatement], None],
     has_head: bool,
-) -> None:
+) -> bool:
     """Bill a run whose caller has disconnected if its target ends it, else leave it unsettled.
 
     Parameters
@@ -38,6 +38,11 @@
         Called with the target's statement if the head of the answer arrives now.
     has_head : bool
         Whether the head of the answer has been read already.
+
+    Returns
+    -------
+    bool
+        Whether the target has certainly ended the run.
     """
     connection.close_write()
     deadline = steady() + _END_WAIT_SECONDS
@@ -50,12 +55,18 @@
             on_statement(statement)
             if statement.did_not_run:
                 run.may_have_run = run.attempts > 1
-                return
-        for block in event_blocks(connection.iter_data(deadline), run.last_id):
-            run.events += block.count
+                return True
+        pieces = connection.iter_data(deadline)
+        if run.route.kind is RouteKind.STREAM:
+            for block in event_blocks(pieces, run.last_id):
+                run.events += block.count
+        else:
+            for _ in pieces:
+                pass
     except AnswerCut:
         if not connection.is_closed_by_target:
-            return
+            return False
     except AttemptTimeout:
-        return
+        return False
     run.settle_partial(pool)
+    return True
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -14,6 +14,7 @@
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._retries import RetryBudgets
+from whinrack.dispatch._run_times import RunTimes
 from whinrack.dispatch._statements import StatementHandler, TargetStatement
 from whinrack.dispatch._stream_versions import StreamVersions
 from whinrack.dispatch._target_state import PendingPrompt, TargetState
@@ -134,6 +135,7 @@
         self.record_traffic = record_traffic
         self.stream_versions = stream_versions
         self.answer_times = AnswerTimes()
+        self.run_times = RunTimes()
         self.open_connections = OpenConnections(connections)
         registry.on_target_replaced.append(self.open_connections.abort_replaced)
         self.statements = StatementHandler(registry, metrics)
@@ -266,6 +268,7 @@
             state.record_answer(steady())
             state.record_alive(connection.opened_at)
             self._relay_answer(run, pool, connection, head)
+            self.run_times.observe(pool.name, steady() - sent_at, steady())
             if head.status < _SERVER_ERROR:
                 # Only a run that wrote an answer shows that no part of its prompt ends targets.
                 signature = run.request_name
@@ -277,22 +280,37 @@
             if not has_head:
                 self._record_contact_failure(state, ContactFailure.CUT, sent_at, connection)
             self.crash_detector.record_cut(state, run.request_name)
+            if not connection.is_closed_by_target:
+                self._hold_slot(run, state)
             if state.is_replaced:
                 self.stream_versions.record_replaced(run)
             raise AttemptFailed(failure, was_sent=True) from failure
         except AttemptTimeout as failure:
             self._suspect_silence(state, sent_at, has_head, silence_timeout)
+            self._hold_slot(run, state)
             raise AttemptFailed(failure, was_sent=True) from failure
         except CallerGone:
             self._suspect_silence(state, sent_at, has_head, silence_timeout)
-            # No caller is waiting, so there is time to find out how many tokens were generated.
-            if run.reservation is not None and run.may_have_run:
-                settle_abandoned_run(run, pool, connection, self.dialect, on_statement, has_head)
+            # No caller is waiting, so there is time to find out how many tokens were generated, or
+            # whether a brittle target has a free slot again.
+            is_end_wanted = run.reservation is not None or self._is_brittle(state)
+            if not (is_end_wanted and run.may_have_run) or not settle_abandoned_run(
+                run, pool, connection, self.dialect, on_statement, has_head
+            ):
+                self._hold_slot(run, state)
             raise
         finally:
             self.record_traffic(_REQUESTS, state.record.data_hall, connection.sent_bytes)
             self.record_traffic(_ANSWERS, state.record.data_hall, connection.received_bytes)
 
+    def _is_brittle(self, state: TargetState) -> bool:
+        return self.registry.brittle_targets.is_brittle(state)
+
+    def _hold_slot(self, run: RequestRun, state: TargetState) -> None:
+        """Count a slot as in use for as long as the target may run a request given up here."""
+        until = self.run_times.latest_end(state.record.pool, run.sent_at, run.deadline)
+        state.hold_slot(until, steady())
+
     def _send_and_read_head(
         self,
         run: RequestRun,
--- a/whinrack/dispatch/_brittle_targets.py
+++ b/whinrack/dispatch/_brittle_targets.py
@@ -146,7 +146,7 @@
         if state.may_have_ended(now) or state.ejection.is_ejected(now):
             # A later start may listen there already and gets a quota of its own with its record.
             return False
-        if state.in_flight < self._allowance(state, now):
+        if _slots_in_use(state, now) < self._allowance(state, now):
             return True
         if self._is_cautious(state, now):
             return False
@@ -158,7 +158,7 @@
         if self.limits.is_empty or not self.is_brittle(state):
             return
         target, bound = self._permit(state)
-        if state.in_flight >= self._allowance(state, now) and bound is not None:
+        if _slots_in_use(state, now) >= self._allowance(state, now) and bound is not None:
             self.permits.take_permit(target, bound, now)
 
     def record_refusal(self, state: TargetState, now: float) -> None:
@@ -175,9 +175,10 @@
         quota = self._quota(state, members)
         if self._is_cautious(state, now):
             return max(1, int(quota * _CAUTION_FRACTION)) if quota else 0
-        free = state.record.slots - state.in_flight - self.remote_loads.requests_at(state.digest)
+        in_use = _slots_in_use(state, now)
+        free = state.record.slots - in_use - self.remote_loads.requests_at(state.digest)
         # Each member may use an equal part of what is free before it hears of the others.
-        return max(quota, state.in_flight + max(0, free) // max(1, len(members.names)))
+        return max(quota, in_use + max(0, free) // max(1, len(members.names)))
 
     def _members(self, pool: str, now: float) -> _Members:
         known = self._members_by_pool.get(pool)
@@ -214,3 +215,8 @@
             max_burst=1.0,
         )
         return identity + _PERMIT_SUFFIX, bound
+
+
+def _slots_in_use(state: TargetState, now: float) -> int:
+    """Return the slots of a target that requests of this instance use or may still hold."""
+    return state.in_flight + state.held_slots(now)
--- a/whinrack/dispatch/_target_state.py
+++ b/whinrack/dispatch/_target_state.py
@@ -1,5 +1,7 @@
 """State of one target as seen by this instance; pure logic without I/O."""
 
+import heapq
+
 import xxhash
 
 from whinrack.dispatch._cold_state import ColdState
@@ -50,6 +52,8 @@
         self.ended_at = float("-inf")
         self.refused_at = float("-inf")
         self.busy_until = float("-inf")
+        # Steady clock times until which runs that were given up here may still hold a slot.
+        self._held_until: list[float] = []
         self.ejection = LocalEjection(failure_threshold=3, initial_seconds=1.0, max_seconds=4.0)
         self.cold_state = ColdState()
 
@@ -72,6 +76,20 @@
         self.ejection.record_unreachable(now)
         self.cold_state.record_unreachable(now)
 
+    def hold_slot(self, until: float, now: float) -> None:
+        """Count a run that was given up here, but may not have ended at the target."""
+        self._drop_ended_holds(now)
+        heapq.heappush(self._held_until, until)
+
+    def held_slots(self, now: float) -> int:
+        """Return how many slots are held by runs that were given up here."""
+        self._drop_ended_holds(now)
+        return len(self._held_until)
+
+    def _drop_ended_holds(self, now: float) -> None:
+        while self._held_until and self._held_until[0] <= now:
+            heapq.heappop(self._held_until)
+
     def record_ended(self, now: float) -> None:
         """Record that nothing listened at the target's address.
 
--- a/whinrack/dispatch/tests/test_abandoned_runs.py
+++ b/whinrack/dispatch/tests/test_abandoned_runs.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from whinrack.dispatch import DeclaredTokens, EngineCapacity, PoolRecord, TargetStatement
+from whinrack.dispatch import (
+    DeclaredTokens,
+    EngineCapacity,
+    PoolRecord,
+    RouteKind,
+    TargetStatement,
+)
 from whinrack.dispatch._abandoned_runs import settle_abandoned_run
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.exceptions import AnswerCut, AttemptTimeout
@@ -65,9 +71,8 @@
         deadline_seconds=1.0,
         resume_after=None,
     )
-    run = RequestRun(
-        SimpleNamespace(received_at=0.0), request, None, SimpleNamespace(timeout=1.0), None
-    )
+    route = SimpleNamespace(timeout=1.0, kind=RouteKind.STREAM)
+    run = RequestRun(SimpleNamespace(received_at=0.0), request, None, route, None)
     run.reservation = Reservation()
     run.attempts, run.may_have_run, run.events, run.last_id = 1, True, 3, 3
     return run
