Quotas of brittle targets add up at every moment, and what others have left is used through them

Instances also learn at different times that one joins, ends or loses the pool, and one without callers counted itself while the others did not, so quotas of different members were used side by side. With more instances than slots most had no quota and refused what would fit: with 2 slots, 3 instances and 2 callers 13 of 38 requests were served.

All known instances now have quotas, each keeps to the lower of its quotas before and after a change for 3 s, and an instance that has lost the pool has none.

--- a/whinrack/dispatch/_brittle_targets.py
+++ b/whinrack/dispatch/_brittle_targets.py
@@ -2,15 +2,19 @@
 
 Such a target falls over if it has to refuse more than a stated number of requests within a second,
 from all instances together. While it states that, each instance keeps to a quota of the target's
-slots, so that all instances together never exceed them. Beyond its quota an instance uses slots
-that stay free according to the reported loads, or takes one of the few permits for requests that
-may be refused.
+slots, so that all instances together never exceed them. Beyond its quota an instance takes one of
+the few permits for requests that may be refused, or forwards a request to an instance whose quota
+is not used up. With more instances than slots most have no quota at a target.
+
+Instances learn at different times that one of them joins, ends or loses the pool. For some time
+after a change each keeps to the lower of its quotas before and after it.
 
 The targets of a pool state it together. Until a target has answered, it is treated as the latest
 statement of its pool says: a target that fell over comes back as a new start, and may fall over
 before any answer of it has reached all instances.
 """
 
+import math
 from collections.abc import Callable, Collection
 
 from whinrack.base import rendezvous_order
@@ -19,6 +23,7 @@
 from whinrack.dispatch._shared_rates import SharedRatePermits
 from whinrack.dispatch._stated_limits import NO_LIMIT, StatedLimits
 from whinrack.dispatch._target_state import TargetState
+from whinrack.observability import Event, log_event
 
 __all__ = ["BrittleTargets"]
 
@@ -42,25 +47,64 @@
 
 # The members are needed for each target and request, and recomputed at this interval.
 _REFRESH_SECONDS = 0.1
-# Targets whose positions are remembered.
-_MAX_POSITIONS = 5000
+# Time after a change of the members until all instances know of it.
+_SETTLE_SECONDS = 3.0
+# Targets whose orders are remembered.
+_MAX_ORDERS = 5000
 
 
 class _Members:
-    """The instances that have a quota in a pool, with this instance's position by target."""
+    """The instances that have quotas in a pool for some time.
 
-    def __init__(self, names: frozenset[str], updated_at: float):
+    Attributes
+    ----------
+    replaced_at : float
+        Steady clock time of the next change, infinite before it.
+    """
+
+    def __init__(self, names: frozenset[str]):
         self.names = names
-        self.updated_at = updated_at
-        self._positions: dict[str, int] = {}
+        self.replaced_at = math.inf
+        self._orders: dict[str, list[str]] = {}
+
+    def quota(self, name: str, state: TargetState) -> int:
+        """Return a member's part of the slots; what does not divide goes to the first ones."""
+        if name not in self.names:
+            return 0
+        quota, rest = divmod(state.record.slots, len(self.names))
+        return quota + (name in self._order(state)[:rest])
+
+    def holders(self, state: TargetState) -> Collection[str]:
+        """Return the members that have a quota at a target."""
+        if state.record.slots >= len(self.names):
+            return self.names
+        return self._order(state)[: state.record.slots]
+
+    def _order(self, state: TargetState) -> list[str]:
+        target = state.record.identity
+        if target not in self._orders:
+            if len(self._orders) >= _MAX_ORDERS:
+                self._orders.clear()
+            self._orders[target] = rendezvous_order(target, self.names)
+        return self._orders[target]
+
 
-    def position(self, name: str, target: str) -> int:
-        """Return the position of a member in the rendezvous order of a target."""
-        if target not in self._positions:
-            if len(self._positions) >= _MAX_POSITIONS:
-                self._positions.clear()
-            self._positions[target] = rendezvous_order(target, self.names).index(name)
-        return self._positions[target]
+class _MemberHistory:
+    """The members of one pool now and in the last `_SETTLE_SECONDS`, the latest ones last."""
+
+    def __init__(self):
+        self.updated_at = -math.inf
+        self.recent: list[_Members] = []
+
+    def update(self, names: frozenset[str], now: float) -> None:
+        self.updated_at = now
+        if not self.recent or self.recent[-1].names != names:
+            if self.recent:
+                self.recent[-1].replaced_at = now
+            self.recent.append(_Members(names))
+        self.recent = [
+            members for members in self.recent if now - members.replaced_at < _SETTLE_SECONDS
+        ]
 
 
 class BrittleTargets:
@@ -76,8 +120,12 @@
         Loads that other instances put on the targets.
     identities_in_service : callable
         Returns the identities of the targets of a pool that are in service.
+    members : callable
+        Returns the names of the instances that have quotas, with this one; empty while unknown.
     instances_without : callable, optional
         Returns the names of the instances that have lost contact with a pool; they have no quota.
+    is_lost : callable, optional
+        Returns whether this instance has lost contact with a pool.
     """
 
     def __init__(
@@ -86,9 +134,13 @@
         permits: SharedRatePermits,
         remote_loads: RemoteLoads,
         identities_in_service: Callable[[str], Collection[str]],
+        members: Callable[[], Collection[str]],
         instances_without: Callable[[str], Collection[str]] = lambda pool: (),
+        is_lost: Callable[[str], bool] = lambda pool: False,
     ):
+        self.members = members
         self.instances_without = instances_without
+        self.is_lost = is_lost
         self.limits = limits
         self.permits = permits
         self.remote_loads = remote_loads
@@ -96,7 +148,7 @@
         # Targets of brittle pools that have stated that they are not brittle.
         self._sturdy: dict[str, None] = {}
         self._refused_at: dict[str, float] = {}
-        self._members_by_pool: dict[str, _Members] = {}
+        self._members_by_pool: dict[str, _MemberHistory] = {}
 
     def is_brittle(self, state: TargetState) -> bool:
         """Return whether a target is brittle by its own statement or, before it, by its pool's."""
@@ -164,38 +216,58 @@
     def record_refusal(self, state: TargetState, now: float) -> None:
         """Record that a target refused a request because it is full."""
         if self.is_brittle(state):
+            self._log_refusal(state, now)
             self._refused_at[state.record.identity] = now
         self._refused_at = {
             target: at for target, at in self._refused_at.items() if now - at < _CAUTION_SECONDS
         }
 
+    def instances_with_free_slots(
+        self, states: Collection[TargetState], now: float
+    ) -> frozenset[str]:
+        """Return the other instances that may have quotas left at brittle targets.
+
+        Reported loads lag, so an instance that is asked may have none left.
+        """
+        names: set[str] = set()
+        for state in states:
+            if not self.is_brittle(state) or state.may_have_ended(now):
+                continue
+            in_use = _slots_in_use(state, now) + self.remote_loads.requests_at(state.digest)
+            if in_use < state.record.slots:
+                names.update(self._recent_members(state.record.pool, now)[-1].holders(state))
+        return frozenset(names - {self.permits.name})
+
+    def _log_refusal(self, state: TargetState, now: float) -> None:
+        members = self._recent_members(state.record.pool, now)[-1]
+        log_event(
+            Event.BRITTLE_TARGET_FULL,
+            target=state.record.incarnation,
+            started=state.record.started,
+            refusals=self.max_refusals(state),
+            stated=self.limits.rate(state.record.identity) != NO_LIMIT,
+            quota=members.quota(self.permits.name, state),
+            members=len(members.names),
+            in_flight=state.in_flight,
+            held=state.held_slots(now),
+        )
+
     def _allowance(self, state: TargetState, now: float) -> int:
         """Return how many requests this instance may have in flight without risking a refusal."""
-        members = self._members(state.record.pool, now)
-        quota = self._quota(state, members)
-        if self._is_cautious(state, now):
-            return max(1, int(quota * _CAUTION_FRACTION)) if quota else 0
-        in_use = _slots_in_use(state, now)
-        free = state.record.slots - in_use - self.remote_loads.requests_at(state.digest)
-        # Each member may use an equal part of what is free before it hears of the others.
-        return max(quota, in_use + max(0, free) // max(1, len(members.names)))
-
-    def _members(self, pool: str, now: float) -> _Members:
-        known = self._members_by_pool.get(pool)
-        if known is not None and now - known.updated_at < _REFRESH_SECONDS:
-            return known
-        names = frozenset(self.permits.members()).difference(self.instances_without(pool))
-        if known is None or known.names != names:
-            known = self._members_by_pool[pool] = _Members(names, now)
-        known.updated_at = now
-        return known
-
-    def _quota(self, state: TargetState, members: _Members) -> int:
-        """Return this instance's part of the slots; what does not divide goes to the first ones."""
-        if self.permits.name not in members.names:
-            return 0
-        quota, rest = divmod(state.record.slots, len(members.names))
-        return quota + (members.position(self.permits.name, state.record.identity) < rest)
+        recent = self._recent_members(state.record.pool, now)
+        quota = min(members.quota(self.permits.name, state) for members in recent)
+        if self._is_cautious(state, now) and quota:
+            return max(1, int(quota * _CAUTION_FRACTION))
+        return quota
+
+    def _recent_members(self, pool: str, now: float) -> list[_Members]:
+        history = self._members_by_pool.setdefault(pool, _MemberHistory())
+        if now - history.updated_at >= _REFRESH_SECONDS:
+            without = set(self.instances_without(pool))
+            if self.is_lost(pool):
+                without.add(self.permits.name)
+            history.update(frozenset(self.members()) - without, now)
+        return history.recent
 
     def _is_cautious(self, state: TargetState, now: float) -> bool:
         refused_at = self._refused_at.get(state.record.identity)
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -1,7 +1,7 @@
 """The request pipeline: authenticate, route, reserve tokens, attempt, relay and settle."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 from returns.result import Failure
@@ -130,6 +130,7 @@
         origins: OriginDirectory | None = None,
     ):
         self.forwarder = forwarder
+        self.registry = registry
         self.reachability = registry.reachability
         self.dialect = dialect
         self.current_configuration = current_configuration
@@ -308,6 +309,11 @@
                 if not failed.was_sent and self._should_forward(run, pool, unsent_attempts):
                     self._forward_finally(run, pool)
                     return
+                if isinstance(failed, NoTargetAvailable) and self._may_forward(run):
+                    names = self.registry.instances_with_free_slots(pool, steady())
+                    if names:
+                        self._forward_finally(run, pool, names, failed.refusal)
+                        return
                 if not self._can_retry(run, failed, unsent_attempts, retry_budget):
                     raise self._final_refusal(run, failed.refusal) from failed
                 if self._should_forward(run, pool, unsent_attempts):
@@ -320,10 +326,7 @@
 
         Not if it may have run and its tokens are reserved here, as the peer reserves them again.
         """
-        if self.forwarder is None or run.is_forwarded or run.exchange.is_started:
-            return False
-        can_repeat = run.route.kind is RouteKind.REPEATABLE and run.reservation is None
-        if run.may_have_run and not can_repeat:
+        if not self._may_forward(run):
             return False
         if unsent_attempts < _UNSENT_ATTEMPTS_BEFORE_FORWARDING and not self.reachability.is_lost(
             pool
@@ -331,21 +334,34 @@
             return False
         return self.forwarder.has_peer(pool, run.needs_version)
 
-    def _forward(self, run: RequestRun, pool: str) -> bool:
+    def _may_forward(self, run: RequestRun) -> bool:
+        """Return whether a peer could handle a request from its beginning."""
+        if self.forwarder is None or run.is_forwarded or run.exchange.is_started:
+            return False
+        can_repeat = run.route.kind is RouteKind.REPEATABLE and run.reservation is None
+        return can_repeat or not run.may_have_run
+
+    def _forward(self, run: RequestRun, pool: str, names: Collection[str] | None = None) -> bool:
         """Forward a request for which nothing is reserved; return whether a peer took it."""
         try:
-            return self.forwarder.forward(run, pool)
+            return self.forwarder.forward(run, pool, names)
         except Refusal as refusal:
             raise self._final_refusal(run, refusal) from refusal
 
-    def _forward_finally(self, run: RequestRun, pool: str) -> None:
+    def _forward_finally(
+        self,
+        run: RequestRun,
+        pool: str,
+        names: Collection[str] | None = None,
+        refusal: Refusal | None = None,
+    ) -> None:
         """Give up what is reserved for a request, and forward or refuse it."""
         if run.is_trial:
             self.attempt_runner.guard.return_trial(run.request_name)
             run.is_trial = False
         run.settle_not_run()
-        if not self._forward(run, pool):
-            raise self._final_refusal(run, no_target_refusal(LOST_RETRY_SECONDS))
+        if not self._forward(run, pool, names):
+            raise self._final_refusal(run, refusal or no_target_refusal(LOST_RETRY_SECONDS))
 
     def _check_reachability(self, run: RequestRun, pool: str) -> None:
         """Refuse a request for a lost pool, except for a trial now and then.
--- a/whinrack/dispatch/_forwarding.py
+++ b/whinrack/dispatch/_forwarding.py
@@ -5,7 +5,7 @@
 instance holds no reservation meanwhile and passes the answer on unchanged.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 
@@ -116,11 +116,16 @@
         """Return whether there is a peer that may serve a request for a pool."""
         return bool(self.peers.candidates(pool, needs_version))
 
-    def forward(self, run: RequestRun, pool: str) -> bool:
+    def forward(self, run: RequestRun, pool: str, names: Collection[str] | None = None) -> bool:
         """Forward a request to one peer and relay its answer.
 
         Another peer is tried only if the one before has certainly not run the request.
 
+        Parameters
+        ----------
+        names : collection of str, optional
+            Names of the peers that may be asked; by default any.
+
         Returns
         -------
         bool
@@ -131,7 +136,10 @@
         Refusal
             If the peer that took the request failed.
         """
-        for peer in self.peers.candidates(pool, run.needs_version)[:_MAX_PEERS]:
+        candidates = self.peers.candidates(pool, run.needs_version)
+        if names is not None:
+            candidates = [peer for peer in candidates if peer.name in names]
+        for peer in candidates[:_MAX_PEERS]:
             if run.seconds_left() <= _PEER_TIMEOUT_MARGIN:
                 break
             began_at = steady()
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -52,6 +52,9 @@
         Rate limits that targets have stated.
     brittle_limits : StatedLimits, optional
         Refusals per second beyond which targets have stated that they fall over.
+    quota_members : callable, optional
+        Returns the names of the instances that have quotas at brittle targets; by default those
+        that share rates.
     instances_without : callable, optional
         Returns the names of the instances that have lost contact with a pool.
     clock : callable, optional
@@ -70,6 +73,7 @@
         warm_up_limits: WarmUpLimits | None = None,
         stated_limits: StatedLimits | None = None,
         brittle_limits: StatedLimits | None = None,
+        quota_members: Callable[[], Collection[str]] | None = None,
         instances_without: Callable[[str], Collection[str]] = lambda pool: (),
         clock: Callable[[], float] = steady,
     ):
@@ -101,15 +105,17 @@
         self.version_history = VersionHistory(clock)
         self.remote_loads = RemoteLoads()
         self.brittle_limits = brittle_limits or StatedLimits(clock=clock)
+        self.reachability = Reachability(self._identities_in_service, clock)
+        self.reachability.on_change.append(self._on_contact_changed)
         self.brittle_targets = BrittleTargets(
             self.brittle_limits,
             self.rate_permits,
             self.remote_loads,
             self._identities_in_service,
+            quota_members or self.rate_permits.members,
             instances_without,
+            self.reachability.is_lost,
         )
-        self.reachability = Reachability(self._identities_in_service, clock)
-        self.reachability.on_change.append(self._on_contact_changed)
         self._selector = TargetSelector(self.remote_loads, self.rate_limiter, seed)
 
     def requests_by_target(self) -> dict[int, int]:
@@ -349,6 +355,11 @@
             for state in self._pools.get(pool, {}).values()
         )
 
+    def instances_with_free_slots(self, pool: str, now: float) -> frozenset[str]:
+        """Return the other instances that may send to a brittle pool when this one may not."""
+        states = [state for state in self.targets_in_pool(pool) if self.is_in_service(state)]
+        return self.brittle_targets.instances_with_free_slots(states, now)
+
     def choose(
         self,
         pool: str,
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -117,6 +117,7 @@
             warm_up_limits=WarmUpLimits(options.cold_overage, options.cold_slack),
             stated_limits=StatedLimits(self.holder),
             brittle_limits=StatedLimits(self.holder),
+            quota_members=lambda: self.membership.rate_sharers.members_with_idle(),
             instances_without=lambda pool: self.membership.instances_without(pool),
         )
         self.current_configuration = CurrentConfiguration(self._on_configuration_applied)
--- a/whinrack/edge/_rate_sharers.py
+++ b/whinrack/edge/_rate_sharers.py
@@ -48,7 +48,14 @@
             self._members = self._compute_members(now)
         return self._members
 
-    def _compute_members(self, now: float) -> frozenset[str]:
+    def members_with_idle(self) -> frozenset[str]:
+        """Return the members, with instances that serve no callers; empty while unknown.
+
+        Other instances may forward requests to those.
+        """
+        return self._compute_members(steady(), includes_idle=True)
+
+    def _compute_members(self, now: float, includes_idle: bool = False) -> frozenset[str]:
         age = now - self.started_at
         views = self.table.peers_heard_within(now, _REMEMBERED_SECONDS)
         has_seeds = any(seed != self.options.gossip for seed in self.options.seeds)
@@ -56,7 +63,7 @@
             return frozenset()
         if not views and has_seeds and age < _ISOLATED_SECONDS:
             return frozenset()
-        includes_idle = self.table.is_full_mesh or age < _INCLUDE_IDLE_SECONDS
+        includes_idle |= self.table.is_full_mesh or age < _INCLUDE_IDLE_SECONDS
         names = (
             view.state.sender.name for view in views if self._is_member(view, now, includes_idle)
         )
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -111,6 +111,7 @@
 
     TARGET_BRITTLE = (5013, "INFO", "target changed its statement that refusals make it fall over")
 
+    BRITTLE_TARGET_FULL = (5015, "WARNING", "brittle target refused a request for lack of room")
     TARGET_ENDED = (5014, "INFO", "target seems to have ended; its software version is unknown")
 
     GRANT_CLOSED = (6001, "ERROR", "an operator released this incarnation's grant")
