Peers object to the end of a target that they reach, so that partial cuts are no evidence against requests

Cause: one instance alone can't tell a target that ended from one that it alone can't reach.

An instance that is told of an end connects to the target, and says so at once if it reaches it (alive_targets in heartbeats, an optional field; event target_reached). The reporter waits 0.25 s for that before the end counts against requests, unless the target's record tells the end.

--- a/whinrack/dispatch/__init__.py
+++ b/whinrack/dispatch/__init__.py
@@ -1,6 +1,7 @@
 """Routing of requests to targets: choice of a target, attempts, retries and relaying."""
 
 from whinrack.dispatch._configuration import Configuration
+from whinrack.dispatch._crash_detector import Presence, probe_address
 from whinrack.dispatch._current_configuration import CurrentConfiguration
 from whinrack.dispatch._dispatcher import Dispatcher, DispatchOptions
 from whinrack.dispatch._emptied_halls import EmptiedHalls, HallStatus
@@ -52,6 +53,8 @@
     "LimitReport",
     "PeerSelector",
     "PoolRecord",
+    "Presence",
+    "probe_address",
     "WeightedPool",
     "PromptPart",
     "RetryBudget",
--- a/whinrack/dispatch/_crash_detector.py
+++ b/whinrack/dispatch/_crash_detector.py
@@ -23,6 +23,8 @@
 # ended expires after three heartbeats of 1.2 s, and a new start writes its own record.
 _RECHECK_SECONDS = 6.0
 _RECHECK_INTERVAL_SECONDS = 0.25
+# Time in which peers can tell that they reach a target that seems to have ended.
+_OBJECTION_SECONDS = 0.25
 # Time in which a pool becomes suspected or lost if its path causes the refusals.
 _PATH_CHECK_SECONDS = 0.2
 
@@ -133,6 +135,8 @@
             # Spares other requests a failed connection.
             state.record_unreachable(steady())
             self.registry.record_ended(state)
+            if self._has_only_broken_path(state, known_identities):
+                return
         if presence is Presence.ENDED and not is_brittle:
             # A brittle target falls over because of refused requests, not of those that it runs.
             self.guard.record_target_end(TargetEnd(record.incarnation, record.started), requests)
@@ -142,6 +146,20 @@
         is_lost = self.registry.reachability.is_lost(state.record.pool)
         return presence is Presence.ENDED and not is_lost
 
+    def _has_only_broken_path(self, state: TargetState, known_identities: set[str]) -> bool:
+        """Return whether peers reach a target that refuses connections from here."""
+        if self._is_succeeded(state, known_identities) or state.is_removed:
+            return False
+        reported_at = self.registry.clock()
+        eventlet.sleep(_OBJECTION_SECONDS)
+        return self.registry.is_refuted(state, reported_at)
+
+    def _is_succeeded(self, state: TargetState, known_identities: set[str]) -> bool:
+        """Return whether a later start, or another target, has the target's address."""
+        return state.is_replaced or bool(
+            self.registry.identities_at_address(state.address) - known_identities
+        )
+
     def _presence(self, state: TargetState) -> Presence:
         presence = self.probe_address(state.address)
         if presence is Presence.ENDED and state.in_flight:
@@ -157,10 +175,7 @@
         A new start may already listen when the address is probed, or the link may fail right
         after the crash.
         """
-        if (
-            state.is_replaced
-            or self.registry.identities_at_address(state.address) - known_identities
-        ):
+        if self._is_succeeded(state, known_identities):
             return Presence.ENDED
         if previous is Presence.HERE:
             return previous
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -35,6 +35,8 @@
 # Time after which a report of the same end counts as a new one, so that peers do not repeat each
 # other's reports.
 _ENDED_REPEAT_SECONDS = 10.0
+# Time for which a refuted report is ignored, because peers may still repeat it.
+_REFUTED_SECONDS = 1.0
 
 
 class TargetRegistry:
@@ -96,6 +98,8 @@
         self._leaving_starts: OrderedDict[tuple[str, int], None] = OrderedDict()
         # Steady clock times at which starts seemed to have ended, the latest last.
         self._ended_starts: OrderedDict[tuple[str, int], float] = OrderedDict()
+        # Steady clock times at which reported starts were found to be running, the latest last.
+        self._alive_starts: OrderedDict[tuple[str, int], float] = OrderedDict()
         # Called with a target that seems to have ended and with the source of the report.
         self.on_target_ended: list[Callable[[TargetState, str], None]] = []
         # Called with each target that was replaced by a later start.
@@ -302,26 +306,68 @@
         """Record that nothing listened at the address of a target."""
         self.merge_ended(state.record.incarnation, state.record.started, OWN_SOURCE)
 
-    def merge_ended(self, incarnation: str, started: int, source: str) -> None:
-        """Record that a start seemed to have ended, as seen here or by a peer."""
+    def merge_ended(self, incarnation: str, started: int, source: str) -> TargetState | None:
+        """Record that a start seemed to have ended, as seen here or by a peer.
+
+        Returns
+        -------
+        TargetState or None
+            The target if the report is new and about its present start.
+        """
         now, start = self.clock(), (incarnation, started)
-        if now - self._ended_starts.get(start, float("-inf")) < _ENDED_REPEAT_SECONDS:
-            return
+        if self._is_known_end(start, now):
+            return None
         self._ended_starts[start] = now
         self._ended_starts.move_to_end(start)
         while len(self._ended_starts) > _MAX_LEAVING_STARTS:
             self._ended_starts.popitem(last=False)
         state = self._targets.get(incarnation)
         if state is None or state.record.started != started:
-            return
+            return None
         state.record_ended(now)
         for callback in self.on_target_ended:
             callback(state, source)
+        return state
+
+    def _is_known_end(self, start: tuple[str, int], now: float) -> bool:
+        """Return whether a report of an end repeats an earlier one, or is already refuted."""
+        reported_at = self._ended_starts.get(start, float("-inf"))
+        reached_at = self._alive_starts.get(start, float("-inf"))
+        if reached_at >= reported_at:
+            return now - reached_at < _REFUTED_SECONDS
+        return now - reported_at < _ENDED_REPEAT_SECONDS
+
+    def merge_alive(self, incarnation: str, started: int) -> None:
+        """Record that a start runs that was reported as ended, as seen here or by a peer."""
+        start = (incarnation, started)
+        if start in self._alive_starts:
+            del self._alive_starts[start]
+        self._alive_starts[start] = self.clock()
+        while len(self._alive_starts) > _MAX_LEAVING_STARTS:
+            self._alive_starts.popitem(last=False)
+        state = self._targets.get(incarnation)
+        if state is not None and state.record.started == started:
+            state.ended_at = float("-inf")
+
+    def is_refuted(self, state: TargetState, reported_at: float) -> bool:
+        """Return whether an instance has reached a target whose end was reported at a time."""
+        start = (state.record.incarnation, state.record.started)
+        reached_at = self._alive_starts.get(start, float("-inf"))
+        return reached_at >= reported_at - _REFUTED_SECONDS
+
+    def recently_alive(self) -> list[tuple[str, int]]:
+        """Return the starts that this instance or a peer has reached after a report."""
+        since = self.clock() - _ENDED_ADVERTISED_SECONDS
+        return [start for start, at in self._alive_starts.items() if at >= since]
 
     def recently_ended(self) -> list[tuple[str, int]]:
         """Return names and start times of the starts that seemed to have ended recently."""
         since = self.clock() - _ENDED_ADVERTISED_SECONDS
-        return [start for start, at in self._ended_starts.items() if at >= since]
+        return [
+            start
+            for start, at in self._ended_starts.items()
+            if at >= since and at > self._alive_starts.get(start, float("-inf"))
+        ]
 
     def leaving_records(self) -> list[TargetRecord]:
         """Return the records of targets that announced that they leave, latest last."""
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -10,7 +10,13 @@
 
 from whinrack.budgets import WallClockReading
 from whinrack.clock import steady
-from whinrack.dispatch import CurrentConfiguration, TargetRegistry
+from whinrack.dispatch import (
+    CurrentConfiguration,
+    Presence,
+    TargetRegistry,
+    TargetState,
+    probe_address,
+)
 from whinrack.edge._entry_selection import choose_entries, is_crowded
 from whinrack.edge._forwarding_peers import pool_digest
 from whinrack.edge._load_sharing import LoadSharing
@@ -162,6 +168,7 @@
             has_missing_peers=self.missing_peers.has_missing,
             brittle_limits=self.registry.brittle_limits.next_reports(),
             ended_targets=self.registry.recently_ended()[-_MAX_LEAVING:],
+            alive_targets=self.registry.recently_alive()[-_MAX_LEAVING:],
         )
 
     def _take_state_request(self, now: float) -> bool:
@@ -281,8 +288,12 @@
         self.missing_peers.report(heartbeat.has_missing_peers)
         self.registry.stated_limits.merge_reports(heartbeat.target_limits, sender.name)
         self.registry.brittle_limits.merge_reports(heartbeat.brittle_limits, sender.name)
+        for incarnation, started in heartbeat.alive_targets:
+            self.registry.merge_alive(incarnation, started)
         for incarnation, started in heartbeat.ended_targets:
-            self.registry.merge_ended(incarnation, started, sender.name)
+            state = self.registry.merge_ended(incarnation, started, sender.name)
+            if state is not None:
+                eventlet.spawn_n(self._check_ended, state, sender)
         self.host.compare_suspects(heartbeat.suspects_checksum, sender.address)
         if self._merge_leaving(heartbeat) and not self.table.is_full_mesh:
             self.notify_peers()
@@ -336,6 +347,19 @@
             log_event(Event.TARGET_LEAVING, target=incarnation, source=heartbeat.state.sender.name)
         return bool(newly_leaving)
 
+    def _check_ended(self, state: TargetState, reporter: PeerAddress) -> None:
+        """Object to the report of an end if the target is reached from here."""
+        if probe_address(state.address) is not Presence.HERE or state.is_removed:
+            return
+        self.registry.merge_alive(state.record.incarnation, state.record.started)
+        log_event(
+            Event.TARGET_REACHED,
+            target=state.record.incarnation,
+            started=state.record.started,
+            reporter=reporter.name,
+        )
+        self._send(self._build_heartbeat(steady(), []), reporter.address)
+
     def notify_peers(self) -> None:
         """Send a heartbeat ahead of time, to spread a change quickly.
 
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -155,6 +155,9 @@
     ended_targets : list of tuple of str and int
         Names and start times of targets that seemed to have ended recently; empty from older
         senders.
+    alive_targets : list of tuple of str and int
+        Names and start times of targets that were reported as ended and that the sender reached
+        after that; empty from older senders.
     """
 
     state: PeerState
@@ -173,6 +176,7 @@
     has_missing_peers: bool = False
     brittle_limits: list[LimitReport] = []
     ended_targets: list[tuple[str, int]] = []
+    alive_targets: list[tuple[str, int]] = []
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -111,6 +111,7 @@
 
     TARGET_BRITTLE = (5013, "INFO", "target changed its statement that refusals make it fall over")
 
+    TARGET_REACHED = (5016, "INFO", "target that a peer reported as ended is reached from here")
     BRITTLE_TARGET_FULL = (5015, "WARNING", "brittle target refused a request for lack of room")
     TARGET_ENDED = (5014, "INFO", "target seems to have ended; its software version is unknown")
 
