Objections to ends are sent once and to the reporter; targets are remembered as not brittle for 5 s

By reading: peers would have repeated each other's objections with every heartbeat and kept them alive, so the true end of a target that was once reached would never have counted.

--- a/whinrack/dispatch/_brittle_targets.py
+++ b/whinrack/dispatch/_brittle_targets.py
@@ -39,8 +39,9 @@
 _CONFIRMATION_SECONDS = 1.0
 # Prefix of the name under which the latest statement of a pool is kept and reported to peers.
 _POOL_PREFIX = "pool/"
-# Targets of brittle pools that are remembered as not brittle.
+# Targets of brittle pools that are remembered as not brittle, and for how long after an answer.
 _MAX_STURDY_TARGETS = 500
+_STURDY_SECONDS = 5.0
 # Suffix of the name under which permits for requests beyond the quota are counted.
 _PERMIT_SUFFIX = "/beyond-quota"
 
@@ -145,8 +146,8 @@
         self.permits = permits
         self.remote_loads = remote_loads
         self.identities_in_service = identities_in_service
-        # Targets of brittle pools that have stated that they are not brittle.
-        self._sturdy: dict[str, None] = {}
+        # When targets of brittle pools last stated that they are not brittle themselves.
+        self._sturdy: dict[str, float] = {}
         self._refused_at: dict[str, float] = {}
         self._members_by_pool: dict[str, _MemberHistory] = {}
 
@@ -158,7 +159,8 @@
         """Return the refusals per second that a target survives, `NO_LIMIT` if any number."""
         identity = state.record.identity
         stated = self.limits.rate(identity)
-        if stated != NO_LIMIT or identity in self._sturdy:
+        sturdy_at = self._sturdy.get(identity, -math.inf)
+        if stated != NO_LIMIT or self.limits.clock() - sturdy_at < _STURDY_SECONDS:
             return stated
         return self.limits.rate(_POOL_PREFIX + state.record.pool)
 
@@ -178,7 +180,7 @@
             return
         if self.limits.rate(pool) == NO_LIMIT:
             return
-        self._sturdy[identity] = None
+        self._sturdy[identity] = self.limits.clock()
         while len(self._sturdy) > _MAX_STURDY_TARGETS:
             del self._sturdy[next(iter(self._sturdy))]
         in_service = self.identities_in_service(state.record.pool)
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -355,11 +355,6 @@
         reached_at = self._alive_starts.get(start, float("-inf"))
         return reached_at >= reported_at - _REFUTED_SECONDS
 
-    def recently_alive(self) -> list[tuple[str, int]]:
-        """Return the starts that this instance or a peer has reached after a report."""
-        since = self.clock() - _ENDED_ADVERTISED_SECONDS
-        return [start for start, at in self._alive_starts.items() if at >= since]
-
     def recently_ended(self) -> list[tuple[str, int]]:
         """Return names and start times of the starts that seemed to have ended recently."""
         since = self.clock() - _ENDED_ADVERTISED_SECONDS
--- a/whinrack/dispatch/tests/test_brittle_targets.py
+++ b/whinrack/dispatch/tests/test_brittle_targets.py
@@ -208,3 +208,15 @@
     assert fleet.send_all("m0") == 0
     new_start(registry, started=10)
     assert fleet.send_all("m0") == 4
+
+
+def test_a_target_that_was_not_brittle_counts_as_brittle_when_its_pool_becomes_so_later():
+    fleet = Fleet(1, 4, NO_LIMIT, targets=2)
+    (registry,) = fleet.registries.values()
+    first, second = registry.targets_in_pool("p")
+    state_brittle(registry, first, 3.0, fleet.now)
+    state_brittle(registry, second, NO_LIMIT, fleet.now)
+    assert not registry.brittle_targets.is_brittle(second)
+    fleet.now += 10.0
+    state_brittle(registry, first, 3.0, fleet.now)
+    assert registry.brittle_targets.is_brittle(second)
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -168,7 +168,6 @@
             has_missing_peers=self.missing_peers.has_missing,
             brittle_limits=self.registry.brittle_limits.next_reports(),
             ended_targets=self.registry.recently_ended()[-_MAX_LEAVING:],
-            alive_targets=self.registry.recently_alive()[-_MAX_LEAVING:],
         )
 
     def _take_state_request(self, now: float) -> bool:
@@ -348,7 +347,11 @@
         return bool(newly_leaving)
 
     def _check_ended(self, state: TargetState, reporter: PeerAddress) -> None:
-        """Object to the report of an end if the target is reached from here."""
+        """Object to the report of an end if the target is reached from here.
+
+        The objection is sent once and only to the reporter: a repeated one could arrive after the
+        target has really ended.
+        """
         if probe_address(state.address) is not Presence.HERE or state.is_removed:
             return
         self.registry.merge_alive(state.record.incarnation, state.record.started)
@@ -358,7 +361,9 @@
             started=state.record.started,
             reporter=reporter.name,
         )
-        self._send(self._build_heartbeat(steady(), []), reporter.address)
+        start = (state.record.incarnation, state.record.started)
+        message = self._build_heartbeat(steady(), [])
+        self._send(msgspec.structs.replace(message, alive_targets=[start]), reporter.address)
 
     def notify_peers(self) -> None:
         """Send a heartbeat ahead of time, to spread a change quickly.
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -156,8 +156,8 @@
         Names and start times of targets that seemed to have ended recently; empty from older
         senders.
     alive_targets : list of tuple of str and int
-        Names and start times of targets that were reported as ended and that the sender reached
-        after that; empty from older senders.
+        Names and start times of targets that the receiver has reported as ended and that the
+        sender reached after that; empty from older senders.
     """
 
     state: PeerState
