Each failure has one target probed, so that a lost path is noticed with little traffic

Cause: only evidence led to a check. Now each failure leads to one probe, once a second and pool, then to three more and all others in steps of 0.2 s while none answers.

--- a/whinrack/dispatch/_reachability.py
+++ b/whinrack/dispatch/_reachability.py
@@ -163,8 +163,9 @@
     ----------
     on_change : list of callable
         Called with each `ContactChange`.
-    on_suspected : list of callable
-        Called with the name of a pool after each failure that leaves it suspected.
+    on_failure : list of callable
+        Called with the name of a pool that is not lost after each failure, also after one that is
+        no evidence because answers came meanwhile.
     """
 
     def __init__(
@@ -173,7 +174,7 @@
         self.targets_in_service = targets_in_service
         self.clock = clock
         self.on_change: list[Callable[[ContactChange], None]] = []
-        self.on_suspected: list[Callable[[str], None]] = []
+        self.on_failure: list[Callable[[str], None]] = []
         self._pools: dict[str, _PoolContact] = {}
 
     def is_lost(self, pool: str) -> bool:
@@ -192,11 +193,14 @@
         return contact is not None and not contact.is_lost and self._has_suspicion(pool, contact)
 
     def targets_to_check(self, pool: str) -> list[str]:
-        """Return the targets whose answers decide whether a suspected pool is lost."""
+        """Return the targets whose answers tell whether a pool is lost."""
         contact = self._pools.get(pool)
         if contact is None:
             return []
-        considered = self._considered_targets(pool, contact)
+        if self._has_suspicion(pool, contact):
+            considered = self._considered_targets(pool, contact)
+        else:
+            considered = list(self.targets_in_service(pool))
         unconnectable = set(contact.unconnectable_targets(considered))
         untested = [target for target in considered if target not in unconnectable]
         return untested[: max(1, _MAX_CHECKED_TARGETS - len(unconnectable))]
@@ -227,6 +231,11 @@
         contact = self._pools.get(pool)
         return math.inf if contact is None else self.clock() - contact.answered_at
 
+    def connected_at(self, pool: str) -> float:
+        """Return when the latest answered connection was opened, minus infinity for none."""
+        contact = self._pools.get(pool)
+        return -math.inf if contact is None else contact.connected_at
+
     def failed_targets(self, pool: str) -> Collection[str]:
         """Return the targets of a pool that have failed since its last answer."""
         contact = self._pools.get(pool)
@@ -272,16 +281,15 @@
         """
         contact = self._pools.setdefault(pool, _PoolContact())
         failure = _Failure(kind, began_at, began_at if opened_at is None else opened_at)
-        if not contact.record_failure(target, failure) or contact.is_lost:
-            return
-        if not self._has_suspicion(pool, contact):
+        is_evidence = contact.record_failure(target, failure)
+        if contact.is_lost:
             return
-        if self._has_evidence(pool, contact):
+        if is_evidence and self._has_evidence(pool, contact):
             contact.is_lost = True
             contact.lost_at = self.clock()
             self._notify(pool, contact, self._describe(contact))
             return
-        for callback in self.on_suspected:
+        for callback in self.on_failure:
             callback(pool)
 
     def _has_suspicion(self, pool: str, contact: _PoolContact) -> bool:
@@ -290,6 +298,8 @@
         return 0 < min(_MIN_FAILED_TARGETS, len(in_service)) <= failed
 
     def _has_evidence(self, pool: str, contact: _PoolContact) -> bool:
+        if not self._has_suspicion(pool, contact):
+            return False
         considered = self._considered_targets(pool, contact)
         unconnectable = len(contact.unconnectable_targets(considered))
         return min(_MAX_CHECKED_TARGETS, len(considered)) <= unconnectable
--- a/whinrack/edge/_target_probes.py
+++ b/whinrack/edge/_target_probes.py
@@ -1,4 +1,4 @@
-"""Probes of targets of suspected and lost pools, so that no caller's request has to find out."""
+"""Probes of targets of pools that may be lost, so that no caller's request has to find out."""
 
 import math
 import random
@@ -20,13 +20,15 @@
 __all__ = ["TargetProbes"]
 
 _CHECK_SECONDS = 0.1
-# Targets of a suspected pool that are probed first, as one answer ends the suspicion, and the time
-# after which the others are probed.
-_FIRST_PROBES = 3
-_FIRST_ROUND_SECONDS = 0.2
+# Targets that are probed in the first rounds of a check, as one answer ends it; the last round
+# probes all that are left. The next round begins if no answer has come for this time.
+_ROUNDS = (1, 3, None)
+_ROUND_SECONDS = 0.2
 # Time after which a check ends without a result.
 _MAX_CHECK_SECONDS = 1.5
 _POLL_SECONDS = 0.02
+# Minimum interval between two checks of a pool that is not suspected.
+_CHECK_INTERVAL_SECONDS = 1.0
 # Interval between the probes of one lost pool.
 _PROBE_INTERVAL_SECONDS = 0.5
 _CONNECT_SECONDS = 0.3
@@ -37,7 +39,7 @@
 
 
 class TargetProbes:
-    """Probes the untested targets of suspected pools at once, and those of lost pools in turn.
+    """Probes targets of a pool after a failure there, and those of lost pools in turn.
 
     Parameters
     ----------
@@ -59,7 +61,8 @@
         # Identities of the targets that were probed in the current round, by pool.
         self._probed: dict[str, set[str]] = {}
         self._checking: set[str] = set()
-        registry.reachability.on_suspected.append(self._check_by_name)
+        self._checked_at: dict[str, float] = {}
+        registry.reachability.on_failure.append(self._check_by_name)
 
     def run(self) -> None:
         """Probe until the process ends."""
@@ -96,29 +99,37 @@
                 self._check(pool)
 
     def _check(self, pool: PoolRecord) -> None:
-        """Check a suspected pool in the background unless this is being done."""
-        if pool.name not in self._checking:
+        """Check in the background whether a pool is lost, unless this is being done."""
+        now, checked_at = steady(), self._checked_at.get(pool.name, -math.inf)
+        is_due = now - checked_at >= _CHECK_INTERVAL_SECONDS
+        is_due |= self.registry.reachability.is_suspected(pool.name)
+        if is_due and pool.name not in self._checking:
             self._checking.add(pool.name)
-            eventlet.spawn_n(self._check_until_certain, pool)
+            self._checked_at[pool.name] = now
+            eventlet.spawn_n(self._check_until_certain, pool, now)
 
-    def _check_until_certain(self, pool: PoolRecord) -> None:
-        began_at = steady()
+    def _check_until_certain(self, pool: PoolRecord, began_at: float) -> None:
+        probed: set[str] = set()
         try:
-            started = self._start_probes(pool, set(), _FIRST_PROBES)
-            self._wait_while_suspected(pool, began_at + _FIRST_ROUND_SECONDS)
-            if self.registry.reachability.is_suspected(pool.name):
-                self._start_probes(pool, started)
-            self._wait_while_suspected(pool, began_at + _MAX_CHECK_SECONDS)
+            for most in _ROUNDS:
+                probed |= self._start_probes(pool, probed, most)
+                self._wait_for_result(pool, began_at, steady() + _ROUND_SECONDS)
+                if self._has_result(pool, began_at):
+                    return
+            self._wait_for_result(pool, began_at, began_at + _MAX_CHECK_SECONDS)
         finally:
             self._checking.discard(pool.name)
 
-    def _wait_while_suspected(self, pool: PoolRecord, until: float) -> None:
-        while steady() < until and self.registry.reachability.is_suspected(pool.name):
+    def _has_result(self, pool: PoolRecord, began_at: float) -> bool:
+        """Return whether a new connection was answered since a check began, or the pool is lost."""
+        reachability = self.registry.reachability
+        return reachability.is_lost(pool.name) or reachability.connected_at(pool.name) >= began_at
+
+    def _wait_for_result(self, pool: PoolRecord, began_at: float, until: float) -> None:
+        while steady() < until and not self._has_result(pool, began_at):
             eventlet.sleep(_POLL_SECONDS)
 
-    def _start_probes(
-        self, pool: PoolRecord, excluded: set[str], most: int | None = None
-    ) -> set[str]:
+    def _start_probes(self, pool: PoolRecord, excluded: set[str], most: int | None) -> set[str]:
         """Start to probe targets that are to be checked; return their identities."""
         to_check = set(self.registry.reachability.targets_to_check(pool.name)) - excluded
         states = [
