Silence of a target that answers others meanwhile is no evidence of a lost path

Cause: a silent probe counted against a target that answered requests over open connections in the same time.

--- a/whinrack/dispatch/_reachability.py
+++ b/whinrack/dispatch/_reachability.py
@@ -107,6 +107,8 @@
     def __init__(self):
         self.answered_at = float("-inf")
         self.connected_at = float("-inf")
+        # When targets last answered over any connection; the latest ones.
+        self.answered_by: dict[str, float] = {}
         self.failures: dict[str, _Failure] = {}
         self.considered: frozenset[str] = frozenset()
         self.is_lost = False
@@ -122,8 +124,18 @@
             if not failure.is_outdated_by(opened_at)
         }
 
+    def record_answer_of(self, target: str, now: float) -> None:
+        self.answered_by.pop(target, None)
+        self.answered_by[target] = now
+        while len(self.answered_by) > _MAX_FAILURES:
+            del self.answered_by[next(iter(self.answered_by))]
+
     def record_failure(self, target: str, failure: _Failure) -> bool:
         """Record a failure; return False if an answer already speaks against it."""
+        is_silent = failure.kind is ContactFailure.SILENT
+        if is_silent and self.answered_by.get(target, -math.inf) >= failure.began_at:
+            # It answers others: this request, or the health check, is slow.
+            return False
         if failure.began_at < self.connected_at:
             return False
         if not failure.is_of_new_connection and failure.began_at < self.answered_at:
@@ -252,6 +264,7 @@
             end the loss.
         """
         contact = self._pools.setdefault(pool, _PoolContact())
+        contact.record_answer_of(target, self.clock())
         if contact.is_lost and opened_at < contact.lost_at:
             return
         contact.record_answer(opened_at, self.clock())
--- a/whinrack/dispatch/tests/test_reachability.py
+++ b/whinrack/dispatch/tests/test_reachability.py
@@ -207,3 +207,17 @@
     pool.fail("d", "e")
     assert not pool.is_lost
     assert pool.reachability.targets_to_check("p") == ["f"]
+
+
+def test_silence_of_a_target_that_answers_others_is_no_evidence():
+    """Guards against hanging health checks of targets that serve over open connections."""
+    pool = Pool("a", "b")
+    began_at = pool.now
+    pool.fail("a")
+    pool.now += 0.5
+    pool.answer("b", opened_at=began_at - 10.0)
+    pool.now += 0.2
+    pool.fail("b", kind=ContactFailure.SILENT, began_at=began_at)
+    assert not pool.is_lost
+    pool.fail("b", kind=ContactFailure.CUT, began_at=pool.now)
+    assert pool.is_lost
