Checks of pools go beyond one probe only after a failed one, and begin once a second at most

Cause: since a check went on to all targets when one probe was slow, so slow targets got more connections from each instance; each costs the stand-in a look-up.

--- a/whinrack/edge/_target_probes.py
+++ b/whinrack/edge/_target_probes.py
@@ -20,14 +20,15 @@
 __all__ = ["TargetProbes"]
 
 _CHECK_SECONDS = 0.1
-# Targets that are probed in the first rounds of a check, as one answer ends it; the last round
-# probes all that are left. The next round begins if no answer has come for this time.
-_ROUNDS = (1, 3, None)
+# Targets that are probed at once after the first probe of a check has failed. If none of them
+# answers for the time of a round, all others are probed.
+_SECOND_PROBES = 3
 _ROUND_SECONDS = 0.2
 # Time after which a check ends without a result.
-_MAX_CHECK_SECONDS = 1.5
+_MAX_CHECK_SECONDS = 2.0
 _POLL_SECONDS = 0.02
-# Minimum interval between two checks of a pool that is not suspected.
+# Minimum interval between two checks of a pool: probes must not add to the load of a pool whose
+# targets are slow.
 _CHECK_INTERVAL_SECONDS = 1.0
 # Interval between the probes of one lost pool.
 _PROBE_INTERVAL_SECONDS = 0.5
@@ -100,19 +101,27 @@
 
     def _check(self, pool: PoolRecord) -> None:
         """Check in the background whether a pool is lost, unless this is being done."""
-        now, checked_at = steady(), self._checked_at.get(pool.name, -math.inf)
-        is_due = now - checked_at >= _CHECK_INTERVAL_SECONDS
-        is_due |= self.registry.reachability.is_suspected(pool.name)
-        if is_due and pool.name not in self._checking:
+        now = steady()
+        if now - self._checked_at.get(pool.name, -math.inf) < _CHECK_INTERVAL_SECONDS:
+            return
+        if pool.name not in self._checking:
             self._checking.add(pool.name)
             self._checked_at[pool.name] = now
             eventlet.spawn_n(self._check_until_certain, pool, now)
 
     def _check_until_certain(self, pool: PoolRecord, began_at: float) -> None:
-        probed: set[str] = set()
+        """Probe one target, and more of them only if it fails or others have failed before."""
         try:
-            for most in _ROUNDS:
-                probed |= self._start_probes(pool, probed, most)
+            probed: set[str] = set()
+            if not self.registry.reachability.is_suspected(pool.name):
+                states = self._targets_to_probe(pool, probed, 1)
+                if not states or not self._probe(pool, states[0]):
+                    return
+                probed.add(states[0].record.identity)
+            for most in (_SECOND_PROBES, None):
+                for state in self._targets_to_probe(pool, probed, most):
+                    probed.add(state.record.identity)
+                    eventlet.spawn_n(self._probe, pool, state)
                 self._wait_for_result(pool, began_at, steady() + _ROUND_SECONDS)
                 if self._has_result(pool, began_at):
                     return
@@ -129,8 +138,10 @@
         while steady() < until and not self._has_result(pool, began_at):
             eventlet.sleep(_POLL_SECONDS)
 
-    def _start_probes(self, pool: PoolRecord, excluded: set[str], most: int | None) -> set[str]:
-        """Start to probe targets that are to be checked; return their identities."""
+    def _targets_to_probe(
+        self, pool: PoolRecord, excluded: set[str], most: int | None
+    ) -> list[TargetState]:
+        """Return targets that are to be checked in random order."""
         to_check = set(self.registry.reachability.targets_to_check(pool.name)) - excluded
         states = [
             state
@@ -138,16 +149,15 @@
             if state.record.identity in to_check
         ]
         random.shuffle(states)
-        for state in states[:most]:
-            eventlet.spawn_n(self._probe, pool, state)
-        return {state.record.identity for state in states[:most]}
+        return states[:most]
 
     def _probe_next(self, pool: PoolRecord) -> None:
         state = self._next_target(pool.name)
         if state is not None:
             self._probe(pool, state)
 
-    def _probe(self, pool: PoolRecord, state: TargetState) -> None:
+    def _probe(self, pool: PoolRecord, state: TargetState) -> bool:
+        """Probe a target and record the result; return whether the probe failed."""
         began_at, identity = steady(), state.record.identity
         failure = _send_probe(state, pool.health_path)
         self.metrics.target_probes.labels(failure.value if failure else "answered").inc()
@@ -155,6 +165,7 @@
             self.registry.reachability.record_answer(pool.name, identity, began_at)
         else:
             self.registry.reachability.record_failure(pool.name, identity, failure, began_at)
+        return failure is not None
 
     def _next_target(self, pool: str) -> TargetState | None:
         """Return the next target in service, one that has not failed if possible.
