Sight: a line for each check of a pool whose first probe was not answered

The lines could not tell a probe that was not sent, for want of a place at a brittle target, from one that was not due. The check tells what it asked, what it held back, and what it found. No logic is changed.

--- a/whinrack/edge/_target_probes.py
+++ b/whinrack/edge/_target_probes.py
@@ -160,24 +160,55 @@
 
     def _check_until_certain(self, pool: PoolRecord, began_at: float) -> None:
         """Probe one target, and more of them only if it fails or others have failed before."""
+        probed: set[str] = set()
         try:
-            probed: set[str] = set()
-            if not self.registry.reachability.is_suspected(pool.name):
-                states = self._targets_to_probe(pool, probed, 1)
-                if not states or not self._probe(pool, states[0]):
-                    return
-                probed.add(states[0].record.identity)
-            for most in (_SECOND_PROBES, None):
-                for state in self._targets_to_probe(pool, probed, most):
-                    probed.add(state.record.identity)
-                    eventlet.spawn_n(self._probe, pool, state)
-                self._wait_for_result(pool, began_at, steady() + _ROUND_SECONDS)
-                if self._has_result(pool, began_at):
-                    return
-            self._wait_for_result(pool, began_at, began_at + _MAX_CHECK_SECONDS)
+            if not self._is_first_probe_answered(pool, probed):
+                if probed or self.registry.reachability.is_suspected(pool.name):
+                    self._probe_in_rounds(pool, probed, began_at)
+                self._log_check(pool, probed, began_at)
         finally:
             self._checking.discard(pool.name)
 
+    def _is_first_probe_answered(self, pool: PoolRecord, probed: set[str]) -> bool:
+        """Probe one target, unless several have failed; return whether it has answered."""
+        if self.registry.reachability.is_suspected(pool.name):
+            return False
+        for state in self._targets_to_probe(pool, probed, 1):
+            probed.add(state.record.identity)
+            return not self._probe(pool, state)
+        return False
+
+    def _probe_in_rounds(self, pool: PoolRecord, probed: set[str], began_at: float) -> None:
+        """Probe some further targets, then all others, until the result is certain."""
+        for most in (_SECOND_PROBES, None):
+            for state in self._targets_to_probe(pool, probed, most):
+                probed.add(state.record.identity)
+                eventlet.spawn_n(self._probe, pool, state)
+            self._wait_for_result(pool, began_at, steady() + _ROUND_SECONDS)
+            if self._has_result(pool, began_at):
+                return
+        self._wait_for_result(pool, began_at, began_at + _MAX_CHECK_SECONDS)
+
+    def _log_check(self, pool: PoolRecord, probed: set[str], began_at: float) -> None:
+        reachability, now = self.registry.reachability, steady()
+        has_answered = reachability.connected_at(pool.name) >= began_at
+        to_check = set(reachability.targets_to_check(pool.name))
+        held_back = [
+            state
+            for state in self.registry.targets_in_pool(pool.name)
+            if state.record.identity in to_check and not self._can_check(state)
+        ]
+        log_event(
+            Event.POOL_CHECKED,
+            pool=pool.name,
+            result="lost" if reachability.is_lost(pool.name) else _ANSWERED * has_answered,
+            probed=len(probed),
+            held_back=len(held_back),
+            in_flight=sum(state.in_flight for state in held_back),
+            silent=round(reachability.silent_seconds(pool.name), 3),
+            took=round(now - began_at, 3),
+        )
+
     def _has_result(self, pool: PoolRecord, began_at: float) -> bool:
         """Return whether a new connection was answered since a check began, or the pool is lost."""
         reachability = self.registry.reachability
