A path that never worked is doubted: instances that start without targets are served by their peers

Cause: an instance that had no answer yet took its path for sound. Silence counts after a multiple of the usual answer time, 1.5 s or more without one, and callers leave before; requests that hang at a brittle target hold the places of the probes; a pool was suspected only after two failures, so never with a quota at one target. Peers forwarded requests to such an instance, as it stated no loss (lines pool_checked and forwarded_received).

Change: a pool is doubted until a target has answered, and again when another pool is lost, until its next answer. Requests for a doubted pool go to a peer that does not doubt it; heartbeats state the doubt, and peers that doubt come last; the pool is checked each second. An attempt that ends without a head after 0.6 s or at its deadline leads to a check. If this instance may send to one target only, its failure is enough for a suspicion. At a brittle pool peers with free slots are asked first.

Ruled out: readiness only after the first answer, since callers that hold an address come anyway.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -243,9 +243,10 @@
         may_have_run_before = run.may_have_run
         run.may_have_run = True
         sent_at, has_head = steady(), False
+        reachability = self.registry.reachability
         run.sent_at, run.concurrent_requests = sent_at, state.in_flight - 1
         silence_timeout = self.answer_times.silence_timeout(pool)
-        silent_at = sent_at + max(silence_timeout, _MIN_SILENCE_SECONDS)
+        silent_at = sent_at + self._evidence_seconds(pool.name, silence_timeout)
         can_try_another = self._can_try_another(run, pool, sent_at)
         head_deadline = (
             min(run.deadline, sent_at + silence_timeout) if can_try_another else run.deadline
@@ -256,9 +257,7 @@
 
         try:
             head = self._send_and_read_head(run, state, connection, head_deadline, silent_at)
-            self.registry.reachability.record_answer(
-                pool.name, state.record.identity, connection.opened_at
-            )
+            reachability.record_answer(pool.name, state.record.identity, connection.opened_at)
             self.answer_times.observe(pool.name, steady() - sent_at)
             statement = self.dialect.parse_statement(head)
             on_statement(statement)
@@ -287,11 +286,11 @@
                 self.stream_versions.record_replaced(run)
             raise AttemptFailed(failure, was_sent=True) from failure
         except AttemptTimeout as failure:
-            self._suspect_silence(state, sent_at, has_head, silence_timeout)
+            self._suspect_silence(run, state, has_head, silence_timeout)
             self._hold_slot(run, state)
             raise AttemptFailed(failure, was_sent=True) from failure
         except CallerGone:
-            self._suspect_silence(state, sent_at, has_head, silence_timeout)
+            self._suspect_silence(run, state, has_head, silence_timeout)
             # No caller is waiting, so there is time to find out how many tokens were generated, or
             # whether a brittle target has a free slot again.
             is_end_wanted = run.reservation is not None or self._is_brittle(state)
@@ -304,6 +303,15 @@
             self.record_traffic(_REQUESTS, state.record.data_hall, connection.sent_bytes)
             self.record_traffic(_ANSWERS, state.record.data_hall, connection.received_bytes)
 
+    def _evidence_seconds(self, pool: str, silence_timeout: float) -> float:
+        """Return the silence of a target after which the path to it may be broken.
+
+        Without an answer of the pool its usual answer times are not known.
+        """
+        if not self.registry.reachability.has_answered(pool):
+            return _MIN_SILENCE_SECONDS
+        return max(silence_timeout, _MIN_SILENCE_SECONDS)
+
     def _is_brittle(self, state: TargetState) -> bool:
         return self.registry.brittle_targets.is_brittle(state)
 
@@ -374,15 +382,21 @@
         return self.registry.has_eligible_target(pool.name, run.tried_targets, now, pool.cold_start)
 
     def _suspect_silence(
-        self, state: TargetState, sent_at: float, has_head: bool, silence_timeout: float
+        self, run: RequestRun, state: TargetState, has_head: bool, silence_timeout: float
     ) -> None:
         """Record a failure of a target that stayed silent for the whole silence timeout.
 
-        Shorter waits are no evidence of a failure.
+        Shorter waits are no evidence of a failure, but callers may never wait for longer. So they
+        lead to a check of the pool.
         """
+        if has_head:
+            return
         now = steady()
-        if not has_head and now - sent_at >= silence_timeout:
+        waited = now - run.sent_at
+        if waited >= silence_timeout:
             state.ejection.record_failure(now)
+        if waited >= _MIN_SILENCE_SECONDS or now >= run.deadline:
+            self.registry.reachability.request_check(state.record.pool)
 
     def _send(self, run: RequestRun, state: TargetState, connection: TargetConnection) -> None:
         request = run.request
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -239,6 +239,8 @@
             pool = run.pool = self._choose_pool(run)
             if self._should_forward(run, pool) and self._forward(run, pool):
                 return
+            if self._doubts_pool(run, pool) and self._forward(run, pool, needs_answer=True):
+                return
             self._check_reachability(run, pool)
             self._admit(run)
             self._reserve_tokens(run)
@@ -334,6 +336,10 @@
             return False
         return self.forwarder.has_peer(pool, run.needs_version)
 
+    def _doubts_pool(self, run: RequestRun, pool: str) -> bool:
+        """Return whether a request should rather be sent to a peer that reaches its pool."""
+        return self._may_forward(run) and self.reachability.is_doubted(pool)
+
     def _may_forward(self, run: RequestRun) -> bool:
         """Return whether a peer could handle a request from its beginning."""
         if self.forwarder is None or run.is_forwarded or run.exchange.is_started:
@@ -341,10 +347,20 @@
         can_repeat = run.route.kind is RouteKind.REPEATABLE and run.reservation is None
         return can_repeat or not run.may_have_run
 
-    def _forward(self, run: RequestRun, pool: str, names: Collection[str] | None = None) -> bool:
-        """Forward a request for which nothing is reserved; return whether a peer took it."""
+    def _forward(
+        self,
+        run: RequestRun,
+        pool: str,
+        names: Collection[str] | None = None,
+        needs_answer: bool = False,
+    ) -> bool:
+        """Forward a request for which nothing is reserved; return whether a peer took it.
+
+        At a brittle pool, peers that may have a free slot are asked first.
+        """
+        preferred = self.registry.instances_with_free_slots(pool, steady())
         try:
-            return self.forwarder.forward(run, pool, names)
+            return self.forwarder.forward(run, pool, names, preferred, needs_answer)
         except Refusal as refusal:
             raise self._final_refusal(run, refusal) from refusal
 
--- a/whinrack/dispatch/_forwarding.py
+++ b/whinrack/dispatch/_forwarding.py
@@ -63,7 +63,9 @@
 class PeerSelector:
     """Selects the peers that a request may be forwarded to."""
 
-    def candidates(self, pool: str, needs_version: bool = False) -> list[ForwardingPeer]:
+    def candidates(
+        self, pool: str, needs_version: bool = False, needs_answer: bool = False
+    ) -> list[ForwardingPeer]:
         """Return the peers that may reach a pool, the preferred one first.
 
         Parameters
@@ -71,6 +73,8 @@
         pool : str
         needs_version : bool
             Leave out peers that do not keep streams at their software version.
+        needs_answer : bool
+            Leave out peers that do not know whether they reach the pool.
         """
         raise NotImplementedError
 
@@ -116,7 +120,14 @@
         """Return whether there is a peer that may serve a request for a pool."""
         return bool(self.peers.candidates(pool, needs_version))
 
-    def forward(self, run: RequestRun, pool: str, names: Collection[str] | None = None) -> bool:
+    def forward(
+        self,
+        run: RequestRun,
+        pool: str,
+        names: Collection[str] | None = None,
+        preferred: Collection[str] = (),
+        needs_answer: bool = False,
+    ) -> bool:
         """Forward a request to one peer and relay its answer.
 
         Another peer is tried only if the one before has certainly not run the request.
@@ -125,6 +136,10 @@
         ----------
         names : collection of str, optional
             Names of the peers that may be asked; by default any.
+        preferred : collection of str, optional
+            Names of the peers that are asked first.
+        needs_answer : bool
+            Ask only peers that know that they reach the pool.
 
         Returns
         -------
@@ -136,9 +151,10 @@
         Refusal
             If the peer that took the request failed.
         """
-        candidates = self.peers.candidates(pool, run.needs_version)
+        candidates = self.peers.candidates(pool, run.needs_version, needs_answer)
         if names is not None:
             candidates = [peer for peer in candidates if peer.name in names]
+        candidates.sort(key=lambda peer: peer.name not in preferred)
         for peer in candidates[:_MAX_PEERS]:
             if run.seconds_left() <= _PEER_TIMEOUT_MARGIN:
                 break
--- a/whinrack/dispatch/_reachability.py
+++ b/whinrack/dispatch/_reachability.py
@@ -5,6 +5,9 @@
 make a pool suspected, and its other targets are checked. The pool is lost if new connections to
 all of them fail. Connections that were open before may live on while no new ones can be opened, so
 answers over them do not speak against a loss.
+
+A path that has never worked is no better than one that has failed: a pool is doubted until a target
+has answered, and again when the loss of another pool shows that the path may be broken.
 """
 
 import math
@@ -15,8 +18,8 @@
 
 __all__ = ["ContactChange", "ContactFailure", "Reachability"]
 
-# Number of targets that must fail until a pool is suspected. Smaller pools are suspected when all
-# their targets have failed.
+# Number of targets that must fail until a pool is suspected. If this instance may send to fewer
+# targets of the pool, all of these must fail.
 _MIN_FAILED_TARGETS = 2
 # Number of targets to which new connections must fail until a pool is lost. Smaller pools are lost
 # when they fail to all targets.
@@ -178,8 +181,8 @@
     on_change : list of callable
         Called with each `ContactChange`.
     on_failure : list of callable
-        Called with the name of a pool that is not lost after each failure, also after one that is
-        no evidence because answers came meanwhile.
+        Called with the name of a pool that is not lost and should be checked: after each failure,
+        also after one that is no evidence because answers came meanwhile, and after other signs.
     """
 
     def __init__(
@@ -205,6 +208,28 @@
             self._set_reached(pool, contact, "failed targets are gone")
         return contact.is_lost
 
+    def is_doubted(self, pool: str) -> bool:
+        """Return whether a pool that is not lost has not answered since there is cause to check it.
+
+        The cause is the start of this instance, or the loss of another pool.
+        """
+        if self.is_lost(pool):
+            return False
+        contact = self._pools.get(pool)
+        if contact is None or contact.answered_at == -math.inf:
+            return True
+        lost_at = (self._pools[name].lost_at for name in self.lost_pools())
+        return contact.answered_at < max(lost_at, default=-math.inf)
+
+    def request_check(self, pool: str) -> None:
+        """Have a pool checked because a request has waited for an answer in vain."""
+        if not self.is_lost(pool):
+            self._notify_failure(pool)
+
+    def has_answered(self, pool: str) -> bool:
+        """Return whether any target of a pool has answered so far."""
+        return math.isfinite(self.silent_seconds(pool))
+
     def is_suspected(self, pool: str) -> bool:
         """Return whether several targets of a pool failed and the others should be checked."""
         contact = self._pools.get(pool)
@@ -308,13 +333,22 @@
             contact.lost_at = self.clock()
             self._notify(pool, contact, self._describe(contact))
             return
+        self._notify_failure(pool)
+
+    def _notify_failure(self, pool: str) -> None:
         for callback in self.on_failure:
             callback(pool)
 
     def _has_suspicion(self, pool: str, contact: _PoolContact) -> bool:
         in_service = self.targets_in_service(pool)
         failed = len(contact.failed_targets(in_service))
-        return 0 < min(_MIN_FAILED_TARGETS, len(in_service)) <= failed
+        if failed >= _MIN_FAILED_TARGETS:
+            return True
+        if not failed:
+            return False
+        # The quotas of a lost pool are no measure: the instance has given them up.
+        considered = [target for target in in_service if target in contact.considered]
+        return len(considered or self._usable_targets(pool, contact)) <= failed
 
     def _has_evidence(self, pool: str, contact: _PoolContact) -> bool:
         if not self._has_suspicion(pool, contact):
@@ -331,11 +365,15 @@
         in_service = self.targets_in_service(pool)
         considered = [target for target in in_service if target in contact.considered]
         if not considered:
-            usable = {*self.targets_with_quota(pool), *contact.failures}
-            considered = [target for target in in_service if target in usable]
+            considered = self._usable_targets(pool, contact)
             contact.considered = frozenset(considered)
         return considered
 
+    def _usable_targets(self, pool: str, contact: _PoolContact) -> list[str]:
+        """Return the targets in service that this instance sends to, or that have failed."""
+        usable = {*self.targets_with_quota(pool), *contact.failures}
+        return [target for target in self.targets_in_service(pool) if target in usable]
+
     def _set_reached(self, pool: str, contact: _PoolContact, evidence: str) -> None:
         contact.is_lost = False
         self._notify(pool, contact, evidence)
--- a/whinrack/dispatch/tests/test_reachability.py
+++ b/whinrack/dispatch/tests/test_reachability.py
@@ -221,3 +221,43 @@
     assert not pool.is_lost
     pool.fail("b", kind=ContactFailure.CUT, began_at=pool.now)
     assert pool.is_lost
+
+
+def test_pool_is_doubted_until_a_target_has_answered():
+    pool = Pool("a", "b")
+    assert pool.reachability.is_doubted("p")
+    pool.fail("a")
+    assert pool.reachability.is_doubted("p")
+    pool.answer()
+    assert not pool.reachability.is_doubted("p")
+
+
+def test_loss_of_one_pool_puts_the_others_in_doubt_until_they_answer():
+    pool = Pool("a", "b")
+    pool.reachability.record_answer("q", "x", pool.now)
+    pool.answer()
+    pool.now += 1.0
+    pool.fail("a", "b")
+    assert pool.is_lost
+    assert not pool.reachability.is_doubted("p")
+    assert pool.reachability.is_doubted("q")
+    pool.now += 0.1
+    pool.reachability.record_answer("q", "x", pool.now)
+    assert not pool.reachability.is_doubted("q")
+
+
+def test_pool_is_lost_if_the_only_target_that_this_instance_may_send_to_fails():
+    pool = Pool("a", "b", "c")
+    pool.reachability.targets_with_quota = lambda name: ["b"]
+    pool.fail("b")
+    assert pool.is_lost
+
+
+def test_request_that_waited_in_vain_leads_to_a_check_unless_the_pool_is_lost():
+    pool = Pool("a", "b")
+    pool.reachability.request_check("p")
+    assert pool.failed_pools == ["p"]
+    pool.fail("a", "b")
+    pool.failed_pools.clear()
+    pool.reachability.request_check("p")
+    assert pool.failed_pools == []
--- a/whinrack/edge/_forwarding_peers.py
+++ b/whinrack/edge/_forwarding_peers.py
@@ -50,11 +50,14 @@
         self._random = random.Random(seed)
         self._avoided_until: dict[str, float] = {}
 
-    def candidates(self, pool: str, needs_version: bool = False) -> list[ForwardingPeer]:
+    def candidates(
+        self, pool: str, needs_version: bool = False, needs_answer: bool = False
+    ) -> list[ForwardingPeer]:
         """Return the live peers that have not lost a pool, the least loaded one first.
 
-        Peers that stop serve requests for some more seconds, and are used if there is no other.
-        Peers of earlier builds, which continue streams at any version, get none that needs one.
+        Peers that stop serve requests for some more seconds, and are used if there is no other. So
+        are peers that do not know whether they reach the pool. Peers of earlier builds, which
+        continue streams at any version, get none that needs one.
         """
         now, digest = steady(), pool_digest(pool)
         states = [
@@ -63,8 +66,11 @@
             if view.state.accepts_forwarded
             and digest not in view.state.lost_pools
             and (view.state.keeps_stream_versions or not needs_version)
+            and not (needs_answer and digest in view.state.doubted_pools)
         ]
-        states.sort(key=lambda state: self._preference(state, now))
+        states.sort(
+            key=lambda state: (digest in state.doubted_pools, *self._preference(state, now))
+        )
         return [ForwardingPeer(state.sender.name, state.sender.address) for state in states]
 
     def record_declined(self, peer: ForwardingPeer) -> None:
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -208,6 +208,14 @@
             accepts_forwarded=True,
             keeps_stream_versions=True,
             lost_pools=tuple(map(pool_digest, self.registry.reachability.lost_pools())),
+            doubted_pools=self._doubted_pools(),
+        )
+
+    def _doubted_pools(self) -> tuple[int, ...]:
+        return tuple(
+            pool_digest(pool.name)
+            for pool in self.current_configuration.pools
+            if self.registry.reachability.is_doubted(pool.name)
         )
 
     def caller_addresses(self, hall: str) -> list[str]:
--- a/whinrack/edge/_target_probes.py
+++ b/whinrack/edge/_target_probes.py
@@ -8,6 +8,7 @@
 
 from whinrack.clock import steady
 from whinrack.dispatch import (
+    ContactChange,
     ContactFailure,
     CurrentConfiguration,
     Dialect,
@@ -93,13 +94,14 @@
         # When targets that get no requests were last probed, by identity.
         self._failed_probed_at: dict[str, float] = {}
         registry.reachability.on_failure.append(self._check_by_name)
+        registry.reachability.on_change.append(self._check_others)
 
     def run(self) -> None:
         """Probe until the process ends."""
         while True:
             eventlet.sleep(_CHECK_SECONDS)
             for pool in self.current_configuration.pools:
-                if self.registry.reachability.is_suspected(pool.name):
+                if self._is_uncertain(pool.name):
                     self._check(pool)
             now = steady()
             for pool in self._due_pools(now):
@@ -143,6 +145,21 @@
             self._probed_at[pool.name] = now
         return due
 
+    def _is_uncertain(self, pool: str) -> bool:
+        """Return whether a pool is suspected, or has targets and has not been reached yet."""
+        reachability = self.registry.reachability
+        if reachability.is_suspected(pool):
+            return True
+        return reachability.is_doubted(pool) and bool(self.registry.targets_in_pool(pool))
+
+    def _check_others(self, change: ContactChange) -> None:
+        """Check the other pools when one is lost: the path may be broken to their targets, too."""
+        if change.is_lost:
+            for pool in self.current_configuration.pools:
+                if pool.name != change.pool and not self.registry.reachability.is_lost(pool.name):
+                    self._checked_at.pop(pool.name, None)
+                    self._check(pool)
+
     def _check_by_name(self, pool_name: str) -> None:
         for pool in self.current_configuration.pools:
             if pool.name == pool_name:
@@ -163,15 +180,16 @@
         probed: set[str] = set()
         try:
             if not self._is_first_probe_answered(pool, probed):
-                if probed or self.registry.reachability.is_suspected(pool.name):
-                    self._probe_in_rounds(pool, probed, began_at)
+                self._probe_in_rounds(pool, probed, began_at)
                 self._log_check(pool, probed, began_at)
         finally:
             self._checking.discard(pool.name)
 
     def _is_first_probe_answered(self, pool: PoolRecord, probed: set[str]) -> bool:
-        """Probe one target, unless several have failed; return whether it has answered."""
-        if self.registry.reachability.is_suspected(pool.name):
+        """Probe one target, unless the path is in doubt; return whether it has answered."""
+        reachability = self.registry.reachability
+        has_lost_others = bool(reachability.lost_pools())
+        if reachability.is_suspected(pool.name) or has_lost_others:
             return False
         for state in self._targets_to_probe(pool, probed, 1):
             probed.add(state.record.identity)
@@ -187,7 +205,8 @@
             self._wait_for_result(pool, began_at, steady() + _ROUND_SECONDS)
             if self._has_result(pool, began_at):
                 return
-        self._wait_for_result(pool, began_at, began_at + _MAX_CHECK_SECONDS)
+        if probed:
+            self._wait_for_result(pool, began_at, began_at + _MAX_CHECK_SECONDS)
 
     def _log_check(self, pool: PoolRecord, probed: set[str], began_at: float) -> None:
         reachability, now = self.registry.reachability, steady()
@@ -198,13 +217,17 @@
             for state in self.registry.targets_in_pool(pool.name)
             if state.record.identity in to_check and not self._can_check(state)
         ]
+        in_flight = sum(state.in_flight for state in held_back)
+        if not probed and not in_flight:
+            # This instance sends nothing to the targets of the pool.
+            return
         log_event(
             Event.POOL_CHECKED,
             pool=pool.name,
             result="lost" if reachability.is_lost(pool.name) else _ANSWERED * has_answered,
             probed=len(probed),
             held_back=len(held_back),
-            in_flight=sum(state.in_flight for state in held_back),
+            in_flight=in_flight,
             silent=round(reachability.silent_seconds(pool.name), 3),
             took=round(now - began_at, 3),
         )
--- a/whinrack/edge/tests/test_forwarding_peers.py
+++ b/whinrack/edge/tests/test_forwarding_peers.py
@@ -49,6 +49,14 @@
     assert candidates(table, peers, lost, other_lost, earlier_build) == ["m2"]
 
 
+def test_peers_that_doubt_the_pool_are_asked_last_or_not_at_all(table, peers):
+    """Guards against a request that waits at a peer which does not reach the targets either."""
+    doubting = heartbeat("m1", doubted_pools=(pool_digest(POOL),))
+    busy = heartbeat("m2", load=500, doubted_pools=(pool_digest("other"),))
+    assert candidates(table, peers, doubting, busy) == ["m2", "m1"]
+    assert [peer.name for peer in peers.candidates(POOL, needs_answer=True)] == ["m2"]
+
+
 def test_peer_with_a_newer_configuration_in_an_unchanged_state_is_a_candidate(table, peers):
     """A peer's state is not replaced if only its configuration version has changed."""
     names = candidates(
--- a/whinrack/edge/tests/test_membership.py
+++ b/whinrack/edge/tests/test_membership.py
@@ -1,6 +1,7 @@
 """Heartbeats that an instance of a large fleet sends and answers."""
 
 import socket
+from types import SimpleNamespace
 
 import eventlet
 import msgspec
@@ -9,6 +10,7 @@
 from whinrack.clock import steady
 from whinrack.dispatch import CurrentConfiguration, TargetRecord, TargetRegistry
 from whinrack.edge import EdgeOptions
+from whinrack.edge._forwarding_peers import pool_digest
 from whinrack.edge._membership import Membership
 from whinrack.edge._membership_host import MembershipHost
 from whinrack.gossip import Heartbeat, PeerAddress, PeerState
@@ -78,10 +80,11 @@
 
 
 class FixedConfiguration:
-    """A configuration with nothing but a version."""
+    """A configuration with nothing but a version and the names of pools."""
 
-    def __init__(self, version):
+    def __init__(self, version, *pools):
         self.version = version
+        self.pools = [SimpleNamespace(name=name) for name in pools]
 
 
 @pytest.fixture
@@ -183,6 +186,12 @@
     assert (state.configuration, state.sequence) == (2, before.sequence)
 
 
+def test_pools_that_have_not_answered_yet_are_stated_as_doubted(membership):
+    membership.current_configuration = FixedConfiguration(1, "p", "q")
+    membership.registry.reachability.record_answer("q", "t", 0.0)
+    assert membership.own_state().doubted_pools == (pool_digest("p"),)
+
+
 def test_a_change_of_readiness_changes_the_sequence_number(membership):
     membership.current_configuration = FixedConfiguration(1)
     before = membership.own_state()
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -82,6 +82,9 @@
     keeps_stream_versions : bool
         Whether the instance continues streams only at their software version; False from older
         senders.
+    doubted_pools : tuple of int
+        Digests of the pools of which the instance does not know yet whether it reaches them; empty
+        from older senders.
     """
 
     incarnation: str
@@ -101,6 +104,7 @@
     accepts_forwarded: bool = False
     lost_pools: tuple[int, ...] = ()
     keeps_stream_versions: bool = False
+    doubted_pools: tuple[int, ...] = ()
 
     @property
     def digest(self) -> int:
