Answers without end: reads take turns, and what is read and held is bounded

What callers saw: one target whose answer does not end froze an instance (0 of 4 requests served, readiness not answered) or took 2 to 4 GB of its memory; a peer or the store could do the same.

Cause: what a sender may send was bounded in its head only, and a sender that is faster than its reader never lets a read wait. So no other task ran and no deadline was looked at: interim answers were skipped without a count, bodies were joined whatever their length, and a head was taken for a sound answer, which ended the ejection of the target.

A target that exceeds a bound is ejected at once; an ejection ends with a whole answer. The clients of the store and of chat engines share their bounded connections.

--- a/whinrack/dispatch/_answers.py
+++ b/whinrack/dispatch/_answers.py
@@ -48,12 +48,37 @@
         AnswerCut
             If events of an earlier target have been relayed already.
         """
-        if run.exchange.is_started:
-            raise AnswerCut(f"target answered with status {head.status} in the middle of a stream")
+        self._require_unstarted(run, head)
         run.settle_complete(pool)
         run.exchange.respond(head.status, without_marks(head.headers), body)
         self._record_answered(run, head)
 
+    def relay_long(
+        self,
+        run: RequestRun,
+        pool: PoolRecord,
+        head: ResponseHead,
+        held: bytes,
+        pieces: Iterable[bytes],
+    ) -> None:
+        """Relay an answer that is too long to be held: what is held, then the rest as it arrives.
+
+        Raises
+        ------
+        AnswerCut, AttemptTimeout
+            Raised by the iteration over the pieces, or if events of an earlier target have been
+            relayed already.
+        """
+        self._require_unstarted(run, head)
+        run.has_begun_long_answer = True
+        run.exchange.start_response(head.status, without_marks(head.headers))
+        run.exchange.write(held)
+        for piece in pieces:
+            run.exchange.write(piece)
+        run.settle_complete(pool)
+        run.exchange.finish()
+        self._record_answered(run, head)
+
     def relay_stream(
         self, run: RequestRun, pool: PoolRecord, head: ResponseHead, pieces: Iterable[bytes]
     ) -> None:
@@ -78,6 +103,10 @@
         exchange.finish()
         self._record_answered(run, head)
 
+    def _require_unstarted(self, run: RequestRun, head: ResponseHead) -> None:
+        if run.exchange.is_started:
+            raise AnswerCut(f"target answered with status {head.status} in the middle of a stream")
+
     def _record_first_event(self, run: RequestRun) -> None:
         seconds = steady() - run.exchange.received_at
         self.metrics.first_byte_seconds.labels(str(run.route.kind)).observe(seconds)
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -8,6 +8,7 @@
 from whinrack.dispatch._answer_times import AnswerTimes
 from whinrack.dispatch._answers import AnswerRelay
 from whinrack.dispatch._crash_detector import CrashDetector
+from whinrack.dispatch._held_body import hold_body
 from whinrack.dispatch._open_connections import OpenConnections
 from whinrack.dispatch._reachability import ContactFailure
 from whinrack.dispatch._refusals import no_target_refusal, target_full_refusal
@@ -22,6 +23,7 @@
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
     AnswerCut,
+    AnswerUnbounded,
     AttemptTimeout,
     CallerGone,
     Refusal,
@@ -268,6 +270,7 @@
             state.record_answer(steady())
             state.record_alive(connection.opened_at)
             self._relay_answer(run, pool, connection, head)
+            state.record_whole_answer(steady())
             self.run_times.observe(pool.name, steady() - sent_at, steady())
             if head.status < _SERVER_ERROR:
                 # Only a run that wrote an answer shows that no part of its prompt ends targets.
@@ -275,6 +278,11 @@
                 self.guard.record_success(
                     signature if run.has_written else signature.without_parts()
                 )
+        except AnswerUnbounded as failure:
+            # The path works and the target runs, so this is no evidence of a loss or an end.
+            state.ejection.record_unreachable(steady())
+            self._hold_slot(run, state)
+            raise AttemptFailed(failure, was_sent=True) from failure
         except AnswerCut as failure:
             state.ejection.record_failure(steady())
             if not has_head:
@@ -424,15 +432,21 @@
     def _relay_answer(
         self, run: RequestRun, pool: PoolRecord, connection: TargetConnection, head: ResponseHead
     ) -> None:
-        """Relay an answer: streams incrementally, other answers once they are complete."""
+        """Relay an answer: streams incrementally, other answers once they are complete.
+
+        Answers that are too long to be held are relayed incrementally as well.
+        """
         pieces = connection.iter_data(run.deadline)
         if run.route.kind is RouteKind.STREAM and head.status == _OK:
             self.answers.relay_stream(run, pool, head, pieces)
             return
-        body = b"".join(pieces)
+        body, is_whole = hold_body(pieces)
         if head.status >= _SERVER_ERROR and run.route.kind is RouteKind.REPEATABLE:
             self._retry_after_server_error(run, pool, head)
-        self.answers.relay_complete(run, pool, head, body)
+        if is_whole:
+            self.answers.relay_complete(run, pool, head, body)
+        else:
+            self.answers.relay_long(run, pool, head, body, pieces)
 
     def _retry_after_server_error(
         self, run: RequestRun, pool: PoolRecord, head: ResponseHead
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -423,6 +423,8 @@
     ) -> bool:
         if failed.refusal.outcome is not Outcome.NOT_RUN and not run.route.can_run_again:
             return False
+        if run.has_begun_long_answer:
+            return False
         if run.seconds_left() <= TIMEOUT_MARGIN or unsent_attempts >= _MAX_UNSENT_ATTEMPTS:
             return False
         if isinstance(failed, NoTargetAvailable):
--- a/whinrack/dispatch/_events.py
+++ b/whinrack/dispatch/_events.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from whinrack.exceptions import AnswerCut
+from whinrack.exceptions import AnswerCut, AnswerUnbounded
 
 __all__ = ["EventBlock", "event_blocks"]
 
@@ -40,7 +40,9 @@
     Raises
     ------
     AnswerCut
-        If the stream ends within an event or an event exceeds the maximum length.
+        If the stream ends within an event.
+    AnswerUnbounded
+        If an event exceeds the maximum length.
     """
     rest = b""
     for chunk in chunks:
@@ -50,7 +52,7 @@
             if block.count:
                 yield block
         if len(rest) > _MAX_EVENT_BYTES:
-            raise AnswerCut("event exceeds the maximum length")
+            raise AnswerUnbounded("event exceeds the maximum length")
     if rest.strip():
         raise AnswerCut("stream ended within an event")
 
--- a/whinrack/dispatch/_forwarding.py
+++ b/whinrack/dispatch/_forwarding.py
@@ -5,6 +5,7 @@
 instance holds no reservation meanwhile and passes the answer on unchanged.
 """
 
+import itertools
 from collections.abc import Callable, Collection
 
 import msgspec
@@ -16,6 +17,7 @@
     read_peer_answer,
     without_marks,
 )
+from whinrack.dispatch._held_body import hold_body
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._run_log import log_run
 from whinrack.exceptions import (
@@ -243,13 +245,15 @@
 
 
 def _relay(run: RequestRun, head: ResponseHead, connection: TargetConnection) -> None:
-    """Pass an answer on: with a length as a whole, other answers as they arrive."""
+    """Pass an answer on: with a length as a whole if it can be held, others as they arrive."""
     headers = without_marks(head.headers)
+    pieces, held = connection.iter_data(run.deadline), b""
     if header_value(head.headers, b"content-length"):
-        body = b"".join(connection.iter_data(run.deadline))
-        run.exchange.respond(head.status, headers, body)
-        return
+        held, is_whole = hold_body(pieces)
+        if is_whole:
+            run.exchange.respond(head.status, headers, held)
+            return
     run.exchange.start_response(head.status, headers)
-    for data in connection.iter_data(run.deadline):
+    for data in itertools.chain([held] if held else [], pieces):
         run.exchange.write(data)
     run.exchange.finish()
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -64,6 +64,8 @@
         Steady clock time at which the request was sent to the latest target.
     is_forwarded : bool
         Whether a peer has forwarded the request to this instance.
+    has_begun_long_answer : bool
+        Whether a part of an answer was relayed that is too long to be held.
     is_trial : bool
         Whether the run is a trial run of a quarantined request.
     concurrent_requests : int
@@ -111,6 +113,7 @@
         self.sent_at = 0.0
         self.concurrent_requests = 0
         self.is_trial = False
+        self.has_begun_long_answer = False
         self._fingerprint = ""
         self._signature: RequestSignature | None = None
 
--- a/whinrack/dispatch/_target_state.py
+++ b/whinrack/dispatch/_target_state.py
@@ -137,10 +137,13 @@
         return now - max(self.ended_at, self.refused_at) <= RECORD_EXPIRY_SECONDS
 
     def record_answer(self, now: float) -> None:
-        """Record that the target has answered."""
-        self.ejection.record_success(now)
+        """Record that an answer of the target has begun."""
         self.cold_state.record_answer(now)
 
+    def record_whole_answer(self, now: float) -> None:
+        """Record that an answer of the target was received to its end."""
+        self.ejection.record_success(now)
+
     def is_cold(self, cold_start: ColdStart | None, now: float) -> bool:
         """Return whether the target is still cold after a start."""
         return cold_start is not None and now < self.cold_state.cold_until(cold_start.seconds)
--- a/whinrack/edge/_knowledge_exchange.py
+++ b/whinrack/edge/_knowledge_exchange.py
@@ -33,6 +33,8 @@
 _DEFLATED: Headers = [*_JSON, (b"content-encoding", b"deflate")]
 # Answers of at least this size are compressed.
 _MIN_COMPRESSED_BYTES = 2048
+# Maximum size of an answer of a peer, as sent and decompressed.
+_MAX_ANSWER_BYTES = 33_554_432
 _COMPRESSION_LEVEL = 1
 _FETCH_SECONDS = 1.0
 
@@ -167,7 +169,7 @@
     try:
         connection.send(RequestHead(b"GET", path, [(b"host", b"peer")]), b"", end)
         head = connection.read_head(end, lambda headers: True)
-        body = b"".join(connection.iter_data(end))
+        body = b"".join(connection.iter_data(end, _MAX_ANSWER_BYTES))
     except Refusal:
         return None
     finally:
@@ -180,7 +182,12 @@
 def _decode(body: bytes, answer_type: type):
     """Decode an answer, which is compressed unless it starts with a brace."""
     try:
-        text = body if body.startswith(b"{") else zlib.decompress(body)
+        text = body if body.startswith(b"{") else _decompress(body)
         return msgspec.json.decode(text, type=answer_type)
     except (msgspec.MsgspecError, zlib.error):
         return None
+
+
+def _decompress(body: bytes) -> bytes:
+    """Decompress an answer; what exceeds the maximum size is cut off, so decoding it fails."""
+    return zlib.decompressobj().decompress(body, _MAX_ANSWER_BYTES)
--- a/whinrack/engines/_client.py
+++ b/whinrack/engines/_client.py
@@ -1,5 +1,6 @@
 """Client for targets, which are chat engines or plain services; based on urllib3."""
 
+import math
 import re
 from collections.abc import Iterable, Iterator
 
@@ -9,6 +10,7 @@
 
 from whinrack.base import Outcome
 from whinrack.exceptions import AnswerCut, Refusal, TargetFailed, TargetUnavailable
+from whinrack.http1 import ReplyBounds, bounded_connection_pool
 
 __all__ = [
     "EngineLoad",
@@ -26,6 +28,9 @@
 _BUSY_STATUSES = (429, 503)
 _SECONDS_PATTERN = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 _CHUNK_BYTES = 65_536
+_MAX_BODY_BYTES = 67_108_864
+# Callers bound the time of single requests.
+_CONNECTION_POOL = bounded_connection_pool(ReplyBounds(_MAX_BODY_BYTES, math.inf))
 _TIMEOUT_ERRORS = (urllib3.exceptions.ReadTimeoutError,)
 _NOT_SENT_ERRORS = (
     urllib3.exceptions.NewConnectionError,
@@ -67,6 +72,7 @@
             block=False,
             retries=False,
         )
+        self._pool.pool_classes_by_scheme = {"http": _CONNECTION_POOL}
 
     def send(
         self,
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "AnswerCut",
+    "AnswerUnbounded",
     "AnswerNotKept",
     "BadRequest",
     "BodyTooLarge",
@@ -370,6 +371,12 @@
     code = "answer_cut"
 
 
+class AnswerUnbounded(AnswerCut):
+    """The target sent more than any sound response holds."""
+
+    code = "answer_unbounded"
+
+
 class ForeignAnswer(TargetFailed):
     """The target responded with the id of another request."""
 
--- a/whinrack/http1/__init__.py
+++ b/whinrack/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server and client on eventlet sockets; `h11` parses and serializes messages."""
 
+from whinrack.http1._bounded_replies import ReplyBounds, bounded_connection_pool
 from whinrack.http1._client import ConnectionPool, TargetConnection
 from whinrack.http1._exchange import Exchange, ServerLimits
 from whinrack.http1._messages import (
@@ -16,10 +17,12 @@
     "Exchange",
     "Headers",
     "HttpServer",
+    "ReplyBounds",
     "RequestHead",
     "ResponseHead",
     "ServerLimits",
     "TargetConnection",
+    "bounded_connection_pool",
     "end_to_end_headers",
     "header_value",
 ]
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -5,11 +5,17 @@
 import struct
 from collections.abc import Callable, Iterator
 
+import eventlet
 import h11
 from eventlet.green import socket as green_socket
 
 from whinrack.clock import steady
-from whinrack.exceptions import AnswerCut, AttemptTimeout, TargetUnavailable
+from whinrack.exceptions import (
+    AnswerCut,
+    AnswerUnbounded,
+    AttemptTimeout,
+    TargetUnavailable,
+)
 from whinrack.http1._messages import Headers, RequestHead, ResponseHead, header_value
 from whinrack.http1._sockets import receive
 from whinrack.keepalive import KEEPALIVE_OPTIONS
@@ -30,6 +36,14 @@
 # Fraction of a target's stated keep-alive timeout within which a connection is reused.
 _IDLE_FRACTION = 0.5
 _MAX_UNRELATED_RESPONSES = 4
+_MAX_INTERIM_RESPONSES = 16
+# Maximum size of the body of a response to another request, which is discarded.
+_MAX_DISCARDED_BYTES = 1_048_576
+_MAX_BODY_BYTES = 67_108_864
+# Bytes that are read before other tasks get a turn, even if more can be read without waiting.
+_TURN_BYTES = 262_144
+# Status that h11 suggests if the receive buffer exceeds its maximum size.
+_HEAD_TOO_LARGE_STATUS = 431
 # Linger structure with which closing a socket resets its connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # States of the response in which all of it has been received.
@@ -55,6 +69,7 @@
         self._request: RequestHead | None = None
         self._closed = False
         self._aborted = False
+        self._bytes_in_turn = 0
         # An event that was parsed after data received with it; the next one to be returned.
         self._pending_event = None
 
@@ -112,13 +127,13 @@
         ------
         AnswerCut
             If the target closes without a response, or sends only responses to other requests.
+        AnswerUnbounded
+            If it sends too many interim responses, or too long a response to another request.
         AttemptTimeout
             If the deadline passes.
         """
         for _ in range(_MAX_UNRELATED_RESPONSES):
-            event = self._next_event(deadline)
-            while isinstance(event, h11.InformationalResponse):
-                event = self._next_event(deadline)
+            event = self._next_final_response(deadline)
             if not isinstance(event, h11.Response):
                 raise AnswerCut("the target closed the connection without a response")
             if is_own_response(event.headers):
@@ -127,6 +142,13 @@
             self._skip_unrelated_response(deadline)
         raise AnswerCut("the target sent only responses to other requests")
 
+    def _next_final_response(self, deadline: float):
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
+            event = self._next_event(deadline)
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+        raise AnswerUnbounded("the target sent only interim responses")
+
     def read_data(self, deadline: float) -> bytes | None:
         """Return the next part of the body, all that has been received; None at its end.
 
@@ -161,9 +183,19 @@
                 self._pending_event = event
         return b"".join(parts)
 
-    def iter_data(self, deadline: float) -> Iterator[bytes]:
-        """Yield the rest of the body; raises as `read_data` does."""
+    def iter_data(self, deadline: float, max_bytes: int = _MAX_BODY_BYTES) -> Iterator[bytes]:
+        """Yield the rest of the body; raises as `read_data` does.
+
+        Raises
+        ------
+        AnswerUnbounded
+            If the rest of the body is longer than `max_bytes`.
+        """
+        size = 0
         while (data := self.read_data(deadline)) is not None:
+            size += len(data)
+            if size > max_bytes:
+                raise AnswerUnbounded("the response body exceeds the maximum length")
             yield data
 
     def close_write(self) -> None:
@@ -228,7 +260,7 @@
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
-                raise AnswerCut("the target sent malformed HTTP") from error
+                raise _protocol_failure(error) from error
             if event is not h11.NEED_DATA:
                 return event
             self._receive(deadline)
@@ -245,14 +277,25 @@
             raise AnswerCut("the target has restarted")
         self.is_closed_by_target = self.is_closed_by_target or not data
         self.received_bytes += len(data)
+        self._take_turns(len(data), deadline)
         try:
             self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise AnswerCut("the target sent malformed HTTP") from error
 
+    def _take_turns(self, size: int, deadline: float) -> None:
+        """Let other tasks run now and then, as a fast target may never let a read wait."""
+        self._bytes_in_turn += size
+        if self._bytes_in_turn < _TURN_BYTES:
+            return
+        self._bytes_in_turn = 0
+        eventlet.sleep(0)
+        if steady() >= deadline:
+            raise AttemptTimeout("the target did not end its response in time")
+
     def _skip_unrelated_response(self, deadline: float) -> None:
         """Discard a late response to another request and prepare to read the next response."""
-        for _ in self.iter_data(deadline):
+        for _ in self.iter_data(deadline, _MAX_DISCARDED_BYTES):
             pass
         rest, closed = self._protocol.trailing_data
         if closed or self._protocol.their_state is not h11.DONE:
@@ -340,6 +383,12 @@
                 idle.pop().close()
 
 
+def _protocol_failure(error: h11.RemoteProtocolError) -> AnswerCut:
+    if error.error_status_hint == _HEAD_TOO_LARGE_STATUS:
+        return AnswerUnbounded("the target sent a head, chunk or trailer without end")
+    return AnswerCut("the target sent malformed HTTP")
+
+
 def _connect(address: tuple[str, int], timeout: float):
     sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.settimeout(timeout)
--- a/whinrack/http1/_connection.py
+++ b/whinrack/http1/_connection.py
@@ -289,7 +289,8 @@
         try:
             self.sock.settimeout(_DRAIN_SECONDS)
             while self.sock.recv(_READ_BYTES) and steady() < deadline:
-                pass
+                # A caller that sends faster than this loop reads never lets it wait.
+                eventlet.sleep(0)
         except OSError:
             pass
 
--- a/whinrack/store/_connections.py
+++ b/whinrack/store/_connections.py
@@ -4,11 +4,17 @@
 from returns.result import Failure, Result, Success
 
 from whinrack.exceptions import PlatformFailure, PlatformUnavailable
+from whinrack.http1 import ReplyBounds, bounded_connection_pool
 from whinrack.keepalive import KEEPALIVE_OPTIONS
 from whinrack.store.base import lost_reply_failure
 
 __all__ = ["StoreConnections"]
 
+_MAX_REPLY_BYTES = 33_554_432
+# Longer than any watch waits.
+_MAX_REPLY_SECONDS = 30.0
+_CONNECTION_POOL = bounded_connection_pool(ReplyBounds(_MAX_REPLY_BYTES, _MAX_REPLY_SECONDS))
+
 
 class StoreConnections:
     """Makes single HTTP calls without retries over kept connections.
@@ -58,7 +64,7 @@
 
     def _new_pool(self) -> urllib3.HTTPConnectionPool:
         host, _, port = self.address.rpartition(":")
-        return urllib3.HTTPConnectionPool(
+        return _CONNECTION_POOL(
             host,
             int(port),
             maxsize=self.max_idle,
