A reset that a send meets is no orderly end of the connection

Cause: the kernel reports a reset once. When the send of a request met it, its error was dropped, and the read saw an end of stream. A health check then took the target for reached: instances lost their pools and reached them again up to nine times in 12 s (lines pool_lost, pool_reached with a probe's target as evidence). An answer without a length would have looked whole.

Change: a failed send is remembered, and an end of stream after it is a broken connection.

Measured: the new test failed before.

--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -69,6 +69,7 @@
         self._request: RequestHead | None = None
         self._closed = False
         self._aborted = False
+        self._has_send_failed = False
         self._bytes_in_turn = 0
         # An event that was parsed after data received with it; the next one to be returned.
         self._pending_event = None
@@ -108,8 +109,13 @@
         data = b"".join(self._protocol.send(event) for event in events)
         self.sent_bytes, self.received_bytes = len(data), 0
         self.sock.settimeout(max(0.001, deadline - steady()))
-        with contextlib.suppress(OSError):
+        try:
             self.sock.sendall(data)
+        except TimeoutError:
+            # The deadline has passed, which the read of the response reports as well.
+            pass
+        except OSError:
+            self._has_send_failed = True
 
     def read_head(
         self, deadline: float, is_own_response: Callable[[Headers], bool]
@@ -212,8 +218,8 @@
         """Return whether the response is complete and no unread bytes are left."""
         protocol = self._protocol
         done = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
-        clean = not self._closed and not self.is_closed_by_target and not protocol.trailing_data[0]
-        return done and clean
+        is_open = not (self._closed or self.is_closed_by_target or self._has_send_failed)
+        return done and is_open and not protocol.trailing_data[0]
 
     def prepare_reuse(self) -> bool:
         """Prepare the connection for another request.
@@ -275,6 +281,9 @@
         if self._aborted:
             # Without this check a response delimited by connection close would look complete.
             raise AnswerCut("the target has restarted")
+        if not data and self._has_send_failed:
+            # The kernel reports a reset once, so after the send has met it the rest looks complete.
+            raise AnswerCut("the connection to the target broke")
         self.is_closed_by_target = self.is_closed_by_target or not data
         self.received_bytes += len(data)
         self._take_turns(len(data), deadline)
--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -110,6 +110,22 @@
         connection.read_data(deadline)
 
 
+def test_reset_that_the_send_meets_is_no_end_of_the_connection(serve):
+    """Guards against taking a target that resets each new connection for one that is reached."""
+    is_reset = threading.Event()
+
+    def script(sock):
+        reset(sock)
+        is_reset.set()
+
+    connection = ConnectionPool().acquire(serve(script).address, default_deadline())
+    assert is_reset.wait(5)
+    connection.send(REQUEST, b"", default_deadline())
+    with pytest.raises(AnswerCut):
+        connection.read_head(default_deadline(), is_own)
+    assert not connection.is_closed_by_target
+
+
 @pytest.mark.parametrize(
     "data",
     [
