--- a/whinrack/edge/_target_probes.py
+++ b/whinrack/edge/_target_probes.py
@@ -91,6 +91,7 @@
         self._probed: dict[str, set[str]] = {}
         self._checking: set[str] = set()
         self._checked_at: dict[str, float] = {}
+        self._doubted: set[str] = set()
         # When targets that get no requests were last probed, by identity.
         self._failed_probed_at: dict[str, float] = {}
         registry.reachability.on_failure.append(self._check_by_name)
@@ -100,6 +101,7 @@
         """Probe until the process ends."""
         while True:
             eventlet.sleep(_CHECK_SECONDS)
+            self._log_doubts()
             for pool in self.current_configuration.pools:
                 if self._is_uncertain(pool.name):
                     self._check(pool)
@@ -109,6 +111,22 @@
             for pool in self.current_configuration.pools:
                 self._probe_failed(pool, now)
 
+    def _log_doubts(self) -> None:
+        """Log each pool that began or ceased to be doubted."""
+        reachability = self.registry.reachability
+        pools = [pool.name for pool in self.current_configuration.pools]
+        doubted = {pool for pool in pools if reachability.is_doubted(pool)}
+        for pool in sorted(doubted ^ self._doubted):
+            log_event(
+                Event.POOL_DOUBTED,
+                pool=pool,
+                doubted=pool in doubted,
+                lost=reachability.is_lost(pool),
+                targets=len(self.registry.targets_in_pool(pool)),
+                silent=round(reachability.silent_seconds(pool), 3),
+            )
+        self._doubted = doubted
+
     def _probe_failed(self, pool: PoolRecord, now: float) -> None:
         """Probe the targets of a brittle pool that get no requests until a probe is answered."""
         if self.registry.brittle_limits.is_empty or self.registry.reachability.is_lost(pool.name):
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -114,6 +114,7 @@
     TARGET_REACHED = (5016, "INFO", "target that a peer reported as ended is reached from here")
     BRITTLE_TARGET_FULL = (5015, "WARNING", "brittle target refused a request for lack of room")
     TARGET_PROBE_REFUSED = (5017, "INFO", "target refused a health check for lack of room")
+    POOL_DOUBTED = (5019, "INFO", "pool is not known to be reached, or is known again")
     POOL_CHECKED = (5018, "INFO", "check of a pool ended without an answer to its first probe")
     TARGET_ENDED = (5014, "INFO", "target seems to have ended; its software version is unknown")
 
