--- a/whinrack/dispatch/_brittle_targets.py
+++ b/whinrack/dispatch/_brittle_targets.py
@@ -218,6 +218,8 @@
 
         Reported loads lag, so an instance that is asked may have none left.
         """
+        if self.limits.is_empty:
+            return frozenset()
         names: set[str] = set()
         for state in states:
             if not self.is_brittle(state) or state.may_have_ended(now):
--- a/whinrack/dispatch/_reachability.py
+++ b/whinrack/dispatch/_reachability.py
@@ -218,8 +218,9 @@
         contact = self._pools.get(pool)
         if contact is None or contact.answered_at == -math.inf:
             return True
-        lost_at = (self._pools[name].lost_at for name in self.lost_pools())
-        return contact.answered_at < max(lost_at, default=-math.inf)
+        return any(
+            other.is_lost and contact.answered_at < other.lost_at for other in self._pools.values()
+        )
 
     def request_check(self, pool: str) -> None:
         """Have a pool checked because a request has waited for an answer in vain."""
--- a/whinrack/edge/_target_probes.py
+++ b/whinrack/edge/_target_probes.py
@@ -45,6 +45,8 @@
 # Results under which probes are counted, besides those of `ContactFailure`.
 _ANSWERED = "answered"
 _REFUSED = "refused"
+# Result of a check of a pool, besides `_ANSWERED`.
+_LOST = "lost"
 
 
 class _ProbeResult(msgspec.Struct, frozen=True):
@@ -206,8 +208,7 @@
     def _is_first_probe_answered(self, pool: PoolRecord, probed: set[str]) -> bool:
         """Probe one target, unless the path is in doubt; return whether it has answered."""
         reachability = self.registry.reachability
-        has_lost_others = bool(reachability.lost_pools())
-        if reachability.is_suspected(pool.name) or has_lost_others:
+        if reachability.is_suspected(pool.name) or reachability.lost_pools():
             return False
         for state in self._targets_to_probe(pool, probed, 1):
             probed.add(state.record.identity)
@@ -227,8 +228,7 @@
             self._wait_for_result(pool, began_at, began_at + _MAX_CHECK_SECONDS)
 
     def _log_check(self, pool: PoolRecord, probed: set[str], began_at: float) -> None:
-        reachability, now = self.registry.reachability, steady()
-        has_answered = reachability.connected_at(pool.name) >= began_at
+        reachability = self.registry.reachability
         to_check = set(reachability.targets_to_check(pool.name))
         held_back = [
             state
@@ -242,18 +242,24 @@
         log_event(
             Event.POOL_CHECKED,
             pool=pool.name,
-            result="lost" if reachability.is_lost(pool.name) else _ANSWERED * has_answered,
+            result=self._check_result(pool.name, began_at),
             probed=len(probed),
             held_back=len(held_back),
             in_flight=in_flight,
             silent=round(reachability.silent_seconds(pool.name), 3),
-            took=round(now - began_at, 3),
+            took=round(steady() - began_at, 3),
         )
 
+    def _check_result(self, pool: str, began_at: float) -> str:
+        """Return what a check has found, empty if nothing is known."""
+        reachability = self.registry.reachability
+        if reachability.is_lost(pool):
+            return _LOST
+        return _ANSWERED if reachability.connected_at(pool) >= began_at else ""
+
     def _has_result(self, pool: PoolRecord, began_at: float) -> bool:
         """Return whether a new connection was answered since a check began, or the pool is lost."""
-        reachability = self.registry.reachability
-        return reachability.is_lost(pool.name) or reachability.connected_at(pool.name) >= began_at
+        return bool(self._check_result(pool.name, began_at))
 
     def _wait_for_result(self, pool: PoolRecord, began_at: float, until: float) -> None:
         while steady() < until and not self._has_result(pool, began_at):
