--- a/whinrack/dispatch/_reachability.py
+++ b/whinrack/dispatch/_reachability.py
@@ -238,9 +238,7 @@
 
     def targets_to_check(self, pool: str) -> list[str]:
         """Return the targets whose answers tell whether a pool is lost."""
-        contact = self._pools.get(pool)
-        if contact is None:
-            return []
+        contact = self._pools.setdefault(pool, _PoolContact())
         if self._has_suspicion(pool, contact):
             considered = self._considered_targets(pool, contact)
         else:
--- a/whinrack/dispatch/tests/test_reachability.py
+++ b/whinrack/dispatch/tests/test_reachability.py
@@ -232,6 +232,12 @@
     assert not pool.reachability.is_doubted("p")
 
 
+def test_targets_of_a_pool_without_any_contact_are_checked():
+    """Guards against a doubt that lasts until callers' requests happen to end it."""
+    pool = Pool("a", "b")
+    assert pool.reachability.targets_to_check("p") == ["a", "b"]
+
+
 def test_loss_of_one_pool_puts_the_others_in_doubt_until_they_answer():
     pool = Pool("a", "b")
     pool.reachability.record_answer("q", "x", pool.now)
