Check a configuration before it is sent

Cause: the store takes what matches its schema, and an instance takes what decodes. Of routes with one address, pools, workspaces or keys stated twice it keeps the last one without a word; prefixes without slashes never match, an empty key gives requests without a key to its workspace, half a cold start is dropped. Operators see none of it before it is in force.

Change: whinrack.configuration_check takes the records as the file states them and reports typed findings with stable codes, and the differences from the version in force; keys are counted only. `whinrack configuration check` reads JSON of the records, platform/check.py the platform's files or stored objects. The adapter decodes both by the same code as the daemon's; the daemon's reader gives the same configuration as before. No calls, no new settings.

--- a/whinrack/cli/_main.py
+++ b/whinrack/cli/_main.py
@@ -4,6 +4,7 @@
 
 from whinrack import __version__
 from whinrack.cli._accounts import bill, budget, key
+from whinrack.cli._configuration import configuration
 from whinrack.cli._declarations import apply, delete, diff, get
 from whinrack.cli._fleet import instance, status
 from whinrack.cli._local import policy, router, settings
@@ -27,6 +28,7 @@
     *(status, instance),
     *(budget, bill, key),
     *(policy, settings, router),
+    configuration,
     quarantine,
 ):
     main.add_command(command)
