A continued stream waits for the record of the start that answers

Cause: a target that is back under its name listens some milliseconds before its new record arrives.

Change: where a stream goes on at a target that states when it started, its first event waits until 0.25 s after the connection was opened. If a later start is known by then, nothing of the answer is relayed (`answered_by_later_start`) and the stream goes on elsewhere. Answers over older connections and streams that begin don't wait.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -23,6 +23,7 @@
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
     AnswerCut,
+    AnsweredByLaterStart,
     AnswerUnbounded,
     AttemptTimeout,
     CallerGone,
@@ -269,7 +270,7 @@
             has_head = True
             state.record_answer(steady())
             state.record_alive(connection.opened_at)
-            self._relay_answer(run, pool, connection, head)
+            self._relay_answer(run, pool, state, connection, head)
             state.record_whole_answer(steady())
             self.run_times.observe(pool.name, steady() - sent_at, steady())
             if head.status < _SERVER_ERROR:
@@ -278,6 +279,9 @@
                 self.guard.record_success(
                     signature if run.has_written else signature.without_parts()
                 )
+        except AnsweredByLaterStart as failure:
+            # Nothing of its answer was relayed, so the stream can go on elsewhere.
+            raise AttemptFailed(failure, was_sent=True) from failure
         except AnswerUnbounded as failure:
             # The path works and the target runs, so this is no evidence of a loss or an end.
             state.ejection.record_unreachable(steady())
@@ -430,7 +434,12 @@
         raise AttemptFailed(target_full_refusal(self.registry, pool, now), was_sent=True)
 
     def _relay_answer(
-        self, run: RequestRun, pool: PoolRecord, connection: TargetConnection, head: ResponseHead
+        self,
+        run: RequestRun,
+        pool: PoolRecord,
+        state: TargetState,
+        connection: TargetConnection,
+        head: ResponseHead,
     ) -> None:
         """Relay an answer: streams incrementally, other answers once they are complete.
 
@@ -438,6 +447,7 @@
         """
         pieces = connection.iter_data(run.deadline)
         if run.route.kind is RouteKind.STREAM and head.status == _OK:
+            self.stream_versions.await_record(run, state, connection.opened_at)
             self.answers.relay_stream(run, pool, head, pieces)
             return
         body, is_whole = hold_body(pieces)
--- a/whinrack/dispatch/_stream_versions.py
+++ b/whinrack/dispatch/_stream_versions.py
@@ -12,8 +12,14 @@
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._run_log import log_run
+from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import PoolRecord
-from whinrack.exceptions import Refusal, StreamOriginUnknown, StreamVersionUnavailable
+from whinrack.exceptions import (
+    AnsweredByLaterStart,
+    Refusal,
+    StreamOriginUnknown,
+    StreamVersionUnavailable,
+)
 from whinrack.observability import Event, Metrics
 from whinrack.streams import OriginDirectory, OriginLookup, StreamOrigin
 
@@ -28,6 +34,11 @@
 # Ages of target lists from peers are rounded to tenths of a second.
 _AGE_ERROR_SECONDS = 0.1
 
+# Time from when a target starts to listen until the record of this start has arrived, seconds: a
+# write to the store and the report of it.
+_RECORD_SECONDS = 0.25
+_RECORD_POLL_SECONDS = 0.02
+
 # Source of an origin that was deduced.
 _SOLE_VERSION = "sole version"
 # Retry delay if no peer that answered knows where a stream began, seconds.
@@ -103,6 +114,31 @@
         if run.route.is_resumable:
             self.origins.record(run.stream_key, run.origin)
 
+    def await_record(self, run: RequestRun, state: TargetState, connected_at: float) -> None:
+        """Wait until a later start at a target's address is known, if a stream goes on there.
+
+        A start that answers over a new connection may have begun to listen just before, and may
+        have other software than the record says. Streams that begin there are covered by
+        `record_replaced`. Only targets that state when they started return under their name.
+
+        Parameters
+        ----------
+        connected_at : float
+            Steady clock time at which the connection attempt began.
+
+        Raises
+        ------
+        AnsweredByLaterStart
+            If a later start is known by then.
+        """
+        if run.origin is None or not state.record.started:
+            return
+        until = min(connected_at + _RECORD_SECONDS, run.deadline)
+        while not state.is_replaced and steady() < until:
+            eventlet.sleep(_RECORD_POLL_SECONDS)
+        if state.is_replaced:
+            raise AnsweredByLaterStart("a later start of the target answers")
+
     def record_replaced(self, run: RequestRun) -> None:
         """Record that a stream was running when a later start of its target became known.
 
--- a/whinrack/dispatch/tests/test_stream_versions.py
+++ b/whinrack/dispatch/tests/test_stream_versions.py
@@ -1,9 +1,16 @@
 """Choice of targets for streams that must keep a software version."""
 
+import types
+
+import eventlet
 import pytest
 
+from whinrack.clock import steady
 from whinrack.dispatch import TargetRecord, TargetRegistry
+from whinrack.dispatch._stream_versions import StreamVersions
 from whinrack.dispatch._target_state import RECORD_EXPIRY_SECONDS
+from whinrack.exceptions import AnsweredByLaterStart
+from whinrack.streams import StreamOrigin
 
 NOW = 100.0
 
@@ -172,3 +179,29 @@
     assert followed.sole_version("p", 15.0) == ""
     clock.now += 15.0
     assert followed.sole_version("p", 15.0) == "v1"
+
+
+def wait_seconds(state, connected_at, origin):
+    """Return how long the first event of a stream waits for the record of a target."""
+    run = types.SimpleNamespace(origin=origin, deadline=steady() + 5.0)
+    began = steady()
+    StreamVersions(None, None, None).await_record(run, state, connected_at)
+    return steady() - began
+
+
+def test_stream_goes_on_at_a_new_connection_once_a_later_start_would_be_known(registry):
+    origin = StreamOrigin("p", "v1")
+    registry.replace_all([record("a", "v1"), record("b", "v1", started=0)])
+    state, without_start = registry.targets_in_pool("p")
+    assert 0.2 <= wait_seconds(state, steady(), origin) < 0.5
+    assert wait_seconds(state, steady() - 1.0, origin) < 0.1
+    assert wait_seconds(state, steady(), None) < 0.1
+    assert wait_seconds(without_start, steady(), origin) < 0.1
+
+
+def test_stream_does_not_go_on_at_a_later_start(registry):
+    registry.put(record("a", "v1"))
+    (state,) = registry.targets_in_pool("p")
+    eventlet.spawn_after(0.05, registry.put, record("a", "v2", started=2))
+    with pytest.raises(AnsweredByLaterStart):
+        wait_seconds(state, steady(), StreamOrigin("p", "v1"))
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -10,6 +10,7 @@
     "AnswerCut",
     "AnswerUnbounded",
     "AnswerNotKept",
+    "AnsweredByLaterStart",
     "BadRequest",
     "BodyTooLarge",
     "BudgetContended",
@@ -377,6 +378,12 @@
     code = "answer_unbounded"
 
 
+class AnsweredByLaterStart(TargetFailed):
+    """A later start of the target answers, which may have other software than the stream's."""
+
+    code = "answered_by_later_start"
+
+
 class ForeignAnswer(TargetFailed):
     """The target responded with the id of another request."""
 
