Reserves of short budgets for urgent routes

Cause: a prepaid budget that gets short is spent on whatever comes first, so small urgent requests are refused alongside large less urgent ones.

Change: where the routes to engines state two priorities at least, a less urgent request is refused at once (429 budget_reserved, not run) if it would use tokens that more urgent requests of its workspace are expected to need within 15 s. Waiting less urgent requests leave a refill to more urgent ones behind them.

--- a/whinrack/budgets/_covers.py
+++ b/whinrack/budgets/_covers.py
@@ -9,7 +9,8 @@
 from whinrack.budgets._ledger import Cover
 from whinrack.budgets._orders import GrantOrders
 from whinrack.budgets._peer_tokens import PeerTokenClient
-from whinrack.exceptions import BudgetContended, BudgetExhausted, Refusal
+from whinrack.budgets._reserve_policy import ReservePolicy
+from whinrack.exceptions import BudgetContended, BudgetExhausted, BudgetReserved, Refusal
 
 __all__ = ["CoverAllocator"]
 
@@ -42,16 +43,24 @@
         self.options = options
         self.clock = clock
         self.peers = PeerTokenClient(spares, options, clock)
+        self.reserves = ReservePolicy(orders, spares, options, clock)
 
-    def cover(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
-        """Reserve tokens for one request: held here, from the account, or from peers."""
+    def cover(self, grant: Grant, tokens: int, urgency: int) -> Result[Cover, Refusal]:
+        """Reserve tokens for one request: held here, from the account, or from peers.
+
+        A request that would use what is kept for more urgent ones is refused without waiting.
+        """
         grant.largest_request = max(grant.largest_request, tokens)
-        cover = self._open_cover(grant, tokens)
+        self.reserves.record_asked(grant, tokens, urgency)
+        if self.reserves.refuses(grant, tokens, urgency):
+            return self._reserved(grant, tokens, urgency)
+        cover = self._open_cover(grant, tokens, urgency)
         if isinstance(cover, Failure):
-            cover = self._wait_and_refill(grant, tokens)
+            cover = self._wait_and_refill(grant, tokens, urgency)
         if isinstance(cover, Success):
             # Refused requests are retried, so counting them would count their demand repeatedly.
             grant.demand.record(tokens, self.clock())
+            self.reserves.record_covered(grant, tokens, urgency)
         return cover
 
     def ensure_usable(self, grant: Grant, tokens: int, draw: bool) -> None:
@@ -64,8 +73,20 @@
             if self._needs_draw(grant, tokens, draw):
                 self._draw(grant, tokens)
 
-    def _open_cover(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
-        usable = grant.usable(self.clock())
+    def _reserved(self, grant: Grant, tokens: int, urgency: int) -> Result[Cover, Refusal]:
+        """Return the refusal of a request for the reserve, or for exhaustion if that holds, too."""
+        if self._is_exhausted(grant, tokens):
+            return Failure(BudgetExhausted(_left_text(grant, tokens)))
+        reserve = self.reserves.reserve(grant, urgency)
+        return Failure(
+            BudgetReserved(
+                f"the budget is short and keeps {reserve} tokens for more urgent requests",
+                retry_after=self.options.reserve_retry_after,
+            )
+        )
+
+    def _open_cover(self, grant: Grant, tokens: int, urgency: int) -> Result[Cover, Refusal]:
+        usable = grant.usable(self.clock()) - self._kept_for_waiting(grant, urgency)
         if tokens > usable:
             return Failure(
                 BudgetContended(
@@ -75,6 +96,10 @@
             )
         return grant.ledger.open(tokens)
 
+    def _kept_for_waiting(self, grant: Grant, urgency: int) -> int:
+        """Return the tokens to leave for more urgent requests that wait for their turn."""
+        return grant.more_urgent_waiting_tokens(urgency) if self.reserves.is_active else 0
+
     def _retry_after(self) -> float:
         """Return the seconds after which to retry, longer while the store is unreachable."""
         options = self.options
@@ -84,7 +109,7 @@
             else options.unreachable_retry_after
         )
 
-    def _wait_and_refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
+    def _wait_and_refill(self, grant: Grant, tokens: int, urgency: int) -> Result[Cover, Refusal]:
         """Wait for earlier requests, whose refill may suffice for this one, then refill.
 
         A refill for as many tokens or fewer that started after this request arrived and failed
@@ -92,26 +117,30 @@
         budget queued for up to 5 seconds before they were refused one by one.
         """
         arrived = self.clock()
-        with grant.locked(tokens):
-            cover = self._open_cover(grant, tokens)
+        with grant.locked(tokens, urgency):
+            if self.reserves.refuses(grant, tokens, urgency):
+                return self._reserved(grant, tokens, urgency)
+            cover = self._open_cover(grant, tokens, urgency)
             if isinstance(cover, Success):
                 return cover
             if grant.has_failed_round_since(arrived, tokens):
                 return self._refusal(grant, tokens, cover)
+            needed = tokens + self._kept_for_waiting(grant, urgency)
             started_at = self.clock()
-            cover = self._refill(grant, tokens)
+            cover = self._refill(grant, tokens, urgency)
             if isinstance(cover, Failure):
-                grant.record_failed_round(tokens, started_at)
+                grant.record_failed_round(needed, started_at)
             return cover
 
-    def _refill(self, grant: Grant, tokens: int) -> Result[Cover, Refusal]:
-        cover = self._open_cover(grant, tokens)
-        steps = self._refill_steps(grant, tokens)
+    def _refill(self, grant: Grant, tokens: int, urgency: int) -> Result[Cover, Refusal]:
+        cover = self._open_cover(grant, tokens, urgency)
+        needed = tokens + self._kept_for_waiting(grant, urgency)
+        steps = self._refill_steps(grant, needed)
         if steps:
             grant.unreported_use_by_peer.clear()
         for obtain in steps:
-            obtain(grant, tokens)
-            cover = self._open_cover(grant, tokens)
+            obtain(grant, needed)
+            cover = self._open_cover(grant, tokens, urgency)
             if isinstance(cover, Success):
                 return cover
         return self._refusal(grant, tokens, cover)
--- a/whinrack/budgets/_demand.py
+++ b/whinrack/budgets/_demand.py
@@ -47,6 +47,11 @@
         seen = 1.0 - 0.5 ** (max(_MIN_OBSERVED_SECONDS, now - self._first_at) / self.half_life)
         return self._weighted_tokens * math.log(2) / self.half_life / seen
 
+    def recent_tokens(self, now: float) -> float:
+        """Return the tokens recorded so far, each request weighted by its age."""
+        self._decay(now)
+        return self._weighted_tokens
+
     def upper_bound(self, now: float, horizon: float, largest: int) -> int:
         """Return a number of tokens that suffices for `horizon` seconds in nearly all cases.
 
--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -1,5 +1,6 @@
 """Grant of one budget at one run: what it holds and may use, and what it knows of the account."""
 
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import AbstractContextManager, ExitStack, contextmanager
 
@@ -8,6 +9,7 @@
 from whinrack.budgets._account import DrawResult
 from whinrack.budgets._demand import DemandEstimate
 from whinrack.budgets._ledger import BudgetLedger
+from whinrack.budgets._reserve import UrgencyDemand
 from whinrack.budgets._schedule import ReleaseGuard, ReleaseSchedule, WallClockReading
 
 __all__ = ["Grant", "GrantOptions"]
@@ -72,6 +74,14 @@
         Fraction of the limit that is released before any demand is known.
     shortage_seconds : float
         Seconds for which peers aren't asked again for as much as they did not have.
+    reserve_seconds : float
+        Seconds of more urgent demand that a short budget keeps: the time in which an operator's
+        automation notices a short budget and raises its limit.
+    max_reserve_fraction : float
+        Maximum part of the limit that is kept, so that all routes share the rest.
+    reserve_retry_after : float
+        Seconds after which callers should retry what a reserve refused. By then a raised limit
+        has reached all instances, or the urgent demand has become less.
     """
 
     horizon: float = 12.0
@@ -96,6 +106,9 @@
     report_interval: float = 1.0
     opening_fraction: float = 0.02
     shortage_seconds: float = 0.15
+    reserve_seconds: float = 15.0
+    max_reserve_fraction: float = 0.25
+    reserve_retry_after: float = 4.0
 
 
 class Grant:
@@ -112,8 +125,10 @@
         self.last_result_at = float("-inf")
         self.last_order_at = float("-inf")
         self.largest_request = 0
+        self.demand_by_urgency = UrgencyDemand()
         # Tokens of the requests that wait for the lock.
         self.waiting_tokens = 0
+        self.waiting_by_urgency: Counter[int] = Counter()
         # Tokens reserved or used at peers but not yet reported to the account, by giver.
         self.unreported_use_by_peer: dict[str, int] = {}
         self.last_schedule: ReleaseSchedule | None = None
@@ -127,16 +142,22 @@
         self._failed_round_started_at = float("-inf")
 
     @contextmanager
-    def locked(self, tokens: int) -> Iterator[None]:
+    def locked(self, tokens: int, urgency: int = 0) -> Iterator[None]:
         """Hold the lock; `tokens` count as waiting until it is acquired."""
         with ExitStack() as stack:
             self.waiting_tokens += tokens
+            self.waiting_by_urgency[urgency] += tokens
             try:
                 stack.enter_context(self.lock)
             finally:
                 self.waiting_tokens -= tokens
+                self.waiting_by_urgency[urgency] -= tokens
             yield
 
+    def more_urgent_waiting_tokens(self, urgency: int) -> int:
+        """Return the tokens of the waiting requests that are more urgent."""
+        return sum(tokens for each, tokens in self.waiting_by_urgency.items() if each < urgency)
+
     def update(self, result: DrawResult, requested_at: float) -> None:
         """Record the state of the budget as of the time when it was requested."""
         if self.last_result is not None and result.limit_version == self.last_result.limit_version:
--- a/whinrack/budgets/_grant_manager.py
+++ b/whinrack/budgets/_grant_manager.py
@@ -6,7 +6,7 @@
 `ReleaseSchedule`, so that the next run can recover what a killed run did not use.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from contextlib import AbstractContextManager, nullcontext
 from typing import NamedTuple
 
@@ -106,9 +106,33 @@
         """Return whether the configuration declares a limit for a budget."""
         return self._orders.has_limit(budget)
 
-    def cover(self, budget: str, tokens: int) -> Result[Cover, Refusal]:
-        """Reserve tokens for one request: held here, from the account, or from peers."""
-        return self._covers.cover(self._grant(budget), tokens)
+    def set_urgencies(self, urgencies: Collection[int]) -> None:
+        """Set the priorities of the routes that use tokens; reserves need two at least."""
+        self._covers.reserves.set_urgencies(urgencies)
+
+    def cover(self, budget: str, tokens: int, urgency: int = 0) -> Result[Cover, Refusal]:
+        """Reserve tokens for one request: held here, from the account, or from peers.
+
+        Parameters
+        ----------
+        urgency : int
+            Priority of the route, 0 for the most urgent. Short budgets keep tokens for the more
+            urgent routes.
+        """
+        return self._covers.cover(self._grant(budget), tokens, urgency)
+
+    def reserve(self, budget: str, urgency: int) -> int:
+        """Return the tokens that a budget keeps for more urgent requests now, for logs."""
+        grant = self._grants.get(budget)
+        return self._covers.reserves.reserve(grant, urgency) if grant is not None else 0
+
+    def begin_reserve(self, budget: str) -> bool:
+        """Record that a reserve refused a request; return whether it was not held before."""
+        return self._covers.reserves.held.record_refusal(budget, self.clock())
+
+    def take_ended_reserves(self) -> list[str]:
+        """Return the budgets whose reserve has refused nothing for a while, once each."""
+        return self._covers.reserves.held.take_ended(self.clock())
 
     def give(
         self,
--- a/whinrack/budgets/tests/simulated_fleet.py
+++ b/whinrack/budgets/tests/simulated_fleet.py
@@ -103,8 +103,8 @@
         self.fleet.used += sum(cover.tokens for cover in self.covers)
         self.start()
 
-    def request(self, tokens):
-        cover = self.manager.cover(BUDGET, tokens)
+    def request(self, tokens, urgency=0):
+        cover = self.manager.cover(BUDGET, tokens, urgency)
         if isinstance(cover, Success):
             self.covers.append(cover.unwrap())
         return cover
--- a/whinrack/dispatch/_configuration.py
+++ b/whinrack/dispatch/_configuration.py
@@ -56,6 +56,20 @@
             if workspace.token_limit is not None
         }
 
+    @property
+    def token_urgencies(self) -> frozenset[int]:
+        """Priorities of the routes to engines, whose requests use prepaid tokens."""
+        return frozenset(
+            route.priority
+            for routes in self._routes.values()
+            for route in routes.values()
+            if any(self._has_engine(weighted.pool) for weighted in route.weighted_pools)
+        )
+
+    def _has_engine(self, name: str) -> bool:
+        pool = self.pools.get(name)
+        return pool is not None and pool.engine is not None
+
     def find_route(self, host: str, path: str) -> Route:
         """Return the route whose prefix is the longest match for a path.
 
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -39,12 +39,14 @@
     log_forwarded,
     log_refusal,
     log_reservation_refused,
+    log_reserve_held,
     log_run,
 )
 from whinrack.dispatch._stream_versions import StreamVersions
 from whinrack.dispatch._values import IncomingRequest, RouteKind, TargetsView
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
+    BudgetReserved,
     CallerGone,
     ConfigurationUnknown,
     InternalFailure,
@@ -273,7 +275,7 @@
             return
         if not self.grant_manager.has_limit(run.workspace.name):
             return
-        run.reservation = self._cover(run, declared.total)
+        run.reservation = self._cover(run, declared.total, run.route.priority)
 
     def _reserve_repeated_output(self, run: RequestRun, pool_name: str) -> None:
         """Reserve the output that an earlier target may have generated and that was lost.
@@ -285,15 +287,23 @@
             return
         tokens = run.unreceived_output(pool)
         if tokens:
-            run.repeat_reservations.append(self._cover(run, tokens))
+            # A reserve doesn't break off a stream that has begun.
+            run.repeat_reservations.append(self._cover(run, tokens, urgency=0))
 
-    def _cover(self, run: RequestRun, tokens: int) -> Cover:
-        reservation = self.grant_manager.cover(run.workspace.name, tokens)
+    def _cover(self, run: RequestRun, tokens: int, urgency: int) -> Cover:
+        reservation = self.grant_manager.cover(run.workspace.name, tokens, urgency)
         if isinstance(reservation, Failure):
-            log_reservation_refused(run, tokens, self.grant_manager)
+            log_reservation_refused(run, tokens, urgency, self.grant_manager)
+            if isinstance(reservation.failure(), BudgetReserved):
+                self._record_reserved(run, urgency)
             raise reservation.failure()
         return reservation.unwrap()
 
+    def _record_reserved(self, run: RequestRun, urgency: int) -> None:
+        self.metrics.reserved_refusals.labels(str(urgency)).inc()
+        if self.grant_manager.begin_reserve(run.workspace.name):
+            log_reserve_held(run, urgency, self.grant_manager)
+
     # --- attempts ----------------------------------------------------------------
 
     def _attempt_all(self, run: RequestRun, pool: str) -> None:
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -8,7 +8,14 @@
 from whinrack.http1 import Exchange
 from whinrack.observability import Event, log_event
 
-__all__ = ["log_attempt", "log_forwarded", "log_refusal", "log_run", "log_reservation_refused"]
+__all__ = [
+    "log_attempt",
+    "log_forwarded",
+    "log_refusal",
+    "log_reservation_refused",
+    "log_reserve_held",
+    "log_run",
+]
 
 # Callers choose the names of the parts of their prompts.
 _MAX_PARTS_LENGTH = 200
@@ -61,7 +68,9 @@
     )
 
 
-def log_reservation_refused(run: RequestRun, tokens: int, grant_manager: GrantManager) -> None:
+def log_reservation_refused(
+    run: RequestRun, tokens: int, urgency: int, grant_manager: GrantManager
+) -> None:
     """Log that tokens could not be reserved, with the last known state of the budget."""
     last_result = grant_manager.last_result(run.workspace_name)
     log_event(
@@ -69,6 +78,8 @@
         request=run.request_id,
         workspace=run.workspace_name,
         tokens=tokens,
+        urgency=urgency,
+        reserve=grant_manager.reserve(run.workspace_name, urgency),
         free=last_result.free if last_result is not None else "unknown",
         outstanding=last_result.outstanding if last_result is not None else "unknown",
         supplier=grant_manager.supplier(run.workspace_name) or "here",
@@ -76,6 +87,18 @@
     )
 
 
+def log_reserve_held(run: RequestRun, urgency: int, grant_manager: GrantManager) -> None:
+    """Log that a short budget begins to keep tokens for more urgent requests."""
+    last_result = grant_manager.last_result(run.workspace_name)
+    log_event(
+        Event.RESERVE_HELD,
+        workspace=run.workspace_name,
+        urgency=urgency,
+        reserve=grant_manager.reserve(run.workspace_name, urgency),
+        unspent=last_result.unspent if last_result is not None else "unknown",
+    )
+
+
 def log_refusal(exchange: Exchange, request_id: str, refusal: Refusal, configuration: int) -> None:
     """Log that a request was refused or that its answer was broken off."""
     event = Event.ANSWER_BROKEN_OFF if exchange.is_started else Event.REQUEST_REFUSED
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -314,6 +314,7 @@
 
     def _on_configuration_applied(self, configuration: Configuration) -> None:
         self.grant_manager.set_limits(configuration.version, configuration.workspace_limits)
+        self.grant_manager.set_urgencies(configuration.token_urgencies)
         self.metrics.config_revision.set(configuration.version)
         log_event(Event.CONFIG_TAKEN, version=configuration.version, era=self.store.era.current)
 
@@ -386,6 +387,8 @@
 
     def _renew_grants(self) -> None:
         """Report used tokens to the store and renew the grants."""
+        for budget in self.grant_manager.take_ended_reserves():
+            log_event(Event.RESERVE_ENDED, workspace=budget)
         if isinstance(self.grant_manager.renew(), Failure):
             self.availability.report(False)
 
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -14,6 +14,7 @@
     "BodyTooLarge",
     "BudgetContended",
     "BudgetExhausted",
+    "BudgetReserved",
     "CallerGone",
     "ClaimUnavailable",
     "ConfigurationUnknown",
@@ -285,6 +286,12 @@
     code, status, error_type = "budget_contended", 429, "rate_limit_error"
 
 
+class BudgetReserved(Refusal):
+    """The rest of the budget is kept for requests of more urgent routes."""
+
+    code, status, error_type = "budget_reserved", 429, "rate_limit_error"
+
+
 class QueueFull(Refusal):
     """The request queue of the pool is full."""
 
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -131,6 +131,8 @@
         "INFO",
         "budgets: spendable/usable here/free/held/billed/limit @age",
     )
+    RESERVE_HELD = (6006, "INFO", "a short budget keeps tokens for more urgent requests")
+    RESERVE_ENDED = (6007, "INFO", "a budget keeps no more tokens for more urgent requests")
     TRAFFIC = (8001, "INFO", "messages:bytes between instances, and calls to the store")
 
     REQUEST_ANSWERED = (7001, "INFO", "complete target response forwarded")
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -18,6 +18,11 @@
         self.registry = CollectorRegistry()
         self.requests = self._counter("requests", "Requests by final outcome", "kind", "outcome")
         self.refusals = self._counter("refusals", "Requests refused, by reason", "reason")
+        self.reserved_refusals = self._counter(
+            "reserved_refusals",
+            "Requests refused to keep a short budget for more urgent ones",
+            "urgency",
+        )
         self.retries = self._counter("retries", "Further attempts at targets, by reason", "reason")
         self.retries_denied = self._counter(
             "retries_denied", "Further attempts not made, by reason", "reason"
