Budget reserves right after a restart of all instances

Cause: total demand is learned from what the account bills. After a restart of all instances it starts at nothing while the tokens of earlier runs are not free yet, so that the first tokens went to whatever came first.

--- a/whinrack/budgets/_reserve.py
+++ b/whinrack/budgets/_reserve.py
@@ -54,6 +54,10 @@
         """Return the tokens that were recently covered."""
         return _recent_tokens(self._covered, urgency, now)
 
+    def asked_rate(self, now: float) -> float:
+        """Return the tokens per second that were asked for, of all urgencies."""
+        return sum(estimate.rate(now) for estimate in self._asked.values())
+
     def average_request(self, now: float) -> float:
         """Return the average tokens of a request, 0 if none is known."""
         requests = self._requests.recent_tokens(now)
--- a/whinrack/budgets/_reserve_policy.py
+++ b/whinrack/budgets/_reserve_policy.py
@@ -107,10 +107,21 @@
     def _budget_outlook(self, grant: Grant) -> BudgetOutlook:
         """Return what all holders together have left, less what was probably used meanwhile."""
         now, options = self.clock(), self.options
-        demand = grant.total_demand.rate(now)
+        used = grant.total_demand.rate(now)
         unreported_seconds = now - grant.last_result_at + options.report_interval
-        available = grant.last_result.unspent - demand * unreported_seconds
-        return BudgetOutlook(available, demand, options.reserve_seconds)
+        available = grant.last_result.unspent - used * unreported_seconds
+        return BudgetOutlook(available, self._demand(grant, used), options.reserve_seconds)
+
+    def _demand(self, grant: Grant, used: float) -> float:
+        """Return the expected tokens per second of all holders.
+
+        After a restart of all instances nothing is used until the tokens of earlier runs are free
+        again. What is asked for here then tells the demand, as though all holders were alike.
+        """
+        now = self.clock()
+        if grant.total_demand.age(now) >= self.options.young_seconds:
+            return used
+        return max(used, grant.demand_by_urgency.asked_rate(now) * grant.last_result.holders)
 
     def _outage_outlook(self, grant: Grant) -> BudgetOutlook:
         """Return what is held here for this run and the peers that it supplies.
