Young runs take what is asked of them as the least demand

Cause: a young run took the demand for as many times what it was asked as there are holders, also where the workspace sends all its requests to this run.

Change: times the number of holders only while nobody uses anything, as after a restart of all.

Result: test_reserve_is_held_soon_after_a_restart_of_all_instances fails without the rule, passes with it.

--- a/whinrack/budgets/_reserve_policy.py
+++ b/whinrack/budgets/_reserve_policy.py
@@ -115,13 +115,15 @@
     def _demand(self, grant: Grant, used: float) -> float:
         """Return the expected tokens per second of all holders.
 
-        After a restart of all instances nothing is used until the tokens of earlier runs are free
-        again. What is asked for here then tells the demand, as though all holders were alike.
+        A young run knows little of what the others use. After a restart of all instances nothing
+        is used until the tokens of earlier runs are free again: what is asked for here then tells
+        the demand, as though all holders were alike.
         """
         now = self.clock()
         if grant.total_demand.age(now) >= self.options.young_seconds:
             return used
-        return max(used, grant.demand_by_urgency.asked_rate(now) * grant.last_result.holders)
+        asked = grant.demand_by_urgency.asked_rate(now)
+        return max(used, asked) if used > 0 else asked * grant.last_result.holders
 
     def _outage_outlook(self, grant: Grant) -> BudgetOutlook:
         """Return what is held here for this run and the peers that it supplies.
