Budgets: writes that met a conflict are left to the account's writer

After an outage of the store for all, and after a kill of all, no instance knows which peers reach the store, so each writes the books by itself; each then repeated its write up to eight times against the others. An instance that waited for a slow order also took itself for cut off from the store, so the peers chose other writers.

A write that met a conflict is now left to the writer that is known by then; an instance that was asked by a peer relays the request to it once. A fresh answer of the store counts as reaching it.

--- a/whinrack/budgets/_account_writer.py
+++ b/whinrack/budgets/_account_writer.py
@@ -62,6 +62,11 @@
         return any(order.need or order.final for order in self.orders)
 
 
+def _is_never_superseded(account: str) -> bool:
+    """Return False: there is no other writer."""
+    return False
+
+
 def _write_at_once(batch: OrderBatch) -> None:
     """Return at once, so that nothing delays the write."""
 
@@ -100,6 +105,9 @@
         the write.
     clock : callable, optional
         Monotonic clock, replaced in tests.
+    is_superseded : callable, optional
+        Called with the name of the account after a conflict. If it returns True, another instance
+        should write the batch, and its orders fail with the `Conflict`.
 
     Notes
     -----
@@ -113,12 +121,14 @@
         make_lock: Callable,
         before_write: Callable[[OrderBatch], None] = _write_at_once,
         clock: Callable[[], float] = steady,
+        is_superseded: Callable[[str], bool] = _is_never_superseded,
         **editor_options,
     ):
         self.store = store
         self.make_lock = make_lock
         self.before_write = before_write
         self.clock = clock
+        self.is_superseded = is_superseded
         # Latest state of each account that this writer has written or read.
         self._latest: dict[str, BudgetAccount] = {}
         # When this writer first saw that draws on an account are suspended.
@@ -177,7 +187,9 @@
                 self.before_write(batch)
                 self._batches.pop(account)
                 batch.result = self._editor.apply(
-                    account, lambda state: self._apply_batch(account, batch, state)
+                    account,
+                    lambda state: self._apply_batch(account, batch, state),
+                    lambda: self.is_superseded(account),
                 )
                 batch.result.map(lambda state: self._update_latest(account, state))
         return batch.result
--- a/whinrack/edge/_instance_host.py
+++ b/whinrack/edge/_instance_host.py
@@ -28,6 +28,8 @@
 
 # Time allowed for the answer to a watch, beyond the time for which the watch is held.
 _WATCH_REPLY_MARGIN_SECONDS = 1.0
+# An answer this recent shows that the store is reached, although an order waits for a slow writer.
+_FRESH_ANSWER_SECONDS = 0.5
 
 
 class HostedInstance(Protocol):
@@ -81,6 +83,8 @@
     def has_recent_store_answer(self) -> bool:
         """Return whether the store has answered a call recently."""
         silent = steady() - self.instance.store.last_answer_at
+        if silent < _FRESH_ANSWER_SECONDS:
+            return True
         longest = self.instance.options.watch_seconds + _WATCH_REPLY_MARGIN_SECONDS
         return self.is_store_reachable() and silent < longest
 
--- a/whinrack/edge/_tokens.py
+++ b/whinrack/edge/_tokens.py
@@ -64,7 +64,13 @@
         self.holder = holder
         self.link = link
         self.peers = peers
-        drawer = AccountWriter(store, Semaphore, self._collect_orders, sleep=eventlet.sleep)
+        drawer = AccountWriter(
+            store,
+            Semaphore,
+            self._collect_orders,
+            is_superseded=lambda account: self.draw_coordinator.is_superseded(account),
+            sleep=eventlet.sleep,
+        )
         self.draw_coordinator = DrawCoordinator(
             options.name, own_state, drawer, link, peers, options.draw_seconds
         )
--- a/whinrack/gossip/_draw_coordinator.py
+++ b/whinrack/gossip/_draw_coordinator.py
@@ -1,7 +1,8 @@
 """Delegation of account writes to one instance each, so that writes do not conflict."""
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from eventlet.event import Event
 from eventlet.timeout import Timeout
@@ -10,7 +11,7 @@
 from whinrack.base import rendezvous_order
 from whinrack.budgets import AccountBackend, DrawOrder, DrawResult, ReleasedRow, RunRelease
 from whinrack.clock import steady
-from whinrack.exceptions import PlatformFailure, PlatformUnavailable
+from whinrack.exceptions import Conflict, PlatformFailure, PlatformUnavailable
 from whinrack.gossip._capacity import prefer_high_capacity
 from whinrack.gossip._link import GossipLink
 from whinrack.gossip._messages import (
@@ -104,6 +105,8 @@
         self._request_ids = itertools.count(1)
         self._pending: dict[int, _PendingRequest] = {}
         self._avoid_until: dict[str, float] = {}
+        # Writes that are made from here even if another instance is the writer.
+        self._committed_writes = 0
 
     def draw_for_holder(
         self, orders: list[DrawOrder]
@@ -141,13 +144,61 @@
     ) -> Result:
         """Send a request to the account's writer, or write from here if writers don't reply.
 
+        A write from here that meets a conflict gives way to a writer that has become known since.
+
         If a writer has accepted the request but is slow, a failure is returned: a concurrent
         write would conflict with the writer's and slow it down further.
         """
+        result = self._ask_writers(account, make_request)
+        return self._write(account, make_request, write_here) if result is None else result
+
+    def _write(
+        self,
+        account: str,
+        make_request: Callable[[int], DrawRequest | ReleaseRequest],
+        write_here: Callable[[], Result],
+        is_committed: bool = False,
+    ) -> Result:
+        """Write from here; after a conflict, ask the writer that is known by now, if there is one.
+
+        If no writer handles the request, or if `is_committed`, it is written from here whatever
+        conflicts it meets.
+        """
+        with self._committed(is_committed):
+            result = write_here()
+        if not _gave_way(result):
+            return result
+        result = self._ask_writers(account, make_request)
+        if result is not None:
+            return result
+        with self._committed(True):
+            return write_here()
+
+    def is_superseded(self, account: str) -> bool:
+        """Return whether a write from here that met a conflict should be left to the writer.
+
+        After an outage no instance knows yet which peers reach the store again, so all write by
+        themselves. When the first heartbeats have come, one of them is the writer.
+        """
+        return not self._committed_writes and self._choose_writer(account) is not None
+
+    @contextmanager
+    def _committed(self, is_committed: bool) -> Iterator[None]:
+        """Have writes made from here, whatever conflicts they meet, if `is_committed`."""
+        self._committed_writes += is_committed
+        try:
+            yield
+        finally:
+            self._committed_writes -= is_committed
+
+    def _ask_writers(
+        self, account: str, make_request: Callable[[int], DrawRequest | ReleaseRequest]
+    ) -> Result | None:
+        """Send a request to the account's writers in turn; return None if none has handled it."""
         for _ in range(_MAX_WRITERS_ASKED):
             writer = self._choose_writer(account)
             if writer is None:
-                break
+                return None
             pending = self._send_and_wait(writer, make_request)
             outcome = pending.outcome
             if outcome is not None:
@@ -157,21 +208,33 @@
                     PlatformUnavailable("the writer of the account has not finished yet")
                 )
             self._avoid_until[writer.state.sender.name] = steady() + _AVOID_SECONDS
-        return write_here()
+        return None
 
     def handle_draw_request(self, request: DrawRequest, address: tuple[str, int]) -> None:
         """Apply a peer's orders; if the write fails, the peer writes by itself."""
         if not request.orders:
             return
         self.link.send(DrawAccepted(request.request_id), address)
-        results = self.local.draw_for_holder(request.orders).value_or(None)
-        self.link.send(DrawReply(request.request_id, results), address)
+        result = self._write(
+            request.orders[0].account,
+            lambda request_id: DrawRequest(request_id, request.orders, is_relayed=True),
+            lambda: self.local.draw_for_holder(request.orders),
+            is_committed=request.is_relayed,
+        )
+        self.link.send(DrawReply(request.request_id, result.value_or(None)), address)
 
     def handle_release_request(self, request: ReleaseRequest, address: tuple[str, int]) -> None:
         """Release the tokens of a peer's earlier runs; if the write fails, the peer tries again."""
         self.link.send(DrawAccepted(request.request_id), address)
-        rows = self.local.release_runs(request.account, request.release).value_or(None)
-        self.link.send(ReleaseReply(request.request_id, rows), address)
+        result = self._write(
+            request.account,
+            lambda request_id: ReleaseRequest(
+                request_id, request.account, request.release, is_relayed=True
+            ),
+            lambda: self.local.release_runs(request.account, request.release),
+            is_committed=request.is_relayed,
+        )
+        self.link.send(ReleaseReply(request.request_id, result.value_or(None)), address)
 
     def handle_acceptance(self, message: DrawAccepted) -> None:
         """Process the acknowledgement of a request by a writer."""
@@ -228,3 +291,8 @@
         finally:
             del self._pending[request_id]
         return pending
+
+
+def _gave_way(result: Result) -> bool:
+    """Return whether a write was left to another instance after a conflict."""
+    return isinstance(result, Failure) and isinstance(result.failure(), Conflict)
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -237,10 +237,18 @@
 
 
 class DrawRequest(msgspec.Struct, frozen=True, array_like=True, tag="draw"):
-    """Orders of one holder, for the peer that writes the account for the fleet."""
+    """Orders of one holder, for the peer that writes the account for the fleet.
+
+    Attributes
+    ----------
+    is_relayed : bool
+        Whether the sender was asked to write them itself and left it to the receiver, who must
+        not leave it to yet another instance.
+    """
 
     request_id: int
     orders: list[DrawOrder]
+    is_relayed: bool = False
 
 
 class DrawAccepted(msgspec.Struct, frozen=True, array_like=True, tag="taken"):
@@ -264,11 +272,18 @@
 
 
 class ReleaseRequest(msgspec.Struct, frozen=True, array_like=True, tag="release"):
-    """Request to the writer of an account to release the tokens of the sender's earlier runs."""
+    """Request to the writer of an account to release the tokens of an instance's earlier runs.
+
+    Attributes
+    ----------
+    is_relayed : bool
+        See `DrawRequest`.
+    """
 
     request_id: int
     account: str
     release: RunRelease
+    is_relayed: bool = False
 
 
 class ReleaseReply(msgspec.Struct, frozen=True, array_like=True, tag="released"):
--- a/whinrack/gossip/tests/test_draw_coordinator.py
+++ b/whinrack/gossip/tests/test_draw_coordinator.py
@@ -12,7 +12,7 @@
     RestartTime,
     RunRelease,
 )
-from whinrack.exceptions import PlatformUnavailable
+from whinrack.exceptions import Conflict, PlatformUnavailable
 from whinrack.gossip import (
     DrawAccepted,
     DrawCoordinator,
@@ -197,3 +197,48 @@
     coordinator, _, link, _ = world
     coordinator.handle_release_request(ReleaseRequest(4, "a", RELEASE), ("m1", 1))
     assert link.sent == [DrawAccepted(4), ReleaseReply(4, [ROW])]
+
+
+def all_write_after_an_outage(world, replies):
+    """Return the result of a write from here that meets a conflict as a peer becomes known."""
+    coordinator, peers, link, books = world
+    superseded = []
+    link.deliver = lambda request: coordinator.handle_reply(DrawReply(request.request_id, replies))
+
+    def write(orders):
+        peers.record_heartbeat(beat("m0"), 0.0)
+        superseded.append(coordinator.is_superseded("a"))
+        if superseded[-1]:
+            return Failure(Conflict("changed"))
+        return Success({"b": DrawResult(sequence=1, drawn=5)})
+
+    books.draw_for_holder = write
+    return coordinator.draw_for_holder(ORDERS).unwrap()["b"].drawn, superseded
+
+
+def test_write_that_met_a_conflict_gives_way_to_a_writer_known_since(world):
+    assert all_write_after_an_outage(world, {"b": DrawResult(drawn=9)}) == (9, [True])
+
+
+def test_write_that_gave_way_in_vain_is_made_from_here(world):
+    assert all_write_after_an_outage(world, None) == (5, [True, False])
+
+
+@pytest.mark.parametrize(("is_relayed", "drawn"), [(False, 9), (True, 5)])
+def test_asked_instance_relays_once_to_the_writer_after_a_conflict(world, is_relayed, drawn):
+    coordinator, peers, link, books = world
+    peers.record_heartbeat(beat("m0"), 0.0)
+
+    def deliver(message):
+        if isinstance(message, DrawRequest):
+            assert message.is_relayed
+            coordinator.handle_reply(DrawReply(message.request_id, {"b": DrawResult(drawn=9)}))
+
+    link.deliver = deliver
+    books.draw_for_holder = lambda orders: (
+        Failure(Conflict("changed"))
+        if coordinator.is_superseded("a")
+        else Success({"b": DrawResult(drawn=5)})
+    )
+    coordinator.handle_draw_request(DrawRequest(3, ORDERS, is_relayed), ("m2", 1))
+    assert link.sent[-1] == DrawReply(3, {"b": DrawResult(drawn=drawn)})
--- a/whinrack/store/_object_editor.py
+++ b/whinrack/store/_object_editor.py
@@ -28,6 +28,11 @@
 _MAX_CACHED_OBJECTS = 256
 
 
+def _is_never_superseded() -> bool:
+    """Return False: the caller makes the change itself, however many conflicts it meets."""
+    return False
+
+
 class ObjectEditor(Generic[Value]):
     """Applies idempotent changes to objects of one kind.
 
@@ -78,12 +83,21 @@
         return result.map(lambda stored: self._decoder.decode(stored.value))
 
     def apply(
-        self, name: str, change: Callable[[Value | None], Value | None]
+        self,
+        name: str,
+        change: Callable[[Value | None], Value | None],
+        is_superseded: Callable[[], bool] = _is_never_superseded,
     ) -> Result[Value, PlatformFailure]:
         """Apply a change and return the value that is known to be stored afterwards.
 
         The cached version is tried first, so a change without a conflict costs one call. A
         `WriteUnknown` failure means that the effect could not be determined.
+
+        Parameters
+        ----------
+        is_superseded : callable
+            Returns, after a conflict, whether somebody else should make the change instead. The
+            result is then the `Conflict`; a write of unknown outcome is still resolved here.
         """
         unknown_write: PlatformFailure | None = None
         for attempt in range(self.attempts):
@@ -115,6 +129,8 @@
             if not isinstance(failure, Conflict | WriteUnknown):
                 return Failure(unknown_write or failure)
             unknown_write = self._handle_write_failure(name, failure, unknown_write)
+            if unknown_write is None and is_superseded():
+                return Failure(failure)
             self._back_off(attempt)
         return Failure(
             unknown_write or PlatformUnavailable(f"{self.kind}/{name}: too many conflicts")
