Operators see what a kill would write off, and what was

books_known tells, by budget, the covers of open requests, the use that is not reported yet, and what the schedule releases and nobody uses; whinrack_written_off_tokens counts what earlier runs left.

--- a/whinrack/budgets/__init__.py
+++ b/whinrack/budgets/__init__.py
@@ -17,6 +17,7 @@
 )
 from whinrack.budgets._demand import DemandEstimate
 from whinrack.budgets._draw_results import draw_result, holder_result, results_for_holder
+from whinrack.budgets._exposure import Exposure, exposure_of, exposure_text
 from whinrack.budgets._grant import GrantOptions
 from whinrack.budgets._grant_manager import GrantManager
 from whinrack.budgets._ledger import BudgetLedger, Cover
@@ -47,6 +48,7 @@
     "DemandEstimate",
     "DrawOrder",
     "DrawResult",
+    "Exposure",
     "GrantManager",
     "GrantOptions",
     "OrderBatch",
@@ -63,6 +65,8 @@
     "apply_draws",
     "apply_topups",
     "draw_result",
+    "exposure_of",
+    "exposure_text",
     "find_earlier_runs",
     "holder_result",
     "release_earlier_runs",
--- a/whinrack/budgets/_grant_manager.py
+++ b/whinrack/budgets/_grant_manager.py
@@ -16,6 +16,7 @@
 from whinrack.budgets._account_writer import AccountBackend
 from whinrack.budgets._budget_manager import SpareTokenSource
 from whinrack.budgets._covers import CoverAllocator
+from whinrack.budgets._exposure import Exposure, exposure_of
 from whinrack.budgets._grant import Grant, GrantOptions
 from whinrack.budgets._ledger import BudgetLedger, Cover
 from whinrack.budgets._orders import GrantOrders, call_directly, unchecked_wall_clock
@@ -254,6 +255,11 @@
             if grant.last_result is not None
         )
 
+    def exposures(self) -> dict[str, Exposure]:
+        """Return what would be written off if this run ended now, by budget."""
+        now = self.clock()
+        return {name: exposure_of(grant, now) for name, grant in self._grants.items()}
+
     def spendable(self) -> dict[str, int]:
         """Return the spendable tokens held here, by budget."""
         return {name: grant.ledger.spendable for name, grant in self._grants.items()}
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from whinrack.base import new_incarnation
-from whinrack.budgets import RestartTime
+from whinrack.budgets import RestartTime, exposure_text
 from whinrack.clock import steady
 from whinrack.dispatch import (
     OWN_SOURCE,
@@ -193,7 +193,12 @@
             self.knowledge.is_following_store,
         )
         self.earlier_runs = EarlierRuns(
-            options, restart, self.grant_manager, self.availability, self.membership.wall_clock
+            options,
+            restart,
+            self.grant_manager,
+            self.availability,
+            self.membership.wall_clock,
+            self.metrics,
         )
         self.knowledge.on_restored.append(self._on_store_restored)
         self.target_probes = TargetProbes(
@@ -379,6 +384,7 @@
                 log_event(
                     Event.BOOKS_KNOWN,
                     books=self.grant_manager.summary(),
+                    exposed=exposure_text(self.grant_manager.exposures()),
                     era=self.store.era.current,
                 )
             eventlet.sleep(self.membership.table.heartbeat_interval(self.options.renew_seconds))
--- a/whinrack/edge/_earlier_runs.py
+++ b/whinrack/edge/_earlier_runs.py
@@ -10,7 +10,7 @@
 from whinrack.clock import steady
 from whinrack.edge._options import EdgeOptions
 from whinrack.edge._store_availability import StoreAvailability
-from whinrack.observability import Event, log_event
+from whinrack.observability import Event, Metrics, log_event
 
 __all__ = ["EarlierRuns"]
 
@@ -35,6 +35,7 @@
     availability : StoreAvailability
     wall_clock : callable
         Returns the time of day and whether the peers agree with it.
+    metrics : Metrics
     """
 
     def __init__(
@@ -44,12 +45,14 @@
         grant_manager: GrantManager,
         availability: StoreAvailability,
         wall_clock: Callable[[], WallClockReading],
+        metrics: Metrics,
     ):
         self.options = options
         self.restart = restart
         self.grant_manager = grant_manager
         self.availability = availability
         self.wall_clock = wall_clock
+        self.metrics = metrics
 
     def release_and_draw(self) -> None:
         """Release the tokens of earlier runs, then allow drawing ahead."""
@@ -73,8 +76,10 @@
             eventlet.sleep(_POLL_SECONDS)
             self.availability.wait_until_available(self.options.renew_seconds)
             restart = self._checked_restart()
+        released = rows.unwrap()
+        self.metrics.written_off_tokens.inc(sum(row.written_off for row in released))
         text = " ".join(
-            f"{row.budget}:{row.written_off}/{row.freed}@{row.seconds:.1f}" for row in rows.unwrap()
+            f"{row.budget}:{row.written_off}/{row.freed}@{row.seconds:.1f}" for row in released
         )
         log_event(
             Event.EARLIER_RUNS_RELEASED,
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -32,6 +32,9 @@
             "target_probes", "Probes of targets in lost pools, by result", "result"
         )
         self.tokens = self._counter("tokens", "Tokens settled, by how", "how")
+        self.written_off_tokens = self._counter(
+            "written_off_tokens", "Tokens that earlier runs may have used, and so are out of use"
+        )
         self.joined_retries = self._counter(
             "joined_retries", "Retries that joined an answer", "where"
         )
