A silent instance that had lost a brittle pool gets no quota back

Cause: only live peers were asked which pools they had lost. A killed instance that had lost the pool counted as without it while it was live, and as a member with a quota again once it was silent, for 15 s.

Change: a peer that has fallen silent stays without the pools that it had lost. So that two instances don't use one part, an instance that reaches a lost pool again has no quota before it hears a peer, or remembers none.

--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -241,11 +241,15 @@
         return self.table.count_sharing_instances(steady()) + missing
 
     def instances_without(self, pool: str) -> list[str]:
-        """Return the names of the live peers that have lost contact with a pool."""
-        digest = pool_digest(pool)
+        """Return the names of the peers that have lost contact with a pool.
+
+        A peer that has fallen silent since is included: it uses no quota before it is heard again,
+        and a killed one uses none at all.
+        """
+        digest, now = pool_digest(pool), steady()
         return [
             view.state.sender.name
-            for view in self.table.live_peers(steady())
+            for view in (*self.table.live_peers(now), *self.table.silent_peers(now))
             if digest in view.state.lost_pools
         ]
 
