--- a/whinrack/budgets/_grant.py
+++ b/whinrack/budgets/_grant.py
@@ -107,7 +107,7 @@
     opening_fraction: float = 0.02
     shortage_seconds: float = 0.15
     reserve_seconds: float = 15.0
-    max_reserve_fraction: float = 0.25
+    max_reserve_fraction: float = 0.1
     reserve_retry_after: float = 4.0
 
 
