--- a/whinrack/dispatch/_answers.py
+++ b/whinrack/dispatch/_answers.py
@@ -3,11 +3,12 @@
 from collections.abc import Callable, Iterable
 
 from whinrack.clock import steady
+from whinrack.dispatch._cost_learning import CostLearning
 from whinrack.dispatch._events import event_blocks
 from whinrack.dispatch._forwarding_mark import without_marks
 from whinrack.dispatch._pacing import StreamPacing
 from whinrack.dispatch._request_run import RequestRun
-from whinrack.dispatch._run_log import log_run
+from whinrack.dispatch._run_log import log_run, placement_fields
 from whinrack.dispatch._values import PoolRecord
 from whinrack.exceptions import AnswerCut
 from whinrack.http1 import ResponseHead
@@ -26,6 +27,8 @@
         Inserts pauses between the pieces of streams.
     on_first_event : callable
         Called before the first event of a stream is relayed.
+    costs : CostLearning
+        Notified of first events and ends of streams.
     """
 
     def __init__(
@@ -33,10 +36,12 @@
         metrics: Metrics,
         pacing: StreamPacing,
         on_first_event: Callable[[RequestRun, PoolRecord], None],
+        costs: CostLearning,
     ):
         self.metrics = metrics
         self.pacing = pacing
         self.on_first_event = on_first_event
+        self.costs = costs
 
     def relay_complete(
         self, run: RequestRun, pool: PoolRecord, head: ResponseHead, body: bytes
@@ -92,6 +97,7 @@
         exchange = run.exchange
         for block in event_blocks(self.pacing.paced(pieces), run.last_id):
             if not exchange.is_started:
+                self.costs.record_first_event(run, pool)
                 self.on_first_event(run, pool)
                 exchange.start_response(head.status, without_marks(head.headers))
                 self._record_first_event(run)
@@ -100,6 +106,7 @@
         if not exchange.is_started:
             exchange.start_response(head.status, without_marks(head.headers))
         run.settle_complete(pool)
+        self.costs.record_ended(run, pool)
         exchange.finish()
         self._record_answered(run, head)
 
@@ -112,5 +119,11 @@
         self.metrics.first_byte_seconds.labels(str(run.route.kind)).observe(seconds)
 
     def _record_answered(self, run: RequestRun, head: ResponseHead) -> None:
-        log_run(Event.REQUEST_ANSWERED, run, status=head.status, billed=run.billed_tokens)
+        log_run(
+            Event.REQUEST_ANSWERED,
+            run,
+            status=head.status,
+            billed=run.billed_tokens,
+            **placement_fields(run),
+        )
         self.metrics.requests.labels(str(run.route.kind), str(head.status)).inc()
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -7,18 +7,23 @@
 from whinrack.dispatch._abandoned_runs import settle_abandoned_run
 from whinrack.dispatch._answer_times import AnswerTimes
 from whinrack.dispatch._answers import AnswerRelay
+from whinrack.dispatch._cost_placement import Objective, PlacementRequest
 from whinrack.dispatch._crash_detector import CrashDetector
 from whinrack.dispatch._held_body import hold_body
 from whinrack.dispatch._open_connections import OpenConnections
 from whinrack.dispatch._reachability import ContactFailure
-from whinrack.dispatch._refusals import no_target_refusal, target_full_refusal
+from whinrack.dispatch._refusals import (
+    deadline_refusal,
+    no_target_refusal,
+    target_full_refusal,
+)
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._retries import RetryBudgets
 from whinrack.dispatch._run_times import RunTimes
 from whinrack.dispatch._statements import StatementHandler, TargetStatement
 from whinrack.dispatch._stream_versions import StreamVersions
-from whinrack.dispatch._target_state import PendingPrompt, TargetState
+from whinrack.dispatch._target_state import PendingOutput, PendingPrompt, TargetState
 from whinrack.dispatch._values import Attempt, PoolRecord, RouteKind, TargetsView
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
@@ -159,6 +164,7 @@
         max_in_flight = self._max_in_flight(pool)
         has_engines = pool.engine is not None
         prompt = run.prompt if has_engines else None
+        placement = self._placement_request(run, pool) if prompt is not None else None
         state = self.registry.choose(
             pool_name,
             run.affinity,
@@ -170,9 +176,11 @@
             cold_start=pool.cold_start,
             priority=run.priority,
             software_version=run.origin.software_version if run.origin is not None else None,
+            placement=placement,
         )
         if state is None:
             raise NoTargetAvailable(self.stream_versions.refusal(run, pool))
+        self._check_placement(run, placement)
         run.tried_targets.add(state.record.identity)
         run.target = state.record.incarnation
         run.software_version = self.registry.software_version(state)
@@ -180,6 +188,8 @@
         self.metrics.targets_age_seconds.set(run.targets_view.age)
         permit_until = self.registry.begin_request(state, pool.cold_start)
         run.pending_prompt = PendingPrompt(state, prompt.tokens if prompt is not None else 0)
+        output_tokens = placement.objective.output_tokens if placement is not None else 0.0
+        run.pending_output = PendingOutput(state, output_tokens)
         connection = None
         try:
             connection = self._connect(run, state)
@@ -192,10 +202,39 @@
         finally:
             self.open_connections.remove(state, connection)
             run.pending_prompt.finish()
+            run.pending_output.finish()
             self.registry.end_request(state)
             if connection is not None:
                 self.connections.release(connection)
 
+    def _placement_request(self, run: RequestRun, pool: PoolRecord) -> PlacementRequest | None:
+        """Return what the placement has to reach, None if the pool's routes state no objective."""
+        objectives = run.configuration.objectives(pool.name)
+        if objectives is None:
+            return None
+        estimate = self.registry.placement.outputs.estimate(
+            run.route.name, run.workspace_name, run.request.declared_tokens.output
+        )
+        return PlacementRequest(
+            Objective(
+                goal=run.route.goal or objectives.tightest_goal,
+                tightest_goal=objectives.tightest_goal,
+                separates_sizes=objectives.has_classes,
+                seconds_left=run.seconds_left(),
+                tightest_gap_goal=objectives.tightest_gap_goal,
+                output_tokens=estimate.mean,
+            )
+        )
+
+    def _check_placement(self, run: RequestRun, placement: PlacementRequest | None) -> None:
+        """Refuse a request that cannot begin before its deadline at any target."""
+        run.placement = placement.result if placement is not None else None
+        if run.placement is None:
+            return
+        if not run.placement.is_reachable and not run.attempts and not run.exchange.is_started:
+            raise NoTargetAvailable(deadline_refusal(run.placement.work_seconds))
+        self.metrics.placements.labels(run.placement.reason).inc()
+
     def _max_in_flight(self, pool: PoolRecord) -> int:
         """Return this instance's share of the connections that one target accepts.
 
--- a/whinrack/dispatch/_configuration.py
+++ b/whinrack/dispatch/_configuration.py
@@ -2,11 +2,31 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from whinrack.dispatch._values import PoolRecord, Route, WorkspaceRecord
 from whinrack.exceptions import NoRoute, Unauthorized
 from whinrack.http1 import ServerLimits
 
-__all__ = ["Configuration"]
+__all__ = ["Configuration", "PoolObjectives"]
+
+
+class PoolObjectives(msgspec.Struct, frozen=True):
+    """Latency objectives of the routes to a pool.
+
+    Attributes
+    ----------
+    tightest_goal : float
+        The shortest one, in seconds.
+    tightest_gap_goal : float
+        The shortest pause between events that is too long, in seconds, 0 if not stated.
+    has_classes : bool
+        Whether the routes differ in priority or objective.
+    """
+
+    tightest_goal: float
+    tightest_gap_goal: float
+    has_classes: bool
 
 
 class Configuration:
@@ -43,6 +63,7 @@
         self._routes: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._routes.setdefault(route.host, {})[route.path_prefix] = route
+        self._objectives = self._pool_objectives()
         self._keys = {
             key: workspace for workspace in self.workspaces.values() for key in workspace.keys
         }
@@ -56,6 +77,28 @@
             if workspace.token_limit is not None
         }
 
+    def objectives(self, pool: str) -> PoolObjectives | None:
+        """Return the objectives of a pool of engines, None if its routes state none."""
+        return self._objectives.get(pool)
+
+    def _pool_objectives(self) -> dict[str, PoolObjectives]:
+        routes_by_pool: dict[str, list[Route]] = {}
+        for route in (route for by_path in self._routes.values() for route in by_path.values()):
+            for weighted_pool in route.weighted_pools:
+                routes_by_pool.setdefault(weighted_pool.pool, []).append(route)
+        objectives = {}
+        for name, routes in routes_by_pool.items():
+            pool = self.pools.get(name)
+            goals = [route.goal for route in routes if route.goal > 0.0]
+            if pool is None or pool.engine is None or not goals:
+                continue
+            gap_goals = [route.gap_goal for route in routes if route.gap_goal > 0.0]
+            classes = {(route.priority, route.goal) for route in routes}
+            objectives[name] = PoolObjectives(
+                min(goals), min(gap_goals, default=0.0), len(classes) > 1
+            )
+        return objectives
+
     def find_route(self, host: str, path: str) -> Route:
         """Return the route whose prefix is the longest match for a path.
 
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -17,6 +17,7 @@
     ConnectionRefused,
     NoTargetAvailable,
 )
+from whinrack.dispatch._cost_learning import CostLearning
 from whinrack.dispatch._current_configuration import CurrentConfiguration
 from whinrack.dispatch._forwarding import RequestForwarder
 from whinrack.dispatch._forwarding_mark import (
@@ -152,6 +153,7 @@
                 metrics,
                 StreamPacing(options.cores, options.event_delay),
                 self.stream_versions.record_first_event,
+                CostLearning(registry.placement, metrics),
             ),
             self.retry_budgets,
             metrics,
--- a/whinrack/dispatch/_refusals.py
+++ b/whinrack/dispatch/_refusals.py
@@ -8,6 +8,7 @@
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._values import PoolRecord
 from whinrack.exceptions import (
+    DeadlineUnreachable,
     Refusal,
     TargetsCold,
     TargetsLimited,
@@ -18,6 +19,7 @@
 __all__ = [
     "BUSY_RETRY_SECONDS",
     "LOST_RETRY_SECONDS",
+    "deadline_refusal",
     "no_target_refusal",
     "target_full_refusal",
     "pool_refusal",
@@ -41,6 +43,19 @@
     return TargetUnavailable("no target accepts requests now", retry_after=retry_after)
 
 
+def deadline_refusal(work_seconds: float) -> Refusal:
+    """Return the refusal of a request that would not begin before its deadline.
+
+    Parameters
+    ----------
+    work_seconds : float
+        Seconds of work ahead of it, after which the target is free.
+    """
+    return DeadlineUnreachable(
+        "no target can begin before the deadline", retry_after=max(BUSY_RETRY_SECONDS, work_seconds)
+    )
+
+
 def target_full_refusal(registry: TargetRegistry, pool: PoolRecord, now: float) -> Refusal:
     """Return the refusal of a request that a target has refused."""
     has_other_target = registry.has_eligible_target(pool.name, (), now, pool.cold_start)
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -9,6 +9,7 @@
 from whinrack.clock import steady
 from whinrack.dispatch._backoffs import Backoffs
 from whinrack.dispatch._brittle_targets import BrittleTargets
+from whinrack.dispatch._cost_placement import CostPlacement, PlacementRequest
 from whinrack.dispatch._emptied_halls import EmptiedHalls, HallStatus
 from whinrack.dispatch._engine_choice import PromptSize
 from whinrack.dispatch._rate_bounds import WarmUpLimits
@@ -125,6 +126,23 @@
         )
         self._selector = TargetSelector(self.remote_loads, self.rate_limiter, seed)
 
+    @property
+    def placement(self) -> CostPlacement:
+        """The placement by cost, with what it has learned."""
+        return self._selector.placement
+
+    def observe_remote_first_event(
+        self, digest: int, tokens: int, seconds: float, now: float
+    ) -> None:
+        """Record the time that a target took to send the first event of a peer's request."""
+        state = self._by_digest(digest)
+        if state is not None:
+            pool = state.record.pool
+            self.placement.speeds.observe_first_event(pool, digest, tokens, seconds, now)
+
+    def _by_digest(self, digest: int) -> TargetState | None:
+        return next((state for state in self._targets.values() if state.digest == digest), None)
+
     def requests_by_target(self) -> dict[int, int]:
         """Return this instance's requests in flight, by digest of the target."""
         return {
@@ -424,6 +442,7 @@
         cold_start: ColdStart | None = None,
         priority: int = 0,
         software_version: str | None = None,
+        placement: PlacementRequest | None = None,
     ) -> TargetState | None:
         """Choose the target for a request.
 
@@ -450,6 +469,8 @@
             Priority of the request, 0 is the most urgent.
         software_version : str, optional
             Software version that the target must have; by default any.
+        placement : PlacementRequest, optional
+            If given, a prompt goes to the engine with the smallest expected cost.
 
         Returns
         -------
@@ -472,6 +493,7 @@
             prompt,
             cold_start,
             priority,
+            placement,
         )
 
     def software_version(self, state: TargetState) -> str:
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -3,9 +3,10 @@
 from whinrack.budgets import Cover
 from whinrack.clock import steady
 from whinrack.dispatch._configuration import Configuration
+from whinrack.dispatch._cost_placement import Placement
 from whinrack.dispatch._engine_choice import PromptSize
 from whinrack.dispatch._forwarding_mark import ForwardingMark
-from whinrack.dispatch._target_state import PendingPrompt
+from whinrack.dispatch._target_state import PendingOutput, PendingPrompt
 from whinrack.dispatch._values import (
     IncomingRequest,
     PoolRecord,
@@ -50,6 +51,12 @@
         Longest pause between two relayed events.
     pending_prompt : PendingPrompt or None
         Prompt tokens counted as unread at the latest target.
+    pending_output : PendingOutput or None
+        Output tokens that are expected yet of the latest target.
+    placement : Placement or None
+        How the latest target was chosen, None if not by cost.
+    first_at_target : float
+        Seconds from sending the request to its first event, 0 before it.
     pool : str
         The pool that was chosen, empty before that.
     software_version : str
@@ -109,6 +116,9 @@
         self.software_version = ""
         self.origin: StreamOrigin | None = None
         self.pending_prompt: PendingPrompt | None = None
+        self.pending_output: PendingOutput | None = None
+        self.placement: Placement | None = None
+        self.first_at_target = 0.0
         self.targets_view = TargetsView()
         self.sent_at = 0.0
         self.concurrent_requests = 0
@@ -203,6 +213,11 @@
         shared = sum(part.tokens for part in self.request.prompt_parts[:-1])
         return PromptSize(self.request.declared_tokens.prompt, shared)
 
+    @property
+    def output_seconds(self) -> float:
+        """Seconds between the first and the latest relayed event."""
+        return self._last_relayed_at - self.exchange.received_at - self.first_event_seconds
+
     def seconds_left(self) -> float:
         """Return the seconds left until the deadline."""
         return self.deadline - steady()
@@ -217,6 +232,9 @@
         if self.pending_prompt is not None:
             # Output means that the engine has processed the whole prompt.
             self.pending_prompt.finish()
+        if self.pending_output is not None:
+            pool = self.configuration.pools.get(self.pool)
+            self.pending_output.record_generated(count * _event_tokens(pool) if pool else 0)
         self._last_relayed_at = now
         self.events += count
         if last_id is not None:
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -8,7 +8,14 @@
 from whinrack.http1 import Exchange
 from whinrack.observability import Event, log_event
 
-__all__ = ["log_attempt", "log_forwarded", "log_refusal", "log_run", "log_reservation_refused"]
+__all__ = [
+    "log_attempt",
+    "log_forwarded",
+    "log_refusal",
+    "log_run",
+    "log_reservation_refused",
+    "placement_fields",
+]
 
 # Callers choose the names of the parts of their prompts.
 _MAX_PARTS_LENGTH = 200
@@ -38,6 +45,20 @@
     )
 
 
+def placement_fields(run: RequestRun) -> dict[str, object]:
+    """Return how the target was chosen and what was expected, nothing if not by cost."""
+    placed = run.placement
+    if placed is None:
+        return {}
+    return {
+        "placed": placed.reason,
+        "expected": round(placed.expected_seconds, 4),
+        "first_at_target": round(run.first_at_target, 4),
+        "work_left": round(placed.work_seconds, 4),
+        "unread": placed.unread_tokens,
+    }
+
+
 def log_attempt(run: RequestRun, refusal: Refusal, reason: str) -> None:
     """Log that an attempt failed before the caller received an answer, and why."""
     log_run(
--- a/whinrack/dispatch/_target_choice.py
+++ b/whinrack/dispatch/_target_choice.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from whinrack.base import rendezvous_order
+from whinrack.dispatch._cost_placement import CostPlacement, EngineWork, PlacementRequest
 from whinrack.dispatch._engine_choice import EngineBacklog, PromptSize, choose_engine
 from whinrack.dispatch._rate_limiter import RateLimiter
 from whinrack.dispatch._remote_loads import RemoteLoads
@@ -45,6 +46,7 @@
         self.remote_loads = remote_loads
         self.rate_limiter = rate_limiter
         self._random = random.Random(seed)
+        self.placement = CostPlacement(self._random)
 
     def choose(
         self,
@@ -55,6 +57,7 @@
         prompt: PromptSize | None,
         cold_start: ColdStart | None = None,
         priority: int = 0,
+        placement: PlacementRequest | None = None,
     ) -> TargetState | None:
         """Choose one of the candidates; see `TargetRegistry.choose`."""
         load = self._total_load if uses_remote_loads else self._local_load
@@ -63,6 +66,8 @@
         if not states:
             return None
         not_busy = [state for state in states if state.busy_until <= now] or states
+        if prompt is not None and placement is not None:
+            return self._place(not_busy, affinity, prompt, placement, now)
         preferred = self._by_affinity(not_busy, affinity, load) if affinity else None
         if preferred is not None and prompt is None:
             return preferred
@@ -124,6 +129,33 @@
             preferred_backlog = self._engine_backlog(preferred)
         return by_name[choose_engine(preferred_backlog, backlogs, prompt.shared_tokens).name]
 
+    def _place(
+        self,
+        states: list[TargetState],
+        affinity: str,
+        prompt: PromptSize,
+        request: PlacementRequest,
+        now: float,
+    ) -> TargetState:
+        """Return the engine at which a prompt has the smallest cost."""
+        engines = [
+            EngineWork(
+                name=state.record.incarnation,
+                digest=state.digest,
+                unread_tokens=state.unread_tokens
+                + self.remote_loads.unread_tokens_at(state.digest),
+                requests=self._total_load(state),
+                slots=state.record.slots,
+                output_left=state.output_left,
+                own_requests=state.in_flight,
+            )
+            for state in states
+        ]
+        request.result = self.placement.choose(
+            states[0].record.pool, engines, affinity, prompt, request.objective, now
+        )
+        return next(s for s in states if s.record.incarnation == request.result.name)
+
     def _engine_backlog(self, state: TargetState) -> EngineBacklog:
         return EngineBacklog(
             name=state.record.incarnation,
--- a/whinrack/dispatch/_target_state.py
+++ b/whinrack/dispatch/_target_state.py
@@ -10,7 +10,7 @@
 from whinrack.dispatch._values import ColdStart, TargetRecord
 from whinrack.ejection import LocalEjection
 
-__all__ = ["PendingPrompt", "TargetState"]
+__all__ = ["PendingOutput", "PendingPrompt", "TargetState"]
 
 
 # Seconds after the end of a target within which the store removes its record: three heartbeats of
@@ -33,6 +33,8 @@
         This instance's requests whose answers have not begun.
     unread_tokens : int
         Prompt tokens of this instance's requests that have not produced an event yet.
+    output_left : float
+        Output tokens that this instance's requests are likely to generate yet.
     is_removed : bool
         Whether the target's record was deleted or replaced.
     is_replaced : bool
@@ -51,6 +53,7 @@
         self.checks_in_flight = 0
         self.unanswered_requests = 0
         self.unread_tokens = 0
+        self.output_left = 0.0
         self.is_removed = False
         self.has_announced_leaving = False
         self.is_replaced = False
@@ -161,3 +164,22 @@
         """Stop counting the tokens, because they are processed or no longer needed; idempotent."""
         self.state.unread_tokens -= self.tokens
         self.tokens = 0
+
+
+class PendingOutput:
+    """Output tokens that a target is likely to generate yet for one request."""
+
+    def __init__(self, state: TargetState, tokens: float):
+        self.state = state
+        self.tokens = tokens
+        state.output_left += tokens
+
+    def record_generated(self, tokens: float) -> None:
+        """Stop counting tokens that were generated; a request may exceed its estimate."""
+        generated = min(self.tokens, tokens)
+        self.tokens -= generated
+        self.state.output_left -= generated
+
+    def finish(self) -> None:
+        """Stop counting the rest, because the request has ended; idempotent."""
+        self.record_generated(self.tokens)
--- a/whinrack/dispatch/_values.py
+++ b/whinrack/dispatch/_values.py
@@ -50,6 +50,10 @@
         Maximum seconds for a request, including retries.
     priority : int
         0 is the most urgent.
+    goal : float
+        Seconds within which an answer should begin, 0 if not stated.
+    gap_goal : float
+        Longest pause between events that is in time, in seconds, 0 if not stated.
     max_attempts : int
         Maximum number of targets that one request is sent to.
     is_public : bool
@@ -65,6 +69,8 @@
     timeout: float
     weighted_pools: tuple[WeightedPool, ...]
     priority: int = 0
+    goal: float = 0.0
+    gap_goal: float = 0.0
     max_attempts: int = 1
     is_public: bool = False
     is_resumable: bool = False
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -296,11 +296,15 @@
         Requests in flight by the digest of the target; targets without requests are left out.
     unread_prompt_tokens : dict of int to int
         Prompt tokens that the targets have yet to process for these requests, by digest.
+    first_events : list of tuple
+        Latest first events: the digest of the target, the prompt tokens that it had to process
+        until then, and the time that it took in units of 0.1 ms.
     """
 
     sender: str
     request_counts: dict[int, int]
     unread_prompt_tokens: dict[int, int] = {}
+    first_events: list[tuple[int, int, int]] = []
 
 
 class SuspectCases(msgspec.Struct, frozen=True, array_like=True, tag="suspects"):
--- a/whinrack/gossip/tests/test_link.py
+++ b/whinrack/gossip/tests/test_link.py
@@ -56,9 +56,12 @@
 
 def test_messages_of_older_and_newer_versions_are_decoded(link):
     older = msgspec.msgpack.encode(["loads", "b", {7: 2}])
-    newer = msgspec.msgpack.encode(["loads", "b", {7: 2}, {7: 300}, "more"])
+    newer = msgspec.msgpack.encode(["loads", "b", {7: 2}, {7: 300}, [[7, 90, 4]], "more"])
     deliver(link, older, newer)
-    assert link.received == [TargetLoads("b", {7: 2}), TargetLoads("b", {7: 2}, {7: 300})]
+    assert link.received == [
+        TargetLoads("b", {7: 2}),
+        TargetLoads("b", {7: 2}, {7: 300}, [(7, 90, 4)]),
+    ]
     assert link.malformed_count == 0
 
 
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -68,6 +68,10 @@
         self.first_byte_seconds = self._histogram(
             "first_byte_seconds", "Time to the first byte", "kind"
         )
+        self.first_event_error_seconds = self._histogram(
+            "first_event_error_seconds", "Difference between expected and actual first event"
+        )
+        self.placements = self._counter("placements", "Prompts placed by cost, by reason", "reason")
         self.queue_wait_seconds = self._histogram(
             "queue_wait_seconds", "Time in the queue", "class_"
         )
