--- a/whinrack/dispatch/_cost_estimates.py
+++ b/whinrack/dispatch/_cost_estimates.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-__all__ = ["OutputEstimate", "OutputEstimates"]
+__all__ = ["Moments", "OutputEstimate", "OutputEstimates"]
 
 # Weight of the route's mean in the estimate of a workspace, in runs.
 _PRIOR_RUNS = 8.0
@@ -33,7 +33,7 @@
     deviation: float
 
 
-class _Moments:
+class Moments:
     """Mean and variance of the latest runs; older runs lose weight."""
 
     def __init__(self):
@@ -42,6 +42,7 @@
         self.variance = 0.0
 
     def observe(self, tokens: float) -> None:
+        """Record one run."""
         self.runs = min(_REMEMBERED_RUNS, self.runs + 1.0)
         weight = 1.0 / self.runs
         difference = tokens - self.mean
@@ -53,8 +54,8 @@
     """Learns the output of requests by route and workspace."""
 
     def __init__(self):
-        self._by_route: OrderedDict[str, _Moments] = OrderedDict()
-        self._by_pair: OrderedDict[tuple[str, str], _Moments] = OrderedDict()
+        self._by_route: OrderedDict[str, Moments] = OrderedDict()
+        self._by_pair: OrderedDict[tuple[str, str], Moments] = OrderedDict()
 
     def observe(self, route: str, workspace: str, tokens: int) -> None:
         """Record the output tokens of a run that ended by itself."""
@@ -70,18 +71,18 @@
         of_route = self._by_route.get(route)
         if of_route is None:
             return OutputEstimate(float(declared), 0.0)
-        of_pair = self._by_pair.get((route, workspace)) or _Moments()
+        of_pair = self._by_pair.get((route, workspace)) or Moments()
         share = of_pair.runs / (of_pair.runs + _PRIOR_RUNS)
         mean = share * of_pair.mean + (1.0 - share) * of_route.mean
         variance = share * of_pair.variance + (1.0 - share) * of_route.variance
         return OutputEstimate(min(float(declared), mean), math.sqrt(variance))
 
 
-def _latest(known: OrderedDict, key: Hashable) -> _Moments:
+def _latest(known: OrderedDict, key: Hashable) -> Moments:
     """Return the moments of a key, which becomes the latest one."""
     moments = known.get(key)
     if moments is None:
-        moments = known[key] = _Moments()
+        moments = known[key] = Moments()
         if len(known) > _MAX_PAIRS:
             known.popitem(last=False)
     known.move_to_end(key)
--- a/whinrack/dispatch/_cost_placement.py
+++ b/whinrack/dispatch/_cost_placement.py
@@ -3,13 +3,14 @@
 It applies to pools of engines with a latency objective. See docs/design/placement-by-cost.md.
 """
 
+import math
 import random
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 import msgspec
 
 from whinrack.base import rendezvous_order
-from whinrack.dispatch._cost_estimates import OutputEstimates
+from whinrack.dispatch._cost_estimates import Moments, OutputEstimates
 from whinrack.dispatch._engine_choice import PromptSize
 from whinrack.dispatch._engine_speeds import EngineSpeeds
 from whinrack.dispatch._size_shares import SizeShares, is_long_prompt
@@ -25,9 +26,14 @@
 
 # Prompt tokens equivalent to a running request, whose generation delays the processing of prompts.
 _TOKENS_PER_REQUEST = 100
-# The engine that has the shared parts is kept while it is expected to answer within this fraction
-# of the objective. The rest covers requests of other instances that are not known yet.
+# Work up to this fraction of an objective is safe. The rest covers requests of other instances that
+# are not known yet.
 _SAFE_FRACTION = 0.5
+# An engine with the shared parts is kept while its cost exceeds the least one by less than this
+# fraction of the objective.
+_HOME_FRACTION = 0.25
+# A large prompt exceeds the mean by this many standard deviations.
+_LARGE_DEVIATIONS = 2.0
 # Fraction of the shared parts that the engine which is the first choice for them is expected to
 # hold: the first request on a part processes it, and unused parts give way to others.
 _KEPT_FRACTION = 0.5
@@ -146,6 +152,7 @@
 
 class _Cost(msgspec.Struct, frozen=True):
     engine: EngineWork
+    is_home: bool
     expected_seconds: float
     work_seconds: float
     unread_tokens: int
@@ -167,6 +174,7 @@
         self._random = random_source
         self._shares: dict[str, SizeShares] = {}
         self._busy_fraction: dict[str, float] = {}
+        self._prompts: dict[str, Moments] = {}
 
     def choose(
         self,
@@ -184,27 +192,60 @@
         affinity : str
             Key of the prompt's shared parts, empty for none.
         """
-        self._observe_busy(pool, engines)
-        part = self._part(pool, engines, prompt, objective, now)
-        homes = rendezvous_order(affinity, [e.name for e in part])[:1] if affinity else []
-        costs = [self._cost(pool, engine, homes, prompt, objective, now) for engine in part]
-        reason = PlacementReason.LEAST_COST
-        best = min(costs, key=_total_seconds)
-        if best.expected_seconds > _SAFE_FRACTION * objective.goal and len(part) < len(engines):
-            costs = [self._cost(pool, engine, homes, prompt, objective, now) for engine in engines]
-            names = {engine.name for engine in part}
-        else:
-            names = {engine.name for engine in engines}
+        self._observe(pool, engines, prompt)
+        risks = {e.name: self._pause_risk(pool, e, objective, now) for e in engines}
+        fit = self._fit_names(risks, objective)
+        part = self._part(pool, engines, fit, prompt, objective, now)
+        costs = self._costs(pool, part, risks, fit, affinity, prompt, objective, now)
+        least = min(costs, key=_total_seconds)
+        is_busy = least.expected_seconds > _SAFE_FRACTION * objective.goal
+        if is_busy and len(part) < len(engines):
+            costs = self._costs(pool, engines, risks, fit, affinity, prompt, objective, now)
         chosen = self._cheapest(costs, objective)
-        home = next((cost for cost in costs if cost.engine.name in homes), None)
-        if home is not None and home.expected_seconds <= _SAFE_FRACTION * objective.goal:
-            chosen = home
-        if chosen.engine.name in homes:
+        if chosen.is_home:
             reason = PlacementReason.SHARED
-        elif chosen.engine.name not in names:
+        elif chosen.engine not in part:
             reason = PlacementReason.SPILLED
+        else:
+            reason = PlacementReason.LEAST_COST
         return self._placement(chosen, costs, reason, objective)
 
+    def _costs(
+        self,
+        pool: str,
+        engines: Sequence[EngineWork],
+        risks: dict[str, float],
+        fit: Collection[str],
+        affinity: str,
+        prompt: PromptSize,
+        objective: Objective,
+        now: float,
+    ) -> list[_Cost]:
+        names = [engine.name for engine in engines if engine.name in fit]
+        home = rendezvous_order(affinity, names)[0] if affinity and names else ""
+        return [
+            self._cost(pool, engine, home, risks[engine.name], prompt, objective, now)
+            for engine in engines
+        ]
+
+    def _fit_names(self, risks: dict[str, float], objective: Objective) -> list[str]:
+        """Return the engines that are about as fit for streams as the best one.
+
+        All instances learn alike which engines are slow, and leave the same ones out.
+        """
+        limit = min(risks.values()) + _EQUAL_FRACTION * objective.goal
+        return [name for name, risk in risks.items() if risk <= limit]
+
+    def _pause_risk(self, pool: str, engine: EngineWork, objective: Objective, now: float) -> float:
+        """Return by how many seconds a large prompt beside a stream would exceed the safe pause."""
+        if not objective.tightest_gap_goal:
+            return 0.0
+        prompts = self._prompts[pool]
+        large = prompts.mean + _LARGE_DEVIATIONS * math.sqrt(prompts.variance)
+        seconds = large * self.speeds.seconds_per_token(pool)
+        pause = seconds * self.speeds.slowness(engine.digest, now)
+        return max(0.0, pause - _SAFE_FRACTION * objective.tightest_gap_goal)
+
     def _placement(
         self, chosen: _Cost, costs: Sequence[_Cost], reason: str, objective: Objective
     ) -> Placement:
@@ -223,47 +264,57 @@
         self,
         pool: str,
         engines: Sequence[EngineWork],
+        fit: Collection[str],
         prompt: PromptSize,
         objective: Objective,
         now: float,
     ) -> Sequence[EngineWork]:
-        """Return the engines that are the first choice for prompts of this size."""
+        """Return the engines that are the first choice for prompts of this size.
+
+        Slow engines belong to both parts; they are chosen when they cost less all the same.
+        """
         if not objective.separates_sizes:
             return engines
         read_seconds = prompt.tokens * self.speeds.seconds_per_token(pool)
         is_long = is_long_prompt(read_seconds, objective.tightest_goal)
         shares = self._shares.setdefault(pool, SizeShares(pool))
         shares.observe(read_seconds, is_long, now)
-        names = set(shares.part([engine.name for engine in engines], is_long))
-        return [engine for engine in engines if engine.name in names]
+        others = set(shares.part(fit, not is_long)) if len(fit) > 1 else ()
+        return [engine for engine in engines if engine.name not in others]
 
     def _cost(
         self,
         pool: str,
         engine: EngineWork,
-        homes: Sequence[str],
+        home: str,
+        pause_risk: float,
         prompt: PromptSize,
         objective: Objective,
         now: float,
     ) -> _Cost:
-        is_home = engine.name in homes
+        is_home = engine.name == home
         kept_tokens = round(_KEPT_FRACTION * prompt.shared_tokens)
         own_tokens = prompt.tokens - (kept_tokens if is_home else 0)
         ahead = engine.unread_tokens + _TOKENS_PER_REQUEST * engine.requests
         speeds = self.speeds
-        slot_wait = self._slot_wait(pool, engine, objective)
         idle = speeds.expected_seconds(pool, engine.digest, own_tokens, now)
-        expected = speeds.expected_seconds(pool, engine.digest, own_tokens + ahead, now) + slot_wait
+        read = speeds.expected_seconds(pool, engine.digest, own_tokens + ahead, now)
+        expected = read + self._slot_wait(pool, engine, objective)
         # Running streams pause while prompts are processed beside them.
         pause_limit = _SAFE_FRACTION * objective.tightest_gap_goal or float("inf")
-        pause = max(0.0, expected - slot_wait - pause_limit) * min(engine.requests, engine.slots)
+        pauses = max(0.0, read - pause_limit) * min(engine.requests, engine.slots)
         # Work that is done twice delays the requests after it as well: by this multiple of it on
         # average if the engine is busy for a fraction of the time.
-        busy = min(_MAX_BUSY_FRACTION, self._busy_fraction.get(pool, 0.0))
+        busy = min(_MAX_BUSY_FRACTION, self._busy_fraction[pool])
         repeated = 0 if is_home else kept_tokens
         delay = repeated * speeds.seconds_per_token(pool) * busy / (1.0 - busy)
         return _Cost(
-            engine, expected, expected - idle, own_tokens + ahead, expected + delay + pause
+            engine=engine,
+            is_home=is_home,
+            expected_seconds=expected,
+            work_seconds=expected - idle,
+            unread_tokens=own_tokens + ahead,
+            total_seconds=expected + pauses + pause_risk + delay,
         )
 
     def _slot_wait(self, pool: str, engine: EngineWork, objective: Objective) -> float:
@@ -276,10 +327,16 @@
         return waiting * output_tokens * self.speeds.step_seconds(pool) / engine.slots
 
     def _cheapest(self, costs: Sequence[_Cost], objective: Objective) -> _Cost:
-        limit = min(map(_total_seconds, costs)) + _EQUAL_FRACTION * objective.goal
+        """Return an engine of about the least cost, one that has the shared parts if possible."""
+        least = min(map(_total_seconds, costs))
+        home = min((cost for cost in costs if cost.is_home), key=_total_seconds, default=None)
+        if home and home.total_seconds <= least + _HOME_FRACTION * objective.goal:
+            return home
+        limit = least + _EQUAL_FRACTION * objective.goal
         return self._random.choice([cost for cost in costs if cost.total_seconds <= limit])
 
-    def _observe_busy(self, pool: str, engines: Sequence[EngineWork]) -> None:
+    def _observe(self, pool: str, engines: Sequence[EngineWork], prompt: PromptSize) -> None:
+        self._prompts.setdefault(pool, Moments()).observe(prompt.tokens)
         busy = sum(engine.unread_tokens > 0 for engine in engines) / len(engines)
         average = self._busy_fraction.get(pool, 0.0)
         self._busy_fraction[pool] = average + _BUSY_WEIGHT * (busy - average)
--- a/whinrack/dispatch/_engine_speeds.py
+++ b/whinrack/dispatch/_engine_speeds.py
@@ -26,7 +26,7 @@
 # Latest answers of one target, and the seconds after which they no longer count: a slow target
 # that is avoided for that time is tried again.
 _TARGET_ANSWERS = 15
-_FRESH_SECONDS = 10.0
+_FRESH_SECONDS = 20.0
 # Answers as expected that are added to those of each target: one or two slow answers are chance.
 _PRIOR_ANSWERS = 4
 _SLOWNESS_BOUNDS = (0.5, 20.0)
