--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -218,8 +218,6 @@
         return PlacementRequest(
             Objective(
                 goal=run.route.goal or objectives.tightest_goal,
-                tightest_goal=objectives.tightest_goal,
-                separates_sizes=objectives.has_classes,
                 seconds_left=run.seconds_left(),
                 tightest_gap_goal=objectives.tightest_gap_goal,
                 output_tokens=estimate.mean,
--- a/whinrack/dispatch/_configuration.py
+++ b/whinrack/dispatch/_configuration.py
@@ -20,13 +20,10 @@
         The shortest one, in seconds.
     tightest_gap_goal : float
         The shortest pause between events that is too long, in seconds, 0 if not stated.
-    has_classes : bool
-        Whether the routes differ in priority or objective.
     """
 
     tightest_goal: float
     tightest_gap_goal: float
-    has_classes: bool
 
 
 class Configuration:
@@ -93,10 +90,7 @@
             if pool is None or pool.engine is None or not goals:
                 continue
             gap_goals = [route.gap_goal for route in routes if route.gap_goal > 0.0]
-            classes = {(route.priority, route.goal) for route in routes}
-            objectives[name] = PoolObjectives(
-                min(goals), min(gap_goals, default=0.0), len(classes) > 1
-            )
+            objectives[name] = PoolObjectives(min(goals), min(gap_goals, default=0.0))
         return objectives
 
     def find_route(self, host: str, path: str) -> Route:
--- a/whinrack/dispatch/_cost_placement.py
+++ b/whinrack/dispatch/_cost_placement.py
@@ -13,7 +13,6 @@
 from whinrack.dispatch._cost_estimates import Moments, OutputEstimates
 from whinrack.dispatch._engine_choice import PromptSize
 from whinrack.dispatch._engine_speeds import EngineSpeeds
-from whinrack.dispatch._size_shares import SizeShares, is_long_prompt
 
 __all__ = [
     "CostPlacement",
@@ -55,10 +54,6 @@
     ----------
     goal : float
         Seconds within which the first event should arrive.
-    tightest_goal : float
-        The shortest objective of the pool's routes, in seconds.
-    separates_sizes : bool
-        Whether the pool's routes have different priorities or objectives.
     tightest_gap_goal : float
         The shortest pause between events that is too long for a route of the pool, in seconds;
         0 if none is stated.
@@ -69,8 +64,6 @@
     """
 
     goal: float
-    tightest_goal: float
-    separates_sizes: bool
     seconds_left: float
     tightest_gap_goal: float = 0.0
     output_tokens: float = 0.0
@@ -110,7 +103,6 @@
 
     SHARED = "shared"
     LEAST_COST = "least_cost"
-    SPILLED = "spilled"
 
 
 class Placement(msgspec.Struct, frozen=True):
@@ -172,7 +164,6 @@
         self.speeds = EngineSpeeds()
         self.outputs = OutputEstimates()
         self._random = random_source
-        self._shares: dict[str, SizeShares] = {}
         self._busy_fraction: dict[str, float] = {}
         self._prompts: dict[str, Moments] = {}
 
@@ -195,19 +186,9 @@
         self._observe(pool, engines, prompt)
         risks = {e.name: self._pause_risk(pool, e, objective, now) for e in engines}
         fit = self._fit_names(risks, objective)
-        part = self._part(pool, engines, fit, prompt, objective, now)
-        costs = self._costs(pool, part, risks, fit, affinity, prompt, objective, now)
-        least = min(costs, key=_total_seconds)
-        is_busy = least.expected_seconds > _SAFE_FRACTION * objective.goal
-        if is_busy and len(part) < len(engines):
-            costs = self._costs(pool, engines, risks, fit, affinity, prompt, objective, now)
+        costs = self._costs(pool, engines, risks, fit, affinity, prompt, objective, now)
         chosen = self._cheapest(costs, objective)
-        if chosen.is_home:
-            reason = PlacementReason.SHARED
-        elif chosen.engine not in part:
-            reason = PlacementReason.SPILLED
-        else:
-            reason = PlacementReason.LEAST_COST
+        reason = PlacementReason.SHARED if chosen.is_home else PlacementReason.LEAST_COST
         return self._placement(chosen, costs, reason, objective)
 
     def _costs(
@@ -229,12 +210,12 @@
         ]
 
     def _fit_names(self, risks: dict[str, float], objective: Objective) -> list[str]:
-        """Return the engines that are about as fit for streams as the best one.
+        """Return the engines where streams are in time beside a large prompt, all if there are none.
 
         All instances learn alike which engines are slow, and leave the same ones out.
         """
-        limit = min(risks.values()) + _EQUAL_FRACTION * objective.goal
-        return [name for name, risk in risks.items() if risk <= limit]
+        limit = (1.0 - _SAFE_FRACTION) * objective.tightest_gap_goal
+        return [name for name, risk in risks.items() if risk <= limit] or list(risks)
 
     def _pause_risk(self, pool: str, engine: EngineWork, objective: Objective, now: float) -> float:
         """Return by how many seconds a large prompt beside a stream would exceed the safe pause."""
@@ -260,28 +241,6 @@
             is_reachable=_CERTAIN_FRACTION * least_work <= objective.seconds_left,
         )
 
-    def _part(
-        self,
-        pool: str,
-        engines: Sequence[EngineWork],
-        fit: Collection[str],
-        prompt: PromptSize,
-        objective: Objective,
-        now: float,
-    ) -> Sequence[EngineWork]:
-        """Return the engines that are the first choice for prompts of this size.
-
-        Slow engines belong to both parts; they are chosen when they cost less all the same.
-        """
-        if not objective.separates_sizes:
-            return engines
-        read_seconds = prompt.tokens * self.speeds.seconds_per_token(pool)
-        is_long = is_long_prompt(read_seconds, objective.tightest_goal)
-        shares = self._shares.setdefault(pool, SizeShares(pool))
-        shares.observe(read_seconds, is_long, now)
-        others = set(shares.part(fit, not is_long)) if len(fit) > 1 else ()
-        return [engine for engine in engines if engine.name not in others]
-
     def _cost(
         self,
         pool: str,
--- a/whinrack/dispatch/_engine_speeds.py
+++ b/whinrack/dispatch/_engine_speeds.py
@@ -25,10 +25,13 @@
 _SPEED_BOUNDS = (1 / 20, 20.0)
 # Latest answers of one target, and the seconds after which they no longer count: a slow target
 # that is avoided for that time is tried again.
-_TARGET_ANSWERS = 15
+_TARGET_ANSWERS = 24
 _FRESH_SECONDS = 20.0
 # Answers as expected that are added to those of each target: one or two slow answers are chance.
 _PRIOR_ANSWERS = 4
+# One answer in so many was at most as slow as a target is taken to be. Requests that are not known
+# here only ever make answers slower.
+_QUANTILE = 3
 _SLOWNESS_BOUNDS = (0.5, 20.0)
 # Targets that are remembered, those with the latest answers.
 _MAX_TARGETS = 2000
@@ -135,8 +138,8 @@
         if not ratios:
             return 1.0
         lowest, highest = _SLOWNESS_BOUNDS
-        median = statistics.median([*ratios, *[1.0] * _PRIOR_ANSWERS])
-        return min(highest, max(lowest, median))
+        ratios = sorted([*ratios, *[1.0] * _PRIOR_ANSWERS])
+        return min(highest, max(lowest, ratios[len(ratios) // _QUANTILE]))
 
     def expected_seconds(self, pool: str, digest: int, tokens: float, now: float) -> float:
         """Return the expected time in which a target processes prompt tokens and sends an event."""
--- a/whinrack/dispatch/_remote_loads.py
+++ b/whinrack/dispatch/_remote_loads.py
@@ -46,6 +46,10 @@
         """Replace the requests in flight and unread prompt tokens of one instance, by target."""
         self._replace(instance, counts, unread or {})
         self._updated_at[instance] = now
+        self.expire(now)
+
+    def expire(self, now: float) -> None:
+        """Forget the counts of instances that were not heard from lately."""
         for stale in [name for name, at in self._updated_at.items() if now - at > _FRESH_SECONDS]:
             self._replace(stale, {}, {})
             del self._updated_at[stale]
--- a/whinrack/dispatch/_target_choice.py
+++ b/whinrack/dispatch/_target_choice.py
@@ -60,6 +60,8 @@
         placement: PlacementRequest | None = None,
     ) -> TargetState | None:
         """Choose one of the candidates; see `TargetRegistry.choose`."""
+        if placement is not None:
+            self.remote_loads.expire(now)
         load = self._total_load if uses_remote_loads else self._local_load
         states = [state for state in candidates if state.is_available(now)] or candidates
         states = self._within_rate_limits(states, cold_start, priority, now, load)
