--- a/whinrack/dispatch/_cost_placement.py
+++ b/whinrack/dispatch/_cost_placement.py
@@ -210,7 +210,7 @@
         ]
 
     def _fit_names(self, risks: dict[str, float], objective: Objective) -> list[str]:
-        """Return the engines where streams are in time beside a large prompt, all if there are none.
+        """Return the engines where streams are in time beside a large prompt, or else all.
 
         All instances learn alike which engines are slow, and leave the same ones out.
         """
@@ -224,12 +224,16 @@
         prompts = self._prompts[pool]
         large = prompts.mean + _LARGE_DEVIATIONS * math.sqrt(prompts.variance)
         seconds = large * self.speeds.seconds_per_token(pool)
-        pause = seconds * self.speeds.slowness(engine.digest, now)
+        pause = seconds * self.speeds.slowness(pool, engine.digest, now)
         return max(0.0, pause - _SAFE_FRACTION * objective.tightest_gap_goal)
 
     def _placement(
         self, chosen: _Cost, costs: Sequence[_Cost], reason: str, objective: Objective
     ) -> Placement:
+        is_free = any(
+            not cost.engine.unread_tokens and cost.engine.requests < cost.engine.slots
+            for cost in costs
+        )
         least_work = min(cost.work_seconds for cost in costs)
         return Placement(
             chosen.engine.name,
@@ -238,7 +242,7 @@
             chosen.expected_seconds,
             chosen.work_seconds,
             chosen.unread_tokens,
-            is_reachable=_CERTAIN_FRACTION * least_work <= objective.seconds_left,
+            is_reachable=is_free or _CERTAIN_FRACTION * least_work <= objective.seconds_left,
         )
 
     def _cost(
--- a/whinrack/dispatch/_engine_speeds.py
+++ b/whinrack/dispatch/_engine_speeds.py
@@ -33,6 +33,7 @@
 # here only ever make answers slower.
 _QUANTILE = 3
 _SLOWNESS_BOUNDS = (0.5, 20.0)
+_MIN_EXPECTED_SECONDS = 0.001
 # Targets that are remembered, those with the latest answers.
 _MAX_TARGETS = 2000
 # Weight of the latest run in the average time of a step.
@@ -82,9 +83,8 @@
 
     def __init__(self):
         self._pools: dict[str, _PoolSpeed] = {}
-        # Steady clock times of answers and their duration relative to what the pool's speed let
-        # expect.
-        self._targets: OrderedDict[int, deque[tuple[float, float]]] = OrderedDict()
+        # Steady clock times of answers, their tokens and their seconds.
+        self._targets: OrderedDict[int, deque[tuple[float, int, float]]] = OrderedDict()
         self._unshared: deque[tuple[int, int, float]] = deque(maxlen=_MAX_UNSHARED)
 
     def observe_own_first_event(
@@ -115,14 +115,13 @@
             Time since the request was sent.
         """
         speed = self._pool(pool)
-        expected = max(speed.expected_seconds(tokens), 1e-3)
         answers = self._targets.get(digest)
         if answers is None:
             answers = self._targets[digest] = deque(maxlen=_TARGET_ANSWERS)
             if len(self._targets) > _MAX_TARGETS:
                 self._targets.popitem(last=False)
         self._targets.move_to_end(digest)
-        answers.append((now, seconds / expected))
+        answers.append((now, tokens, seconds))
         speed.observe(tokens, seconds)
 
     def observe_steps(self, pool: str, tokens: int, seconds: float) -> None:
@@ -131,10 +130,15 @@
             speed = self._pool(pool)
             speed.step_seconds += _STEP_WEIGHT * (seconds / tokens - speed.step_seconds)
 
-    def slowness(self, digest: int, now: float) -> float:
+    def slowness(self, pool: str, digest: int, now: float) -> float:
         """Return how many times as long as its pool's engines a target takes."""
         answers = self._targets.get(digest, ())
-        ratios = [ratio for at, ratio in answers if now - at <= _FRESH_SECONDS]
+        speed = self._pool(pool)
+        ratios = [
+            seconds / max(_MIN_EXPECTED_SECONDS, speed.expected_seconds(tokens))
+            for at, tokens, seconds in answers
+            if now - at <= _FRESH_SECONDS
+        ]
         if not ratios:
             return 1.0
         lowest, highest = _SLOWNESS_BOUNDS
@@ -143,7 +147,7 @@
 
     def expected_seconds(self, pool: str, digest: int, tokens: float, now: float) -> float:
         """Return the expected time in which a target processes prompt tokens and sends an event."""
-        return self._pool(pool).expected_seconds(tokens) * self.slowness(digest, now)
+        return self._pool(pool).expected_seconds(tokens) * self.slowness(pool, digest, now)
 
     def seconds_per_token(self, pool: str) -> float:
         """Return the time in which the pool's engines process one prompt token."""
