--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -230,7 +230,7 @@
         if run.placement is None:
             return
         if not run.placement.is_reachable and not run.attempts and not run.exchange.is_started:
-            raise NoTargetAvailable(deadline_refusal(run.placement.work_seconds))
+            raise NoTargetAvailable(deadline_refusal(run.placement.least_work_seconds))
         self.metrics.placements.labels(run.placement.reason).inc()
 
     def _max_in_flight(self, pool: PoolRecord) -> int:
--- a/whinrack/dispatch/_cost_placement.py
+++ b/whinrack/dispatch/_cost_placement.py
@@ -5,7 +5,7 @@
 
 import math
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 
 import msgspec
 
@@ -36,6 +36,10 @@
 # Fraction of the shared parts that the engine which is the first choice for them is expected to
 # hold: the first request on a part processes it, and unused parts give way to others.
 _KEPT_FRACTION = 0.5
+# Engines that are compared: one in _SAMPLE_DIVISOR, at least _MIN_SAMPLED. Comparing all engines of
+# a large pool would take milliseconds for each request.
+_SAMPLE_DIVISOR = 4
+_MIN_SAMPLED = 8
 # Engines whose costs differ by less than this fraction of the objective are equally good. Instances
 # that know the same would all choose the same engine otherwise.
 _EQUAL_FRACTION = 0.1
@@ -122,8 +126,10 @@
         Seconds of work ahead of the request at the engine.
     unread_tokens : int
         Prompt tokens that the engine is expected to process until the first event.
+    least_work_seconds : float
+        Seconds of work ahead of it at the least busy engine.
     is_reachable : bool
-        Whether the request may begin there before its deadline.
+        Whether the request may begin at any engine before its deadline.
     """
 
     name: str
@@ -132,6 +138,7 @@
     expected_seconds: float
     work_seconds: float
     unread_tokens: int
+    least_work_seconds: float
     is_reachable: bool
 
 
@@ -184,30 +191,40 @@
             Key of the prompt's shared parts, empty for none.
         """
         self._observe(pool, engines, prompt)
-        risks = {e.name: self._pause_risk(pool, e, objective, now) for e in engines}
-        fit = self._fit_names(risks, objective)
-        costs = self._costs(pool, engines, risks, fit, affinity, prompt, objective, now)
+        risks = self._pause_risks(pool, engines, objective, now)
+        home = self._home(risks, affinity, objective)
+
+        def costs_of(some: Sequence[EngineWork]) -> list[_Cost]:
+            return [self._cost(pool, e, home, risks[e.name], prompt, objective, now) for e in some]
+
+        costs = costs_of(self._candidates(engines, home))
+        if not _is_reachable(costs, objective):
+            costs = costs_of(engines)
         chosen = self._cheapest(costs, objective)
-        reason = PlacementReason.SHARED if chosen.is_home else PlacementReason.LEAST_COST
-        return self._placement(chosen, costs, reason, objective)
+        return Placement(
+            name=chosen.engine.name,
+            digest=chosen.engine.digest,
+            reason=PlacementReason.SHARED if chosen.is_home else PlacementReason.LEAST_COST,
+            expected_seconds=chosen.expected_seconds,
+            work_seconds=chosen.work_seconds,
+            unread_tokens=chosen.unread_tokens,
+            least_work_seconds=min(cost.work_seconds for cost in costs),
+            is_reachable=_is_reachable(costs, objective),
+        )
 
-    def _costs(
-        self,
-        pool: str,
-        engines: Sequence[EngineWork],
-        risks: dict[str, float],
-        fit: Collection[str],
-        affinity: str,
-        prompt: PromptSize,
-        objective: Objective,
-        now: float,
-    ) -> list[_Cost]:
-        names = [engine.name for engine in engines if engine.name in fit]
-        home = rendezvous_order(affinity, names)[0] if affinity and names else ""
-        return [
-            self._cost(pool, engine, home, risks[engine.name], prompt, objective, now)
-            for engine in engines
-        ]
+    def _candidates(self, engines: Sequence[EngineWork], home: str) -> Sequence[EngineWork]:
+        """Return a random sample of the engines, and the one with the shared parts."""
+        count = max(_MIN_SAMPLED, len(engines) // _SAMPLE_DIVISOR)
+        if count >= len(engines):
+            return engines
+        sampled = self._random.sample(engines, count)
+        return sampled + [e for e in engines if e.name == home and e not in sampled]
+
+    def _home(self, risks: dict[str, float], affinity: str, objective: Objective) -> str:
+        """Return the engine that is likely to hold a prompt's shared parts, empty for none."""
+        if not affinity:
+            return ""
+        return rendezvous_order(affinity, self._fit_names(risks, objective))[0]
 
     def _fit_names(self, risks: dict[str, float], objective: Objective) -> list[str]:
         """Return the engines where streams are in time beside a large prompt, or else all.
@@ -217,33 +234,20 @@
         limit = (1.0 - _SAFE_FRACTION) * objective.tightest_gap_goal
         return [name for name, risk in risks.items() if risk <= limit] or list(risks)
 
-    def _pause_risk(self, pool: str, engine: EngineWork, objective: Objective, now: float) -> float:
+    def _pause_risks(
+        self, pool: str, engines: Sequence[EngineWork], objective: Objective, now: float
+    ) -> dict[str, float]:
         """Return by how many seconds a large prompt beside a stream would exceed the safe pause."""
         if not objective.tightest_gap_goal:
-            return 0.0
+            return {engine.name: 0.0 for engine in engines}
         prompts = self._prompts[pool]
         large = prompts.mean + _LARGE_DEVIATIONS * math.sqrt(prompts.variance)
         seconds = large * self.speeds.seconds_per_token(pool)
-        pause = seconds * self.speeds.slowness(pool, engine.digest, now)
-        return max(0.0, pause - _SAFE_FRACTION * objective.tightest_gap_goal)
-
-    def _placement(
-        self, chosen: _Cost, costs: Sequence[_Cost], reason: str, objective: Objective
-    ) -> Placement:
-        is_free = any(
-            not cost.engine.unread_tokens and cost.engine.requests < cost.engine.slots
-            for cost in costs
-        )
-        least_work = min(cost.work_seconds for cost in costs)
-        return Placement(
-            chosen.engine.name,
-            chosen.engine.digest,
-            reason,
-            chosen.expected_seconds,
-            chosen.work_seconds,
-            chosen.unread_tokens,
-            is_reachable=is_free or _CERTAIN_FRACTION * least_work <= objective.seconds_left,
-        )
+        limit = _SAFE_FRACTION * objective.tightest_gap_goal
+        return {
+            engine.name: max(0.0, seconds * self.speeds.slowness(pool, engine.digest, now) - limit)
+            for engine in engines
+        }
 
     def _cost(
         self,
@@ -260,9 +264,10 @@
         own_tokens = prompt.tokens - (kept_tokens if is_home else 0)
         ahead = engine.unread_tokens + _TOKENS_PER_REQUEST * engine.requests
         speeds = self.speeds
-        idle = speeds.expected_seconds(pool, engine.digest, own_tokens, now)
-        read = speeds.expected_seconds(pool, engine.digest, own_tokens + ahead, now)
-        expected = read + self._slot_wait(pool, engine, objective)
+        seconds_per_token = speeds.seconds_per_token(pool)
+        slowness = speeds.slowness(pool, engine.digest, now)
+        read = slowness * speeds.expected_seconds(pool, own_tokens + ahead)
+        slot_wait = self._slot_wait(pool, engine, objective)
         # Running streams pause while prompts are processed beside them.
         pause_limit = _SAFE_FRACTION * objective.tightest_gap_goal or float("inf")
         pauses = max(0.0, read - pause_limit) * min(engine.requests, engine.slots)
@@ -270,14 +275,14 @@
         # average if the engine is busy for a fraction of the time.
         busy = min(_MAX_BUSY_FRACTION, self._busy_fraction[pool])
         repeated = 0 if is_home else kept_tokens
-        delay = repeated * speeds.seconds_per_token(pool) * busy / (1.0 - busy)
+        delay = repeated * seconds_per_token * busy / (1.0 - busy)
         return _Cost(
             engine=engine,
             is_home=is_home,
-            expected_seconds=expected,
-            work_seconds=expected - idle,
+            expected_seconds=read + slot_wait,
+            work_seconds=slowness * ahead * seconds_per_token + slot_wait,
             unread_tokens=own_tokens + ahead,
-            total_seconds=expected + pauses + pause_risk + delay,
+            total_seconds=read + slot_wait + pauses + pause_risk + delay,
         )
 
     def _slot_wait(self, pool: str, engine: EngineWork, objective: Objective) -> float:
@@ -307,3 +312,12 @@
 
 def _total_seconds(cost: _Cost) -> float:
     return cost.total_seconds
+
+
+def _is_reachable(costs: Sequence[_Cost], objective: Objective) -> bool:
+    """Return whether a request may begin before its deadline at one of the engines."""
+    return any(
+        (not cost.engine.unread_tokens and cost.engine.requests < cost.engine.slots)
+        or _CERTAIN_FRACTION * cost.work_seconds <= objective.seconds_left
+        for cost in costs
+    )
--- a/whinrack/dispatch/_engine_speeds.py
+++ b/whinrack/dispatch/_engine_speeds.py
@@ -6,6 +6,7 @@
 
 import statistics
 from collections import OrderedDict, deque
+from collections.abc import Iterable
 
 __all__ = ["EngineSpeeds"]
 
@@ -16,6 +17,8 @@
 # Latest answers from which a pool's speed is learned, and how often it is computed anew.
 _POOL_ANSWERS = 128
 _ANSWERS_PER_FIT = 16
+# Seconds for which the computed slowness of a target is used again.
+_SLOWNESS_SECONDS = 0.25
 # Own answers that are kept to be told to peers, the latest ones.
 _MAX_UNSHARED = 16
 # The speed is learned from the difference between large and small prompts. Below this difference of
@@ -85,6 +88,8 @@
         self._pools: dict[str, _PoolSpeed] = {}
         # Steady clock times of answers, their tokens and their seconds.
         self._targets: OrderedDict[int, deque[tuple[float, int, float]]] = OrderedDict()
+        # When the slowness of targets was computed, and its value.
+        self._slowness: dict[int, tuple[float, float]] = {}
         self._unshared: deque[tuple[int, int, float]] = deque(maxlen=_MAX_UNSHARED)
 
     def observe_own_first_event(
@@ -119,7 +124,8 @@
         if answers is None:
             answers = self._targets[digest] = deque(maxlen=_TARGET_ANSWERS)
             if len(self._targets) > _MAX_TARGETS:
-                self._targets.popitem(last=False)
+                dropped, _ = self._targets.popitem(last=False)
+                self._slowness.pop(dropped, None)
         self._targets.move_to_end(digest)
         answers.append((now, tokens, seconds))
         speed.observe(tokens, seconds)
@@ -132,7 +138,18 @@
 
     def slowness(self, pool: str, digest: int, now: float) -> float:
         """Return how many times as long as its pool's engines a target takes."""
-        answers = self._targets.get(digest, ())
+        answers = self._targets.get(digest)
+        if answers is None:
+            return 1.0
+        computed_at, slowness = self._slowness.get(digest, (float("-inf"), 1.0))
+        if now - computed_at >= _SLOWNESS_SECONDS:
+            slowness = self._compute_slowness(pool, answers, now)
+            self._slowness[digest] = now, slowness
+        return slowness
+
+    def _compute_slowness(
+        self, pool: str, answers: Iterable[tuple[float, int, float]], now: float
+    ) -> float:
         speed = self._pool(pool)
         ratios = [
             seconds / max(_MIN_EXPECTED_SECONDS, speed.expected_seconds(tokens))
@@ -145,9 +162,9 @@
         ratios = sorted([*ratios, *[1.0] * _PRIOR_ANSWERS])
         return min(highest, max(lowest, ratios[len(ratios) // _QUANTILE]))
 
-    def expected_seconds(self, pool: str, digest: int, tokens: float, now: float) -> float:
-        """Return the expected time in which a target processes prompt tokens and sends an event."""
-        return self._pool(pool).expected_seconds(tokens) * self.slowness(pool, digest, now)
+    def expected_seconds(self, pool: str, tokens: float) -> float:
+        """Return the time of an ordinary engine of a pool until the first event of a prompt."""
+        return self._pool(pool).expected_seconds(tokens)
 
     def seconds_per_token(self, pool: str) -> float:
         """Return the time in which the pool's engines process one prompt token."""
@@ -158,7 +175,10 @@
         return self._pool(pool).step_seconds
 
     def _pool(self, name: str) -> _PoolSpeed:
-        return self._pools.setdefault(name, _PoolSpeed())
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = self._pools[name] = _PoolSpeed()
+        return pool
 
 
 def _medians(answers: list[tuple[int, float]]) -> tuple[float, float]:
