--- a/whinrack/configuration_check/__init__.py
+++ b/whinrack/configuration_check/__init__.py
@@ -3,7 +3,6 @@
 from whinrack.configuration_check._declared import (
     DeclarationReader,
     DeclaredConfiguration,
-    DeclaredRoute,
     decode_json,
 )
 from whinrack.configuration_check._differences import Difference, DifferenceKind
@@ -14,7 +13,6 @@
     "CheckReport",
     "DeclarationReader",
     "DeclaredConfiguration",
-    "DeclaredRoute",
     "Difference",
     "DifferenceKind",
     "Finding",
--- a/whinrack/configuration_check/_declared.py
+++ b/whinrack/configuration_check/_declared.py
@@ -12,7 +12,6 @@
 __all__ = [
     "DeclarationReader",
     "DeclaredConfiguration",
-    "DeclaredRoute",
     "decode_json",
 ]
 
@@ -20,19 +19,6 @@
 _BYTE_PATTERN = re.compile(r" \(byte (\d+)\)")
 
 
-class DeclaredRoute(Route, frozen=True, kw_only=True):
-    """A route with the goals that its operator states.
-
-    Attributes
-    ----------
-    goal, gap_goal : float or None
-        Seconds within which an answer, and each event of a stream, should arrive.
-    """
-
-    goal: float | None = None
-    gap_goal: float | None = None
-
-
 class DeclaredConfiguration(msgspec.Struct, frozen=True, kw_only=True):
     """All entries of a configuration in their order, duplicates included.
 
@@ -47,7 +33,7 @@
     """
 
     version: int
-    routes: tuple[DeclaredRoute, ...] = ()
+    routes: tuple[Route, ...] = ()
     pools: tuple[PoolRecord, ...] = ()
     workspaces: tuple[WorkspaceRecord, ...] = ()
     limits: ServerLimits = ServerLimits()
--- a/whinrack/configuration_check/_differences.py
+++ b/whinrack/configuration_check/_differences.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from whinrack.configuration_check._declared import DeclaredConfiguration, DeclaredRoute
+from whinrack.configuration_check._declared import DeclaredConfiguration
+from whinrack.dispatch import Route
 from whinrack.operators import FieldDiff
 
 __all__ = ["Difference", "DifferenceKind", "find_differences"]
@@ -77,7 +78,7 @@
     return entries
 
 
-def _route_fields(route: DeclaredRoute) -> _Fields:
+def _route_fields(route: Route) -> _Fields:
     fields = _flatten(route)
     del fields["weighted_pools"]
     for weighted in route.weighted_pools:
--- a/whinrack/configuration_check/_routes.py
+++ b/whinrack/configuration_check/_routes.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterator
 
-from whinrack.configuration_check._declared import DeclaredConfiguration, DeclaredRoute
+from whinrack.configuration_check._declared import DeclaredConfiguration
 from whinrack.configuration_check._findings import Finding, FindingCode
-from whinrack.dispatch import RouteKind
+from whinrack.dispatch import Route, RouteKind
 
 __all__ = ["check_routes"]
 
@@ -22,9 +22,9 @@
             yield Finding.make(code, f"route {route.name}", message)
 
 
-def _check_duplicates(routes: tuple[DeclaredRoute, ...]) -> Iterator[Finding]:
+def _check_duplicates(routes: tuple[Route, ...]) -> Iterator[Finding]:
     last_by_address = {_address(route): route for route in routes}
-    later_by_form: dict[tuple[str, str], DeclaredRoute] = {}
+    later_by_form: dict[tuple[str, str], Route] = {}
     for route in reversed(routes):
         where, address = f"route {route.name}", _address(route)
         last = last_by_address[address]
@@ -39,11 +39,11 @@
             yield Finding.make(FindingCode.EQUIVALENT_ROUTE, where, message)
 
 
-def _address(route: DeclaredRoute) -> tuple[str, str]:
+def _address(route: Route) -> tuple[str, str]:
     return route.host, route.path_prefix
 
 
-def _normalised_address(route: DeclaredRoute) -> tuple[str, str]:
+def _normalised_address(route: Route) -> tuple[str, str]:
     path = route.path_prefix.strip("/")
     return _normalised_host(route.host), f"/{path}/" if path else "/"
 
@@ -52,7 +52,7 @@
     return host.strip().partition(":")[0].lower()
 
 
-def _check_match(route: DeclaredRoute) -> Iterator[tuple[FindingCode, str]]:
+def _check_match(route: Route) -> Iterator[tuple[FindingCode, str]]:
     prefix = route.path_prefix
     if not (prefix.startswith("/") and prefix.endswith("/")):
         message = f"prefix {prefix!r} must begin and end with a slash; it never matches"
@@ -62,7 +62,7 @@
         yield FindingCode.UNMATCHABLE_HOST, message
 
 
-def _check_pools(route: DeclaredRoute, pools: set[str]) -> Iterator[tuple[FindingCode, str]]:
+def _check_pools(route: Route, pools: set[str]) -> Iterator[tuple[FindingCode, str]]:
     weights = [weighted.weight for weighted in route.weighted_pools]
     for weighted in route.weighted_pools:
         if weighted.pool not in pools:
@@ -73,10 +73,10 @@
         yield FindingCode.NO_POSITIVE_WEIGHT, "no pool has a positive weight"
 
 
-def _check_limits(route: DeclaredRoute) -> Iterator[tuple[FindingCode, str]]:
+def _check_limits(route: Route) -> Iterator[tuple[FindingCode, str]]:
     if route.timeout <= 0:
         yield FindingCode.ZERO_TIMEOUT, f"timeout {route.timeout:g} s: no request has time to run"
-    goal = max(route.goal or 0.0, route.gap_goal or 0.0)
+    goal = max(route.goal, route.gap_goal)
     if goal > route.timeout > 0:
         message = f"a goal of {goal:g} s is above the timeout of {route.timeout:g} s"
         yield FindingCode.GOAL_ABOVE_TIMEOUT, message
--- a/whinrack/configuration_check/tests/test_check.py
+++ b/whinrack/configuration_check/tests/test_check.py
@@ -7,7 +7,7 @@
 
 from whinrack import configuration_check as checks
 from whinrack import dispatch
-from whinrack.dispatch import ColdStart, RouteKind
+from whinrack.dispatch import ColdStart, Route, RouteKind
 from whinrack.http1 import ServerLimits
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
@@ -18,7 +18,7 @@
     return tuple(dispatch.WeightedPool(pool, weight) for pool, weight in pools.items())
 
 
-SOUND_ROUTE = checks.DeclaredRoute(
+SOUND_ROUTE = Route(
     name="r", host="h", path_prefix="/r/", kind=SAFE, timeout=4.0, weighted_pools=weights(p=1)
 )
 
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -15,6 +15,7 @@
     "log_reservation_refused",
     "log_reserve_held",
     "log_run",
+    "placement_fields",
 ]
 
 # Callers choose the names of the parts of their prompts.
@@ -45,6 +46,20 @@
     )
 
 
+def placement_fields(run: RequestRun) -> dict[str, object]:
+    """Return how the target was chosen and what was expected, nothing if not by cost."""
+    placed = run.placement
+    if placed is None:
+        return {}
+    return {
+        "placed": placed.reason,
+        "expected": round(placed.expected_seconds, 4),
+        "first_at_target": round(run.first_at_target, 4),
+        "work_left": round(placed.work_seconds, 4),
+        "unread": placed.unread_tokens,
+    }
+
+
 def log_attempt(run: RequestRun, refusal: Refusal, reason: str) -> None:
     """Log that an attempt failed before the caller received an answer, and why."""
     log_run(
