Entries: in a partition instances go on naming the usual ones

Cause: an instance that hears nobody named itself to callers, so in a partition into single instances callers spread over all of them, away from the few that hold the tokens, the connections and the knowledge of the targets.

Change: an instance that hears fewer than a quarter of the instances that accepted callers chooses among those it heard last, for 10 s. Where more instances are needed in a data hall, those with wider links come first.

--- a/whinrack/edge/_entry_selection.py
+++ b/whinrack/edge/_entry_selection.py
@@ -58,7 +58,13 @@
     by_name = {state.sender.name: state for state in states}
     # The order is the same at all instances, so that callers keep their connections.
     names = rendezvous_order(f"entries/{hall}", by_name)
-    ordered = sorted(names, key=lambda name: not has_high_capacity(by_name[name], best_capacity))
+    ordered = sorted(
+        names,
+        key=lambda name: (
+            not has_high_capacity(by_name[name], best_capacity),
+            -by_name[name].bandwidth,
+        ),
+    )
     needed = max(_MIN_CORES, sum(state.load for state in states) / _OPEN_REQUESTS_PER_CORE)
     chosen: list[PeerState] = []
     cores = 0.0
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -19,6 +19,7 @@
 )
 from whinrack.edge._entry_selection import choose_entries, is_crowded
 from whinrack.edge._forwarding_peers import pool_digest
+from whinrack.edge._last_entries import LastEntries
 from whinrack.edge._load_sharing import LoadSharing
 from whinrack.edge._membership_host import MembershipHost
 from whinrack.edge._missing_peers import MissingPeers
@@ -47,6 +48,9 @@
 _LOAD_STEP = 10
 # Number of peer names in one log line.
 _MAX_LOGGED_NAMES = 6
+# Time for which an isolated instance goes on naming instances that it does not hear, as long as
+# budgets are held for an outage.
+_ENTRIES_REMEMBERED_SECONDS = 10.0
 
 
 class Membership:
@@ -86,6 +90,8 @@
             data_hall=options.data_hall,
         )
         self.clock_check = ClockCheck()
+        self.last_entries = LastEntries(_ENTRIES_REMEMBERED_SECONDS)
+        self._names_silent_entries = False
         self.rate_sharers = RateSharers(options, self.table)
         self.missing_peers = MissingPeers(options, self.table)
         self.traffic = TrafficMeter(options.data_hall, self.table.data_hall_of, count_bytes)
@@ -121,6 +127,7 @@
         self.registry.stated_limits.drop_expired()
         self.registry.brittle_limits.drop_expired()
         now = steady()
+        self._update_last_entries(now)
         message = self._build_heartbeat(now, self.table.take_states_to_pass_on(now))
         receivers = self.table.next_receivers(now)
         # One peer is enough, since its answer takes 109 bytes for each instance.
@@ -220,11 +227,30 @@
 
     def caller_addresses(self, hall: str) -> list[str]:
         """Return the addresses that a caller in a data hall may connect to."""
-        now = steady()
+        ready = self._ready_states(steady())
+        candidates = self.last_entries.candidates(ready)
+        self._log_isolation(len(ready), len(candidates))
+        return [state.callers for state in choose_entries(candidates, hall)]
+
+    def _ready_states(self, now: float) -> list[PeerState]:
+        """Return the states of the instances that are heard and accept callers."""
         ready = [view.state for view in self.table.ready(now)]
         if self.is_ready or not ready:
             ready.append(self.own_state())
-        return [state.callers for state in choose_entries(ready, hall)]
+        return ready
+
+    def _update_last_entries(self, now: float) -> None:
+        self.last_entries.update(self._ready_states(now), now)
+        stopping = [view.state for view in self.table.live_peers(now) if not view.state.ready]
+        self.last_entries.forget([state.sender.name for state in stopping])
+
+    def _log_isolation(self, heard: int, candidates: int) -> None:
+        """Log when this instance begins or ceases to name instances that it does not hear."""
+        names_silent_entries = candidates > heard
+        if names_silent_entries != self._names_silent_entries:
+            self._names_silent_entries = names_silent_entries
+            event = Event.ENTRIES_REMEMBERED if names_silent_entries else Event.ENTRIES_HEARD
+            log_event(event, heard=heard, candidates=candidates)
 
     def is_crowded(self) -> bool:
         """Return whether callers should connect to other instances."""
--- a/whinrack/edge/tests/test_entry_selection.py
+++ b/whinrack/edge/tests/test_entry_selection.py
@@ -81,6 +81,17 @@
     assert len(chosen) == 5
 
 
+def test_instances_with_wider_links_are_added_first():
+    states = [
+        *fleet(90, cores=0.5, bandwidth=5.0),
+        *(state(f"m{n}", bandwidth=12.5, cores=1.3) for n in range(3)),
+        high_capacity_state("s1"),
+    ]
+    chosen = names(choose_entries(states, "h"))
+    assert len(chosen) == 3
+    assert all(name in ("m0", "m1", "m2", "s1") for name in chosen)
+
+
 def test_instances_are_offered_when_none_has_both_bandwidth_and_cores():
     many_cores = [state(f"c{n}", cores=4.0, bandwidth=1.0) for n in range(10)]
     wide_links = [state(f"w{n}", cores=0.5, bandwidth=100.0) for n in range(10)]
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -67,6 +67,12 @@
     MEMBER_JOINED = (4001, "INFO", "peer joined")
     MEMBER_LOST = (4002, "WARNING", "peer lost")
     CROWDED = (4006, "INFO", "instance became, or is no longer, far busier than its peers")
+    ENTRIES_REMEMBERED = (
+        4007,
+        "WARNING",
+        "most of the fleet is not heard; callers are sent to the instances last heard",
+    )
+    ENTRIES_HEARD = (4008, "INFO", "callers are sent to instances that are heard again")
     PEER_REFUSED = (4003, "WARNING", "rejected a peer call without the fleet key")
 
     TARGET_LEAVING = (5001, "INFO", "target is leaving and receives no new requests")
