Requests beyond the bandwidth of an instance's link are refused at once

Cause: callers of a large workspace keep to one instance, and its link may be narrow.

Change: a token bucket of bytes, filled with 0.85 of the bandwidth that the settings state. What does not fit is refused at once, first what is large and not urgent. While the link is strained, 0.5 s are taken off the time of a request, since the operator's timeout counts from when the caller sent it.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -26,6 +26,7 @@
     parse_mark,
     refusal_mark,
 )
+from whinrack.dispatch._link_budget import LinkBudget
 from whinrack.dispatch._pacing import StreamPacing
 from whinrack.dispatch._refusals import (
     BUSY_RETRY_SECONDS,
@@ -51,6 +52,7 @@
     CallerGone,
     ConfigurationUnknown,
     InternalFailure,
+    LinkSaturated,
     Refusal,
     RouterStopping,
     TargetFailed,
@@ -67,6 +69,9 @@
 # Attempts of one request that failed before anything was sent, after which it is forwarded even if
 # other requests are still answered over open connections.
 _UNSENT_ATTEMPTS_BEFORE_FORWARDING = 2
+# Time that a request may have queued at a strained link before it arrived, seconds. The timeout of
+# its route is counted from when the caller sent it.
+_LINK_QUEUE_SECONDS = 0.5
 # Half-life of the estimated rate of arriving requests, in seconds.
 _ARRIVAL_RATE_HALF_LIFE = 2.0
 
@@ -80,6 +85,8 @@
         Limits of the retries that all instances share; see `RetryBudget`.
     cores, event_delay : float
         See `StreamPacing`.
+    bandwidth : float
+        See `LinkBudget`.
     """
 
     retry_ratio: float
@@ -87,6 +94,7 @@
     retry_window: float
     cores: float = 0.0
     event_delay: float = 0.0
+    bandwidth: float = 0.0
 
 
 class Dispatcher:
@@ -142,6 +150,7 @@
         self.instance_count = instance_count
         self.requests_in_progress = 0
         self.arrivals = DemandEstimate(half_life=_ARRIVAL_RATE_HALF_LIFE)
+        self.link_budget = LinkBudget(options.bandwidth)
         self.is_refusing_requests = False
         self.retry_budgets = RetryBudgets(
             options.retry_ratio, options.retry_slack, options.retry_window
@@ -246,6 +255,7 @@
             if self._doubts_pool(run, pool) and self._forward(run, pool, needs_answer=True):
                 return
             self._check_reachability(run, pool)
+            self._check_link(run)
             self._admit(run)
             self._reserve_tokens(run)
             self._attempt_all(run, pool)
@@ -253,6 +263,8 @@
             log_run(Event.CALLER_LEFT, run)
             raise
         finally:
+            if run.answer_bytes:
+                self.link_budget.observe_answer(run.route.name, run.answer_bytes)
             if run.is_trial and not run.may_have_run:
                 self.attempt_runner.guard.return_trial(run.request_name)
             # Settle the reservation if the attempts did not.
@@ -266,6 +278,24 @@
                     output=run.request.declared_tokens.output,
                 )
 
+    def _check_link(self, run: RequestRun) -> None:
+        """Refuse a request at once for which the link of this instance has no room.
+
+        Continued streams and requests that a peer has forwarded have crossed a link already.
+        """
+        if run.is_forwarded or run.is_continuation:
+            return
+        wait = self.link_budget.take(
+            run.route.name,
+            len(run.request.body),
+            run.route.priority == run.configuration.most_urgent_priority,
+            steady(),
+        )
+        if wait is not None:
+            raise LinkSaturated("the link of this instance is saturated", retry_after=wait)
+        if self.link_budget.is_strained:
+            run.deadline -= min(_LINK_QUEUE_SECONDS, run.route.timeout / 4)
+
     def _admit(self, run: RequestRun) -> None:
         """Check that the request is not in quarantine, which all instances share."""
         deadline = run.deadline - TIMEOUT_MARGIN
--- /dev/null
+++ b/whinrack/dispatch/_link_budget.py
@@ -0,0 +1,96 @@
+"""Admission by the bandwidth of this instance's network link; pure logic without I/O.
+
+Load: the callers of a large workspace keep to one instance with a narrow link. Each request crosses
+the link twice in each direction, as a request and as an answer, to the caller and to the target.
+Beyond the bandwidth, packets queue, all requests are late, and then all miss their deadlines.
+Requests that do not fit are refused at once instead, first those that are large and not urgent.
+"""
+
+__all__ = ["LinkBudget"]
+
+_BYTES_PER_MEGABIT = 125_000
+# Share of the bandwidth that requests may use; packet headers and traffic with peers take the rest.
+_USABLE_SHARE = 0.85
+# Traffic that may be admitted at once, in seconds of the bandwidth: a queue of this length delays
+# answers by less than callers notice.
+_BURST_SECONDS = 0.5
+# Share of the burst that is kept for urgent and for small requests.
+_KEPT_SHARE = 0.5
+# Bytes of the heads of a request and of its answer together.
+_HEAD_BYTES = 1000
+# Assumed size of answers of a route before the first one, and weight of the latest one, bytes.
+_DEFAULT_ANSWER_BYTES = 1000
+_ANSWER_WEIGHT = 0.05
+# Weight of the latest request in the mean size.
+_SIZE_WEIGHT = 0.02
+# Bounds of the time after which refused callers should return, in seconds.
+_RETRY_BOUNDS = (0.5, 4.0)
+
+
+class LinkBudget:
+    """Token bucket of the bytes that may cross the link.
+
+    Parameters
+    ----------
+    bandwidth : float
+        Bandwidth of the link in each direction, Mbit/s; 0 for no limit.
+    """
+
+    def __init__(self, bandwidth: float):
+        self.rate = _USABLE_SHARE * bandwidth * _BYTES_PER_MEGABIT
+        self.depth = _BURST_SECONDS * bandwidth * _BYTES_PER_MEGABIT
+        self._level = self.depth
+        self._updated_at: float | None = None
+        self._answer_bytes: dict[str, float] = {}
+        self._mean_size = 0.0
+
+    def observe_answer(self, route: str, size: int) -> None:
+        """Record the bytes of an answer."""
+        known = self._answer_bytes.get(route, float(size))
+        self._answer_bytes[route] = known + _ANSWER_WEIGHT * (size - known)
+
+    @property
+    def is_strained(self) -> bool:
+        """Whether so much was admitted that requests may have queued before they arrived."""
+        return self._level < _KEPT_SHARE * self.depth
+
+    def take(self, route: str, body_bytes: int, is_urgent: bool, now: float) -> float | None:
+        """Take the bytes of a request, if they fit.
+
+        Parameters
+        ----------
+        body_bytes : int
+            Size of the request's body.
+        is_urgent : bool
+            Whether no route is more urgent.
+        now : float
+            Monotonic clock, in seconds.
+
+        Returns
+        -------
+        float or None
+            None if the request fits, else the seconds after which to try again.
+        """
+        if not self.rate:
+            return None
+        self._refill(now)
+        answer_bytes = self._answer_bytes.get(route, _DEFAULT_ANSWER_BYTES)
+        size = body_bytes + _HEAD_BYTES + answer_bytes
+        self._mean_size += _SIZE_WEIGHT * (size - self._mean_size)
+        is_preferred = is_urgent or size <= self._mean_size
+        needed = size if is_preferred else size + _KEPT_SHARE * self.depth
+        # A request that is larger than the bucket waits for a full one.
+        needed = min(needed, self.depth)
+        if self._level >= needed:
+            self._level -= size
+            return None
+        # The body has crossed the link already, in one direction.
+        self._level -= min(self._level, body_bytes / 2)
+        shortest, longest = _RETRY_BOUNDS
+        return min(longest, max(shortest, (needed - self._level) / self.rate))
+
+    def _refill(self, now: float) -> None:
+        if self._updated_at is not None:
+            gained = self.rate * max(0.0, now - self._updated_at)
+            self._level = min(self.depth, self._level + gained)
+        self._updated_at = now
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -67,6 +67,8 @@
         Revision and age of the target list at the latest choice.
     billed_tokens : int
         Tokens billed for the answer, 0 while it is not settled.
+    answer_bytes : int
+        Bytes received from the latest target.
     sent_at : float
         Steady clock time at which the request was sent to the latest target.
     is_forwarded : bool
@@ -99,6 +101,7 @@
         self.reservation: Cover | None = None
         self.repeat_reservations: list[Cover] = []
         self.billed_tokens = 0
+        self.answer_bytes = 0
         self.attempts = 0
         self.is_forwarded = mark is not None
         if mark is not None:
--- /dev/null
+++ b/whinrack/dispatch/tests/test_link_budget.py
@@ -0,0 +1,87 @@
+"""Admission at an instance with a narrow link that gets the traffic of a whole workspace."""
+
+import random
+
+import pytest
+
+from whinrack.dispatch._link_budget import LinkBudget
+
+BANDWIDTH = 5.0
+BYTES_PER_SECOND = 625_000
+URGENT, LARGE = "urgent", "large"
+BODIES = {URGENT: 800, LARGE: 12_000}
+ANSWERS = {URGENT: 2_200, LARGE: 2_900}
+# Seconds within which an answer is in time.
+AIM_SECONDS = 0.25
+
+
+def play(load, admits, seconds=30.0):
+    """Return the share of urgent requests in time and of all requests answered within 4 s.
+
+    Parameters
+    ----------
+    load : float
+        Offered traffic as a multiple of the bandwidth; half of the requests are urgent.
+    admits : bool
+        Whether requests that do not fit are refused.
+    """
+    rng, budget = random.Random(5), LinkBudget(BANDWIDTH)
+    for route, size in ANSWERS.items():
+        budget.observe_answer(route, size)
+    size = sum(BODIES[route] + ANSWERS[route] + 1000 for route in BODIES) / 2
+    now, free_at, in_time, answered, urgent, total = 0.0, 0.0, 0, 0, 0, 0
+    while now < seconds:
+        now += rng.expovariate(load * BYTES_PER_SECOND / size)
+        route = rng.choice((URGENT, LARGE))
+        total += 1
+        urgent += route == URGENT
+        # The body queues at the link in any case.
+        free_at = max(free_at, now) + BODIES[route] / 2 / BYTES_PER_SECOND
+        if admits and budget.take(route, BODIES[route], route == URGENT, now) is not None:
+            continue
+        free_at += (BODIES[route] / 2 + ANSWERS[route] + 1000) / BYTES_PER_SECOND
+        in_time += route == URGENT and free_at - now <= AIM_SECONDS
+        answered += free_at - now <= 4.0
+    return in_time / urgent, answered / total
+
+
+def test_everything_is_admitted_below_the_bandwidth():
+    urgent_in_time, answered = play(0.6, admits=True)
+    assert urgent_in_time > 0.95
+    assert answered > 0.99
+
+
+def test_urgent_requests_stay_in_time_beyond_the_bandwidth():
+    before, answered_before = play(1.5, admits=False)
+    after, answered_after = play(1.5, admits=True)
+    assert before < 0.2 and after > 0.85
+    assert answered_after > answered_before
+
+
+def test_link_is_strained_until_the_burst_is_over():
+    budget = LinkBudget(BANDWIDTH)
+    while budget.take(URGENT, 12_000, True, 0.0) is None:
+        pass
+    assert budget.is_strained
+    assert budget.take(URGENT, 800, True, 2.0) is None
+    assert not budget.is_strained
+
+
+def test_a_refused_caller_returns_when_there_is_room():
+    budget, waits = LinkBudget(BANDWIDTH), []
+    while not waits:
+        wait = budget.take(LARGE, 12_000, False, 0.0)
+        waits += [wait] if wait is not None else []
+    assert 0.5 <= waits[0] <= 4.0
+    assert budget.take(LARGE, 12_000, False, waits[0]) is None
+
+
+@pytest.mark.parametrize("bandwidth", [0.0, 100.0])
+def test_no_request_is_refused_without_a_narrow_link(bandwidth):
+    budget = LinkBudget(bandwidth)
+    for number in range(200):
+        assert budget.take(LARGE, 12_000, False, number * 0.01) is None
+
+
+def test_a_request_larger_than_the_burst_is_admitted_on_an_idle_link():
+    assert LinkBudget(BANDWIDTH).take(LARGE, 2_000_000, False, 0.0) is None
