--- a/whinrack/dispatch/_cost_placement.py
+++ b/whinrack/dispatch/_cost_placement.py
@@ -30,7 +30,7 @@
 _SAFE_FRACTION = 0.5
 # An engine with the shared parts is kept while its cost exceeds the least one by less than this
 # fraction of the objective.
-_HOME_FRACTION = 0.25
+_HOME_FRACTION = 0.5
 # A large prompt exceeds the mean by this many standard deviations.
 _LARGE_DEVIATIONS = 2.0
 # Fraction of the shared parts that the engine which is the first choice for them is expected to
