Placement by cost only while engines are known to be uneven

Cause: where engines are alike, cost follows the backlog, and prompts that leave the engine with their shared parts only make work for it.

Change: a pool is placed by cost while one in ten of its engines, two at least, is known to take 1.3 times as long as the median one.

--- a/whinrack/dispatch/_cost_placement.py
+++ b/whinrack/dispatch/_cost_placement.py
@@ -105,6 +105,7 @@
 class PlacementReason:
     """Why an engine was chosen, for metrics."""
 
+    BACKLOG = "backlog"
     SHARED = "shared"
     LEAST_COST = "least_cost"
 
@@ -212,6 +213,36 @@
             is_reachable=_is_reachable(costs, objective),
         )
 
+    def describe(
+        self,
+        pool: str,
+        engine: EngineWork,
+        prompt: PromptSize,
+        has_shared: bool,
+        objective: Objective,
+        now: float,
+    ) -> Placement:
+        """Return what is expected at an engine that was chosen by its backlog.
+
+        Parameters
+        ----------
+        has_shared : bool
+            Whether the engine is likely to hold the prompt's shared parts.
+        """
+        self._observe(pool, [engine], prompt)
+        home = engine.name if has_shared else ""
+        cost = self._cost(pool, engine, home, 0.0, prompt, objective, now)
+        return Placement(
+            name=engine.name,
+            digest=engine.digest,
+            reason=PlacementReason.BACKLOG,
+            expected_seconds=cost.expected_seconds,
+            work_seconds=cost.work_seconds,
+            unread_tokens=cost.unread_tokens,
+            least_work_seconds=cost.work_seconds,
+            is_reachable=True,
+        )
+
     def _candidates(self, engines: Sequence[EngineWork], home: str) -> Sequence[EngineWork]:
         """Return a random sample of the engines, and the one with the shared parts."""
         count = max(_MIN_SAMPLED, len(engines) // _SAMPLE_DIVISOR)
--- a/whinrack/dispatch/_engine_speeds.py
+++ b/whinrack/dispatch/_engine_speeds.py
@@ -39,6 +39,12 @@
 _MIN_EXPECTED_SECONDS = 0.001
 # Targets that are remembered, those with the latest answers.
 _MAX_TARGETS = 2000
+# A pool is uneven if at least this fraction of its targets, two at least, takes this many times as
+# long as the median one. Targets with fewer answers are left out.
+_UNEVEN_FRACTION = 0.1
+_UNEVEN_RATIO = 1.3
+_MIN_UNEVEN_TARGETS = 2
+_MIN_COMPARED_ANSWERS = 8
 # Weight of the latest run in the average time of a step.
 _STEP_WEIGHT = 0.05
 
@@ -147,6 +153,19 @@
             self._slowness[digest] = now, slowness
         return slowness
 
+    def is_uneven(self, pool: str, digests: Iterable[int], now: float) -> bool:
+        """Return whether some targets of a pool are known to be much slower than the others."""
+        known = sorted(
+            self.slowness(pool, digest, now)
+            for digest in digests
+            if len(self._targets.get(digest, ())) >= _MIN_COMPARED_ANSWERS
+        )
+        if not known:
+            return False
+        limit = _UNEVEN_RATIO * known[len(known) // 2]
+        slow = sum(slowness >= limit for slowness in known)
+        return slow >= max(_MIN_UNEVEN_TARGETS, _UNEVEN_FRACTION * len(known))
+
     def _compute_slowness(
         self, pool: str, answers: Iterable[tuple[float, int, float]], now: float
     ) -> float:
--- a/whinrack/dispatch/_target_choice.py
+++ b/whinrack/dispatch/_target_choice.py
@@ -68,7 +68,7 @@
         if not states:
             return None
         not_busy = [state for state in states if state.busy_until <= now] or states
-        if prompt is not None and placement is not None:
+        if prompt is not None and placement is not None and self._is_uneven(not_busy, now):
             return self._place(not_busy, affinity, prompt, placement, now)
         preferred = self._by_affinity(not_busy, affinity, load) if affinity else None
         if preferred is not None and prompt is None:
@@ -77,7 +77,17 @@
             count = max(_MIN_SAMPLED, len(not_busy) // _SAMPLE_DIVISOR)
             not_busy = self._random.sample(not_busy, min(count, len(not_busy)))
         if prompt is not None:
-            return self._choose_engine(preferred, not_busy, prompt)
+            chosen = self._choose_engine(preferred, not_busy, prompt)
+            if placement is not None:
+                placement.result = self.placement.describe(
+                    chosen.record.pool,
+                    self._engine_work(chosen),
+                    prompt,
+                    chosen is preferred,
+                    placement.objective,
+                    now,
+                )
+            return chosen
         return min(not_busy, key=lambda state: (load(state), self._random.random()))
 
     def _within_rate_limits(
@@ -140,24 +150,27 @@
         now: float,
     ) -> TargetState:
         """Return the engine at which a prompt has the smallest cost."""
-        engines = [
-            EngineWork(
-                name=state.record.incarnation,
-                digest=state.digest,
-                unread_tokens=state.unread_tokens
-                + self.remote_loads.unread_tokens_at(state.digest),
-                requests=self._total_load(state),
-                slots=state.record.slots,
-                output_left=state.output_left,
-                own_requests=state.in_flight,
-            )
-            for state in states
-        ]
+        engines = [self._engine_work(state) for state in states]
         request.result = self.placement.choose(
             states[0].record.pool, engines, affinity, prompt, request.objective, now
         )
         return next(s for s in states if s.record.incarnation == request.result.name)
 
+    def _is_uneven(self, states: list[TargetState], now: float) -> bool:
+        digests = (state.digest for state in states)
+        return self.placement.speeds.is_uneven(states[0].record.pool, digests, now)
+
+    def _engine_work(self, state: TargetState) -> EngineWork:
+        return EngineWork(
+            name=state.record.incarnation,
+            digest=state.digest,
+            unread_tokens=state.unread_tokens + self.remote_loads.unread_tokens_at(state.digest),
+            requests=self._total_load(state),
+            slots=state.record.slots,
+            output_left=state.output_left,
+            own_requests=state.in_flight,
+        )
+
     def _engine_backlog(self, state: TargetState) -> EngineBacklog:
         return EngineBacklog(
             name=state.record.incarnation,
