Reserves: nothing is kept for routes that a workspace does not use

Cause: the share of more urgent requests leans on the mix of all workspaces of the instance with the weight of 30 requests, and a workspace's own requests fade with a half-life of 8 s.

Change: a workspace that has sent 30 requests here, none of them more urgent, has no reserve. Few requests still lean on the mix.

--- a/whinrack/budgets/_reserve.py
+++ b/whinrack/budgets/_reserve.py
@@ -9,6 +9,7 @@
 overspend a budget, and it shrinks by itself as urgent demand fades.
 """
 
+from collections import Counter
 from collections.abc import Collection
 
 import msgspec
@@ -32,10 +33,12 @@
         self._asked: dict[int, DemandEstimate] = {}
         self._covered: dict[int, DemandEstimate] = {}
         self._requests = DemandEstimate(_HALF_LIFE_SECONDS)
+        self._requests_by_urgency: Counter[int] = Counter()
 
     def record_asked(self, urgency: int, tokens: int, now: float) -> None:
         """Record a request, whether or not it will be covered."""
         self._requests.record(1, now)
+        self._requests_by_urgency[urgency] += 1
         self._estimate(self._asked, urgency).record(tokens, now)
 
     def record_covered(self, urgency: int, tokens: int, now: float) -> None:
@@ -46,6 +49,12 @@
         """Return the urgencies that were asked for."""
         return self._asked.keys()
 
+    def lacks_more_urgent(self, urgency: int) -> bool:
+        """Return whether enough requests are known to say that none is more urgent."""
+        if self._requests_by_urgency.total() < _PRIOR_REQUESTS:
+            return False
+        return not any(each < urgency for each in self._requests_by_urgency)
+
     def asked(self, urgency: int, now: float) -> float:
         """Return the tokens that were recently asked for."""
         return _recent_tokens(self._asked, urgency, now)
@@ -90,6 +99,8 @@
         Requests for all budgets at this instance. They weigh as much as some requests for this
         budget, less what this budget refuses: the share is one of the tokens that are used.
     """
+    if own.lacks_more_urgent(urgency):
+        return 0.0
     one_request = overall.average_request(now)
     asked = sum(overall.asked(each, now) for each in overall.urgencies())
     if asked <= 0:
--- a/whinrack/budgets/tests/test_reserves.py
+++ b/whinrack/budgets/tests/test_reserves.py
@@ -135,6 +135,19 @@
     assert more_urgent_share(own, overall, URGENT, 0.0) == 0.0
 
 
+def test_nothing_is_kept_for_routes_that_a_workspace_does_not_use():
+    """Others send urgent requests, and this workspace never does."""
+    own, overall = UrgencyDemand(), UrgencyDemand()
+    for _ in range(200):
+        own.record_asked(OTHER, 360, 0.0)
+        own.record_covered(OTHER, 360, 0.0)
+        for urgency in (URGENT, OTHER):
+            overall.record_asked(urgency, 200, 0.0)
+    assert more_urgent_share(own, overall, OTHER, 0.0) == 0.0
+    own.record_asked(URGENT, 40, 0.0)
+    assert more_urgent_share(own, overall, OTHER, 0.0) > 0.0
+
+
 def test_refill_goes_to_urgent_waiting_requests_first():
     """The last tokens arrive while less urgent requests are ahead in the queue."""
     manager = GrantManager(
