--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -69,9 +69,6 @@
 # Attempts of one request that failed before anything was sent, after which it is forwarded even if
 # other requests are still answered over open connections.
 _UNSENT_ATTEMPTS_BEFORE_FORWARDING = 2
-# Time that a request may have queued at a strained link before it arrived, seconds. The timeout of
-# its route is counted from when the caller sent it.
-_LINK_QUEUE_SECONDS = 0.5
 # Half-life of the estimated rate of arriving requests, in seconds.
 _ARRIVAL_RATE_HALF_LIFE = 2.0
 
@@ -293,8 +290,6 @@
         )
         if wait is not None:
             raise LinkSaturated("the link of this instance is saturated", retry_after=wait)
-        if self.link_budget.is_strained:
-            run.deadline -= min(_LINK_QUEUE_SECONDS, run.route.timeout / 4)
 
     def _admit(self, run: RequestRun) -> None:
         """Check that the request is not in quarantine, which all instances share."""
--- a/whinrack/dispatch/_link_budget.py
+++ b/whinrack/dispatch/_link_budget.py
@@ -49,11 +49,6 @@
         known = self._answer_bytes.get(route, float(size))
         self._answer_bytes[route] = known + _ANSWER_WEIGHT * (size - known)
 
-    @property
-    def is_strained(self) -> bool:
-        """Whether so much was admitted that requests may have queued before they arrived."""
-        return self._level < _KEPT_SHARE * self.depth
-
     def take(self, route: str, body_bytes: int, is_urgent: bool, now: float) -> float | None:
         """Take the bytes of a request, if they fit.
 
--- a/whinrack/dispatch/tests/test_link_budget.py
+++ b/whinrack/dispatch/tests/test_link_budget.py
@@ -58,15 +58,6 @@
     assert answered_after > answered_before
 
 
-def test_link_is_strained_until_the_burst_is_over():
-    budget = LinkBudget(BANDWIDTH)
-    while budget.take(URGENT, 12_000, True, 0.0) is None:
-        pass
-    assert budget.is_strained
-    assert budget.take(URGENT, 800, True, 2.0) is None
-    assert not budget.is_strained
-
-
 def test_a_refused_caller_returns_when_there_is_room():
     budget, waits = LinkBudget(BANDWIDTH), []
     while not waits:
