Placement: work at an engine is described once, loads of silent instances expire at each choice

EngineWork repeated the fields of EngineBacklog, the selector built both, and the weight of a running request stood in two modules.

--- a/whinrack/dispatch/_cost_placement.py
+++ b/whinrack/dispatch/_cost_placement.py
@@ -11,7 +11,7 @@
 
 from whinrack.base import rendezvous_order
 from whinrack.dispatch._cost_estimates import Moments, OutputEstimates
-from whinrack.dispatch._engine_choice import PromptSize
+from whinrack.dispatch._engine_choice import TOKENS_PER_REQUEST, EngineBacklog, PromptSize
 from whinrack.dispatch._engine_speeds import EngineSpeeds
 
 __all__ = [
@@ -23,8 +23,6 @@
     "PlacementRequest",
 ]
 
-# Prompt tokens equivalent to a running request, whose generation delays the processing of prompts.
-_TOKENS_PER_REQUEST = 100
 # Work up to this fraction of an objective is safe. The rest covers requests of other instances that
 # are not known yet.
 _SAFE_FRACTION = 0.5
@@ -73,31 +71,20 @@
     output_tokens: float = 0.0
 
 
-class EngineWork(msgspec.Struct, frozen=True):
+class EngineWork(EngineBacklog, frozen=True):
     """Work left at one engine.
 
     Attributes
     ----------
-    name : str
     digest : int
         Digest of the identity of its start, see `TargetState.digest`.
-    unread_tokens : int
-        Prompt tokens that the engine has yet to process.
-    requests : int
-        Running and waiting requests.
-    slots : int
-        Requests that the engine runs concurrently.
     output_left : float
         Output tokens that this instance's requests there are likely to generate yet.
     own_requests : int
         This instance's requests there.
     """
 
-    name: str
-    digest: int
-    unread_tokens: int
-    requests: int
-    slots: int
+    digest: int = 0
     output_left: float = 0.0
     own_requests: int = 0
 
@@ -293,7 +280,7 @@
         is_home = engine.name == home
         kept_tokens = round(_KEPT_FRACTION * prompt.shared_tokens)
         own_tokens = prompt.tokens - (kept_tokens if is_home else 0)
-        ahead = engine.unread_tokens + _TOKENS_PER_REQUEST * engine.requests
+        ahead = engine.unread_tokens + TOKENS_PER_REQUEST * engine.requests
         speeds = self.speeds
         seconds_per_token = speeds.seconds_per_token(pool)
         slowness = speeds.slowness(pool, engine.digest, now)
--- a/whinrack/dispatch/_engine_choice.py
+++ b/whinrack/dispatch/_engine_choice.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-__all__ = ["EngineBacklog", "PromptSize", "choose_engine"]
+__all__ = ["TOKENS_PER_REQUEST", "EngineBacklog", "PromptSize", "choose_engine"]
 
 # Prompt tokens equivalent to the output of a running request: generating it delays the processing
 # of other prompts by about 2 ms, at 50 prompt tokens per ms.
-_TOKENS_PER_REQUEST = 100
+TOKENS_PER_REQUEST = 100
 # Prompt tokens equivalent to a request beyond the engine's slots: it waits until another answer is
 # complete, about 0.4 s.
 _TOKENS_PER_QUEUED_REQUEST = 20_000
@@ -67,7 +67,7 @@
         waiting = max(0, self.requests + 1 - self.slots)
         return (
             self.unread_tokens
-            + self.requests * _TOKENS_PER_REQUEST
+            + self.requests * TOKENS_PER_REQUEST
             + waiting * _TOKENS_PER_QUEUED_REQUEST
         )
 
--- a/whinrack/dispatch/_target_choice.py
+++ b/whinrack/dispatch/_target_choice.py
@@ -6,7 +6,7 @@
 
 from whinrack.base import rendezvous_order
 from whinrack.dispatch._cost_placement import CostPlacement, EngineWork, PlacementRequest
-from whinrack.dispatch._engine_choice import EngineBacklog, PromptSize, choose_engine
+from whinrack.dispatch._engine_choice import PromptSize, choose_engine
 from whinrack.dispatch._rate_limiter import RateLimiter
 from whinrack.dispatch._remote_loads import RemoteLoads
 from whinrack.dispatch._target_state import TargetState
@@ -60,7 +60,7 @@
         placement: PlacementRequest | None = None,
     ) -> TargetState | None:
         """Choose one of the candidates; see `TargetRegistry.choose`."""
-        if placement is not None:
+        if uses_remote_loads:
             self.remote_loads.expire(now)
         load = self._total_load if uses_remote_loads else self._local_load
         states = [state for state in candidates if state.is_available(now)] or candidates
@@ -134,11 +134,11 @@
         The preferred engine, which has the shared parts of the prompt, is favoured.
         """
         by_name = {state.record.incarnation: state for state in sampled}
-        backlogs = [self._engine_backlog(state) for state in sampled]
+        backlogs = [self._engine_work(state) for state in sampled]
         preferred_backlog = None
         if preferred is not None:
             by_name[preferred.record.incarnation] = preferred
-            preferred_backlog = self._engine_backlog(preferred)
+            preferred_backlog = self._engine_work(preferred)
         return by_name[choose_engine(preferred_backlog, backlogs, prompt.shared_tokens).name]
 
     def _place(
@@ -171,14 +171,6 @@
             own_requests=state.in_flight,
         )
 
-    def _engine_backlog(self, state: TargetState) -> EngineBacklog:
-        return EngineBacklog(
-            name=state.record.incarnation,
-            unread_tokens=state.unread_tokens + self.remote_loads.unread_tokens_at(state.digest),
-            requests=self._total_load(state),
-            slots=state.record.slots,
-        )
-
     def _by_affinity(
         self, states: list[TargetState], affinity: str, load: Callable[[TargetState], int]
     ) -> TargetState:
--- a/whinrack/dispatch/tests/test_cost_placement.py
+++ b/whinrack/dispatch/tests/test_cost_placement.py
@@ -30,7 +30,7 @@
 
 
 def engine(name, digest, unread=0, requests=0, slots=32):
-    return EngineWork(name, digest, unread, requests, slots)
+    return EngineWork(name, unread, requests, slots, digest=digest)
 
 
 def choose(placement, engines, affinity="", prompt=None, objective=OBJECTIVE):
@@ -128,12 +128,15 @@
     assert choose(placement, [*full, engine("free", 9, 0, 31)], objective=late).is_reachable
 
 
-def test_loads_that_are_not_renewed_expire_at_a_choice():
+@pytest.mark.parametrize("placement_request", [None, PlacementRequest(OBJECTIVE)])
+def test_loads_that_are_not_renewed_expire_at_a_choice(placement_request):
     targets = registry(2)
     first, _ = targets.targets_in_pool("p")
     targets.remote_loads.update("m2", {first.digest: 40}, 0.0, {first.digest: 90_000})
-    request = PlacementRequest(OBJECTIVE)
-    targets.choose("p", "", (), 9.0, prompt=PromptSize(100), placement=request)
+    size = PromptSize(100)
+    targets.choose(
+        "p", "", (), 9.0, uses_remote_loads=True, prompt=size, placement=placement_request
+    )
     assert targets.remote_loads.unread_tokens_at(first.digest) == 0
 
 
