--- a/whinrack/dispatch/_brittle_targets.py
+++ b/whinrack/dispatch/_brittle_targets.py
@@ -72,8 +72,6 @@
         Returns whether this instance has lost contact with a pool.
     failed_targets : callable, optional
         Returns the identities of the targets of a pool that have failed since its last answer.
-    is_heard : callable, optional
-        Returns whether other instances can hear this one.
     """
 
     def __init__(
@@ -86,11 +84,9 @@
         instances_without: Callable[[str], Collection[str]] = lambda pool: (),
         is_lost: Callable[[str], bool] = lambda pool: False,
         failed_targets: Callable[[str], Collection[str]] = lambda pool: (),
-        is_heard: Callable[[], bool] = lambda: True,
     ):
         self.name = name
         self.failed_targets = failed_targets
-        self.is_heard = is_heard
         self.members = members
         self.instances_without = instances_without
         self.is_lost = is_lost
@@ -103,8 +99,6 @@
         # When requests last failed at targets, the latest ones last.
         self._failed_at: dict[str, float] = {}
         self._members_by_pool: dict[str, MemberHistory] = {}
-        # Pools that this instance had lost when other instances could last hear of it.
-        self._reported_lost: set[str] = set()
         self._fleet = QuotaMembers(frozenset())
         self._fleet_updated_at = -math.inf
 
@@ -201,10 +195,6 @@
         # A later start may listen there already and gets a quota of its own with its record.
         return not state.may_have_ended(now) and not state.ejection.is_ejected(now)
 
-    def record_lost(self, pool: str) -> None:
-        """Record that this instance has lost contact with a pool, which others hear."""
-        self._reported_lost.add(pool)
-
     def record_failure(self, state: TargetState, now: float) -> None:
         """Record that a request could not be sent to a target or was not answered."""
         self._failed_at.pop(state.record.identity, None)
@@ -283,20 +273,11 @@
         history = self._members_by_pool.setdefault(pool, MemberHistory())
         if now - history.updated_at >= _REFRESH_SECONDS:
             without = set(self.instances_without(pool))
-            if self._has_no_quota(pool):
+            if self.is_lost(pool):
                 without.add(self.name)
             history.update(frozenset(self.members()) - without, now)
         return history.recent
 
-    def _has_no_quota(self, pool: str) -> bool:
-        """Return whether the others use this instance's quota, since it has lost the pool.
-
-        They do so until they hear that it reaches the pool again.
-        """
-        if pool in self._reported_lost and not self.is_lost(pool) and self.is_heard():
-            self._reported_lost.discard(pool)
-        return pool in self._reported_lost
-
 
 def _slots_in_use(state: TargetState, now: float) -> int:
     """Return the slots of a target that this instance uses or may still hold."""
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -60,8 +60,6 @@
         that share rates.
     instances_without : callable, optional
         Returns the names of the instances that have lost contact with a pool.
-    is_heard : callable, optional
-        Returns whether other instances can hear this one.
     clock : callable, optional
         Monotonic clock, replaced in tests.
 
@@ -80,7 +78,6 @@
         brittle_limits: StatedLimits | None = None,
         quota_members: Callable[[], Collection[str]] | None = None,
         instances_without: Callable[[str], Collection[str]] = lambda pool: (),
-        is_heard: Callable[[], bool] = lambda: True,
         clock: Callable[[], float] = steady,
     ):
         self.clock = clock
@@ -126,7 +123,6 @@
             instances_without,
             self.reachability.is_lost,
             self.reachability.failed_targets,
-            is_heard,
         )
         self._selector = TargetSelector(self.remote_loads, self.rate_limiter, seed)
 
@@ -282,9 +278,7 @@
 
     def _on_contact_changed(self, change: ContactChange) -> None:
         """End the ejections in a pool that is reached again: the path was the cause."""
-        if change.is_lost:
-            self.brittle_targets.record_lost(change.pool)
-        else:
+        if not change.is_lost:
             for state in self.targets_in_pool(change.pool):
                 state.ejection.record_success(self.clock())
 
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -119,7 +119,6 @@
             brittle_limits=StatedLimits(self.holder),
             quota_members=lambda: self.membership.rate_sharers.members_with_idle(),
             instances_without=lambda pool: self.membership.instances_without(pool),
-            is_heard=lambda: self.membership.rate_sharers.is_heard(),
         )
         self.current_configuration = CurrentConfiguration(self._on_configuration_applied)
         self.membership = Membership(
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -267,15 +267,11 @@
         return self.table.count_sharing_instances(steady()) + missing
 
     def instances_without(self, pool: str) -> list[str]:
-        """Return the names of the peers that have lost contact with a pool.
-
-        A peer that has fallen silent since is included: it uses no quota before it is heard again,
-        and a killed one uses none at all.
-        """
-        digest, now = pool_digest(pool), steady()
+        """Return the names of the live peers that have lost contact with a pool."""
+        digest = pool_digest(pool)
         return [
             view.state.sender.name
-            for view in (*self.table.live_peers(now), *self.table.silent_peers(now))
+            for view in self.table.live_peers(steady())
             if digest in view.state.lost_pools
         ]
 
--- a/whinrack/edge/_rate_sharers.py
+++ b/whinrack/edge/_rate_sharers.py
@@ -55,12 +55,6 @@
         """
         return self._compute_members(steady(), includes_idle=True)
 
-    def is_heard(self) -> bool:
-        """Return whether peers probably hear this instance, or it remembers none."""
-        now = steady()
-        views = self.table.peers_heard_within(now, _REMEMBERED_SECONDS)
-        return not views or any(self.table.is_live(view, now) for view in views)
-
     def _compute_members(self, now: float, includes_idle: bool = False) -> frozenset[str]:
         age = now - self.started_at
         views = self.table.peers_heard_within(now, _REMEMBERED_SECONDS)
