Dispatcher: the reservation of tokens is a module of its own

Cause: the request pipeline was the second largest module of its package, and the reservation of tokens, its refusals and their log lines stood between the attempts. Change: moved to TokenReservations without a change of behaviour.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -4,10 +4,9 @@
 from collections.abc import Callable, Collection
 
 import msgspec
-from returns.result import Failure
 
 from whinrack.base import Outcome
-from whinrack.budgets import Cover, DemandEstimate, GrantManager
+from whinrack.budgets import DemandEstimate, GrantManager
 from whinrack.clock import steady
 from whinrack.dispatch._answers import AnswerRelay
 from whinrack.dispatch._attempts import (
@@ -40,15 +39,13 @@
     log_attempt,
     log_forwarded,
     log_refusal,
-    log_reservation_refused,
-    log_reserve_held,
     log_run,
 )
 from whinrack.dispatch._stream_versions import StreamVersions
+from whinrack.dispatch._token_reservations import TokenReservations
 from whinrack.dispatch._values import IncomingRequest, RouteKind, TargetsView
 from whinrack.dispatch.base import Dialect
 from whinrack.exceptions import (
-    BudgetReserved,
     CallerGone,
     ConfigurationUnknown,
     InternalFailure,
@@ -142,7 +139,7 @@
         self.reachability = registry.reachability
         self.dialect = dialect
         self.current_configuration = current_configuration
-        self.grant_manager = grant_manager
+        self.token_reservations = TokenReservations(grant_manager, metrics)
         self.metrics = metrics
         self.instance_count = instance_count
         self.requests_in_progress = 0
@@ -254,7 +251,7 @@
             self._check_reachability(run, pool)
             self._check_link(run)
             self._admit(run)
-            self._reserve_tokens(run)
+            self.token_reservations.reserve(run)
             self._attempt_all(run, pool)
         except CallerGone:
             log_run(Event.CALLER_LEFT, run)
@@ -296,41 +293,6 @@
         deadline = run.deadline - TIMEOUT_MARGIN
         run.is_trial = self.attempt_runner.guard.admit(run.request_name, deadline)
 
-    def _reserve_tokens(self, run: RequestRun) -> None:
-        declared = run.request.declared_tokens
-        if declared is None or run.workspace is None:
-            return
-        if not self.grant_manager.has_limit(run.workspace.name):
-            return
-        run.reservation = self._cover(run, declared.total, run.route.priority)
-
-    def _reserve_repeated_output(self, run: RequestRun, pool_name: str) -> None:
-        """Reserve the output that an earlier target may have generated and that was lost.
-
-        The next target generates it again, and both count.
-        """
-        pool = run.configuration.pools.get(pool_name)
-        if run.reservation is None or pool is None:
-            return
-        tokens = run.unreceived_output(pool)
-        if tokens:
-            # A reserve doesn't break off a stream that has begun.
-            run.repeat_reservations.append(self._cover(run, tokens, urgency=0))
-
-    def _cover(self, run: RequestRun, tokens: int, urgency: int) -> Cover:
-        reservation = self.grant_manager.cover(run.workspace.name, tokens, urgency)
-        if isinstance(reservation, Failure):
-            log_reservation_refused(run, tokens, urgency, self.grant_manager)
-            if isinstance(reservation.failure(), BudgetReserved):
-                self._record_reserved(run, urgency)
-            raise reservation.failure()
-        return reservation.unwrap()
-
-    def _record_reserved(self, run: RequestRun, urgency: int) -> None:
-        self.metrics.reserved_refusals.labels(str(urgency)).inc()
-        if self.grant_manager.begin_reserve(run.workspace.name):
-            log_reserve_held(run, urgency, self.grant_manager)
-
     # --- attempts ----------------------------------------------------------------
 
     def _attempt_all(self, run: RequestRun, pool: str) -> None:
@@ -438,7 +400,7 @@
             if failed.was_sent or not run.is_trial:
                 self._admit(run)
             if failed.refusal.outcome is not Outcome.NOT_RUN:
-                self._reserve_repeated_output(run, pool)
+                self.token_reservations.reserve_repeated_output(run, pool)
         except Refusal as refusal:
             raise self._final_refusal(run, refusal) from refusal
 
