Link budgets: requests that are sent nowhere give their bytes back, refusals leave a debt

A request took its bytes when it fitted, and kept them when it was refused afterwards (budget, quarantine, no target, deadline): its answer and its body to the target never crossed the link, and requests after it were refused as link_saturated that would have fitted. And a refusal set a level below zero, as it is after a request larger than the bucket, back to zero.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -259,6 +259,8 @@
         finally:
             if run.answer_bytes:
                 self.link_budget.observe_answer(run.route.name, run.answer_bytes)
+            if run.link_bytes and not run.attempts and not run.may_have_run:
+                self.link_budget.give_back(run.link_bytes, len(run.request.body))
             if run.is_trial and not run.may_have_run:
                 self.attempt_runner.guard.return_trial(run.request_name)
             # Settle the reservation if the attempts did not.
@@ -279,14 +281,17 @@
         """
         if run.is_forwarded or run.is_continuation:
             return
+        body_bytes = len(run.request.body)
+        expected_bytes = self.link_budget.expected_bytes(run.route.name, body_bytes)
         wait = self.link_budget.take(
             run.route.name,
-            len(run.request.body),
+            body_bytes,
             run.route.priority == run.configuration.most_urgent_priority,
             steady(),
         )
         if wait is not None:
             raise LinkSaturated("the link of this instance is saturated", retry_after=wait)
+        run.link_bytes = expected_bytes
 
     def _admit(self, run: RequestRun) -> None:
         """Check that the request is not in quarantine, which all instances share."""
--- a/whinrack/dispatch/_link_budget.py
+++ b/whinrack/dispatch/_link_budget.py
@@ -49,6 +49,22 @@
         known = self._answer_bytes.get(route, float(size))
         self._answer_bytes[route] = known + _ANSWER_WEIGHT * (size - known)
 
+    def expected_bytes(self, route: str, body_bytes: int) -> float:
+        """Return the bytes that a request and its answer are likely to take."""
+        return body_bytes + _HEAD_BYTES + self._answer_bytes.get(route, _DEFAULT_ANSWER_BYTES)
+
+    def give_back(self, size: float, body_bytes: int) -> None:
+        """Return the bytes of a request that fitted, but was sent nowhere.
+
+        Parameters
+        ----------
+        size : float
+            Its expected bytes when it was admitted.
+        body_bytes : int
+            Size of its body, which the caller has sent.
+        """
+        self._level = min(self.depth, self._level + size - _received_bytes(body_bytes))
+
     def take(self, route: str, body_bytes: int, is_urgent: bool, now: float) -> float | None:
         """Take the bytes of a request, if they fit.
 
@@ -69,8 +85,7 @@
         if not self.rate:
             return None
         self._refill(now)
-        answer_bytes = self._answer_bytes.get(route, _DEFAULT_ANSWER_BYTES)
-        size = body_bytes + _HEAD_BYTES + answer_bytes
+        size = self.expected_bytes(route, body_bytes)
         self._mean_size += _SIZE_WEIGHT * (size - self._mean_size)
         is_preferred = is_urgent or size <= self._mean_size
         needed = size if is_preferred else size + _KEPT_SHARE * self.depth
@@ -79,8 +94,9 @@
         if self._level >= needed:
             self._level -= size
             return None
-        # The body has crossed the link already, in one direction.
-        self._level -= min(self._level, body_bytes / 2)
+        # A refused request takes no more than there is, so that bodies alone do not keep the bucket
+        # below zero. It may be there after a request that is larger than the bucket.
+        self._level -= max(0.0, min(self._level, _received_bytes(body_bytes)))
         shortest, longest = _RETRY_BOUNDS
         return min(longest, max(shortest, (needed - self._level) / self.rate))
 
@@ -89,3 +105,8 @@
             gained = self.rate * max(0.0, now - self._updated_at)
             self._level = min(self.depth, self._level + gained)
         self._updated_at = now
+
+
+def _received_bytes(body_bytes: int) -> float:
+    """Return the share of a body that has crossed the link once, but was not sent on."""
+    return body_bytes / 2
--- /dev/null
+++ b/whinrack/dispatch/tests/pipeline.py
@@ -0,0 +1,81 @@
+"""A dispatcher with stand-ins for its callers and its targets."""
+
+import types
+
+from whinrack.dispatch import (
+    Configuration,
+    Dialect,
+    Dispatcher,
+    DispatchOptions,
+    IncomingRequest,
+    PoolRecord,
+    TargetsView,
+)
+from whinrack.http1 import Exchange, RequestHead, ServerLimits
+from whinrack.observability import Metrics
+
+__all__ = ["Pipeline"]
+
+
+class Pipeline(Dialect):
+    """Passes requests to a dispatcher and returns its refusals.
+
+    Parameters
+    ----------
+    route : Route
+        The only route.
+    registry : TargetRegistry
+    connections
+        Stand-in for the connections to targets.
+    bandwidth : float
+        Bandwidth of the instance's link, Mbit/s; 0 for no limit.
+    engine : EngineCapacity, optional
+        Capacity of the targets of the route's pool.
+    """
+
+    def __init__(self, route, registry, connections, bandwidth=0.0, engine=None):
+        pools = [PoolRecord(share.pool, 0, engine=engine) for share in route.weighted_pools]
+        configuration = Configuration(1, [route], pools, [], ServerLimits())
+        self._request = None
+        self._refusal = None
+        self._dispatcher = Dispatcher(
+            self,
+            types.SimpleNamespace(version=1, get=lambda: configuration),
+            registry,
+            None,
+            connections,
+            Metrics(),
+            DispatchOptions(0.2, 10.0, 10.0, bandwidth=bandwidth),
+            lambda: 1,
+            TargetsView,
+            lambda *moved: None,
+        )
+
+    def handle(self, body=b"", **fields):
+        """Handle a request and return the refusal, None if there is none."""
+        self._request = IncomingRequest(
+            request_id=b"1",
+            method=b"POST",
+            target=b"/x",
+            host="h",
+            path="/x",
+            headers=[],
+            body=body,
+            **fields,
+        )
+        self._refusal = None
+        self._dispatcher.handle(Exchange(self, RequestHead(b"POST", b"/x", []), body))
+        return self._refusal
+
+    def parse_request(self, head, body):
+        return self._request
+
+    def refusal_response(self, refusal, request):
+        self._refusal = refusal
+        return refusal.status, [], b""
+
+    def attempt_headers(self, attempt):
+        return []
+
+    def send_response(self, status, headers, body):
+        """Accept a response, as a caller's connection does."""
--- a/whinrack/dispatch/tests/test_link_budget.py
+++ b/whinrack/dispatch/tests/test_link_budget.py
@@ -4,7 +4,10 @@
 
 import pytest
 
+from whinrack.dispatch import Route, RouteKind, TargetRegistry, WeightedPool
 from whinrack.dispatch._link_budget import LinkBudget
+from whinrack.dispatch.tests.pipeline import Pipeline
+from whinrack.exceptions import TargetUnavailable
 
 BANDWIDTH = 5.0
 BYTES_PER_SECOND = 625_000
@@ -13,6 +16,15 @@
 ANSWERS = {URGENT: 2_200, LARGE: 2_900}
 # Seconds within which an answer is in time.
 AIM_SECONDS = 0.25
+ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/",
+    kind=RouteKind.REPEATABLE,
+    timeout=5.0,
+    weighted_pools=(WeightedPool("p"),),
+    is_public=True,
+)
 
 
 def play(load, admits, seconds=30.0):
@@ -76,3 +88,19 @@
 
 def test_a_request_larger_than_the_burst_is_admitted_on_an_idle_link():
     assert LinkBudget(BANDWIDTH).take(LARGE, 2_000_000, False, 0.0) is None
+
+
+def test_a_refused_request_leaves_the_debt_of_a_larger_one():
+    budget = LinkBudget(BANDWIDTH)
+    budget.take(LARGE, 2_000_000, False, 0.0)
+    debt_seconds = 2_000_000 / BYTES_PER_SECOND - 0.5
+    assert budget.take(URGENT, 800, True, 0.0) is not None
+    assert budget.take(URGENT, 800, True, 0.9 * debt_seconds) is not None
+    assert budget.take(URGENT, 800, True, 1.5 * debt_seconds) is None
+
+
+def test_requests_that_no_target_takes_leave_room_for_others():
+    """They are answered by a refusal, so the expected answer does not cross the link."""
+    pipeline = Pipeline(ROUTE, TargetRegistry(seed=1), connections=None, bandwidth=BANDWIDTH)
+    codes = {pipeline.handle().code for _ in range(1000)}
+    assert codes == {TargetUnavailable.code}
