Link budgets: continued and forwarded requests count

Requests that are continued or were forwarded by a peer are not refused, but their bytes were not counted either, and requests that are forwarded from here were sent before the link was checked. With such requests an instance admitted more than its link carries. They take their bytes now as far as there are any, and the check comes before forwarding. Two tests fail without this; the tests of dispatch pass.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -244,12 +244,12 @@
                 log_forwarded(run, mark)
             self.stream_versions.look_up(run)
             pool = run.pool = self._choose_pool(run)
+            self._check_link(run)
             if self._should_forward(run, pool) and self._forward(run, pool):
                 return
             if self._doubts_pool(run, pool) and self._forward(run, pool, needs_answer=True):
                 return
             self._check_reachability(run, pool)
-            self._check_link(run)
             self._admit(run)
             self.token_reservations.reserve(run)
             self._attempt_all(run, pool)
@@ -277,18 +277,17 @@
     def _check_link(self, run: RequestRun) -> None:
         """Refuse a request at once for which the link of this instance has no room.
 
-        Continued streams and requests that a peer has forwarded have crossed a link already.
+        Continued streams and requests that a peer has forwarded are not refused, as they have
+        crossed a link already. They take part of this one nevertheless, and so do requests that are
+        forwarded from here.
         """
+        route, body_bytes, now = run.route, len(run.request.body), steady()
         if run.is_forwarded or run.is_continuation:
+            run.link_bytes = self.link_budget.charge(route.name, body_bytes, now)
             return
-        body_bytes = len(run.request.body)
-        expected_bytes = self.link_budget.expected_bytes(run.route.name, body_bytes)
-        wait = self.link_budget.take(
-            run.route.name,
-            body_bytes,
-            run.route.priority == run.configuration.most_urgent_priority,
-            steady(),
-        )
+        expected_bytes = self.link_budget.expected_bytes(route.name, body_bytes)
+        is_urgent = route.priority == run.configuration.most_urgent_priority
+        wait = self.link_budget.take(route.name, body_bytes, is_urgent, now)
         if wait is not None:
             raise LinkSaturated("the link of this instance is saturated", retry_after=wait)
         run.link_bytes = expected_bytes
--- a/whinrack/dispatch/_link_budget.py
+++ b/whinrack/dispatch/_link_budget.py
@@ -59,11 +59,30 @@
         Parameters
         ----------
         size : float
-            Its expected bytes when it was admitted.
+            The bytes that were taken for it.
         body_bytes : int
-            Size of its body, which the caller has sent.
+            Size of its body, which has been received.
         """
-        self._level = min(self.depth, self._level + size - _received_bytes(body_bytes))
+        unused = max(0.0, size - _received_bytes(body_bytes))
+        self._level = min(self.depth, self._level + unused)
+
+    def charge(self, route: str, body_bytes: int, now: float) -> float:
+        """Take the bytes of a request that is not to be refused, as far as there are any.
+
+        Parameters
+        ----------
+        body_bytes : int
+            Size of the request's body.
+        now : float
+            Monotonic clock, in seconds.
+
+        Returns
+        -------
+        float
+            The bytes that were taken, at most those that the bucket held.
+        """
+        self._refill(now)
+        return self._drain(self.expected_bytes(route, body_bytes))
 
     def take(self, route: str, body_bytes: int, is_urgent: bool, now: float) -> float | None:
         """Take the bytes of a request, if they fit.
@@ -94,12 +113,16 @@
         if self._level >= needed:
             self._level -= size
             return None
-        # A refused request takes no more than there is, so that bodies alone do not keep the bucket
-        # below zero. It may be there after a request that is larger than the bucket.
-        self._level -= max(0.0, min(self._level, _received_bytes(body_bytes)))
+        self._drain(_received_bytes(body_bytes))
         shortest, longest = _RETRY_BOUNDS
         return min(longest, max(shortest, (needed - self._level) / self.rate))
 
+    def _drain(self, size: float) -> float:
+        """Take bytes as far as there are any; an oversized request may have left a debt."""
+        drained = max(0.0, min(self._level, size))
+        self._level -= drained
+        return drained
+
     def _refill(self, now: float) -> None:
         if self._updated_at is not None:
             gained = self.rate * max(0.0, now - self._updated_at)
--- a/whinrack/dispatch/tests/pipeline.py
+++ b/whinrack/dispatch/tests/pipeline.py
@@ -31,9 +31,11 @@
         Bandwidth of the instance's link, Mbit/s; 0 for no limit.
     engine : EngineCapacity, optional
         Capacity of the targets of the route's pool.
+    forwarder : optional
+        Stand-in for the forwarder to peers.
     """
 
-    def __init__(self, route, registry, connections, bandwidth=0.0, engine=None):
+    def __init__(self, route, registry, connections, bandwidth=0.0, engine=None, forwarder=None):
         pools = [PoolRecord(share.pool, 0, engine=engine) for share in route.weighted_pools]
         configuration = Configuration(1, [route], pools, [], ServerLimits())
         self._request = None
@@ -49,6 +51,7 @@
             lambda: 1,
             TargetsView,
             lambda *moved: None,
+            forwarder=forwarder,
         )
 
     def handle(self, body=b"", **fields):
--- a/whinrack/dispatch/tests/test_link_budget.py
+++ b/whinrack/dispatch/tests/test_link_budget.py
@@ -7,7 +7,7 @@
 from whinrack.dispatch import Route, RouteKind, TargetRegistry, WeightedPool
 from whinrack.dispatch._link_budget import LinkBudget
 from whinrack.dispatch.tests.pipeline import Pipeline
-from whinrack.exceptions import TargetUnavailable
+from whinrack.exceptions import LinkSaturated, TargetUnavailable
 
 BANDWIDTH = 5.0
 BYTES_PER_SECOND = 625_000
@@ -104,3 +104,32 @@
     pipeline = Pipeline(ROUTE, TargetRegistry(seed=1), connections=None, bandwidth=BANDWIDTH)
     codes = {pipeline.handle().code for _ in range(1000)}
     assert codes == {TargetUnavailable.code}
+
+
+class Forwarder:
+    """Stand-in for peers that take every request."""
+
+    def has_peer(self, pool, needs_version=False):
+        return True
+
+    def forward(self, run, *args):
+        run.may_have_run = True
+        return True
+
+
+def test_requests_that_are_forwarded_from_here_need_room(monkeypatch):
+    """They cross the link like those that are sent to a target."""
+    registry = TargetRegistry(seed=1)
+    monkeypatch.setattr(registry.reachability, "is_lost", lambda pool: True)
+    pipeline = Pipeline(ROUTE, registry, None, bandwidth=BANDWIDTH, forwarder=Forwarder())
+    refusals = [pipeline.handle(bytes(12_000)) for _ in range(40)]
+    assert refusals[0] is None
+    assert isinstance(refusals[-1], LinkSaturated)
+
+
+def test_requests_that_are_not_refused_leave_less_room():
+    budget = LinkBudget(BANDWIDTH)
+    for _ in range(100):
+        budget.charge(LARGE, 12_000, 0.0)
+    assert budget.take(URGENT, 800, True, 0.0) is not None
+    assert budget.take(URGENT, 800, True, 0.5) is None
