Link budgets: sizes of answers are kept for 2000 routes, and only where a bandwidth is stated

The mean size of answers was kept for each route name ever served, also at instances without a stated bandwidth, so it grew with each new route of a configuration. The comment on the burst said that its queue is shorter than callers notice; routes state objectives below its 0.5 s, so it tells what the burst is instead.

--- a/whinrack/dispatch/_link_budget.py
+++ b/whinrack/dispatch/_link_budget.py
@@ -6,13 +6,15 @@
 Requests that do not fit are refused at once instead, first those that are large and not urgent.
 """
 
+from collections import OrderedDict
+
 __all__ = ["LinkBudget"]
 
 _BYTES_PER_MEGABIT = 125_000
 # Share of the bandwidth that requests may use; packet headers and traffic with peers take the rest.
 _USABLE_SHARE = 0.85
-# Traffic that may be admitted at once, in seconds of the bandwidth: a queue of this length delays
-# answers by less than callers notice.
+# Traffic that may be admitted at once, in seconds of the bandwidth: the longest queue that admitted
+# requests leave at the link.
 _BURST_SECONDS = 0.5
 # Share of the burst that is kept for urgent and for small requests.
 _KEPT_SHARE = 0.5
@@ -21,6 +23,8 @@
 # Assumed size of answers of a route before the first one, and weight of the latest one, bytes.
 _DEFAULT_ANSWER_BYTES = 1000
 _ANSWER_WEIGHT = 0.05
+# Routes whose answers are remembered, those with the latest ones.
+_MAX_ROUTES = 2000
 # Weight of the latest request in the mean size.
 _SIZE_WEIGHT = 0.02
 # Bounds of the time after which refused callers should return, in seconds.
@@ -41,13 +45,17 @@
         self.depth = _BURST_SECONDS * bandwidth * _BYTES_PER_MEGABIT
         self._level = self.depth
         self._updated_at: float | None = None
-        self._answer_bytes: dict[str, float] = {}
+        self._answer_bytes: OrderedDict[str, float] = OrderedDict()
         self._mean_size = 0.0
 
     def observe_answer(self, route: str, size: int) -> None:
         """Record the bytes of an answer."""
-        known = self._answer_bytes.get(route, float(size))
+        if not self.rate:
+            return
+        known = self._answer_bytes.pop(route, float(size))
         self._answer_bytes[route] = known + _ANSWER_WEIGHT * (size - known)
+        if len(self._answer_bytes) > _MAX_ROUTES:
+            self._answer_bytes.popitem(last=False)
 
     def expected_bytes(self, route: str, body_bytes: int) -> float:
         """Return the bytes that a request and its answer are likely to take."""
--- a/whinrack/dispatch/tests/test_link_budget.py
+++ b/whinrack/dispatch/tests/test_link_budget.py
@@ -133,3 +133,11 @@
         budget.charge(LARGE, 12_000, 0.0)
     assert budget.take(URGENT, 800, True, 0.0) is not None
     assert budget.take(URGENT, 800, True, 0.5) is None
+
+
+def test_answers_of_routes_that_no_longer_exist_are_forgotten():
+    budget = LinkBudget(BANDWIDTH)
+    budget.observe_answer("old", 50_000)
+    for number in range(2000):
+        budget.observe_answer(f"r{number}", 2000)
+    assert budget.expected_bytes("old", 0) == budget.expected_bytes("unknown", 0)
