Entries: a stopping instance that hears few doesn't name itself, both events come with heartbeats

An instance that stopped while it heard less than a quarter of the fleet remembered itself as one that accepts callers, and named itself to them beside the usual ones. It names others only now, if it remembers any. The events 4007 and 4008 were logged when a caller asked, so the end of a partition was not logged where callers had gone elsewhere; they come with the heartbeat after the change.

--- a/whinrack/edge/_last_entries.py
+++ b/whinrack/edge/_last_entries.py
@@ -9,8 +9,8 @@
 # A fleet in which fewer than this share of the instances is heard is partitioned: the loss of all
 # others at once is much less likely than the loss of the path to them.
 _ISOLATED_SHARE = 0.25
-# Fleets with fewer instances name all of them to callers.
-_MIN_INSTANCES = 12
+# Up to this fleet size all instances accept callers.
+_SMALL_FLEET_INSTANCES = 12
 
 
 class _Known(msgspec.Struct, frozen=True):
@@ -62,11 +62,13 @@
         list of PeerState
             `ready`, or the remembered instances if most of them fell silent.
         """
-        if len(self._known) <= _MIN_INSTANCES or len(ready) >= _ISOLATED_SHARE * len(self._known):
+        fleet_size = len(self._known)
+        if fleet_size <= _SMALL_FLEET_INSTANCES or len(ready) >= _ISOLATED_SHARE * fleet_size:
             return ready
         heard = {state.sender.name for state in ready}
         silent = [known.state for name, known in self._known.items() if name not in heard]
-        return [*ready, *silent]
+        # This instance is among `ready` while it stops, if it hears nobody.
+        return [state for state in (*ready, *silent) if state.ready]
 
     def _is_over(self, known: _Known, now: float) -> bool:
         return now - known.heard_at > self.remembered_seconds
--- a/whinrack/edge/_membership.py
+++ b/whinrack/edge/_membership.py
@@ -48,8 +48,8 @@
 _LOAD_STEP = 10
 # Number of peer names in one log line.
 _MAX_LOGGED_NAMES = 6
-# Time for which an isolated instance goes on naming instances that it does not hear, as long as
-# budgets are held for an outage.
+# Time for which an isolated instance goes on naming instances that it does not hear: longer than
+# the outages for which they hold budgets.
 _ENTRIES_REMEMBERED_SECONDS = 10.0
 
 
@@ -227,9 +227,7 @@
 
     def caller_addresses(self, hall: str) -> list[str]:
         """Return the addresses that a caller in a data hall may connect to."""
-        ready = self._ready_states(steady())
-        candidates = self.last_entries.candidates(ready)
-        self._log_isolation(len(ready), len(candidates))
+        candidates = self.last_entries.candidates(self._ready_states(steady()))
         return [state.callers for state in choose_entries(candidates, hall)]
 
     def _ready_states(self, now: float) -> list[PeerState]:
@@ -240,9 +238,11 @@
         return ready
 
     def _update_last_entries(self, now: float) -> None:
-        self.last_entries.update(self._ready_states(now), now)
-        stopping = [view.state for view in self.table.live_peers(now) if not view.state.ready]
-        self.last_entries.forget([state.sender.name for state in stopping])
+        ready = self._ready_states(now)
+        self.last_entries.update([state for state in ready if state.ready], now)
+        live = [self.own_state(), *(view.state for view in self.table.live_peers(now))]
+        self.last_entries.forget([state.sender.name for state in live if not state.ready])
+        self._log_isolation(len(ready), len(self.last_entries.candidates(ready)))
 
     def _log_isolation(self, heard: int, candidates: int) -> None:
         """Log when this instance begins or ceases to name instances that it does not hear."""
--- a/whinrack/edge/tests/test_last_entries.py
+++ b/whinrack/edge/tests/test_last_entries.py
@@ -60,6 +60,12 @@
     assert "s0" not in named(entries, ALONE)
 
 
+def test_a_stopping_instance_that_hears_nobody_does_not_name_itself():
+    entries = remember_fleet()
+    entries.forget(["s0"])
+    assert "s0" not in named(entries, [state("s0", ready=False, bandwidth=100.0, cores=2.15)])
+
+
 def test_a_small_fleet_names_the_instances_that_are_heard():
     entries = LastEntries(10.0)
     entries.update(FLEET[:8], now=0.0)
--- a/whinrack/edge/tests/test_membership.py
+++ b/whinrack/edge/tests/test_membership.py
@@ -14,6 +14,7 @@
 from whinrack.edge._membership import Membership
 from whinrack.edge._membership_host import MembershipHost
 from whinrack.gossip import Heartbeat, PeerAddress, PeerState
+from whinrack.observability import Event
 
 OPTIONS = EdgeOptions(
     name="a",
@@ -224,3 +225,35 @@
     assert len(membership.link.sent) == 6
     membership.notify_peers()
     assert len(membership.link.sent) == 6
+
+
+@pytest.fixture
+def hearing(membership, monkeypatch):
+    """The instance while it is ready, the peers that it hears, and the events that it logs."""
+    peers, events = membership.table.live_peers(steady()), []
+    monkeypatch.setattr(membership.table, "live_peers", lambda now: peers)
+    log = lambda event, **fields: events.append(event)  # noqa: E731
+    monkeypatch.setattr("whinrack.edge._membership.log_event", log)
+    membership.current_configuration = FixedConfiguration(1)
+    membership.send_heartbeats()
+    return membership, peers, events
+
+
+def test_an_instance_that_stops_while_it_hears_nobody_names_others_only(hearing):
+    member, peers, _ = hearing
+    peers.clear()
+    member.is_stopping = True
+    member.send_heartbeats()
+    addresses = member.caller_addresses("h0")
+    assert addresses and "10.0.0.1:80" not in addresses
+
+
+def test_begin_and_end_of_an_isolation_are_logged_though_no_caller_asks(hearing):
+    member, peers, events = hearing
+    heard = list(peers)
+    peers.clear()
+    member.send_heartbeats()
+    assert Event.ENTRIES_REMEMBERED in events
+    peers.extend(heard)
+    member.send_heartbeats()
+    assert Event.ENTRIES_HEARD in events
