Configuration check: a version below 1, prefixes that no path can have, pools without weight

The check passed a version below 1, which no instance takes, and prefixes with a query, white space or characters beyond ASCII, which never match as the HTTP parser takes visible ASCII only. It compared token limits with engines of pools to which a route leads with weight 0. Four new cases fail without this; the 38 tests of the check pass.

--- a/whinrack/configuration_check/_report.py
+++ b/whinrack/configuration_check/_report.py
@@ -73,11 +73,13 @@
             for text in declared.ignored_fields
         ),
     ]
+    # An instance without a configuration has version 0.
+    version_in_force = 0 if in_force is None else in_force.version
+    if declared.version <= version_in_force:
+        message = f"{declared.version} is not above {version_in_force}: it would be ignored"
+        findings.append(Finding.make(FindingCode.VERSION_NOT_HIGHER, "version", message))
     differences = None
     if in_force is not None:
-        if declared.version <= in_force.version:
-            message = f"{declared.version} is not above {in_force.version}: it would be ignored"
-            findings.append(Finding.make(FindingCode.VERSION_NOT_HIGHER, "version", message))
         findings += check_lowered_limits(declared, in_force)
         differences = find_differences(declared, in_force)
     findings.sort(key=lambda finding: finding.severity is not Severity.ERROR)
--- a/whinrack/configuration_check/_routes.py
+++ b/whinrack/configuration_check/_routes.py
@@ -1,5 +1,6 @@
 """Checks of routes."""
 
+import re
 from collections.abc import Iterator
 
 from whinrack.configuration_check._declared import DeclaredConfiguration
@@ -8,6 +9,9 @@
 
 __all__ = ["check_routes"]
 
+# Characters of a path in a request that the HTTP parser accepts.
+_PATH_PATTERN = re.compile(r"[!->@-~]*")
+
 
 def check_routes(configuration: DeclaredConfiguration) -> Iterator[Finding]:
     """Check each route, and the routes against one another and against the pools."""
@@ -57,6 +61,9 @@
     if not (prefix.startswith("/") and prefix.endswith("/")):
         message = f"prefix {prefix!r} must begin and end with a slash; it never matches"
         yield FindingCode.MALFORMED_PREFIX, message
+    elif not _PATH_PATTERN.fullmatch(prefix):
+        message = f"prefix {prefix!r}: a path has visible ASCII without '?' only; it never matches"
+        yield FindingCode.MALFORMED_PREFIX, message
     if not route.host or route.host != _normalised_host(route.host):
         message = f"host {route.host!r} is compared in lower case without a port; it never matches"
         yield FindingCode.UNMATCHABLE_HOST, message
--- a/whinrack/configuration_check/_workspaces.py
+++ b/whinrack/configuration_check/_workspaces.py
@@ -58,6 +58,7 @@
         for route in configuration.routes
         if not route.is_public
         for weighted in route.weighted_pools
+        if weighted.weight > 0
     }
     capacities = (
         (pool.engine.token_capacity, pool.name)
