Link budgets: a forwarded request that is sent nowhere gives its bytes back, too

Attempts of a forwarded request begin with those of the peer, so one that had been sent before kept its bytes when it was refused here unsent. What counts is whether it was sent from here. One case fails without this.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -259,7 +259,7 @@
         finally:
             if run.answer_bytes:
                 self.link_budget.observe_answer(run.route.name, run.answer_bytes)
-            if run.link_bytes and not run.attempts and not run.may_have_run:
+            if run.link_bytes and not run.sent_at and not run.may_have_run:
                 self.link_budget.give_back(run.link_bytes, len(run.request.body))
             if run.is_trial and not run.may_have_run:
                 self.attempt_runner.guard.return_trial(run.request_name)
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -72,7 +72,7 @@
     link_bytes : float
         Bytes taken from the link budget for the request.
     sent_at : float
-        Steady clock time at which the request was sent to the latest target.
+        Steady clock time at which the request was sent to the latest target, 0 before that.
     is_forwarded : bool
         Whether a peer has forwarded the request to this instance.
     has_begun_long_answer : bool
--- a/whinrack/dispatch/tests/pipeline.py
+++ b/whinrack/dispatch/tests/pipeline.py
@@ -54,8 +54,17 @@
             forwarder=forwarder,
         )
 
-    def handle(self, body=b"", **fields):
-        """Handle a request and return the refusal, None if there is none."""
+    def handle(self, body=b"", mark=None, **fields):
+        """Handle a request and return the refusal, None if there is none.
+
+        Parameters
+        ----------
+        body : bytes
+        mark : ForwardingMark, optional
+            The mark of a peer that has forwarded the request.
+        **fields
+            Further fields of the `IncomingRequest`.
+        """
         self._request = IncomingRequest(
             request_id=b"1",
             method=b"POST",
@@ -67,7 +76,10 @@
             **fields,
         )
         self._refusal = None
-        self._dispatcher.handle(Exchange(self, RequestHead(b"POST", b"/x", []), body))
+        headers = [] if mark is None else mark.headers()
+        exchange = Exchange(self, RequestHead(b"POST", b"/x", headers), body)
+        handle = self._dispatcher.handle if mark is None else self._dispatcher.handle_forwarded
+        handle(exchange)
         return self._refusal
 
     def parse_request(self, head, body):
--- a/whinrack/dispatch/tests/test_link_budget.py
+++ b/whinrack/dispatch/tests/test_link_budget.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from whinrack.dispatch import Route, RouteKind, TargetRegistry, WeightedPool
+from whinrack.dispatch import Dispatcher, Route, RouteKind, TargetRegistry, WeightedPool
+from whinrack.dispatch._forwarding_mark import ForwardingMark
 from whinrack.dispatch._link_budget import LinkBudget
 from whinrack.dispatch.tests.pipeline import Pipeline
 from whinrack.exceptions import LinkSaturated, TargetUnavailable
@@ -99,11 +100,23 @@
     assert budget.take(URGENT, 800, True, 1.5 * debt_seconds) is None
 
 
-def test_requests_that_no_target_takes_leave_room_for_others():
+@pytest.mark.parametrize("mark", [None, ForwardingMark(5.0, attempts=1, configuration=1)])
+def test_requests_that_no_target_takes_leave_room_for_others(mark):
     """They are answered by a refusal, so the expected answer does not cross the link."""
     pipeline = Pipeline(ROUTE, TargetRegistry(seed=1), connections=None, bandwidth=BANDWIDTH)
-    codes = {pipeline.handle().code for _ in range(1000)}
-    assert codes == {TargetUnavailable.code}
+    codes = {pipeline.handle(mark=mark).code for _ in range(1000)}
+    assert codes | {pipeline.handle().code} == {TargetUnavailable.code}
+
+
+def test_requests_that_a_peer_has_forwarded_are_sent_but_leave_less_room(monkeypatch):
+    def send(dispatcher, run, pool):
+        run.sent_at = 1.0
+
+    monkeypatch.setattr(Dispatcher, "_attempt_all", send)
+    pipeline = Pipeline(ROUTE, TargetRegistry(seed=1), connections=None, bandwidth=BANDWIDTH)
+    mark = ForwardingMark(5.0, attempts=0, configuration=1)
+    assert [pipeline.handle(bytes(12_000), mark) for _ in range(100)] == [None] * 100
+    assert isinstance(pipeline.handle(bytes(12_000)), LinkSaturated)
 
 
 class Forwarder:
