--- a/whinrack/dispatch/_forwarding.py
+++ b/whinrack/dispatch/_forwarding.py
@@ -18,6 +18,7 @@
     without_marks,
 )
 from whinrack.dispatch._held_body import hold_body
+from whinrack.dispatch._peer_contact import PeerContact
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._run_log import log_run
 from whinrack.exceptions import (
@@ -117,6 +118,7 @@
         self.peers = peers
         self.metrics = metrics
         self.record_traffic = record_traffic
+        self.contact = PeerContact()
 
     def has_peer(self, pool: str, needs_version: bool = False) -> bool:
         """Return whether there is a peer that may serve a request for a pool."""
@@ -160,6 +162,9 @@
         for peer in candidates[:_MAX_PEERS]:
             if run.seconds_left() <= _PEER_TIMEOUT_MARGIN:
                 break
+            if not self.contact.may_connect(steady()):
+                self.metrics.forwarded_requests.labels("no_contact").inc()
+                break
             began_at = steady()
             try:
                 self._forward_to(peer, run)
@@ -178,12 +183,14 @@
         try:
             connection = self.connections.acquire(peer.address, run.deadline)
         except TargetUnavailable as failure:
+            self.contact.record_failed(peer.name, steady())
             raise _Declined(failure.message) from failure
         may_have_run_before = run.may_have_run
         run.may_have_run = True
         try:
             self._send(run, connection)
             head = connection.read_head(run.deadline, lambda headers: True)
+            self.contact.record_answer()
             answer = read_peer_answer(head)
             if answer is None:
                 raise TargetFailed("the peer sent an answer without a mark")
--- /dev/null
+++ b/whinrack/dispatch/tests/test_peer_contact.py
@@ -0,0 +1,67 @@
+"""An instance whose connections to peers all fail forwards nothing but trials."""
+
+import pytest
+
+from whinrack.dispatch._peer_contact import PeerContact
+
+# Connection timeout, seconds.
+TIMEOUT = 0.3
+
+
+def lost_contact(now=0.0):
+    contact = PeerContact()
+    for number in range(3):
+        contact.record_failed(f"peer-{number}", now)
+    return contact
+
+
+def hold_times(contact, reachable, requests=300, rate=50.0, peers=3):
+    """Return the seconds for which each request of a load is held by attempts to reach peers."""
+    held, done = [], []
+    for number in range(requests):
+        arrived = now = number / rate
+        for peer in range(peers):
+            # Attempts that have ended by now, in order.
+            while done and done[0][0] <= now:
+                contact.record_failed(done.pop(0)[1], now)
+            if reachable or not contact.may_connect(now):
+                break
+            now += TIMEOUT
+            done.append((now, f"peer-{(number + peer) % 20}"))
+            done.sort()
+        held.append(now - arrived)
+    return held
+
+
+def test_requests_are_refused_at_once_while_no_peer_is_reached():
+    held = hold_times(PeerContact(), reachable=False)
+    later = held[50:]
+    assert sum(seconds > 0 for seconds in later) / len(later) <= 0.1
+    assert max(held) <= 3 * TIMEOUT
+
+
+@pytest.mark.parametrize("failed", [["peer-1"], ["peer-1", "peer-2"], ["peer-1"] * 5])
+def test_a_few_failed_peers_do_not_stop_forwarding(failed):
+    contact = PeerContact()
+    for peer in failed:
+        contact.record_failed(peer, 0.0)
+    assert all(contact.may_connect(0.0) for _ in range(10))
+
+
+def test_an_answer_of_any_peer_ends_the_loss():
+    contact = lost_contact()
+    contact.record_answer()
+    assert all(contact.may_connect(0.0) for _ in range(10))
+
+
+def test_contact_is_tried_soon_after_it_was_lost_and_again():
+    contact = lost_contact()
+    assert contact.may_connect(0.0)
+    assert not contact.may_connect(0.4)
+    assert contact.may_connect(0.6)
+
+
+def test_old_failures_are_forgotten():
+    contact = lost_contact()
+    assert contact.is_lost(1.0)
+    assert not contact.is_lost(2.5)
