Origins of streams over new connections are settled after 0.5 s

Cause: a target that is back under its name answers before its new record has arrived. A stream that begins there is recorded with the version of the earlier record. Only an attempt that still ran when the later start became known corrected that; once the caller had left, nobody did, and the stream went on at a target of another version.

Change: the origin of a stream that began over a connection opened less than 0.5 s ago, at a target that states when it started, is reported as unsettled. Lookups of it, and the attempt that goes on within the same answer, wait for the rest and look again. Each holder of the origin that learns of a later start makes the version unknown and tells the homes and the instance at which the stream began. Streams that begin and settled origins don't wait. Messages of earlier builds are read as settled.

Tests: new cases of the table, the exchange, the messages and the lookups; a platform test whose runners write their record 0.1 s after their first request.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -159,9 +159,10 @@
             If the caller has not received an answer.
         """
         pool = run.configuration.pools.get(pool_name)
-        now = steady()
         if pool is None:
             raise NoTargetAvailable(no_target_refusal())
+        self.stream_versions.await_settled(run)
+        now = steady()
         max_in_flight = self._max_in_flight(pool)
         has_engines = pool.engine is not None
         prompt = run.prompt if has_engines else None
@@ -185,6 +186,7 @@
         run.tried_targets.add(state.record.identity)
         run.target = state.record.incarnation
         run.software_version = self.registry.software_version(state)
+        run.target_started = state.record.started
         run.targets_view = self.targets_view()
         self.metrics.targets_age_seconds.set(run.targets_view.age)
         permit_until = self.registry.begin_request(state, pool.cold_start)
@@ -285,6 +287,7 @@
         sent_at, has_head = steady(), False
         reachability = self.registry.reachability
         run.sent_at, run.concurrent_requests = sent_at, state.in_flight - 1
+        run.connected_at = connection.opened_at
         silence_timeout = self.answer_times.silence_timeout(pool)
         silent_at = sent_at + self._evidence_seconds(pool.name, silence_timeout)
         can_try_another = self._can_try_another(run, pool, sent_at)
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -150,6 +150,7 @@
             options.retry_ratio, options.retry_slack, options.retry_window
         )
         self.stream_versions = StreamVersions(origins or LocalOrigins(), registry, metrics)
+        registry.on_target_replaced.append(self.stream_versions.record_later_start)
         self.attempt_runner = AttemptRunner(
             dialect,
             registry,
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -500,6 +500,11 @@
         """Return the software version of a target, empty if it is unknown."""
         return state.software_version(self.confirmed_at())
 
+    def has_later_start(self, incarnation: str, started: int) -> bool:
+        """Return whether a later start of a target is known."""
+        state = self._targets.get(incarnation)
+        return state is not None and state.record.started > started
+
     def has_version(self, pool: str, software_version: str) -> bool:
         """Return whether a target of a software version is in service; an unknown one has none."""
         return any(
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -61,8 +61,15 @@
         The pool that was chosen, empty before that.
     software_version : str
         Software version of the latest target when the request was sent to it.
+    target_started : int
+        Start time of the latest target as recorded when the request was sent to it.
+    connected_at : float
+        Steady clock time at which the latest attempt to connect began, or the earlier one of a
+        reused connection.
     origin : StreamOrigin or None
         Where the stream began; None before its first event and for other requests.
+    settles_at : float
+        Steady clock time at which the origin of a stream that began here is settled.
     targets_view : TargetsView
         Revision and age of the target list at the latest choice.
     billed_tokens : int
@@ -120,7 +127,10 @@
         self.pool = ""
         self.target = ""
         self.software_version = ""
+        self.target_started = 0
+        self.connected_at = 0.0
         self.origin: StreamOrigin | None = None
+        self.settles_at = float("-inf")
         self.pending_prompt: PendingPrompt | None = None
         self.pending_output: PendingOutput | None = None
         self.placement: Placement | None = None
--- a/whinrack/dispatch/_stream_versions.py
+++ b/whinrack/dispatch/_stream_versions.py
@@ -21,7 +21,7 @@
     StreamVersionUnavailable,
 )
 from whinrack.observability import Event, Metrics
-from whinrack.streams import OriginDirectory, OriginLookup, StreamOrigin
+from whinrack.streams import OriginDirectory, OriginLookup, StreamOrigin, UnsettledStart
 
 __all__ = ["StreamVersions"]
 
@@ -38,6 +38,9 @@
 # write to the store and the report of it.
 _RECORD_SECONDS = 0.25
 _RECORD_POLL_SECONDS = 0.02
+# Time from a connection attempt until the origin of a stream that began over it is settled,
+# seconds. Longer than the wait above, as it delays only callers that come back at once.
+_SETTLING_SECONDS = 0.5
 
 # Source of an origin that was deduced.
 _SOLE_VERSION = "sole version"
@@ -77,7 +80,7 @@
             return
         found = OriginLookup(None)
         if run.request.resumed_id:
-            found = self.origins.find(run.stream_key, run.deadline)
+            found = self._find_settled(run)
         if found.origin is None:
             found = self._deduce(run, found)
         try:
@@ -87,6 +90,18 @@
             raise
         self._log(run, found, "found")
 
+    def _find_settled(self, run: RequestRun) -> OriginLookup:
+        """Look up where a stream began, and wait until a later start there would be known."""
+        while True:
+            found = self.origins.find(run.stream_key, run.deadline)
+            if not found.seconds_left:
+                return found
+            if run.seconds_left() <= 0.0:
+                unknown = StreamOrigin(found.origin.pool, "")
+                return OriginLookup(unknown, found.source, found.unanswered)
+            wait = max(_RECORD_POLL_SECONDS, found.seconds_left)
+            eventlet.sleep(min(wait, run.seconds_left()))
+
     def _deduce(self, run: RequestRun, found: OriginLookup) -> OriginLookup:
         """Deduce where a stream began if its pool has had targets of one version only.
 
@@ -109,17 +124,46 @@
 
     def record_first_event(self, run: RequestRun, pool: PoolRecord) -> None:
         """Record at which version a stream has begun, before its first event is relayed."""
-        if run.origin is None:
+        begins_here = run.origin is None
+        if begins_here:
             run.origin = StreamOrigin(pool.name, run.software_version)
         if run.route.is_resumable:
-            self.origins.record(run.stream_key, run.origin)
+            unsettled = self._unsettled_start(run) if begins_here else None
+            self.origins.record(run.stream_key, run.origin, unsettled)
+
+    def _unsettled_start(self, run: RequestRun) -> UnsettledStart | None:
+        """Return the start that seems to begin a stream, None if no later one can be the sender.
+
+        Only targets that state when they started return under their name.
+        """
+        seconds_left = run.connected_at + _SETTLING_SECONDS - steady()
+        if not run.target_started or seconds_left <= 0.0:
+            return None
+        run.settles_at = steady() + seconds_left
+        return UnsettledStart(run.target, run.target_started, seconds_left)
+
+    def record_later_start(self, replaced: TargetState) -> None:
+        """Record that a later start of a target became known.
+
+        It may have begun streams that are recorded with the version of the replaced one. Their
+        callers may have left since.
+        """
+        record = replaced.record
+        self.origins.record_later_start(record.incarnation, record.started)
+
+    def await_settled(self, run: RequestRun) -> None:
+        """Wait until the version of a stream is settled that began here and goes on."""
+        if run.origin is None or run.settles_at <= steady():
+            return
+        found = self._find_settled(run)
+        run.origin = found.origin or StreamOrigin(run.origin.pool, "")
 
     def await_record(self, run: RequestRun, state: TargetState, connected_at: float) -> None:
         """Wait until a later start at a target's address is known, if a stream goes on there.
 
         A start that answers over a new connection may have begun to listen just before, and may
-        have other software than the record says. Streams that begin there are covered by
-        `record_replaced`. Only targets that state when they started return under their name.
+        have other software than the record says. Streams that begin there are unsettled for a
+        while. Only targets that state when they started return under their name.
 
         Parameters
         ----------
--- a/whinrack/dispatch/tests/test_stream_versions.py
+++ b/whinrack/dispatch/tests/test_stream_versions.py
@@ -9,8 +9,9 @@
 from whinrack.dispatch import TargetRecord, TargetRegistry
 from whinrack.dispatch._stream_versions import StreamVersions
 from whinrack.dispatch._target_state import RECORD_EXPIRY_SECONDS
-from whinrack.exceptions import AnsweredByLaterStart
-from whinrack.streams import StreamOrigin
+from whinrack.exceptions import AnsweredByLaterStart, StreamOriginUnknown
+from whinrack.observability import Metrics
+from whinrack.streams import LocalOrigins, StreamOrigin
 
 NOW = 100.0
 
@@ -205,3 +206,115 @@
     eventlet.spawn_after(0.05, registry.put, record("a", "v2", started=2))
     with pytest.raises(AnsweredByLaterStart):
         wait_seconds(state, steady(), StreamOrigin("p", "v1"))
+
+
+class Continuation:
+    """The parts of a run that the versions of streams read, of a stream in the pool "p"."""
+
+    is_continuation = True
+    stream_key = b"s"
+
+    def __init__(self):
+        self.deadline = steady() + 5.0
+        self.origin = None
+        self.settles_at = float("-inf")
+        self.software_version = "v1"
+        self.target, self.target_started = "a", 1
+        self.connected_at = steady()
+        self.request_id = self.resumed_id = ""
+        self.workspace_name, self.fingerprint = "w", ""
+        self.request = types.SimpleNamespace(resumed_id=b"r", resume_after=1)
+        pool = types.SimpleNamespace(pool="p")
+        self.route = types.SimpleNamespace(
+            name="r", is_resumable=True, weighted_pools=[pool], timeout=4.0
+        )
+
+    def seconds_left(self):
+        return self.deadline - steady()
+
+
+@pytest.fixture
+def versions(registry, monkeypatch):
+    registry.put(record("a", "v1"))
+    monkeypatch.setattr("whinrack.dispatch._stream_versions.log_run", lambda *_, **fields: None)
+    versions = StreamVersions(LocalOrigins(), registry, Metrics())
+    registry.on_target_replaced.append(versions.record_later_start)
+    return versions
+
+
+def begin(versions, connected_seconds_ago=0.0, target_started=1):
+    run = Continuation()
+    run.connected_at -= connected_seconds_ago
+    run.target_started = target_started
+    versions.record_first_event(run, types.SimpleNamespace(name="p"))
+    return run
+
+
+def look_up_seconds(versions):
+    run, began = Continuation(), steady()
+    versions.look_up(run)
+    assert run.origin == StreamOrigin("p", "v1")
+    return steady() - began
+
+
+def test_begin_at_a_new_connection_is_settled_once_a_later_start_would_be_known(versions):
+    began = steady()
+    begin(versions)
+    assert steady() - began < 0.1
+    assert 0.4 <= look_up_seconds(versions) < 0.8
+    assert look_up_seconds(versions) < 0.1
+
+
+@pytest.mark.parametrize("options", [{"connected_seconds_ago": 1.0}, {"target_started": 0}])
+def test_begin_that_no_later_start_can_have_answered_is_settled_at_once(versions, options):
+    begin(versions, **options)
+    assert look_up_seconds(versions) < 0.1
+
+
+@pytest.mark.parametrize("is_asked_before", [True, False])
+def test_stream_has_no_known_version_if_a_later_start_becomes_known(
+    versions, registry, is_asked_before
+):
+    """The run of the caller that began the stream has ended by then."""
+    begin(versions)
+    later = record("a", "v2", started=2)
+    if is_asked_before:
+        eventlet.spawn_after(0.1, registry.put, later)
+    else:
+        registry.put(later)
+    with pytest.raises(StreamOriginUnknown):
+        versions.look_up(Continuation())
+
+
+def test_stream_keeps_its_version_if_its_target_restarts_afterwards(versions, registry):
+    begin(versions)
+    eventlet.sleep(0.6)
+    registry.put(record("a", "v2", started=2))
+    assert look_up_seconds(versions) < 0.1
+
+
+def test_lookup_that_ends_before_the_origin_is_settled_finds_no_version(versions):
+    begin(versions)
+    run = Continuation()
+    run.deadline = steady() + 0.05
+    with pytest.raises(StreamOriginUnknown):
+        versions.look_up(run)
+
+
+def test_answer_goes_on_elsewhere_once_its_origin_is_settled(versions, registry):
+    run = begin(versions)
+    versions.await_settled(run)
+    assert steady() - run.connected_at >= 0.4
+    assert run.origin == StreamOrigin("p", "v1")
+    run = Continuation()
+    run.origin = StreamOrigin("p", "v1")
+    began = steady()
+    versions.await_settled(run)
+    assert steady() - began < 0.1
+
+
+def test_answer_does_not_go_on_if_a_later_start_began_it(versions, registry):
+    run = begin(versions)
+    eventlet.spawn_after(0.1, registry.put, record("a", "v2", started=2))
+    versions.await_settled(run)
+    assert not run.origin.is_known
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -205,7 +205,10 @@
             self.registry, self.current_configuration, dialect, self.metrics
         )
         self.stream_origins = StreamOriginExchange(
-            options.name, self.membership.link, self.membership.table
+            options.name,
+            self.membership.link,
+            self.membership.table,
+            self.registry.has_later_start,
         )
         self.registry.confirmed_at = lambda: steady() - self.knowledge.targets_view().age
         self.dispatcher = Dispatcher(
--- a/whinrack/edge/tests/test_stream_origins.py
+++ b/whinrack/edge/tests/test_stream_origins.py
@@ -7,11 +7,12 @@
 from whinrack.edge._stream_origins import _HOME_COUNT, _ROUND_SECONDS, StreamOriginExchange
 from whinrack.edge.tests.fake_peers import ready_state
 from whinrack.gossip import Heartbeat, PeerAddress, PeerTable, StreamAnswer
-from whinrack.streams import StreamOrigin
+from whinrack.streams import StreamOrigin, UnsettledStart
 
 NAMES = [f"m{number}" for number in range(8)]
 KEY = b"k" * 16
 ORIGIN = StreamOrigin("lm", "v1")
+UNSETTLED = UnsettledStart("t", 1, 0.25)
 
 
 class Network:
@@ -116,3 +117,52 @@
     network.exchanges["m1"].link.send(StreamAnswer(1, ORIGIN), ("m0", 1))
     eventlet.sleep(0)
     assert exchange.origins.get(KEY, steady()) is None
+
+
+def holders_of(network):
+    return [name for name in NAMES if network.exchanges[name].origins.get(KEY, steady())]
+
+
+def test_lookup_tells_for_how_long_an_origin_is_unsettled(network):
+    network.exchanges["m0"].record(KEY, ORIGIN, UNSETTLED)
+    eventlet.sleep(0)
+    assert all(0.0 < find(network, name).seconds_left <= 0.25 for name in NAMES)
+    eventlet.sleep(0.3)
+    assert all(find(network, name).seconds_left == 0.0 for name in NAMES)
+
+
+@pytest.mark.parametrize("number", range(_HOME_COUNT + 1))
+def test_any_holder_that_knows_of_a_later_start_tells_the_others(network, number):
+    network.exchanges["m0"].record(KEY, ORIGIN, UNSETTLED)
+    eventlet.sleep(0)
+    network.exchanges[holders_of(network)[number]].record_later_start("t", 1)
+    eventlet.sleep(0)
+    assert not any(find(network, name).origin.is_known for name in NAMES)
+
+
+def test_holder_tells_of_a_later_start_after_the_first_instance_is_killed(network):
+    network.exchanges["m0"].record(KEY, ORIGIN, UNSETTLED)
+    eventlet.sleep(0)
+    network.down.add("m0")
+    holder = next(name for name in holders_of(network) if name != "m0")
+    network.exchanges[holder].record_later_start("t", 1)
+    eventlet.sleep(0)
+    assert not any(find(network, name).origin.is_known for name in NAMES[1:])
+
+
+def test_home_knows_of_a_later_start_before_the_first_instance_does(network):
+    for name in NAMES[1:]:
+        network.exchanges[name].has_later_start = lambda *start: start == ("t", 1)
+    network.exchanges["m0"].record(KEY, ORIGIN, UNSETTLED)
+    eventlet.sleep(0)
+    eventlet.sleep(0)
+    assert not any(find(network, name).origin.is_known for name in NAMES)
+
+
+def test_settled_origin_is_kept_when_a_later_start_becomes_known(network):
+    network.exchanges["m0"].record(KEY, ORIGIN)
+    eventlet.sleep(0)
+    for exchange in network.exchanges.values():
+        exchange.record_later_start("t", 1)
+    eventlet.sleep(0)
+    assert all(find(network, name).origin == ORIGIN for name in NAMES)
--- a/whinrack/gossip/_messages.py
+++ b/whinrack/gossip/_messages.py
@@ -6,7 +6,7 @@
 from whinrack.budgets import DrawOrder, DrawResult, ReleasedRow, RunRelease
 from whinrack.dispatch import HallStatus, LimitReport
 from whinrack.quarantine import Case
-from whinrack.streams import StreamOrigin
+from whinrack.streams import StreamOrigin, UnsettledStart
 
 __all__ = [
     "DrawAccepted",
@@ -330,10 +330,17 @@
 
 
 class StreamBegan(msgspec.Struct, frozen=True, array_like=True, tag="began"):
-    """Where a stream began; sent to the homes of the stream."""
+    """Where a stream began; sent to the homes of the stream.
+
+    Attributes
+    ----------
+    unsettled : UnsettledStart or None
+        Given while a later start of the target may have sent the first event.
+    """
 
     key: bytes
     origin: StreamOrigin
+    unsettled: UnsettledStart | None = None
 
 
 class StreamQuestion(msgspec.Struct, frozen=True, array_like=True, tag="origin"):
@@ -350,10 +357,17 @@
 
 
 class StreamAnswer(msgspec.Struct, frozen=True, array_like=True, tag="origin_is"):
-    """Answer to a `StreamQuestion`; `origin` is None if the sender does not know it."""
+    """Answer to a `StreamQuestion`; `origin` is None if the sender does not know it.
+
+    Attributes
+    ----------
+    seconds_left : float
+        Seconds until the origin is settled, 0 if it is.
+    """
 
     number: int
     origin: StreamOrigin | None
+    seconds_left: float = 0.0
 
 
 Message = (
--- a/whinrack/gossip/tests/test_versions.py
+++ b/whinrack/gossip/tests/test_versions.py
@@ -4,8 +4,17 @@
 import pytest
 
 from whinrack.dispatch import HallStatus
-from whinrack.gossip import Heartbeat, Message, PeerAddress, PeerState, SuspectCases
+from whinrack.gossip import (
+    Heartbeat,
+    Message,
+    PeerAddress,
+    PeerState,
+    StreamAnswer,
+    StreamBegan,
+    SuspectCases,
+)
 from whinrack.quarantine import Case
+from whinrack.streams import StreamOrigin, UnsettledStart
 
 STATE = PeerState(
     incarnation="a.1",
@@ -20,6 +29,7 @@
 )
 # Fields of a heartbeat before those of the quarantine and the start times were added.
 _EARLIER_FIELDS = 9
+ORIGIN = StreamOrigin("lm", "v1")
 
 
 class EarlierHeartbeat(msgspec.Struct, frozen=True, array_like=True, tag="beat", kw_only=True):
@@ -71,3 +81,32 @@
     message = SuspectCases("a", [Case(fingerprint="f")])
     with pytest.raises(msgspec.ValidationError):
         msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=EarlierHeartbeat)
+
+
+class EarlierStreamBegan(msgspec.Struct, frozen=True, array_like=True, tag="began"):
+    """Origin of a stream as the version without unsettled origins defines it."""
+
+    key: bytes
+    origin: StreamOrigin
+
+
+class EarlierStreamAnswer(msgspec.Struct, frozen=True, array_like=True, tag="origin_is"):
+    """Answer where a stream began as the version without unsettled origins defines it."""
+
+    number: int
+    origin: StreamOrigin | None
+
+
+@pytest.mark.parametrize(
+    ("message", "earlier"),
+    [
+        (StreamBegan(b"k", ORIGIN, UnsettledStart("t", 1, 0.2)), EarlierStreamBegan(b"k", ORIGIN)),
+        (StreamAnswer(1, ORIGIN, 0.2), EarlierStreamAnswer(1, ORIGIN)),
+    ],
+)
+def test_versions_with_and_without_unsettled_origins_decode_each_other(message, earlier):
+    encoded = msgspec.msgpack.encode(message)
+    assert msgspec.msgpack.decode(encoded, type=Message) == message
+    assert msgspec.msgpack.decode(encoded, type=type(earlier)) == earlier
+    read = msgspec.msgpack.decode(msgspec.msgpack.encode(earlier), type=Message)
+    assert read == type(message)(*msgspec.structs.astuple(earlier))
--- a/whinrack/streams/__init__.py
+++ b/whinrack/streams/__init__.py
@@ -1,6 +1,6 @@
 """Where streams began, so that they are continued only at the same software version."""
 
-from whinrack.streams._origins import OriginTable, StreamOrigin, stream_key
+from whinrack.streams._origins import OriginTable, StreamOrigin, UnsettledStart, stream_key
 from whinrack.streams.base import LocalOrigins, OriginDirectory, OriginLookup
 
 __all__ = [
@@ -9,5 +9,6 @@
     "OriginLookup",
     "OriginTable",
     "StreamOrigin",
+    "UnsettledStart",
     "stream_key",
 ]
--- a/whinrack/streams/base.py
+++ b/whinrack/streams/base.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from whinrack.clock import steady
-from whinrack.streams._origins import OriginTable, StreamOrigin
+from whinrack.streams._origins import OriginTable, StreamOrigin, UnsettledStart
 
 __all__ = ["LocalOrigins", "OriginDirectory", "OriginLookup"]
 
@@ -19,18 +19,33 @@
         Address of the peer that knew it, "here", how it was deduced, or empty.
     unanswered : int
         Peers that were asked and did not answer in time.
+    seconds_left : float
+        Seconds until the origin is settled, 0 if it is.
     """
 
     origin: StreamOrigin | None
     source: str = ""
     unanswered: int = 0
+    seconds_left: float = 0.0
 
 
 class OriginDirectory:
     """Directory of the origins of streams."""
 
-    def record(self, key: bytes, origin: StreamOrigin) -> None:
-        """Record where a stream began or was continued."""
+    def record(
+        self, key: bytes, origin: StreamOrigin, unsettled: UnsettledStart | None = None
+    ) -> None:
+        """Record where a stream began or was continued.
+
+        Parameters
+        ----------
+        unsettled : UnsettledStart, optional
+            Given while a later start of the target may have sent the first event.
+        """
+        raise NotImplementedError
+
+    def record_later_start(self, target: str, started: int) -> None:
+        """Make the versions of unsettled streams unknown, because a later start became known."""
         raise NotImplementedError
 
     def find(self, key: bytes, deadline: float) -> OriginLookup:
@@ -44,11 +59,21 @@
     def __init__(self):
         self.table = OriginTable()
 
-    def record(self, key: bytes, origin: StreamOrigin) -> None:
+    def record(
+        self, key: bytes, origin: StreamOrigin, unsettled: UnsettledStart | None = None
+    ) -> None:
         """Record where a stream began or was continued."""
-        self.table.put(key, origin, steady())
+        self.table.put(key, origin, steady(), unsettled)
+
+    def record_later_start(self, target: str, started: int) -> None:
+        """Make the versions of unsettled streams unknown, because a later start became known."""
+        for key, origin, _ in self.table.unsettled_at(target, started, steady()):
+            self.record(key, StreamOrigin(origin.pool, ""))
 
     def find(self, key: bytes, deadline: float) -> OriginLookup:
         """Look up where a stream began."""
-        origin = self.table.get(key, steady())
-        return OriginLookup(origin, "here" if origin is not None else "")
+        now = steady()
+        origin = self.table.get(key, now)
+        if origin is None:
+            return OriginLookup(None)
+        return OriginLookup(origin, "here", seconds_left=self.table.seconds_left(key, now))
