Late refusals: a request that every target refused is answered 503, also after a silent attempt

Cause: a repeatable request to a service is given up at a target that is silent for its silence timeout (0.15 s at least) and goes to another one. If that one refused it, the answer was 502, since the first attempt might have run; its connection was reset, so the refusal that the first target gave a moment later was never read. A stall of both targets of 0.15 s is enough, as beside load.

Change: the connection of a silent attempt stays open until the request is served elsewhere. If the request would be refused as not run but for this attempt, its target is awaited for as long again; its refusal makes the answer 503 and starts its back-off. Any other late answer leaves 502.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -21,6 +21,7 @@
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._retries import RetryBudgets
 from whinrack.dispatch._run_times import RunTimes
+from whinrack.dispatch._silent_attempts import SilentAttempt
 from whinrack.dispatch._statements import StatementHandler, TargetStatement
 from whinrack.dispatch._stream_versions import StreamVersions
 from whinrack.dispatch._target_state import PendingOutput, PendingPrompt, TargetState
@@ -207,9 +208,43 @@
             run.pending_prompt.finish()
             run.pending_output.finish()
             self.registry.end_request(state)
-            if connection is not None:
+            if connection is not None and not run.waits_for(connection):
                 self.connections.release(connection)
 
+    def read_late_refusal(self, run: RequestRun) -> bool:
+        """Return whether the target of a silent attempt refuses the request after all.
+
+        Then no target has run the request. Waits for the target once more for as long as the
+        attempt has waited.
+        """
+        attempt = run.silent_attempt
+        if attempt is None:
+            return False
+        now, state, received = steady(), attempt.state, attempt.connection.received_bytes
+        deadline = min(run.deadline - TIMEOUT_MARGIN, now + attempt.patience)
+        try:
+            statement = attempt.read_statement(run.request, self.dialect, deadline)
+        finally:
+            late_bytes = attempt.connection.received_bytes - received
+            self.record_traffic(_ANSWERS, state.record.data_hall, late_bytes)
+            self.close_silent_attempt(run)
+        if statement is None:
+            return False
+        self.registry.reachability.record_answer(
+            state.record.pool, state.record.identity, attempt.connection.opened_at
+        )
+        self.statements.handle(state, statement, attempt.sent_at, run.request_id)
+        if statement.did_not_run:
+            run.may_have_run = False
+            self._record_target_refusal(state, statement)
+        return statement.did_not_run
+
+    def close_silent_attempt(self, run: RequestRun) -> None:
+        """Close the connection of a silent attempt, if there is one."""
+        if run.silent_attempt is not None:
+            self.connections.release(run.silent_attempt.connection)
+            run.silent_attempt = None
+
     def _placement_request(self, run: RequestRun, pool: PoolRecord) -> PlacementRequest | None:
         """Return what the placement has to reach, None if the pool's routes state no objective."""
         objectives = run.configuration.objectives(pool.name)
@@ -282,8 +317,8 @@
         self, run: RequestRun, pool: PoolRecord, state: TargetState, connection: TargetConnection
     ) -> None:
         run.attempts += 1
-        may_have_run_before = run.may_have_run
-        run.may_have_run = True
+        may_have_run_before, silent_attempt = run.may_have_run, run.silent_attempt
+        run.may_have_run, run.silent_attempt = True, None
         sent_at, has_head = steady(), False
         reachability = self.registry.reachability
         run.sent_at, run.concurrent_requests = sent_at, state.in_flight - 1
@@ -305,7 +340,7 @@
             statement = self.dialect.parse_statement(head)
             on_statement(statement)
             if statement.did_not_run:
-                run.may_have_run = may_have_run_before
+                run.may_have_run, run.silent_attempt = may_have_run_before, silent_attempt
                 self._handle_target_refusal(pool, state, statement)
             has_head = True
             state.record_answer(steady())
@@ -340,6 +375,8 @@
         except AttemptTimeout as failure:
             self._suspect_silence(run, state, has_head, silence_timeout)
             self._hold_slot(run, state)
+            if can_try_another and not has_head and not may_have_run_before:
+                run.silent_attempt = SilentAttempt(state, connection, sent_at, silence_timeout)
             raise AttemptFailed(failure, was_sent=True) from failure
         except CallerGone:
             self._suspect_silence(run, state, has_head, silence_timeout)
@@ -352,6 +389,8 @@
                 self._hold_slot(run, state)
             raise
         finally:
+            if silent_attempt is not None and run.silent_attempt is not silent_attempt:
+                self.connections.release(silent_attempt.connection)
             self.record_traffic(_REQUESTS, state.record.data_hall, connection.sent_bytes)
             self.record_traffic(_ANSWERS, state.record.data_hall, connection.received_bytes)
             run.answer_bytes = connection.received_bytes
@@ -467,12 +506,14 @@
     def _handle_target_refusal(
         self, pool: PoolRecord, state: TargetState, statement: TargetStatement
     ) -> None:
-        now = steady()
+        self._record_target_refusal(state, statement)
+        raise AttemptFailed(target_full_refusal(self.registry, pool, steady()), was_sent=True)
+
+    def _record_target_refusal(self, state: TargetState, statement: TargetStatement) -> None:
         if statement.is_misdirected:
             self.registry.remove_misdirected(state)
         else:
-            self.registry.mark_busy(state, now)
-        raise AttemptFailed(target_full_refusal(self.registry, pool, now), was_sent=True)
+            self.registry.mark_busy(state, steady())
 
     def _relay_answer(
         self,
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -258,6 +258,7 @@
             log_run(Event.CALLER_LEFT, run)
             raise
         finally:
+            self.attempt_runner.close_silent_attempt(run)
             if run.answer_bytes:
                 self.link_budget.observe_answer(run.route.name, run.answer_bytes)
             if run.link_bytes and not run.sent_at and not run.may_have_run:
@@ -363,6 +364,7 @@
         At a brittle pool, peers that may have a free slot are asked first.
         """
         preferred = self.registry.instances_with_free_slots(pool, steady())
+        self.attempt_runner.close_silent_attempt(run)
         try:
             return self.forwarder.forward(run, pool, names, preferred, needs_answer)
         except Refusal as refusal:
@@ -447,7 +449,9 @@
     def _final_refusal(self, run: RequestRun, refusal: Refusal) -> Refusal:
         """Return the refusal for the caller; not "not run" if an earlier attempt may have run."""
         refusal.attempts = run.attempts
-        if run.may_have_run and refusal.outcome is Outcome.NOT_RUN:
+        if refusal.outcome is not Outcome.NOT_RUN or not run.may_have_run:
+            return refusal
+        if not self.attempt_runner.read_late_refusal(run):
             return TargetFailed("an earlier attempt may have run the request")
         return refusal
 
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -6,6 +6,7 @@
 from whinrack.dispatch._cost_placement import Placement
 from whinrack.dispatch._engine_choice import PromptSize
 from whinrack.dispatch._forwarding_mark import ForwardingMark
+from whinrack.dispatch._silent_attempts import SilentAttempt
 from whinrack.dispatch._target_state import PendingOutput, PendingPrompt
 from whinrack.dispatch._values import (
     IncomingRequest,
@@ -15,7 +16,7 @@
     TargetsView,
     WorkspaceRecord,
 )
-from whinrack.http1 import Exchange
+from whinrack.http1 import Exchange, TargetConnection
 from whinrack.quarantine import RequestSignature, compute_fingerprint, compute_part_name
 from whinrack.streams import StreamOrigin, stream_key
 
@@ -43,6 +44,8 @@
         Identities of the targets that were chosen so far.
     may_have_run : bool
         Whether a target may have started to process the request.
+    silent_attempt : SilentAttempt or None
+        The only attempt that may have run, if its target stayed silent and may still refuse.
     events, last_id
         Number of events relayed so far, and the id of the last one.
     first_event_seconds : float
@@ -119,6 +122,7 @@
             self.attempts = mark.attempts
         self.tried_targets: set[str] = set()
         self.may_have_run = False
+        self.silent_attempt: SilentAttempt | None = None
         self.events = 0
         self.first_event_seconds = 0.0
         self.max_pause_seconds = 0.0
@@ -143,6 +147,10 @@
         self._fingerprint = ""
         self._signature: RequestSignature | None = None
 
+    def waits_for(self, connection: TargetConnection) -> bool:
+        """Return whether a late refusal may still arrive on a connection."""
+        return self.silent_attempt is not None and self.silent_attempt.connection is connection
+
     @property
     def request_id(self) -> str:
         """The request id as text, for logs."""
