Routers: the listening socket outlives a failed accept and is not shared

Cause: eventlet's WSGI server ends and closes its socket when an accept fails, by EMFILE for one. The process lived on, with peers and configuration as before, and refused all callers. Also, eventlet.listen sets SO_REUSEPORT, so two routers with the same address would both have started.

Change: CallerListener repeats a failed accept every 0.05 s, and logs the first failure of a row; an address in use is an error at the start. A refused connection in a test names the exit code and the end of the log of its process, and stream_text raises the error of a call that failed.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -19,6 +19,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FLEET_KEY = "fleet-key-of-the-local-fleet"
 _START_TIMEOUT = 20.0
+_LOG_TAIL_CHARACTERS = 2000
 _HTTP_POOL = urllib3.PoolManager(retries=False, maxsize=64)
 
 
@@ -58,10 +59,17 @@
         return f"127.0.0.1:{line.split()[1]}"
 
     def call(self, method, path, value=None, headers=None, timeout=30.0):
-        """Send one HTTP request, with `value` as its JSON body."""
+        """Send one HTTP request, with `value` as its JSON body.
+
+        A refused connection is reported with the state of the process and the end of its log.
+        """
         body = None if value is None else json.dumps(value).encode()
         url = f"http://{self.address}{path}"
-        return _HTTP_POOL.request(method, url, body=body, headers=headers, timeout=timeout)
+        try:
+            return _HTTP_POOL.request(method, url, body=body, headers=headers, timeout=timeout)
+        except urllib3.exceptions.NewConnectionError as error:
+            error.add_note(self.describe())
+            raise
 
     def json(self, method, path, value=None, headers=None):
         """Send one HTTP request and decode the JSON response."""
@@ -97,6 +105,11 @@
         self.popen.send_signal(signal.SIGTERM)
         return self.popen.wait(timeout)
 
+    def describe(self):
+        """Return the exit code of the process, None while it runs, and the end of its log."""
+        log = self.log.read_text()[-_LOG_TAIL_CHARACTERS:] if self.log else ""
+        return f"{self.name}: exit code {self.popen.poll()}, log: {log}"
+
     @property
     def is_running(self):
         """Check whether the process is running."""
@@ -268,7 +281,7 @@
     def is_ready(self, router):
         """Check whether a router is ready; raise RuntimeError if its process has ended."""
         if not router.is_running:
-            raise RuntimeError(f"{router.name} ended: {(router.log).read_text()[-2000:]}")
+            raise RuntimeError(f"{router.name} ended: {router.describe()}")
         with contextlib.suppress(urllib3.exceptions.HTTPError):
             return router.call("GET", "/readyz", timeout=1.0).status == 200
         return False
--- a/tests/support.py
+++ b/tests/support.py
@@ -120,7 +120,9 @@
 
 
 def stream_text(answer):
-    """Return the text of a stream, and fail if the stream is incomplete."""
+    """Return the text of a stream, and fail if the stream is incomplete or was never answered."""
+    if isinstance(answer, Exception):
+        raise answer
     data = answer.data if hasattr(answer, "data") else answer
     assert data.endswith(b"data: [DONE]\n\n"), data[-300:]
     words = []
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -12,6 +12,8 @@
 IDLE_CONNECTIONS = 10_000
 HEADER_SECONDS = 4.0
 MAX_ANSWER_SECONDS = 30.0
+# Limit of open files at which a process gets no further descriptor.
+NO_DESCRIPTORS = 3
 
 
 @pytest.fixture(scope="module")
@@ -95,3 +97,17 @@
         assert_served(fleet)
     for sock in readers:
         sock.close()
+
+
+def test_connections_are_accepted_again_after_a_lack_of_file_descriptors(fleet):
+    """Guards against a listening socket that is closed at the first failure to accept."""
+    process = fleet.routers[0].popen.pid
+    limits = resource.prlimit(process, resource.RLIMIT_NOFILE)
+    resource.prlimit(process, resource.RLIMIT_NOFILE, (NO_DESCRIPTORS, limits[1]))
+    try:
+        waiting = connect(fleet.routers[0])
+        time.sleep(0.5)
+    finally:
+        resource.prlimit(process, resource.RLIMIT_NOFILE, limits)
+    assert_served(fleet)
+    waiting.close()
--- a/whinrack/server/_daemon.py
+++ b/whinrack/server/_daemon.py
@@ -1,7 +1,6 @@
 """Construction, run and planned stop of a daemon."""
 
 import signal
-import socket
 
 import eventlet
 import eventlet.wsgi
@@ -24,6 +23,7 @@
 from whinrack.server._bills import BillKeeper
 from whinrack.server._config_follower import ConfigFollower
 from whinrack.server._context import DaemonState, ServerContext
+from whinrack.server._listener import CallerListener
 from whinrack.server._peer_handlers import ChangeSignal, DaemonHandlers
 from whinrack.server._protocol import CallerProtocol
 from whinrack.server._tasks import BackgroundTasks
@@ -35,7 +35,6 @@
 
 _ANSWER_CACHE_BYTES = 33_554_432
 _SOCKET_TIMEOUT = 60.0
-_BACKLOG = 1024
 _STOP_POLL_SECONDS = 0.1
 _MAX_DRAIN_SECONDS = 10.0
 
@@ -168,12 +167,9 @@
             error=error.message,
         )
 
-    def _listen(self):
+    def _listen(self) -> CallerListener:
         host, _, port = self.settings.http.address.partition(":")
-        sock = eventlet.listen((host, int(port)), backlog=_BACKLOG)
-        # Accepted connections inherit this option: no token is held back for the next one.
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return sock
+        return CallerListener((host, int(port)))
 
     def _serve(self, sock) -> None:
         CallerProtocol.header_timeout = self.settings.http.header_timeout
