Silent connections: late answers before the silence no longer delay its notice

Cause: the call to the store that meets a silent connection lasts for the watch (1.0 s) and the time allowed for its answer, which grows from 0.5 to 0.8 s after late answers. With the 0.1 s between two watches, 1.9 s of the allowed 2.0 s were over before the call was repeated.

Change: a watch is held for as much less as its answer may take longer, so both take 1.5 s at most, and the repeated call begins within 1.6 s. A slow store gets up to 1.4 times the watches.

--- a/whinrack/store/_adaptive_timeout.py
+++ b/whinrack/store/_adaptive_timeout.py
@@ -34,6 +34,16 @@
         """Timeout for the next answer, seconds."""
         return min(_MAX_SECONDS, self._backoff * self._expected())
 
+    def shorten(self, wait: float) -> float:
+        """Return how long to hold a call, so that a longer timeout does not detect silence later.
+
+        Parameters
+        ----------
+        wait : float
+            Seconds for which to hold the call with the shortest timeout.
+        """
+        return max(0.0, wait - (self.seconds - _MIN_SECONDS))
+
     def record_response(self, seconds: float) -> None:
         """Record the response time of an answer."""
         self._backoff = 1
--- a/whinrack/store/tests/test_adaptive_timeout.py
+++ b/whinrack/store/tests/test_adaptive_timeout.py
@@ -9,6 +9,9 @@
 _SLOW = 0.39
 # Longer than any response time in the simulated days.
 _SLOWER = 0.7
+_WATCH_SECONDS = 1.0
+# Longest time for which a call on a silent connection may wait.
+_MAX_SILENT_SECONDS = 1.5
 
 
 def timeout_after(seconds, count=50):
@@ -55,3 +58,19 @@
     assert timeout.seconds > usual
     timeout.record_response_within(_FAST)
     assert timeout.seconds == usual
+
+
+def test_a_silent_call_takes_no_longer_whatever_the_answer_times_were():
+    timeouts = [
+        timeout_after(seconds, count) for seconds in (_FAST, 0.3, _SLOWER) for count in (1, 9)
+    ]
+    after_silence = timeout_after(_FAST)
+    after_silence.record_timeout()
+    for timeout in [AdaptiveTimeout(), after_silence, *timeouts]:
+        held = timeout.shorten(_WATCH_SECONDS)
+        assert 0.5 < held <= _WATCH_SECONDS
+        assert held + timeout.seconds == pytest.approx(_MAX_SILENT_SECONDS)
+
+
+def test_a_short_call_is_not_held_at_a_slow_store():
+    assert timeout_after(_SLOWER).shorten(0.05) == 0.0
