Link budgets are taken back; an instance that reaches no peer is followed through the dispatcher

Cause: a request is refused for the link after its body has crossed it. Change: the budget, its refusal and its pages are gone; the refusal without peers in reach stays.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -397,7 +397,6 @@
                 self.connections.release(silent_attempt.connection)
             self.record_traffic(_REQUESTS, state.record.data_hall, connection.sent_bytes)
             self.record_traffic(_ANSWERS, state.record.data_hall, connection.received_bytes)
-            run.answer_bytes = connection.received_bytes
 
     def _evidence_seconds(self, pool: str, silence_timeout: float) -> float:
         """Return the silence of a target after which the path to it may be broken.
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -25,7 +25,6 @@
     parse_mark,
     refusal_mark,
 )
-from whinrack.dispatch._link_budget import LinkBudget
 from whinrack.dispatch._pacing import StreamPacing
 from whinrack.dispatch._refusals import (
     BUSY_RETRY_SECONDS,
@@ -50,7 +49,6 @@
     CallerGone,
     ConfigurationUnknown,
     InternalFailure,
-    LinkSaturated,
     Refusal,
     RouterStopping,
     TargetFailed,
@@ -80,8 +78,6 @@
         Limits of the retries that all instances share; see `RetryBudget`.
     cores, event_delay : float
         See `StreamPacing`.
-    bandwidth : float
-        See `LinkBudget`.
     """
 
     retry_ratio: float
@@ -89,7 +85,6 @@
     retry_window: float
     cores: float = 0.0
     event_delay: float = 0.0
-    bandwidth: float = 0.0
 
 
 class Dispatcher:
@@ -145,7 +140,6 @@
         self.instance_count = instance_count
         self.requests_in_progress = 0
         self.arrivals = DemandEstimate(half_life=_ARRIVAL_RATE_HALF_LIFE)
-        self.link_budget = LinkBudget(options.bandwidth)
         self.is_refusing_requests = False
         self.retry_budgets = RetryBudgets(
             options.retry_ratio, options.retry_slack, options.retry_window
@@ -246,7 +240,6 @@
                 log_forwarded(run, mark)
             self.stream_versions.look_up(run)
             pool = run.pool = self._choose_pool(run)
-            self._check_link(run)
             if self._should_forward(run, pool) and self._forward(run, pool):
                 return
             if self._doubts_pool(run, pool) and self._forward(run, pool, needs_answer=True):
@@ -260,10 +253,6 @@
             raise
         finally:
             self.attempt_runner.close_silent_attempt(run)
-            if run.answer_bytes:
-                self.link_budget.observe_answer(run.route.name, run.answer_bytes)
-            if run.link_bytes and not run.sent_at and not run.may_have_run:
-                self.link_budget.give_back(run.link_bytes, len(run.request.body))
             if run.is_trial and not run.may_have_run:
                 self.attempt_runner.guard.return_trial(run.request_name)
             # Settle the reservation if the attempts did not.
@@ -277,24 +266,6 @@
                     output=run.request.declared_tokens.output,
                 )
 
-    def _check_link(self, run: RequestRun) -> None:
-        """Refuse a request at once for which the link of this instance has no room.
-
-        Continued streams and requests that a peer has forwarded are not refused, as they have
-        crossed a link already. They take part of this one nevertheless, and so do requests that are
-        forwarded from here.
-        """
-        route, body_bytes, now = run.route, len(run.request.body), steady()
-        if run.is_forwarded or run.is_continuation:
-            run.link_bytes = self.link_budget.charge(route.name, body_bytes, now)
-            return
-        expected_bytes = self.link_budget.expected_bytes(route.name, body_bytes)
-        is_urgent = route.priority == run.configuration.most_urgent_priority
-        wait = self.link_budget.take(route.name, body_bytes, is_urgent, now)
-        if wait is not None:
-            raise LinkSaturated("the link of this instance is saturated", retry_after=wait)
-        run.link_bytes = expected_bytes
-
     def _admit(self, run: RequestRun) -> None:
         """Check that the request is not in quarantine, which all instances share."""
         deadline = run.deadline - TIMEOUT_MARGIN
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -77,10 +77,6 @@
         Revision and age of the target list at the latest choice.
     billed_tokens : int
         Tokens billed for the answer, 0 while it is not settled.
-    answer_bytes : int
-        Bytes received from the latest target.
-    link_bytes : float
-        Bytes taken from the link budget for the request.
     sent_at : float
         Steady clock time at which the request was sent to the latest target, 0 before that.
     is_forwarded : bool
@@ -113,8 +109,6 @@
         self.reservation: Cover | None = None
         self.repeat_reservations: list[Cover] = []
         self.billed_tokens = 0
-        self.answer_bytes = 0
-        self.link_bytes = 0.0
         self.attempts = 0
         self.is_forwarded = mark is not None
         if mark is not None:
--- a/whinrack/dispatch/tests/pipeline.py
+++ b/whinrack/dispatch/tests/pipeline.py
@@ -27,15 +27,13 @@
     registry : TargetRegistry
     connections
         Stand-in for the connections to targets.
-    bandwidth : float
-        Bandwidth of the instance's link, Mbit/s; 0 for no limit.
     engine : EngineCapacity, optional
         Capacity of the targets of the route's pool.
     forwarder : optional
         Stand-in for the forwarder to peers.
     """
 
-    def __init__(self, route, registry, connections, bandwidth=0.0, engine=None, forwarder=None):
+    def __init__(self, route, registry, connections, engine=None, forwarder=None):
         pools = [PoolRecord(share.pool, 0, engine=engine) for share in route.weighted_pools]
         configuration = Configuration(1, [route], pools, [], ServerLimits())
         self._request = None
@@ -47,7 +45,7 @@
             None,
             connections,
             Metrics(),
-            DispatchOptions(0.2, 10.0, 10.0, bandwidth=bandwidth),
+            DispatchOptions(0.2, 10.0, 10.0),
             lambda: 1,
             TargetsView,
             lambda *moved: None,
--- a/whinrack/dispatch/tests/test_peer_contact.py
+++ b/whinrack/dispatch/tests/test_peer_contact.py
@@ -2,7 +2,19 @@
 
 import pytest
 
+from whinrack.dispatch import (
+    ForwardingPeer,
+    PeerSelector,
+    RequestForwarder,
+    Route,
+    RouteKind,
+    TargetRegistry,
+    WeightedPool,
+)
 from whinrack.dispatch._peer_contact import PeerContact
+from whinrack.dispatch.tests.pipeline import Pipeline
+from whinrack.exceptions import TargetUnavailable
+from whinrack.observability import Metrics
 
 # Connection timeout, seconds.
 TIMEOUT = 0.3
@@ -65,3 +77,52 @@
     contact = lost_contact()
     assert contact.is_lost(1.0)
     assert not contact.is_lost(2.5)
+
+
+class ManyPeers(PeerSelector):
+    """Peers that are all said to reach the pool."""
+
+    def __init__(self):
+        self.declined = []
+
+    def candidates(self, pool, needs_version=False, needs_answer=False):
+        untried = [f"peer-{n}" for n in range(50) if f"peer-{n}" not in self.declined]
+        return [ForwardingPeer(name, ("127.0.0.1", 1)) for name in untried]
+
+    def record_declined(self, peer):
+        self.declined.append(peer.name)
+
+
+class DeadLink:
+    """Connections that can't be opened."""
+
+    def __init__(self):
+        self.attempts = 0
+
+    def acquire(self, address, deadline):
+        self.attempts += 1
+        raise TargetUnavailable("connection to the target: timed out")
+
+
+def test_requests_are_refused_as_not_run_without_further_connections(monkeypatch):
+    registry, link = TargetRegistry(seed=1), DeadLink()
+    for name in ("is_lost", "is_loss_confirmed"):
+        monkeypatch.setattr(registry.reachability, name, lambda pool: True)
+    monkeypatch.setattr(registry.reachability, "take_trial", lambda pool: False)
+    route = Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        kind=RouteKind.REPEATABLE,
+        timeout=5.0,
+        weighted_pools=(WeightedPool("p"),),
+        is_public=True,
+    )
+    forwarder = RequestForwarder(link, ManyPeers(), Metrics(), lambda address, size: None)
+    pipeline = Pipeline(route, registry, connections=None, forwarder=forwarder)
+    refusals = [pipeline.handle() for _ in range(20)]
+    assert {(refusal.code, refusal.outcome) for refusal in refusals} == {
+        ("target_unavailable", "not_run")
+    }
+    # Three failures, and the first trial.
+    assert link.attempts == 4
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -458,7 +458,6 @@
         options.retry_window,
         options.cores,
         options.event_delay,
-        options.bandwidth,
     )
 
 
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -30,7 +30,6 @@
     "InvalidObject",
     "InvalidSettings",
     "KeyReused",
-    "LinkSaturated",
     "NoSuchPath",
     "NotFound",
     "OutcomeUnknown",
@@ -306,12 +305,6 @@
     code, status, error_type = "deadline_unreachable", 429, "rate_limit_error"
 
 
-class LinkSaturated(Refusal):
-    """The network link of this instance cannot carry the request and its answer in time."""
-
-    code, status, error_type = "link_saturated", 503, "overloaded_error"
-
-
 class TargetUnavailable(Refusal):
     """No target of the allowed pools accepts requests now."""
 
