--- a/whinrack/dispatch/_configuration.py
+++ b/whinrack/dispatch/_configuration.py
@@ -60,10 +60,6 @@
         self._routes: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._routes.setdefault(route.host, {})[route.path_prefix] = route
-        self.most_urgent_priority = min(
-            (route.priority for by_path in self._routes.values() for route in by_path.values()),
-            default=0,
-        )
         self._objectives = self._pool_objectives()
         self._keys = {
             key: workspace for workspace in self.workspaces.values() for key in workspace.keys
