Requests end earlier while the link is congested, so that their answers arrive in time

Cause: a request that has queued at the link of its instance is timed from its arrival, and its answer queues as well, so the answer comes after the caller's timeout. Change: the time of a request is shorter by the average time that new connections take, a quarter of it at most.

--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -136,6 +136,7 @@
         self.dialect = dialect
         self.current_configuration = current_configuration
         self.token_reservations = TokenReservations(grant_manager, metrics)
+        self.connections = connections
         self.metrics = metrics
         self.instance_count = instance_count
         self.requests_in_progress = 0
@@ -234,7 +235,8 @@
             raise ConfigurationUnknown("the forwarding instance has a newer configuration")
         route = configuration.find_route(request.host, request.path)
         workspace = configuration.authenticate(route, request.key)
-        run = RequestRun(exchange, request, configuration, route, workspace, mark)
+        link_delay = self.connections.average_connect_seconds
+        run = RequestRun(exchange, request, configuration, route, workspace, mark, link_delay)
         try:
             if mark is not None:
                 log_forwarded(run, mark)
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -24,11 +24,26 @@
 
 # Parts of a prompt that can be blamed for ends of targets; prompts have a few.
 _MAX_NAMED_PARTS = 32
+# Share of a request's time that may be kept for the link to its caller.
+_MAX_LINK_SHARE = 0.25
 
 
 class RequestRun:
     """State of one request: its route, its attempts so far and its token reservation.
 
+    Parameters
+    ----------
+    exchange : Exchange
+    request : IncomingRequest
+    configuration : Configuration
+    route : Route
+    workspace : WorkspaceRecord or None
+    mark : ForwardingMark, optional
+        The mark of a peer that has forwarded the request.
+    link_delay : float
+        Seconds that a message and its answer take on the link of this instance. The request has
+        spent a part of them on its way here, and the answer will spend the rest.
+
     Attributes
     ----------
     deadline : float
@@ -97,15 +112,15 @@
         route: Route,
         workspace: WorkspaceRecord | None,
         mark: ForwardingMark | None = None,
+        link_delay: float = 0.0,
     ):
         self.exchange = exchange
         self.request = request
         self.configuration = configuration
         self.route = route
         self.workspace = workspace
-        self.deadline = exchange.received_at + min(
-            request.deadline_seconds or route.timeout, route.timeout
-        )
+        seconds = min(request.deadline_seconds or route.timeout, route.timeout)
+        self.deadline = exchange.received_at + seconds - min(link_delay, _MAX_LINK_SHARE * seconds)
         self.reservation: Cover | None = None
         self.repeat_reservations: list[Cover] = []
         self.billed_tokens = 0
--- a/whinrack/dispatch/tests/pipeline.py
+++ b/whinrack/dispatch/tests/pipeline.py
@@ -11,7 +11,7 @@
     PoolRecord,
     TargetsView,
 )
-from whinrack.http1 import Exchange, RequestHead, ServerLimits
+from whinrack.http1 import ConnectionPool, Exchange, RequestHead, ServerLimits
 from whinrack.observability import Metrics
 
 __all__ = ["Pipeline"]
@@ -26,7 +26,7 @@
         The only route.
     registry : TargetRegistry
     connections
-        Stand-in for the connections to targets.
+        Stand-in for the connections to targets; None for a pool without connections.
     engine : EngineCapacity, optional
         Capacity of the targets of the route's pool.
     forwarder : optional
@@ -43,7 +43,7 @@
             types.SimpleNamespace(version=1, get=lambda: configuration),
             registry,
             None,
-            connections,
+            connections or ConnectionPool(),
             Metrics(),
             DispatchOptions(0.2, 10.0, 10.0),
             lambda: 1,
--- a/whinrack/dispatch/tests/test_deadline_refusals.py
+++ b/whinrack/dispatch/tests/test_deadline_refusals.py
@@ -36,6 +36,7 @@
 
     sent_bytes = received_bytes = 0
     is_reused, is_closed_by_target = False, True
+    average_connect_seconds = 0.0
 
     def __init__(self):
         self.opened_at = steady()
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -332,6 +332,11 @@
         self._average_connect_seconds = 0.0
         self._idle: dict[tuple[str, int], list[TargetConnection]] = {}
 
+    @property
+    def average_connect_seconds(self) -> float:
+        """Moving average of the time that new connections take, failed attempts included."""
+        return self._average_connect_seconds
+
     @property
     def connect_timeout(self) -> float:
         """Timeout of a new connection in seconds, from the average connect time."""
