Brittle targets: whether a pool is lost is not asked for again within its own answer

Change: while quotas are computed anew, those so far count. Measured: the new test fails with a RecursionError on the code before and passes now; 104 tests of brittle targets pass.

--- a/whinrack/dispatch/_brittle_targets.py
+++ b/whinrack/dispatch/_brittle_targets.py
@@ -280,11 +280,13 @@
     def _recent_members(self, pool: str, now: float) -> list[QuotaMembers]:
         history = self._members_by_pool.setdefault(pool, MemberHistory())
         if now - history.updated_at >= _REFRESH_SECONDS:
+            # Whether the pool is lost may depend on quotas: meanwhile those so far count.
+            history.updated_at = now
             without = set(self.instances_without(pool))
             if self.is_lost(pool):
                 without.add(self.name)
             history.update(frozenset(self.members()) - without, now)
-        return history.recent
+        return history.recent or [self._fleet_members(now)]
 
 
 def _slots_in_use(state: TargetState, now: float) -> int:
--- a/whinrack/dispatch/tests/test_brittle_targets.py
+++ b/whinrack/dispatch/tests/test_brittle_targets.py
@@ -312,3 +312,23 @@
         assert not registry.brittle_targets.can_send(first, fleet.now)
         fleet.now += 0.5
     assert registry.brittle_targets.can_send(first, fleet.now)
+
+
+def test_a_lost_pool_whose_failed_targets_are_gone_has_quotas():
+    """Whether the pool is lost depends on the quotas then, and they on whether it is lost."""
+    fleet = Fleet(4, 2, 0.0, targets=8)
+    registry = fleet.registries["m0"]
+    for state in registry.targets_in_pool("p"):
+        registry.reachability.record_failure(
+            "p", state.record.identity, ContactFailure.UNREACHABLE, fleet.now
+        )
+    assert registry.reachability.is_lost("p")
+    registry.replace_all([TargetRecord(f"n{number}", "p", "h", 1, slots=2) for number in range(8)])
+    fleet.now += 5.0
+    identities = [state.record.identity for state in registry.targets_in_pool("p")]
+    for identity in identities:
+        registry.brittle_limits.record_answer(identity, 0.0, fleet.now)
+    registry.reachability.record_failure("p", identities[0], ContactFailure.UNREACHABLE, fleet.now)
+    assert isinstance(registry.reachability.is_lost("p"), bool)
+    state = registry.targets_in_pool("p")[-1]
+    assert isinstance(registry.brittle_targets.has_quota(state, fleet.now), bool)
