--- a/whinrack/dispatch/_forwarding.py
+++ b/whinrack/dispatch/_forwarding.py
@@ -35,7 +35,7 @@
     TargetConnection,
     header_value,
 )
-from whinrack.observability import Event, Metrics
+from whinrack.observability import Event, Metrics, log_event
 
 __all__ = ["ForwardingPeer", "PeerSelector", "RequestForwarder"]
 
@@ -119,6 +119,7 @@
         self.metrics = metrics
         self.record_traffic = record_traffic
         self.contact = PeerContact()
+        self._has_contact = True
 
     def has_peer(
         self, pool: str, needs_version: bool = False, names: Collection[str] | None = None
@@ -187,6 +188,8 @@
             connection = self.connections.acquire(peer.address, run.deadline)
         except TargetUnavailable as failure:
             self.contact.record_failed(peer.name, steady())
+            if self.contact.is_lost(steady()):
+                self._log_contact(False)
             raise _Declined(failure.message) from failure
         may_have_run_before = run.may_have_run
         run.may_have_run = True
@@ -194,6 +197,7 @@
             self._send(run, connection)
             head = connection.read_head(run.deadline, lambda headers: True)
             self.contact.record_answer()
+            self._log_contact(True)
             answer = read_peer_answer(head)
             if answer is None:
                 raise TargetFailed("the peer sent an answer without a mark")
@@ -213,6 +217,16 @@
             at_peer=round(steady() - began_at, 4),
         )
 
+    def _log_contact(self, has_contact: bool) -> None:
+        """Log that contact with peers is lost, or that one answers again."""
+        if has_contact == self._has_contact:
+            return
+        self._has_contact = has_contact
+        log_event(
+            Event.PEERS_REACHED if has_contact else Event.PEERS_LOST,
+            failed=" ".join(self.contact.failed_peers()),
+        )
+
     def _send(self, run: RequestRun, connection: TargetConnection) -> None:
         head = run.exchange.head
         mark = ForwardingMark(
--- a/whinrack/dispatch/_peer_contact.py
+++ b/whinrack/dispatch/_peer_contact.py
@@ -39,6 +39,10 @@
         """
         self._failed_at[peer] = now
 
+    def failed_peers(self) -> list[str]:
+        """Return the names of the peers that failed lately, in alphabetical order."""
+        return sorted(self._failed_at)
+
     def is_lost(self, now: float) -> bool:
         """Return whether several peers failed lately, and none has answered since."""
         self._failed_at = {
--- a/whinrack/dispatch/tests/test_peer_contact.py
+++ b/whinrack/dispatch/tests/test_peer_contact.py
@@ -14,7 +14,7 @@
 from whinrack.dispatch._peer_contact import PeerContact
 from whinrack.dispatch.tests.pipeline import Pipeline
 from whinrack.exceptions import TargetUnavailable
-from whinrack.observability import Metrics
+from whinrack.observability import Event, Metrics
 
 # Connection timeout, seconds.
 TIMEOUT = 0.3
@@ -105,6 +105,10 @@
 
 
 def test_requests_are_refused_as_not_run_without_further_connections(monkeypatch):
+    events = []
+    monkeypatch.setattr(
+        "whinrack.dispatch._forwarding.log_event", lambda event, **fields: events.append(event)
+    )
     registry, link = TargetRegistry(seed=1), DeadLink()
     for name in ("is_lost", "is_loss_confirmed"):
         monkeypatch.setattr(registry.reachability, name, lambda pool: True)
@@ -126,3 +130,4 @@
     }
     # Three failures, and the first trial.
     assert link.attempts == 4
+    assert events == [Event.PEERS_LOST]
