--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -11,7 +11,6 @@
 from whinrack.dispatch._crash_detector import CrashDetector
 from whinrack.dispatch._held_body import hold_body
 from whinrack.dispatch._open_connections import OpenConnections
-from whinrack.dispatch._place_waits import PlaceWaits
 from whinrack.dispatch._reachability import ContactFailure
 from whinrack.dispatch._refusals import (
     deadline_refusal,
@@ -146,7 +145,6 @@
         self.stream_versions = stream_versions
         self.answer_times = AnswerTimes()
         self.run_times = RunTimes()
-        self.place_waits = PlaceWaits(registry, self.run_times)
         self.open_connections = OpenConnections(connections)
         registry.on_target_replaced.append(self.open_connections.abort_replaced)
         self.statements = StatementHandler(registry, metrics)
@@ -204,14 +202,12 @@
                 # was sent yet.
                 raise AttemptFailed(no_target_refusal(), was_sent=False)
             self.open_connections.add(state, connection)
-            with state.timed_run(steady()):
-                self._exchange(run, pool, state, connection)
+            self._exchange(run, pool, state, connection)
         finally:
             self.open_connections.remove(state, connection)
             run.pending_prompt.finish()
             run.pending_output.finish()
             self.registry.end_request(state)
-            self.place_waits.notify(pool_name)
             if connection is not None and not run.waits_for(connection):
                 self.connections.release(connection)
 
--- a/whinrack/dispatch/_brittle_targets.py
+++ b/whinrack/dispatch/_brittle_targets.py
@@ -177,12 +177,6 @@
             return True
         return _slots_in_use(state, now) < self._allowance(state, now)
 
-    def places_after(self, state: TargetState, ended_runs: int, now: float) -> int:
-        """Return how many requests could be sent to a target if so many runs had ended."""
-        if self._has_failed(state, now) or not self._is_safe(state, now):
-            return 0
-        return max(0, self._allowance(state, now) - _slots_in_use(state, now) + ended_runs)
-
     def has_quota(self, state: TargetState, now: float) -> bool:
         """Return whether this instance sends to a target at all."""
         if self.limits.is_empty or not self.is_brittle(state):
@@ -196,10 +190,8 @@
         return identity in self.failed_targets(state.record.pool)
 
     def _has_free_place(self, state: TargetState, now: float) -> bool:
-        return self.has_room(state, now) and self._is_safe(state, now)
-
-    def _is_safe(self, state: TargetState, now: float) -> bool:
-        """Return whether this instance's quota at a target is that of the process there."""
+        if not self.has_room(state, now):
+            return False
         # A later start may listen there already and gets a quota of its own with its record.
         return not state.may_have_ended(now) and not state.ejection.is_ejected(now)
 
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -37,7 +37,6 @@
 from whinrack.dispatch._run_log import (
     log_attempt,
     log_forwarded,
-    log_place_awaited,
     log_refusal,
     log_run,
 )
@@ -280,7 +279,6 @@
         if not run.attempts:
             retry_budget.record_request(steady())
         unsent_attempts = 0
-        may_wait = True
         while True:
             try:
                 self.attempt_runner.attempt(run, pool)
@@ -291,14 +289,11 @@
                 if not failed.was_sent and self._should_forward(run, pool, unsent_attempts):
                     self._forward_finally(run, pool)
                     return
-                if isinstance(failed, NoTargetAvailable):
-                    names = self._peers_with_room(run, pool)
+                if isinstance(failed, NoTargetAvailable) and self._may_forward(run):
+                    names = self.registry.instances_with_free_slots(pool, steady())
                     if names:
                         self._forward_finally(run, pool, names, failed.refusal)
                         return
-                    if may_wait and self._wait_for_place(run, pool):
-                        may_wait = False
-                        continue
                 if not self._can_retry(run, failed, unsent_attempts, retry_budget):
                     raise self._final_refusal(run, failed.refusal) from failed
                 if self._should_forward(run, pool, unsent_attempts):
@@ -306,28 +301,6 @@
                     return
                 self._prepare_retry(run, pool, failed)
 
-    def _peers_with_room(self, run: RequestRun, pool: str) -> Collection[str]:
-        """Return the peers that may have a free slot at a brittle target and can be asked."""
-        if not self._may_forward(run):
-            return ()
-        names = self.registry.instances_with_free_slots(pool, steady())
-        return names if names and self.forwarder.has_peer(pool, run.needs_version, names) else ()
-
-    def _wait_for_place(self, run: RequestRun, pool: str) -> bool:
-        """Wait for a place at a brittle target if one is expected soon; return whether it is free.
-
-        Not for streams that must continue at one software version, which few targets may have.
-        """
-        if run.origin is not None:
-            return False
-        deadline = run.deadline - TIMEOUT_MARGIN
-        wait = self.attempt_runner.place_waits.wait(pool, run.tried_targets, deadline)
-        if wait is None:
-            return False
-        self.metrics.place_waits.labels("free" if wait.is_free else "none").inc()
-        log_place_awaited(run, wait)
-        return wait.is_free
-
     def _should_forward(self, run: RequestRun, pool: str, unsent_attempts: int = 0) -> bool:
         """Return whether to forward a request to a peer instead of sending it to a target.
 
--- a/whinrack/dispatch/_forwarding.py
+++ b/whinrack/dispatch/_forwarding.py
@@ -121,12 +121,9 @@
         self.contact = PeerContact()
         self._has_contact = True
 
-    def has_peer(
-        self, pool: str, needs_version: bool = False, names: Collection[str] | None = None
-    ) -> bool:
-        """Return whether there is a peer, by default any, that may serve a request for a pool."""
-        candidates = self.peers.candidates(pool, needs_version)
-        return any(names is None or peer.name in names for peer in candidates)
+    def has_peer(self, pool: str, needs_version: bool = False) -> bool:
+        """Return whether there is a peer that may serve a request for a pool."""
+        return bool(self.peers.candidates(pool, needs_version))
 
     def forward(
         self,
--- a/whinrack/dispatch/_registry.py
+++ b/whinrack/dispatch/_registry.py
@@ -417,22 +417,13 @@
     ) -> bool:
         """Return whether an untried target of the pool can be sent a request by this instance."""
         return any(
-            self.brittle_targets.can_send(state, now)
-            for state in self.usable_targets(pool, tried, now, cold_start)
-        )
-
-    def usable_targets(
-        self, pool: str, tried: Collection[str], now: float, cold_start: ColdStart | None = None
-    ) -> list[TargetState]:
-        """Return the untried targets of a pool that may be sent a request if they have room."""
-        return [
-            state
-            for state in self._pools.get(pool, {}).values()
-            if state.record.identity not in tried
+            state.record.identity not in tried
             and state.is_available(now)
             and self.is_eligible(state, now)
             and self.rate_limiter.can_send(state, cold_start, now)
-        ]
+            and self.brittle_targets.can_send(state, now)
+            for state in self._pools.get(pool, {}).values()
+        )
 
     def instances_with_free_slots(self, pool: str, now: float) -> frozenset[str]:
         """Return the other instances that may send to a brittle pool when this one may not."""
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -3,7 +3,6 @@
 from whinrack.budgets import GrantManager
 from whinrack.clock import steady
 from whinrack.dispatch._forwarding_mark import ForwardingMark
-from whinrack.dispatch._place_waits import PlaceWait
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.exceptions import Refusal
 from whinrack.http1 import Exchange
@@ -12,7 +11,6 @@
 __all__ = [
     "log_attempt",
     "log_forwarded",
-    "log_place_awaited",
     "log_refusal",
     "log_reservation_refused",
     "log_reserve_held",
@@ -75,19 +73,6 @@
     )
 
 
-def log_place_awaited(run: RequestRun, wait: PlaceWait) -> None:
-    """Log that a request has waited for a place at a brittle target."""
-    log_run(
-        Event.PLACE_AWAITED,
-        run,
-        pool=run.pool,
-        free=wait.is_free,
-        seconds=round(wait.seconds, 4),
-        expected=wait.expected,
-        before=wait.before,
-    )
-
-
 def log_forwarded(run: RequestRun, mark: ForwardingMark) -> None:
     """Log that a peer has forwarded a request to this instance."""
     log_run(
--- a/whinrack/dispatch/_run_times.py
+++ b/whinrack/dispatch/_run_times.py
@@ -1,7 +1,4 @@
-"""How long the recent runs of each pool took; pure logic without I/O."""
-
-import math
-from collections import deque
+"""The longest recent runs of each pool; pure logic without I/O."""
 
 __all__ = ["RunTimes"]
 
@@ -9,9 +6,6 @@
 _PERIOD_SECONDS = 30.0
 # A run may take this many times as long as the longest known one.
 _FACTOR = 2.0
-# Latest runs from which the time left of a run is estimated, and the fewest that tell something.
-_MAX_RECENT_RUNS = 50
-_MIN_RECENT_RUNS = 5
 
 
 class _Longest:
@@ -33,23 +27,10 @@
 
     def __init__(self):
         self._longest: dict[str, _Longest] = {}
-        self._recent: dict[str, deque[float]] = {}
 
     def observe(self, pool: str, seconds: float, now: float) -> None:
         """Record the duration of a complete run."""
         self._longest.setdefault(pool, _Longest(now)).observe(seconds, now)
-        self._recent.setdefault(pool, deque(maxlen=_MAX_RECENT_RUNS)).append(seconds)
-
-    def expected_seconds_left(self, pool: str, elapsed: float) -> float:
-        """Return how much longer a run is expected to take, infinite if that is not known.
-
-        This is the mean of what was left of those recent runs that took longer than `elapsed`.
-        """
-        recent = self._recent.get(pool, ())
-        longer = [seconds for seconds in recent if seconds > elapsed]
-        if len(recent) < _MIN_RECENT_RUNS or not longer:
-            return math.inf
-        return sum(longer) / len(longer) - elapsed
 
     def latest_end(self, pool: str, sent_at: float, deadline: float) -> float:
         """Return the time until which a run may last, at most the deadline its target was given."""
--- a/whinrack/dispatch/_target_state.py
+++ b/whinrack/dispatch/_target_state.py
@@ -29,8 +29,6 @@
         This instance's requests that have not ended.
     checks_in_flight : int
         This instance's health checks and connection tests that have not ended.
-    run_starts : list of float
-        Steady clock times at which this instance's requests that have not ended were sent.
     unanswered_requests : int
         This instance's requests whose answers have not begun.
     unread_tokens : int
@@ -53,7 +51,6 @@
         self.digest = xxhash.xxh32_intdigest(record.identity.encode())
         self.in_flight = 0
         self.checks_in_flight = 0
-        self.run_starts: list[float] = []
         self.unanswered_requests = 0
         self.unread_tokens = 0
         self.output_left = 0.0
@@ -96,15 +93,6 @@
         finally:
             self.checks_in_flight -= 1
 
-    @contextlib.contextmanager
-    def timed_run(self, sent_at: float) -> Iterator[None]:
-        """Keep the time at which a request was sent until it has ended."""
-        self.run_starts.append(sent_at)
-        try:
-            yield
-        finally:
-            self.run_starts.remove(sent_at)
-
     def hold_slot(self, until: float, now: float) -> None:
         """Count a run that was given up here, but may not have ended at the target."""
         self._drop_ended_holds(now)
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -36,9 +36,6 @@
         self.target_probes = self._counter(
             "target_probes", "Probes of targets in lost pools, by result", "result"
         )
-        self.place_waits = self._counter(
-            "place_waits", "Requests that waited for a place at a brittle target", "result"
-        )
         self.tokens = self._counter("tokens", "Tokens settled, by how", "how")
         self.written_off_tokens = self._counter(
             "written_off_tokens", "Tokens that earlier runs may have used, and so are out of use"
