Contact with peers: its changes are told by the record, trials are named as for pools; rows of earlier builds are read

Cause: whether contact was lost stood twice, in the record and in the forwarder; a question (may_connect) took a trial. Rows draw, release and loads had grown a field without a test of earlier and later builds. Change: record_failure and record_answer return the change, take_trial takes the trial.

--- a/whinrack/dispatch/_forwarding.py
+++ b/whinrack/dispatch/_forwarding.py
@@ -119,7 +119,6 @@
         self.metrics = metrics
         self.record_traffic = record_traffic
         self.contact = PeerContact()
-        self._has_contact = True
 
     def has_peer(self, pool: str, needs_version: bool = False) -> bool:
         """Return whether there is a peer that may serve a request for a pool."""
@@ -163,7 +162,7 @@
         for peer in candidates[:_MAX_PEERS]:
             if run.seconds_left() <= _PEER_TIMEOUT_MARGIN:
                 break
-            if not self.contact.may_connect(steady()):
+            if self.contact.is_lost(steady()) and not self.contact.take_trial(steady()):
                 self.metrics.forwarded_requests.labels("no_contact").inc()
                 break
             began_at = steady()
@@ -184,17 +183,17 @@
         try:
             connection = self.connections.acquire(peer.address, run.deadline)
         except TargetUnavailable as failure:
-            self.contact.record_failed(peer.name, steady())
-            if self.contact.is_lost(steady()):
-                self._log_contact(False)
+            now = steady()
+            if self.contact.record_failure(peer.name, now):
+                log_event(Event.PEERS_LOST, failed=" ".join(self.contact.failed_peers(now)))
             raise _Declined(failure.message) from failure
         may_have_run_before = run.may_have_run
         run.may_have_run = True
         try:
             self._send(run, connection)
             head = connection.read_head(run.deadline, lambda headers: True)
-            self.contact.record_answer()
-            self._log_contact(True)
+            if self.contact.record_answer():
+                log_event(Event.PEERS_REACHED, peer=peer.name)
             answer = read_peer_answer(head)
             if answer is None:
                 raise TargetFailed("the peer sent an answer without a mark")
@@ -214,16 +213,6 @@
             at_peer=round(steady() - began_at, 4),
         )
 
-    def _log_contact(self, has_contact: bool) -> None:
-        """Log that contact with peers is lost, or that one answers again."""
-        if has_contact == self._has_contact:
-            return
-        self._has_contact = has_contact
-        log_event(
-            Event.PEERS_REACHED if has_contact else Event.PEERS_LOST,
-            failed=" ".join(self.contact.failed_peers()),
-        )
-
     def _send(self, run: RequestRun, connection: TargetConnection) -> None:
         head = run.exchange.head
         mark = ForwardingMark(
--- a/whinrack/dispatch/tests/test_peer_contact.py
+++ b/whinrack/dispatch/tests/test_peer_contact.py
@@ -23,10 +23,14 @@
 def lost_contact(now=0.0):
     contact = PeerContact()
     for number in range(3):
-        contact.record_failed(f"peer-{number}", now)
+        contact.record_failure(f"peer-{number}", now)
     return contact
 
 
+def may_connect(contact, now):
+    return not contact.is_lost(now) or contact.take_trial(now)
+
+
 def hold_times(contact, reachable, requests=300, rate=50.0, peers=3):
     """Return the seconds for which each request of a load is held by attempts to reach peers."""
     held, done = [], []
@@ -35,8 +39,8 @@
         for peer in range(peers):
             # Attempts that have ended by now, in order.
             while done and done[0][0] <= now:
-                contact.record_failed(done.pop(0)[1], now)
-            if reachable or not contact.may_connect(now):
+                contact.record_failure(done.pop(0)[1], now)
+            if reachable or not may_connect(contact, now):
                 break
             now += TIMEOUT
             done.append((now, f"peer-{(number + peer) % 20}"))
@@ -56,21 +60,22 @@
 def test_a_few_failed_peers_do_not_stop_forwarding(failed):
     contact = PeerContact()
     for peer in failed:
-        contact.record_failed(peer, 0.0)
-    assert all(contact.may_connect(0.0) for _ in range(10))
+        assert not contact.record_failure(peer, 0.0)
+    assert not contact.is_lost(0.0)
 
 
 def test_an_answer_of_any_peer_ends_the_loss():
     contact = lost_contact()
-    contact.record_answer()
-    assert all(contact.may_connect(0.0) for _ in range(10))
+    assert contact.record_answer()
+    assert not contact.is_lost(0.0)
+    assert not contact.record_answer()
 
 
 def test_contact_is_tried_soon_after_it_was_lost_and_again():
     contact = lost_contact()
-    assert contact.may_connect(0.0)
-    assert not contact.may_connect(0.4)
-    assert contact.may_connect(0.6)
+    assert may_connect(contact, 0.0)
+    assert not may_connect(contact, 0.4)
+    assert may_connect(contact, 0.6)
 
 
 def test_old_failures_are_forgotten():
--- a/whinrack/gossip/tests/test_versions.py
+++ b/whinrack/gossip/tests/test_versions.py
@@ -3,15 +3,19 @@
 import msgspec
 import pytest
 
+from whinrack.budgets import RestartTime, RunRelease
 from whinrack.dispatch import HallStatus
 from whinrack.gossip import (
+    DrawRequest,
     Heartbeat,
     Message,
     PeerAddress,
     PeerState,
+    ReleaseRequest,
     StreamAnswer,
     StreamBegan,
     SuspectCases,
+    TargetLoads,
 )
 from whinrack.quarantine import Case
 from whinrack.streams import StreamOrigin, UnsettledStart
@@ -110,3 +114,17 @@
     assert msgspec.msgpack.decode(encoded, type=type(earlier)) == earlier
     read = msgspec.msgpack.decode(msgspec.msgpack.encode(earlier), type=Message)
     assert read == type(message)(*msgspec.structs.astuple(earlier))
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        DrawRequest(1, []),
+        ReleaseRequest(1, "a", RunRelease("m.2", RestartTime(1.0, 2.0, 3.5), ["m.1"])),
+        TargetLoads("a", {1: 2}, {1: 30}),
+    ],
+)
+def test_rows_without_the_last_field_and_with_a_later_one_are_read(message):
+    row = msgspec.msgpack.decode(msgspec.msgpack.encode(message))
+    for other in (row[:-1], [*row, "later"]):
+        assert msgspec.msgpack.decode(msgspec.msgpack.encode(other), type=Message) == message
