--- a/whinrack/dispatch/_peer_contact.py
+++ b/whinrack/dispatch/_peer_contact.py
@@ -8,7 +8,7 @@
 
 __all__ = ["PeerContact"]
 
-# Peers that must fail without an answer of any other: a few may have ended or be cut off themselves.
+# Peers that must fail while none answers: a few may have ended or be cut off themselves.
 _MIN_FAILED_PEERS = 3
 # Age up to which a failed connection counts, seconds.
 _FAILURE_LIFETIME_SECONDS = 2.0
