--- a/review/2/case.py
+++ b/review/2/case.py
@@ -83,7 +83,9 @@
             length = int(fields.get("content-length", 0))
             request_id = fields.get("x-whinrack-request-id", "")
             if f" {HEALTH_PATH} " not in lines[0]:
-                self.case.record.write(f"{self.name} begins {request_id}: {lines[0]}, {length} bytes")
+                self.case.record.write(
+                    f"{self.name} begins {request_id}: {lines[0]}, {length} bytes"
+                )
             may_be_early = self.answers_early and not self.early_answers and self.case.has_trouble
             is_early = may_be_early and length == len(LONG_BODY)
             if is_early:
--- a/review/harness.py
+++ b/review/harness.py
@@ -125,7 +125,9 @@
         """Write the settings file and start the process."""
         path = self.case.temporary / f"{self.name}.conf"
         path.write_text("".join(f"{key}={value}\n" for key, value in self.settings.items()))
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment["WHINRACK_NODE_FILE"] = str(path)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
