--- a/review/harness.py
+++ b/review/harness.py
@@ -6,7 +6,6 @@
 
 import http.client
 import itertools
-import json
 import os
 import pathlib
 import shutil
@@ -247,7 +246,7 @@
     with Case(folder) as case:
         try:
             broken = play(case)
-        except (CaseNotRunError, OSError, RuntimeError, json.JSONDecodeError) as error:
+        except Exception as error:
             case.record.write(f"not run: {error!r}")
             print(f"not run: {error!r}")
             sys.exit(NOT_RUN)
