--- a/review/harness.py
+++ b/review/harness.py
@@ -8,6 +8,7 @@
 import itertools
 import os
 import pathlib
+import resource
 import shutil
 import signal
 import subprocess
@@ -104,10 +105,15 @@
     store_address : tuple of str and int
     settings : dict of str to str
         Fields that differ from those of the small deployment.
+    descriptors : int
+        Most descriptors that the process may open, 0 for the limit of this process.
     """
 
-    def __init__(self, case, name, ip, gossip_port, seeds, store_address, settings=()):
+    def __init__(
+        self, case, name, ip, gossip_port, seeds, store_address, settings=(), descriptors=0
+    ):
         self.case, self.name, self.ip = case, name, ip
+        self.descriptors = descriptors
         first = reserve_ports(_PORTS_PER_DAEMON)
         self.ports = {"front": first, "ready": first + 1, "directory": first + 2}
         self.control = first + 3
@@ -133,10 +139,19 @@
         self.log_path = self.case.temporary / f"{self.name}.log"
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                _command(), cwd=ROOT, env=environment, stdout=log, stderr=log
+                _command(),
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                preexec_fn=self._limit_descriptors if self.descriptors else None,
             )
         self.case.record.write(f"started {self.name}, process {self.process.pid}")
 
+    def _limit_descriptors(self):
+        """Limit the descriptors of the process, as the platform does."""
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
+
     def send_signal(self, number):
         """Send a signal to the process."""
         self.case.record.write(f"{signal.Signals(number).name} to {self.name}")
@@ -198,7 +213,7 @@
         self.store.write("config", "main", configuration)
         return self.store
 
-    def start_fleet(self, count, settings=(), store_address=None):
+    def start_fleet(self, count, settings=(), store_address=None, prefix="front", descriptors=0):
         """Start daemons that know each other, and wait until they are ready."""
         gossip_port = reserve_ports(16)
         ips = [f"127.0.0.{10 + number}" for number in range(count)]
@@ -206,7 +221,16 @@
         for number, ip in enumerate(ips):
             address = store_address or self.store.address
             self.daemons.append(
-                Daemon(self, f"front-{number + 1}", ip, gossip_port, seeds, address, settings)
+                Daemon(
+                    self,
+                    f"{prefix}-{number + 1}",
+                    ip,
+                    gossip_port,
+                    seeds,
+                    address,
+                    settings,
+                    descriptors,
+                )
             )
         for daemon in self.daemons:
             self.wait_until(daemon.is_ready, 30, f"{daemon.name} is ready")
