--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,7 +29,12 @@
 _READ_BYTES = 4_096
 # Small, so that a runner that doesn't read holds the sender up.
 _RECEIVE_BUFFER = 4_096
-_NAME = "app-1"
+# `garble`: half of the runners, and two in a hundred of their answers.
+_RUNNERS = 2
+_ANSWERS_BEFORE = 50
+_MOST_WARM_UPS = 400
+# Requests that are sent at once after the long one.
+_SECOND_REQUESTS = 6
 
 
 class EarlyRunner:
@@ -41,9 +46,9 @@
         Bytes received in place of the rest of a long body.
     """
 
-    def __init__(self, case, pause):
-        self.record, self.pause = case.record, pause
-        self.foreign = []
+    def __init__(self, case, name, pause):
+        self.record, self.name, self.pause = case.record, name, pause
+        self.foreign, self.runs = [], 0
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER)
         self.listener.bind(("127.0.0.1", 0))
@@ -53,7 +58,7 @@
         host, port = self.address
         entry = {"service": "app", "address": f"{host}:{port}", "zone": "hafnar", "version": "v1"}
         entry |= {"slots": 6, "state": "ready", "cold_left_ms": 0, "seq": 1}
-        case.store.write("servers", _NAME, entry)
+        case.store.write("servers", name, entry)
 
     def _accept(self):
         number = 0
@@ -74,7 +79,7 @@
                 head, _, data = data.partition(b"\r\n\r\n")
                 data = self._handle(sock, number, head, data)
         except (OSError, EOFError) as error:
-            self.record.write(f"runner, connection {number}: ended: {error!r}")
+            self.record.write(f"{self.name}, connection {number}: ended: {error!r}")
         finally:
             sock.close()
 
@@ -86,20 +91,20 @@
         if path == HEALTH_PATH:
             sock.sendall(
                 b"HTTP/1.1 200 OK\r\nX-Whinrack-Instance-Id: %b\r\nContent-Length: 0\r\n\r\n"
-                % _NAME.encode()
+                % self.name.encode()
             )
             return data
         request_id = fields[b"x-whinrack-request-id"]
-        self.record.write(
-            f"runner, connection {number}: request {request_id.decode()} of {length} bytes"
-        )
         if length < len(_BODY):
             body, data = self._read(sock, data, length)
-            self.record.write(f"runner, connection {number}: runs {request_id.decode()}")
+            self.runs += 1
+            self.record.write(f"{self.name}, connection {number}: runs {request_id.decode()}")
             self._answer(sock, request_id, b"200 OK", b"whole " + body)
             return data
         self._answer(sock, request_id, b"413 Too Large", b"too large")
-        self.record.write(f"runner, connection {number}: rejected early, reads on later")
+        self.record.write(
+            f"{self.name}, connection {number}: rejected {request_id.decode()} early and pauses"
+        )
         time.sleep(self.pause)
         body, data = self._read(sock, data, length)
         return data
@@ -121,7 +126,7 @@
                 foreign = part.strip(own)
                 self.foreign.append(foreign)
                 self.record.write(
-                    f"runner: from byte {place} of a body of {length} bytes: {foreign[:400]!r}"
+                    f"{self.name}: from byte {place} of a body of {length} bytes: {foreign[:400]!r}"
                 )
             received += len(part)
             if received == length:
@@ -144,36 +149,42 @@
         answers.append(response.status)
         case.record.write(f"client: {request_id}: {response.status}, {len(response.read())} bytes")
     except (OSError, http.client.HTTPException) as error:
+        answers.append(0)
         case.record.write(f"client: {request_id}: {error!r}")
     finally:
         connection.close()
 
 
 def play(case):
-    """Send a long request, which is rejected early, and a short one of another tenant after it."""
+    """Send a long request, which is rejected early, and short ones of another tenant after it."""
     limits = {"max_header_bytes": 16_384, "max_body_bytes": _MAX_BODY_BYTES}
     limits |= {"header_timeout_ms": 3000, "idle_timeout_ms": 15_000}
     case.start_store(configuration(limits=limits))
-    runner = EarlyRunner(case, _PAUSE_SECONDS if case.has_trouble else 0.0)
+    pause = _PAUSE_SECONDS if case.has_trouble else 0.0
+    runners = [EarlyRunner(case, f"app-{number}", pause) for number in range(_RUNNERS)]
     (daemon,) = case.start_fleet(1)
     warm_up = []
-
-    def serves():
+    while min(runner.runs for runner in runners) < _ANSWERS_BEFORE:
+        if len(warm_up) >= _MOST_WARM_UPS:
+            raise harness.CaseNotRunError("a runner gets too few requests")
         _send(case, daemon, _SECOND_BODY, warm_up, "k1")
-        return warm_up[-1:] == [200]
-
-    case.wait_until(serves, 20, "the daemon serves the runner's service")
+        time.sleep(0.01)
     answers = []
-    first = threading.Thread(target=_send, args=(case, daemon, _BODY, answers, "k1"))
-    first.start()
+    threads = [threading.Thread(target=_send, args=(case, daemon, _BODY, answers, "k1"))]
+    threads[0].start()
     time.sleep(_SECOND_AFTER_SECONDS)
-    _send(case, daemon, _SECOND_BODY, answers, "k2")
-    first.join()
+    for _ in range(_SECOND_REQUESTS):
+        arguments = (case, daemon, _SECOND_BODY, answers, "k2")
+        threads.append(threading.Thread(target=_send, args=arguments))
+        threads[-1].start()
+    for thread in threads:
+        thread.join()
     time.sleep(1.0)
-    if not answers:
+    if not any(answers):
         raise harness.CaseNotRunError("no request was answered")
     return [
         f"where the rest of a body was due, the runner received {len(foreign)} other bytes"
+        for runner in runners
         for foreign in runner.foreign
     ]
 
