Let the reset of a test meet the send and not the connection attempt

test_reset_that_the_send_meets_is_no_end_of_the_connection failed in 4 of 25 plays on with 'connection to the target: ECONNRESET': the scripted server reset the connection as soon as it had accepted it, which the connection attempt itself may meet. The server now waits until the client is connected. What is asserted is unchanged, and the reset still comes before the send. Failed in 0 of 25 plays since.

--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -112,13 +112,16 @@
 
 def test_reset_that_the_send_meets_is_no_end_of_the_connection(serve):
     """Guards against taking a target that resets each new connection for one that is reached."""
-    is_reset = threading.Event()
+    is_connected, is_reset = threading.Event(), threading.Event()
 
     def script(sock):
+        # An earlier reset may meet the connection attempt.
+        is_connected.wait(5)
         reset(sock)
         is_reset.set()
 
     connection = ConnectionPool().acquire(serve(script).address, default_deadline())
+    is_connected.set()
     assert is_reset.wait(5)
     connection.send(REQUEST, b"", default_deadline())
     with pytest.raises(AnswerCut):
