Reuse a connection only if its whole request was sent

Callers: a target that rejects a long request early and reads on later received another workspace's request in place of the rest of the body; that request never ran and ended with 504 (UNASKED). The caller of the rejected request waited for the rejection until its deadline.

Cause: the send swallowed its timeout, and whether a connection may be reused was derived from the protocol state, which says what was passed to be sent and not what was sent.

Change: SendBuffer holds what the kernel has not taken; sending never waits, and the read of the response sends on. A connection is reusable only if the last byte was sent and the sending side is open, which covers callers that left as well. Event 5023 names requests answered early.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -20,6 +20,7 @@
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._retries import RetryBudgets
+from whinrack.dispatch._run_log import log_early_answer
 from whinrack.dispatch._run_times import RunTimes
 from whinrack.dispatch._silent_attempts import SilentAttempt
 from whinrack.dispatch._statements import StatementHandler, TargetStatement
@@ -335,6 +336,8 @@
 
         try:
             head = self._send_and_read_head(run, state, connection, head_deadline, silent_at)
+            if not connection.has_sent_request:
+                log_early_answer(run, head.status, connection.sent_bytes)
             reachability.record_answer(pool.name, state.record.identity, connection.opened_at)
             self.answer_times.observe(pool.name, steady() - sent_at)
             statement = self.dialect.parse_statement(head)
@@ -500,7 +503,7 @@
             resume_after=run.last_id,
         )
         head = RequestHead(request.method, request.target, self.dialect.attempt_headers(attempt))
-        connection.send(head, request.body, run.deadline)
+        connection.send(head, request.body)
 
     def _handle_target_refusal(
         self, pool: PoolRecord, state: TargetState, statement: TargetStatement
--- a/whinrack/dispatch/_forwarding.py
+++ b/whinrack/dispatch/_forwarding.py
@@ -221,9 +221,7 @@
             configuration=run.configuration.version,
         )
         headers = [*without_marks(head.headers), *mark.headers()]
-        connection.send(
-            RequestHead(head.method, head.target, headers), run.exchange.body, run.deadline
-        )
+        connection.send(RequestHead(head.method, head.target, headers), run.exchange.body)
 
     def _check_refusal(
         self,
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "log_attempt",
+    "log_early_answer",
     "log_forwarded",
     "log_refusal",
     "log_reservation_refused",
@@ -73,6 +74,12 @@
     )
 
 
+def log_early_answer(run: RequestRun, status: int, sent_bytes: int) -> None:
+    """Log that a target answered before it was sent the whole request."""
+    size = len(run.request.body)
+    log_run(Event.TARGET_ANSWERED_EARLY, run, status=status, sent=sent_bytes, size=size)
+
+
 def log_forwarded(run: RequestRun, mark: ForwardingMark) -> None:
     """Log that a peer has forwarded a request to this instance."""
     log_run(
--- a/whinrack/dispatch/tests/test_choice_and_send.py
+++ b/whinrack/dispatch/tests/test_choice_and_send.py
@@ -31,7 +31,7 @@
     def __init__(self, address, sent):
         self.address, self.sent = address, sent
 
-    def send(self, head, body, deadline):
+    def send(self, head, body):
         self.sent.append(self.address)
 
     def read_head(self, deadline, is_own_response):
--- a/whinrack/dispatch/tests/test_deadline_refusals.py
+++ b/whinrack/dispatch/tests/test_deadline_refusals.py
@@ -46,7 +46,7 @@
         self.acquired.append(address)
         return self
 
-    def send(self, head, body, deadline):
+    def send(self, head, body):
         self.sent.append(head)
 
     def read_head(self, deadline, is_own_response):
--- a/whinrack/edge/_knowledge_exchange.py
+++ b/whinrack/edge/_knowledge_exchange.py
@@ -167,7 +167,7 @@
     except Refusal:
         return None
     try:
-        connection.send(RequestHead(b"GET", path, [(b"host", b"peer")]), b"", end)
+        connection.send(RequestHead(b"GET", path, [(b"host", b"peer")]), b"")
         head = connection.read_head(end, lambda headers: True)
         body = b"".join(connection.iter_data(end, _MAX_ANSWER_BYTES))
     except Refusal:
--- a/whinrack/edge/_target_probes.py
+++ b/whinrack/edge/_target_probes.py
@@ -353,7 +353,7 @@
     deadline = steady() + _ANSWER_SECONDS
     try:
         headers = [(b"host", f"{host}:{port}".encode()), (b"connection", b"close")]
-        connection.send(RequestHead(b"GET", path.encode(), headers), b"", deadline)
+        connection.send(RequestHead(b"GET", path.encode(), headers), b"")
         return _ProbeResult(None, connection.read_head(deadline, lambda headers: True))
     except AttemptTimeout:
         return _ProbeResult(ContactFailure.SILENT)
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -17,6 +17,7 @@
     TargetUnavailable,
 )
 from whinrack.http1._messages import Headers, RequestHead, ResponseHead, header_value
+from whinrack.http1._send_buffer import SendBuffer
 from whinrack.http1._sockets import receive
 from whinrack.keepalive import KEEPALIVE_OPTIONS
 
@@ -58,8 +59,7 @@
         self.sock = sock
         # Steady clock time at which the connection attempt began.
         self.opened_at = 0.0
-        # Sizes of the latest request and its response, including their heads.
-        self.sent_bytes = 0
+        # Size of the latest response, including its head.
         self.received_bytes = 0
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         self.released_at = 0.0
@@ -69,11 +69,21 @@
         self._request: RequestHead | None = None
         self._closed = False
         self._aborted = False
-        self._has_send_failed = False
+        self._outgoing = SendBuffer(sock)
         self._bytes_in_turn = 0
         # An event that was parsed after data received with it; the next one to be returned.
         self._pending_event = None
 
+    @property
+    def sent_bytes(self) -> int:
+        """Number of bytes of the latest request that were sent, including its head."""
+        return self._outgoing.sent_bytes
+
+    @property
+    def has_sent_request(self) -> bool:
+        """Whether the latest request was sent to its end, and the sending side is still open."""
+        return self._outgoing.is_whole
+
     @property
     def is_reused(self) -> bool:
         """Whether the connection has carried an earlier request."""
@@ -96,8 +106,11 @@
             raise TargetUnavailable(f"connection to the target: {reason}") from error
         return cls(address, sock)
 
-    def send(self, request: RequestHead, body: bytes, deadline: float) -> None:
-        """Send a complete request. A send error is reported when the response is read."""
+    def send(self, request: RequestHead, body: bytes) -> None:
+        """Send a request without waiting; reading the response sends the rest of it.
+
+        A send error is reported when the response is read.
+        """
         self._request = request
         headers = list(request.headers)
         if body or request.method not in (b"GET", b"HEAD", b"DELETE"):
@@ -107,15 +120,8 @@
             events.append(h11.Data(data=body))
         events.append(h11.EndOfMessage())
         data = b"".join(self._protocol.send(event) for event in events)
-        self.sent_bytes, self.received_bytes = len(data), 0
-        self.sock.settimeout(max(0.001, deadline - steady()))
-        try:
-            self.sock.sendall(data)
-        except TimeoutError:
-            # The deadline has passed, which the read of the response reports as well.
-            pass
-        except OSError:
-            self._has_send_failed = True
+        self.received_bytes = 0
+        self._outgoing.start(data)
 
     def read_head(
         self, deadline: float, is_own_response: Callable[[Headers], bool]
@@ -206,8 +212,7 @@
 
     def close_write(self) -> None:
         """Shut down the sending side: a target that notices stops its work and closes as well."""
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_WR)
+        self._outgoing.close()
 
     @property
     def has_whole_response(self) -> bool:
@@ -215,11 +220,15 @@
         return self._protocol.their_state in _WHOLE_RESPONSE_STATES
 
     def is_reusable(self) -> bool:
-        """Return whether the response is complete and no unread bytes are left."""
+        """Return whether request and response are complete and no unread bytes are left.
+
+        The protocol state tells only what was passed to be sent. If a part of the request was not
+        sent, the target would take the next request for the rest of this one.
+        """
         protocol = self._protocol
         done = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
-        is_open = not (self._closed or self.is_closed_by_target or self._has_send_failed)
-        return done and is_open and not protocol.trailing_data[0]
+        is_open = not (self._closed or self.is_closed_by_target)
+        return done and is_open and self.has_sent_request and not protocol.trailing_data[0]
 
     def prepare_reuse(self) -> bool:
         """Prepare the connection for another request.
@@ -273,7 +282,7 @@
 
     def _receive(self, deadline: float) -> None:
         try:
-            data = receive(self.sock, _READ_BYTES, deadline)
+            data = receive(self.sock, _READ_BYTES, deadline, self._outgoing)
         except TimeoutError as error:
             raise AttemptTimeout("the target did not respond in time") from error
         except OSError as error:
@@ -281,7 +290,7 @@
         if self._aborted:
             # Without this check a response delimited by connection close would look complete.
             raise AnswerCut("the target has restarted")
-        if not data and self._has_send_failed:
+        if not data and self._outgoing.has_failed:
             # The kernel reports a reset once, so after the send has met it the rest looks complete.
             raise AnswerCut("the connection to the target broke")
         self.is_closed_by_target = self.is_closed_by_target or not data
@@ -374,9 +383,10 @@
     def release(self, connection: TargetConnection) -> None:
         """Keep a connection whose response is complete for reuse; close any other.
 
-        A connection whose request was given up is reset, so that the request does not arrive later.
+        A connection whose request was given up, or not sent to its end, is reset, so that the
+        request does not arrive later.
         """
-        if not connection.has_whole_response:
+        if not (connection.has_whole_response and connection.has_sent_request):
             connection.reset()
             return
         if not connection.is_reusable():
--- a/whinrack/http1/_sockets.py
+++ b/whinrack/http1/_sockets.py
@@ -1,15 +1,16 @@
 """Socket reads that distinguish a reset from an end of stream."""
 
-from eventlet import hubs
-
 from whinrack.clock import steady
+from whinrack.http1._send_buffer import SendBuffer
 
 __all__ = ["receive"]
 
 
-def receive(sock, size: int, deadline: float) -> bytes:
+def receive(sock, size: int, deadline: float, outgoing: SendBuffer) -> bytes:
     """Read at most `size` bytes until the steady clock reaches `deadline`; empty at end of stream.
 
+    Sends the rest of the request meanwhile.
+
     eventlet's own `recv` returns an empty read for a reset connection as well, so that a
     truncated response delimited by connection close would look complete.
 
@@ -31,4 +32,5 @@
             remaining = deadline - steady()
             if remaining <= 0:
                 raise TimeoutError("no data received before the deadline") from None
-            hubs.trampoline(raw, read=True, timeout=remaining, timeout_exc=TimeoutError)
+            outgoing.wait(remaining)
+            outgoing.flush()
--- a/whinrack/http1/tests/_scripts.py
+++ b/whinrack/http1/tests/_scripts.py
@@ -39,8 +39,8 @@
         self._listener.close()
 
 
-def read_request(sock: socket.socket) -> bytes:
-    """Read a request that has a Content-Length or no body."""
+def read_head(sock: socket.socket) -> tuple[bytes, bytes]:
+    """Read the head of a request; return it and what was received of the body."""
     data = b""
     while b"\r\n\r\n" not in data:
         more = sock.recv(65536)
@@ -48,6 +48,12 @@
             raise OSError("closed")
         data += more
     head, _, body = data.partition(b"\r\n\r\n")
+    return head, body
+
+
+def read_request(sock: socket.socket) -> bytes:
+    """Read a request that has a Content-Length or no body."""
+    head, body = read_head(sock)
     length = 0
     for line in head.split(b"\r\n"):
         if line.lower().startswith(b"content-length:"):
--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -1,5 +1,6 @@
 """Tests of response parsing, connection reuse and timeouts of the client for targets."""
 
+import contextlib
 import errno
 import socket
 import threading
@@ -12,8 +13,9 @@
 from whinrack.clock import steady
 from whinrack.exceptions import AnswerCut, AttemptTimeout, TargetUnavailable
 from whinrack.http1 import ConnectionPool, RequestHead, header_value
+from whinrack.http1._send_buffer import SendBuffer
 from whinrack.http1._sockets import receive
-from whinrack.http1.tests._scripts import ScriptedServer, read_request, reset
+from whinrack.http1.tests._scripts import ScriptedServer, read_head, read_request, reset
 from whinrack.keepalive import KEEPALIVE_OPTIONS
 
 REQUEST = RequestHead(b"GET", b"/x", [(b"host", b"h"), (b"id", b"1")])
@@ -47,7 +49,7 @@
     deadline = deadline or default_deadline()
     connection = pool.acquire(server.address, deadline)
     try:
-        connection.send(REQUEST, b"", deadline)
+        connection.send(REQUEST, b"")
         head = connection.read_head(deadline, is_own)
         return head, b"".join(connection.iter_data(deadline))
     finally:
@@ -102,7 +104,7 @@
     server, pool = serve(script), ConnectionPool()
     deadline = default_deadline()
     connection = pool.acquire(server.address, deadline)
-    connection.send(REQUEST, b"", deadline)
+    connection.send(REQUEST, b"")
     assert connection.read_head(deadline, is_own).status == 200
     assert connection.read_data(deadline) == b"half of"
     may_reset.set()
@@ -123,7 +125,7 @@
     connection = ConnectionPool().acquire(serve(script).address, default_deadline())
     is_connected.set()
     assert is_reset.wait(5)
-    connection.send(REQUEST, b"", default_deadline())
+    connection.send(REQUEST, b"")
     with pytest.raises(AnswerCut):
         connection.read_head(default_deadline(), is_own)
     assert not connection.is_closed_by_target
@@ -262,7 +264,7 @@
 
     server, pool, deadline = serve(script), ConnectionPool(), default_deadline()
     connection = pool.acquire(server.address, deadline)
-    connection.send(REQUEST, b"", deadline)
+    connection.send(REQUEST, b"")
     connection.read_head(deadline, is_own)
     eventlet.sleep(0.05)
     assert list(connection.iter_data(deadline)) == [b"abc"]
@@ -278,7 +280,7 @@
 
     server, pool, deadline = serve(script), ConnectionPool(), default_deadline()
     connection = pool.acquire(server.address, deadline)
-    connection.send(REQUEST, b"", deadline)
+    connection.send(REQUEST, b"")
     connection.read_head(deadline, is_own)
     eventlet.sleep(0.05)
     parts = connection.iter_data(deadline)
@@ -315,7 +317,8 @@
 def test_keepalive_timeout_is_reported_as_a_lost_connection():
     """Guards against taking a lost connection for a target that is slow to respond."""
     with pytest.raises(ConnectionAbortedError):
-        receive(types.SimpleNamespace(fd=_TimedOutSocket()), 1, default_deadline())
+        sock = types.SimpleNamespace(fd=_TimedOutSocket())
+        receive(sock, 1, default_deadline(), SendBuffer(sock))
 
 
 @pytest.mark.parametrize("framing", [b"Content-Length: 20", b"Connection: close"])
@@ -328,7 +331,7 @@
     server, pool = serve(script), ConnectionPool()
     deadline = default_deadline()
     connection = pool.acquire(server.address, deadline)
-    connection.send(REQUEST, b"", deadline)
+    connection.send(REQUEST, b"")
     connection.read_head(deadline, is_own)
     eventlet.spawn_after(0.2, connection.abort)
     started_at = steady()
@@ -347,3 +350,144 @@
     pool.close_idle(server.address)
     send_request(pool, server)
     assert server.accepted == 2
+
+
+UPLOAD = RequestHead(b"POST", b"/x", [(b"host", b"h"), (b"id", b"1")])
+# More than the buffers of both ends hold.
+LONG_BODY = b"a" * 30_000_000
+REJECTION = b"HTTP/1.1 413 Too Large\r\nid: 1\r\nContent-Length: 2\r\n\r\nno"
+
+
+def upload(pool, server, deadline=None):
+    """Send a request with a long body, and read its response; the connection stays in use."""
+    deadline = deadline or default_deadline()
+    connection = pool.acquire(server.address, deadline)
+    connection.send(UPLOAD, LONG_BODY)
+    head = connection.read_head(deadline, is_own)
+    return connection, head, b"".join(connection.iter_data(deadline))
+
+
+def read_to_end(sock):
+    """Read until the connection ends and return what was received."""
+    received = bytearray()
+    try:
+        while data := sock.recv(1_000_000):
+            received += data
+    except ConnectionResetError:
+        pass
+    return bytes(received)
+
+
+def test_no_other_request_is_sent_in_place_of_the_rest_of_a_body(serve):
+    """Guards against reuse of a connection on which a part of the request was never sent."""
+    may_read, bodies = threading.Event(), []
+
+    def script(sock):
+        body = read_head(sock)[1]
+        sock.sendall(REJECTION)
+        may_read.wait(5)
+        bodies.append(body + read_to_end(sock))
+
+    server, pool = serve(script), ConnectionPool()
+    # The deadline ends the send; the response was there all the time.
+    connection, head, _ = upload(pool, server, steady() + 0.3)
+    pool.release(connection)
+    assert head.status == 413
+    with contextlib.suppress(AttemptTimeout):
+        send_request(pool, server, steady() + 0.2)
+    may_read.set()
+    while len(bodies) < 1:
+        eventlet.sleep(0.01)
+    assert not bodies[0].strip(b"a")
+    assert server.accepted == 2
+
+
+def test_response_is_read_while_the_request_is_still_being_sent(serve):
+    """Guards against callers that learn of a rejection only when the send has ended."""
+    may_end = threading.Event()
+
+    def script(sock):
+        read_head(sock)
+        sock.sendall(REJECTION)
+        may_end.wait(5)
+
+    server, started_at = serve(script), steady()
+    connection, head, body = upload(ConnectionPool(), server)
+    assert (head.status, body) == (413, b"no")
+    assert steady() - started_at < 1.0
+    assert not connection.is_reusable()
+    may_end.set()
+
+
+def test_request_is_sent_to_its_end_while_the_response_is_read(serve):
+    received = []
+
+    def script(sock):
+        _, body = read_head(sock)
+        sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n" + UNRELATED)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 4\r\n\r\nhe")
+        while len(body) < len(LONG_BODY):
+            body += sock.recv(1_000_000)
+        received.append(body)
+        sock.sendall(b"re")
+        read_request(sock)
+        sock.sendall(RESPONSE)
+
+    server, pool = serve(script), ConnectionPool()
+    connection, head, body = upload(pool, server)
+    assert (head.status, body) == (200, b"here")
+    assert received == [LONG_BODY]
+    assert connection.sent_bytes > len(LONG_BODY)
+    pool.release(connection)
+    assert send_request(pool, server)[1] == b"ok"
+    assert server.accepted == 1
+
+
+def test_connection_whose_sending_side_is_closed_is_not_reused(serve):
+    """Guards against requests on a connection whose caller left before its response."""
+
+    def script(sock):
+        read_request(sock)
+        sock.sendall(RESPONSE)
+        time.sleep(1.0)
+
+    server, pool, deadline = serve(script), ConnectionPool(), default_deadline()
+    connection = pool.acquire(server.address, deadline)
+    connection.send(REQUEST, b"")
+    connection.close_write()
+    connection.read_head(deadline, is_own)
+    assert list(connection.iter_data(deadline)) == [b"ok"]
+    pool.release(connection)
+    assert send_request(pool, server)[1] == b"ok"
+    assert server.accepted == 2
+
+
+def test_rest_of_a_request_is_dropped_when_its_caller_leaves(serve):
+    may_read, bodies = threading.Event(), []
+
+    def script(sock):
+        _, body = read_head(sock)
+        may_read.wait(5)
+        bodies.append(body + read_to_end(sock))
+
+    server, deadline = serve(script), default_deadline()
+    connection = ConnectionPool().acquire(server.address, deadline)
+    connection.send(UPLOAD, LONG_BODY)
+    connection.close_write()
+    may_read.set()
+    with pytest.raises(AnswerCut):
+        connection.read_head(deadline, is_own)
+    assert not bodies[0].strip(b"a")
+    assert len(bodies[0]) < len(LONG_BODY)
+
+
+def test_early_response_before_a_reset_is_returned(serve):
+    def script(sock):
+        read_head(sock)
+        sock.sendall(REJECTION)
+        time.sleep(0.2)
+        reset(sock)
+
+    connection, head, body = upload(ConnectionPool(), serve(script))
+    assert (head.status, body) == (413, b"no")
+    assert not connection.is_reusable()
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -121,6 +121,7 @@
     BRITTLE_TARGET_FULL = (5015, "WARNING", "brittle target refused a request for lack of room")
     TARGET_PROBE_REFUSED = (5017, "INFO", "target refused a health check for lack of room")
     POOL_DOUBTED = (5019, "INFO", "pool is not known to be reached, or is known again")
+    TARGET_ANSWERED_EARLY = (5023, "INFO", "target answered before it was sent the whole request")
     PEERS_LOST = (5021, "WARNING", "new connections to several peers fail")
     PEERS_REACHED = (5022, "INFO", "a peer answers a forwarded request again")
     POOL_CHECKED = (5018, "INFO", "check of a pool ended without an answer to its first probe")
--- a/whinrack/store/tests/test_connections.py
+++ b/whinrack/store/tests/test_connections.py
@@ -106,3 +106,24 @@
 
 def _call(connections, results):
     results.append(connections.call("GET", "/", _TIMEOUT))
+
+
+def test_connection_is_not_kept_after_a_reply_to_a_request_that_was_not_sent_whole():
+    """Guards against a request that the store takes for the rest of another one's body."""
+    early = b"HTTP/1.1 413 Too Large\r\ncontent-length: 2\r\n\r\nno"
+    accepted = []
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def answer_without_reading():
+        for reply in (early, _REPLY):
+            accepted.append(listener.accept()[0])
+            accepted[-1].recv(1000)
+            accepted[-1].sendall(reply)
+
+    threading.Thread(target=answer_without_reading, daemon=True).start()
+    client = StoreConnections("{}:{}".format(*listener.getsockname()), _MAX_IDLE)
+    body = b"a" * 30_000_000
+    assert isinstance(client.call("PUT", "/x", _TIMEOUT, body), Failure)
+    reply = client.call("GET", "/x", _TIMEOUT).unwrap()
+    assert (reply.status, len(accepted)) == (200, 2)
+    listener.close()
