Drop the unread end of a response before its connection is reused

Callers: a sound request got 502 if the caller before it on the same connection to the target had left while the last part of its response was being written.

Cause: the end of a response that arrives together with its last data is kept for the next read. If nobody reads it, the response still counts as complete, the connection is reused, and the kept event is taken for the next response. The review read this; no play of it is known.

Change: the kept event is dropped when the connection is prepared for another request.

Evidence: the new test fails before with AnswerCut ('the target closed the connection without a response') and passes.

--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -243,6 +243,8 @@
         if _is_readable(self.sock):
             # Closed by the target, or an unsolicited response.
             return False
+        # The end of a response that its reader did not wait for.
+        self._pending_event = None
         self._protocol.start_next_cycle()
         return True
 
--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -272,6 +272,26 @@
     assert send_request(pool, server)[1] == b"ok"
 
 
+def test_end_of_a_response_that_was_not_read_is_not_taken_for_the_next_response(serve):
+    """Guards against a failed request after one whose caller left during the last write."""
+
+    def script(sock):
+        while True:
+            read_request(sock)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
+            sock.sendall(b"2\r\nok\r\n0\r\n\r\n")
+
+    server, pool, deadline = serve(script), ConnectionPool(), default_deadline()
+    connection = pool.acquire(server.address, deadline)
+    connection.send(REQUEST, b"")
+    connection.read_head(deadline, is_own)
+    eventlet.sleep(0.05)
+    assert connection.read_data(deadline) == b"ok"
+    pool.release(connection)
+    assert send_request(pool, server)[1] == b"ok"
+    assert server.accepted == 1
+
+
 def test_data_before_malformed_bytes_is_returned_first(serve):
     def script(sock):
         read_request(sock)
