Report the loss of a caller to its handler once

Callers: whoever reset the connection of a stream that was under way paid for the whole declared output: 11 to 12 of 12 streams, whose targets had handed out about half of it.

Cause: after a failed write the watcher of the connection interrupted the handler a second time, while it waited for the target to end the run. So the run stayed unsettled and counted in full.

Change: a failed write ends the watch.

--- a/whinrack/http1/_connection.py
+++ b/whinrack/http1/_connection.py
@@ -263,6 +263,8 @@
         try:
             self.sock.sendall(data)
         except OSError as error:
+            # The handler must not be interrupted once more while it ends the run.
+            self._handler_token = None
             raise CallerGone("sending to the caller failed or timed out") from error
 
     # --- closing -----------------------------------------------------------------
--- a/whinrack/http1/tests/test_server.py
+++ b/whinrack/http1/tests/test_server.py
@@ -206,3 +206,29 @@
 
     run_green(run_server)
     assert handled == []
+
+
+def test_handler_is_not_interrupted_again_after_a_failed_write():
+    """Guards against a run that is left unsettled since its end was interrupted."""
+    outcomes = []
+
+    def run_server():
+        server_end, client_end = green_socket.socketpair()
+
+        def leave_and_write(exchange):
+            client_end.fd.close()
+            try:
+                exchange.start_response(200, [])
+            except CallerGone:
+                outcomes.append("gone")
+                eventlet.sleep(0.1)
+                outcomes.append("ended")
+                raise
+
+        server = HttpServer(("127.0.0.1", 0), leave_and_write, limits=lambda: LIMITS)
+        client_end.fd.sendall(GET)
+        eventlet.spawn(CallerConnection(server, server_end).serve).wait()
+        return lambda: None
+
+    run_green(run_server)
+    assert outcomes == ["gone", "ended"]
