Bill the events that were received, whether or not a caller took them

Cause: bills took the number of events that had been written to the caller. What was gathered in the socket during the pause was read as one block, its write failed, and it was in no count. In the same way, bytes were lost if the reader was interrupted between the socket and the parser, and an event that arrived in two parts was split between two parsers.

Change: EventParser counts events where their bytes are parsed, one parser for an answer, and bills use this count; what was relayed stays apart for Last-Event-Id. The client parses bytes before other tasks have their turn. An answer that had ended is billed exactly, without the allowance of one event. caller_left names the events received and the tokens billed.

--- a/whinrack/dispatch/_abandoned_runs.py
+++ b/whinrack/dispatch/_abandoned_runs.py
@@ -1,14 +1,14 @@
 """Ends and billing of runs whose caller has disconnected.
 
-The sending side of the target's connection is closed. A target that notices this stops and closes
-its side; by then, everything that it generated has arrived, and the run is billed by that. If the
-target does not close the connection in time, the use is unknown and the whole reservation counts.
+What the target has sent by then is read and counted. If its answer has not ended, the sending side
+of its connection is closed. A target that notices this stops and closes its side; by then,
+everything that it generated has arrived, and the run is billed by that. If the target does not
+close the connection in time, the use is unknown and the whole reservation counts.
 """
 
 from collections.abc import Callable
 
 from whinrack.clock import steady
-from whinrack.dispatch._events import event_blocks
 from whinrack.dispatch._request_run import RequestRun
 from whinrack.dispatch._statements import TargetStatement
 from whinrack.dispatch._values import PoolRecord, RouteKind
@@ -44,29 +44,81 @@
     bool
         Whether the target has certainly ended the run.
     """
-    connection.close_write()
-    deadline = steady() + _END_WAIT_SECONDS
+    answer = _RestOfAnswer(run, connection, dialect, on_statement, has_head)
     try:
-        if not has_head:
-            head = connection.read_head(
-                deadline, lambda headers: dialect.is_response_to(run.request, headers)
-            )
-            statement = dialect.parse_statement(head)
-            on_statement(statement)
-            if statement.did_not_run:
-                run.may_have_run = run.attempts > 1
-                return True
-        pieces = connection.iter_data(deadline)
-        if run.route.kind is RouteKind.STREAM:
-            for block in event_blocks(pieces, run.last_id):
-                run.events += block.count
-        else:
-            for _ in pieces:
-                pass
+        is_whole = connection.has_whole_response or answer.read_received()
+        if not is_whole:
+            connection.close_write()
+            answer.read(steady() + _END_WAIT_SECONDS)
     except AnswerCut:
         if not connection.is_closed_by_target:
             return False
+        is_whole = False
     except AttemptTimeout:
         return False
-    run.settle_partial(pool)
+    if answer.did_not_run:
+        run.may_have_run = run.attempts > 1
+    elif is_whole and not run.parser.is_within_event:
+        run.settle_complete(pool)
+    else:
+        run.settle_partial(pool)
     return True
+
+
+class _RestOfAnswer:
+    """The part of an answer that was not read before the caller disconnected.
+
+    Attributes
+    ----------
+    did_not_run : bool
+        Whether the target has stated that it did not run the request.
+    """
+
+    def __init__(
+        self,
+        run: RequestRun,
+        connection: TargetConnection,
+        dialect: Dialect,
+        on_statement: Callable[[TargetStatement], None],
+        has_head: bool,
+    ):
+        self.did_not_run = False
+        self._run = run
+        self._connection = connection
+        self._dialect = dialect
+        self._on_statement = on_statement
+        self._has_head = has_head
+
+    def read_received(self) -> bool:
+        """Read what has been received; return whether that ends the answer."""
+        try:
+            self.read(steady())
+        except AttemptTimeout:
+            return False
+        return True
+
+    def read(self, deadline: float) -> None:
+        """Read the answer to its end, and count the events of a stream.
+
+        Raises
+        ------
+        AnswerCut, AttemptTimeout
+            If the answer does not end properly, or not until the steady clock reaches `deadline`.
+        """
+        if not self._has_head:
+            self._read_head(deadline)
+        if self.did_not_run:
+            return
+        is_stream = self._run.route.kind is RouteKind.STREAM
+        for piece in self._connection.iter_data(deadline):
+            if is_stream:
+                self._run.parser.feed(piece)
+
+    def _read_head(self, deadline: float) -> None:
+        head = self._connection.read_head(
+            deadline, lambda headers: self._dialect.is_response_to(self._run.request, headers)
+        )
+        self._has_head = True
+        statement = self._dialect.parse_statement(head)
+        self._on_statement(statement)
+        self.did_not_run = statement.did_not_run
--- a/whinrack/dispatch/_answers.py
+++ b/whinrack/dispatch/_answers.py
@@ -4,7 +4,6 @@
 
 from whinrack.clock import steady
 from whinrack.dispatch._cost_learning import CostLearning
-from whinrack.dispatch._events import event_blocks
 from whinrack.dispatch._forwarding_mark import without_marks
 from whinrack.dispatch._pacing import StreamPacing
 from whinrack.dispatch._request_run import RequestRun
@@ -95,7 +94,7 @@
             Raised by the iteration over the pieces.
         """
         exchange = run.exchange
-        for block in event_blocks(self.pacing.paced(pieces), run.last_id):
+        for block in run.parser.blocks(self.pacing.paced(pieces)):
             if not exchange.is_started:
                 self.costs.record_first_event(run, pool)
                 self.on_first_event(run, pool)
--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -317,7 +317,7 @@
     def _exchange(
         self, run: RequestRun, pool: PoolRecord, state: TargetState, connection: TargetConnection
     ) -> None:
-        run.attempts += 1
+        run.start_attempt()
         may_have_run_before, silent_attempt = run.may_have_run, run.silent_attempt
         run.may_have_run, run.silent_attempt = True, None
         sent_at, has_head = steady(), False
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -250,7 +250,7 @@
             self.token_reservations.reserve(run)
             self._attempt_all(run, pool)
         except CallerGone:
-            log_run(Event.CALLER_LEFT, run)
+            log_run(Event.CALLER_LEFT, run, billed=run.billed_tokens)
             raise
         finally:
             self.attempt_runner.close_silent_attempt(run)
--- a/whinrack/dispatch/_events.py
+++ b/whinrack/dispatch/_events.py
@@ -6,7 +6,7 @@
 
 from whinrack.exceptions import AnswerCut, AnswerUnbounded
 
-__all__ = ["EventBlock", "event_blocks"]
+__all__ = ["EventBlock", "EventParser"]
 
 _END = b"\n\n"
 _ID = b"id:"
@@ -29,45 +29,74 @@
     last_id: int | None
 
 
-def event_blocks(chunks: Iterable[bytes], after: int | None = None) -> Iterator[EventBlock]:
-    """Regroup chunks of bytes into complete events.
+class EventParser:
+    """Regroups the bytes of one answer into complete events and counts them.
+
+    The count covers all events that were received, whether or not they can be relayed.
 
     Parameters
     ----------
     after : int or None
-        Events with ids up to this one are left out.
-
-    Raises
-    ------
-    AnswerCut
-        If the stream ends within an event.
-    AnswerUnbounded
-        If an event exceeds the maximum length.
+        Events with ids up to this one are counted and left out of the blocks.
+
+    Attributes
+    ----------
+    received : int
+        Number of complete events received.
     """
-    rest = b""
-    for chunk in chunks:
-        whole, found, rest = (rest + chunk).rpartition(_END)
-        if found:
-            block = _block(whole + _END, after)
-            if block.count:
-                yield block
-        if len(rest) > _MAX_EVENT_BYTES:
+
+    def __init__(self, after: int | None = None):
+        self.after = after
+        self.received = 0
+        self._rest = b""
+
+    @property
+    def is_within_event(self) -> bool:
+        """Whether the bytes received so far end within an event."""
+        return bool(self._rest.strip())
+
+    def feed(self, chunk: bytes) -> EventBlock | None:
+        """Parse further bytes; return the events that they complete, None if all are left out.
+
+        Raises
+        ------
+        AnswerUnbounded
+            If an event exceeds the maximum length.
+        """
+        if len(self._rest) > _MAX_EVENT_BYTES:
             raise AnswerUnbounded("event exceeds the maximum length")
-    if rest.strip():
-        raise AnswerCut("stream ended within an event")
-
-
-def _block(data: bytes, after: int | None) -> EventBlock:
-    kept, last_id = [], None
-    for event in data.split(_END):
-        if not event.strip():
-            continue
-        number = _event_id(event)
-        if after is not None and number is not None and number <= after:
-            continue
-        kept.append(event + _END)
-        last_id = number if number is not None else last_id
-    return EventBlock(b"".join(kept), len(kept), last_id)
+        whole, found, self._rest = (self._rest + chunk).rpartition(_END)
+        return self._block(whole + _END) if found else None
+
+    def blocks(self, chunks: Iterable[bytes]) -> Iterator[EventBlock]:
+        """Yield the events of an answer as they become complete.
+
+        Raises
+        ------
+        AnswerCut
+            If the stream ends within an event.
+        AnswerUnbounded
+            If an event exceeds the maximum length.
+        """
+        for chunk in chunks:
+            block = self.feed(chunk)
+            if block is not None:
+                yield block
+        if self.is_within_event:
+            raise AnswerCut("stream ended within an event")
+
+    def _block(self, data: bytes) -> EventBlock | None:
+        kept, last_id = [], None
+        for event in data.split(_END):
+            if not event.strip():
+                continue
+            self.received += 1
+            number = _event_id(event)
+            if self.after is not None and number is not None and number <= self.after:
+                continue
+            kept.append(event + _END)
+            last_id = number if number is not None else last_id
+        return EventBlock(b"".join(kept), len(kept), last_id) if kept else None
 
 
 def _event_id(event: bytes) -> int | None:
--- a/whinrack/dispatch/_request_run.py
+++ b/whinrack/dispatch/_request_run.py
@@ -5,6 +5,7 @@
 from whinrack.dispatch._configuration import Configuration
 from whinrack.dispatch._cost_placement import Placement
 from whinrack.dispatch._engine_choice import PromptSize
+from whinrack.dispatch._events import EventParser
 from whinrack.dispatch._forwarding_mark import ForwardingMark
 from whinrack.dispatch._silent_attempts import SilentAttempt
 from whinrack.dispatch._target_state import PendingOutput, PendingPrompt
@@ -63,6 +64,8 @@
         The only attempt that may have run, if its target stayed silent and may still refuse.
     events, last_id
         Number of events relayed so far, and the id of the last one.
+    parser : EventParser
+        Parser of the answer of the latest target; it counts the events received, which are billed.
     first_event_seconds : float
         Seconds from arrival to the first event, 0 before it.
     max_pause_seconds : float
@@ -133,6 +136,8 @@
         self.may_have_run = False
         self.silent_attempt: SilentAttempt | None = None
         self.events = 0
+        self._received_from_earlier_targets = 0
+        self.parser = EventParser(request.resume_after)
         self.first_event_seconds = 0.0
         self.max_pause_seconds = 0.0
         self._last_relayed_at = 0.0
@@ -255,6 +260,17 @@
         """Return the seconds left until the deadline."""
         return self.deadline - steady()
 
+    @property
+    def received_events(self) -> int:
+        """Number of events received from all targets, whether they were relayed or not."""
+        return self._received_from_earlier_targets + self.parser.received
+
+    def start_attempt(self) -> None:
+        """Count an attempt; its target continues after the last relayed event."""
+        self.attempts += 1
+        self._received_from_earlier_targets = self.received_events
+        self.parser = EventParser(self.last_id)
+
     def record_relayed(self, count: int, last_id: int | None) -> None:
         """Record events that were relayed and the pause before them."""
         now = steady()
@@ -287,11 +303,11 @@
         self._settle(0)
 
     def settle_complete(self, pool: PoolRecord) -> None:
-        """Bill the events of a complete answer."""
+        """Bill the events of a complete answer, as received."""
         self._bill(self._received_output(pool))
 
     def settle_partial(self, pool: PoolRecord) -> None:
-        """Bill the events of a run that its target ended early, and one more.
+        """Bill the received events of a run that its target ended early, and one more.
 
         The target may have generated part of a further event.
         """
@@ -311,7 +327,7 @@
         return True
 
     def _received_output(self, pool: PoolRecord) -> int:
-        return self.events * _event_tokens(pool)
+        return self.received_events * _event_tokens(pool)
 
     def _bill(self, output_tokens: int) -> None:
         if self.reservation is None:
--- a/whinrack/dispatch/_run_log.py
+++ b/whinrack/dispatch/_run_log.py
@@ -39,6 +39,7 @@
         targets=run.targets_view,
         attempts=run.attempts,
         events=run.events,
+        received=run.received_events,
         first=round(run.first_event_seconds, 4),
         pause=round(run.max_pause_seconds, 4),
         waited=_waited(run.exchange),
--- a/whinrack/dispatch/tests/test_decisions.py
+++ b/whinrack/dispatch/tests/test_decisions.py
@@ -14,7 +14,7 @@
     WeightedPool,
     WorkspaceRecord,
 )
-from whinrack.dispatch._events import event_blocks
+from whinrack.dispatch._events import EventParser
 from whinrack.exceptions import AnswerCut, ConfigurationUnknown, NoRoute, Unauthorized
 from whinrack.http1 import ServerLimits
 
@@ -230,7 +230,7 @@
 def test_events_are_complete_however_the_bytes_are_split(size):
     data = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
     chunks = [data[at : at + size] for at in range(0, len(data), size)]
-    blocks = list(event_blocks(chunks))
+    blocks = list(EventParser().blocks(chunks))
     assert b"".join(block.data for block in blocks) == data
     assert sum(block.count for block in blocks) == 5
     assert blocks[-1].last_id == 5
@@ -238,12 +238,12 @@
 
 def test_events_that_the_caller_has_received_are_left_out():
     data = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
-    (block,) = event_blocks([data], after=2)
+    (block,) = EventParser(after=2).blocks([data])
     assert (block.data, block.count, block.last_id) == (b"id: 3\ndata: c\n\n", 1, 3)
 
 
 def test_an_incomplete_event_is_never_relayed():
-    blocks = event_blocks([b"id: 1\ndata: a\n\nid: 2\nda"])
+    blocks = EventParser().blocks([b"id: 1\ndata: a\n\nid: 2\nda"])
     assert next(blocks).last_id == 1
     with pytest.raises(AnswerCut):
         next(blocks)
--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -297,11 +297,12 @@
             raise AnswerCut("the connection to the target broke")
         self.is_closed_by_target = self.is_closed_by_target or not data
         self.received_bytes += len(data)
-        self._take_turns(len(data), deadline)
         try:
             self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise AnswerCut("the target sent malformed HTTP") from error
+        # Last, as the reader may be interrupted here and must not lose what was received.
+        self._take_turns(len(data), deadline)
 
     def _take_turns(self, size: int, deadline: float) -> None:
         """Let other tasks run now and then, as a fast target may never let a read wait."""
--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -11,7 +11,7 @@
 import pytest
 
 from whinrack.clock import steady
-from whinrack.exceptions import AnswerCut, AttemptTimeout, TargetUnavailable
+from whinrack.exceptions import AnswerCut, AttemptTimeout, CallerGone, TargetUnavailable
 from whinrack.http1 import ConnectionPool, RequestHead, header_value
 from whinrack.http1._send_buffer import SendBuffer
 from whinrack.http1._sockets import receive
@@ -309,6 +309,33 @@
         next(parts)
 
 
+def test_what_was_received_is_not_lost_if_the_reader_is_interrupted(serve, monkeypatch):
+    """Guards against bytes that are lost when the caller leaves while other tasks have a turn."""
+    body = b"a" * 1_000_000
+    interruptions = [CallerGone("the caller disconnected")]
+
+    def script(sock):
+        read_request(sock)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: %d\r\n\r\n" % len(body))
+        sock.sendall(body)
+        time.sleep(1.0)
+
+    def sleep(seconds=0):
+        if interruptions:
+            raise interruptions.pop()
+
+    server, deadline, received = serve(script), default_deadline(), []
+    connection = ConnectionPool().acquire(server.address, deadline)
+    connection.send(REQUEST, b"")
+    connection.read_head(deadline, is_own)
+    eventlet.sleep(0.2)
+    monkeypatch.setattr("whinrack.http1._client.eventlet.sleep", sleep)
+    with pytest.raises(CallerGone):
+        received += connection.iter_data(deadline)
+    received += connection.iter_data(deadline)
+    assert len(b"".join(received)) == len(body)
+
+
 def test_connect_timeout_follows_the_average_connect_time(serve, monkeypatch):
     pool = ConnectionPool()
     assert pool.connect_timeout == 0.3
