Begin the ids of requests to peers at a random number

Looking for what could join streams of two software versions after all instances were killed at once, one source was found that can say a wrong version.

Cause: replies of peers are matched by a number that each process counted from 1. A late answer to a question of the earlier process is taken for the answer to one of its successor: a stream goes on at the version of another one, or tokens count as drawn that the earlier process had asked for.

That a reply was ever that late is not shown.

--- a/whinrack/edge/_stream_origins.py
+++ b/whinrack/edge/_stream_origins.py
@@ -5,7 +5,6 @@
 that is asked to continue a stream asks its homes.
 """
 
-import itertools
 from collections.abc import Callable
 
 import msgspec
@@ -15,7 +14,14 @@
 from whinrack.base import rendezvous_order
 from whinrack.clock import steady
 from whinrack.edge._options import HostPort
-from whinrack.gossip import GossipLink, PeerTable, StreamAnswer, StreamBegan, StreamQuestion
+from whinrack.gossip import (
+    GossipLink,
+    PeerTable,
+    StreamAnswer,
+    StreamBegan,
+    StreamQuestion,
+    request_ids,
+)
 from whinrack.streams import (
     OriginDirectory,
     OriginLookup,
@@ -95,7 +101,7 @@
         self.table = table
         self.has_later_start = has_later_start
         self.origins = OriginTable()
-        self._numbers = itertools.count(1)
+        self._numbers = request_ids()
         self._questions: dict[int, _Question] = {}
 
     # --- requests here ----------------------------------------------------------------
--- a/whinrack/edge/tests/test_stream_origins.py
+++ b/whinrack/edge/tests/test_stream_origins.py
@@ -119,6 +119,26 @@
     assert exchange.origins.get(KEY, steady()) is None
 
 
+def test_answer_to_an_earlier_process_is_not_taken_for_another_stream(network):
+    """Guards against streams that go on at the version of another one after a restart."""
+    asked = []
+
+    def ask(key, answers=()):
+        """Look a stream up in a process that has just started; answers arrive meanwhile."""
+        exchange = StreamOriginExchange("m0", network.link("m0"), peer_table("m0"))
+        network.exchanges["m0"], network.exchanges["m1"].receive = exchange, record
+        for answer in answers:
+            eventlet.spawn_n(exchange.receive, answer, ("m1", 1))
+        return exchange.find(key, steady() + 5.0)
+
+    def record(message, address):
+        asked.append(message.number)
+
+    ask(KEY)
+    late = StreamAnswer(asked[0], ORIGIN)
+    assert ask(b"o" * 16, [late]).origin is None
+
+
 def holders_of(network):
     return [name for name in NAMES if network.exchanges[name].origins.get(KEY, steady())]
 
--- a/whinrack/gossip/__init__.py
+++ b/whinrack/gossip/__init__.py
@@ -29,6 +29,7 @@
     TokenRequest,
 )
 from whinrack.gossip._peers import PeerTable, PeerView
+from whinrack.gossip._request_ids import request_ids
 from whinrack.gossip._token_source import GossipTokenSource
 
 __all__ = [
@@ -59,4 +60,5 @@
     "has_high_capacity",
     "prefer_high_capacity",
     "max_capacity",
+    "request_ids",
 ]
--- a/whinrack/gossip/_draw_coordinator.py
+++ b/whinrack/gossip/_draw_coordinator.py
@@ -1,6 +1,5 @@
 """Delegation of account writes to one instance each, so that writes do not conflict."""
 
-import itertools
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -23,6 +22,7 @@
     ReleaseRequest,
 )
 from whinrack.gossip._peers import PeerTable, PeerView
+from whinrack.gossip._request_ids import request_ids
 
 __all__ = ["DrawCoordinator"]
 
@@ -102,7 +102,7 @@
         self.link = link
         self.peers = peers
         self.accept_timeout = accept_timeout
-        self._request_ids = itertools.count(1)
+        self._request_ids = request_ids()
         self._pending: dict[int, _PendingRequest] = {}
         self._avoid_until: dict[str, float] = {}
         # Writes that are made from here even if another instance is the writer.
--- a/whinrack/gossip/_token_source.py
+++ b/whinrack/gossip/_token_source.py
@@ -1,6 +1,5 @@
 """Requests for unspent tokens to live peers."""
 
-import itertools
 from collections.abc import Callable
 
 import msgspec
@@ -14,6 +13,7 @@
 from whinrack.gossip._link import GossipLink
 from whinrack.gossip._messages import PeerState, TokenReply, TokenRequest
 from whinrack.gossip._peers import PeerTable, PeerView
+from whinrack.gossip._request_ids import request_ids
 
 __all__ = ["GossipTokenSource"]
 
@@ -72,7 +72,7 @@
         self.link = link
         self.peers = peers
         self.reply_timeout = reply_timeout
-        self._request_ids = itertools.count(1)
+        self._request_ids = request_ids()
         self._pending: dict[int, _PendingQuery] = {}
         self._avoid_until: dict[str, float] = {}
         self._supplier_cache: dict[str, tuple[float, PeerView | None]] = {}
--- a/whinrack/gossip/tests/test_token_source.py
+++ b/whinrack/gossip/tests/test_token_source.py
@@ -4,7 +4,14 @@
 
 from whinrack.base import rendezvous_order
 from whinrack.clock import steady
-from whinrack.gossip import GossipTokenSource, Heartbeat, PeerAddress, PeerState, PeerTable
+from whinrack.gossip import (
+    GossipTokenSource,
+    Heartbeat,
+    PeerAddress,
+    PeerState,
+    PeerTable,
+    TokenReply,
+)
 
 BUDGET = "b"
 
@@ -74,6 +81,23 @@
     assert peers_asked_to_draw(world, beat("b", store_answers=False)) == []
 
 
+def test_reply_to_an_earlier_process_is_not_taken_for_its_own():
+    """Guards against tokens that a process takes for its own after a restart."""
+    peers, late = PeerTable("a", 1.0, 10.0), []
+    peers.record_heartbeat(beat("c"), steady())
+
+    class LateLink:
+        def send(self, message, address):
+            late.append(TokenReply(message.request_id, BUDGET, "c.1", "a.1", 7))
+            source.handle_reply(late[0])
+
+    for expected in (7, 0):
+        source = GossipTokenSource(
+            "a.1", LateLink(), peers, reply_timeout=0.001, own_state=lambda: beat("a").state
+        )
+        assert sum(r.total for r in source.request_from_peers(BUDGET, 1, 0, {})) == expected
+
+
 def test_only_peers_that_hold_tokens_are_asked_in_a_large_fleet():
     peers, link = PeerTable("me", 1.0, 10.0), Link()
     for number in range(30):
