Deduce where a stream began only if its route has not moved lately

Callers: a stream that nobody knows could be continued by the targets of another pool, right after a configuration had moved its route there.

Cause: the deduction looked at the route as it is now. What it is worth is bounded by what is known of the time in which the stream may have begun, and the routes of that time were not looked at.

Change: RouteHistory keeps the stream routes of superseded configurations. Nothing is deduced unless the path has led to the same pool for twice the longest timeout that it had.

--- a/whinrack/dispatch/_configuration.py
+++ b/whinrack/dispatch/_configuration.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from whinrack.dispatch._route_table import RouteTable
 from whinrack.dispatch._values import PoolRecord, Route, WorkspaceRecord
 from whinrack.exceptions import NoRoute, Unauthorized
 from whinrack.http1 import ServerLimits
@@ -57,9 +58,7 @@
         self.is_key_required = is_key_required
         self.pools = {pool.name: pool for pool in pools}
         self.workspaces = {workspace.name: workspace for workspace in workspaces}
-        self._routes: dict[str, dict[str, Route]] = {}
-        for route in routes:
-            self._routes.setdefault(route.host, {})[route.path_prefix] = route
+        self.routes = RouteTable(routes)
         self._objectives = self._pool_objectives()
         self._keys = {
             key: workspace for workspace in self.workspaces.values() for key in workspace.keys
@@ -79,8 +78,7 @@
         """Priorities of the routes to engines, whose requests use prepaid tokens."""
         return frozenset(
             route.priority
-            for routes in self._routes.values()
-            for route in routes.values()
+            for route in self.routes
             if any(self._has_engine(weighted.pool) for weighted in route.weighted_pools)
         )
 
@@ -94,7 +92,7 @@
 
     def _pool_objectives(self) -> dict[str, PoolObjectives]:
         routes_by_pool: dict[str, list[Route]] = {}
-        for route in (route for by_path in self._routes.values() for route in by_path.values()):
+        for route in self.routes:
             for weighted_pool in route.weighted_pools:
                 routes_by_pool.setdefault(weighted_pool.pool, []).append(route)
         objectives = {}
@@ -114,15 +112,10 @@
         ------
         NoRoute
         """
-        routes = self._routes.get(host, {})
-        end = len(path)
-        while end > 0:
-            end = path.rfind("/", 0, end) + 1
-            route = routes.get(path[:end])
-            if route is not None:
-                return route
-            end -= 1
-        raise NoRoute("no route matches this host and path")
+        route = self.routes.find(host, path)
+        if route is None:
+            raise NoRoute("no route matches this host and path")
+        return route
 
     def authenticate(self, route: Route, key: str) -> WorkspaceRecord | None:
         """Return the workspace that a key belongs to.
--- a/whinrack/dispatch/_current_configuration.py
+++ b/whinrack/dispatch/_current_configuration.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from whinrack.dispatch._configuration import Configuration
+from whinrack.dispatch._route_history import RouteHistory
 from whinrack.dispatch._values import PoolRecord
 from whinrack.exceptions import ConfigurationUnknown
 from whinrack.http1 import ServerLimits
@@ -19,10 +20,16 @@
     ----------
     on_change : callable
         Called with each configuration that takes effect.
+
+    Attributes
+    ----------
+    route_history : RouteHistory
+        Where the configurations of this process have routed requests.
     """
 
     def __init__(self, on_change: Callable[[Configuration], None]):
         self.on_change = on_change
+        self.route_history = RouteHistory()
         self._current: Configuration | None = None
 
     @property
@@ -64,5 +71,6 @@
         if configuration.version <= self.version:
             return False
         self._current = configuration
+        self.route_history.replace(configuration.routes)
         self.on_change(configuration)
         return True
--- a/whinrack/dispatch/_dispatcher.py
+++ b/whinrack/dispatch/_dispatcher.py
@@ -144,7 +144,9 @@
         self.retry_budgets = RetryBudgets(
             options.retry_ratio, options.retry_slack, options.retry_window
         )
-        self.stream_versions = StreamVersions(origins or LocalOrigins(), registry, metrics)
+        self.stream_versions = StreamVersions(
+            origins or LocalOrigins(), registry, metrics, current_configuration.route_history
+        )
         registry.on_target_replaced.append(self.stream_versions.record_later_start)
         self.attempt_runner = AttemptRunner(
             dialect,
--- a/whinrack/dispatch/_stream_versions.py
+++ b/whinrack/dispatch/_stream_versions.py
@@ -11,6 +11,7 @@
 from whinrack.dispatch._refusals import BUSY_RETRY_SECONDS, pool_refusal
 from whinrack.dispatch._registry import TargetRegistry
 from whinrack.dispatch._request_run import RequestRun
+from whinrack.dispatch._route_history import RouteHistory
 from whinrack.dispatch._run_log import log_run
 from whinrack.dispatch._target_state import TargetState
 from whinrack.dispatch._values import PoolRecord
@@ -59,12 +60,20 @@
     origins : OriginDirectory
     registry : TargetRegistry
     metrics : Metrics
+    route_history : RouteHistory
     """
 
-    def __init__(self, origins: OriginDirectory, registry: TargetRegistry, metrics: Metrics):
+    def __init__(
+        self,
+        origins: OriginDirectory,
+        registry: TargetRegistry,
+        metrics: Metrics,
+        route_history: RouteHistory,
+    ):
         self.origins = origins
         self.registry = registry
         self.metrics = metrics
+        self.route_history = route_history
 
     def look_up(self, run: RequestRun) -> None:
         """Look up where the stream began that a request continues, if it continues one.
@@ -105,13 +114,17 @@
     def _deduce(self, run: RequestRun, found: OriginLookup) -> OriginLookup:
         """Deduce where a stream began if its pool has had targets of one version only.
 
+        The stream may have begun while its route led to another pool; then nothing is deduced.
         The list of targets must have been confirmed after the request arrived: otherwise another
         instance may have known a further version already.
         """
         if len(run.route.weighted_pools) != 1:
             return found
         pool = run.route.weighted_pools[0].pool
-        seconds = _STREAM_TIMEOUTS * run.route.timeout
+        path = run.route, run.request.host, run.request.path
+        seconds = _STREAM_TIMEOUTS * self.route_history.longest_timeout(*path)
+        if not self.route_history.had_same_pools(*path, seconds):
+            return found
         confirmed_from = run.exchange.received_at + _AGE_ERROR_SECONDS
         until = min(run.deadline, steady() + _CONFIRMATION_SECONDS)
         while version := self.registry.sole_version(pool, seconds):
--- a/whinrack/dispatch/tests/pipeline.py
+++ b/whinrack/dispatch/tests/pipeline.py
@@ -11,6 +11,7 @@
     PoolRecord,
     TargetsView,
 )
+from whinrack.dispatch._route_history import RouteHistory
 from whinrack.http1 import ConnectionPool, Exchange, RequestHead, ServerLimits
 from whinrack.observability import Metrics
 
@@ -40,7 +41,9 @@
         self._refusal = None
         self._dispatcher = Dispatcher(
             self,
-            types.SimpleNamespace(version=1, get=lambda: configuration),
+            types.SimpleNamespace(
+                version=1, get=lambda: configuration, route_history=RouteHistory()
+            ),
             registry,
             None,
             connections or ConnectionPool(),
--- a/whinrack/dispatch/tests/test_choice_and_send.py
+++ b/whinrack/dispatch/tests/test_choice_and_send.py
@@ -20,6 +20,7 @@
     WeightedPool,
 )
 from whinrack.dispatch._request_run import RequestRun
+from whinrack.dispatch._route_history import RouteHistory
 from whinrack.exceptions import TargetUnavailable
 from whinrack.http1 import Exchange, RequestHead, ServerLimits
 from whinrack.observability import Metrics
@@ -89,7 +90,7 @@
     connections = SlowConnections(all_leave)
     dispatcher = Dispatcher(
         Headers(),
-        types.SimpleNamespace(version=1),
+        types.SimpleNamespace(version=1, route_history=RouteHistory()),
         registry,
         None,
         connections,
--- a/whinrack/dispatch/tests/test_stream_versions.py
+++ b/whinrack/dispatch/tests/test_stream_versions.py
@@ -3,10 +3,12 @@
 import types
 
 import eventlet
+import msgspec
 import pytest
 
 from whinrack.clock import steady
-from whinrack.dispatch import TargetRecord, TargetRegistry
+from whinrack.dispatch import Route, RouteKind, TargetRecord, TargetRegistry, WeightedPool
+from whinrack.dispatch._route_history import RouteHistory
 from whinrack.dispatch._stream_versions import StreamVersions
 from whinrack.dispatch._target_state import RECORD_EXPIRY_SECONDS
 from whinrack.exceptions import AnsweredByLaterStart, StreamOriginUnknown
@@ -186,7 +188,7 @@
     """Return how long the first event of a stream waits for the record of a target."""
     run = types.SimpleNamespace(origin=origin, deadline=steady() + 5.0)
     began = steady()
-    StreamVersions(None, None, None).await_record(run, state, connected_at)
+    StreamVersions(None, None, None, None).await_record(run, state, connected_at)
     return steady() - began
 
 
@@ -237,7 +239,7 @@
 def versions(registry, monkeypatch):
     registry.put(record("a", "v1"))
     monkeypatch.setattr("whinrack.dispatch._stream_versions.log_run", lambda *_, **fields: None)
-    versions = StreamVersions(LocalOrigins(), registry, Metrics())
+    versions = StreamVersions(LocalOrigins(), registry, Metrics(), RouteHistory())
     registry.on_target_replaced.append(versions.record_later_start)
     return versions
 
@@ -318,3 +320,102 @@
     eventlet.spawn_after(0.1, registry.put, record("a", "v2", started=2))
     versions.await_settled(run)
     assert not run.origin.is_known
+
+
+def deduced(versions):
+    """Return the origin of a stream that no instance knows."""
+    run = Continuation()
+    run.request = types.SimpleNamespace(resumed_id=b"", resume_after=1, host="h", path="/s/x")
+    run.route = stream_route("p")
+    run.exchange = types.SimpleNamespace(received_at=steady() - 1.0)
+    versions.look_up(run)
+    return run.origin
+
+
+def stream_route(pool, prefix="/s/", timeout=4.0):
+    return Route(
+        name=f"{pool}{prefix}",
+        host="h",
+        path_prefix=prefix,
+        kind=RouteKind.STREAM,
+        timeout=timeout,
+        weighted_pools=(WeightedPool(pool),),
+    )
+
+
+@pytest.fixture
+def deducing(followed, clock, monkeypatch):
+    """Versions with a list of targets and routes that have been followed for 20 s."""
+    monkeypatch.setattr("whinrack.dispatch._stream_versions.log_run", lambda *_, **fields: None)
+    followed.confirmed_at = steady
+    history = RouteHistory(clock)
+    clock.now -= 20.0
+    history.replace([stream_route("p")])
+    clock.now += 20.0
+    return StreamVersions(LocalOrigins(), followed, Metrics(), history)
+
+
+def supersede(versions, *routes):
+    """Let other routes take effect, and then the present one again."""
+    versions.route_history.replace(routes)
+    versions.route_history.replace([stream_route("p")])
+
+
+def test_origin_is_deduced_if_the_route_has_led_to_one_pool(deducing):
+    supersede(deducing, stream_route("p"), stream_route("other", "/t/"))
+    assert deduced(deducing) == StreamOrigin("p", "v1")
+
+
+@pytest.mark.parametrize("prefix", ["/s/", "/"])
+def test_no_origin_is_deduced_if_the_path_has_led_to_another_pool(deducing, clock, prefix):
+    """Guards against streams that go on in a pool in which they did not begin."""
+    supersede(deducing, stream_route("other", prefix))
+    with pytest.raises(StreamOriginUnknown):
+        deduced(deducing)
+    clock.now += 8.1
+    assert deduced(deducing) == StreamOrigin("p", "v1")
+
+
+def test_origin_is_deduced_only_after_the_longest_timeout_of_the_route(deducing, clock):
+    """Guards against streams that began under a longer timeout."""
+    supersede(deducing, stream_route("p", timeout=15.0))
+    with pytest.raises(StreamOriginUnknown):
+        deduced(deducing)
+    clock.now += 10.1
+    assert deduced(deducing) == StreamOrigin("p", "v1")
+
+
+def test_no_origin_is_deduced_while_earlier_routes_are_unknown(deducing, clock):
+    deducing.route_history = RouteHistory(clock)
+    deducing.route_history.replace([stream_route("p")])
+    with pytest.raises(StreamOriginUnknown):
+        deduced(deducing)
+    clock.now += 8.1
+    assert deduced(deducing) == StreamOrigin("p", "v1")
+
+
+def test_routes_are_forgotten_with_the_time_since_when_they_are_known(clock):
+    history, path = RouteHistory(clock), (stream_route("p"), "h", "/s/x")
+    for number in range(20):
+        clock.now += 1.0
+        history.replace([stream_route("p"), stream_route(f"p{number}", "/t/")])
+    assert history.had_same_pools(*path, seconds=7.5)
+    assert not history.had_same_pools(*path, seconds=12.5)
+    history.replace([stream_route("other")])
+    clock.now += 200.0
+    history.replace([stream_route("p")])
+    clock.now += 1.0
+    assert history.had_same_pools(*path, seconds=0.5)
+    assert not history.had_same_pools(*path, seconds=1.5)
+
+
+def test_configurations_with_the_same_streams_are_not_kept(clock):
+    """Guards against a history that grows with each configuration."""
+    history, path = RouteHistory(clock), (stream_route("p"), "h", "/s/x")
+    for number in range(20):
+        clock.now += 1.0
+        other = msgspec.structs.replace(
+            stream_route(f"p{number}", "/t/"), kind=RouteKind.REPEATABLE
+        )
+        history.replace([stream_route("p"), other])
+    assert history.had_same_pools(*path, seconds=18.5)
