--- a/whinrack/dispatch/_route_history.py
+++ b/whinrack/dispatch/_route_history.py
@@ -59,7 +59,7 @@
             The current route of the path.
         """
         earlier = self._earlier_routes(host, path, since=self.clock() - _KEPT_SECONDS)
-        return max(route.timeout, *(previous.timeout for previous in earlier), 0.0)
+        return max(known.timeout for known in [route, *earlier])
 
     def had_same_pools(self, route: Route, host: str, path: str, seconds: float) -> bool:
         """Return whether requests for a path were routed to the same pools all the time.
