--- a/whinrack/http1/_send_buffer.py
+++ b/whinrack/http1/_send_buffer.py
@@ -3,7 +3,7 @@
 import contextlib
 import socket
 
-import greenlet
+import eventlet
 from eventlet import hubs
 from eventlet.green import socket as green_socket
 
@@ -86,7 +86,7 @@
 
 def _wait_for_read_or_write(fileno: int, timeout: float) -> None:
     """Wait until a descriptor is ready; `trampoline` waits for one direction only."""
-    hub, waiter = hubs.get_hub(), greenlet.getcurrent()
+    hub, waiter = hubs.get_hub(), eventlet.getcurrent()
     is_waiting = True
 
     def wake(_fileno: int) -> None:
