Let the test of late answers name the question that was asked

Since ids of requests begin at a random number, the answer with number 1 in test_late_answer_is_ignored answered no question at all, so the test asked less than before. It now sends the number that the exchange has asked with, as it was before by counting from 1. The 16 tests of the module pass.

--- a/whinrack/edge/tests/test_stream_origins.py
+++ b/whinrack/edge/tests/test_stream_origins.py
@@ -109,12 +109,19 @@
     assert find(network, stranger).origin == ORIGIN
 
 
-def test_late_answer_is_ignored(network):
-    exchange = network.exchanges["m0"]
+def test_late_answer_is_ignored(network, monkeypatch):
+    exchange, asked = network.exchanges["m0"], []
+    send = exchange.link.send
+
+    def record_and_send(message, address):
+        asked.append(message.number)
+        send(message, address)
+
+    monkeypatch.setattr(exchange.link, "send", record_and_send)
     network.down.update(NAMES[1:])
     find(network, "m0")
     network.down.clear()
-    network.exchanges["m1"].link.send(StreamAnswer(1, ORIGIN), ("m0", 1))
+    network.exchanges["m1"].link.send(StreamAnswer(asked[0], ORIGIN), ("m0", 1))
     eventlet.sleep(0)
     assert exchange.origins.get(KEY, steady()) is None
 
