--- a/review/parts_2/stand.py
+++ b/review/parts_2/stand.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import random
+import shutil
 import socket
 import subprocess
 import tempfile
@@ -462,6 +463,7 @@
         """End all processes that were started."""
         for daemon in self.daemons:
             daemon.end()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def call(daemon, path, request_id, method="GET", body=None, headers=None, timeout=6.0):
