Encode object names in the paths of HttpObjectStore

Callers: an object whose name holds #, ? or a percent sign, such as the account of a workspace, could not be read or written.

Cause: the name was put into the path as it was. What follows # is not sent, what follows ? is a query, and %7E is another name to the store.

Change: names are percent-encoded; the stand-in takes all that follows the kind as the name.

Evidence: the new test fails before for "#n", "%7En" and "a?b" and passes for all eight names.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -149,7 +149,7 @@
         STATE.count("list")
         objects = [entry for entry in STATE.objects.values() if entry["kind"] in kinds]
         return {"revision": STATE.revision, "objects": objects}
-    _, _, _, kind, name = path.split("/")
+    _, _, _, kind, name = path.split("/", 4)
     if method == "GET":
         STATE.count("get")
         if (kind, name) not in STATE.objects:
--- a/whinrack/store/_http.py
+++ b/whinrack/store/_http.py
@@ -12,6 +12,7 @@
 
 import time
 from collections.abc import Callable, Sequence
+from urllib.parse import quote
 
 import msgspec
 import urllib3
@@ -92,7 +93,7 @@
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformFailure]:
         """Read one object."""
-        reply = self._call("get", "GET", f"/v1/objects/{kind}/{name}")
+        reply = self._call("get", "GET", _object_path(kind, name))
         return reply.map(lambda body: _OBJECT.decode(body))
 
     def list(self, kinds: Sequence[str]) -> Result[Snapshot, PlatformFailure]:
@@ -104,13 +105,12 @@
         self, kind: str, name: str, value: bytes, version: int
     ) -> Result[StoredObject, PlatformFailure]:
         """Write an object if it is at `version`; 0 means that it must not exist."""
-        path = f"/v1/objects/{kind}/{name}"
-        reply = self._call("put", "PUT", path, body=value, version=version)
+        reply = self._call("put", "PUT", _object_path(kind, name), body=value, version=version)
         return reply.map(lambda body: _OBJECT.decode(body))
 
     def delete(self, kind: str, name: str, version: int) -> Result[None, PlatformFailure]:
         """Delete an object if it is at `version`."""
-        reply = self._call("delete", "DELETE", f"/v1/objects/{kind}/{name}", version=version)
+        reply = self._call("delete", "DELETE", _object_path(kind, name), version=version)
         return reply.map(lambda _body: None)
 
     def watch(
@@ -170,6 +170,11 @@
         return reply.bind(lambda answer: _parse_reply(operation, method, answer))
 
 
+def _object_path(kind: str, name: str) -> str:
+    """Return the path of an object; any character may occur in its name."""
+    return f"/v1/objects/{kind}/{quote(name, safe='')}"
+
+
 def _parse_reply(operation: str, method: str, reply) -> Result[bytes, PlatformFailure]:
     match reply.status:
         case 200:
--- a/whinrack/store/tests/test_store.py
+++ b/whinrack/store/tests/test_store.py
@@ -1,6 +1,9 @@
 """Tests of the object editor, the metered store, the HTTP client and the token bucket."""
 
+from urllib.parse import unquote, urlsplit
+
 import msgspec
+import pytest
 from returns.result import Failure, Success
 
 from standins.memory_store import MemoryStore
@@ -108,6 +111,24 @@
     assert isinstance(store.put("K", "n", b"{}", 0).failure(), PlatformUnavailable)
 
 
+@pytest.mark.parametrize("name", ["#n", "&n=1", "%7En", "+n", "a b", "a/b", "a?b", "a\u00e4"])
+def test_object_of_any_name_is_in_the_path_of_its_calls(name):
+    store = HttpObjectStore("127.0.0.1:1")
+    sent = []
+
+    def call(method, path, *_):
+        sent.append((method, unquote(urlsplit(path).path)))
+        return Failure(PlatformUnavailable("down"))
+
+    store._connections.call = call
+    store._back_off = lambda result: None
+    store.get("K", name)
+    store.put("K", name, b"{}", 0)
+    store.delete("K", name, 1)
+    path = f"/v1/objects/K/{name}"
+    assert sent == [("GET", path), ("PUT", path), ("DELETE", path)]
+
+
 def test_most_calls_fail_at_once_while_the_platform_is_down():
     now = [0.0]
     sent = []
