Bound the memory that all callers of an instance hold together

Callers: an instance beside clients that send bodies just short of the limit and of their end, far over it, or that don't read their answers, ran out of memory; at its other ports as well.

Cause: each body was bounded, their sum was not. Parts of a body and bytes read ahead were kept as many small objects or twice, a stated length over the limit was refused only after as many bytes, and the kernel's buffers of connections that are not read grew to megabytes.

Change: all connections of the process share one account of an eighth of its memory. When it is full, the connection that holds most is refused with 503 and Retry-After (not run), or broken off if it doesn't read its answer; requests being handled are not interrupted. Bodies are kept in blocks, chunked ones are decoded without an object for each chunk, stated lengths over the limit are refused before they are read, socket buffers have a fixed size, and a caller that sends far ahead is held up instead of being taken for gone.

--- a/whinrack/dispatch/_attempts.py
+++ b/whinrack/dispatch/_attempts.py
@@ -534,7 +534,7 @@
             self.stream_versions.await_record(run, state, connection.opened_at)
             self.answers.relay_stream(run, pool, head, pieces)
             return
-        body, is_whole = hold_body(pieces)
+        body, is_whole = hold_body(pieces, run.exchange.try_hold)
         if head.status >= _SERVER_ERROR and run.route.kind is RouteKind.REPEATABLE:
             self._retry_after_server_error(run, pool, head)
         if is_whole:
--- a/whinrack/dispatch/_forwarding.py
+++ b/whinrack/dispatch/_forwarding.py
@@ -257,7 +257,7 @@
     headers = without_marks(head.headers)
     pieces, held = connection.iter_data(run.deadline), b""
     if header_value(head.headers, b"content-length"):
-        held, is_whole = hold_body(pieces)
+        held, is_whole = hold_body(pieces, run.exchange.try_hold)
         if is_whole:
             run.exchange.respond(head.status, headers, held)
             return
--- a/whinrack/dispatch/_held_body.py
+++ b/whinrack/dispatch/_held_body.py
@@ -1,6 +1,6 @@
 """Bodies that are held until they are whole, up to a maximum size."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 __all__ = ["hold_body"]
 
@@ -9,9 +9,15 @@
 _MAX_HELD_BYTES = 1_048_576
 
 
-def hold_body(pieces: Iterator[bytes]) -> tuple[bytes, bool]:
+def hold_body(pieces: Iterator[bytes], try_hold: Callable[[int], bool]) -> tuple[bytes, bool]:
     """Collect the pieces of a body.
 
+    Parameters
+    ----------
+    pieces : iterator of bytes
+    try_hold : callable
+        Returns whether there is memory for a piece of a size in bytes; see `Exchange.try_hold`.
+
     Returns
     -------
     tuple of bytes and bool
@@ -21,6 +27,6 @@
     for piece in pieces:
         held.append(piece)
         size += len(piece)
-        if size > _MAX_HELD_BYTES:
+        if size > _MAX_HELD_BYTES or not try_hold(len(piece)):
             return b"".join(held), False
     return b"".join(held), True
--- /dev/null
+++ b/whinrack/edge/_caller_limits.py
@@ -0,0 +1,46 @@
+"""How much of an instance's memory its callers may take up."""
+
+from whinrack.clock import steady
+from whinrack.edge._options import EdgeOptions
+from whinrack.http1 import CallerResources, ShedReason
+from whinrack.observability import Event, Metrics, log_event
+
+__all__ = ["SheddingLog", "caller_resources"]
+
+# The rest of the memory is for the process itself, copies of what callers send, and answers of
+# targets that are being relayed.
+_MEMORY_FRACTION = 1 / 8
+_DEFAULT_MEMORY_BYTES = 2_000_000_000
+_LOG_INTERVAL_SECONDS = 1.0
+
+
+class SheddingLog:
+    """Counts the connections that are closed for lack of room, and logs them once a second.
+
+    Parameters
+    ----------
+    metrics : Metrics
+    """
+
+    def __init__(self, metrics: Metrics):
+        self.metrics = metrics
+        self._unlogged: dict[ShedReason, int] = {}
+        self._logged_at = float("-inf")
+
+    def record(self, reason: ShedReason) -> None:
+        """Record that a connection was closed or not accepted."""
+        self.metrics.shed_connections.labels(str(reason)).inc()
+        self._unlogged[reason] = self._unlogged.get(reason, 0) + 1
+        now = steady()
+        if now - self._logged_at >= _LOG_INTERVAL_SECONDS:
+            self._logged_at = now
+            counts, self._unlogged = self._unlogged, {}
+            log_event(
+                Event.CONNECTIONS_SHED, **{str(name): counts.get(name, 0) for name in ShedReason}
+            )
+
+
+def caller_resources(options: EdgeOptions, log: SheddingLog) -> CallerResources:
+    """Return what the callers of an instance may take up."""
+    memory = options.memory_bytes or _DEFAULT_MEMORY_BYTES
+    return CallerResources(int(memory * _MEMORY_FRACTION), log.record)
--- a/whinrack/edge/_daemon.py
+++ b/whinrack/edge/_daemon.py
@@ -26,6 +26,7 @@
     WarmUpLimits,
 )
 from whinrack.edge._brittle_log import BrittleLog
+from whinrack.edge._caller_limits import SheddingLog, caller_resources
 from whinrack.edge._earlier_runs import EarlierRuns
 from whinrack.edge._emptied_halls import HallKnowledge
 from whinrack.edge._endpoints import AuxiliaryEndpoints
@@ -232,11 +233,13 @@
             self.stream_origins,
         )
         self.endpoints = endpoints
+        self.caller_resources = caller_resources(options, SheddingLog(self.metrics))
         self.server = HttpServer(
             options.callers,
             self.dispatcher.handle,
             lambda refusal: dialect.refusal_response(refusal, None),
             lambda: self.current_configuration.limits,
+            self.caller_resources,
         )
         self.shutdown = GracefulShutdown(
             self.membership, self.server, self.dispatcher, self.grant_manager, self.tokens
@@ -286,13 +289,14 @@
         )
         for address, handle in handlers:
             if address is not None:
-                HttpServer(address, handle).start()
+                HttpServer(address, handle, resources=self.caller_resources).start()
         KnowledgeServer(
             self.options.gossip,
             self.knowledge.shared_knowledge,
             self.knowledge.relay.handle,
             self.dispatcher.handle_forwarded,
             lambda: self.current_configuration.limits,
+            self.caller_resources,
         ).start()
 
     def _start_tasks(self) -> None:
--- a/whinrack/edge/_knowledge_exchange.py
+++ b/whinrack/edge/_knowledge_exchange.py
@@ -9,6 +9,7 @@
 from whinrack.edge._options import HostPort
 from whinrack.exceptions import Refusal
 from whinrack.http1 import (
+    CallerResources,
     ConnectionPool,
     Exchange,
     Headers,
@@ -77,6 +78,8 @@
         Handles callers' requests that a peer forwards; returns False for other requests.
     limits : callable, optional
         Returns the limits of callers' requests.
+    resources : CallerResources, optional
+        What the connections of this server share with those of others.
     """
 
     def __init__(
@@ -86,12 +89,15 @@
         handle_other: Callable[[Exchange], bool] = _handle_nothing,
         handle_forwarded: Callable[[Exchange], bool] = _handle_nothing,
         limits: Callable[[], ServerLimits] = ServerLimits,
+        resources: CallerResources | None = None,
     ):
         self.knowledge = knowledge
         self.handle_other = handle_other
         self.handle_forwarded = handle_forwarded
         self.limits = limits
-        self._server = HttpServer(address, self._answer, limits=self._server_limits)
+        self._server = HttpServer(
+            address, self._answer, limits=self._server_limits, resources=resources
+        )
 
     @property
     def address(self) -> HostPort:
--- a/whinrack/edge/_options.py
+++ b/whinrack/edge/_options.py
@@ -50,6 +50,8 @@
         together; 0 forwards each at once.
     cores : float
         Processor time that this instance may use, seconds per second; 0 if unknown.
+    memory_bytes : int
+        Memory that this process may use; 0 if unknown.
     emptying_seconds : float
         Time after which no request may reach a data hall that the operator has emptied; 0 if
         halls are never emptied, in which case they are not followed in the store.
@@ -84,6 +86,7 @@
     wall_margin_seconds: float = 3.5
     bandwidth: float = 0.0
     cores: float = 0.0
+    memory_bytes: int = 0
     event_delay: float = 0.0
     emptying_seconds: float = 0.0
     cold_overage: float = 1.0
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -30,6 +30,7 @@
     "InvalidObject",
     "InvalidSettings",
     "KeyReused",
+    "MemoryExhausted",
     "NoSuchPath",
     "NotFound",
     "OutcomeUnknown",
@@ -257,6 +258,12 @@
     code, status, error_type = "headers_too_large", 431, "invalid_request_error"
 
 
+class MemoryExhausted(Refusal):
+    """The memory for what callers send is used up."""
+
+    code, status, error_type = "memory_exhausted", 503, "overloaded_error"
+
+
 class NoRoute(Refusal):
     """No configured route matches the host and path."""
 
--- /dev/null
+++ b/whinrack/http1/_caller_resources.py
@@ -0,0 +1,162 @@
+"""Memory that callers may take up in this process.
+
+All servers of a process share one `CallerResources`. When the memory is used up, the connection
+that holds most is closed.
+Requests that are being handled are never interrupted for others.
+"""
+
+from collections.abc import Callable
+from enum import StrEnum
+
+from whinrack.exceptions import MemoryExhausted
+
+__all__ = ["CallerResources", "ShedReason", "SheddableConnection"]
+
+# The receive buffer and the send buffer of a connection have this part of the memory each, within
+# the bounds in bytes.
+_SOCKET_BUFFER_FRACTION = 1 / 256
+_SOCKET_BUFFER_BOUNDS = (32_768, 262_144)
+_DEFAULT_MAX_BYTES = 268_435_456
+# A connection that holds no more than this is not closed for the memory of others, unless the
+# memory for callers is exceeded by far.
+_SMALL_BYTES = 16_384
+_SMALL_EXCESS = 2
+_RETRY_SECONDS = 1.0
+
+
+class ShedReason(StrEnum):
+    """Why a connection was closed."""
+
+    MEMORY = "memory"
+
+
+class SheddableConnection:
+    """What `CallerResources` knows of a connection.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Memory that the connection holds.
+    is_shed : bool
+        Whether the connection is being closed to free what it holds.
+    """
+
+    def __init__(self):
+        self.held_bytes = 0
+        self.is_shed = False
+
+    @property
+    def can_free_memory(self) -> bool:
+        """Whether the connection may be closed to free memory."""
+        raise NotImplementedError
+
+    def free_memory(self) -> None:
+        """Refuse the request that is being read, or break off the response that is not read."""
+        raise NotImplementedError
+
+
+def _ignore(_reason: ShedReason) -> None:
+    pass
+
+
+class CallerResources:
+    """Bounds what the connections of all callers hold.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Memory for requests and responses, in bytes.
+    on_shed : callable
+        Called with the reason each time a connection is closed.
+
+    Attributes
+    ----------
+    held_bytes : int
+    """
+
+    def __init__(
+        self,
+        max_bytes: int = _DEFAULT_MAX_BYTES,
+        on_shed: Callable[[ShedReason], None] = _ignore,
+    ):
+        self.max_bytes = max_bytes
+        self.on_shed = on_shed
+        self.held_bytes = 0
+        self._connections: set[SheddableConnection] = set()
+
+    @property
+    def socket_buffer_bytes(self) -> int:
+        """Size of the kernel's receive buffer and of its send buffer of each connection."""
+        least, most = _SOCKET_BUFFER_BOUNDS
+        return min(most, max(least, int(self.max_bytes * _SOCKET_BUFFER_FRACTION)))
+
+    # --- connections -------------------------------------------------------------
+
+    def add(self, connection: SheddableConnection) -> None:
+        """Register a new connection."""
+        self._connections.add(connection)
+
+    def discard(self, connection: SheddableConnection) -> None:
+        """Remove a connection that is closed."""
+        self._connections.discard(connection)
+        self._set_held(connection, 0)
+
+    # --- memory ------------------------------------------------------------------
+
+    def hold(self, connection: SheddableConnection, size: int, allowed: int = 0) -> None:
+        """Set the memory that a connection holds; frees that of others if there is too little.
+
+        Parameters
+        ----------
+        connection : SheddableConnection
+        size : int
+            Bytes that the connection holds in all.
+        allowed : int, optional
+            Bytes that a single connection may always hold, even beyond the memory for all.
+
+        Raises
+        ------
+        MemoryExhausted
+            If no other connection holds more that could be freed.
+        """
+        if connection.is_shed:
+            raise self.exhausted()
+        is_growing = size > connection.held_bytes
+        self._set_held(connection, size)
+        if is_growing:
+            self._free_for(connection, max(self.max_bytes, allowed))
+
+    def has_room(self, size: int) -> bool:
+        """Return whether further bytes could be held without freeing any."""
+        return self.held_bytes + size <= self.max_bytes
+
+    def try_hold(self, connection: SheddableConnection, size: int) -> bool:
+        """Let a connection hold further bytes if there is room without freeing any."""
+        if not self.has_room(size):
+            return False
+        self._set_held(connection, connection.held_bytes + size)
+        return True
+
+    def _set_held(self, connection: SheddableConnection, size: int) -> None:
+        self.held_bytes += size - connection.held_bytes
+        connection.held_bytes = size
+
+    def _free_for(self, connection: SheddableConnection, max_bytes: int) -> None:
+        while self.held_bytes > max_bytes:
+            candidates = (other for other in self._connections if other.can_free_memory)
+            largest = max(candidates, key=lambda other: other.held_bytes, default=connection)
+            if largest.held_bytes <= _SMALL_BYTES and self.held_bytes <= _SMALL_EXCESS * max_bytes:
+                return
+            if largest.held_bytes <= connection.held_bytes:
+                self.on_shed(ShedReason.MEMORY)
+                raise self.exhausted()
+            largest.is_shed = True
+            self._set_held(largest, 0)
+            largest.free_memory()
+            self.on_shed(ShedReason.MEMORY)
+
+    def exhausted(self) -> MemoryExhausted:
+        """Return the refusal of a request for which there is no memory."""
+        return MemoryExhausted(
+            "the memory for what callers send is used up", retry_after=_RETRY_SECONDS
+        )
--- a/whinrack/http1/_connection.py
+++ b/whinrack/http1/_connection.py
@@ -1,34 +1,45 @@
 """A caller's connection: reads its requests one after another and sends the responses."""
 
 import contextlib
+import select
 import socket
 import struct
 from collections.abc import Callable
+from enum import Enum, auto
 
 import eventlet
 import h11
-from eventlet import hubs
+from eventlet import hubs, patcher
 
 from whinrack.clock import steady
-from whinrack.exceptions import (
-    BadRequest,
-    BodyTooLarge,
-    CallerGone,
-    HeadersTooLarge,
-    Refusal,
-    RequestTimeout,
-)
+from whinrack.exceptions import CallerGone, MemoryExhausted, Refusal
+from whinrack.http1._caller_resources import CallerResources, SheddableConnection
 from whinrack.http1._exchange import Exchange, ResponseWriter, ServerLimits
 from whinrack.http1._messages import Headers, RequestHead
+from whinrack.http1._request_reader import RequestReader, stated_size
 
 __all__ = ["CallerConnection", "ServerBase"]
 
 _READ_BYTES = 65_536
-_MAX_PIPELINED_BYTES = 262_144
+# While a request is handled, this much is read of what follows it, and as much again at most.
+_READ_AHEAD_BYTES = 16_384
+_HANG_UP_CHECK_SECONDS = 0.1
 _DRAIN_SECONDS = 0.5
-_HEAD_TOO_LARGE_STATUS = 431
 # SO_LINGER with a timeout of 0: closing the socket resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# eventlet's own `select` has no `poll`.
+_poll = patcher.original("select").poll
+
+
+class _Phase(Enum):
+    """What a connection is doing."""
+
+    IDLE = auto()
+    READING = auto()
+    HANDLING = auto()
+    # A response is being handled, and its caller does not read what has been sent.
+    SENDING = auto()
+    CLOSING = auto()
 
 
 class ServerBase:
@@ -38,6 +49,7 @@
     ----------
     handle, refusal_response, limits : callable
         See `HttpServer`.
+    resources : CallerResources
     is_closing, is_crowded : bool
         If either is set, responses announce that their connection closes after them: because
         the server stops, or so that callers connect to another instance.
@@ -50,45 +62,83 @@
         handle: Callable[[Exchange], None],
         refusal_response: Callable[[Refusal], tuple[int, Headers, bytes]],
         limits: Callable[[], ServerLimits],
+        resources: CallerResources | None = None,
     ):
         self.handle = handle
         self.refusal_response = refusal_response
         self.limits = limits
+        self.resources = resources or CallerResources()
         self.is_closing = False
         self.is_crowded = False
         self.connections: set[CallerConnection] = set()
 
 
-class CallerConnection(ResponseWriter):
+class CallerConnection(SheddableConnection, ResponseWriter):
     """A persistent connection of one caller."""
 
     def __init__(self, server: ServerBase, sock):
+        super().__init__()
         self.server = server
         self.sock = sock
+        self.resources = server.resources
         head_bytes = server.limits().head_bytes
         self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
-        self.is_idle = True
-        self._pipelined_data = b""
+        self.reader = RequestReader(sock, self.protocol, self._hold)
+        self._phase = _Phase.IDLE
+        self._worker = None
         self._handler_token: object | None = None
         self._keep_alive = True
 
     def serve(self) -> None:
         """Serve requests until one side closes the connection."""
         self.server.connections.add(self)
+        self.resources.add(self)
+        self._worker = eventlet.getcurrent()
         try:
             while self._keep_alive and self._serve_request():
                 self.protocol.start_next_cycle()
-        except (CallerGone, OSError, h11.ProtocolError):
+        except (CallerGone, MemoryExhausted, OSError, h11.ProtocolError):
             self._prepare_abort()
         finally:
+            self._phase = _Phase.CLOSING
             self.server.connections.discard(self)
             self._close()
+            self.resources.discard(self)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return self._phase is _Phase.IDLE
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is being read or answered on it."""
         if self.is_idle:
             self._shutdown(socket.SHUT_RDWR)
 
+    # --- resources ---------------------------------------------------------------
+
+    @property
+    def can_free_memory(self) -> bool:
+        """Whether the connection may be closed to free memory."""
+        return not self.is_shed and self._phase in (_Phase.READING, _Phase.SENDING)
+
+    def free_memory(self) -> None:
+        """Refuse the request that is being read, or break off the response that is not read."""
+        if self._phase is _Phase.SENDING:
+            self._reset_on_close()
+            self._shutdown(socket.SHUT_RDWR)
+        else:
+            # The request is refused in the next round only; its memory is needed now.
+            self.reader.drop()
+            hubs.get_hub().schedule_call_global(0, self._refuse_reading)
+
+    def _refuse_reading(self) -> None:
+        if self._phase is _Phase.READING:
+            self._worker.throw(self.resources.exhausted())
+
+    def _hold(self, size: int, allowed: int = 0) -> None:
+        self.resources.hold(self, size, allowed)
+
     # --- reading -----------------------------------------------------------------
 
     def _serve_request(self) -> bool:
@@ -96,85 +146,37 @@
         try:
             request = self._read_request(limits)
         except Refusal as refusal:
+            self._phase = _Phase.CLOSING
+            self._hold_nothing()
             self._send_refusal(refusal)
             return False
         if request is None:
             return False
-        head, body = request
-        self._run_handler(Exchange(self, head, body))
+        self._phase = _Phase.HANDLING
+        self._run_handler(Exchange(self, *request))
+        self.resources.hold(self, len(self.reader.received))
         return self._keep_alive
 
     def _read_request(self, limits: ServerLimits) -> tuple[RequestHead, bytes] | None:
         """Return the next request, None if the caller closed or was idle too long before it."""
-        if not self._wait_for_request(limits.idle_seconds):
+        self._phase = _Phase.IDLE
+        if not self.reader.wait(limits.idle_seconds):
             return None
-        head = self._read_head(limits)
-        if head is None:
-            return None
-        return head, self._read_body(limits, steady() + limits.body_seconds)
-
-    def _wait_for_request(self, timeout: float) -> bool:
-        """Wait for the first bytes of a request; return False if none arrived."""
-        data, self._pipelined_data = self._pipelined_data, b""
-        if not data and not self.protocol.trailing_data[0]:
-            self.is_idle = True
-            self.sock.settimeout(timeout)
-            try:
-                data = self.sock.recv(_READ_BYTES)
-            except (TimeoutError, OSError):
-                return False
-            if not data:
-                return False
-        self.is_idle = False
-        if data:
-            self._receive(data)
-        return True
-
-    def _read_head(self, limits: ServerLimits) -> RequestHead | None:
-        event = self._next_event(steady() + limits.head_seconds)
-        if isinstance(event, h11.ConnectionClosed):
-            return None
-        if _head_size(event) > limits.head_bytes:
-            raise HeadersTooLarge(f"request head exceeds {limits.head_bytes} bytes")
-        self._keep_alive = not _requests_close(event)
-        return RequestHead(event.method, event.target, list(event.headers))
-
-    def _read_body(self, limits: ServerLimits, deadline: float) -> bytes:
+        self._phase = _Phase.READING
+        self.reader.count_received()
+        request = self.reader.read_head(limits)
+        self._keep_alive = not _requests_close(request)
+        size = stated_size(request, limits)
         if self.protocol.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(status_code=100, headers=[]))
-        parts, size = [], 0
-        while not isinstance(event := self._next_event(deadline), h11.EndOfMessage):
-            if not isinstance(event, h11.Data):
-                raise BadRequest("the request body ended early")
-            size += len(event.data)
-            if size > limits.body_bytes:
-                raise BodyTooLarge(f"request body exceeds {limits.body_bytes} bytes")
-            parts.append(bytes(event.data))
-        return b"".join(parts)
-
-    def _next_event(self, deadline: float):
-        while True:
-            try:
-                event = self.protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                raise _malformed_refusal(error) from error
-            if event is not h11.NEED_DATA:
-                return event
-            remaining = deadline - steady()
-            if remaining <= 0:
-                raise RequestTimeout("the request took too long to arrive")
-            self.sock.settimeout(remaining)
-            try:
-                data = self.sock.recv(_READ_BYTES)
-            except TimeoutError as error:
-                raise RequestTimeout("the request took too long to arrive") from error
-            self._receive(data)
+        body = self.reader.read_body(size, limits)
+        return RequestHead(request.method, request.target, list(request.headers)), body
 
-    def _receive(self, data: bytes) -> None:
-        try:
-            self.protocol.receive_data(data)
-        except h11.RemoteProtocolError as error:
-            raise _malformed_refusal(error) from error
+    def _hold_nothing(self) -> None:
+        """Drop what was read of a request that is refused."""
+        self.reader.drop()
+        self.is_shed = False
+        self.resources.hold(self, 0)
 
     # --- handling ----------------------------------------------------------------
 
@@ -208,18 +210,34 @@
     def _watch_for_disconnect(self, worker, token) -> None:
         """Raise `CallerGone` in the handler when the caller closes the connection."""
         while self._handler_token is token:
+            if not self._can_read_ahead():
+                if self._has_hung_up():
+                    break
+                eventlet.sleep(_HANG_UP_CHECK_SECONDS)
+                continue
             try:
                 hubs.trampoline(self.sock.fileno(), read=True)
-                data = self.sock.fd.recv(_READ_BYTES)
+                data = self.sock.fd.recv(_READ_AHEAD_BYTES)
             except BlockingIOError:
                 continue
             except OSError:
-                data = b""
-            if data and len(self._pipelined_data) < _MAX_PIPELINED_BYTES:
-                self._pipelined_data += data
-                continue
-            hubs.get_hub().schedule_call_global(0, self._raise_caller_gone, worker, token)
-            return
+                break
+            if not data:
+                break
+            self.reader.received += data
+            self.resources.try_hold(self, len(data))
+        hubs.get_hub().schedule_call_global(0, self._raise_caller_gone, worker, token)
+
+    def _can_read_ahead(self) -> bool:
+        """Return whether more may be read of requests that wait for the one being handled."""
+        has_room = len(self.reader.received) < _READ_AHEAD_BYTES
+        return has_room and self.resources.has_room(_READ_AHEAD_BYTES)
+
+    def _has_hung_up(self) -> bool:
+        """Return whether the caller closed the connection, without reading what it sent."""
+        poll = _poll()
+        poll.register(self.sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
 
     def _raise_caller_gone(self, worker, token) -> None:
         if self._handler_token is token:
@@ -257,16 +275,47 @@
         """End a response whose body was sent in parts."""
         self._send(h11.EndOfMessage())
 
+    def try_hold(self, size: int) -> bool:
+        """Let the response hold further bytes until the request ends, if there is memory."""
+        return self.resources.try_hold(self, size)
+
     def _send(self, *events) -> None:
-        data = b"".join(self.protocol.send(event) for event in events)
-        self.sock.settimeout(self.server.limits().write_seconds)
+        data = memoryview(b"".join(self.protocol.send(event) for event in events))
         try:
-            self.sock.sendall(data)
-        except OSError as error:
+            sent = self._send_at_once(data)
+            if sent < len(data):
+                self._send_slowly(data[sent:])
+        except (OSError, MemoryExhausted) as error:
             # The handler must not be interrupted once more while it ends the run.
             self._handler_token = None
             raise CallerGone("sending to the caller failed or timed out") from error
 
+    def _send_at_once(self, data: memoryview) -> int:
+        """Send what the kernel takes without waiting; return its size."""
+        try:
+            return self.sock.fd.send(data)
+        except BlockingIOError:
+            return 0
+
+    def _send_slowly(self, data: memoryview) -> None:
+        """Send the rest of some data to a caller that does not read as fast as it is sent.
+
+        The buffers of the kernel count as held, as they are full.
+        """
+        phase, held = self._phase, self.held_bytes
+        self._phase = _Phase.SENDING
+        try:
+            size = held + len(data) + 2 * self.resources.socket_buffer_bytes
+            self.resources.hold(self, size, allowed=size)
+            self.sock.settimeout(self.server.limits().write_seconds)
+            self.sock.sendall(data)
+        except MemoryExhausted:
+            self._reset_on_close()
+            raise
+        finally:
+            self._phase = phase
+        self.resources.hold(self, held)
+
     # --- closing -----------------------------------------------------------------
 
     def _prepare_abort(self) -> None:
@@ -277,6 +326,10 @@
         self._keep_alive = True
         unframed = (self.protocol.their_http_version or b"") < b"1.1"
         if self.protocol.our_state is h11.SEND_BODY and unframed:
+            self._reset_on_close()
+
+    def _reset_on_close(self) -> None:
+        with contextlib.suppress(OSError):
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
     def _close(self) -> None:
@@ -301,22 +354,9 @@
             self.sock.shutdown(how)
 
 
-def _head_size(request: h11.Request) -> int:
-    """Return the size of a request head: h11 limits only heads that arrive in several reads."""
-    line = len(request.method) + len(request.target) + len(b"  HTTP/1.1\r\n")
-    fields = sum(len(name) + len(value) + len(b": \r\n") for name, value in request.headers)
-    return line + fields
-
-
 def _requests_close(request: h11.Request) -> bool:
     if request.http_version < b"1.1":
         return True
     return any(
         name == b"connection" and b"close" in value.lower() for name, value in request.headers
     )
-
-
-def _malformed_refusal(error: h11.RemoteProtocolError) -> Refusal:
-    if error.error_status_hint == _HEAD_TOO_LARGE_STATUS:
-        return HeadersTooLarge("the request head is too large")
-    return BadRequest("the request is malformed")
--- a/whinrack/http1/_exchange.py
+++ b/whinrack/http1/_exchange.py
@@ -48,6 +48,10 @@
         """Mark the end of a body that was sent in parts."""
         raise NotImplementedError
 
+    def try_hold(self, size: int) -> bool:
+        """Let the response hold further bytes until the request ends, if there is memory."""
+        return True
+
 
 class Exchange:
     """A request and its response, as passed to the handler.
@@ -94,6 +98,16 @@
         self.is_started = True
         self._connection.send_response(status, [*headers, *self.added_headers], None)
 
+    def try_hold(self, size: int) -> bool:
+        """Let the response hold further bytes, if there is memory for them.
+
+        Returns
+        -------
+        bool
+            If False, the response has to be sent as it arrives.
+        """
+        return self._connection.try_hold(size)
+
     def write(self, data: bytes) -> None:
         """Send a part of the response body."""
         self._connection.send_data(data)
--- a/whinrack/http1/_server.py
+++ b/whinrack/http1/_server.py
@@ -1,11 +1,13 @@
 """HTTP/1.1 server: a green thread per connection, one request at a time on each."""
 
+import contextlib
 import socket
 from collections.abc import Callable
 
 import eventlet
 
 from whinrack.exceptions import Refusal
+from whinrack.http1._caller_resources import CallerResources
 from whinrack.http1._connection import CallerConnection, ServerBase
 from whinrack.http1._exchange import Exchange, ServerLimits
 from whinrack.http1._messages import Headers
@@ -13,6 +15,9 @@
 __all__ = ["HttpServer"]
 
 _BACKLOG = 1024
+# Accepted sockets inherit these. Without them the kernel lets the buffers of a connection whose
+# data is not read grow to megabytes.
+_SOCKET_BUFFERS = (socket.SO_RCVBUF, socket.SO_SNDBUF)
 
 
 def _status_only_response(refusal: Refusal) -> tuple[int, Headers, bytes]:
@@ -35,6 +40,8 @@
         default only the status is sent.
     limits : callable, optional
         Returns the `ServerLimits` in force.
+    resources : CallerResources, optional
+        What the connections of this server share with those of others.
     """
 
     def __init__(
@@ -43,8 +50,9 @@
         handle: Callable[[Exchange], None],
         refusal_response: Callable[[Refusal], tuple[int, Headers, bytes]] = _status_only_response,
         limits: Callable[[], ServerLimits] = ServerLimits,
+        resources: CallerResources | None = None,
     ):
-        super().__init__(handle, refusal_response, limits)
+        super().__init__(handle, refusal_response, limits, resources)
         self.address = address
         self._listener = None
 
@@ -52,6 +60,10 @@
         """Start listening and accept connections in the background."""
         self._listener = eventlet.listen(self.address, backlog=_BACKLOG, reuse_port=False)
         self.address = self._listener.getsockname()
+        for option in _SOCKET_BUFFERS:
+            with contextlib.suppress(OSError):
+                size = self.resources.socket_buffer_bytes
+                self._listener.setsockopt(socket.SOL_SOCKET, option, size)
         eventlet.spawn_n(self._accept)
 
     def stop_listening(self) -> None:
--- a/whinrack/http1/tests/test_server.py
+++ b/whinrack/http1/tests/test_server.py
@@ -1,17 +1,20 @@
 """Tests of which requests the server accepts and of what callers receive."""
 
+import contextlib
 import socket
 import threading
+import time
 
 import eventlet
 import pytest
 from eventlet.green import socket as green_socket
 
 from whinrack.exceptions import CallerGone
-from whinrack.http1 import HttpServer, ServerLimits
+from whinrack.http1 import CallerResources, HttpServer, ServerLimits
 from whinrack.http1._connection import CallerConnection
 from whinrack.http1.tests._green import run_green
 
+CHUNKED = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 LIMITS = ServerLimits(
     head_bytes=2000, body_bytes=1000, head_seconds=0.3, body_seconds=0.3, idle_seconds=0.5
@@ -47,7 +50,7 @@
         return data
 
 
-def serve(handle, client, closing=False):
+def serve(handle, client, closing=False, resources=None):
     """Run a server and a client function against it; return the function's result."""
 
     def run_server():
@@ -56,6 +59,7 @@
             handle,
             lambda refusal: (refusal.status, [], refusal.code.encode()),
             lambda: LIMITS,
+            resources,
         )
         server.is_closing = closing
         server.start()
@@ -91,6 +95,16 @@
         (b"GET /x HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 2100 + b"\r\n\r\n", b"431"),
         (b"GET /x HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 70_000, b"431"),
         (b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n" + b"a" * 1001, b"413"),
+        (b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n", b"413"),
+        (
+            b"POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1001\r\n\r\n",
+            b"413",
+        ),
+        (CHUNKED + b"3e9\r\n", b"413"),
+        (CHUNKED + b"1;" + b"a" * 2100, b"431"),
+        (CHUNKED + b"0\r\n" + b"a: b\r\n" * 400, b"431"),
+        (CHUNKED + b"3\r\nabcd\r\n0\r\n\r\n", b"400"),
+        (CHUNKED + b"3\r\nabc\r\n", b"408"),
         (b"GET /x HTTP/1.1\r\nHo", b"408"),
         (b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc", b"408"),
     ],
@@ -180,6 +194,84 @@
     assert serve(echo, client).count(b"HTTP/1.1 200") == 2
 
 
+def test_request_after_a_chunked_one_with_trailers_is_answered():
+    def client(caller):
+        caller.send(CHUNKED + b"3\r\nabc\r\n0\r\nt: v\r\n\r\n" + GET + CHUNKED + b"0\r\n\r\n" + GET)
+        return (
+            caller.read_until(b"POST abc") + caller.read_until(b"GET ") + caller.read_until(b"GET ")
+        )
+
+    assert serve(echo, client).count(b"HTTP/1.1 200") == 4
+
+
+def test_requests_far_ahead_are_answered():
+    """Guards against taking a caller for gone that sent more ahead than is read ahead."""
+    is_handling, may_answer = threading.Event(), threading.Event()
+
+    def wait(exchange):
+        is_handling.set()
+        while not may_answer.is_set():
+            eventlet.sleep(0.01)
+        exchange.respond(200, [], b"")
+
+    def client(caller):
+        count = 400_000 // len(GET)
+        caller.sock.settimeout(5)
+        thread = threading.Thread(target=caller.send, args=(GET * count,))
+        thread.start()
+        is_handling.wait(5)
+        thread.join(0.3)
+        may_answer.set()
+        data = b""
+        while data.count(b"HTTP/1.1 200") < count:
+            data += caller.sock.recv(65536)
+        return True
+
+    assert serve(wait, client)
+
+
+def test_caller_that_leaves_after_sending_far_ahead_is_noticed():
+    is_caller_gone, is_handling = threading.Event(), threading.Event()
+
+    def wait(exchange):
+        is_handling.set()
+        try:
+            eventlet.sleep(30)
+        except CallerGone:
+            is_caller_gone.set()
+            raise
+
+    def client(caller):
+        caller.send(GET * (100_000 // len(GET)))
+        is_handling.wait(10)
+        caller.sock.close()
+        return is_caller_gone.wait(10)
+
+    assert serve(wait, client)
+
+
+def test_response_that_is_not_read_is_broken_off_for_another_one():
+    resources = CallerResources(max_bytes=10_000_000)
+    sizes = {b"/x": 8_000_000, b"/y": 6_000_000}
+
+    def client(caller):
+        other = Caller(caller.sock.getpeername())
+        caller.send(GET)
+        while not resources.held_bytes:
+            time.sleep(0.01)
+        other.send(GET.replace(b"/x", b"/y").replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+        whole = other.read_all()
+        with contextlib.suppress(ConnectionResetError):
+            assert len(caller.read_all()) < sizes[b"/x"]
+        return whole
+
+    def answer(exchange):
+        exchange.respond(200, [], b"a" * sizes[exchange.head.target])
+
+    assert serve(answer, client, resources=resources).endswith(b"a" * sizes[b"/y"])
+    assert resources.held_bytes == 0
+
+
 def test_closing_server_sends_connection_close():
     def client(caller):
         caller.send(GET)
--- a/whinrack/observability/_events.py
+++ b/whinrack/observability/_events.py
@@ -158,6 +158,11 @@
     REQUEST_FORWARDED = (7008, "INFO", "answer of a peer to a forwarded request relayed")
     FORWARDING_FAILED = (7009, "WARNING", "a peer did not serve a forwarded request")
     STREAM_CONTINUED = (7011, "INFO", "looked up where a continued stream began")
+    CONNECTIONS_SHED = (
+        7012,
+        "WARNING",
+        "closed connections of callers for lack of memory or sockets",
+    )
     FORWARDED_RECEIVED = (7010, "INFO", "received a request that a peer forwards")
 
     def __init__(self, number: int, level: str, text: str):
--- a/whinrack/observability/_metrics.py
+++ b/whinrack/observability/_metrics.py
@@ -72,6 +72,9 @@
         self.unknown_statements = self._counter(
             "unknown_statements", "Fields of targets' answers that nothing here heeds", "field"
         )
+        self.shed_connections = self._counter(
+            "shed_connections", "Connections of callers closed for lack of room", "reason"
+        )
         self.ejections = self._counter("ejections", "Targets set aside")
         self.first_byte_seconds = self._histogram(
             "first_byte_seconds", "Time to the first byte", "kind"
