Give others a turn beside callers that always have bytes to read

Callers: beside clients that send requests ahead without end, or bodies in chunks of one byte, no other request and no question for readiness was answered.

Cause: eventlet's recv waits only if there is nothing to read, so a connection whose caller sends faster than its requests are handled or its chunks are parsed never lets another task run. The same holds for accepting connections.

Change: a turn for others after each further read of a request, between requests on a connection, and after 16 accepted connections. Bodies of many small chunks are decoded by one connection at a time; 32 may wait for their turn, others are refused with 503 (not run).

New test in test_caller_resources.py.

--- a/whinrack/http1/_caller_resources.py
+++ b/whinrack/http1/_caller_resources.py
@@ -1,14 +1,18 @@
-"""Memory that callers may take up in this process.
+"""Memory and processor time that callers may take up in this process.
 
 All servers of a process share one `CallerResources`. When the memory is used up, the connection
 that holds most is closed.
 Requests that are being handled are never interrupted for others.
 """
 
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 from enum import StrEnum
 
-from whinrack.exceptions import MemoryExhausted
+from eventlet.semaphore import Semaphore
+
+from whinrack.clock import steady
+from whinrack.exceptions import MemoryExhausted, RequestTimeout
 
 __all__ = ["CallerResources", "ShedReason", "SheddableConnection"]
 
@@ -21,6 +25,8 @@
 # memory for callers is exceeded by far.
 _SMALL_BYTES = 16_384
 _SMALL_EXCESS = 2
+# Connections that may wait for their turn to decode small chunks.
+_MAX_WAITING_DECODERS = 32
 _RETRY_SECONDS = 1.0
 
 
@@ -83,6 +89,8 @@
         self.on_shed = on_shed
         self.held_bytes = 0
         self._connections: set[SheddableConnection] = set()
+        self._decoding = Semaphore(1)
+        self._waiting_decoders = 0
 
     @property
     def socket_buffer_bytes(self) -> int:
@@ -160,3 +168,31 @@
         return MemoryExhausted(
             "the memory for what callers send is used up", retry_after=_RETRY_SECONDS
         )
+
+    # --- processor ---------------------------------------------------------------
+
+    @contextlib.contextmanager
+    def decoding_turn(self, deadline: float) -> Iterator[None]:
+        """Wait for the turn to decode small chunks, which only one connection at a time does.
+
+        Raises
+        ------
+        MemoryExhausted
+            If too many connections wait for their turn: their receive buffers are full.
+        RequestTimeout
+            If the steady clock reaches `deadline`.
+        """
+        if self._waiting_decoders >= _MAX_WAITING_DECODERS:
+            self.on_shed(ShedReason.MEMORY)
+            raise self.exhausted()
+        self._waiting_decoders += 1
+        try:
+            has_turn = self._decoding.acquire(timeout=max(0.0, deadline - steady()))
+        finally:
+            self._waiting_decoders -= 1
+        if not has_turn:
+            raise RequestTimeout("the request took too long to arrive")
+        try:
+            yield
+        finally:
+            self._decoding.release()
--- a/whinrack/http1/_connection.py
+++ b/whinrack/http1/_connection.py
@@ -83,7 +83,9 @@
         self.resources = server.resources
         head_bytes = server.limits().head_bytes
         self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=head_bytes)
-        self.reader = RequestReader(sock, self.protocol, self._hold)
+        self.reader = RequestReader(sock, self.protocol, self.resources, self._hold)
+        # Whether a request has been handled on the connection.
+        self.has_served = False
         self._phase = _Phase.IDLE
         self._worker = None
         self._handler_token: object | None = None
@@ -154,12 +156,16 @@
             return False
         self._phase = _Phase.HANDLING
         self._run_handler(Exchange(self, *request))
+        self.has_served = True
         self.resources.hold(self, len(self.reader.received))
         return self._keep_alive
 
     def _read_request(self, limits: ServerLimits) -> tuple[RequestHead, bytes] | None:
         """Return the next request, None if the caller closed or was idle too long before it."""
         self._phase = _Phase.IDLE
+        if self.has_served:
+            # A caller that sends requests ahead never lets the connection wait for one.
+            eventlet.sleep(0)
         if not self.reader.wait(limits.idle_seconds):
             return None
         self._phase = _Phase.READING
--- a/whinrack/http1/_request_reader.py
+++ b/whinrack/http1/_request_reader.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Callable
 
+import eventlet
 import h11
 
 from whinrack.clock import steady
@@ -14,6 +15,7 @@
     RequestTimeout,
 )
 from whinrack.http1._block_buffer import BlockBuffer
+from whinrack.http1._caller_resources import CallerResources
 from whinrack.http1._chunked_body import ChunkedBody
 from whinrack.http1._exchange import ServerLimits
 
@@ -27,6 +29,10 @@
 _EMPTY_LINE_BYTES = 3
 _TRAILERLESS_END = b"\r\n"
 _LAST_CHUNK_HEAD = b"0\r\n"
+# Chunks after which a body counts as one of small chunks, if they are no longer than this on
+# average: decoding them takes much more time than receiving them.
+_MANY_CHUNKS = 1_024
+_SMALL_CHUNK_BYTES = 512
 _HEAD_TOO_LARGE_STATUS = 431
 
 
@@ -40,6 +46,7 @@
     ----------
     sock : green socket
     protocol : h11.Connection
+    resources : CallerResources
     hold : callable
         Called with the number of bytes held and the largest body allowed; see
         `CallerResources.hold`.
@@ -54,10 +61,12 @@
         self,
         sock,
         protocol: h11.Connection,
+        resources: CallerResources,
         hold: Callable[[int, int], None],
     ):
         self.sock = sock
         self.protocol = protocol
+        self.resources = resources
         self.hold = hold
         self.received = b""
         self._body = BlockBuffer()
@@ -143,12 +152,20 @@
     def _read_chunked_body(self, limits: ServerLimits, deadline: float) -> None:
         body = ChunkedBody(limits.body_bytes, limits.head_bytes)
         self._body = body.data
-        self.received = body.decode(self.received)
+        self._decode(body, deadline)
         while not body.has_ended:
             self._receive(deadline, body.data.size, limits.body_bytes)
-            self.received = body.decode(self.received)
+            self._decode(body, deadline)
         self._read_trailers(limits, deadline)
 
+    def _decode(self, body: ChunkedBody, deadline: float) -> None:
+        is_small = body.data.size < body.chunk_count * _SMALL_CHUNK_BYTES
+        if body.chunk_count < _MANY_CHUNKS or not is_small:
+            self.received = body.decode(self.received)
+            return
+        with self.resources.decoding_turn(deadline):
+            self.received = body.decode(self.received)
+
     def _read_trailers(self, limits: ServerLimits, deadline: float) -> None:
         """Read the trailers after the last chunk; their values are not used."""
         while len(self.received) < len(_TRAILERLESS_END):
@@ -191,6 +208,8 @@
         allowed : int, optional
             See `CallerResources.hold`.
         """
+        # A caller that sends faster than this connection reads never lets it wait.
+        eventlet.sleep(0)
         remaining = deadline - steady()
         if remaining <= 0:
             raise RequestTimeout("the request took too long to arrive")
--- a/whinrack/http1/_server.py
+++ b/whinrack/http1/_server.py
@@ -15,6 +15,8 @@
 __all__ = ["HttpServer"]
 
 _BACKLOG = 1024
+# Connections that are accepted before other tasks get a turn, even if more are waiting.
+_ACCEPTED_IN_TURN = 16
 # Accepted sockets inherit these. Without them the kernel lets the buffers of a connection whose
 # data is not read grow to megabytes.
 _SOCKET_BUFFERS = (socket.SO_RCVBUF, socket.SO_SNDBUF)
@@ -78,6 +80,7 @@
             connection.close_if_idle()
 
     def _accept(self) -> None:
+        accepted = 0
         while self._listener is not None:
             try:
                 sock, _ = self._listener.accept()
@@ -89,3 +92,6 @@
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             eventlet.spawn_n(CallerConnection(self, sock).serve)
+            accepted += 1
+            if accepted % _ACCEPTED_IN_TURN == 0:
+                eventlet.sleep(0)
--- a/whinrack/http1/tests/test_caller_resources.py
+++ b/whinrack/http1/tests/test_caller_resources.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from whinrack.exceptions import MemoryExhausted
+from whinrack.clock import steady
+from whinrack.exceptions import MemoryExhausted, RequestTimeout
 from whinrack.http1 import CallerResources, ShedReason
 from whinrack.http1._caller_resources import SheddableConnection
 
@@ -107,3 +108,13 @@
     assert not resources.try_hold(trying, 11)
     assert resources.try_hold(trying, 10)
     assert holding.actions == [] and trying.held_bytes == 10
+
+
+def test_only_one_connection_decodes_small_chunks(resources):
+    def decode(deadline):
+        with resources.decoding_turn(deadline):
+            return True
+
+    with resources.decoding_turn(steady() + 1.0), pytest.raises(RequestTimeout):
+        decode(steady())
+    assert decode(steady() + 1.0)
