Leave descriptors to targets, peers and the store beside any number of callers

Callers: with more idle clients than an instance has descriptors, at any of its ports, none was left for connections to targets, peers and the store, nor for other callers.

Cause: every connection was accepted; the limit of descriptors in the settings was not read.

Change: connections with callers take at most three quarters of the sockets. Beyond that the one that has rested longest is closed: those without a whole request so far before idle ones, those whose answers are not read last; one on which a request is being handled never. If all are in use, the new one is closed unread.

--- a/whinrack/edge/_caller_limits.py
+++ b/whinrack/edge/_caller_limits.py
@@ -1,4 +1,4 @@
-"""How much of an instance's memory its callers may take up."""
+"""How much of an instance's memory and sockets its callers may take up."""
 
 from whinrack.clock import steady
 from whinrack.edge._options import EdgeOptions
@@ -10,7 +10,10 @@
 # The rest of the memory is for the process itself, copies of what callers send, and answers of
 # targets that are being relayed.
 _MEMORY_FRACTION = 1 / 8
+# The rest of the sockets is for targets, peers and the store.
+_SOCKET_FRACTION = 3 / 4
 _DEFAULT_MEMORY_BYTES = 2_000_000_000
+_DEFAULT_SOCKETS = 100_000
 _LOG_INTERVAL_SECONDS = 1.0
 
 
@@ -43,4 +46,7 @@
 def caller_resources(options: EdgeOptions, log: SheddingLog) -> CallerResources:
     """Return what the callers of an instance may take up."""
     memory = options.memory_bytes or _DEFAULT_MEMORY_BYTES
-    return CallerResources(int(memory * _MEMORY_FRACTION), log.record)
+    sockets = options.max_sockets or _DEFAULT_SOCKETS
+    return CallerResources(
+        int(memory * _MEMORY_FRACTION), max(1, int(sockets * _SOCKET_FRACTION)), log.record
+    )
--- a/whinrack/edge/_options.py
+++ b/whinrack/edge/_options.py
@@ -52,6 +52,8 @@
         Processor time that this instance may use, seconds per second; 0 if unknown.
     memory_bytes : int
         Memory that this process may use; 0 if unknown.
+    max_sockets : int
+        Sockets that this process may open; 0 if unknown.
     emptying_seconds : float
         Time after which no request may reach a data hall that the operator has emptied; 0 if
         halls are never emptied, in which case they are not followed in the store.
@@ -87,6 +89,7 @@
     bandwidth: float = 0.0
     cores: float = 0.0
     memory_bytes: int = 0
+    max_sockets: int = 0
     event_delay: float = 0.0
     emptying_seconds: float = 0.0
     cold_overage: float = 1.0
--- a/whinrack/http1/_caller_resources.py
+++ b/whinrack/http1/_caller_resources.py
@@ -1,7 +1,7 @@
-"""Memory and processor time that callers may take up in this process.
+"""Memory and connections that callers may take up in this process.
 
 All servers of a process share one `CallerResources`. When the memory is used up, the connection
-that holds most is closed.
+that holds most is closed; when there are too many connections, the one that has rested longest is.
 Requests that are being handled are never interrupted for others.
 """
 
@@ -21,6 +21,7 @@
 _SOCKET_BUFFER_FRACTION = 1 / 256
 _SOCKET_BUFFER_BOUNDS = (32_768, 262_144)
 _DEFAULT_MAX_BYTES = 268_435_456
+_DEFAULT_MAX_CONNECTIONS = 100_000
 # A connection that holds no more than this is not closed for the memory of others, unless the
 # memory for callers is exceeded by far.
 _SMALL_BYTES = 16_384
@@ -31,9 +32,11 @@
 
 
 class ShedReason(StrEnum):
-    """Why a connection was closed."""
+    """Why a connection was closed, or not accepted."""
 
     MEMORY = "memory"
+    CONNECTIONS = "connections"
+    NOT_ACCEPTED = "not_accepted"
 
 
 class SheddableConnection:
@@ -45,21 +48,34 @@
         Memory that the connection holds.
     is_shed : bool
         Whether the connection is being closed to free what it holds.
+    resting_since : float
+        Steady clock at which the connection was opened, its latest request ended or its caller
+        was first seen not to read the response.
     """
 
     def __init__(self):
         self.held_bytes = 0
         self.is_shed = False
+        self.resting_since = steady()
 
     @property
     def can_free_memory(self) -> bool:
         """Whether the connection may be closed to free memory."""
         raise NotImplementedError
 
+    @property
+    def closing_rank(self) -> int | None:
+        """Order in which connections are closed to make room for others, None for never."""
+        raise NotImplementedError
+
     def free_memory(self) -> None:
         """Refuse the request that is being read, or break off the response that is not read."""
         raise NotImplementedError
 
+    def close_for_room(self) -> None:
+        """Close the connection, on which nothing is being handled for a caller that reads."""
+        raise NotImplementedError
+
 
 def _ignore(_reason: ShedReason) -> None:
     pass
@@ -72,8 +88,9 @@
     ----------
     max_bytes : int
         Memory for requests and responses, in bytes.
+    max_connections : int
     on_shed : callable
-        Called with the reason each time a connection is closed.
+        Called with the reason each time a connection is closed or not accepted.
 
     Attributes
     ----------
@@ -83,9 +100,11 @@
     def __init__(
         self,
         max_bytes: int = _DEFAULT_MAX_BYTES,
+        max_connections: int = _DEFAULT_MAX_CONNECTIONS,
         on_shed: Callable[[ShedReason], None] = _ignore,
     ):
         self.max_bytes = max_bytes
+        self.max_connections = max_connections
         self.on_shed = on_shed
         self.held_bytes = 0
         self._connections: set[SheddableConnection] = set()
@@ -100,9 +119,28 @@
 
     # --- connections -------------------------------------------------------------
 
-    def add(self, connection: SheddableConnection) -> None:
-        """Register a new connection."""
+    def admit(self, connection: SheddableConnection) -> bool:
+        """Register a new connection, if necessary in place of one that rests.
+
+        Returns
+        -------
+        bool
+            False if all connections are in use.
+        """
+        if len(self._connections) >= self.max_connections:
+            resting = min(
+                (other for other in self._connections if other.closing_rank is not None),
+                key=lambda other: (other.closing_rank, other.resting_since),
+                default=None,
+            )
+            if resting is None:
+                self.on_shed(ShedReason.NOT_ACCEPTED)
+                return False
+            self._connections.discard(resting)
+            resting.close_for_room()
+            self.on_shed(ShedReason.CONNECTIONS)
         self._connections.add(connection)
+        return True
 
     def discard(self, connection: SheddableConnection) -> None:
         """Remove a connection that is closed."""
--- a/whinrack/http1/_connection.py
+++ b/whinrack/http1/_connection.py
@@ -42,6 +42,13 @@
     CLOSING = auto()
 
 
+# Order in which connections are closed to make room for others. A response that is not read goes
+# last, as it may be read again.
+_CLOSING_RANKS = {_Phase.CLOSING: 0, _Phase.IDLE: 1, _Phase.READING: 1, _Phase.SENDING: 3}
+# Rank of an idle connection on which a request has been handled: its caller may use it again.
+_IDLE_RANK = 2
+
+
 class ServerBase:
     """State and callbacks that all connections of a server share.
 
@@ -94,7 +101,6 @@
     def serve(self) -> None:
         """Serve requests until one side closes the connection."""
         self.server.connections.add(self)
-        self.resources.add(self)
         self._worker = eventlet.getcurrent()
         try:
             while self._keep_alive and self._serve_request():
@@ -124,6 +130,13 @@
         """Whether the connection may be closed to free memory."""
         return not self.is_shed and self._phase in (_Phase.READING, _Phase.SENDING)
 
+    @property
+    def closing_rank(self) -> int | None:
+        """Order in which connections are closed to make room for others, None for never."""
+        if self._phase is _Phase.IDLE and self.has_served:
+            return _IDLE_RANK
+        return _CLOSING_RANKS.get(self._phase)
+
     def free_memory(self) -> None:
         """Refuse the request that is being read, or break off the response that is not read."""
         if self._phase is _Phase.SENDING:
@@ -134,6 +147,12 @@
             self.reader.drop()
             hubs.get_hub().schedule_call_global(0, self._refuse_reading)
 
+    def close_for_room(self) -> None:
+        """Close the connection, on which nothing is being handled for a caller that reads."""
+        if self._phase is _Phase.SENDING:
+            self._reset_on_close()
+        self._shutdown(socket.SHUT_RDWR)
+
     def _refuse_reading(self) -> None:
         if self._phase is _Phase.READING:
             self._worker.throw(self.resources.exhausted())
@@ -157,6 +176,7 @@
         self._phase = _Phase.HANDLING
         self._run_handler(Exchange(self, *request))
         self.has_served = True
+        self.resting_since = steady()
         self.resources.hold(self, len(self.reader.received))
         return self._keep_alive
 
@@ -309,7 +329,7 @@
         The buffers of the kernel count as held, as they are full.
         """
         phase, held = self._phase, self.held_bytes
-        self._phase = _Phase.SENDING
+        self._phase, self.resting_since = _Phase.SENDING, steady()
         try:
             size = held + len(data) + 2 * self.resources.socket_buffer_bytes
             self.resources.hold(self, size, allowed=size)
--- a/whinrack/http1/_server.py
+++ b/whinrack/http1/_server.py
@@ -90,8 +90,16 @@
                 # Out of file descriptors, or the connection was closed before it was accepted.
                 eventlet.sleep(0.05)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            eventlet.spawn_n(CallerConnection(self, sock).serve)
+            self._serve(sock)
             accepted += 1
             if accepted % _ACCEPTED_IN_TURN == 0:
                 eventlet.sleep(0)
+
+    def _serve(self, sock) -> None:
+        """Serve a new connection, or close it if there is no room for it."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = CallerConnection(self, sock)
+        if self.resources.admit(connection):
+            eventlet.spawn_n(connection.serve)
+        else:
+            sock.close()
--- a/whinrack/http1/tests/test_caller_resources.py
+++ b/whinrack/http1/tests/test_caller_resources.py
@@ -12,18 +12,27 @@
 
 
 class Connection(SheddableConnection):
-    def __init__(self, can_free_memory=True):
+    def __init__(self, can_free_memory=True, closing_rank=1, resting_since=0.0):
         super().__init__()
         self.can_free = can_free_memory
+        self.rank = closing_rank
+        self.resting_since = resting_since
         self.actions = []
 
     @property
     def can_free_memory(self):
         return self.can_free and not self.is_shed
 
+    @property
+    def closing_rank(self):
+        return self.rank
+
     def free_memory(self):
         self.actions.append("freed")
 
+    def close_for_room(self):
+        self.actions.append("closed")
+
 
 @pytest.fixture
 def reasons():
@@ -32,12 +41,12 @@
 
 @pytest.fixture
 def resources(reasons):
-    return CallerResources(_MAX_BYTES, on_shed=reasons.append)
+    return CallerResources(_MAX_BYTES, max_connections=3, on_shed=reasons.append)
 
 
 def admitted(resources, *args, **fields):
     connection = Connection(*args, **fields)
-    resources.add(connection)
+    assert resources.admit(connection)
     return connection
 
 
@@ -110,6 +119,23 @@
     assert holding.actions == [] and trying.held_bytes == 10
 
 
+def test_connection_that_has_rested_longest_is_closed_for_a_new_one(resources, reasons):
+    late, early, used = (
+        admitted(resources, closing_rank=rank, resting_since=since)
+        for rank, since in ((1, 2.0), (1, 1.0), (2, 0.0))
+    )
+    assert resources.admit(Connection())
+    assert (late.actions, early.actions, used.actions) == ([], ["closed"], [])
+    assert reasons == [ShedReason.CONNECTIONS]
+
+
+def test_connection_is_not_accepted_while_all_others_are_in_use(resources, reasons):
+    for _ in range(3):
+        admitted(resources, closing_rank=None)
+    assert not resources.admit(Connection())
+    assert reasons == [ShedReason.NOT_ACCEPTED]
+
+
 def test_only_one_connection_decodes_small_chunks(resources):
     def decode(deadline):
         with resources.decoding_turn(deadline):
--- a/whinrack/http1/tests/test_server.py
+++ b/whinrack/http1/tests/test_server.py
@@ -272,6 +272,15 @@
     assert resources.held_bytes == 0
 
 
+def test_idle_connection_is_closed_for_a_new_one():
+    def client(caller):
+        others = [Caller(caller.sock.getpeername()) for _ in range(3)]
+        others[-1].send(GET)
+        return caller.read_all() + others[-1].read_until(b"GET ")
+
+    assert b"200" in serve(echo, client, resources=CallerResources(max_connections=2))
+
+
 def test_closing_server_sends_connection_close():
     def client(caller):
         caller.send(GET)
