Do not pass on answers with a status that HTTP/1 does not define

Callers: got answers of targets in trouble with status 600 or 999, or with a status line of another version of HTTP, as they were. An answer with status 000 was not passed on here: for all kinds of request it ends as 502 or 503, also after an interim answer.

Cause: h11 rejects statuses under 100, but accepts those above 599 and any version.

Change: such an answer is a broken one, like other bytes that are no answer: 502, or another target if the request may run again. Peers' answers and health checks take the same path.

Through a forwarding peer it was not played.

--- a/whinrack/http1/_client.py
+++ b/whinrack/http1/_client.py
@@ -43,6 +43,8 @@
 _MAX_BODY_BYTES = 67_108_864
 # Bytes that are read before other tasks get a turn, even if more can be read without waiting.
 _TURN_BYTES = 262_144
+_HTTP_MAJOR_VERSION = b"1."
+_MAX_STATUS = 599
 # Status that h11 suggests if the receive buffer exceeds its maximum size.
 _HEAD_TOO_LARGE_STATUS = 431
 # Linger structure with which closing a socket resets its connection.
@@ -157,6 +159,8 @@
     def _next_final_response(self, deadline: float):
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = self._next_event(deadline)
+            if isinstance(event, h11.Response | h11.InformationalResponse):
+                _check_status_line(event)
             if not isinstance(event, h11.InformationalResponse):
                 return event
         raise AnswerUnbounded("the target sent only interim responses")
@@ -416,6 +420,13 @@
     return AnswerCut("the target sent malformed HTTP")
 
 
+def _check_status_line(event: h11.Response | h11.InformationalResponse) -> None:
+    """Raise `AnswerCut` for what h11 accepts, but HTTP/1 does not define."""
+    is_http_1 = event.http_version.startswith(_HTTP_MAJOR_VERSION)
+    if not is_http_1 or event.status_code > _MAX_STATUS:
+        raise AnswerCut("the target sent an invalid status line")
+
+
 def _connect(address: tuple[str, int], timeout: float):
     sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.settimeout(timeout)
--- a/whinrack/http1/tests/test_client.py
+++ b/whinrack/http1/tests/test_client.py
@@ -150,6 +150,35 @@
         send_request(ConnectionPool(), serve(script))
 
 
+@pytest.mark.parametrize(
+    "line",
+    [
+        *[b"HTTP/1.1 %s Odd" % status for status in (b"000", b"001", b"099", b"600", b"999")],
+        *[b"HTTP/2.0 200 OK", b"HTTP/0.9 200 OK", b"HTTP/1.1 0 Odd", b"HTTP/1.1 -1 Odd"],
+        *[b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 %s Odd" % status for status in (b"000", b"600")],
+    ],
+)
+def test_response_with_an_invalid_status_line_raises_answer_cut(serve, line):
+    def script(sock):
+        read_request(sock)
+        sock.sendall(line + RESPONSE[RESPONSE.index(b"\r\n") :])
+
+    pool, server = ConnectionPool(), serve(script)
+    with pytest.raises(AnswerCut):
+        send_request(pool, server)
+    assert server.accepted == 1
+
+
+@pytest.mark.parametrize("line", [b"HTTP/1.0 200 OK", b"HTTP/1.1 299 Odd", b"HTTP/1.1 599 Odd"])
+def test_response_with_an_unusual_status_line_is_passed_on(serve, line):
+    def script(sock):
+        read_request(sock)
+        sock.sendall(line + RESPONSE[RESPONSE.index(b"\r\n") :])
+
+    head, body = send_request(ConnectionPool(), serve(script))
+    assert (head.status, body) == (int(line.split()[1]), b"ok")
+
+
 def test_responses_to_other_requests_are_skipped(serve):
     def script(sock):
         read_request(sock)
