Break off responses that are not read before those that are

Callers: beside 150 callers that did not read answers of 1 MB, an ordinary caller's answer of that size was reset, as it held as much as each of theirs.

Cause: connections were chosen by what they hold alone, and a response counted whole until its end.

Change: what a connection holds is weighed with the time since it last made progress, of which 50 ms are the least; a response counts only what is left of it.

New unit test.

--- a/whinrack/http1/_caller_resources.py
+++ b/whinrack/http1/_caller_resources.py
@@ -1,7 +1,8 @@
 """Memory and connections that callers may take up in this process.
 
 All servers of a process share one `CallerResources`. When the memory is used up, the connection
-that holds most is closed; when there are too many connections, the one that has rested longest is.
+that holds most, or has held it for longest without progress, is closed; when there are too many
+connections, the one that has rested longest is.
 Requests that are being handled are never interrupted for others.
 """
 
@@ -26,6 +27,8 @@
 # memory for callers is exceeded by far.
 _SMALL_BYTES = 16_384
 _SMALL_EXCESS = 2
+# Time without progress below which only the size counts.
+_BRIEF_SECONDS = 0.05
 # Connections that may wait for their turn to decode small chunks.
 _MAX_WAITING_DECODERS = 32
 _RETRY_SECONDS = 1.0
@@ -50,13 +53,15 @@
         Whether the connection is being closed to free what it holds.
     resting_since : float
         Steady clock at which the connection was opened, its latest request ended or its caller
-        was first seen not to read the response.
+        was last seen to read a part of the response.
+    progressed_at : float
+        Steady clock at which bytes of a request were last received, or of a response last sent.
     """
 
     def __init__(self):
         self.held_bytes = 0
         self.is_shed = False
-        self.resting_since = steady()
+        self.resting_since = self.progressed_at = steady()
 
     @property
     def can_free_memory(self) -> bool:
@@ -68,6 +73,10 @@
         """Order in which connections are closed to make room for others, None for never."""
         raise NotImplementedError
 
+    def excess(self, now: float) -> float:
+        """Return how much the connection holds for how long without progress, in byte seconds."""
+        return self.held_bytes * max(_BRIEF_SECONDS, now - self.progressed_at)
+
     def free_memory(self) -> None:
         """Refuse the request that is being read, or break off the response that is not read."""
         raise NotImplementedError
@@ -163,7 +172,7 @@
         Raises
         ------
         MemoryExhausted
-            If no other connection holds more that could be freed.
+            If the connection itself holds most.
         """
         if connection.is_shed:
             raise self.exhausted()
@@ -189,17 +198,19 @@
 
     def _free_for(self, connection: SheddableConnection, max_bytes: int) -> None:
         while self.held_bytes > max_bytes:
-            candidates = (other for other in self._connections if other.can_free_memory)
-            largest = max(candidates, key=lambda other: other.held_bytes, default=connection)
-            if largest.held_bytes <= _SMALL_BYTES and self.held_bytes <= _SMALL_EXCESS * max_bytes:
+            spared = _SMALL_BYTES if self.held_bytes <= _SMALL_EXCESS * max_bytes else 0
+            candidates = [other for other in self._connections if other.can_free_memory]
+            large = [other for other in (connection, *candidates) if other.held_bytes > spared]
+            if not large:
                 return
-            if largest.held_bytes <= connection.held_bytes:
-                self.on_shed(ShedReason.MEMORY)
-                raise self.exhausted()
-            largest.is_shed = True
-            self._set_held(largest, 0)
-            largest.free_memory()
+            now = steady()
+            chosen = max(large, key=lambda other: other.excess(now))
             self.on_shed(ShedReason.MEMORY)
+            if chosen is connection:
+                raise self.exhausted()
+            chosen.is_shed = True
+            self._set_held(chosen, 0)
+            chosen.free_memory()
 
     def exhausted(self) -> MemoryExhausted:
         """Return the refusal of a request for which there is no memory."""
--- a/whinrack/http1/_connection.py
+++ b/whinrack/http1/_connection.py
@@ -158,6 +158,8 @@
             self._worker.throw(self.resources.exhausted())
 
     def _hold(self, size: int, allowed: int = 0) -> None:
+        """Record that bytes of a request were received; see `CallerResources.hold`."""
+        self.progressed_at = steady()
         self.resources.hold(self, size, allowed)
 
     # --- reading -----------------------------------------------------------------
@@ -329,12 +331,15 @@
         The buffers of the kernel count as held, as they are full.
         """
         phase, held = self._phase, self.held_bytes
-        self._phase, self.resting_since = _Phase.SENDING, steady()
+        buffers = 2 * self.resources.socket_buffer_bytes
+        self._phase = _Phase.SENDING
         try:
-            size = held + len(data) + 2 * self.resources.socket_buffer_bytes
-            self.resources.hold(self, size, allowed=size)
-            self.sock.settimeout(self.server.limits().write_seconds)
-            self.sock.sendall(data)
+            while data:
+                self.resting_since = self.progressed_at = steady()
+                size = held + buffers + len(data)
+                self.resources.hold(self, size, allowed=size)
+                self._wait_until_writable()
+                data = data[self._send_at_once(data) :]
         except MemoryExhausted:
             self._reset_on_close()
             raise
@@ -342,6 +347,10 @@
             self._phase = phase
         self.resources.hold(self, held)
 
+    def _wait_until_writable(self) -> None:
+        seconds = self.server.limits().write_seconds
+        hubs.trampoline(self.sock.fd, write=True, timeout=seconds, timeout_exc=TimeoutError)
+
     # --- closing -----------------------------------------------------------------
 
     def _prepare_abort(self) -> None:
--- a/whinrack/http1/tests/test_caller_resources.py
+++ b/whinrack/http1/tests/test_caller_resources.py
@@ -69,6 +69,15 @@
     assert other.actions == []
 
 
+def test_connection_without_progress_is_freed_before_one_that_holds_more(resources):
+    resting, active, growing = (admitted(resources) for _ in range(3))
+    resting.progressed_at -= 10.0
+    resources.hold(resting, _LARGE_BYTES)
+    resources.hold(active, _MAX_BYTES - _LARGE_BYTES)
+    resources.hold(growing, 2 * _LARGE_BYTES // 3)
+    assert (resting.actions, active.actions) == (["freed"], [])
+
+
 def test_requests_being_handled_are_not_interrupted(resources):
     handled, growing = admitted(resources, can_free_memory=False), admitted(resources)
     resources.hold(handled, _MAX_BYTES)
@@ -85,7 +94,7 @@
 
 def test_many_small_requests_do_not_exceed_the_memory_without_end(resources):
     handled, small = admitted(resources, can_free_memory=False), admitted(resources)
-    resources.hold(handled, 2 * _MAX_BYTES)
+    resources.hold(handled, 2 * _MAX_BYTES, allowed=2 * _MAX_BYTES)
     with pytest.raises(MemoryExhausted):
         resources.hold(small, 1000)
 
