Bound the kernel's buffers of all connections together

Callers: with 300 MB, 2,000 callers whose bodies of 4 MiB stop before their end took the instance and what waited in its connections to 719 MB.

Cause: the buffers of a connection were sized by the memory for callers alone, whatever the number of connections; the kernel allows twice the size that is set.

Change: connections are as many as have room for their buffers in a quarter of the memory, and buffers are smaller (16 KiB with 300 MB, 1,144 connections). The send buffer is widened for a response that doesn't fit, while there is memory for it: otherwise an answer of 20 MB took over 4 s. What is held of a response is no longer counted twice while it is sent. The refusal is called receiving_overloaded, as bodies in tiny chunks get it for another reason than memory.

--- a/whinrack/edge/_caller_limits.py
+++ b/whinrack/edge/_caller_limits.py
@@ -10,6 +10,11 @@
 # The rest of the memory is for the process itself, copies of what callers send, and answers of
 # targets that are being relayed.
 _MEMORY_FRACTION = 1 / 8
+_KERNEL_MEMORY_FRACTION = 1 / 4
+_SOCKET_BUFFER_FRACTION = 1 / 16_384
+_SOCKET_BUFFER_BOUNDS = (16_384, 131_072)
+# The kernel allows twice the requested size for each of the two buffers of a connection.
+_KERNEL_BUFFERS = 4
 # The rest of the sockets is for targets, peers and the store.
 _SOCKET_FRACTION = 3 / 4
 _DEFAULT_MEMORY_BYTES = 2_000_000_000
@@ -47,6 +52,10 @@
     """Return what the callers of an instance may take up."""
     memory = options.memory_bytes or _DEFAULT_MEMORY_BYTES
     sockets = options.max_sockets or _DEFAULT_SOCKETS
+    least, most = _SOCKET_BUFFER_BOUNDS
+    buffer_bytes = min(most, max(least, int(memory * _SOCKET_BUFFER_FRACTION)))
+    max_buffered = memory * _KERNEL_MEMORY_FRACTION / (_KERNEL_BUFFERS * buffer_bytes)
+    max_connections = max(1, int(min(sockets * _SOCKET_FRACTION, max_buffered)))
     return CallerResources(
-        int(memory * _MEMORY_FRACTION), max(1, int(sockets * _SOCKET_FRACTION)), log.record
+        int(memory * _MEMORY_FRACTION), max_connections, buffer_bytes, log.record
     )
--- a/whinrack/exceptions.py
+++ b/whinrack/exceptions.py
@@ -30,7 +30,6 @@
     "InvalidObject",
     "InvalidSettings",
     "KeyReused",
-    "MemoryExhausted",
     "NoSuchPath",
     "NotFound",
     "OutcomeUnknown",
@@ -40,6 +39,7 @@
     "PolicyFailure",
     "QueueFull",
     "RateExceeded",
+    "ReceivingOverloaded",
     "ReplyLost",
     "NoRoute",
     "Refusal",
@@ -258,10 +258,10 @@
     code, status, error_type = "headers_too_large", 431, "invalid_request_error"
 
 
-class MemoryExhausted(Refusal):
-    """The memory for what callers send is used up."""
+class ReceivingOverloaded(Refusal):
+    """Other callers' requests and responses take up what this instance has for receiving."""
 
-    code, status, error_type = "memory_exhausted", 503, "overloaded_error"
+    code, status, error_type = "receiving_overloaded", 503, "overloaded_error"
 
 
 class NoRoute(Refusal):
--- a/whinrack/http1/_caller_resources.py
+++ b/whinrack/http1/_caller_resources.py
@@ -13,14 +13,11 @@
 from eventlet.semaphore import Semaphore
 
 from whinrack.clock import steady
-from whinrack.exceptions import MemoryExhausted, RequestTimeout
+from whinrack.exceptions import ReceivingOverloaded, RequestTimeout
 
 __all__ = ["CallerResources", "ShedReason", "SheddableConnection"]
 
-# The receive buffer and the send buffer of a connection have this part of the memory each, within
-# the bounds in bytes.
-_SOCKET_BUFFER_FRACTION = 1 / 256
-_SOCKET_BUFFER_BOUNDS = (32_768, 262_144)
+_DEFAULT_SOCKET_BUFFER_BYTES = 65_536
 _DEFAULT_MAX_BYTES = 268_435_456
 _DEFAULT_MAX_CONNECTIONS = 100_000
 # A connection that holds no more than this is not closed for the memory of others, unless the
@@ -29,7 +26,7 @@
 _SMALL_EXCESS = 2
 # Time without progress below which only the size counts.
 _BRIEF_SECONDS = 0.05
-# Connections that may wait for their turn to decode small chunks.
+# Connections that may wait for their turn to decode small chunks; others would wait too long.
 _MAX_WAITING_DECODERS = 32
 _RETRY_SECONDS = 1.0
 
@@ -38,6 +35,7 @@
     """Why a connection was closed, or not accepted."""
 
     MEMORY = "memory"
+    DECODING = "decoding"
     CONNECTIONS = "connections"
     NOT_ACCEPTED = "not_accepted"
 
@@ -98,6 +96,9 @@
     max_bytes : int
         Memory for requests and responses, in bytes.
     max_connections : int
+    socket_buffer_bytes : int
+        Size of the receive buffer and of the send buffer of each connection, as requested from the
+        kernel.
     on_shed : callable
         Called with the reason each time a connection is closed or not accepted.
 
@@ -110,22 +111,18 @@
         self,
         max_bytes: int = _DEFAULT_MAX_BYTES,
         max_connections: int = _DEFAULT_MAX_CONNECTIONS,
+        socket_buffer_bytes: int = _DEFAULT_SOCKET_BUFFER_BYTES,
         on_shed: Callable[[ShedReason], None] = _ignore,
     ):
         self.max_bytes = max_bytes
         self.max_connections = max_connections
+        self.socket_buffer_bytes = socket_buffer_bytes
         self.on_shed = on_shed
         self.held_bytes = 0
         self._connections: set[SheddableConnection] = set()
         self._decoding = Semaphore(1)
         self._waiting_decoders = 0
 
-    @property
-    def socket_buffer_bytes(self) -> int:
-        """Size of the kernel's receive buffer and of its send buffer of each connection."""
-        least, most = _SOCKET_BUFFER_BOUNDS
-        return min(most, max(least, int(self.max_bytes * _SOCKET_BUFFER_FRACTION)))
-
     # --- connections -------------------------------------------------------------
 
     def admit(self, connection: SheddableConnection) -> bool:
@@ -171,11 +168,11 @@
 
         Raises
         ------
-        MemoryExhausted
+        ReceivingOverloaded
             If the connection itself holds most.
         """
         if connection.is_shed:
-            raise self.exhausted()
+            raise self.overloaded()
         is_growing = size > connection.held_bytes
         self._set_held(connection, size)
         if is_growing:
@@ -205,17 +202,21 @@
                 return
             now = steady()
             chosen = max(large, key=lambda other: other.excess(now))
-            self.on_shed(ShedReason.MEMORY)
             if chosen is connection:
-                raise self.exhausted()
-            chosen.is_shed = True
-            self._set_held(chosen, 0)
-            chosen.free_memory()
-
-    def exhausted(self) -> MemoryExhausted:
-        """Return the refusal of a request for which there is no memory."""
-        return MemoryExhausted(
-            "the memory for what callers send is used up", retry_after=_RETRY_SECONDS
+                self.on_shed(ShedReason.MEMORY)
+                raise self.overloaded()
+            self._free(chosen)
+
+    def _free(self, connection: SheddableConnection) -> None:
+        connection.is_shed = True
+        self._set_held(connection, 0)
+        connection.free_memory()
+        self.on_shed(ShedReason.MEMORY)
+
+    def overloaded(self) -> ReceivingOverloaded:
+        """Return the refusal of a request that is not received to its end."""
+        return ReceivingOverloaded(
+            "other callers' requests and responses take up too much", retry_after=_RETRY_SECONDS
         )
 
     # --- processor ---------------------------------------------------------------
@@ -226,14 +227,14 @@
 
         Raises
         ------
-        MemoryExhausted
-            If too many connections wait for their turn: their receive buffers are full.
+        ReceivingOverloaded
+            If too many connections wait for their turn.
         RequestTimeout
             If the steady clock reaches `deadline`.
         """
         if self._waiting_decoders >= _MAX_WAITING_DECODERS:
-            self.on_shed(ShedReason.MEMORY)
-            raise self.exhausted()
+            self.on_shed(ShedReason.DECODING)
+            raise self.overloaded()
         self._waiting_decoders += 1
         try:
             has_turn = self._decoding.acquire(timeout=max(0.0, deadline - steady()))
--- a/whinrack/http1/_connection.py
+++ b/whinrack/http1/_connection.py
@@ -12,7 +12,7 @@
 from eventlet import hubs, patcher
 
 from whinrack.clock import steady
-from whinrack.exceptions import CallerGone, MemoryExhausted, Refusal
+from whinrack.exceptions import CallerGone, ReceivingOverloaded, Refusal
 from whinrack.http1._caller_resources import CallerResources, SheddableConnection
 from whinrack.http1._exchange import Exchange, ResponseWriter, ServerLimits
 from whinrack.http1._messages import Headers, RequestHead
@@ -23,6 +23,9 @@
 _READ_BYTES = 65_536
 # While a request is handled, this much is read of what follows it, and as much again at most.
 _READ_AHEAD_BYTES = 16_384
+# Send buffer for long responses. The kernel allows for twice the size that is set.
+_WIDE_BUFFER_BYTES = 262_144
+_KERNEL_FACTOR = 2
 _HANG_UP_CHECK_SECONDS = 0.1
 _DRAIN_SECONDS = 0.5
 # SO_LINGER with a timeout of 0: closing the socket resets the connection.
@@ -95,6 +98,10 @@
         self.has_served = False
         self._phase = _Phase.IDLE
         self._worker = None
+        # What is held of a response of which nothing has been sent.
+        self._response_bytes = 0
+        # What the kernel may take up beyond the usual buffers while a long response is sent.
+        self._buffer_bytes = 0
         self._handler_token: object | None = None
         self._keep_alive = True
 
@@ -105,7 +112,7 @@
         try:
             while self._keep_alive and self._serve_request():
                 self.protocol.start_next_cycle()
-        except (CallerGone, MemoryExhausted, OSError, h11.ProtocolError):
+        except (CallerGone, ReceivingOverloaded, OSError, h11.ProtocolError):
             self._prepare_abort()
         finally:
             self._phase = _Phase.CLOSING
@@ -155,7 +162,7 @@
 
     def _refuse_reading(self) -> None:
         if self._phase is _Phase.READING:
-            self._worker.throw(self.resources.exhausted())
+            self._worker.throw(self.resources.overloaded())
 
     def _hold(self, size: int, allowed: int = 0) -> None:
         """Record that bytes of a request were received; see `CallerResources.hold`."""
@@ -177,6 +184,7 @@
             return False
         self._phase = _Phase.HANDLING
         self._run_handler(Exchange(self, *request))
+        self._narrow_send_buffer()
         self.has_served = True
         self.resting_since = steady()
         self.resources.hold(self, len(self.reader.received))
@@ -305,15 +313,18 @@
 
     def try_hold(self, size: int) -> bool:
         """Let the response hold further bytes until the request ends, if there is memory."""
-        return self.resources.try_hold(self, size)
+        is_held = self.resources.try_hold(self, size)
+        self._response_bytes += size if is_held else 0
+        return is_held
 
     def _send(self, *events) -> None:
         data = memoryview(b"".join(self.protocol.send(event) for event in events))
         try:
+            self._release_response()
             sent = self._send_at_once(data)
             if sent < len(data):
                 self._send_slowly(data[sent:])
-        except (OSError, MemoryExhausted) as error:
+        except (OSError, ReceivingOverloaded) as error:
             # The handler must not be interrupted once more while it ends the run.
             self._handler_token = None
             raise CallerGone("sending to the caller failed or timed out") from error
@@ -326,27 +337,46 @@
             return 0
 
     def _send_slowly(self, data: memoryview) -> None:
-        """Send the rest of some data to a caller that does not read as fast as it is sent.
-
-        The buffers of the kernel count as held, as they are full.
-        """
+        """Send the rest of some data to a caller that does not read as fast as it is sent."""
+        self._widen_send_buffer()
         phase, held = self._phase, self.held_bytes
-        buffers = 2 * self.resources.socket_buffer_bytes
         self._phase = _Phase.SENDING
         try:
             while data:
                 self.resting_since = self.progressed_at = steady()
-                size = held + buffers + len(data)
+                size = held + len(data)
                 self.resources.hold(self, size, allowed=size)
                 self._wait_until_writable()
                 data = data[self._send_at_once(data) :]
-        except MemoryExhausted:
+        except ReceivingOverloaded:
             self._reset_on_close()
             raise
         finally:
             self._phase = phase
         self.resources.hold(self, held)
 
+    def _widen_send_buffer(self) -> None:
+        """Let the kernel take more of a long response at once, while there is memory for it."""
+        size = _KERNEL_FACTOR * _WIDE_BUFFER_BYTES
+        if not self._buffer_bytes and self.resources.try_hold(self, size):
+            self._buffer_bytes = size
+            self._set_send_buffer(_WIDE_BUFFER_BYTES)
+
+    def _narrow_send_buffer(self) -> None:
+        if self._buffer_bytes:
+            self._buffer_bytes = 0
+            self._set_send_buffer(self.resources.socket_buffer_bytes)
+
+    def _set_send_buffer(self, size: int) -> None:
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+    def _release_response(self) -> None:
+        """Stop counting what was held of a response, of which only what is not sent counts."""
+        if self._response_bytes:
+            self.resources.hold(self, self.held_bytes - self._response_bytes)
+            self._response_bytes = 0
+
     def _wait_until_writable(self) -> None:
         seconds = self.server.limits().write_seconds
         hubs.trampoline(self.sock.fd, write=True, timeout=seconds, timeout_exc=TimeoutError)
--- a/whinrack/http1/_request_reader.py
+++ b/whinrack/http1/_request_reader.py
@@ -81,7 +81,7 @@
 
         Raises
         ------
-        MemoryExhausted
+        ReceivingOverloaded
             If there is no memory for it.
         """
         self.hold(len(self.received), 0)
--- a/whinrack/http1/tests/test_caller_resources.py
+++ b/whinrack/http1/tests/test_caller_resources.py
@@ -3,7 +3,7 @@
 import pytest
 
 from whinrack.clock import steady
-from whinrack.exceptions import MemoryExhausted, RequestTimeout
+from whinrack.exceptions import ReceivingOverloaded, RequestTimeout
 from whinrack.http1 import CallerResources, ShedReason
 from whinrack.http1._caller_resources import SheddableConnection
 
@@ -63,7 +63,7 @@
 def test_connection_that_holds_most_itself_is_refused(resources):
     other, growing = admitted(resources), admitted(resources)
     resources.hold(other, _MAX_BYTES // 3)
-    with pytest.raises(MemoryExhausted) as refused:
+    with pytest.raises(ReceivingOverloaded) as refused:
         resources.hold(growing, _MAX_BYTES)
     assert refused.value.status == 503 and refused.value.retry_after > 0
     assert other.actions == []
@@ -81,7 +81,7 @@
 def test_requests_being_handled_are_not_interrupted(resources):
     handled, growing = admitted(resources, can_free_memory=False), admitted(resources)
     resources.hold(handled, _MAX_BYTES)
-    with pytest.raises(MemoryExhausted):
+    with pytest.raises(ReceivingOverloaded):
         resources.hold(growing, _LARGE_BYTES)
     assert handled.actions == []
 
@@ -95,7 +95,7 @@
 def test_many_small_requests_do_not_exceed_the_memory_without_end(resources):
     handled, small = admitted(resources, can_free_memory=False), admitted(resources)
     resources.hold(handled, 2 * _MAX_BYTES, allowed=2 * _MAX_BYTES)
-    with pytest.raises(MemoryExhausted):
+    with pytest.raises(ReceivingOverloaded):
         resources.hold(small, 1000)
 
 
@@ -108,7 +108,7 @@
     freed, other = admitted(resources), admitted(resources)
     resources.hold(freed, _MAX_BYTES)
     resources.hold(other, _LARGE_BYTES)
-    with pytest.raises(MemoryExhausted):
+    with pytest.raises(ReceivingOverloaded):
         resources.hold(freed, 1)
 
 
