--- a/whinrack/edge/_caller_limits.py
+++ b/whinrack/edge/_caller_limits.py
@@ -12,7 +12,7 @@
 _MEMORY_FRACTION = 1 / 8
 _KERNEL_MEMORY_FRACTION = 1 / 4
 _SOCKET_BUFFER_FRACTION = 1 / 16_384
-_SOCKET_BUFFER_BOUNDS = (16_384, 131_072)
+_SOCKET_BUFFER_BOUNDS = (16_384, 32_768)
 # The kernel allows twice the requested size for each of the two buffers of a connection.
 _KERNEL_BUFFERS = 4
 # The rest of the sockets is for targets, peers and the store.
